--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= .venv/bin/python
+SEED ?= 1
+SEEDS ?= 1..5
+
+.PHONY: help setup test format lint types unit demo bench prove proto binary report
+
+help: ## Show the targets.
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
+
+.venv/.installed: requirements-dev.txt
+	test -x .venv/bin/python || python3 -m venv .venv
+	.venv/bin/python -m pip install --quiet --require-hashes -r requirements-dev.txt
+	touch .venv/.installed
+
+setup: .venv/.installed ## Create the virtual environment from the hashed lock file.
+
+test: lint types unit ## Run the formatter check, the linter, the types and all tests.
+
+format: setup ## Format the sources.
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+lint: setup ## Check format and lint rules.
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+types: setup ## Check the types.
+	$(PYTHON) -m mypy
+
+unit: setup ## Run the tests.
+	$(PYTHON) -m pytest -n 4
+
+proto: setup ## Generate the gRPC code again.
+	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. cassiaweir/rpc/cell.proto
--- /dev/null
+++ b/cassiaweir/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers and operators."""
--- /dev/null
+++ b/cassiaweir/cmdline.py
@@ -0,0 +1,118 @@
+"""The command line: roles and tools as subcommands."""
+
+from __future__ import annotations
+
+import os
+import platform
+import sys
+from pathlib import Path
+
+import click
+
+from cassiaweir import __version__
+from cassiaweir.exceptions import CassiaweirError
+from cassiaweir.settings import Settings
+
+EXIT_FAILURE = 1
+
+
+class _ErrorsOnOneLine(click.Group):
+    """Prints cassiaweir's own errors on one line in place of a stack trace."""
+
+    def invoke(self, ctx: click.Context) -> object:
+        """Run the command, or exit with status 1 after the error's line."""
+        try:
+            return super().invoke(ctx)
+        except CassiaweirError as exc:
+            click.echo(f"cassiaweir: {exc}", err=True)
+            ctx.exit(EXIT_FAILURE)
+
+
+def settings_options(command: click.decorators.FC) -> click.decorators.FC:
+    """Add the options that say where settings come from."""
+    command = click.option(
+        "--set", "overrides", multiple=True, help="section.name=value, over the file."
+    )(command)
+    return click.option(
+        "--settings",
+        "path",
+        type=click.Path(path_type=Path),
+        help="TOML file with the settings.",
+    )(command)
+
+
+def load_settings(path: Path | None, overrides: tuple[str, ...]) -> Settings:
+    """Read the settings of this process from all sources."""
+    return Settings.load(path, environment=os.environ, overrides=overrides)
+
+
+@click.group(cls=_ErrorsOnOneLine)
+@click.version_option(__version__)
+def main() -> None:
+    """Schedule services, batch runs and jobs whose tasks start together.
+
+    Example: cassiaweir gateway --settings entry-vm.toml
+    """
+
+
+@main.command()
+@settings_options
+def gateway(path: Path | None, overrides: tuple[str, ...]) -> None:
+    """Run the gateway of an entry VM.
+
+    Example: cassiaweir gateway --settings entry-vm.toml
+    """
+    from cassiaweir.composition import run_gateway
+
+    run_gateway(load_settings(path, overrides))
+
+
+@main.command()
+@settings_options
+def scheduler(path: Path | None, overrides: tuple[str, ...]) -> None:
+    """Run the scheduler of an entry VM.
+
+    Example: cassiaweir scheduler --settings entry-vm.toml
+    """
+    from cassiaweir.composition import run_scheduler
+
+    run_scheduler(load_settings(path, overrides))
+
+
+@main.command("check-settings")
+@settings_options
+def check_settings(path: Path | None, overrides: tuple[str, ...]) -> None:
+    """Check settings without listening on anything.
+
+    Example: cassiaweir check-settings --settings entry-vm.toml
+    """
+    load_settings(path, overrides)
+    click.echo("settings are valid")
+
+
+@main.group()
+def debug() -> None:
+    """Print what the program sees."""
+
+
+@debug.command("sys")
+def debug_sys() -> None:
+    """Print the versions and the interpreter.
+
+    Example: cassiaweir debug sys
+    """
+    click.echo(f"cassiaweir: {__version__}")
+    click.echo(f"python: {platform.python_version()}")
+    click.echo(f"executable: {sys.executable}")
+    click.echo(f"platform: {platform.platform()}")
+
+
+@debug.command("settings")
+@settings_options
+def debug_settings(path: Path | None, overrides: tuple[str, ...]) -> None:
+    """Print every setting with its source.
+
+    Example: cassiaweir debug settings --settings entry-vm.toml
+    """
+    for key, value, source in load_settings(path, overrides).items():
+        click.echo(f"{key} = {value}  # {source}")
--- /dev/null
+++ b/cassiaweir/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/cassiaweir/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's table, object store, VM list and workers."""
--- /dev/null
+++ b/cassiaweir/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to backend servers: slots, claims and routing."""
--- /dev/null
+++ b/cassiaweir/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""The messages between cassiaweir's own processes and their generated code."""
--- /dev/null
+++ b/cassiaweir/settings.py
@@ -0,0 +1,286 @@
+"""Settings: one class, filled from one table of options.
+
+Sources in rising order of precedence: defaults, the TOML file, the environment
+(`CASSIAWEIR_SECTION_NAME`) and `--set section.name=value`.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from cassiaweir.exceptions import SettingsError
+
+ENVIRONMENT_PREFIX = "CASSIAWEIR_"
+DURATION_UNITS = {
+    "ms": timedelta(milliseconds=1),
+    "s": timedelta(seconds=1),
+    "m": timedelta(minutes=1),
+    "h": timedelta(hours=1),
+}
+DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+ADDRESS_PATTERN = re.compile(r"[0-9.]+:\d{1,5}|\[[0-9a-fA-F:]+\]:\d{1,5}")
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+BOOLEANS = {"true": True, "false": False}
+HIGHEST_PORT = 65535
+
+
+def parse_duration(value: object) -> timedelta:
+    """Return the duration in text such as `1500ms`, `3s`, `5m` or `1h`."""
+    match = DURATION_PATTERN.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        raise ValueError("expected a duration such as '1500ms', '3s' or '5m'")
+    return float(match[1]) * DURATION_UNITS[match[2]]
+
+
+def parse_address(value: object) -> str:
+    """Return `value` if it is an IP number and a port."""
+    if not isinstance(value, str) or not ADDRESS_PATTERN.fullmatch(value):
+        raise ValueError("expected an IP number and port such as '10.0.0.5:7200'")
+    if int(value.rpartition(":")[2]) > HIGHEST_PORT:
+        raise ValueError(f"the port is above {HIGHEST_PORT}")
+    return value
+
+
+def parse_name(value: object) -> str:
+    """Return `value` if it is a plain name."""
+    if not isinstance(value, str) or not NAME_PATTERN.fullmatch(value):
+        raise ValueError("expected lower-case letters, digits and hyphens")
+    return value
+
+
+def parse_text(value: object) -> str:
+    """Return `value` if it is text."""
+    if not isinstance(value, str):
+        raise ValueError("expected a text")
+    return value
+
+
+def parse_names(value: object) -> tuple[str, ...]:
+    """Return the names in a list, or in text with commas."""
+    items = value.split(",") if isinstance(value, str) else value
+    if not isinstance(items, list):
+        raise ValueError("expected a list of names")
+    return tuple(parse_name(item) for item in items)
+
+
+def parse_count(value: object) -> int:
+    """Return a whole number from 1 up."""
+    number = int(value) if isinstance(value, str) and value.isdigit() else value
+    if not isinstance(number, int) or isinstance(number, bool) or number < 1:
+        raise ValueError("expected a whole number from 1 up")
+    return number
+
+
+def parse_flag(value: object) -> bool:
+    """Return true or false."""
+    flag = BOOLEANS.get(value) if isinstance(value, str) else value
+    if not isinstance(flag, bool):
+        raise ValueError("expected true or false")
+    return flag
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """One setting: `key` is `section.name`, `parse` raises `ValueError`.
+
+    A `default` of None makes the option required.
+    """
+
+    key: str
+    parse: Callable[[object], Any]
+    default: object
+    help: str
+
+    @property
+    def attribute(self) -> str:
+        """The name of the attribute of `Settings`."""
+        return self.key.replace(".", "_")
+
+    @property
+    def variable(self) -> str:
+        """The name of the environment variable."""
+        return ENVIRONMENT_PREFIX + self.attribute.upper()
+
+
+OPTIONS = (
+    Option("vm.name", parse_name, None, "name of the entry VM"),
+    Option("vm.failure_domain", parse_name, None, "failure domain of the entry VM"),
+    Option("vm.deployment", parse_name, None, "deployment that the entry VM serves"),
+    Option("gateway.listen", parse_address, "127.0.0.1:7200", "callers' HTTP"),
+    Option("gateway.rpc", parse_address, "127.0.0.1:7201", "gRPC of the gateway"),
+    Option("gateway.max_body_bytes", parse_count, 1_048_576, "largest request body"),
+    Option("gateway.request_timeout", parse_duration, "10s", "longest a request takes"),
+    Option("gateway.drain_notice", parse_duration, "2s", "unready before a stop"),
+    Option("gateway.drain_limit", parse_duration, "30s", "longest graceful stop"),
+    Option("scheduler.rpc", parse_address, "127.0.0.1:7202", "gRPC of the scheduler"),
+    Option("scheduler.shards_per_domain", parse_count, 1, "shards a failure domain"),
+    Option("scheduler.shard_lease", parse_duration, "6s", "lease of a shard's owner"),
+    Option("scheduler.shard_renewal", parse_duration, "2s", "between lease renewals"),
+    Option("scheduler.task_lease", parse_duration, "20s", "lease of running tasks"),
+    Option("scheduler.task_renewal", parse_duration, "2s", "between task renewals"),
+    Option("scheduler.command_expiry", parse_duration, "2s", "life of a command"),
+    Option("scheduler.clock_drift", parse_duration, "50ms", "drift within a lease"),
+    Option("scheduler.autonomy", parse_duration, "30m", "work on without the table"),
+    Option("scheduler.workers_fence", parse_flag, True, "workers refuse old epochs"),
+    Option("platform.table", parse_address, None, "table service"),
+    Option("platform.objects", parse_address, None, "object store"),
+    Option("platform.vms", parse_address, None, "VM list"),
+    Option("platform.timeout", parse_duration, "1s", "longest call to the platform"),
+    Option("platform.poll", parse_duration, "500ms", "between looks at the table"),
+    Option("platform.vm_poll", parse_duration, "1s", "between looks at the VM list"),
+    Option("cell.failure_domains", parse_names, None, "all failure domains"),
+    Option("cell.view_age_limit", parse_duration, "3s", "oldest view for keyed work"),
+    Option("cell.heartbeat", parse_duration, "500ms", "between heartbeats of peers"),
+    Option("log.level", parse_name, "info", "debug, info, warning or error"),
+)
+
+OPTIONS_BY_KEY = {option.key: option for option in OPTIONS}
+
+
+class Settings:
+    """The validated settings of one process.
+
+    Each option of `OPTIONS` is an attribute, with `_` in place of the dot.
+    """
+
+    vm_name: str
+    vm_failure_domain: str
+    vm_deployment: str
+    gateway_listen: str
+    gateway_rpc: str
+    gateway_max_body_bytes: int
+    gateway_request_timeout: timedelta
+    gateway_drain_notice: timedelta
+    gateway_drain_limit: timedelta
+    scheduler_rpc: str
+    scheduler_shards_per_domain: int
+    scheduler_shard_lease: timedelta
+    scheduler_shard_renewal: timedelta
+    scheduler_task_lease: timedelta
+    scheduler_task_renewal: timedelta
+    scheduler_command_expiry: timedelta
+    scheduler_clock_drift: timedelta
+    scheduler_autonomy: timedelta
+    scheduler_workers_fence: bool
+    platform_table: str
+    platform_objects: str
+    platform_vms: str
+    platform_timeout: timedelta
+    platform_poll: timedelta
+    platform_vm_poll: timedelta
+    cell_failure_domains: tuple[str, ...]
+    cell_view_age_limit: timedelta
+    cell_heartbeat: timedelta
+    log_level: str
+
+    def __init__(self) -> None:
+        self.sources: dict[str, str] = {}
+        for option in OPTIONS:
+            if option.default is not None:
+                self._set(option, option.default, "default")
+
+    @classmethod
+    def load(
+        cls,
+        path: Path | None = None,
+        *,
+        environment: Mapping[str, str] | None = None,
+        overrides: Sequence[str] = (),
+    ) -> Settings:
+        """Read all sources and return checked settings.
+
+        `path` is a TOML file, `overrides` are texts such as `log.level=debug`.
+        Raises `SettingsError` naming the source, the key and the reason.
+        """
+        settings = cls()
+        if path is not None:
+            settings._read_file(path)
+        settings._read_environment(environment or {})
+        for text in overrides:
+            settings._read_override(text)
+        settings._check()
+        return settings
+
+    def items(self) -> list[tuple[str, object, str]]:
+        """Return key, value and source of every option, for `debug settings`."""
+        return [
+            (option.key, getattr(self, option.attribute), self.sources[option.key])
+            for option in OPTIONS
+        ]
+
+    def _read_file(self, path: Path) -> None:
+        try:
+            document = tomllib.loads(path.read_text(encoding="utf-8"))
+        except OSError as exc:
+            raise SettingsError(f"{path}: cannot be read: {exc.strerror}") from exc
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+            raise SettingsError(f"{path}: is not TOML: {exc}") from exc
+        for section, values in document.items():
+            if not isinstance(values, dict):
+                raise SettingsError(f"{path}: {section}: expected a section")
+            for name, value in values.items():
+                self._set_by_key(f"{section}.{name}", value, str(path))
+
+    def _read_environment(self, environment: Mapping[str, str]) -> None:
+        known = {option.variable: option for option in OPTIONS}
+        for variable, value in environment.items():
+            if not variable.startswith(ENVIRONMENT_PREFIX):
+                continue
+            if variable not in known:
+                raise SettingsError(f"environment: {variable}: unknown option")
+            self._set(known[variable], value, f"environment {variable}")
+
+    def _read_override(self, text: str) -> None:
+        key, separator, value = text.partition("=")
+        if not separator:
+            raise SettingsError(f"--set {text}: expected section.name=value")
+        self._set_by_key(key, value, "--set")
+
+    def _set_by_key(self, key: str, value: object, source: str) -> None:
+        if key not in OPTIONS_BY_KEY:
+            raise SettingsError(f"{source}: {key}: unknown option")
+        self._set(OPTIONS_BY_KEY[key], value, source)
+
+    def _set(self, option: Option, value: object, source: str) -> None:
+        try:
+            parsed = option.parse(value)
+        except ValueError as exc:
+            raise SettingsError(f"{source}: {option.key}: {exc}") from exc
+        setattr(self, option.attribute, parsed)
+        self.sources[option.key] = source
+
+    def _check(self) -> None:
+        for option in OPTIONS:
+            if option.key not in self.sources:
+                raise SettingsError(
+                    f"{option.key}: is required ({option.help}); set it in the file "
+                    f"or in {option.variable}"
+                )
+        self._check_less("scheduler.shard_renewal", "scheduler.shard_lease")
+        self._check_less("scheduler.task_renewal", "scheduler.task_lease")
+        self._check_less("platform.poll", "cell.view_age_limit")
+        if self.vm_failure_domain not in self.cell_failure_domains:
+            raise SettingsError(
+                f"vm.failure_domain: {self.vm_failure_domain} is not in "
+                "cell.failure_domains"
+            )
+        if self.log_level not in ("debug", "info", "warning", "error"):
+            raise SettingsError(
+                f"log.level: {self.log_level} is not debug, info, warning or error"
+            )
+
+    def _check_less(self, lower: str, upper: str) -> None:
+        values = [
+            getattr(self, OPTIONS_BY_KEY[key].attribute) for key in (lower, upper)
+        ]
+        if values[0] >= values[1]:
+            raise SettingsError(
+                f"{lower}: must be shorter than {upper}, which comes from "
+                f"{self.sources[upper]}"
+            )
--- /dev/null
+++ b/cassiaweir/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Teams: keys, and the allotments of their upper limits."""
--- /dev/null
+++ b/cassiaweir/work/_models.py
@@ -0,0 +1,81 @@
+"""The border model of a job and the rows that keep it."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from cassiaweir.types import JobKind, Resources, Urgency
+
+MOST_TASKS = 10_000
+MOST_CPU_MILLIS = 1_024_000
+MOST_MEMORY_MB = 16_777_216
+MOST_ACCELERATORS = 64
+LONGEST_PAYLOAD = 4_096
+LONGEST_DECLARED_SECONDS = 30 * 86_400
+MOST_ATTEMPTS = 20
+DEFAULT_ATTEMPTS = 5
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+
+
+class TaskSize(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The declared size of each task of a job."""
+
+    cpu_millis: Annotated[int, msgspec.Meta(ge=1, le=MOST_CPU_MILLIS)]
+    memory_mb: Annotated[int, msgspec.Meta(ge=1, le=MOST_MEMORY_MB)]
+    accelerators: Annotated[int, msgspec.Meta(ge=0, le=MOST_ACCELERATORS)] = 0
+
+    def resources(self) -> Resources:
+        """Return the size as an amount."""
+        return Resources(self.cpu_millis, self.memory_mb, self.accelerators)
+
+
+class JobSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a caller submits; all tasks of a job are alike.
+
+    `job` is the caller's own name of the job and makes a repeat harmless.
+    `declared_seconds` is the expected run time of a task, 0 for services.
+    """
+
+    job: Name
+    queue: Name
+    kind: JobKind
+    tasks: Annotated[int, msgspec.Meta(ge=1, le=MOST_TASKS)]
+    size: TaskSize
+    urgency: Urgency = Urgency.NORMAL
+    declared_seconds: Annotated[
+        float, msgspec.Meta(ge=0, le=LONGEST_DECLARED_SECONDS)
+    ] = 0
+    payload: Annotated[str, msgspec.Meta(max_length=LONGEST_PAYLOAD)] = ""
+    attempts: Annotated[int, msgspec.Meta(ge=1, le=MOST_ATTEMPTS)] = DEFAULT_ATTEMPTS
+
+
+class JobRow(msgspec.Struct, frozen=True):
+    """The row `job/<job>`; `submitted_at` is in seconds since 1970, for display."""
+
+    job: str
+    team: str
+    spec: JobSpec
+    submitted_at: float
+    shards: list[str]
+    cancelled: bool = False
+
+
+class PartRow(msgspec.Struct, frozen=True):
+    """The row `part/<shard>/<job>`: tasks `first` up to `first + count` of a job.
+
+    `succeeded` and `failed` hold ranges of ended indexes, each from its first index
+    up to and without its second one.
+    """
+
+    job: str
+    team: str
+    spec: JobSpec
+    submitted_at: float
+    first: int
+    count: int
+    succeeded: list[tuple[int, int]] = []
+    failed: list[tuple[int, int]] = []
+    cancelled: bool = False
--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,69 @@
+"""An in-memory table with outages and lost answers, for tests and the server."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from cassiaweir.exceptions import ConflictError, UnavailableError
+from cassiaweir.types import Check, Row, Write
+from cassiaweir.verdict import Verdict
+
+
+class MemoryTable:
+    """Implements the `Table` protocol.
+
+    `down` refuses every call.  `lose_answers` counts the next commits that take
+    effect although the caller is told nothing.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Row] = {}
+        self._version = 0
+        self.down = False
+        self.lose_answers = 0
+        self.reads = 0
+        self.commits = 0
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Return the rows that exist among `keys`."""
+        self._require_up()
+        self.reads += 1
+        return {key: self._rows[key] for key in keys if key in self._rows}
+
+    async def scan(self, prefix: str) -> list[Row]:
+        """Return all rows whose key starts with `prefix`, ordered by key."""
+        self._require_up()
+        self.reads += 1
+        return [self._rows[key] for key in sorted(self._rows) if key.startswith(prefix)]
+
+    async def commit(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> dict[str, int]:
+        """Apply all `writes` if all `checks` hold, and return the new versions."""
+        self._require_up()
+        for check in checks:
+            self._verify(check)
+        self.commits += 1
+        self._version += 1
+        for write in writes:
+            self._apply(write)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise UnavailableError("answer lost", verdict=Verdict.MAY_HAVE_RUN)
+        return {write.key: self._version for write in writes}
+
+    def _require_up(self) -> None:
+        if self.down:
+            raise UnavailableError("table is down", verdict=Verdict.NOT_RUN)
+
+    def _verify(self, check: Check) -> None:
+        row = self._rows.get(check.key)
+        version = row.version if row else 0
+        if version != check.version:
+            raise ConflictError(f"{check.key} is at {version}, not {check.version}")
+
+    def _apply(self, write: Write) -> None:
+        if write.value is None:
+            self._rows.pop(write.key, None)
+        else:
+            self._rows[write.key] = Row(write.key, self._version, write.value)
--- /dev/null
+++ b/tests/test_observe.py
@@ -0,0 +1,33 @@
+"""Tests of `cassiaweir.observe`."""
+
+import io
+
+from cassiaweir.clock import ManualClock
+from cassiaweir.observe import EventLog, Metrics, configure_logs
+
+
+def test_a_line_break_from_a_caller_stays_inside_its_value():
+    sink = io.StringIO()
+    configure_logs("p1", "info", sink)
+    log = EventLog("p1", ManualClock())
+    log.record("request_refused", "r1", reason="x\nevent=forged {braces} <red>")
+    lines = sink.getvalue().splitlines()
+    assert len(lines) == 1
+    assert 'reason="x\\nevent=forged {braces} <red>"' in lines[0]
+    assert "process=p1" in lines[0]
+
+
+def test_events_after_a_sequence_are_returned_in_order():
+    log = EventLog("p1", ManualClock())
+    for index in range(5):
+        log.record("tick", str(index))
+    assert [event.subject for event in log.after(2, 2)] == ["2", "3"]
+
+
+def test_metrics_render_counts_and_quantiles():
+    metrics = Metrics()
+    metrics.count("requests", team='a"b')
+    metrics.observe("wait", 0.5, kind="urgent")
+    text = metrics.render()
+    assert 'cassiaweir_requests_total{team="a\\"b"} 1' in text
+    assert 'cassiaweir_wait_seconds_count{kind="urgent"} 1' in text
