--- /dev/null
+++ b/prove/__init__.py
@@ -0,0 +1,1 @@
+"""Runs real processes under failures and checks the recorded history."""
