--- a/prove/checkers.py
+++ b/prove/checkers.py
@@ -86,7 +86,7 @@
 
 
 def check_keys(history: History) -> list[Violation]:
-    """Check that work is accepted only for the key's team; withdrawn keys stop working."""
+    """Check that keys admit only their team and that withdrawn ones stop working."""
     withdrawn = {item.key: item.at for item in history.withdrawals}
     found = []
     for call in history.calls:
