Build one file that runs as one process

shiv leaves one zip application run by the interpreter in one process; a PyInstaller file was ruled out because its boot loader runs as a second process. The unpacked copy goes to SHIV_ROOT, which has to be writable.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,11 @@
 
 proto: setup ## Generate the gRPC code again.
 	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. cassiaweir/rpc/cell.proto
+
+binary: setup ## Build dist/cassiaweir, one file that runs as one process.
+	rm -rf build/site
+	$(PYTHON) -m pip install --quiet --require-hashes --target build/site -r requirements.txt
+	cp -r cassiaweir build/site/cassiaweir
+	mkdir -p dist
+	$(PYTHON) -m shiv --site-packages build/site --compressed --reproducible \
+		--entry-point cassiaweir.cmdline:main --output-file dist/cassiaweir
