Add the platform clients and the stand-ins that they are tested with

The processes need the platform's table, object store, VM list and workers behind the Protocols of types.py, and something to talk to on loopback. The stand-ins run one by one or as a whole cell in one process with one ledger of what ran where.

Faults of the table and the group commit are not covered yet.

--- a/cassiaweir/platform/__init__.py
+++ b/cassiaweir/platform/__init__.py
@@ -1,1 +1,15 @@
-"""Clients of the platform's table, object store, VM list and workers."""
+"""Clients of the platform's services, behind the Protocols of `cassiaweir.types`."""
+
+from cassiaweir.platform._group_commit import GroupCommit
+from cassiaweir.platform._services import HttpObjectStore, HttpVmList, HttpWorkers
+from cassiaweir.platform._session import PlatformSession
+from cassiaweir.platform._table import HttpTable
+
+__all__ = [
+    "GroupCommit",
+    "HttpObjectStore",
+    "HttpTable",
+    "HttpVmList",
+    "HttpWorkers",
+    "PlatformSession",
+]
--- /dev/null
+++ b/standins/_backend.py
@@ -0,0 +1,210 @@
+"""A backend server: slots, connections, echoes, faults of its answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import msgspec
+from aiohttp import web
+
+from standins._http import Service, answer, drop, read_body
+
+DEFAULT_SLOTS = 8
+DEFAULT_CONNECTIONS = 64
+DEFAULT_WORK_SECONDS = 0.005
+REQUEST_ID_HEADER = "Cassiaweir-Request-Id"
+IDEMPOTENCY_KEY_HEADER = "Cassiaweir-Idempotency-Key"
+WORK_HEADER = "Cassiaweir-Work-Ms"
+NOT_RUN_HEADER = "Cassiaweir-Not-Run"
+
+
+class BackendFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """How many of the next answers go wrong in which way.
+
+    `late` answers come `late_ms` later, `cut` ones end in the middle of the body,
+    `twice` ones are sent twice, and `closed` ones are missing: the connection
+    closes after the work was done.
+    """
+
+    late: int = 0
+    late_ms: int = 1000
+    cut: int = 0
+    twice: int = 0
+    closed: int = 0
+
+
+class BackendControl(msgspec.Struct, forbid_unknown_fields=True):
+    """Changes a backend server; what is None stays as it is."""
+
+    leaving: bool | None = None
+    answers: BackendFaults | None = None
+
+
+class Echo(msgspec.Struct):
+    """The body of an answer: the request's identity and the body it came with."""
+
+    request_id: str
+    backend: str
+    path: str
+    body: str
+
+
+class BackendStats(msgspec.Struct):
+    """What a backend server has seen.
+
+    `after_leaving` counts requests that came after leaving began.  `executions`
+    holds the idempotency keys that ran more than once.
+    """
+
+    backend: str
+    answered: int = 0
+    refused: int = 0
+    executed: int = 0
+    running: int = 0
+    most_running: int = 0
+    connections: int = 0
+    most_connections: int = 0
+    over_connections: int = 0
+    after_leaving: int = 0
+    executions: dict[str, int] = {}
+
+
+class BackendService(Service):
+    """Answers each POST with an `Echo` after some time in a slot."""
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        slots: int = DEFAULT_SLOTS,
+        connections: int = DEFAULT_CONNECTIONS,
+    ) -> None:
+        super().__init__()
+        self.name = name
+        self.leaving = False
+        self.answers = BackendFaults()
+        self.stats = BackendStats(name)
+        self._slots = slots
+        self._connections = connections
+        self._open: set[asyncio.BaseTransport] = set()
+        self._executions: Counter[str] = Counter()
+        self.app.router.add_get("/v1/stats", self._get_stats)
+        self.app.router.add_post("/v1/control", self._control)
+        self.app.router.add_post("/{path:.*}", self._serve)
+
+    def snapshot(self) -> BackendStats:
+        """Return the counters at this moment."""
+        self.stats.connections = self._count_connections()
+        self.stats.executions = {
+            key: count for key, count in self._executions.items() if count > 1
+        }
+        return self.stats
+
+    async def _get_stats(self, req: web.Request) -> web.Response:
+        return answer(self.snapshot())
+
+    async def _control(self, req: web.Request) -> web.Response:
+        control = await read_body(req, BackendControl)
+        if control.leaving is not None:
+            self.leaving = control.leaving
+        if control.answers is not None:
+            self.answers = control.answers
+        return answer(self.snapshot())
+
+    async def _serve(self, req: web.Request) -> web.StreamResponse:
+        self._note_connection(req)
+        body = await req.read()
+        if self.leaving:
+            self.stats.after_leaving += 1
+        if self.leaving or self.stats.running >= self._slots:
+            self.stats.refused += 1
+            return web.Response(status=503, headers={NOT_RUN_HEADER: "true"})
+        await self._work(req)
+        echo = Echo(
+            request_id=req.headers.get(REQUEST_ID_HEADER, ""),
+            backend=self.name,
+            path=req.path,
+            body=body.decode(errors="replace"),
+        )
+        return await self._answer(req, msgspec.json.encode(echo), echo.request_id)
+
+    async def _work(self, req: web.Request) -> None:
+        """Hold a slot for the time that the request asks for."""
+        stats = self.stats
+        millis = req.headers.get(WORK_HEADER, "")
+        seconds = float(millis) / 1000 if millis else DEFAULT_WORK_SECONDS
+        stats.running += 1
+        stats.most_running = max(stats.most_running, stats.running)
+        stats.executed += 1
+        key = req.headers.get(IDEMPOTENCY_KEY_HEADER)
+        if key:
+            self._executions[key] += 1
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            stats.running -= 1
+
+    async def _answer(
+        self, req: web.Request, body: bytes, request_id: str
+    ) -> web.StreamResponse:
+        """Answer, unless one of the faults is due."""
+        faults = self.answers
+        headers = {REQUEST_ID_HEADER: request_id}
+        if faults.late:
+            faults.late -= 1
+            await asyncio.sleep(faults.late_ms / 1000)
+        if faults.closed:
+            faults.closed -= 1
+            return _close(req)
+        if faults.cut:
+            faults.cut -= 1
+            return await _answer_half(req, body, headers)
+        if faults.twice:
+            faults.twice -= 1
+            await _answer_early(req, body, headers)
+        self.stats.answered += 1
+        return web.Response(body=body, headers=headers, content_type="application/json")
+
+    def _note_connection(self, req: web.Request) -> None:
+        if req.transport is not None:
+            self._open.add(req.transport)
+        count = self._count_connections()
+        self.stats.most_connections = max(self.stats.most_connections, count)
+        if count > self._connections:
+            self.stats.over_connections += 1
+
+    def _count_connections(self) -> int:
+        self._open = {conn for conn in self._open if not conn.is_closing()}
+        return len(self._open)
+
+
+def _close(req: web.Request) -> web.Response:
+    """Close the connection without an answer."""
+    if req.transport is not None:
+        req.transport.abort()
+    return web.Response()
+
+
+async def _answer_half(
+    req: web.Request, body: bytes, headers: dict[str, str]
+) -> web.StreamResponse:
+    """Promise the whole body, send half of it and close the connection."""
+    resp = web.StreamResponse(headers=headers)
+    resp.content_length = len(body)
+    await resp.prepare(req)
+    await resp.write(body[: len(body) // 2])
+    if req.transport is not None:
+        req.transport.close()
+    await drop(req)
+    return resp
+
+
+async def _answer_early(req: web.Request, body: bytes, headers: dict[str, str]) -> None:
+    """Send one more whole answer on the connection before the real one."""
+    lines = ["HTTP/1.1 200 OK", "Content-Type: application/json"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines += [f"Content-Length: {len(body)}", "", ""]
+    transport = req.transport
+    if isinstance(transport, asyncio.WriteTransport):
+        transport.write("\r\n".join(lines).encode() + body)
--- /dev/null
+++ b/standins/_http.py
@@ -0,0 +1,152 @@
+"""HTTP servers of the stand-ins, with faults that every service shares."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+from aiohttp import web
+
+from cassiaweir.platform.wire import CALLER_HEADER, Problem, ProblemKind
+from cassiaweir.verdict import Verdict
+
+LARGEST_BODY_BYTES = 16 * 1024 * 1024
+LONGEST_HOLD_SECONDS = 30.0
+FAULTS_PATH = "/v1/faults"
+CONTROL_PATHS = (FAULTS_PATH, "/v1/stats", "/v1/ledger", "/v1/control")
+STATUS_BY_KIND = {
+    ProblemKind.CONFLICT: 409,
+    ProblemKind.EXPIRED: 410,
+    ProblemKind.FENCED: 412,
+    ProblemKind.INVALID: 400,
+    ProblemKind.NOT_FOUND: 404,
+    ProblemKind.UNAVAILABLE: 503,
+}
+
+T = TypeVar("T")
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong between a service and its callers; a post replaces all of it.
+
+    `down` refuses each request.  `frozen` leaves each request unanswered.
+    `slow_ms` is waited for before a request is carried out.  `lose_answers` counts
+    the next requests that change something, take effect and get no answer.
+    `late_commits` counts the next commits that get no answer and take effect
+    `late_ms` later.  Requests of the VMs in `cut` do not arrive; those of the VMs
+    in `cut_answers` do, but get no answer.
+    """
+
+    down: bool = False
+    frozen: bool = False
+    slow_ms: int = 0
+    lose_answers: int = 0
+    late_commits: int = 0
+    late_ms: int = 1000
+    cut: list[str] = []
+    cut_answers: list[str] = []
+
+
+class Service:
+    """An HTTP application whose requests pass through its `faults`."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.app = web.Application(
+            middlewares=[self._apply_faults], client_max_size=LARGEST_BODY_BYTES
+        )
+        self.app.router.add_post(FAULTS_PATH, self._set_faults)
+        self.app.router.add_get(FAULTS_PATH, self._get_faults)
+        self._runner: web.AppRunner | None = None
+
+    async def listen(self, address: str) -> str:
+        """Serve on `address` and return the real one, where its port was 0."""
+        host, _, port = address.rpartition(":")
+        runner = web.AppRunner(self.app, access_log=None, shutdown_timeout=0)
+        self._runner = runner
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        bound = runner.addresses[0]
+        return f"{bound[0]}:{bound[1]}"
+
+    async def close(self) -> None:
+        """Stop serving."""
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            await runner.cleanup()
+
+    def changes_something(self, req: web.Request) -> bool:
+        """Tell whether a lost answer to `req` counts against `lose_answers`."""
+        return req.method != "GET"
+
+    async def _set_faults(self, req: web.Request) -> web.Response:
+        self.faults = await read_body(req, Faults)
+        return answer(self.faults)
+
+    async def _get_faults(self, req: web.Request) -> web.Response:
+        return answer(self.faults)
+
+    @web.middleware
+    async def _apply_faults(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if request.path.startswith(CONTROL_PATHS):
+            return await _guarded(request, handler)
+        caller = request.headers.get(CALLER_HEADER, "")
+        if self.faults.frozen or caller in self.faults.cut:
+            return await drop(request)
+        if self.faults.down:
+            return problem(ProblemKind.UNAVAILABLE, "service is down")
+        if self.faults.slow_ms:
+            await asyncio.sleep(self.faults.slow_ms / 1000)
+        resp = await _guarded(request, handler)
+        if caller in self.faults.cut_answers:
+            return await drop(request)
+        if self.faults.lose_answers and self.changes_something(request):
+            self.faults.lose_answers -= 1
+            return await drop(request)
+        return resp
+
+
+async def drop(req: web.Request) -> web.Response:
+    """Leave `req` unanswered until its caller gives up, then close the connection."""
+    transport = req.transport
+    waited = 0.0
+    while waited < LONGEST_HOLD_SECONDS:
+        if transport is None or transport.is_closing():
+            break
+        await asyncio.sleep(0.05)
+        waited += 0.05
+    if transport is not None:
+        transport.abort()
+    return web.Response(status=503)
+
+
+async def read_body(req: web.Request, model: type[T]) -> T:
+    """Return the body of `req` as `model`, or raise `ValidationError`."""
+    return msgspec.json.decode(await req.read(), type=model)
+
+
+def answer(body: object) -> web.Response:
+    """Return a good answer with `body` as JSON."""
+    return web.Response(body=msgspec.json.encode(body), content_type="application/json")
+
+
+def problem(
+    kind: ProblemKind, message: str, *, verdict: Verdict = Verdict.NOT_RUN
+) -> web.Response:
+    """Return a refusal."""
+    body = msgspec.json.encode(Problem(kind, message, verdict))
+    status = STATUS_BY_KIND[kind]
+    return web.Response(status=status, body=body, content_type="application/json")
+
+
+async def _guarded(req: web.Request, handler: Handler) -> web.StreamResponse:
+    """Call `handler` and answer malformed bodies as such."""
+    try:
+        return await handler(req)
+    except msgspec.DecodeError as exc:
+        return problem(ProblemKind.INVALID, str(exc))
--- /dev/null
+++ b/standins/_objects.py
@@ -0,0 +1,45 @@
+"""The object store over HTTP."""
+
+from __future__ import annotations
+
+import msgspec
+from aiohttp import web
+
+from cassiaweir.platform.wire import ProblemKind
+from standins._http import Service, answer, problem
+
+
+class ObjectStats(msgspec.Struct):
+    """What the object store holds and has been asked to do."""
+
+    objects: int
+    puts: int
+    gets: int
+
+
+class ObjectService(Service):
+    """Keeps objects in memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._objects: dict[str, bytes] = {}
+        self._puts = 0
+        self._gets = 0
+        self.app.router.add_put("/v1/objects/{name:.+}", self._put)
+        self.app.router.add_get("/v1/objects/{name:.+}", self._get)
+        self.app.router.add_get("/v1/stats", self._stats)
+
+    async def _put(self, req: web.Request) -> web.Response:
+        self._objects[req.match_info["name"]] = await req.read()
+        self._puts += 1
+        return web.Response()
+
+    async def _get(self, req: web.Request) -> web.Response:
+        self._gets += 1
+        body = self._objects.get(req.match_info["name"])
+        if body is None:
+            return problem(ProblemKind.NOT_FOUND, "no such object")
+        return web.Response(body=body)
+
+    async def _stats(self, req: web.Request) -> web.Response:
+        return answer(ObjectStats(len(self._objects), self._puts, self._gets))
--- /dev/null
+++ b/standins/_payload.py
@@ -0,0 +1,45 @@
+"""What a task does, as its payload says."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cassiaweir.types import TaskState
+
+DEFAULT_RUN_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Behaviour:
+    """How long a task runs (None: until it is stopped), how it ends, what it uses.
+
+    `usage` is a factor of the declared size.
+    """
+
+    seconds: float | None = DEFAULT_RUN_SECONDS
+    end: TaskState = TaskState.SUCCEEDED
+    usage: float = 1.0
+
+
+def parse_payload(payload: str) -> Behaviour:
+    """Return what a payload such as `run:0.5 usage:2.0` asks for.
+
+    Words are `run:SECONDS`, `forever`, `fail`, `fail:SECONDS` and `usage:FACTOR`;
+    others are ignored.
+    """
+    seconds: float | None = DEFAULT_RUN_SECONDS
+    end = TaskState.SUCCEEDED
+    usage = 1.0
+    for word in payload.split():
+        name, _, value = word.partition(":")
+        match name:
+            case "run":
+                seconds = float(value)
+            case "forever":
+                seconds = None
+            case "fail":
+                seconds = float(value or 0)
+                end = TaskState.FAILED
+            case "usage":
+                usage = float(value)
+    return Behaviour(seconds, end, usage)
--- /dev/null
+++ b/standins/_platform.py
@@ -0,0 +1,170 @@
+"""All stand-ins of a cell in one process, with one ledger over all workers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+from aiohttp import web
+
+from cassiaweir.platform.wire import ProblemKind
+from cassiaweir.types import Vm, VmRole
+from standins import _deployment as ports
+from standins._backend import BackendService, BackendStats
+from standins._deployment import Deployment, PlatformFile
+from standins._http import Faults, Service, answer, problem, read_body
+from standins._ledger import Ledger
+from standins._objects import ObjectService
+from standins._relay import Relay
+from standins._table import TableService
+from standins._vms import VmListService, VmRegistry
+from standins._worker import SimulatedWorker
+from standins._worker_service import WorkerControl, WorkerService
+
+SETTLE_SECONDS = 0.05
+
+
+class CutControl(msgspec.Struct, forbid_unknown_fields=True):
+    """Cuts the VMs `callers` off from services.
+
+    `services` are `table`, `objects`, `vms` and names of worker VMs or backend
+    servers; `all` is each of them.  `answers_only` lets requests arrive.
+    """
+
+    callers: list[str]
+    services: list[str]
+    answers_only: bool = False
+
+
+class VmFault(msgspec.Struct, forbid_unknown_fields=True):
+    """Lets the worker VM `name` die, or replaces it by another incarnation."""
+
+    name: str
+    replace: bool = False
+
+
+class PlatformService(Service):
+    """Owns all stand-ins of a cell and serves the control port."""
+
+    def __init__(self, cfg: PlatformFile) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.ledger = Ledger(time.monotonic)
+        self.table = TableService()
+        self.objects = ObjectService()
+        self.registry = VmRegistry(cfg.vm_lag_ms / 1000)
+        self.vm_list = VmListService(self.registry)
+        self.workers: dict[str, WorkerService] = {}
+        self.backends: dict[str, BackendService] = {}
+        self.balancer = Relay(cfg.gateways())
+        self._settler: asyncio.Task[None] | None = None
+        for deployment, vm in cfg.vms():
+            self._add_vm(deployment, vm)
+        self.registry.forget_history()
+        self.app.router.add_get("/v1/ledger", self._get_ledger)
+        self.app.router.add_get("/v1/stats", self._get_stats)
+        self.app.router.add_post("/v1/control/cut", self._cut)
+        self.app.router.add_post("/v1/control/heal", self._heal)
+        self.app.router.add_post("/v1/control/vm", self._fail_vm)
+
+    async def start(self) -> None:
+        """Serve every stand-in on its port; the control port comes last."""
+        cfg = self.cfg
+        await self.table.listen(cfg.address(ports.TABLE_OFFSET))
+        await self.objects.listen(cfg.address(ports.OBJECTS_OFFSET))
+        await self.vm_list.listen(cfg.address(ports.VMS_OFFSET))
+        for name, service in (*self.workers.items(), *self.backends.items()):
+            vm = self.registry.get(name)
+            if vm is not None:
+                await service.listen(vm.address)
+        if cfg.gateways():
+            await self.balancer.relay(cfg.address(ports.BALANCER_OFFSET))
+            await self.balancer.listen(cfg.address(ports.BALANCER_CONTROL_OFFSET))
+        self._settler = asyncio.create_task(self._settle())
+        await self.listen(cfg.address(ports.CONTROL_OFFSET))
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._settler is not None:
+            self._settler.cancel()
+            await asyncio.gather(self._settler, return_exceptions=True)
+        await self.balancer.close()
+        await asyncio.gather(*(service.close() for service in self._services()))
+        await self.close()
+
+    def _add_vm(self, deployment: Deployment, vm: Vm) -> None:
+        self.registry.add(vm)
+        if vm.role is VmRole.WORKER:
+            worker = SimulatedWorker(
+                vm.name,
+                vm.capacity,
+                self.ledger,
+                incarnation=vm.incarnation,
+                fences=deployment.workers_fence,
+                usage_lag=self.cfg.usage_lag_ms / 1000,
+            )
+            self.workers[vm.name] = WorkerService(worker)
+        if vm.role is VmRole.BACKEND:
+            self.backends[vm.name] = BackendService(
+                vm.name,
+                slots=deployment.backend_slots,
+                connections=deployment.backend_connections,
+            )
+
+    def _named(self) -> dict[str, Service]:
+        return {
+            "table": self.table,
+            "objects": self.objects,
+            "vms": self.vm_list,
+            **self.workers,
+            **self.backends,
+        }
+
+    def _services(self) -> list[Service]:
+        return list(self._named().values())
+
+    async def _settle(self) -> None:
+        while True:
+            now = self.ledger.now()
+            for service in self.workers.values():
+                service.worker.settle(now)
+            await asyncio.sleep(SETTLE_SECONDS)
+
+    async def _get_ledger(self, req: web.Request) -> web.Response:
+        return answer(self.ledger.answer())
+
+    async def _get_stats(self, req: web.Request) -> web.Response:
+        stats: list[BackendStats] = [b.snapshot() for b in self.backends.values()]
+        return answer(stats)
+
+    async def _cut(self, req: web.Request) -> web.Response:
+        control = await read_body(req, CutControl)
+        for name, service in self._named().items():
+            if name in control.services or "all" in control.services:
+                _add_cut(service.faults, control)
+        return answer(control)
+
+    async def _heal(self, req: web.Request) -> web.Response:
+        for service in self._services():
+            service.faults = Faults()
+        return answer(True)
+
+    async def _fail_vm(self, req: web.Request) -> web.Response:
+        fault = await read_body(req, VmFault)
+        service = self.workers.get(fault.name)
+        if service is None:
+            return problem(ProblemKind.NOT_FOUND, f"no worker called {fault.name}")
+        if fault.replace:
+            vm = self.registry.replace(fault.name)
+            service.apply(WorkerControl(incarnation=vm.incarnation))
+        else:
+            service.apply(WorkerControl(die=True))
+            service.faults.frozen = True
+        return answer(fault)
+
+
+def _add_cut(faults: Faults, control: CutControl) -> None:
+    """Add the callers of `control` to the VMs that `faults` cuts off."""
+    cut = faults.cut_answers if control.answers_only else faults.cut
+    cut += [caller for caller in control.callers if caller not in cut]
--- /dev/null
+++ b/standins/_relay.py
@@ -0,0 +1,170 @@
+"""TCP relays: the balancer in front of the gateways, and a cuttable link."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from standins._http import Service, answer, read_body
+
+CHECK_SECONDS = 0.2
+CHECK_TIMEOUT_SECONDS = 1.0
+CHUNK_BYTES = 65536
+
+
+class RelayControl(msgspec.Struct, forbid_unknown_fields=True):
+    """Which directions the relay drops bytes of.
+
+    `cut_forward` is from the caller to the target, `cut_back` the other way.  New
+    connections are left hanging while `cut_forward` is set.
+    """
+
+    cut_forward: bool = False
+    cut_back: bool = False
+
+
+class RelayStats(msgspec.Struct):
+    """What a relay has done, and the targets that are ready."""
+
+    accepted: int
+    refused: int
+    ready: list[str]
+
+
+class Relay(Service):
+    """Relays connections on one port to ready targets in turn.
+
+    With `check` it asks `GET /ready` of each target; without, all count as ready.
+    """
+
+    def __init__(self, targets: Sequence[str], *, check: bool = True) -> None:
+        super().__init__()
+        self.control = RelayControl()
+        self._forward_open = asyncio.Event()
+        self._forward_open.set()
+        self.ready = [] if check else list(targets)
+        self._targets = list(targets)
+        self._check = check
+        self._turn = 0
+        self._accepted = 0
+        self._refused = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self.app.router.add_get("/v1/stats", self._get_stats)
+        self.app.router.add_post("/v1/control", self._set_control)
+
+    async def relay(self, address: str) -> str:
+        """Relay from `address` and return the real one, where its port was 0."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._connected, host, int(port))
+        if self._check:
+            self._keep(asyncio.create_task(self._check_targets()))
+        bound = self._server.sockets[0].getsockname()
+        return f"{bound[0]}:{bound[1]}"
+
+    async def close(self) -> None:
+        """Stop relaying and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await super().close()
+
+    async def _get_stats(self, req: web.Request) -> web.Response:
+        return answer(RelayStats(self._accepted, self._refused, self.ready))
+
+    async def _set_control(self, req: web.Request) -> web.Response:
+        self.control = await read_body(req, RelayControl)
+        if self.control.cut_forward:
+            self._forward_open.clear()
+        else:
+            self._forward_open.set()
+        return answer(self.control)
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check_targets(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=CHECK_TIMEOUT_SECONDS)
+        async with aiohttp.ClientSession(timeout=timeout) as client:
+            while True:
+                results = await asyncio.gather(
+                    *(_is_ready(client, target) for target in self._targets)
+                )
+                pairs = zip(self._targets, results, strict=True)
+                self.ready = [target for target, ready in pairs if ready]
+                await asyncio.sleep(CHECK_SECONDS)
+
+    async def _connected(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._keep(task)
+        try:
+            await self._relay_connection(reader, writer)
+        finally:
+            writer.close()
+
+    async def _relay_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._forward_open.wait()
+        target = await self._open_target()
+        if target is None:
+            self._refused += 1
+            return
+        self._accepted += 1
+        target_reader, target_writer = target
+        try:
+            await asyncio.gather(
+                self._pump(reader, target_writer, forward=True),
+                self._pump(target_reader, writer, forward=False),
+            )
+        finally:
+            target_writer.close()
+
+    async def _open_target(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        """Connect to the next ready target that accepts."""
+        for _ in range(len(self.ready)):
+            self._turn += 1
+            host, _, port = self.ready[self._turn % len(self.ready)].rpartition(":")
+            with contextlib.suppress(OSError):
+                return await asyncio.open_connection(host, int(port))
+        return None
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        forward: bool,
+    ) -> None:
+        """Copy bytes one way until the sender ends; drop them while cut."""
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                cut = self.control.cut_forward if forward else self.control.cut_back
+                if cut:
+                    continue
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+
+
+async def _is_ready(client: aiohttp.ClientSession, target: str) -> bool:
+    """Ask one target whether it takes requests."""
+    try:
+        async with client.get(f"http://{target}/ready") as resp:
+            return resp.status == 200
+    except (TimeoutError, aiohttp.ClientError, OSError):
+        return False
--- /dev/null
+++ b/standins/_vms.py
@@ -0,0 +1,128 @@
+"""The lagging list of VMs over HTTP."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+from enum import StrEnum
+
+import msgspec
+from aiohttp import web
+
+from cassiaweir.platform.wire import ProblemKind, VmsAnswer
+from cassiaweir.types import Vm, VmState
+from standins._http import Service, answer, problem, read_body
+
+
+class VmAction(StrEnum):
+    """A change of the list."""
+
+    ADD = "add"
+    REMOVE = "remove"
+    LEAVE = "leave"
+    REPLACE = "replace"
+
+
+class VmChange(msgspec.Struct, forbid_unknown_fields=True):
+    """Asks for a change: `vm` for `add`, `name` else, `incarnation` to replace."""
+
+    action: VmAction
+    name: str = ""
+    vm: Vm | None = None
+    incarnation: str = ""
+
+
+class VmRegistry:
+    """The true list, and what the list showed `lag` seconds ago."""
+
+    def __init__(
+        self, lag: float = 0.0, now: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.lag = lag
+        self._now = now
+        self._vms: dict[str, Vm] = {}
+        self._history: deque[tuple[float, list[Vm]]] = deque()
+        self._replaced = 0
+
+    def add(self, vm: Vm) -> None:
+        """Add or change a VM."""
+        self._vms[vm.name] = vm
+        self._remember()
+
+    def remove(self, name: str) -> None:
+        """Remove a VM."""
+        self._vms.pop(name, None)
+        self._remember()
+
+    def leave(self, name: str) -> None:
+        """Mark a VM as leaving."""
+        self.add(replace(self._vms[name], state=VmState.LEAVING))
+
+    def replace(self, name: str, incarnation: str = "") -> Vm:
+        """Put another incarnation in a VM's place and return its entry."""
+        self._replaced += 1
+        vm = replace(
+            self._vms[name],
+            incarnation=incarnation or f"{name}.{self._replaced}",
+            state=VmState.LIVE,
+        )
+        self.add(vm)
+        return vm
+
+    def get(self, name: str) -> Vm | None:
+        """Return the true entry of a VM."""
+        return self._vms.get(name)
+
+    def visible(self) -> list[Vm]:
+        """Return the list as it shows now."""
+        horizon = self._now() - self.lag
+        while len(self._history) > 1 and self._history[1][0] <= horizon:
+            self._history.popleft()
+        return self._history[0][1] if self._history else []
+
+    def forget_history(self) -> None:
+        """Let the list show what it holds now, as if it had for long."""
+        self._history.clear()
+        self._remember()
+
+    def _remember(self) -> None:
+        self._history.append((self._now(), list(self._vms.values())))
+
+
+class VmListService(Service):
+    """Serves a `VmRegistry` and takes changes to it."""
+
+    def __init__(self, registry: VmRegistry) -> None:
+        super().__init__()
+        self.registry = registry
+        self.app.router.add_get("/v1/vms", self._list)
+        self.app.router.add_post("/v1/control/vms", self._change)
+        self.app.router.add_post("/v1/control/lag", self._set_lag)
+
+    async def _list(self, req: web.Request) -> web.Response:
+        return answer(VmsAnswer(self.registry.visible()))
+
+    async def _set_lag(self, req: web.Request) -> web.Response:
+        self.registry.lag = await read_body(req, float)
+        return answer(self.registry.lag)
+
+    async def _change(self, req: web.Request) -> web.Response:
+        change = await read_body(req, VmChange)
+        name = change.vm.name if change.vm else change.name
+        if change.action is VmAction.ADD and change.vm is not None:
+            self.registry.add(change.vm)
+            return answer(self.registry.get(name))
+        if self.registry.get(name) is None:
+            return problem(ProblemKind.NOT_FOUND, f"no VM called {name}")
+        match change.action:
+            case VmAction.REMOVE:
+                self.registry.remove(name)
+            case VmAction.LEAVE:
+                self.registry.leave(name)
+            case VmAction.REPLACE:
+                self.registry.replace(name, change.incarnation)
+            case VmAction.ADD:
+                return problem(ProblemKind.INVALID, "add needs a vm")
+        return answer(self.registry.get(name))
--- /dev/null
+++ b/standins/_worker.py
@@ -0,0 +1,225 @@
+"""A worker VM: tasks under leases, fencing, expiry of commands, lagging usage."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from cassiaweir.exceptions import CassiaweirError, FencedError
+from cassiaweir.types import (
+    Command,
+    Resources,
+    TaskId,
+    TaskReport,
+    TaskStart,
+    TaskState,
+    WorkerReport,
+)
+from standins._ledger import Ledger, Run
+from standins._payload import Behaviour, parse_payload
+
+
+class ExpiredError(CassiaweirError):
+    """A command arrived after its expiry on the worker's clock."""
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """One attempt of a task on this worker; times are of the platform's clock."""
+
+    start: TaskStart
+    run: Run
+    behaviour: Behaviour
+    done_seconds: float
+    lease_until: float
+    checkpoint: str = ""
+
+    @property
+    def key(self) -> tuple[TaskId, int]:
+        """What names the attempt."""
+        return (self.start.task, self.start.attempt)
+
+    @property
+    def running(self) -> bool:
+        """Whether it still runs."""
+        return not self.run.state.ended
+
+    def finishes_at(self) -> float | None:
+        """Return when it ends by itself."""
+        if self.behaviour.seconds is None:
+            return None
+        return self.run.started_at + max(self.behaviour.seconds - self.done_seconds, 0)
+
+
+class SimulatedWorker:
+    """Carries out the commands of the `Worker` protocol.
+
+    `clock_offset` is added to the platform's clock.  `fences` turns the refusal of
+    older epochs on and off.  `fail_all` lets each task fail at once.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        capacity: Resources,
+        ledger: Ledger,
+        *,
+        incarnation: str,
+        fences: bool = True,
+        clock_offset: float = 0.0,
+        usage_lag: float = 2.0,
+    ) -> None:
+        self.name = name
+        self.capacity = capacity
+        self.incarnation = incarnation
+        self.fences = fences
+        self.clock_offset = clock_offset
+        self.usage_lag = usage_lag
+        self.fail_all = False
+        self._ledger = ledger
+        self._epochs: dict[str, int] = {}
+        self._attempts: dict[tuple[TaskId, int], _Attempt] = {}
+        self._checkpoints: dict[str, float] = {}
+        ledger.on_settle(name, self.settle)
+
+    def list(self) -> WorkerReport:
+        """Return all attempts that run or are not acknowledged."""
+        now = self._ledger.now()
+        self.settle(now)
+        return WorkerReport(
+            worker=self.name,
+            incarnation=self.incarnation,
+            clock=now + self.clock_offset,
+            epoch=max(self._epochs.values(), default=0),
+            tasks=[self._report(attempt, now) for attempt in self._attempts.values()],
+        )
+
+    def renew(
+        self, command: Command, lease_seconds: float, ended: Sequence[TaskReport]
+    ) -> WorkerReport:
+        """Extend the lease of all running tasks and forget `ended` attempts."""
+        now = self._admit(command)
+        for report in ended:
+            attempt = self._attempts.get((report.task, report.attempt))
+            if attempt is not None and not attempt.running:
+                del self._attempts[attempt.key]
+        for attempt in self._attempts.values():
+            attempt.lease_until = max(attempt.lease_until, now + lease_seconds)
+        return self.list()
+
+    def start(
+        self, command: Command, lease_seconds: float, starts: Sequence[TaskStart]
+    ) -> WorkerReport:
+        """Start the tasks that fit and are not listed yet."""
+        now = self._admit(command)
+        for start in starts:
+            if (start.task, start.attempt) not in self._attempts:
+                self._start_one(start, now + lease_seconds)
+        return self.list()
+
+    def stop(
+        self, command: Command, tasks: Sequence[TaskId], *, checkpoint: bool
+    ) -> WorkerReport:
+        """Stop tasks, saving their progress first where `checkpoint` is set."""
+        now = self._admit(command)
+        wanted = set(tasks)
+        for attempt in self._attempts.values():
+            if attempt.running and attempt.start.task in wanted:
+                self._stop_one(attempt, now, checkpoint=checkpoint)
+        return self.list()
+
+    def settle(self, now: float) -> None:
+        """End the tasks that finished by themselves or whose lease lapsed."""
+        for attempt in self._attempts.values():
+            if not attempt.running:
+                continue
+            finish = attempt.finishes_at()
+            if finish is not None and finish <= min(now, attempt.lease_until):
+                self._ledger.ended(attempt.run, attempt.behaviour.end, finish)
+            elif attempt.lease_until <= now:
+                lapse = attempt.lease_until
+                self._ledger.ended(attempt.run, TaskState.LAPSED, lapse)
+
+    def die(self, incarnation: str) -> None:
+        """Lose all tasks at once and come back as another incarnation."""
+        now = self._ledger.now()
+        self.settle(now)
+        for attempt in self._attempts.values():
+            if attempt.running:
+                self._ledger.ended(attempt.run, TaskState.LAPSED, now)
+        self._attempts.clear()
+        self._epochs.clear()
+        self._checkpoints.clear()
+        self.incarnation = incarnation
+
+    def _admit(self, command: Command) -> float:
+        """Refuse an expired or fenced command, and return the time."""
+        now = self._ledger.now()
+        self.settle(now)
+        if now + self.clock_offset > command.expires_at:
+            raise ExpiredError(f"{self.name}: the command has expired")
+        highest = self._epochs.get(command.shard, 0)
+        if self.fences and command.epoch < highest:
+            raise FencedError(f"{self.name}: has seen epoch {highest}")
+        self._epochs[command.shard] = max(highest, command.epoch)
+        return now
+
+    def _start_one(self, start: TaskStart, lease_until: float) -> None:
+        used = Resources()
+        for attempt in self._attempts.values():
+            if attempt.running:
+                used += attempt.start.size
+        if not (used + start.size).fits(self.capacity):
+            detail = f"attempt {start.attempt} of {start.task} does not fit"
+            self._ledger.violate("overcommitted", self.name, detail)
+            return
+        behaviour = parse_payload(start.payload)
+        if self.fail_all:
+            behaviour = Behaviour(0.0, TaskState.FAILED)
+        run = self._ledger.started(
+            start.task,
+            start.attempt,
+            worker=self.name,
+            incarnation=self.incarnation,
+            team=start.team,
+            size=start.size,
+        )
+        done = _checkpoint_seconds(start.resume)
+        attempt = _Attempt(start, run, behaviour, done, lease_until)
+        self._attempts[attempt.key] = attempt
+
+    def _stop_one(self, attempt: _Attempt, now: float, *, checkpoint: bool) -> None:
+        if not checkpoint:
+            self._ledger.ended(attempt.run, TaskState.STOPPED, now)
+            return
+        done = attempt.done_seconds + now - attempt.run.started_at
+        start = attempt.start
+        attempt.checkpoint = f"{start.task}@{start.attempt}:{done:.3f}"
+        self._ledger.ended(attempt.run, TaskState.CHECKPOINTED, now)
+
+    def _report(self, attempt: _Attempt, now: float) -> TaskReport:
+        start = attempt.start
+        shown = attempt.running and now - attempt.run.started_at >= self.usage_lag
+        return TaskReport(
+            task=start.task,
+            attempt=start.attempt,
+            team=start.team,
+            size=start.size,
+            state=attempt.run.state,
+            usage=_scaled(start.size, attempt.behaviour.usage if shown else 0.0),
+            checkpoint=attempt.checkpoint,
+        )
+
+
+def _checkpoint_seconds(checkpoint: str) -> float:
+    """Return the progress that the name of a checkpoint carries."""
+    return float(checkpoint.rpartition(":")[2] or 0)
+
+
+def _scaled(size: Resources, factor: float) -> Resources:
+    """Return `size` times `factor`; accelerators are held whole."""
+    return Resources(
+        int(size.cpu_millis * factor),
+        int(size.memory_mb * factor),
+        size.accelerators if factor else 0,
+    )
--- /dev/null
+++ b/standins/_worker_service.py
@@ -0,0 +1,95 @@
+"""The interface of one worker VM over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+
+from cassiaweir.exceptions import FencedError
+from cassiaweir.platform.wire import (
+    ProblemKind,
+    RenewRequest,
+    StartRequest,
+    StopRequest,
+)
+from cassiaweir.types import WorkerReport
+from standins._http import Service, answer, problem, read_body
+from standins._worker import ExpiredError, SimulatedWorker
+
+
+class WorkerControl(msgspec.Struct, forbid_unknown_fields=True):
+    """Changes a worker; what is None stays as it is.
+
+    `die` ends all tasks without a report; the VM comes back as `incarnation`, or
+    as the same one where that is None.
+    """
+
+    fail_all: bool | None = None
+    fences: bool | None = None
+    clock_offset: float | None = None
+    die: bool = False
+    incarnation: str | None = None
+
+
+class WorkerService(Service):
+    """Serves a `SimulatedWorker`."""
+
+    def __init__(self, worker: SimulatedWorker) -> None:
+        super().__init__()
+        self.worker = worker
+        self.app.router.add_get("/v1/list", self._list)
+        self.app.router.add_post("/v1/renew", self._renew)
+        self.app.router.add_post("/v1/start", self._start)
+        self.app.router.add_post("/v1/stop", self._stop)
+        self.app.router.add_post("/v1/control", self._control)
+
+    def apply(self, control: WorkerControl) -> None:
+        """Change the worker."""
+        worker = self.worker
+        if control.fail_all is not None:
+            worker.fail_all = control.fail_all
+        if control.fences is not None:
+            worker.fences = control.fences
+        if control.clock_offset is not None:
+            worker.clock_offset = control.clock_offset
+        if control.die or control.incarnation is not None:
+            worker.die(control.incarnation or worker.incarnation)
+
+    async def _list(self, req: web.Request) -> web.Response:
+        return answer(self.worker.list())
+
+    async def _renew(self, req: web.Request) -> web.Response:
+        body = await read_body(req, RenewRequest)
+        return _carry_out(
+            lambda: self.worker.renew(body.command, body.lease_seconds, body.ended)
+        )
+
+    async def _start(self, req: web.Request) -> web.Response:
+        body = await read_body(req, StartRequest)
+        return _carry_out(
+            lambda: self.worker.start(body.command, body.lease_seconds, body.starts)
+        )
+
+    async def _stop(self, req: web.Request) -> web.Response:
+        body = await read_body(req, StopRequest)
+        return _carry_out(
+            lambda: self.worker.stop(
+                body.command, body.tasks, checkpoint=body.checkpoint
+            )
+        )
+
+    async def _control(self, req: web.Request) -> web.Response:
+        self.apply(await read_body(req, WorkerControl))
+        return answer(self.worker.list())
+
+
+def _carry_out(command: Callable[[], WorkerReport]) -> web.Response:
+    """Return the answer to `command`."""
+    try:
+        return answer(command())
+    except FencedError as exc:
+        return problem(ProblemKind.FENCED, str(exc))
+    except ExpiredError as exc:
+        return problem(ProblemKind.EXPIRED, str(exc))
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -3,17 +3,28 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from cassiaweir.exceptions import ConflictError, UnavailableError
 from cassiaweir.types import Check, Row, Write
 from cassiaweir.verdict import Verdict
 
 
+@dataclass(slots=True)
+class HeldCommit:
+    """A commit that got no answer and takes effect later."""
+
+    checks: list[Check]
+    writes: list[Write]
+
+
 class MemoryTable:
     """Implements the `Table` protocol.
 
     `down` refuses every call.  `lose_answers` counts the next commits that take
-    effect although the caller is told nothing.
+    effect although the caller is told nothing.  `hold_commits` counts the next
+    commits whose caller is told nothing and that wait for `apply_held`.
+    `lose_requests` counts the next commits that are lost on the way.
     """
 
     def __init__(self) -> None:
@@ -21,8 +32,12 @@
         self._version = 0
         self.down = False
         self.lose_answers = 0
+        self.lose_requests = 0
+        self.hold_commits = 0
+        self.held: list[HeldCommit] = []
         self.reads = 0
         self.commits = 0
+        self.rows_written = 0
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row]:
         """Return the rows that exist among `keys`."""
@@ -41,17 +56,42 @@
     ) -> dict[str, int]:
         """Apply all `writes` if all `checks` hold, and return the new versions."""
         self._require_up()
+        if self.lose_requests:
+            self.lose_requests -= 1
+            raise UnavailableError("request lost", verdict=Verdict.MAY_HAVE_RUN)
+        if self.hold_commits:
+            self.hold_commits -= 1
+            self.held.append(HeldCommit(list(checks), list(writes)))
+            raise UnavailableError("no answer yet", verdict=Verdict.MAY_HAVE_RUN)
+        versions = self.apply(checks, writes)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise UnavailableError("answer lost", verdict=Verdict.MAY_HAVE_RUN)
+        return versions
+
+    def apply(self, checks: Sequence[Check], writes: Sequence[Write]) -> dict[str, int]:
+        """Apply one transaction whatever faults are set, or raise `ConflictError`."""
         for check in checks:
             self._verify(check)
         self.commits += 1
+        self.rows_written += len(writes)
         self._version += 1
         for write in writes:
             self._apply(write)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise UnavailableError("answer lost", verdict=Verdict.MAY_HAVE_RUN)
         return {write.key: self._version for write in writes}
 
+    def apply_held(self) -> int:
+        """Apply the held commits whose checks still hold, and return their number."""
+        held, self.held = self.held, []
+        applied = 0
+        for commit in held:
+            try:
+                self.apply(commit.checks, commit.writes)
+            except ConflictError:
+                continue
+            applied += 1
+        return applied
+
     def _require_up(self) -> None:
         if self.down:
             raise UnavailableError("table is down", verdict=Verdict.NOT_RUN)
