Place work by urgency and weighted fair share

Cause: the scheduler needs a planner that it can be wired to. VMs are found through an index by free size, and a demand that found no room is left alone until a VM frees enough. Additive to the types: VmCondition.PROBATION, a VM that takes one task at a time. Not there yet: preemption, reservations, corrected estimates, quarantine.

--- a/cassiaweir/placement/__init__.py
+++ b/cassiaweir/placement/__init__.py
@@ -1,5 +1,6 @@
 """The policy: which task runs on which VM, and in what order."""
 
+from cassiaweir.placement._planner import FairPlanner
 from cassiaweir.placement._types import (
     Placement,
     Plan,
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    "FairPlanner",
     "Placement",
     "Plan",
     "Planner",
--- /dev/null
+++ b/cassiaweir/placement/_fleet.py
@@ -0,0 +1,164 @@
+"""The VMs of a shard: conditions, racks, free room and the indexes over it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from cassiaweir.placement._index import RoomIndex
+from cassiaweir.placement._records import (
+    Amounts,
+    RackRecord,
+    RunningTask,
+    VmRecord,
+)
+from cassiaweir.placement._types import VmCondition, VmOffer
+from cassiaweir.types import Resources
+
+
+@dataclass(slots=True)
+class ShapeCount:
+    """How many VMs have one capacity, and how many of them take new tasks."""
+
+    known: int = 0
+    open: int = 0
+
+
+class Fleet:
+    """Keeps the VMs, what runs on them and where there is room.
+
+    `grown` holds the VMs that got more room since the planner last looked.
+    """
+
+    def __init__(self) -> None:
+        self.vms: dict[str, VmRecord] = {}
+        self.racks: dict[str, RackRecord] = {}
+        self.total = Amounts()
+        self.room = RoomIndex()
+        self.reclaimable = RoomIndex()
+        self.shapes: dict[Resources, ShapeCount] = {}
+        self.grown: dict[str, VmRecord] = {}
+
+    def set_vm(self, offer: VmOffer, condition: VmCondition) -> None:
+        """Add or change a VM; what runs on it stays counted."""
+        vm = self.vms.get(offer.name)
+        if vm is None:
+            rack = self.racks.setdefault(offer.rack, RackRecord(offer.rack))
+            vm = VmRecord.from_offer(offer, rack, condition)
+            self.vms[offer.name] = vm
+            self._count_shape(vm, 1)
+        else:
+            self._unlist(vm)
+            self._count_shape(vm, -1)
+            vm.free.add(vm.capacity, -1)
+            vm.reclaimable.add(vm.capacity, -1)
+            vm.capacity, vm.condition = offer.capacity, condition
+            vm.rack = self.racks.setdefault(offer.rack, RackRecord(offer.rack))
+            vm.free.add(vm.capacity)
+            vm.reclaimable.add(vm.capacity)
+            vm.removed = False
+            self._count_shape(vm, 1)
+        self.refresh(vm)
+
+    def remove_vm(self, name: str) -> None:
+        """Forget a VM, or close it until its last task has ended."""
+        vm = self.vms.get(name)
+        if vm is None:
+            return
+        vm.removed = True
+        self.refresh(vm)
+        if not vm.tasks:
+            self._count_shape(vm, -1)
+            del self.vms[name]
+            self.grown.pop(name, None)
+
+    def _count_shape(self, vm: VmRecord, sign: int) -> None:
+        shape = self.shapes.setdefault(vm.capacity, ShapeCount())
+        shape.known += sign
+        if vm.condition in (VmCondition.OPEN, VmCondition.PROBATION):
+            shape.open += sign
+        if not shape.known:
+            del self.shapes[vm.capacity]
+        self.total.add(vm.capacity, sign)
+
+    def start(self, task: RunningTask) -> None:
+        """Count `task` on its VM."""
+        vm, size = task.vm, task.job.group.size
+        vm.tasks[task.task] = task
+        vm.expected_cpu += task.expected_cpu
+        vm.free.add(size, -1)
+        if not task.preemptible:
+            vm.reclaimable.add(size, -1)
+        if vm.indexed:
+            vm.rack.free.add(size, -1)
+        self.refresh(vm)
+
+    def end(self, task: RunningTask) -> None:
+        """Free what `task` held."""
+        vm, size = task.vm, task.job.group.size
+        del vm.tasks[task.task]
+        vm.expected_cpu -= task.expected_cpu
+        vm.free.add(size)
+        if not task.preemptible:
+            vm.reclaimable.add(size)
+        if vm.indexed:
+            vm.rack.free.add(size)
+        self.grown[vm.name] = vm
+        self.refresh(vm)
+        if vm.removed and not vm.tasks:
+            self.remove_vm(vm.name)
+
+    def mark_stopping(self, task: RunningTask) -> None:
+        """Count `task` as checkpointing, so that it is not preempted again."""
+        if task.preemptible:
+            task.stopping = True
+            task.vm.reclaimable.add(task.job.group.size, -1)
+            self.refresh(task.vm)
+
+    def hold(self, vm: VmRecord) -> None:
+        """Keep `vm` for a reservation or a claim."""
+        vm.holds += 1
+        self.refresh(vm)
+
+    def release(self, vm: VmRecord) -> None:
+        """Undo one `hold`."""
+        vm.holds -= 1
+        self.refresh(vm)
+
+    def refresh(self, vm: VmRecord) -> None:
+        """List `vm` in the indexes as its state demands."""
+        usable = vm.takes_tasks() and not vm.holds and not vm.removed
+        if not usable:
+            self._unlist(vm)
+            return
+        if not vm.indexed:
+            vm.indexed = True
+            vm.rack.vms[vm.name] = vm
+            vm.rack.free.add(vm.free.resources())
+            self.grown[vm.name] = vm
+        self.room.update(vm, vm.free)
+        self.reclaimable.update(vm, vm.reclaimable)
+
+    def _unlist(self, vm: VmRecord) -> None:
+        if vm.indexed:
+            vm.indexed = False
+            del vm.rack.vms[vm.name]
+            vm.rack.free.add(vm.free.resources(), -1)
+            self.room.discard(vm)
+            self.reclaimable.discard(vm)
+
+    def fitting(self, size: Resources) -> Iterator[VmRecord]:
+        """Yield listed VMs that have room for `size` now, tightest first."""
+        for vm in self.room.tightest(size):
+            if vm.free.holds(size):
+                yield vm
+
+    def fits_some_vm(self, size: Resources) -> bool:
+        """Tell whether the capacity of a VM holds `size`."""
+        return any(size.fits(shape) for shape in self.shapes)
+
+    def fits_open_vm(self, size: Resources) -> bool:
+        """Tell whether the capacity of a VM that takes tasks holds `size`."""
+        return any(
+            count.open and size.fits(shape) for shape, count in self.shapes.items()
+        )
--- /dev/null
+++ b/cassiaweir/placement/_index.py
@@ -0,0 +1,164 @@
+"""Finds VMs by free size without looking at all of them.
+
+Free processors and free memory are cut into levels whose width grows with the
+amount.  Each pair of levels is a cell.  One integer has a bit for each cell that
+holds a VM, in rising order of free room, so a few operations on it give the cells
+that may hold a size, tightest first.  VMs are further parted by free accelerators.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from cassiaweir.placement._records import Amounts, VmRecord
+from cassiaweir.types import Resources
+
+CPU_UNIT_MILLIS = 250
+MEMORY_UNIT_MB = 512
+LEVELS = 64
+STEPS_PER_OCTAVE = 8
+LARGEST_UNIT = 1 << 10
+
+
+def _level_of_units(units: int) -> int:
+    """Return the level of a number of units; it never falls as units rise."""
+    if units < STEPS_PER_OCTAVE:
+        return units
+    shift = units.bit_length() - STEPS_PER_OCTAVE.bit_length()
+    return min(LEVELS - 1, (shift << 3) + (units >> shift))
+
+
+LEVEL_OF_UNITS = [_level_of_units(units) for units in range(LARGEST_UNIT)]
+_CELLS_IN_ORDER = sorted(
+    ((cpu, memory) for cpu in range(LEVELS) for memory in range(LEVELS)),
+    key=lambda cell: (cell[0] + cell[1], abs(cell[0] - cell[1]), cell),
+)
+POSITION = [[0] * LEVELS for _ in range(LEVELS)]
+for _position, (_cpu, _memory) in enumerate(_CELLS_IN_ORDER):
+    POSITION[_cpu][_memory] = _position
+
+
+def cpu_level(cpu_millis: int) -> int:
+    """Return the level of an amount of processors."""
+    units = cpu_millis // CPU_UNIT_MILLIS
+    return LEVEL_OF_UNITS[units] if units < LARGEST_UNIT else LEVELS - 1
+
+
+def memory_level(memory_mb: int) -> int:
+    """Return the level of an amount of memory."""
+    units = memory_mb // MEMORY_UNIT_MB
+    return LEVEL_OF_UNITS[units] if units < LARGEST_UNIT else LEVELS - 1
+
+
+class CellMasks:
+    """Caches, for a pair of levels, the bits of all cells at or above both."""
+
+    def __init__(self) -> None:
+        self._masks: dict[int, int] = {}
+
+    def mask(self, cpu: int, memory: int) -> int:
+        """Return the bits of the cells whose levels are at least `cpu` and `memory`."""
+        key = cpu * LEVELS + memory
+        found = self._masks.get(key)
+        if found is None:
+            found = 0
+            for row in POSITION[cpu:]:
+                for position in row[memory:]:
+                    found |= 1 << position
+            self._masks[key] = found
+        return found
+
+
+MASKS = CellMasks()
+
+
+class _Grid:
+    """The cells of the VMs with one number of free accelerators."""
+
+    __slots__ = ("bits", "cells")
+
+    def __init__(self) -> None:
+        self.bits = 0
+        self.cells: dict[int, dict[str, VmRecord]] = {}
+
+    def add(self, position: int, vm: VmRecord) -> None:
+        cell = self.cells.get(position)
+        if cell is None:
+            self.cells[position] = {vm.name: vm}
+            self.bits |= 1 << position
+        else:
+            cell[vm.name] = vm
+
+    def remove(self, position: int, vm: VmRecord) -> None:
+        cell = self.cells[position]
+        del cell[vm.name]
+        if not cell:
+            del self.cells[position]
+            self.bits ^= 1 << position
+
+
+class RoomIndex:
+    """VMs by an amount of room that the owner of the index tells."""
+
+    def __init__(self) -> None:
+        self._grids: dict[int, _Grid] = {}
+        self._accelerators: list[int] = []
+        self._places: dict[str, tuple[_Grid, int]] = {}
+
+    def update(self, vm: VmRecord, room: Amounts) -> None:
+        """Put `vm` where `room` belongs."""
+        if room.cpu_millis < 0 or room.memory_mb < 0 or room.accelerators < 0:
+            self.discard(vm)
+            return
+        grid = self._grids.get(room.accelerators) or self._new_grid(room.accelerators)
+        position = POSITION[cpu_level(room.cpu_millis)][memory_level(room.memory_mb)]
+        place = self._places.get(vm.name)
+        if place is not None:
+            if place[0] is grid and place[1] == position:
+                return
+            place[0].remove(place[1], vm)
+        grid.add(position, vm)
+        self._places[vm.name] = (grid, position)
+
+    def discard(self, vm: VmRecord) -> None:
+        """Take `vm` out, if it is in."""
+        place = self._places.pop(vm.name, None)
+        if place is not None:
+            place[0].remove(place[1], vm)
+
+    def __contains__(self, vm: VmRecord) -> bool:
+        return vm.name in self._places
+
+    def _new_grid(self, accelerators: int) -> _Grid:
+        grid = self._grids[accelerators] = _Grid()
+        self._accelerators = sorted(self._grids)
+        return grid
+
+    def tightest(self, size: Resources) -> Iterator[VmRecord]:
+        """Yield VMs that may hold `size`, least room first.
+
+        The caller checks the exact amounts, and stops when it has what it needs.
+        """
+        mask = MASKS.mask(cpu_level(size.cpu_millis), memory_level(size.memory_mb))
+        for accelerators in self._accelerators:
+            if accelerators < size.accelerators:
+                continue
+            grid = self._grids[accelerators]
+            bits = grid.bits & mask
+            while bits:
+                lowest = bits & -bits
+                yield from grid.cells[lowest.bit_length() - 1].values()
+                bits ^= lowest
+
+    def roomiest(self, size: Resources) -> Iterator[VmRecord]:
+        """Yield VMs that may hold `size`, most room first."""
+        mask = MASKS.mask(cpu_level(size.cpu_millis), memory_level(size.memory_mb))
+        for accelerators in self._accelerators:
+            if accelerators < size.accelerators:
+                continue
+            grid = self._grids[accelerators]
+            bits = grid.bits & mask
+            while bits:
+                position = bits.bit_length() - 1
+                yield from grid.cells[position].values()
+                bits ^= 1 << position
--- /dev/null
+++ b/cassiaweir/placement/_ledger.py
@@ -0,0 +1,136 @@
+"""The books of teams, jobs and running tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from cassiaweir.placement._fleet import Fleet
+from cassiaweir.placement._records import (
+    JobRecord,
+    RunningTask,
+    TeamRecord,
+    VmRecord,
+)
+from cassiaweir.placement._types import TaskGroup
+from cassiaweir.types import JobKind, Resources, TaskId
+
+STOP_ORDER = {JobKind.BATCH: 0, JobKind.GANG: 1, JobKind.SERVICE: 2}
+
+
+class Ledger:
+    """Keeps what waits and what runs, by team, job and task."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._sequence = 0
+        self.teams: dict[str, TeamRecord] = {}
+        self.jobs: dict[str, JobRecord] = {}
+        self.running: dict[TaskId, RunningTask] = {}
+
+    def team(self, name: str) -> TeamRecord:
+        """Return the record of a team; one not set yet has no allotment."""
+        team = self.teams.get(name)
+        if team is None:
+            team = self.teams[name] = TeamRecord(name, 0, Resources())
+        return team
+
+    def job(self, group: TaskGroup) -> JobRecord:
+        """Return the record of the job of `group`, made at its first mention."""
+        job = self.jobs.get(group.job)
+        if job is None:
+            self._sequence += 1
+            job = JobRecord(group, self.team(group.team), self._sequence)
+            self.jobs[group.job] = job
+            job.team.jobs[group.job] = job
+        return job
+
+    def add_waiting(self, job: JobRecord, indexes: Iterable[int]) -> int:
+        """Add the indexes that are not known yet, and return how many they are."""
+        new = [i for i in indexes if i not in job.waiting and i not in job.running]
+        job.waiting.update(dict.fromkeys(new))
+        job.team.wanted.add(job.group.size, len(job.waiting.keys() & new))
+        return len(new)
+
+    def drop_waiting(self, job: JobRecord) -> None:
+        """Drop all waiting tasks of `job`."""
+        job.team.wanted.add(job.group.size, -len(job.waiting))
+        job.waiting.clear()
+
+    def start(self, job: JobRecord, index: int, vm: VmRecord, now: float) -> None:
+        """Count the task as running on `vm` from `now` on."""
+        size, team = job.group.size, job.team
+        if index in job.waiting:
+            del job.waiting[index]
+        else:
+            team.wanted.add(size)
+        task = RunningTask(TaskId(job.group.job, index), job, vm, now, size.cpu_millis)
+        job.running[index] = self.running[task.task] = task
+        job.racks[vm.rack.name] = job.racks.get(vm.rack.name, 0) + 1
+        job.vms[vm.name] = job.vms.get(vm.name, 0) + 1
+        self._fleet.start(task)
+        team.used.add(size)
+        team.reorder(self._fleet.total)
+
+    def end(self, task: RunningTask) -> None:
+        """Free what `task` held."""
+        job = task.job
+        del self.running[task.task], job.running[task.task.index]
+        _decrement(job.racks, task.vm.rack.name)
+        _decrement(job.vms, task.vm.name)
+        self._fleet.end(task)
+        job.team.used.add(job.group.size, -1)
+        job.team.wanted.add(job.group.size, -1)
+        job.team.reorder(self._fleet.total)
+
+    def forget_if_done(self, job: JobRecord) -> None:
+        """Forget `job` once nothing of it waits or runs."""
+        if not job.waiting and not job.running:
+            self.jobs.pop(job.group.job, None)
+            job.team.jobs.pop(job.group.job, None)
+
+    def excess(self, name: str) -> list[tuple[TaskId, str]]:
+        """Return tasks whose end brings the team within its allotment.
+
+        Batch tasks go first, the youngest of them; then whole gangs, then services.
+        """
+        team = self.teams.get(name)
+        if team is None or team.allows(Resources()):
+            return []
+        tasks = [task for job in team.jobs.values() for task in job.running.values()]
+        tasks.sort(key=lambda t: (STOP_ORDER[t.job.group.kind], -t.started_at))
+        return _until_within(team, tasks)
+
+
+def _until_within(
+    team: TeamRecord, tasks: list[RunningTask]
+) -> list[tuple[TaskId, str]]:
+    """Return tasks in order, gangs as a whole, until the rest is within the limit."""
+    chosen: dict[TaskId, str] = {}
+    left = Resources()
+    for task in tasks:
+        if team.allows(left):
+            break
+        if task.task in chosen or not _relieves(team, left, task.job.group.size):
+            continue
+        whole = task.job.group.kind is JobKind.GANG
+        for member in task.job.running.values() if whole else (task,):
+            chosen[member.task] = member.vm.name
+            left = left - task.job.group.size
+    return list(chosen.items())
+
+
+def _relieves(team: TeamRecord, left: Resources, size: Resources) -> bool:
+    """Tell whether `size` takes part in a dimension that is above the limit."""
+    used = team.used.resources() + left
+    over = (
+        used.cpu_millis > team.allotment.cpu_millis and size.cpu_millis,
+        used.memory_mb > team.allotment.memory_mb and size.memory_mb,
+        used.accelerators > team.allotment.accelerators and size.accelerators,
+    )
+    return any(over)
+
+
+def _decrement(counts: dict[str, int], name: str) -> None:
+    counts[name] -= 1
+    if not counts[name]:
+        del counts[name]
--- /dev/null
+++ b/cassiaweir/placement/_records.py
@@ -0,0 +1,184 @@
+"""The planner's mutable records of VMs, racks, teams, jobs and running tasks."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cassiaweir.placement._types import TaskGroup, VmCondition, VmOffer
+from cassiaweir.types import JobKind, Resources, TaskId, Urgency
+
+if TYPE_CHECKING:
+    from cassiaweir.placement._queue import ClassKey, Lane
+
+SMALLEST_SHARE = 1e-6
+
+
+@dataclass(slots=True, eq=False)
+class Amounts:
+    """A mutable sum of processors, memory and accelerators."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def add(self, size: Resources, count: int = 1) -> None:
+        """Add `size` `count` times; a negative count subtracts."""
+        self.cpu_millis += size.cpu_millis * count
+        self.memory_mb += size.memory_mb * count
+        self.accelerators += size.accelerators * count
+
+    def holds(self, size: Resources, count: int = 1) -> bool:
+        """Tell whether `size` fits `count` times in every dimension."""
+        return (
+            size.cpu_millis * count <= self.cpu_millis
+            and size.memory_mb * count <= self.memory_mb
+            and size.accelerators * count <= self.accelerators
+        )
+
+    def slots(self, size: Resources) -> int:
+        """Return how many times `size` fits."""
+        count = math.inf
+        if size.cpu_millis:
+            count = self.cpu_millis // size.cpu_millis
+        if size.memory_mb:
+            count = min(count, self.memory_mb // size.memory_mb)
+        if size.accelerators:
+            count = min(count, self.accelerators // size.accelerators)
+        return max(0, int(min(count, 1 << 30)))
+
+    def resources(self) -> Resources:
+        """Return the sum as a value."""
+        return Resources(self.cpu_millis, self.memory_mb, self.accelerators)
+
+
+@dataclass(slots=True, eq=False)
+class RackRecord:
+    """The VMs of a rack that take new tasks, and the sum of their free amounts."""
+
+    name: str
+    vms: dict[str, VmRecord] = field(default_factory=dict)
+    free: Amounts = field(default_factory=Amounts)
+
+
+@dataclass(slots=True, eq=False)
+class VmRecord:
+    """A VM with what runs on it.
+
+    `free` falls below zero where adopted tasks exceed the capacity.  `expected_cpu`
+    is the processor use that is expected or was observed, in millis.  `holds`
+    counts the reservations and claims that keep other work away.
+    """
+
+    name: str
+    rack: RackRecord
+    capacity: Resources
+    condition: VmCondition
+    free: Amounts
+    reclaimable: Amounts
+    expected_cpu: int = 0
+    holds: int = 0
+    removed: bool = False
+    indexed: bool = False
+    cell: int = -1
+    reclaim_cell: int = -1
+    tasks: dict[TaskId, RunningTask] = field(default_factory=dict)
+
+    @classmethod
+    def from_offer(
+        cls, offer: VmOffer, rack: RackRecord, condition: VmCondition
+    ) -> VmRecord:
+        """Return the record of an empty VM."""
+        free, reclaimable = Amounts(), Amounts()
+        free.add(offer.capacity)
+        reclaimable.add(offer.capacity)
+        return cls(offer.name, rack, offer.capacity, condition, free, reclaimable)
+
+    def takes_tasks(self) -> bool:
+        """Tell whether the VM's condition lets a task start on it now."""
+        if self.condition is VmCondition.PROBATION:
+            return not self.tasks
+        return self.condition is VmCondition.OPEN
+
+
+@dataclass(slots=True, eq=False)
+class RunningTask:
+    """A task that runs, or that a plan has placed."""
+
+    task: TaskId
+    job: JobRecord
+    vm: VmRecord
+    started_at: float
+    expected_cpu: int
+    stopping: bool = False
+
+    @property
+    def preemptible(self) -> bool:
+        """Whether the task may be checkpointed for urgent work."""
+        group = self.job.group
+        return (
+            group.kind is JobKind.BATCH
+            and group.urgency is Urgency.NORMAL
+            and not self.stopping
+        )
+
+
+@dataclass(slots=True, eq=False)
+class JobRecord:
+    """A job's waiting and running tasks in this shard.
+
+    `waiting` keeps indexes in the order in which they start.  `preempted` counts the
+    checkpoints of each index.
+    """
+
+    group: TaskGroup
+    team: TeamRecord
+    sequence: int
+    lane: Lane | None = None
+    queued: bool = False
+    waiting: dict[int, None] = field(default_factory=dict)
+    running: dict[int, RunningTask] = field(default_factory=dict)
+    preempted: dict[int, int] = field(default_factory=dict)
+    racks: dict[str, int] = field(default_factory=dict)
+    vms: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def needed_at_once(self) -> int:
+        """The number of tasks that have to start together."""
+        return len(self.waiting) if self.group.kind is JobKind.GANG else 1
+
+
+@dataclass(slots=True, eq=False)
+class TeamRecord:
+    """A team's share, limit and use.
+
+    `order` is the dominant share by weight: the smaller, the sooner its turn.
+    """
+
+    name: str
+    share: float
+    allotment: Resources
+    used: Amounts = field(default_factory=Amounts)
+    wanted: Amounts = field(default_factory=Amounts)
+    order: float = 0.0
+    lanes: dict[ClassKey, Lane] = field(default_factory=dict)
+    jobs: dict[str, JobRecord] = field(default_factory=dict)
+
+    def allows(self, size: Resources, count: int = 1) -> bool:
+        """Tell whether `count` more tasks of `size` stay within the allotment."""
+        used, limit = self.used, self.allotment
+        return (
+            used.cpu_millis + size.cpu_millis * count <= limit.cpu_millis
+            and used.memory_mb + size.memory_mb * count <= limit.memory_mb
+            and used.accelerators + size.accelerators * count <= limit.accelerators
+        )
+
+    def reorder(self, total: Amounts) -> None:
+        """Work out `order` again from the use and the capacity of all VMs."""
+        dominant = max(
+            self.used.cpu_millis / (total.cpu_millis or 1),
+            self.used.memory_mb / (total.memory_mb or 1),
+            self.used.accelerators / (total.accelerators or 1),
+        )
+        self.order = dominant / max(self.share, SMALLEST_SHARE)
--- a/cassiaweir/placement/_types.py
+++ b/cassiaweir/placement/_types.py
@@ -11,9 +11,10 @@
 
 
 class VmCondition(StrEnum):
-    """Whether a VM takes new tasks."""
+    """Whether a VM takes new tasks; on probation it takes one at a time."""
 
     OPEN = "open"
+    PROBATION = "probation"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
     UNREACHABLE = "unreachable"
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,159 @@
+"""Tests of `cassiaweir.placement.FairPlanner`, rule by rule."""
+
+from cassiaweir.placement import (
+    FairPlanner,
+    TaskGroup,
+    VmCondition,
+    VmOffer,
+    WaitReason,
+)
+from cassiaweir.types import JobKind, Resources, TaskId, TaskState, Urgency
+
+CORE = Resources(1000, 1024)
+VM_SIZE = Resources(4000, 16_384)
+PLENTY = Resources(10**9, 10**9, 10**6)
+
+
+def planner_with(vms: int = 2, racks: int = 1, teams=("a", "b")) -> FairPlanner:
+    planner = FairPlanner()
+    for number in range(vms):
+        offer = VmOffer(f"vm{number}", "augusta", f"rack{number % racks}", VM_SIZE)
+        planner.set_vm(offer, VmCondition.OPEN)
+    for name in teams:
+        planner.set_team(name, 1, PLENTY)
+    return planner
+
+
+def group(job: str, team: str = "a", tasks: int = 1, **changes) -> TaskGroup:
+    values = {
+        "kind": JobKind.BATCH,
+        "urgency": Urgency.NORMAL,
+        "size": CORE,
+        "submitted_at": 0.0,
+        "declared_seconds": 10.0,
+    } | changes
+    return TaskGroup(job=job, team=team, indexes=tuple(range(tasks)), **values)
+
+
+def placed(plan) -> list[str]:
+    return [str(placement.task) for placement in plan.placements]
+
+
+def test_batch_packs_one_vm_before_it_uses_the_next():
+    planner = planner_with(vms=3)
+    planner.enqueue(group("j", tasks=4))
+    assert len({placement.vm for placement in planner.plan(0, 10).placements}) == 1
+
+
+def test_a_service_spreads_over_racks():
+    planner = planner_with(vms=4, racks=2)
+    planner.enqueue(group("s", tasks=2, kind=JobKind.SERVICE, declared_seconds=0))
+    vms = [placement.vm for placement in planner.plan(0, 10).placements]
+    assert {int(vm[2:]) % 2 for vm in vms} == {0, 1}
+
+
+def test_a_gang_starts_as_a_whole_or_not_at_all():
+    planner = planner_with(vms=2)
+    planner.enqueue(group("g", tasks=9, kind=JobKind.GANG))
+    planner.enqueue(group("h", tasks=8, kind=JobKind.GANG, submitted_at=1))
+    assert placed(planner.plan(0, 10)) == [f"h/{index}" for index in range(8)]
+    assert planner.waiting("g", 0) is WaitReason.NO_ROOM
+
+
+def test_a_gang_prefers_one_rack():
+    planner = planner_with(vms=4, racks=2)
+    planner.enqueue(group("g", tasks=8, kind=JobKind.GANG))
+    vms = {placement.vm for placement in planner.plan(0, 10).placements}
+    assert vms in ({"vm0", "vm2"}, {"vm1", "vm3"})
+
+
+def test_urgent_work_goes_first():
+    planner = planner_with(vms=1)
+    planner.enqueue(group("n", tasks=4))
+    planner.enqueue(group("u", "b", urgency=Urgency.URGENT, submitted_at=9))
+    assert placed(planner.plan(9, 1)) == ["u/0"]
+
+
+def test_teams_share_by_weight_when_the_fleet_is_full():
+    planner = planner_with(vms=2)
+    planner.set_team("a", 3, PLENTY)
+    for team in ("a", "b"):
+        planner.enqueue(group(f"j{team}", team, tasks=8))
+    planner.plan(0, 8)
+    assert planner.running("a") == CORE * 6
+    assert planner.running("b") == CORE * 2
+
+
+def test_an_allotment_binds_until_a_task_ends():
+    planner = planner_with(vms=2)
+    planner.set_team("a", 1, CORE * 2)
+    planner.enqueue(group("j", tasks=3))
+    assert placed(planner.plan(0, 10)) == ["j/0", "j/1"]
+    assert planner.waiting("j", 0) is WaitReason.TEAM_LIMIT
+    planner.task_ended(TaskId("j", 0), TaskState.SUCCEEDED, 1)
+    assert placed(planner.plan(1, 10)) == ["j/2"]
+
+
+def test_a_refused_task_waits_again_and_an_ended_one_does_not():
+    planner = planner_with()
+    planner.enqueue(group("j", tasks=2))
+    planner.plan(0, 10)
+    planner.task_refused(TaskId("j", 0), 1)
+    planner.task_ended(TaskId("j", 1), TaskState.FAILED, 1)
+    assert placed(planner.plan(1, 10)) == ["j/0"]
+
+
+def test_cancel_drops_waiting_tasks_and_names_running_ones():
+    planner = planner_with(vms=1)
+    planner.enqueue(group("j", tasks=6))
+    planner.plan(0, 10)
+    assert len(planner.cancel("j")) == 4
+    planner.task_ended(TaskId("j", 0), TaskState.STOPPED, 1)
+    assert not planner.plan(1, 10).placements
+    assert planner.demand("a") == CORE * 3
+
+
+def test_adopted_tasks_count_beyond_the_limits_and_show_as_excess():
+    planner = planner_with(vms=1)
+    planner.set_team("a", 1, CORE)
+    job = group("j", tasks=6)
+    for index in range(6):
+        planner.adopt(job, TaskId("j", index), "vm0", float(index))
+    assert planner.running("a") == CORE * 6
+    stop = [str(task) for task, _ in planner.excess("a")]
+    assert stop == ["j/5", "j/4", "j/3", "j/2", "j/1"]
+
+
+def test_reasons_of_work_that_no_vm_can_take():
+    planner = planner_with(vms=1)
+    planner.enqueue(group("huge", size=VM_SIZE * 2))
+    planner.enqueue(group("large", size=VM_SIZE))
+    closed = VmOffer("vm0", "augusta", "rack0", VM_SIZE)
+    planner.set_vm(closed, VmCondition.DRAINING)
+    planner.plan(0, 10)
+    assert planner.waiting("huge", 0) is WaitReason.FITS_NO_VM
+    assert planner.waiting("large", 0) is WaitReason.ALL_FITTING_VMS_CLOSED
+    assert not planner.fits_some_vm(VM_SIZE * 2)
+    planner.set_vm(closed, VmCondition.OPEN)
+    assert placed(planner.plan(1, 10)) == ["large/0"]
+
+
+def test_a_vm_on_probation_takes_one_task_at_a_time():
+    planner = planner_with(vms=1)
+    offer = VmOffer("vm0", "augusta", "rack0", VM_SIZE)
+    planner.set_vm(offer, VmCondition.PROBATION)
+    planner.enqueue(group("j", tasks=2))
+    assert placed(planner.plan(0, 10)) == ["j/0"]
+    planner.task_ended(TaskId("j", 0), TaskState.SUCCEEDED, 1)
+    assert placed(planner.plan(1, 10)) == ["j/1"]
+
+
+def test_a_removed_vm_frees_nothing_until_its_tasks_ended():
+    planner = planner_with(vms=1)
+    planner.enqueue(group("j"))
+    planner.plan(0, 10)
+    planner.remove_vm("vm0")
+    assert planner.running("a") == CORE
+    planner.task_ended(TaskId("j", 0), TaskState.LAPSED, 1)
+    assert planner.running("a") == Resources()
+    assert not planner.fits_some_vm(CORE)
