--- /dev/null
+++ b/prove/cluster.py
@@ -0,0 +1,225 @@
+"""One deployment as processes on loopback: stand-ins and entry VMs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import tomli_w
+
+from prove.processes import ManagedProcess
+
+PLATFORM_BASE_PORT = 7000
+ENTRY_BASE_PORT = 17_000
+PORTS_PER_ENTRY_VM = 10
+READY_ATTEMPTS = 300
+READY_INTERVAL_SECONDS = 0.1
+CONTROL_OFFSET = 0
+TABLE_OFFSET = 1
+OBJECTS_OFFSET = 2
+VMS_OFFSET = 3
+BALANCER_OFFSET = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """What a run consists of; `entry_vms` counts entry VMs a failure domain."""
+
+    deployment: str
+    service: str
+    failure_domains: Sequence[str]
+    entry_vms: int = 2
+    workers: int = 24
+    workers_per_rack: int = 8
+    backends: int = 24
+    workers_fence: bool = True
+    base_port: int = PLATFORM_BASE_PORT
+    entry_base_port: int = ENTRY_BASE_PORT
+    overrides: Sequence[str] = ()
+
+    def platform_address(self, offset: int) -> str:
+        """Return the address of one of the platform's stand-ins."""
+        return f"127.0.0.1:{self.base_port + offset}"
+
+
+SICILIA_EST = Layout(
+    deployment="sicilia-est",
+    service="inventory",
+    failure_domains=("augusta", "priolo", "milazzo"),
+)
+PACIFICO_NORTE = Layout(
+    deployment="pacifico-norte",
+    service="settlement",
+    failure_domains=("mazatlan", "guaymas", "ensenada", "la-paz"),
+    workers_per_rack=6,
+)
+
+
+@dataclass(slots=True)
+class EntryVmProcesses:
+    """The two processes of an entry VM and where they listen."""
+
+    name: str
+    failure_domain: str
+    http: str
+    gateway_rpc: str
+    scheduler_rpc: str
+    gateway: ManagedProcess
+    scheduler: ManagedProcess
+
+
+@dataclass(slots=True)
+class Cluster:
+    """Starts and stops all processes of a layout; logs go to `folder`."""
+
+    layout: Layout
+    folder: Path
+    platform: ManagedProcess = field(init=False)
+    entry_vms: dict[str, EntryVmProcesses] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.entry_vms = {
+            vm.name: vm for vm in map(self._entry_vm, range(self._entry_count()))
+        }
+        self.platform = self._platform()
+
+    @property
+    def balancer(self) -> str:
+        """The address that callers use."""
+        return self.layout.platform_address(BALANCER_OFFSET)
+
+    @property
+    def control(self) -> str:
+        """The address of the stand-ins' control port."""
+        return self.layout.platform_address(CONTROL_OFFSET)
+
+    def processes(self) -> list[ManagedProcess]:
+        """Return the gateways and schedulers."""
+        return [
+            process
+            for vm in self.entry_vms.values()
+            for process in (vm.scheduler, vm.gateway)
+        ]
+
+    async def start(self) -> None:
+        """Start everything and wait until each gateway is ready."""
+        await self.start_platform()
+        await self.start_entry_vms()
+
+    async def start_platform(self) -> None:
+        """Start the stand-ins and wait until they answer."""
+        await self.platform.start()
+        await wait_for_ok(f"http://{self.control}/v1/ledger")
+
+    async def start_entry_vms(self) -> None:
+        """Start all gateways and schedulers and wait until they are ready."""
+        for process in self.processes():
+            await process.start()
+        for vm in self.entry_vms.values():
+            await wait_for_ok(f"http://{vm.http}/ready")
+
+    async def stop(self) -> list[int]:
+        """Stop everything; return the exit statuses of gateways and schedulers."""
+        running = [process for process in self.processes() if process.running]
+        for process in running:
+            process.thaw()
+        statuses = await asyncio.gather(*(process.stop() for process in running))
+        if self.platform.running:
+            await self.platform.stop()
+        return list(statuses)
+
+    async def kill(self) -> None:
+        """End everything that still runs, without notice."""
+        for process in (*self.processes(), self.platform):
+            if process.running:
+                await process.kill()
+
+    def _entry_count(self) -> int:
+        return self.layout.entry_vms * len(self.layout.failure_domains)
+
+    def _entry_vm(self, index: int) -> EntryVmProcesses:
+        domains = self.layout.failure_domains
+        domain = domains[index % len(domains)]
+        name = f"{domain}-{index // len(domains) + 1}"
+        port = self.layout.entry_base_port + index * PORTS_PER_ENTRY_VM
+        addresses = [f"127.0.0.1:{port + offset}" for offset in range(3)]
+        return EntryVmProcesses(
+            name=name,
+            failure_domain=domain,
+            http=addresses[0],
+            gateway_rpc=addresses[1],
+            scheduler_rpc=addresses[2],
+            gateway=self._role("gateway", name, domain, addresses),
+            scheduler=self._role("scheduler", name, domain, addresses),
+        )
+
+    def _role(
+        self, role: str, name: str, domain: str, addresses: Sequence[str]
+    ) -> ManagedProcess:
+        layout = self.layout
+        settings = [
+            f"vm.name={name}",
+            f"vm.failure_domain={domain}",
+            f"vm.deployment={layout.deployment}",
+            f"gateway.listen={addresses[0]}",
+            f"gateway.rpc={addresses[1]}",
+            f"scheduler.rpc={addresses[2]}",
+            f"scheduler.workers_fence={str(layout.workers_fence).lower()}",
+            f"platform.table={layout.platform_address(TABLE_OFFSET)}",
+            f"platform.objects={layout.platform_address(OBJECTS_OFFSET)}",
+            f"platform.vms={layout.platform_address(VMS_OFFSET)}",
+            f"cell.failure_domains={','.join(layout.failure_domains)}",
+            *layout.overrides,
+        ]
+        arguments = ["cassiaweir", role]
+        for text in settings:
+            arguments += ["--set", text]
+        return ManagedProcess(
+            f"{name}.{role}", arguments, self.folder / f"{name}.{role}.log"
+        )
+
+    def _platform(self) -> ManagedProcess:
+        path = self.folder / "platform.toml"
+        path.write_text(tomli_w.dumps(self._platform_document()), encoding="utf-8")
+        arguments = ["standins", "platform", "--deployment", str(path)]
+        return ManagedProcess("platform", arguments, self.folder / "platform.log")
+
+    def _platform_document(self) -> dict[str, object]:
+        layout = self.layout
+        entries = [
+            {
+                "name": vm.name,
+                "failure_domain": vm.failure_domain,
+                "address": vm.http,
+            }
+            for vm in self.entry_vms.values()
+        ]
+        deployment = {
+            "name": layout.deployment,
+            "service": layout.service,
+            "failure_domains": list(layout.failure_domains),
+            "workers": layout.workers,
+            "workers_per_rack": layout.workers_per_rack,
+            "backends": layout.backends,
+            "workers_fence": layout.workers_fence,
+            "entries": entries,
+        }
+        return {"base_port": layout.base_port, "deployments": [deployment]}
+
+
+async def wait_for_ok(url: str) -> None:
+    """Ask `url` until it answers with status 200, or raise `TimeoutError`."""
+    async with aiohttp.ClientSession() as session:
+        for _ in range(READY_ATTEMPTS):
+            try:
+                async with session.get(url) as answer:
+                    if answer.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(READY_INTERVAL_SECONDS)
+    raise TimeoutError(f"{url} never answered with status 200")
