Test how commits without an answer are resolved, and bound the wait of the group commit

A queue that is bounded in rows alone holds callers for long behind a table that hangs: it is now bounded also by the time that it takes at the pace of the last batch. After a conflict in doubt no further copy is sent, because a row that was absent may be absent again.

--- a/cassiaweir/platform/_group_commit.py
+++ b/cassiaweir/platform/_group_commit.py
@@ -15,6 +15,7 @@
 MOST_ROWS_PER_BATCH = 64
 MOST_ROWS_WAITING = 2048
 LONGEST_DELAY = timedelta(milliseconds=5)
+LONGEST_WAIT = timedelta(seconds=2)
 RETRY_AFTER = timedelta(seconds=1)
 
 MOST_BATCH_CONFLICTS = 3
@@ -25,7 +26,8 @@
     """Commits for many callers in batches, one batch at a time.
 
     Commits that touch the same key are applied in the order of the calls and never
-    share a batch.  The queue is bounded; a commit that finds it full is refused.
+    share a batch.  The queue is bounded in rows and in the time that it takes; a
+    commit that finds it full is refused at once.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         most_rows: int = MOST_ROWS_PER_BATCH,
         most_waiting: int = MOST_ROWS_WAITING,
         delay: timedelta = LONGEST_DELAY,
+        longest_wait: timedelta = LONGEST_WAIT,
     ) -> None:
         self._table = table
         self._clock = clock
@@ -44,6 +47,9 @@
         self._most_rows = most_rows
         self._most_waiting = most_waiting
         self._delay = delay
+        self._longest_wait = longest_wait.total_seconds()
+        self._batch_began: float | None = None
+        self._batch_seconds = 0.0
         self._waiting: list[Member] = []
         self._waiting_rows = 0
         self._arrived = asyncio.Event()
@@ -71,19 +77,40 @@
         """
         fut = asyncio.get_running_loop().create_future()
         member = Member(list(checks), list(writes), fut)
-        if self._stopping or self._waiting_rows + member.rows > self._most_waiting:
+        self._require_room(member)
+        self._waiting.append(member)
+        self._waiting_rows += member.rows
+        self._arrived.set()
+        return await fut
+
+    def _require_room(self, member: Member) -> None:
+        """Raise `RefusedError` where `member` would wait too long."""
+        wait = self._expected_wait()
+        full = self._waiting_rows + member.rows > self._most_waiting
+        if self._stopping or full or wait > self._longest_wait:
             self._metrics.count("table_commits_refused")
             raise RefusedError(
                 "table_busy",
                 "too many commits wait for the table",
-                retry_after=RETRY_AFTER,
+                retry_after=max(RETRY_AFTER, timedelta(seconds=wait)),
             )
-        self._waiting.append(member)
-        self._waiting_rows += member.rows
-        self._arrived.set()
-        return await fut
+
+    def _expected_wait(self) -> float:
+        """Return the seconds that the queue takes at the pace of the last batch."""
+        pace = self._batch_seconds
+        if self._batch_began is not None:
+            pace = max(pace, self._clock.monotonic() - self._batch_began)
+        return pace * self._waiting_rows / self._most_rows
 
     async def _run(self) -> None:
+        try:
+            await self._run_until_stopped()
+        finally:
+            message = "the process ended before the commit was sent"
+            cause = UnavailableError(message, verdict=Verdict.NOT_RUN)
+            _fail_all(self._waiting, cause)
+
+    async def _run_until_stopped(self) -> None:
         while self._waiting or not self._stopping:
             await self._arrived.wait()
             if self._waiting_rows < self._most_rows and not self._stopping:
@@ -115,14 +142,16 @@
 
     async def _answer_batch(self, batch: list[Member]) -> None:
         """Commit `batch`; whatever happens, each of its members gets an answer."""
+        self._batch_began = self._clock.monotonic()
         try:
             await self._commit_batch(batch)
         except Exception as exc:
             self._metrics.count("table_batches_failed")
             _fail_all(batch, exc)
         finally:
-            message = "the process ended during the commit"
-            _fail_all(batch, _in_doubt(message))
+            self._batch_seconds = self._clock.monotonic() - self._batch_began
+            self._batch_began = None
+            _fail_all(batch, _in_doubt("the process ended during the commit"))
 
     async def _commit_batch(self, batch: list[Member]) -> None:
         """Commit `batch`, setting aside members that lose, and answer them all."""
--- a/cassiaweir/platform/_table.py
+++ b/cassiaweir/platform/_table.py
@@ -37,6 +37,7 @@
     writes: list[Write]
     deadline: float
     doubtful: bool = False
+    conflicted: bool = False
 
     def request(self) -> CommitRequest:
         """Return the request, with each value inside its envelope."""
@@ -51,6 +52,14 @@
         return any(check.key in written for check in self.checks)
 
 
+@dataclass(frozen=True, slots=True)
+class _Found:
+    """A row as it was given to `commit`, and the token of that commit."""
+
+    token: str
+    row: Row
+
+
 class HttpTable:
     """Implements the `Table` protocol over HTTP.
 
@@ -67,12 +76,12 @@
     async def read(self, keys: Sequence[str]) -> dict[str, Row]:
         """Return the rows that exist among `keys`, from one snapshot."""
         rows = await self._fetch("/v1/read", ReadRequest(list(keys)))
-        return {row.key: _open(row)[1] for row in rows}
+        return {found.row.key: found.row for found in rows}
 
     async def scan(self, prefix: str) -> list[Row]:
         """Return all rows whose key starts with `prefix`, ordered by key."""
         rows = await self._fetch("/v1/scan", ScanRequest(prefix))
-        return [_open(row)[1] for row in rows]
+        return [found.row for found in rows]
 
     async def commit(
         self, checks: Sequence[Check], writes: Sequence[Write]
@@ -103,19 +112,19 @@
             versions = await self._read_back(txn)
             if versions is not None:
                 return versions
-            if not txn.repeatable():
+            if txn.conflicted or not txn.repeatable():
                 return None
         try:
             return await self._send(txn)
-        except ConflictError as exc:
+        except ConflictError:
             if not txn.doubtful:
                 raise
-            return await self._read_back_after_conflict(txn, exc)
+            txn.conflicted = True
         except UnavailableError as exc:
             if exc.verdict is Verdict.NOT_RUN and not txn.doubtful:
                 raise
             txn.doubtful = True
-            return None
+        return None
 
     async def _send(self, txn: _Transaction) -> dict[str, int]:
         """Send the commit and return the versions that the service answers."""
@@ -140,11 +149,9 @@
             )
         except UnavailableError:
             return None
-        found = {row.key: row for row in rows}
+        found = {item.row.key: item for item in rows}
         kept = [write.key for write in txn.writes if write.value is not None]
-        ours = [
-            key for key in kept if key in found and _open(found[key])[0] == txn.token
-        ]
+        ours = [key for key in kept if key in found and found[key].token == txn.token]
         if kept and len(ours) == len(kept):
             return {write.key: _version(found, write.key) for write in txn.writes}
         if ours:
@@ -153,29 +160,20 @@
             raise _unknown("another commit may have overwritten ours")
         return None
 
-    async def _read_back_after_conflict(
-        self, txn: _Transaction, conflict: ConflictError
-    ) -> dict[str, int] | None:
-        """Resolve a conflict that an earlier copy of the same commit may cause."""
-        versions = await self._read_back(txn)
-        if versions is None and self._time_left(txn) <= 0:
-            raise _unknown(str(conflict)) from conflict
-        return versions
-
     async def _fetch(
         self,
         path: str,
         req: ReadRequest | ScanRequest,
         *,
         timeout: timedelta | None = None,
-    ) -> list[Row]:
+    ) -> list[_Found]:
         try:
             answer = await self._session.call(
                 self._address, path, req, RowsAnswer, timeout=timeout
             )
         except UnavailableError as exc:
             raise UnavailableError(str(exc), verdict=Verdict.NOT_RUN) from exc
-        return answer.rows
+        return [_open(row) for row in answer.rows]
 
     def _time_left(self, txn: _Transaction) -> float:
         return txn.deadline - self._clock.monotonic()
@@ -186,9 +184,9 @@
         return max(timedelta(seconds=seconds), PAUSE_BETWEEN_EXCHANGES)
 
 
-def _version(rows: dict[str, Row], key: str) -> int:
+def _version(rows: dict[str, _Found], key: str) -> int:
     """Return the version of `key` in `rows`, 0 where it is absent."""
-    return rows[key].version if key in rows else 0
+    return rows[key].row.version if key in rows else 0
 
 
 def _seal(token: str, value: bytes | None) -> bytes | None:
@@ -198,10 +196,14 @@
     return msgspec.json.encode(Envelope(token, value))
 
 
-def _open(row: Row) -> tuple[str, Row]:
-    """Return the token of the commit that wrote `row`, and the row as it was given."""
-    envelope = msgspec.json.decode(row.value, type=Envelope)
-    return envelope.token, Row(row.key, row.version, envelope.value)
+def _open(row: Row) -> _Found:
+    """Take `row` out of its envelope."""
+    try:
+        envelope = msgspec.json.decode(row.value, type=Envelope)
+    except msgspec.DecodeError as exc:
+        message = f"row {row.key} is malformed: {exc}"
+        raise UnavailableError(message, verdict=Verdict.NOT_RUN) from exc
+    return _Found(envelope.token, Row(row.key, row.version, envelope.value))
 
 
 def _unknown(reason: str) -> UnavailableError:
--- a/standins/_backend.py
+++ b/standins/_backend.py
@@ -8,7 +8,7 @@
 import msgspec
 from aiohttp import web
 
-from standins._http import Service, answer, drop, read_body
+from standins._http import Service, answer, read_body
 
 DEFAULT_SLOTS = 8
 DEFAULT_CONNECTIONS = 64
@@ -196,7 +196,6 @@
     await resp.write(body[: len(body) // 2])
     if req.transport is not None:
         req.transport.close()
-    await drop(req)
     return resp
 
 
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -14,6 +14,7 @@
 
 LARGEST_BODY_BYTES = 16 * 1024 * 1024
 LONGEST_HOLD_SECONDS = 30.0
+HOLD_POLL_SECONDS = 0.05
 FAULTS_PATH = "/v1/faults"
 CONTROL_PATHS = (FAULTS_PATH, "/v1/stats", "/v1/ledger", "/v1/control")
 STATUS_BY_KIND = {
@@ -37,7 +38,8 @@
     the next requests that change something, take effect and get no answer.
     `late_commits` counts the next commits that get no answer and take effect
     `late_ms` later.  Requests of the VMs in `cut` do not arrive; those of the VMs
-    in `cut_answers` do, but get no answer.
+    in `cut_answers` do, but get no answer.  Unanswered callers wait until they give
+    up, or find the connection closed at once where `hang` is off.
     """
 
     down: bool = False
@@ -48,6 +50,7 @@
     late_ms: int = 1000
     cut: list[str] = []
     cut_answers: list[str] = []
+    hang: bool = True
 
 
 class Service:
@@ -97,29 +100,31 @@
             return await _guarded(request, handler)
         caller = request.headers.get(CALLER_HEADER, "")
         if self.faults.frozen or caller in self.faults.cut:
-            return await drop(request)
+            return await drop(request, hang=self.faults.hang)
         if self.faults.down:
             return problem(ProblemKind.UNAVAILABLE, "service is down")
         if self.faults.slow_ms:
             await asyncio.sleep(self.faults.slow_ms / 1000)
         resp = await _guarded(request, handler)
         if caller in self.faults.cut_answers:
-            return await drop(request)
+            return await drop(request, hang=self.faults.hang)
         if self.faults.lose_answers and self.changes_something(request):
             self.faults.lose_answers -= 1
-            return await drop(request)
+            return await drop(request, hang=self.faults.hang)
         return resp
 
 
-async def drop(req: web.Request) -> web.Response:
-    """Leave `req` unanswered until its caller gives up, then close the connection."""
+async def drop(req: web.Request, *, hang: bool) -> web.Response:
+    """Leave `req` unanswered and close the connection.
+
+    With `hang` that is once the caller gave up, or after a long time.
+    """
     transport = req.transport
-    waited = 0.0
-    while waited < LONGEST_HOLD_SECONDS:
+    polls = int(LONGEST_HOLD_SECONDS / HOLD_POLL_SECONDS) if hang else 0
+    for _ in range(polls):
         if transport is None or transport.is_closing():
             break
-        await asyncio.sleep(0.05)
-        waited += 0.05
+        await asyncio.sleep(HOLD_POLL_SECONDS)
     if transport is not None:
         transport.abort()
     return web.Response(status=503)
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -158,6 +158,7 @@
         if fault.replace:
             vm = self.registry.replace(fault.name)
             service.apply(WorkerControl(incarnation=vm.incarnation))
+            service.faults.frozen = False
         else:
             service.apply(WorkerControl(die=True))
             service.faults.frozen = True
--- a/standins/_table.py
+++ b/standins/_table.py
@@ -64,7 +64,7 @@
             task = asyncio.create_task(self._apply_late(body))
             self._late.add(task)
             task.add_done_callback(self._late.discard)
-            return await drop(req)
+            return await drop(req, hang=self.faults.hang)
         try:
             versions = self.table.apply(body.checks, body.writes)
         except ConflictError as exc:
--- /dev/null
+++ b/tests/test_platform_group_commit.py
@@ -0,0 +1,301 @@
+"""Tests of `GroupCommit` over a table with faults."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiaweir.clock import ManualClock
+from cassiaweir.exceptions import ConflictError, RefusedError, UnavailableError
+from cassiaweir.observe import Metrics
+from cassiaweir.platform import GroupCommit
+from cassiaweir.types import Check, Write
+from cassiaweir.verdict import Verdict
+from standins.memory import MemoryTable
+
+KEYS = [f"k{number}" for number in range(6)]
+
+
+class RecordingTable(MemoryTable):
+    """Remembers each write that took effect, and lets others write in between."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.applied = []
+        self.sizes = []
+        self.before_commit = None
+
+    async def commit(self, checks, writes):
+        self.sizes.append(len(writes))
+        if self.before_commit:
+            hook, self.before_commit = self.before_commit, None
+            hook()
+        return await super().commit(checks, writes)
+
+    def apply(self, checks, writes):
+        versions = super().apply(checks, writes)
+        self.applied += [(w.key, w.value, versions[w.key]) for w in writes]
+        return versions
+
+
+@pytest.fixture
+def table():
+    return RecordingTable()
+
+
+@pytest.fixture
+async def group(table):
+    group = GroupCommit(table, ManualClock(), Metrics())
+    await group.start()
+    yield group
+    await group.stop()
+
+
+async def gather(*commits):
+    return await asyncio.gather(*commits, return_exceptions=True)
+
+
+def create(group, key, version=0, value=b"1"):
+    return group.commit([Check(key, version)], [Write(key, value)])
+
+
+def verdicts(results):
+    return [getattr(result, "verdict", type(result).__name__) for result in results]
+
+
+async def test_commits_that_wait_together_share_a_transaction(table, group):
+    results = await gather(*(create(group, key) for key in KEYS))
+    assert results == [{key: 1} for key in KEYS]
+    assert table.sizes == [6]
+
+
+async def test_a_batch_is_bounded(table, group):
+    await gather(*(create(group, f"row{number}") for number in range(150)))
+    assert table.sizes == [64, 64, 22]
+
+
+async def test_one_loser_does_not_spoil_the_others(table, group):
+    table.apply([], [Write("k3", b"taken")])
+    results = await gather(*(create(group, key) for key in KEYS))
+    assert isinstance(results[3], ConflictError)
+    assert [type(result) for result in results].count(dict) == 5
+    assert table.sizes == [6, 5]
+
+
+async def test_of_two_takers_of_one_row_the_first_wins(table, group):
+    results = await gather(
+        create(group, "a", value=b"one"), create(group, "a", value=b"two")
+    )
+    assert results[0] == {"a": 1}
+    assert isinstance(results[1], ConflictError)
+
+
+async def test_a_lost_answer_of_a_batch_is_in_doubt_for_all(table, group):
+    table.lose_answers = 1
+    results = await gather(*(create(group, key) for key in KEYS))
+    assert verdicts(results) == [Verdict.MAY_HAVE_RUN] * 6
+    assert len(table.applied) == 6
+
+
+async def test_a_batch_lost_on_the_way_is_repeated_one_by_one(table, group):
+    table.lose_requests = 1
+    unconditional = group.commit([], [Write("plain", b"1")])
+    results = await gather(unconditional, *(create(group, key) for key in KEYS))
+    assert verdicts(results) == [Verdict.MAY_HAVE_RUN] + ["dict"] * 6
+
+
+async def test_a_batch_applied_late_does_nothing_after_a_repeat(table, group):
+    table.hold_commits = 1
+    await gather(create(group, "a"), create(group, "b"))
+    assert table.apply_held() == 0
+    assert len(table.applied) == 2
+
+
+async def test_a_repeat_that_succeeds_makes_a_conflict_plain(table, group):
+    """A version that came back unchanged proves that the batch never ran."""
+    table.apply([], [Write("a", b"0"), Write("b", b"0")])
+    table.lose_requests = 1
+    table.before_commit = lambda: table.apply([], [Write("b", b"taken")])
+    results = await gather(create(group, "a", 1), create(group, "b", 1))
+    assert verdicts(results) == ["dict", "ConflictError"]
+
+
+async def test_an_outage_in_the_middle_of_a_resolution_leaves_doubt(table, group):
+    table.lose_requests = 2
+    results = await gather(*(create(group, key) for key in KEYS))
+    assert verdicts(results) == [Verdict.MAY_HAVE_RUN] * 6
+
+
+async def test_a_table_that_is_down_has_run_nothing(table, group):
+    table.down = True
+    results = await gather(*(create(group, key) for key in KEYS))
+    assert verdicts(results) == [Verdict.NOT_RUN] * 6
+
+
+async def test_a_full_queue_refuses_at_once(table):
+    group = GroupCommit(table, ManualClock(), Metrics(), most_waiting=2)
+    waiting = asyncio.gather(create(group, "a"), create(group, "b"))
+    await asyncio.sleep(0)
+    with pytest.raises(RefusedError) as caught:
+        await create(group, "c")
+    assert caught.value.reason == "table_busy"
+    assert caught.value.verdict is Verdict.NOT_RUN
+    assert caught.value.retry_after >= timedelta(seconds=1)
+    await group.start()
+    await group.stop()
+    assert await waiting == [{"a": 1}, {"b": 1}]
+
+
+async def test_a_queue_that_takes_too_long_refuses_at_once(table):
+    clock = ManualClock()
+    group = GroupCommit(table, clock, Metrics(), longest_wait=timedelta(seconds=2))
+    await group.start()
+    table.before_commit = lambda: clock.advance(70)
+    await create(group, "slow")
+    waiting = [asyncio.ensure_future(create(group, f"row{n}")) for n in range(4)]
+    await asyncio.sleep(0)
+    results = await gather(*waiting)
+    assert verdicts(results)[:2] == ["dict", "dict"]
+    assert isinstance(results[3], RefusedError)
+    assert await create(group, "later") == {"later": 3}
+    await group.stop()
+
+
+async def test_a_stop_commits_what_waits_and_refuses_more(table, group):
+    waiting = asyncio.ensure_future(create(group, "a"))
+    await asyncio.sleep(0)
+    await group.stop()
+    assert await waiting == {"a": 1}
+    with pytest.raises(RefusedError):
+        await create(group, "b")
+
+
+async def test_a_hurried_stop_answers_everyone(table):
+    group = GroupCommit(table, ManualClock(), Metrics(), most_rows=1)
+    forever = asyncio.Event()
+
+    async def hang(checks, writes):
+        await forever.wait()
+
+    table.commit = hang
+    await group.start()
+    sent = asyncio.ensure_future(create(group, "a"))
+    left = asyncio.ensure_future(create(group, "b"))
+    for _ in range(5):
+        await asyncio.sleep(0)
+    stop = asyncio.ensure_future(group.stop())
+    await asyncio.sleep(0)
+    stop.cancel()
+    results = await gather(sent, left, stop)
+    assert verdicts(results)[:2] == [Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN]
+
+
+class GroupCommitMachine(RuleBasedStateMachine):
+    """Random commits, faults and other writers; every answer must be true."""
+
+    def __init__(self):
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.table = RecordingTable()
+        self.group = GroupCommit(self.table, ManualClock(), Metrics(), most_rows=4)
+        self.runner.run(self.group.start())
+        self.submitted = []
+        self.count = 0
+
+    def version(self, key):
+        row = self.table._rows.get(key)
+        return row.version if row else 0
+
+    @rule(
+        key=st.sampled_from(KEYS),
+        seen=st.sampled_from(["current", "stale", "none"]),
+        other=st.sampled_from([None, *KEYS]),
+    )
+    def submit(self, key, seen, other):
+        """Submit a commit that writes one or two rows, with a value of its own."""
+        self.count += 1
+        value = f"v{self.count}".encode()
+        checks = [Check(key, self.version(key))] if seen == "current" else []
+        checks = [Check(key, 10_000)] if seen == "stale" else checks
+        keys = {key, other} - {None}
+        commit = self.group.commit(checks, [Write(k, value) for k in sorted(keys)])
+        self.submitted.append((value, keys, checks, self.runner.run(self.task(commit))))
+
+    async def task(self, commit):
+        task = asyncio.ensure_future(commit)
+        await asyncio.sleep(0)
+        return task
+
+    @rule(
+        fault=st.sampled_from(["lose_answers", "lose_requests", "hold_commits"]),
+        count=st.integers(0, 3),
+    )
+    def set_fault(self, fault, count):
+        setattr(self.table, fault, count)
+
+    @rule(down=st.booleans())
+    def set_down(self, down):
+        self.table.down = down
+
+    @rule(key=st.sampled_from(KEYS), between=st.booleans())
+    def write_as_another(self, key, between):
+        """Let another process write, now or just before the next transaction."""
+        self.count += 1
+        writes = [Write(key, f"other{self.count}".encode())]
+        if between:
+            self.table.before_commit = lambda: self.table.apply([], writes)
+        else:
+            self.table.apply([], writes)
+
+    @rule()
+    def apply_held(self):
+        self.table.apply_held()
+
+    @rule()
+    def drain(self):
+        tasks = [task for *_, task in self.submitted]
+        self.runner.run(gather(*tasks))
+
+    @invariant()
+    def answers_are_true(self):
+        for value, keys, _, task in self.submitted:
+            if not task.done():
+                continue
+            applied = [item for item in self.table.applied if item[1] == value]
+            exc = task.exception()
+            if exc is None:
+                expected = [(key, value, task.result()[key]) for key in sorted(keys)]
+                assert applied == expected
+            elif getattr(exc, "verdict", None) is Verdict.MAY_HAVE_RUN:
+                assert len(applied) in (0, len(keys))
+            else:
+                assert isinstance(exc, ConflictError | RefusedError | UnavailableError)
+                assert applied == []
+
+    @invariant()
+    def order_per_key_is_kept(self):
+        """Guarded commits on one key take effect in the order of submission."""
+        guarded = {value for value, _, checks, _ in self.submitted if checks}
+        for key in KEYS:
+            applied = [
+                int(value[1:])
+                for at, value, _ in self.table.applied
+                if at == key and value in guarded
+            ]
+            assert applied == sorted(applied)
+
+    def teardown(self):
+        self.table.down = False
+        self.runner.run(self.group.stop())
+        self.table.apply_held()
+        self.answers_are_true()
+        self.runner.close()
+
+
+TestGroupCommitMachine = GroupCommitMachine.TestCase
+TestGroupCommitMachine.settings = settings(
+    derandomize=True, deadline=None, max_examples=150, stateful_step_count=30
+)
