--- a/cassiaweir/api/__init__.py
+++ b/cassiaweir/api/__init__.py
@@ -1,1 +1,7 @@
 """The HTTP interface for callers and operators."""
+
+from cassiaweir.api._app import HttpFront
+from cassiaweir.api._problems import Problem, problem_response
+from cassiaweir.api._requests import RequestApi
+
+__all__ = ["HttpFront", "Problem", "RequestApi", "problem_response"]
--- /dev/null
+++ b/cassiaweir/api/_problems.py
@@ -0,0 +1,120 @@
+"""Turns every error into one typed problem body."""
+
+from __future__ import annotations
+
+import math
+from datetime import timedelta
+
+import msgspec
+from sanic import HTTPResponse, Request
+from sanic.exceptions import SanicException, ServiceUnavailable
+from sanic.handlers import ErrorHandler
+
+from cassiaweir.exceptions import (
+    CassiaweirError,
+    ConflictError,
+    InvalidInputError,
+    NotFoundError,
+    RefusedError,
+    UnavailableError,
+)
+from cassiaweir.observe import EventLog
+from cassiaweir.verdict import Verdict
+
+CONTENT_TYPE = "application/problem+json"
+RETRY_UNAVAILABLE = timedelta(seconds=1)
+STATUS_BY_REASON = {
+    "key_missing": 401,
+    "key_unknown": 401,
+    "key_withdrawn": 401,
+    "other_team": 403,
+    "queue_unknown": 404,
+    "in_doubt": 409,
+    "key_reused": 422,
+    "queue_full": 429,
+    "backend_failed": 502,
+    "deadline_passed": 504,
+}
+DEFAULT_REFUSED_STATUS = 503
+REASON_BY_STATUS = {
+    400: "malformed_request",
+    404: "not_found",
+    405: "method_not_allowed",
+    408: "request_too_slow",
+    413: "body_too_large",
+    417: "expectation_failed",
+}
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """The body of every error; `verdict` says whether the request may have run."""
+
+    status: int
+    reason: str
+    detail: str
+    verdict: Verdict
+    title: str = "The request was not answered as asked."
+
+
+def describe(exc: Exception) -> tuple[Problem, timedelta | None]:
+    """Return the problem that `exc` amounts to, and when to come back."""
+    if isinstance(exc, RefusedError):
+        status = STATUS_BY_REASON.get(exc.reason, DEFAULT_REFUSED_STATUS)
+        return Problem(status, exc.reason, str(exc), exc.verdict), exc.retry_after
+    if isinstance(exc, UnavailableError):
+        problem = Problem(503, "unavailable", str(exc), exc.verdict)
+        return problem, RETRY_UNAVAILABLE
+    if isinstance(exc, CassiaweirError):
+        return _describe_own(exc), None
+    if isinstance(exc, SanicException):
+        return _describe_http(exc), None
+    detail = "an error inside the server"
+    return Problem(500, "internal_error", detail, Verdict.MAY_HAVE_RUN), None
+
+
+def _describe_own(exc: CassiaweirError) -> Problem:
+    if isinstance(exc, InvalidInputError):
+        return Problem(400, "invalid_input", str(exc), Verdict.NOT_RUN)
+    if isinstance(exc, NotFoundError):
+        return Problem(404, "not_found", str(exc), Verdict.NOT_RUN)
+    if isinstance(exc, ConflictError):
+        return Problem(409, "conflict", str(exc), Verdict.NOT_RUN)
+    return Problem(503, "unavailable", str(exc), Verdict.MAY_HAVE_RUN)
+
+
+def _describe_http(exc: SanicException) -> Problem:
+    """Describe an error of the HTTP library, raised before a handler has run."""
+    if isinstance(exc, ServiceUnavailable):
+        detail = "the answer took too long"
+        return Problem(503, "answer_too_slow", detail, Verdict.MAY_HAVE_RUN)
+    reason = REASON_BY_STATUS.get(exc.status_code, "refused")
+    return Problem(exc.status_code, reason, str(exc), Verdict.NOT_RUN)
+
+
+def problem_response(exc: Exception) -> HTTPResponse:
+    """Return the answer that tells a caller of `exc`."""
+    problem, retry_after = describe(exc)
+    headers = {}
+    if retry_after is not None:
+        seconds = max(1, math.ceil(retry_after.total_seconds()))
+        headers["Retry-After"] = str(seconds)
+    body = msgspec.json.encode(problem)
+    return HTTPResponse(
+        body, status=problem.status, headers=headers, content_type=CONTENT_TYPE
+    )
+
+
+class ProblemHandler(ErrorHandler):
+    """Answers every exception of a handler or of the HTTP library."""
+
+    def __init__(self, events: EventLog) -> None:
+        super().__init__()
+        self._events = events
+
+    def default(self, request: Request, exception: Exception) -> HTTPResponse:
+        """Return the problem for `exception`; unexpected ones leave an event."""
+        if not isinstance(exception, CassiaweirError | SanicException):
+            self._events.record(
+                "internal_error", reason=type(exception).__name__, detail=str(exception)
+            )
+        return problem_response(exception)
--- /dev/null
+++ b/cassiaweir/api/_requests.py
@@ -0,0 +1,133 @@
+"""Callers' requests to services: POST /v1/requests/<service>."""
+
+from __future__ import annotations
+
+import re
+import secrets
+from datetime import timedelta
+
+from sanic import Blueprint, HTTPResponse, Request
+
+from cassiaweir.exceptions import InvalidInputError, RefusedError
+from cassiaweir.requests import Router, ServiceAnswer, ServiceRequest
+from cassiaweir.types import CellView, Clock, Urgency
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+IDEMPOTENCY_KEY_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+DEADLINE_PATTERN = re.compile(r"[1-9][0-9]{0,8}")
+FLAGS = {"true": True, "false": False}
+REQUEST_ID_BYTES = 12
+BEARER = "Bearer "
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+
+class RequestApi:
+    """Checks callers' requests and hands them to the router."""
+
+    def __init__(
+        self, view: CellView, router: Router, *, longest: timedelta, clock: Clock
+    ) -> None:
+        self._view = view
+        self._router = router
+        self._longest = longest
+        self._clock = clock
+
+    def blueprint(self) -> Blueprint:
+        """Return the routes."""
+        routes = Blueprint("requests", url_prefix="/v1/requests")
+        routes.add_route(self.post, "/<service:str>", methods=["POST"], name="post")
+        return routes
+
+    async def post(self, request: Request, service: str) -> HTTPResponse:
+        """Answer with the backend server's whole body and status."""
+        req = self._read(request, service)
+        return _response(await self._router.route(req), req)
+
+    def _read(self, request: Request, service: str) -> ServiceRequest:
+        """Return the checked request; raises `InvalidInputError`, `RefusedError`."""
+        if not NAME_PATTERN.fullmatch(service):
+            raise InvalidInputError("the name of the service is malformed")
+        team = self._team(request, service)
+        idempotent = _flag(request, "Cassiaweir-Idempotent")
+        return ServiceRequest(
+            request_id=secrets.token_hex(REQUEST_ID_BYTES),
+            service=service,
+            team=team,
+            body=request.body,
+            deadline=self._clock.monotonic() + self._time_left(request),
+            urgency=_urgency(request),
+            idempotent=idempotent,
+            idempotency_key=_idempotency_key(request, required=not idempotent),
+            content_type=request.headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
+        )
+
+    def _team(self, request: Request, service: str) -> str:
+        """Return the team that the request is charged to."""
+        name = request.headers.get("Cassiaweir-Queue", service)
+        queue = self._view.queue(name)
+        if queue is not None and queue.open:
+            return queue.team
+        team = self._view.authenticate(_bearer(request))
+        if request.headers.get("Cassiaweir-Team", team) != team:
+            raise RefusedError("other_team", "the key belongs to another team")
+        if queue is None:
+            raise RefusedError("queue_unknown", f"there is no queue {name!r}")
+        return team
+
+    def _time_left(self, request: Request) -> float:
+        """Return the seconds that the request may take."""
+        longest = self._longest.total_seconds()
+        value = request.headers.get("Cassiaweir-Deadline-Ms")
+        if value is None:
+            return longest
+        if not DEADLINE_PATTERN.fullmatch(value):
+            raise InvalidInputError("Cassiaweir-Deadline-Ms: expected milliseconds")
+        return min(longest, int(value) / 1000)
+
+
+def _bearer(request: Request) -> str:
+    header = request.headers.get("Authorization", "")
+    secret = header.removeprefix(BEARER)
+    if secret == header or not secret:
+        raise RefusedError("key_missing", "expected 'Authorization: Bearer <key>'")
+    return secret
+
+
+def _flag(request: Request, name: str) -> bool:
+    value = request.headers.get(name, "false")
+    if value not in FLAGS:
+        raise InvalidInputError(f"{name}: expected true or false")
+    return FLAGS[value]
+
+
+def _urgency(request: Request) -> Urgency:
+    value = request.headers.get("Cassiaweir-Urgency", Urgency.NORMAL)
+    try:
+        return Urgency(value)
+    except ValueError as exc:
+        raise InvalidInputError(
+            "Cassiaweir-Urgency: expected urgent or normal"
+        ) from exc
+
+
+def _idempotency_key(request: Request, *, required: bool) -> str:
+    value = request.headers.get("Idempotency-Key", "")
+    if not value and not required:
+        return ""
+    if not IDEMPOTENCY_KEY_PATTERN.fullmatch(value):
+        raise InvalidInputError(
+            "Idempotency-Key: expected up to 128 letters, digits, '.', '_', ':' or "
+            "'-'; it is required unless Cassiaweir-Idempotent is true"
+        )
+    return value
+
+
+def _response(answer: ServiceAnswer, req: ServiceRequest) -> HTTPResponse:
+    headers = {"Cassiaweir-Request-Id": req.request_id}
+    if answer.repeated:
+        headers["Cassiaweir-Repeated"] = "true"
+    headers.update(answer.headers)
+    content_type = headers.pop("Content-Type", None)
+    return HTTPResponse(
+        answer.body, status=answer.status, headers=headers, content_type=content_type
+    )
--- a/cassiaweir/requests/__init__.py
+++ b/cassiaweir/requests/__init__.py
@@ -1,1 +1,21 @@
 """Requests to backend servers: slots, claims and routing."""
+
+from cassiaweir.requests._backends import BackendCaller
+from cassiaweir.requests._broker import SlotBroker
+from cassiaweir.requests._claims import Claims, Committer
+from cassiaweir.requests._models import ServiceAnswer, ServiceRequest
+from cassiaweir.requests._router import Router
+from cassiaweir.requests._slot_client import SlotClient
+from cassiaweir.requests._slot_service import SlotService
+
+__all__ = [
+    "BackendCaller",
+    "Claims",
+    "Committer",
+    "Router",
+    "ServiceAnswer",
+    "ServiceRequest",
+    "SlotBroker",
+    "SlotClient",
+    "SlotService",
+]
