Own a shard and run the tasks of its parts

Lease by compare-and-set, drivers of workers, the life of tasks, parts written under the lease, and a keeper that challenges all shards.

--- a/cassiaweir/fleet/__init__.py
+++ b/cassiaweir/fleet/__init__.py
@@ -1,1 +1,30 @@
 """Shards of VMs, their owners, and the workers that they drive."""
+
+from cassiaweir.fleet._lease import LeaseTerms, Predecessor, ShardLease, ShardRow
+from cassiaweir.fleet._ownership import Peers, ShardKeeper
+from cassiaweir.fleet._part_store import Committer
+from cassiaweir.fleet._roster import Health
+from cassiaweir.fleet._runner import Allotments, PartStatus, RunnerTerms, ShardRunner
+from cassiaweir.fleet._shards import shard_domain, shard_name, shard_names, shard_of
+from cassiaweir.fleet._worker_driver import DriverTerms, WorkerDriver
+
+__all__ = [
+    "Allotments",
+    "Committer",
+    "DriverTerms",
+    "Health",
+    "LeaseTerms",
+    "PartStatus",
+    "Peers",
+    "Predecessor",
+    "RunnerTerms",
+    "ShardKeeper",
+    "ShardLease",
+    "ShardRow",
+    "ShardRunner",
+    "WorkerDriver",
+    "shard_domain",
+    "shard_name",
+    "shard_names",
+    "shard_of",
+]
--- /dev/null
+++ b/cassiaweir/fleet/_runner.py
@@ -0,0 +1,405 @@
+"""Runs one owned shard: recovery, placement, ends, and the table behind them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from cassiaweir.exceptions import LeaseLostError, UnavailableError
+from cassiaweir.fleet._hold_back import HoldBack
+from cassiaweir.fleet._lease import LeaseTerms, ShardLease
+from cassiaweir.fleet._part_store import Committer, PartStore
+from cassiaweir.fleet._roster import Health, Roster
+from cassiaweir.fleet._shards import shard_domain, shard_of
+from cassiaweir.fleet._task_book import TaskBook
+from cassiaweir.fleet._worker_driver import DriverTerms, WorkerDriver
+from cassiaweir.observe import EventLog
+from cassiaweir.placement import Plan, Planner, WaitReason
+from cassiaweir.types import (
+    Clock,
+    Resources,
+    ShardOwner,
+    Table,
+    TaskStart,
+    Vm,
+    VmList,
+    VmRole,
+    WorkerReport,
+    Workers,
+)
+from cassiaweir.work import Part, TaskPhase
+
+MOST_PLACEMENTS_A_ROUND = 256
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerTerms:
+    """The durations of a runner.
+
+    `list_lag` bounds how long a VM stays out of the list that a reader gets.
+    """
+
+    lease: LeaseTerms
+    driver: DriverTerms
+    shards_per_domain: int = 1
+    round: timedelta = timedelta(milliseconds=50)
+    vm_poll: timedelta = timedelta(seconds=1)
+    part_poll: timedelta = timedelta(seconds=5)
+    list_lag: timedelta = timedelta(seconds=5)
+
+
+class Allotments(Protocol):
+    """What each team may run in the shard."""
+
+    def apply(self, planner: Planner, book: TaskBook) -> None:
+        """Tell the planner what each team may run now."""
+
+    async def balance(self, planner: Planner) -> None:
+        """Move allotments towards demand; raises `UnavailableError`."""
+
+
+@dataclass(frozen=True, slots=True)
+class PartStatus:
+    """The live state of the part of a job in this shard."""
+
+    shard: str
+    queued: int
+    running: int
+    succeeded: int
+    failed: int
+    reason: WaitReason
+
+
+class ShardRunner:
+    """Runs the tasks of one shard for as long as its lease, or autonomy, lasts.
+
+    Implements `Authority` and `ReportSink` for the drivers of its workers.
+    """
+
+    def __init__(
+        self,
+        lease: ShardLease,
+        *,
+        table: Table,
+        committer: Committer,
+        vm_list: VmList,
+        workers: Workers,
+        planner: Planner,
+        clock: Clock,
+        events: EventLog,
+        terms: RunnerTerms,
+        allotments: Allotments | None = None,
+        health: Health | None = None,
+    ) -> None:
+        self.epoch = lease.epoch
+        self.recovered = False
+        self._lease = lease
+        self._vm_list = vm_list
+        self._workers = workers
+        self._planner = planner
+        self._clock = clock
+        self._events = events
+        self._terms = terms
+        self._allotments = allotments
+        self._roster = Roster(planner, self._build_driver, health=health)
+        self._store = PartStore(lease, table=table, committer=committer)
+        self._book = TaskBook(
+            self._store.parts,
+            self._roster.drivers,
+            planner=planner,
+            clock=clock,
+            events=events,
+            on_ends=self._wake_table,
+            health=health,
+        )
+        self._book.epoch = lease.epoch
+        self._hold = self._new_hold()
+        self._holding = True
+        self._early_reports: dict[str, WorkerReport] = {}
+        self._notified: set[str] = set()
+        self._table_wake = asyncio.Event()
+        self._plan_wake = asyncio.Event()
+        self._polled_at = float("-inf")
+        self._listed_at = float("-inf")
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to recover the shard and run it."""
+        loops = (self._run_table, self._run_vm_list, self._run_plans)
+        self._tasks = [asyncio.create_task(loop()) for loop in loops]
+
+    async def stop(self) -> None:
+        """Stop commanding, and wait until no start of ours can still be carried out."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        drivers = list(self._roster.drivers.values())
+        await asyncio.gather(*(driver.stop() for driver in drivers))
+        if any(driver.in_doubt for driver in drivers):
+            await self._clock.sleep(self._terms.driver.command_expiry)
+
+    def held(self) -> bool:
+        """Tell whether nobody else can have taken the shard over yet."""
+        return self._lease.held()
+
+    def may_renew_tasks(self) -> bool:
+        """Tell whether task leases may be renewed."""
+        return self._lease.may_renew_tasks()
+
+    def may_start(self) -> bool:
+        """Tell whether tasks may be started."""
+        if not self._lease.may_start() or not self.recovered:
+            return False
+        if self._terms.lease.workers_fence:
+            return True
+        return self._clock.monotonic() >= self._hold.settled_at()
+
+    def worker_reported(self, driver: WorkerDriver, report: WorkerReport) -> None:
+        """Take in the list of a worker."""
+        if not self.recovered:
+            self._early_reports[driver.vm.name] = report
+            return
+        self._book.take_report(driver.vm.name, report)
+        self._plan_wake.set()
+
+    def worker_replaced(self, driver: WorkerDriver) -> None:
+        """Restart elsewhere what the former incarnation ran."""
+        self._events.record(
+            "worker_replaced", driver.vm.name, incarnation=driver.vm.incarnation
+        )
+        self._book.lose_vm(driver.vm.name)
+        self._plan_wake.set()
+
+    def start_settled(self, driver: WorkerDriver, start: TaskStart) -> None:
+        """Queue a task again whose start certainly did not run."""
+        self._book.start_refused(start, driver.vm.name)
+        self._plan_wake.set()
+
+    def fenced(self, driver: WorkerDriver) -> None:
+        """Step down: a worker has seen a higher epoch."""
+        self._events.record("worker_fenced", driver.vm.name, epoch=self.epoch)
+        self._lease.lose()
+
+    def former_owner_gone(self) -> None:
+        """Note that the former owner commands nothing any more."""
+        self._hold.former_owner_gone(self._clock.monotonic())
+
+    @property
+    def settled(self) -> bool:
+        """Whether no task of the former owner is held back any more."""
+        return self.recovered and not self._holding
+
+    def notify(self, job: str) -> None:
+        """Look at the part of `job` soon: it was committed or changed."""
+        self._notified.add(job)
+        self._wake_table()
+
+    def status(self, job: str) -> PartStatus | None:
+        """Return the live state of the part of `job`, or None."""
+        part = self._store.parts.get(job)
+        if part is None:
+            return None
+        waiting = part.count([TaskPhase.WAITING, TaskPhase.HELD_BACK])
+        return PartStatus(
+            self._lease.shard,
+            waiting,
+            part.count([TaskPhase.STARTING, TaskPhase.RUNNING]),
+            len(part.succeeded),
+            len(part.failed),
+            self._planner.waiting(job, self._clock.monotonic()),
+        )
+
+    def describe(self, process: str, address: str) -> ShardOwner:
+        """Return what heartbeats tell of the shard."""
+        vms = [driver.vm for driver in self._roster.drivers.values()]
+        capacity = sum((vm.capacity for vm in vms), Resources())
+        used = Resources()
+        queued = 0
+        for part in self._store.parts.values():
+            running = part.count([TaskPhase.STARTING, TaskPhase.RUNNING])
+            used += part.row.spec.size.resources() * running
+            queued += part.count([TaskPhase.WAITING, TaskPhase.HELD_BACK])
+        return ShardOwner(
+            self._lease.shard,
+            shard_domain(self._lease.shard),
+            process,
+            address,
+            self.epoch,
+            capacity,
+            capacity - used,
+            queued,
+            self._book.running_tasks(),
+        )
+
+    async def recover(self) -> None:
+        """Read the parts of the shard; their tasks are held back at first."""
+        parts, _ = await self._store.load(TaskPhase.HELD_BACK)
+        self._polled_at = self._clock.monotonic()
+        held = sum(part.count([TaskPhase.HELD_BACK]) for part in parts)
+        self.recovered = True
+        for vm, report in self._early_reports.items():
+            self._book.take_report(vm, report)
+        self._early_reports.clear()
+        if held:
+            self._events.record(
+                "task_held_back", self._lease.shard, epoch=self.epoch, tasks=held
+            )
+
+    async def refresh_vms(self) -> list[WorkerDriver]:
+        """Read the VM list and return the drivers of new VMs, to be started."""
+        asked_at = self._clock.monotonic()
+        listed = await self._vm_list.fetch()
+        vms = [vm for vm in listed if self._is_ours(vm)]
+        # A successor counts on it that an owner without its lease adds no VM.
+        added = self._roster.apply(vms, add=self._lease.held())
+        self._listed_at = asked_at
+        self._hold.listed_at = asked_at
+        for driver in self._roster.take_departed(self._book.busy):
+            await driver.stop()
+        return added
+
+    async def sync_table(self) -> None:
+        """Read parts that are due and commit the ends that wait."""
+        now = self._clock.monotonic()
+        if not self.recovered:
+            await self.recover()
+        elif now - self._polled_at >= self._terms.part_poll.total_seconds():
+            self._take_parts(*await self._store.load(TaskPhase.WAITING))
+            self._polled_at = now
+        for job in sorted(self._notified):
+            self._take_parts(*await self._store.load_one(job))
+            self._notified.discard(job)
+        dirty = [part for part in self._store.parts.values() if part.dirty]
+        flushes = [self._flush(part) for part in dirty]
+        results = await asyncio.gather(*flushes, return_exceptions=True)
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+
+    def plan(self) -> Plan:
+        """Settle what time has settled, then place and preempt."""
+        now = self._clock.monotonic()
+        self._settle_hold(now)
+        self._settle_lapsed()
+        self._roster.refresh(now)
+        if not self.may_start():
+            return Plan([], [])
+        if self._allotments is not None:
+            self._allotments.apply(self._planner, self._book)
+        plan = self._planner.plan(now, MOST_PLACEMENTS_A_ROUND)
+        for preemption in plan.preemptions:
+            self._book.stop(preemption.task, preemption.vm, checkpoint=True)
+            self._events.record(
+                "preempted", str(preemption.task), epoch=self.epoch, vm=preemption.vm
+            )
+        for placement in plan.placements:
+            self._book.place(placement)
+        return plan
+
+    def stop_excess(self, team: str) -> None:
+        """Checkpoint the tasks of `team` beyond its allotment."""
+        for task, vm in self._planner.excess(team):
+            self._book.stop(task, vm, checkpoint=True)
+
+    async def _flush(self, part: Part) -> None:
+        acknowledged = await self._store.flush(part)
+        for item in acknowledged:
+            if item.vm in self._roster.drivers:
+                self._roster.drivers[item.vm].acknowledge(item.report)
+        if part.row.job not in self._store.parts:
+            self._events.record(
+                "part_finished", part.row.job, epoch=self.epoch, shard=self._lease.shard
+            )
+        elif part.gone:
+            self._book.cancel(part)
+
+    def _take_parts(self, added: list[Part], changed: list[Part]) -> None:
+        for part in added:
+            self._book.add_part(part)
+            if part.cancelled:
+                self._book.cancel(part)
+        for part in changed:
+            self._book.cancel(part)
+        self._plan_wake.set()
+
+    def _settle_hold(self, now: float) -> None:
+        if not self.recovered or not self._holding:
+            return
+        if self._hold.over(self._roster.drivers.values(), now):
+            self._holding = False
+            self._book.release_held()
+
+    def _settle_lapsed(self) -> None:
+        for name, driver in self._roster.drivers.items():
+            if not driver.reachable and self._book.busy(name) and driver.lapsed():
+                driver.forget_tasks()
+                self._book.lose_vm(name)
+
+    def _is_ours(self, vm: Vm) -> bool:
+        if vm.role is not VmRole.WORKER:
+            return False
+        return shard_of(vm, self._terms.shards_per_domain) == self._lease.shard
+
+    def _new_hold(self) -> HoldBack:
+        now = self._clock.monotonic()
+        hold = HoldBack(
+            now, self._terms.lease, self._terms.driver, self._terms.list_lag
+        )
+        if self._lease.predecessor.released:
+            hold.former_owner_gone(now)
+        return hold
+
+    def _build_driver(self, vm: Vm) -> WorkerDriver:
+        return WorkerDriver(
+            self._lease.shard,
+            vm,
+            self._workers.connect(vm),
+            authority=self,
+            sink=self,
+            clock=self._clock,
+            terms=self._terms.driver,
+        )
+
+    def _wake_table(self) -> None:
+        self._table_wake.set()
+
+    async def _run_table(self) -> None:
+        while self._lease.owned:
+            self._table_wake.clear()
+            try:
+                await self.sync_table()
+            except UnavailableError:
+                await self._clock.sleep(self._terms.vm_poll)
+            except LeaseLostError:
+                return
+            await self._wait(self._table_wake, self._terms.vm_poll)
+
+    async def _run_vm_list(self) -> None:
+        while self._lease.owned:
+            try:
+                for driver in await self.refresh_vms():
+                    await driver.start()
+            except UnavailableError:
+                self._events.record("vm_list_unavailable", self._lease.shard)
+            await self._clock.sleep(self._terms.vm_poll)
+
+    async def _run_plans(self) -> None:
+        while self._lease.owned:
+            self._plan_wake.clear()
+            self.plan()
+            await self._wait(self._plan_wake, self._terms.round)
+
+    async def _wait(self, event: asyncio.Event, limit: timedelta) -> None:
+        """Wait for `event`, at most for `limit`."""
+        waits = [
+            asyncio.create_task(event.wait()),
+            asyncio.create_task(self._clock.sleep(limit)),
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+            await asyncio.gather(*waits, return_exceptions=True)
--- /dev/null
+++ b/cassiaweir/fleet/_shards.py
@@ -0,0 +1,39 @@
+"""Names of shards, and which VM belongs to which."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+from cassiaweir.types import Vm
+
+
+def shard_name(failure_domain: str, number: int) -> str:
+    """Return the name of shard `number` of a failure domain."""
+    return f"{failure_domain}-{number}"
+
+
+def shard_domain(shard: str) -> str:
+    """Return the failure domain of a shard."""
+    return shard.rpartition("-")[0]
+
+
+def shard_names(failure_domains: Iterable[str], shards_per_domain: int) -> list[str]:
+    """Return the names of all shards of the cell."""
+    return [
+        shard_name(domain, number)
+        for domain in failure_domains
+        for number in range(shards_per_domain)
+    ]
+
+
+def shard_of(vm: Vm, shards_per_domain: int) -> str:
+    """Return the shard that `vm` belongs to, by rendezvous hashing of its rack."""
+    names = shard_names([vm.failure_domain], shards_per_domain)
+    return max(names, key=lambda name: rendezvous_rank(name, vm.rack))
+
+
+def rendezvous_rank(node: str, key: str) -> int:
+    """Return the rank of `node` for `key`; the node of the highest rank wins."""
+    return xxhash.xxh64_intdigest(f"{node}\0{key}".encode())
--- /dev/null
+++ b/cassiaweir/fleet/_task_book.py
@@ -0,0 +1,302 @@
+"""Applies what workers report, and what the planner decides, to the parts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from cassiaweir.fleet._roster import Health
+from cassiaweir.fleet._worker_driver import WorkerDriver
+from cassiaweir.observe import EventLog
+from cassiaweir.placement import Placement, Planner, TaskGroup
+from cassiaweir.types import (
+    Clock,
+    JobKind,
+    Resources,
+    TaskId,
+    TaskReport,
+    TaskStart,
+    TaskState,
+    WorkerReport,
+)
+from cassiaweir.work import Acknowledgement, NextStep, Part, TaskPhase, TaskRecord
+
+
+class TaskBook:
+    """Follows each task of the shard from waiting to its end.
+
+    `holding` says whether tasks of a former owner are held back still.  `on_ends` is
+    called when ends wait to be committed.
+    """
+
+    def __init__(
+        self,
+        parts: Mapping[str, Part],
+        drivers: Mapping[str, WorkerDriver],
+        *,
+        planner: Planner,
+        clock: Clock,
+        events: EventLog,
+        on_ends: Callable[[], None],
+        health: Health | None = None,
+    ) -> None:
+        self.epoch = 0
+        self._parts = parts
+        self._drivers = drivers
+        self._planner = planner
+        self._clock = clock
+        self._events = events
+        self._on_ends = on_ends
+        self._health = health
+        self._on_vm: dict[str, set[TaskId]] = {}
+
+    def busy(self, vm: str) -> bool:
+        """Tell whether a task runs, or is being started, on `vm`."""
+        return bool(self._on_vm.get(vm))
+
+    def held_back(self, team: str) -> Resources:
+        """Return what a former owner may still run for `team`, unseen by us."""
+        total = Resources()
+        for part in self._parts.values():
+            if part.row.team == team:
+                held = part.count([TaskPhase.HELD_BACK])
+                total += part.row.spec.size.resources() * held
+        return total
+
+    def running_tasks(self) -> int:
+        """Return how many tasks run or are being started."""
+        return sum(len(tasks) for tasks in self._on_vm.values())
+
+    def add_part(self, part: Part) -> None:
+        """Queue the waiting tasks of a part."""
+        if not part.cancelled:
+            self._enqueue(part, part.indexes(TaskPhase.WAITING))
+
+    def release_held(self) -> None:
+        """Queue all tasks that were held back."""
+        for part in self._parts.values():
+            held = part.indexes(TaskPhase.HELD_BACK)
+            for index in held:
+                part.wait_again(index)
+            if part.cancelled:
+                self._note_cancelled(part)
+            elif held:
+                self._enqueue(part, held)
+
+    def place(self, placement: Placement) -> None:
+        """Start a task that the planner placed."""
+        part = self._parts[placement.task.job]
+        start = part.begin(placement.task.index, placement.vm)
+        self._on_vm.setdefault(placement.vm, set()).add(placement.task)
+        self._drivers[placement.vm].start_task(start)
+        self._record("task_placed", placement.task, placement.vm, start.attempt)
+
+    def stop(self, task: TaskId, vm: str, *, checkpoint: bool) -> None:
+        """Stop a task that runs on `vm`, or drop its start if it was not sent yet."""
+        driver = self._drivers[vm]
+        if not driver.withdraw_start(task):
+            driver.stop_task(task, checkpoint=checkpoint)
+            return
+        record = self._parts[task.job].records[task.index]
+        self._not_started(self._parts[task.job], record, vm)
+
+    def cancel(self, part: Part) -> None:
+        """Stop all tasks of a part that was cancelled."""
+        for task, vm in self._planner.cancel(part.row.job):
+            self.stop(task, vm, checkpoint=False)
+        self._note_cancelled(part)
+
+    def lose_vm(self, vm: str) -> None:
+        """Restart elsewhere what ran on a VM whose tasks have certainly ended."""
+        for task in sorted(self._on_vm.get(vm, ()), key=str):
+            self._lapse(task, vm)
+
+    def start_refused(self, start: TaskStart, vm: str) -> None:
+        """Queue a task again whose start certainly did not run."""
+        part = self._parts.get(start.task.job)
+        record = part.records.get(start.task.index) if part else None
+        if part is None or record is None:
+            return
+        if record.vm == vm and record.attempt == start.attempt:
+            self._not_started(part, record, vm)
+
+    def take_report(self, vm: str, report: WorkerReport) -> None:
+        """Take in the whole list of a worker."""
+        listed = {task.task for task in report.tasks}
+        for task in sorted(self._on_vm.get(vm, set()) - listed, key=str):
+            record = self._parts[task.job].records[task.index]
+            if record.phase is TaskPhase.RUNNING:
+                self._lapse(task, vm)
+        for entry in report.tasks:
+            self._take_entry(vm, entry)
+
+    def _take_entry(self, vm: str, entry: TaskReport) -> None:
+        part = self._parts.get(entry.task.job)
+        record = part.records.get(entry.task.index) if part else None
+        if part is None or record is None:
+            self._take_stray(part, vm, entry)
+        elif entry.state.ended:
+            self._take_ended(part, record, vm, entry)
+        else:
+            self._take_running(part, record, vm, entry)
+
+    def _take_stray(self, part: Part | None, vm: str, entry: TaskReport) -> None:
+        """Clear away an attempt of a task whose end is known."""
+        if not entry.state.ended:
+            self._drivers[vm].stop_task(entry.task, checkpoint=False)
+        elif part is None or not _awaits_commit(part, vm, entry):
+            self._drivers[vm].acknowledge(entry)
+
+    def _take_running(
+        self, part: Part, record: TaskRecord, vm: str, entry: TaskReport
+    ) -> None:
+        if entry.attempt <= record.closed_attempt:
+            return
+        if record.vm not in ("", vm):
+            self._record("task_duplicate", entry.task, vm, entry.attempt)
+            self._drivers[vm].stop_task(entry.task, checkpoint=False)
+            return
+        if not record.vm:
+            self._adopt(part, record, vm, entry)
+        elif record.phase is TaskPhase.STARTING and record.attempt == entry.attempt:
+            record.phase = TaskPhase.RUNNING
+            self._record("task_started", entry.task, vm, entry.attempt)
+            self._release_checkpoint(record)
+        if entry.usage != Resources():
+            self._planner.task_usage(entry.task, entry.usage)
+        if part.cancelled:
+            self._drivers[vm].stop_task(entry.task, checkpoint=False)
+
+    def _take_ended(
+        self, part: Part, record: TaskRecord, vm: str, entry: TaskReport
+    ) -> None:
+        if entry.attempt <= record.closed_attempt:
+            if not _keeps_checkpoint(record, vm, entry):
+                self._drivers[vm].acknowledge(entry)
+            return
+        if record.vm not in ("", vm):
+            self._drivers[vm].acknowledge(entry)
+            return
+        held = record.phase is TaskPhase.HELD_BACK
+        if not record.vm:
+            self._adopt(part, record, vm, entry)
+        if entry.attempt < record.attempt:
+            return
+        self._end(part, record, vm, entry, held=held)
+
+    def _adopt(
+        self, part: Part, record: TaskRecord, vm: str, entry: TaskReport
+    ) -> None:
+        part.adopt(entry.task.index, vm, entry.attempt)
+        self._on_vm.setdefault(vm, set()).add(entry.task)
+        group = self._group(part, (entry.task.index,))
+        self._planner.adopt(group, entry.task, vm, self._clock.monotonic())
+        self._record("task_adopted", entry.task, vm, entry.attempt)
+
+    def _lapse(self, task: TaskId, vm: str) -> None:
+        part = self._parts[task.job]
+        record = part.records[task.index]
+        size = part.row.spec.size.resources()
+        entry = TaskReport(task, record.attempt, part.row.team, size, TaskState.LAPSED)
+        self._end(part, record, vm, entry, held=False)
+
+    def _end(
+        self,
+        part: Part,
+        record: TaskRecord,
+        vm: str,
+        entry: TaskReport,
+        *,
+        held: bool,
+    ) -> None:
+        now = self._clock.monotonic()
+        self._on_vm[vm].discard(entry.task)
+        self._planner.task_ended(entry.task, entry.state, now)
+        if self._health is not None:
+            self._health.ended(vm, entry.task.job, entry.state, now)
+        step = part.end(entry)
+        self._record("task_ended", entry.task, vm, entry.attempt, entry.state)
+        if step is NextStep.RESTART:
+            self._restart(part, record, vm, entry, held=held)
+            return
+        if entry.state is not TaskState.LAPSED:
+            part.unacknowledged.append(Acknowledgement(vm, entry))
+        self._on_ends()
+
+    def _restart(
+        self,
+        part: Part,
+        record: TaskRecord,
+        vm: str,
+        entry: TaskReport,
+        *,
+        held: bool,
+    ) -> None:
+        if entry.state is TaskState.CHECKPOINTED:
+            # The worker keeps the report, which names the checkpoint, for a successor.
+            record.saved_by, record.saved_on = entry, vm
+        elif entry.state is not TaskState.LAPSED:
+            self._drivers[vm].acknowledge(entry)
+        if held:
+            part.hold_back(entry.task.index)
+            return
+        self._record("task_restarted", entry.task, vm, entry.attempt, entry.state)
+        self._enqueue(part, (entry.task.index,))
+
+    def _release_checkpoint(self, record: TaskRecord) -> None:
+        if record.saved_by is not None and record.saved_on in self._drivers:
+            self._drivers[record.saved_on].acknowledge(record.saved_by)
+        record.saved_by = None
+
+    def _not_started(self, part: Part, record: TaskRecord, vm: str) -> None:
+        now = self._clock.monotonic()
+        self._on_vm[vm].discard(record.task)
+        part.wait_again(record.task.index)
+        if part.cancelled:
+            self._planner.task_ended(record.task, TaskState.STOPPED, now)
+            self._note_cancelled(part)
+        else:
+            self._planner.task_refused(record.task, now)
+
+    def _note_cancelled(self, part: Part) -> None:
+        if part.finished:
+            part.dirty = True
+            self._on_ends()
+
+    def _enqueue(self, part: Part, indexes: tuple[int, ...]) -> None:
+        if indexes:
+            self._planner.enqueue(self._group(part, indexes))
+
+    def _group(self, part: Part, indexes: tuple[int, ...]) -> TaskGroup:
+        spec = part.row.spec
+        age = self._clock.now().timestamp() - part.row.submitted_at
+        seconds = 0 if spec.kind is JobKind.SERVICE else spec.declared_seconds
+        return TaskGroup(
+            job=part.row.job,
+            team=part.row.team,
+            kind=spec.kind,
+            urgency=spec.urgency,
+            size=spec.size.resources(),
+            indexes=indexes,
+            submitted_at=self._clock.monotonic() - max(age, 0),
+            declared_seconds=seconds,
+        )
+
+    def _record(
+        self, kind: str, task: TaskId, vm: str, attempt: int, state: str = ""
+    ) -> None:
+        self._events.record(
+            kind, str(task), epoch=self.epoch, vm=vm, attempt=attempt, state=state
+        )
+
+
+def _awaits_commit(part: Part, vm: str, entry: TaskReport) -> bool:
+    return any(
+        waiting.vm == vm and waiting.report.task == entry.task
+        for waiting in part.unacknowledged
+    )
+
+
+def _keeps_checkpoint(record: TaskRecord, vm: str, entry: TaskReport) -> bool:
+    """Tell whether the worker's entry names the checkpoint to resume from."""
+    saved = record.saved_by
+    return saved is not None and (record.saved_on, saved.attempt) == (vm, entry.attempt)
--- /dev/null
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -0,0 +1,300 @@
+"""Drives one worker VM: renewals, starts, stops, and what its reports prove."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from typing import Protocol
+
+from cassiaweir.exceptions import FencedError, UnavailableError
+from cassiaweir.types import (
+    Clock,
+    Command,
+    TaskId,
+    TaskReport,
+    TaskStart,
+    Vm,
+    Worker,
+    WorkerReport,
+)
+from cassiaweir.verdict import Verdict
+
+
+class Authority(Protocol):
+    """The right to command the workers of a shard."""
+
+    epoch: int
+
+    def held(self) -> bool:
+        """Tell whether nobody else can have taken the shard over yet."""
+
+    def may_renew_tasks(self) -> bool:
+        """Tell whether task leases may be renewed."""
+
+    def may_start(self) -> bool:
+        """Tell whether tasks may be started."""
+
+
+class ReportSink(Protocol):
+    """Receives what a worker says; called within the driver's task."""
+
+    def worker_reported(self, driver: WorkerDriver, report: WorkerReport) -> None:
+        """Take in a report made under the current epoch."""
+
+    def worker_replaced(self, driver: WorkerDriver) -> None:
+        """Note that the VM is another incarnation: all it ran has ended."""
+
+    def start_settled(self, driver: WorkerDriver, start: TaskStart) -> None:
+        """Note that `start` certainly did not, and will not, run."""
+
+    def fenced(self, driver: WorkerDriver) -> None:
+        """Note that the worker has seen a higher epoch."""
+
+
+@dataclass(frozen=True, slots=True)
+class DriverTerms:
+    """The durations that a driver works with."""
+
+    task_lease: timedelta
+    task_renewal: timedelta
+    command_expiry: timedelta
+    drift: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class _SentStart:
+    """A start that was sent; the worker refuses it past `expires_at` of its clock."""
+
+    start: TaskStart
+    expires_at: float
+
+
+class WorkerDriver:
+    """Commands one worker under the epoch of a shard.
+
+    A start is in doubt from the moment that it is sent until a report lists it, or
+    until a report made after its expiry on the worker's clock does not.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        vm: Vm,
+        worker: Worker,
+        *,
+        authority: Authority,
+        sink: ReportSink,
+        clock: Clock,
+        terms: DriverTerms,
+    ) -> None:
+        self.vm = vm
+        self.answered_at: float | None = None
+        self.former_incarnations: set[str] = set()
+        self.reachable = False
+        self.lease_sent_at: float | None = None
+        self._shard = shard
+        self._worker = worker
+        self._authority = authority
+        self._sink = sink
+        self._clock = clock
+        self._terms = terms
+        self._clock_offset: float | None = None
+        self._renewed_at = float("-inf")
+        self._starts: list[TaskStart] = []
+        self._sent: dict[tuple[TaskId, int], _SentStart] = {}
+        self._stops: dict[TaskId, bool] = {}
+        self._acknowledged: list[TaskReport] = []
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to drive the worker."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop after the call in flight; nothing is sent afterwards."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    @property
+    def in_doubt(self) -> bool:
+        """Whether a start may still be carried out without our knowledge."""
+        return bool(self._sent)
+
+    def start_task(self, start: TaskStart) -> None:
+        """Queue the start of an attempt; it goes out with the next call."""
+        self._starts.append(start)
+        self._wake.set()
+
+    def stop_task(self, task: TaskId, *, checkpoint: bool) -> None:
+        """Queue the stop of a task."""
+        self._stops[task] = checkpoint
+        self._wake.set()
+
+    def acknowledge(self, report: TaskReport) -> None:
+        """Let the worker forget an ended attempt with the next renewal."""
+        self._acknowledged.append(report)
+
+    def withdraw_start(self, task: TaskId) -> bool:
+        """Drop a start that was not sent yet; tell whether there was one."""
+        kept = [start for start in self._starts if start.task != task]
+        withdrawn = len(kept) < len(self._starts)
+        self._starts = kept
+        return withdrawn
+
+    def lapsed(self) -> bool:
+        """Tell whether all that the worker ran under our leases has certainly ended.
+
+        A successor may have renewed the leases in our place, so this is only known
+        while nobody can have taken the shard over.
+        """
+        if self.lease_sent_at is None or not self._authority.held():
+            return False
+        return self._clock.monotonic() >= self.lapses_at(self.lease_sent_at)
+
+    def lapses_at(self, sent_at: float) -> float:
+        """Return when a task lease that was sent at `sent_at` has certainly lapsed."""
+        terms = self._terms
+        wait = terms.command_expiry + terms.task_lease + terms.drift
+        return sent_at + wait.total_seconds()
+
+    def forget_tasks(self) -> None:
+        """Drop what was queued or in doubt after the worker's tasks lapsed."""
+        self._starts.clear()
+        self._sent.clear()
+        self._stops.clear()
+        self._acknowledged.clear()
+        self.lease_sent_at = None
+
+    def update(self, vm: Vm) -> None:
+        """Take in the state and capacity that the VM list shows."""
+        self.vm = replace(vm, incarnation=self.vm.incarnation)
+
+    def replaced(self, incarnation: str) -> None:
+        """Note that the VM is now another incarnation, which runs nothing of ours."""
+        self.former_incarnations.add(self.vm.incarnation)
+        self.vm = replace(self.vm, incarnation=incarnation)
+        self.forget_tasks()
+        self._clock_offset = None
+        self._sink.worker_replaced(self)
+
+    async def step(self) -> None:
+        """Make the calls that are due."""
+        try:
+            await self._call_worker()
+            self.reachable = True
+        except FencedError:
+            self._sink.fenced(self)
+        except UnavailableError:
+            self.reachable = False
+            # The next call is a plain list, which extends no lease.
+            self._clock_offset = None
+
+    async def _run(self) -> None:
+        while True:
+            await self.step()
+            sleep = asyncio.create_task(self._clock.sleep(self._terms.task_renewal))
+            wake = asyncio.create_task(self._wake.wait())
+            try:
+                await asyncio.wait((sleep, wake), return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                sleep.cancel()
+                wake.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.gather(sleep, wake, return_exceptions=True)
+
+    async def _call_worker(self) -> None:
+        self._wake.clear()
+        if not self._authority.may_renew_tasks():
+            return
+        if self._clock_offset is None:
+            await self._read_clock()
+        if self.answered_at is None or self._renewal_due():
+            await self._renew()
+        if self._stops:
+            await self._stop_tasks()
+        if self._starts and self._authority.may_start():
+            await self._start_tasks()
+
+    def _renewal_due(self) -> bool:
+        age = self._clock.monotonic() - self._renewed_at
+        return age >= self._terms.task_renewal.total_seconds()
+
+    async def _read_clock(self) -> None:
+        """Learn the worker's clock without extending any lease."""
+        report = await self._worker.list()
+        self._note_clock(report)
+
+    def _note_clock(self, report: WorkerReport) -> None:
+        # The clock was read before now, so this never runs ahead of the worker's.
+        self._clock_offset = report.clock - self._clock.monotonic()
+
+    def _command(self) -> Command:
+        assert self._clock_offset is not None
+        worker_clock = self._clock.monotonic() + self._clock_offset
+        expires_at = worker_clock + self._terms.command_expiry.total_seconds()
+        return Command(self._shard, self._authority.epoch, expires_at)
+
+    async def _renew(self) -> None:
+        ended = list(self._acknowledged)
+        command = self._command()
+        sent_at = self._clock.monotonic()
+        earlier, self.lease_sent_at = self.lease_sent_at, sent_at
+        try:
+            report = await self._worker.renew(command, self._terms.task_lease, ended)
+        except UnavailableError as exc:
+            if exc.verdict is Verdict.NOT_RUN:
+                self.lease_sent_at = earlier
+            raise
+        del self._acknowledged[: len(ended)]
+        self._renewed_at = self.answered_at = sent_at
+        self._take(report)
+
+    async def _start_tasks(self) -> None:
+        starts, self._starts = self._starts, []
+        command = self._command()
+        self.lease_sent_at = self._clock.monotonic()
+        for start in starts:
+            sent = _SentStart(start, command.expires_at)
+            self._sent[(start.task, start.attempt)] = sent
+        try:
+            report = await self._worker.start(command, self._terms.task_lease, starts)
+        except UnavailableError as exc:
+            if exc.verdict is Verdict.NOT_RUN:
+                self._settle(starts)
+            raise
+        self._take(report)
+        self._settle(starts)
+
+    async def _stop_tasks(self) -> None:
+        stops = dict(self._stops)
+        for checkpoint in (False, True):
+            tasks = [task for task, flag in stops.items() if flag is checkpoint]
+            if not tasks:
+                continue
+            report = await self._worker.stop(
+                self._command(), tasks, checkpoint=checkpoint
+            )
+            for task in tasks:
+                self._stops.pop(task, None)
+            self._take(report)
+
+    def _settle(self, starts: Sequence[TaskStart]) -> None:
+        """Tell of the starts that the worker refused."""
+        for start in starts:
+            if self._sent.pop((start.task, start.attempt), None) is not None:
+                self._sink.start_settled(self, start)
+
+    def _take(self, report: WorkerReport) -> None:
+        if report.incarnation != self.vm.incarnation:
+            self.replaced(report.incarnation)
+        self._note_clock(report)
+        for task in report.tasks:
+            self._sent.pop((task.task, task.attempt), None)
+        self._sink.worker_reported(self, report)
+        expired = [s.start for s in self._sent.values() if s.expires_at < report.clock]
+        self._settle(expired)
--- a/cassiaweir/work/__init__.py
+++ b/cassiaweir/work/__init__.py
@@ -1,5 +1,45 @@
 """Jobs, their parts, and the life of a task."""
 
 from cassiaweir.work._models import JobRow, JobSpec, PartRow, TaskSize
+from cassiaweir.work._part import (
+    Acknowledgement,
+    NextStep,
+    Part,
+    TaskPhase,
+    TaskRecord,
+)
+from cassiaweir.work._ranges import collect_ranges, expand_ranges
+from cassiaweir.work._rows import (
+    JOB_PREFIX,
+    DoneRow,
+    decode_done,
+    decode_job,
+    decode_part,
+    done_key,
+    job_key,
+    part_key,
+    part_prefix,
+)
 
-__all__ = ["JobRow", "JobSpec", "PartRow", "TaskSize"]
+__all__ = [
+    "JOB_PREFIX",
+    "Acknowledgement",
+    "DoneRow",
+    "JobRow",
+    "JobSpec",
+    "NextStep",
+    "Part",
+    "PartRow",
+    "TaskPhase",
+    "TaskRecord",
+    "TaskSize",
+    "collect_ranges",
+    "decode_done",
+    "decode_job",
+    "decode_part",
+    "done_key",
+    "expand_ranges",
+    "job_key",
+    "part_key",
+    "part_prefix",
+]
--- /dev/null
+++ b/cassiaweir/work/_part.py
@@ -0,0 +1,184 @@
+"""The part of a job that one shard runs: the life of its tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+
+from cassiaweir.types import JobKind, TaskId, TaskReport, TaskStart, TaskState
+from cassiaweir.work._models import PartRow
+from cassiaweir.work._ranges import collect_ranges, expand_ranges
+
+
+class TaskPhase(StrEnum):
+    """Where a task of a part stands."""
+
+    WAITING = "waiting"
+    HELD_BACK = "held_back"
+    STARTING = "starting"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+class NextStep(StrEnum):
+    """What follows from the end of an attempt."""
+
+    FINISH = "finish"
+    RESTART = "restart"
+    DROP = "drop"
+
+
+@dataclass(slots=True)
+class TaskRecord:
+    """What the owner knows of one task; `vm` is empty while it runs nowhere.
+
+    Attempts up to `closed_attempt` have ended.  `saved_by` is the report of the
+    checkpoint that the next attempt resumes, kept by the worker `saved_on`.
+    """
+
+    task: TaskId
+    phase: TaskPhase = TaskPhase.WAITING
+    attempt: int = 0
+    closed_attempt: int = 0
+    failures: int = 0
+    vm: str = ""
+    checkpoint: str = ""
+    saved_by: TaskReport | None = None
+    saved_on: str = ""
+
+
+@dataclass(slots=True)
+class Acknowledgement:
+    """An ended attempt that its worker may forget once the end is committed."""
+
+    vm: str
+    report: TaskReport
+
+
+@dataclass(slots=True)
+class Part:
+    """A part with the state of its tasks.
+
+    `version` is that of the row.  `doubtful` is set while the row may have changed
+    without our knowledge, `dirty` while ends are not committed yet, and `gone` once the
+    row was deleted.
+    """
+
+    row: PartRow
+    version: int
+    records: dict[int, TaskRecord] = field(default_factory=dict)
+    succeeded: set[int] = field(default_factory=set)
+    failed: set[int] = field(default_factory=set)
+    cancelled: bool = False
+    dirty: bool = False
+    doubtful: bool = False
+    gone: bool = False
+    unacknowledged: list[Acknowledgement] = field(default_factory=list)
+
+    @classmethod
+    def from_row(cls, row: PartRow, version: int, phase: TaskPhase) -> Part:
+        """Return the part of a row whose open tasks are all in `phase`."""
+        part = cls(row, version, cancelled=row.cancelled)
+        part.succeeded = expand_ranges(row.succeeded)
+        part.failed = expand_ranges(row.failed)
+        for index in range(row.first, row.first + row.count):
+            if index not in part.succeeded and index not in part.failed:
+                part.records[index] = TaskRecord(TaskId(row.job, index), phase)
+        return part
+
+    @property
+    def finished(self) -> bool:
+        """Whether no task runs, or can still run."""
+        if self.cancelled:
+            return all(
+                record.phase is TaskPhase.WAITING for record in self.records.values()
+            )
+        return not self.records
+
+    def indexes(self, phase: TaskPhase) -> tuple[int, ...]:
+        """Return the indexes of the tasks in `phase`, in order."""
+        return tuple(i for i, record in self.records.items() if record.phase is phase)
+
+    def count(self, phases: Iterable[TaskPhase]) -> int:
+        """Return how many tasks are in one of `phases`."""
+        wanted = set(phases)
+        return sum(record.phase in wanted for record in self.records.values())
+
+    def begin(self, index: int, vm: str) -> TaskStart:
+        """Note that a new attempt of a task is being started on `vm`."""
+        record = self.records[index]
+        record.phase = TaskPhase.STARTING
+        record.attempt += 1
+        record.vm = vm
+        return TaskStart(
+            record.task,
+            record.attempt,
+            self.row.team,
+            self.row.spec.size.resources(),
+            self.row.spec.payload,
+            record.checkpoint,
+        )
+
+    def wait_again(self, index: int) -> None:
+        """Note that a task runs nowhere and waits."""
+        record = self.records[index]
+        record.phase = TaskPhase.WAITING
+        record.vm = ""
+
+    def adopt(self, index: int, vm: str, attempt: int) -> None:
+        """Note that a worker lists an attempt that this process did not start."""
+        record = self.records[index]
+        record.phase = TaskPhase.RUNNING
+        record.attempt = attempt
+        record.vm = vm
+
+    def hold_back(self, index: int) -> None:
+        """Keep a waiting task from being placed until the takeover has settled."""
+        self.records[index].phase = TaskPhase.HELD_BACK
+
+    def end(self, report: TaskReport) -> NextStep:
+        """Note the end of the current attempt of a task and say what follows."""
+        record = self.records[report.task.index]
+        record.closed_attempt = max(record.closed_attempt, report.attempt)
+        if report.state is TaskState.FAILED:
+            record.failures += 1
+        if report.state is TaskState.CHECKPOINTED:
+            record.checkpoint = report.checkpoint
+        step = self._next_step(report.state, record)
+        if step is NextStep.RESTART:
+            self.wait_again(report.task.index)
+        else:
+            self._close(report)
+        return step
+
+    def _next_step(self, state: TaskState, record: TaskRecord) -> NextStep:
+        spec = self.row.spec
+        if self.cancelled and state is not TaskState.SUCCEEDED:
+            return NextStep.DROP
+        if spec.kind is JobKind.SERVICE:
+            return NextStep.DROP if self.cancelled else NextStep.RESTART
+        if state is TaskState.SUCCEEDED:
+            return NextStep.FINISH
+        if state is TaskState.FAILED and record.failures >= spec.attempts:
+            return NextStep.FINISH
+        return NextStep.RESTART
+
+    def _close(self, report: TaskReport) -> None:
+        del self.records[report.task.index]
+        if report.state is TaskState.SUCCEEDED:
+            self.succeeded.add(report.task.index)
+        else:
+            self.failed.add(report.task.index)
+        self.dirty = True
+
+    def merged_row(self) -> PartRow:
+        """Return the row with all ends known so far."""
+        return msgspec.structs.replace(
+            self.row,
+            succeeded=collect_ranges(self.succeeded),
+            failed=collect_ranges(self.failed),
+            cancelled=self.cancelled,
+        )
--- /dev/null
+++ b/cassiaweir/work/_rows.py
@@ -0,0 +1,55 @@
+"""Keys of the rows that keep jobs and their parts, and their encoding."""
+
+from __future__ import annotations
+
+import msgspec
+
+from cassiaweir.types import Row
+from cassiaweir.work._models import JobRow, PartRow
+
+JOB_PREFIX = "job/"
+
+
+class DoneRow(msgspec.Struct, frozen=True):
+    """The row `done/<job>/<shard>`: how many tasks of a part ended in which way."""
+
+    job: str
+    team: str
+    succeeded: int
+    failed: int
+    cancelled: bool
+
+
+def job_key(job: str) -> str:
+    """Return the key of the row of a job."""
+    return f"{JOB_PREFIX}{job}"
+
+
+def part_prefix(shard: str) -> str:
+    """Return the prefix of the keys of all parts bound to `shard`."""
+    return f"part/{shard}/"
+
+
+def part_key(shard: str, job: str) -> str:
+    """Return the key of the part of `job` that is bound to `shard`."""
+    return part_prefix(shard) + job
+
+
+def done_key(job: str, shard: str) -> str:
+    """Return the key of the outcome of a finished part."""
+    return f"done/{job}/{shard}"
+
+
+def decode_part(row: Row) -> PartRow:
+    """Return the part in `row`."""
+    return msgspec.json.decode(row.value, type=PartRow)
+
+
+def decode_job(row: Row) -> JobRow:
+    """Return the job in `row`."""
+    return msgspec.json.decode(row.value, type=JobRow)
+
+
+def decode_done(row: Row) -> DoneRow:
+    """Return the outcome in `row`."""
+    return msgspec.json.decode(row.value, type=DoneRow)
