--- a/cassiaweir/fleet/_runner.py
+++ b/cassiaweir/fleet/_runner.py
@@ -165,11 +165,15 @@
         self._plan_wake.set()
 
     def worker_replaced(self, driver: WorkerDriver) -> None:
-        """Restart elsewhere what the former incarnation ran."""
+        """Restart elsewhere what the former incarnation ran.
+
+        A former owner may have learnt of it too, so until the takeover has settled
+        the tasks are held back.
+        """
         self._events.record(
             "worker_replaced", driver.vm.name, incarnation=driver.vm.incarnation
         )
-        self._book.lose_vm(driver.vm.name)
+        self._book.lose_vm(driver.vm.name, held=self._holding)
         self._plan_wake.set()
 
     def start_settled(self, driver: WorkerDriver, start: TaskStart) -> None:
--- a/cassiaweir/fleet/_task_book.py
+++ b/cassiaweir/fleet/_task_book.py
@@ -105,10 +105,13 @@
             self.stop(task, vm, checkpoint=False)
         self._note_cancelled(part)
 
-    def lose_vm(self, vm: str) -> None:
-        """Restart elsewhere what ran on a VM whose tasks have certainly ended."""
+    def lose_vm(self, vm: str, *, held: bool = False) -> None:
+        """Restart elsewhere what ran on a VM whose tasks have certainly ended.
+
+        With `held` the tasks are held back first.
+        """
         for task in sorted(self._on_vm.get(vm, ()), key=str):
-            self._lapse(task, vm)
+            self._lapse(task, vm, held=held)
 
     def start_refused(self, start: TaskStart, vm: str) -> None:
         """Queue a task again whose start certainly did not run."""
@@ -152,9 +155,12 @@
         if entry.attempt <= record.closed_attempt:
             return
         if record.vm not in ("", vm):
-            self._record("task_duplicate", entry.task, vm, entry.attempt)
-            self._drivers[vm].stop_task(entry.task, checkpoint=False)
-            return
+            if entry.attempt <= record.attempt:
+                self._record("task_duplicate", entry.task, vm, entry.attempt)
+                self._drivers[vm].stop_task(entry.task, checkpoint=False)
+                return
+            # A former owner starts a later attempt only after the earlier one ended.
+            self._leave(record, entry.task)
         if not record.vm:
             self._adopt(part, record, vm, entry)
         elif record.phase is TaskPhase.STARTING and record.attempt == entry.attempt:
@@ -183,6 +189,11 @@
             return
         self._end(part, record, vm, entry, held=held)
 
+    def _leave(self, record: TaskRecord, task: TaskId) -> None:
+        self._on_vm[record.vm].discard(task)
+        self._planner.task_ended(task, TaskState.LAPSED, self._clock.monotonic())
+        record.vm = ""
+
     def _adopt(
         self, part: Part, record: TaskRecord, vm: str, entry: TaskReport
     ) -> None:
@@ -192,12 +203,12 @@
         self._planner.adopt(group, entry.task, vm, self._clock.monotonic())
         self._record("task_adopted", entry.task, vm, entry.attempt)
 
-    def _lapse(self, task: TaskId, vm: str) -> None:
+    def _lapse(self, task: TaskId, vm: str, *, held: bool = False) -> None:
         part = self._parts[task.job]
         record = part.records[task.index]
         size = part.row.spec.size.resources()
         entry = TaskReport(task, record.attempt, part.row.team, size, TaskState.LAPSED)
-        self._end(part, record, vm, entry, held=False)
+        self._end(part, record, vm, entry, held=held)
 
     def _end(
         self,
--- a/cassiaweir/fleet/_worker_driver.py
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -75,6 +75,10 @@
 class WorkerDriver:
     """Commands one worker under the epoch of a shard.
 
+    A new incarnation of a VM remembers no epoch.  So an owner makes its first contact
+    with one only while it holds the lease, and without the lease it lets the same
+    incarnation accept a renewal right before each start.
+
     A start is in doubt from the moment that it is sent until a report lists it, or
     until a report made after its expiry on the worker's clock does not.
     """
@@ -180,6 +184,7 @@
         self.vm = replace(self.vm, incarnation=incarnation)
         self.forget_tasks()
         self._clock_offset = None
+        self.answered_at = None
         self._sink.worker_replaced(self)
 
     async def step(self) -> None:
@@ -209,7 +214,7 @@
 
     async def _call_worker(self) -> None:
         self._wake.clear()
-        if not self._authority.may_renew_tasks():
+        if not self._authority.may_renew_tasks() or not self._may_contact():
             return
         if self._clock_offset is None:
             await self._read_clock()
@@ -217,9 +222,17 @@
             await self._renew()
         if self._stops:
             await self._stop_tasks()
-        if self._starts and self._authority.may_start():
+        if self._starts and not self._authority.held():
+            await self._renew()
+        if self._starts and self._may_start():
             await self._start_tasks()
 
+    def _may_contact(self) -> bool:
+        return self.answered_at is not None or self._authority.held()
+
+    def _may_start(self) -> bool:
+        return self.answered_at is not None and self._authority.may_start()
+
     def _renewal_due(self) -> bool:
         age = self._clock.monotonic() - self._renewed_at
         return age >= self._terms.task_renewal.total_seconds()
@@ -251,8 +264,9 @@
                 self.lease_sent_at = earlier
             raise
         del self._acknowledged[: len(ended)]
-        self._renewed_at = self.answered_at = sent_at
-        self._take(report)
+        self._renewed_at = sent_at
+        if self._take(report):
+            self.answered_at = sent_at
 
     async def _start_tasks(self) -> None:
         starts, self._starts = self._starts, []
@@ -289,12 +303,16 @@
             if self._sent.pop((start.task, start.attempt), None) is not None:
                 self._sink.start_settled(self, start)
 
-    def _take(self, report: WorkerReport) -> None:
+    def _take(self, report: WorkerReport) -> bool:
+        """Take in a report; tell whether it is from an incarnation we may command."""
         if report.incarnation != self.vm.incarnation:
             self.replaced(report.incarnation)
+        if not self._may_contact():
+            return False
         self._note_clock(report)
         for task in report.tasks:
             self._sent.pop((task.task, task.attempt), None)
         self._sink.worker_reported(self, report)
         expired = [s.start for s in self._sent.values() if s.expires_at < report.clock]
         self._settle(expired)
+        return True
--- /dev/null
+++ b/tests/test_fleet_machine.py
@@ -0,0 +1,195 @@
+"""A state machine of two owners, three workers and everything that fails."""
+
+import asyncio
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from loguru import logger
+
+from cassiaweir.clock import ManualClock
+from cassiaweir.exceptions import LeaseLostError, UnavailableError
+from cassiaweir.types import TaskState
+from cassiaweir.verdict import Verdict
+from standins.memory import MemoryTable
+from tests.fleet_fakes import FakeWorker, Rig, add_part, make_spec
+
+OWNERS = st.integers(0, 1)
+WORKERS = st.integers(0, 2)
+
+
+class Link:
+    """The way of one process to the table; it can be cut, or lose one answer."""
+
+    def __init__(self, table):
+        self._table = table
+        self.cut = False
+        self.lose = False
+
+    def _check(self):
+        if self.cut:
+            raise UnavailableError("cut", verdict=Verdict.NOT_RUN)
+
+    async def read(self, keys):
+        self._check()
+        return await self._table.read(keys)
+
+    async def scan(self, prefix):
+        self._check()
+        return await self._table.scan(prefix)
+
+    async def commit(self, checks, writes):
+        self._check()
+        versions = await self._table.commit(checks, writes)
+        if self.lose:
+            self.lose = False
+            raise UnavailableError("answer lost", verdict=Verdict.MAY_HAVE_RUN)
+        return versions
+
+
+class TwoOwners(RuleBasedStateMachine):
+    """A task never runs on two workers at once, nor again after it succeeded."""
+
+    @initialize()
+    def begin(self):
+        logger.disable("cassiaweir")
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.table = MemoryTable()
+        self.workers = [FakeWorker(f"w{n}", self.clock) for n in range(3)]
+        self.links = [Link(self.table), Link(self.table)]
+        self.rigs = [
+            Rig(f"p{n}", link, self.clock, self.workers)
+            for n, link in enumerate(self.links)
+        ]
+        self.succeeded = set()
+        self.jobs = 0
+        self.run(self.rigs[0].acquire())
+        self.submit(3)
+
+    def run(self, call):
+        try:
+            return self.loop.run_until_complete(call)
+        except (UnavailableError, LeaseLostError):
+            return None
+
+    @rule(tasks=st.integers(1, 4))
+    def submit(self, tasks):
+        if self.jobs < 4:
+            self.jobs += 1
+            spec = make_spec(f"j{self.jobs}", tasks=tasks, cpu=2000)
+            self.run(add_part(self.table, spec))
+        for rig in self.rigs:
+            if rig.runner is not None:
+                rig.runner.notify(f"j{self.jobs}")
+
+    @rule(seconds=st.sampled_from([0.5, 1, 2, 3, 7, 13, 25, 70]))
+    def advance(self, seconds):
+        self.clock.advance(seconds)
+
+    @rule(owner=OWNERS)
+    def hold(self, owner):
+        rig = self.rigs[owner]
+        if rig.lease.owned:
+            self.run(rig.lease.renew())
+            return
+        rig.runner = None
+        self.run(rig.acquire())
+
+    @rule(owner=OWNERS)
+    def turn(self, owner):
+        if self.rigs[owner].runner is not None:
+            self.run(self.rigs[owner].turn())
+
+    @rule(owner=OWNERS, worker=WORKERS)
+    def drive_one(self, owner, worker):
+        runner = self.rigs[owner].runner
+        if runner is not None:
+            driver = runner._roster.drivers.get(f"w{worker}")
+            if driver is not None:
+                self.run(driver.step())
+
+    @rule(owner=OWNERS, cut=st.booleans())
+    def table_link(self, owner, cut):
+        self.links[owner].cut = cut
+
+    @rule(owner=OWNERS)
+    def lose_table_answer(self, owner):
+        self.links[owner].lose = True
+
+    @rule(owner=OWNERS, worker=WORKERS)
+    def cut(self, owner, worker):
+        self.workers[worker].cut_from.add(f"p{owner}")
+
+    @rule(owner=OWNERS, worker=WORKERS)
+    def heal(self, owner, worker):
+        self.workers[worker].cut_from.discard(f"p{owner}")
+
+    @rule(worker=WORKERS)
+    def lose_answer(self, worker):
+        self.workers[worker].lose_answers = 1
+
+    @rule(worker=WORKERS, delay=st.booleans())
+    def delay_starts(self, worker, delay):
+        self.workers[worker].delay_starts = delay
+
+    @rule(worker=WORKERS)
+    def deliver(self, worker):
+        self.workers[worker].deliver()
+
+    @rule(worker=WORKERS, state=st.sampled_from(TaskState))
+    def finish(self, worker, state):
+        running = sorted(self.workers[worker].running(), key=str)
+        if running and state.ended:
+            self.workers[worker].finish(running[0], state)
+            if state is TaskState.SUCCEEDED:
+                self.succeeded.add(running[0])
+
+    @rule(worker=WORKERS)
+    def reboot(self, worker):
+        self.workers[worker].late.clear()
+        lost = self.workers[worker].entries
+        # What ended unseen is lost with its VM and may run again.
+        self.succeeded -= {
+            task for task, entry in lost.items() if entry.state is TaskState.SUCCEEDED
+        }
+        self.workers[worker].reboot()
+
+    @rule(owner=OWNERS)
+    def replace_process(self, owner):
+        name = f"p{owner}"
+        link = self.links[owner]
+        self.rigs[owner] = Rig(f"{name}", link, self.clock, self.workers)
+        self.rigs[owner].lease._process = f"{name}.{self.clock.monotonic()}"
+
+    @rule(owner=OWNERS)
+    def release(self, owner):
+        rig = self.rigs[owner]
+        if rig.runner is not None and rig.lease.owned:
+            rig.runner = None
+            self.clock.advance(2)
+            self.run(rig.lease.release())
+
+    @invariant()
+    def runs_once(self):
+        seen = set()
+        for worker in self.workers:
+            running = worker.running()
+            assert not running & seen, f"{running & seen} run twice"
+            assert not running & self.succeeded, "a task ran again after its success"
+            seen |= running
+
+    @invariant()
+    def no_worker_is_overcommitted(self):
+        for worker in self.workers:
+            assert len(worker.running()) <= 2
+
+    def teardown(self):
+        logger.enable("cassiaweir")
+        self.loop.close()
+
+
+TwoOwners.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=60, deadline=None
+)
+TestTwoOwners = TwoOwners.TestCase
