Add the peer server, heartbeats, bundles, keys and the cell view

Each process tells its own statement in answer to a heartbeat, and retells a few others with their age as a duration. The age of the view counts from the moment a call was sent, so no clocks are compared.

--- /dev/null
+++ b/cassiaweir/configuration/_view.py
@@ -0,0 +1,301 @@
+"""What this process knows of the configuration in force and of the keys."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+import msgspec
+
+from cassiaweir.configuration._bundle import Bundle
+from cassiaweir.configuration._rows import (
+    BUNDLE_HEAD,
+    KEYS,
+    KEYS_HEAD,
+    BundleVersion,
+    KeyRow,
+    decode_counter,
+    decode_head,
+    version_key,
+)
+from cassiaweir.exceptions import InvalidInputError, RefusedError, UnavailableError
+from cassiaweir.observe import EventLog
+from cassiaweir.types import Clock, Queue, Row, Table, Team
+
+RETRY_AFTER = timedelta(seconds=1)
+
+
+class KnownKey(msgspec.Struct, frozen=True):
+    """A key as the view keeps it and hands it to other processes."""
+
+    digest: str
+    team: str
+    withdrawn: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ViewContent:
+    """The parts of a view that one process hands to another.
+
+    `fresh_at` is in seconds of the receiver's monotonic clock: at that moment or
+    later the versions were the newest.  A part that was not asked for is None.
+    """
+
+    bundle_version: int
+    bundle: Bundle | None
+    keys_version: int
+    keys: Mapping[str, KnownKey] | None
+    fresh_at: float
+
+
+class TableView:
+    """Implements `CellView` from one read of two head rows per `poll`.
+
+    The bundle and the keys each carry the moment at which their version is known to
+    have been the newest; the age of the view is that of the older of the two.  A
+    lower version is never installed.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        events: EventLog,
+        clock: Clock,
+        *,
+        poll: timedelta,
+        age_limit: timedelta,
+    ) -> None:
+        self._table = table
+        self._events = events
+        self._clock = clock
+        self._poll = poll
+        self._age_limit = age_limit
+        self._bundle = Bundle()
+        self._bundle_version = 0
+        self._bundle_fresh_at = -math.inf
+        self._keys: Mapping[str, KnownKey] = {}
+        self._keys_version = 0
+        self._keys_fresh_at = -math.inf
+        self._teams: dict[str, Team] = {}
+        self._queues: dict[str, Queue] = {}
+        self._uses: dict[str, datetime] = {}
+        self._hinted = (0, 0)
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self.table_reachable = False
+
+    @property
+    def bundle_version(self) -> int:
+        """The version of the bundle in force; 0 before any is known."""
+        return self._bundle_version
+
+    @property
+    def keys_version(self) -> int:
+        """The version of the view of the keys."""
+        return self._keys_version
+
+    @property
+    def bundle(self) -> Bundle:
+        """The bundle in force."""
+        return self._bundle
+
+    async def start(self) -> None:
+        """Look at the table once, reachable or not, and go on looking."""
+        await self.refresh()
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    def age(self) -> timedelta:
+        """Return the time since the view was known to be the newest.
+
+        It is `timedelta.max` before anything was learnt.
+        """
+        fresh_at = min(self._bundle_fresh_at, self._keys_fresh_at)
+        if fresh_at == -math.inf:
+            return timedelta.max
+        return timedelta(seconds=max(self._clock.monotonic() - fresh_at, 0))
+
+    def teams(self) -> Sequence[Team]:
+        """Return all teams in force."""
+        return list(self._teams.values())
+
+    def team(self, name: str) -> Team | None:
+        """Return the team called `name`, or None."""
+        return self._teams.get(name)
+
+    def queue(self, name: str) -> Queue | None:
+        """Return the queue called `name`, or None."""
+        return self._queues.get(name)
+
+    def authenticate(self, secret: str) -> str:
+        """Return the team that the key `secret` belongs to.
+
+        A key that is known to be withdrawn is refused as such whatever the age, as
+        no key comes back.  An unknown one may have been granted meanwhile.
+        """
+        digest = hashlib.sha256(secret.encode()).hexdigest()
+        key = self._find_key(digest)
+        if key is not None and key.withdrawn:
+            raise RefusedError("key_withdrawn", "the key was withdrawn")
+        if self.age() > self._age_limit:
+            raise RefusedError(
+                "view_too_old",
+                "this entry VM cannot tell at present whether the key is in force",
+                retry_after=RETRY_AFTER,
+            )
+        if key is None:
+            raise RefusedError("key_unknown", "the key is not known")
+        if key.team not in self._teams:
+            raise RefusedError("key_unknown", "the team of the key is not in force")
+        self._uses[digest] = self._clock.now()
+        return key.team
+
+    def take_uses(self) -> dict[str, datetime]:
+        """Return the last use of each key digest since the last call."""
+        uses, self._uses = self._uses, {}
+        return uses
+
+    def hint(self, bundle_version: int, keys_version: int) -> None:
+        """Look at the table at once if versions above the known ones are told of."""
+        known = self._newest_told()
+        told = (max(bundle_version, known[0]), max(keys_version, known[1]))
+        if told != known:
+            self._hinted = told
+            self._wake.set()
+
+    def behind(self, bundle_version: int, keys_version: int) -> bool:
+        """Tell whether either version is above the installed one."""
+        return (
+            bundle_version > self._bundle_version or keys_version > self._keys_version
+        )
+
+    def confirm(self, bundle_version: int, keys_version: int, fresh_at: float) -> None:
+        """Note that at `fresh_at` or later these versions were the newest."""
+        self.install(ViewContent(bundle_version, None, keys_version, None, fresh_at))
+
+    def install(self, content: ViewContent) -> None:
+        """Take over the parts that are newer, and the freshness of equal ones."""
+        if content.bundle is not None and content.bundle_version > self._bundle_version:
+            self._install_bundle(content.bundle_version, content.bundle)
+        if content.keys is not None and content.keys_version > self._keys_version:
+            self._install_keys(content.keys_version, content.keys)
+        if content.bundle_version == self._bundle_version:
+            self._bundle_fresh_at = max(self._bundle_fresh_at, content.fresh_at)
+        if content.keys_version == self._keys_version:
+            self._keys_fresh_at = max(self._keys_fresh_at, content.fresh_at)
+
+    def export(self, bundle_version: int, keys_version: int) -> ViewContent:
+        """Return what is newer than the versions given, for another process."""
+        newer_bundle = self._bundle_version > bundle_version
+        newer_keys = self._keys_version > keys_version
+        return ViewContent(
+            self._bundle_version,
+            self._bundle if newer_bundle else None,
+            self._keys_version,
+            self._keys if newer_keys else None,
+            min(self._bundle_fresh_at, self._keys_fresh_at),
+        )
+
+    async def refresh(self) -> None:
+        """Read the heads, and load what is newer; never raises on an outage."""
+        # The age counts from before the read, as the answer may have taken long.
+        sent_at = self._clock.monotonic()
+        try:
+            content = await self._load(sent_at)
+        except (UnavailableError, InvalidInputError, msgspec.MsgspecError) as exc:
+            self._note_reachable(False, str(exc))
+            return
+        self._note_reachable(True, "")
+        self.install(content)
+
+    async def _run(self) -> None:
+        while True:
+            await self._pause()
+            await self.refresh()
+
+    async def _pause(self) -> None:
+        """Wait for the poll interval or for a hint, whichever is first."""
+        waits = [
+            asyncio.ensure_future(self._clock.sleep(self._poll)),
+            asyncio.ensure_future(self._wake.wait()),
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+        self._wake.clear()
+
+    async def _load(self, sent_at: float) -> ViewContent:
+        rows = await self._table.read([BUNDLE_HEAD, KEYS_HEAD])
+        bundle_version = decode_head(rows.get(BUNDLE_HEAD)).version
+        keys_version = decode_counter(rows.get(KEYS_HEAD)).version
+        bundle = None
+        if bundle_version > self._bundle_version:
+            bundle = await self._load_bundle(bundle_version)
+        keys = None
+        if keys_version > self._keys_version:
+            keys = await self._load_keys()
+        return ViewContent(bundle_version, bundle, keys_version, keys, sent_at)
+
+    async def _load_bundle(self, version: int) -> Bundle:
+        key = version_key(version)
+        row = (await self._table.read([key])).get(key)
+        if row is None:
+            raise InvalidInputError(f"{key}: is missing below the head")
+        content = msgspec.json.decode(row.value, type=BundleVersion)
+        if content.bundle.digest() != content.digest:
+            raise InvalidInputError(f"{key}: its content has another digest")
+        return content.bundle
+
+    async def _load_keys(self) -> dict[str, KnownKey]:
+        """Return all keys; a change after the head was read may be in it already."""
+        rows = await self._table.scan(KEYS)
+        return {key.digest: key for key in map(_known_key, rows)}
+
+    def _find_key(self, digest: str) -> KnownKey | None:
+        """Return the key with `digest`; the last comparison takes constant time."""
+        entry = self._keys.get(digest)
+        if entry is None or not hmac.compare_digest(entry.digest, digest):
+            return None
+        return entry
+
+    def _newest_told(self) -> tuple[int, int]:
+        return (
+            max(self._hinted[0], self._bundle_version),
+            max(self._hinted[1], self._keys_version),
+        )
+
+    def _install_bundle(self, version: int, bundle: Bundle) -> None:
+        self._bundle = bundle
+        self._bundle_version = version
+        self._teams = {entry.name: entry.team() for entry in bundle.team}
+        self._queues = {entry.name: entry.queue() for entry in bundle.queue}
+        self._events.record("bundle_installed", f"bundle/{version}", version=version)
+
+    def _install_keys(self, version: int, keys: Mapping[str, KnownKey]) -> None:
+        self._keys = keys
+        self._keys_version = version
+        self._events.record("keys_installed", f"keys/{version}", version=version)
+
+    def _note_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable != self.table_reachable:
+            kind = "view_table_reachable" if reachable else "view_table_unreachable"
+            self._events.record(kind, reason=reason)
+        self.table_reachable = reachable
+
+
+def _known_key(row: Row) -> KnownKey:
+    key = msgspec.json.decode(row.value, type=KeyRow)
+    return KnownKey(row.key.removeprefix(KEYS), key.team, key.withdrawn)
--- /dev/null
+++ b/cassiaweir/membership/__init__.py
@@ -0,0 +1,16 @@
+"""Membership: the rows of processes, heartbeats, and who owns which shard."""
+
+from cassiaweir.membership._known import KnownProcess, KnownProcesses
+from cassiaweir.membership._models import PROTOCOL_VERSION, Member, compatible
+from cassiaweir.membership._peers import Peers
+from cassiaweir.membership._rows import MemberRows
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "KnownProcess",
+    "KnownProcesses",
+    "Member",
+    "MemberRows",
+    "Peers",
+    "compatible",
+]
--- /dev/null
+++ b/cassiaweir/rpc/_server.py
@@ -0,0 +1,106 @@
+"""The gRPC server of a process and its channels to other processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+import grpc
+
+from cassiaweir.exceptions import UnavailableError
+from cassiaweir.observe import EventLog
+from cassiaweir.verdict import Verdict
+
+STOP_GRACE = timedelta(seconds=5)
+MOST_CHANNELS = 32
+LONGEST_BACKOFF_MS = 1_000
+MOST_MESSAGE_BYTES = 4 * 1_048_576
+CHANNEL_OPTIONS = (
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", LONGEST_BACKOFF_MS),
+    ("grpc.max_receive_message_length", MOST_MESSAGE_BYTES),
+)
+SERVER_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", MOST_MESSAGE_BYTES),
+)
+
+Registration = Callable[[grpc.aio.Server], None]
+
+
+class RpcServer:
+    """Serves the gRPC services that `registrations` add.
+
+    `address` is host:port; port 0 lets the system choose, and `bound_address` tells
+    the choice after `start`.
+    """
+
+    def __init__(
+        self, address: str, registrations: Sequence[Registration], events: EventLog
+    ) -> None:
+        self._address = address
+        self._registrations = registrations
+        self._events = events
+        self._server: grpc.aio.Server | None = None
+        self.bound_address = address
+
+    async def start(self) -> None:
+        """Listen, or raise `UnavailableError` where the address cannot be bound."""
+        server = grpc.aio.server(options=SERVER_OPTIONS)
+        for register in self._registrations:
+            register(server)
+        host = self._address.rpartition(":")[0]
+        try:
+            port = server.add_insecure_port(self._address)
+        except RuntimeError as exc:
+            raise UnavailableError(
+                f"{self._address}: cannot listen for gRPC", verdict=Verdict.NOT_RUN
+            ) from exc
+        await server.start()
+        self._server = server
+        self.bound_address = f"{host}:{port}"
+        self._events.record("rpc_listening", address=self.bound_address)
+
+    async def stop(self) -> None:
+        """Refuse new calls and let those in flight finish within the grace."""
+        if self._server is not None:
+            await self._server.stop(STOP_GRACE.total_seconds())
+
+
+class Channels:
+    """Keeps one channel per address; the least recently used one is closed first."""
+
+    def __init__(self, most: int = MOST_CHANNELS) -> None:
+        self._most = most
+        self._channels: OrderedDict[str, grpc.aio.Channel] = OrderedDict()
+        self._closing: set[asyncio.Task[None]] = set()
+
+    def get(self, address: str) -> grpc.aio.Channel:
+        """Return the channel to `address`; it connects with its first call."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+            self._channels[address] = channel
+        self._channels.move_to_end(address)
+        if len(self._channels) > self._most:
+            self._close(self._channels.popitem(last=False)[1])
+        return channel
+
+    async def start(self) -> None:
+        """Do nothing; channels are made when they are asked for."""
+
+    async def stop(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            self._close(channel)
+        self._channels.clear()
+        await asyncio.gather(*self._closing, return_exceptions=True)
+
+    def _close(self, channel: grpc.aio.Channel) -> None:
+        """Close `channel` after the calls in flight have had their time."""
+        task = asyncio.create_task(channel.close(STOP_GRACE.total_seconds()))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- a/cassiaweir/settings.py
+++ b/cassiaweir/settings.py
@@ -25,6 +25,7 @@
 }
 DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
 ADDRESS_PATTERN = re.compile(r"[0-9.]+:\d{1,5}|\[[0-9a-fA-F:]+\]:\d{1,5}")
+DIGEST_PATTERN = re.compile(r"(?:[0-9a-f]{64})?")
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 BOOLEANS = {"true": True, "false": False}
 HIGHEST_PORT = 65535
@@ -54,6 +55,13 @@
     return value
 
 
+def parse_digest(value: object) -> str:
+    """Return `value` if it is empty or a SHA-256 digest in hexadecimal."""
+    if not isinstance(value, str) or not DIGEST_PATTERN.fullmatch(value):
+        raise ValueError("expected 64 lower-case hexadecimal digits")
+    return value
+
+
 def parse_text(value: object) -> str:
     """Return `value` if it is text."""
     if not isinstance(value, str):
@@ -137,6 +145,7 @@
     Option("cell.failure_domains", parse_names, None, "all failure domains"),
     Option("cell.view_age_limit", parse_duration, "3s", "oldest view for keyed work"),
     Option("cell.heartbeat", parse_duration, "500ms", "between heartbeats of peers"),
+    Option("cell.first_operator_digest", parse_digest, "", "first operator's digest"),
     Option("log.level", parse_name, "info", "debug, info, warning or error"),
 )
 
@@ -177,6 +186,7 @@
     cell_failure_domains: tuple[str, ...]
     cell_view_age_limit: timedelta
     cell_heartbeat: timedelta
+    cell_first_operator_digest: str
     log_level: str
 
     def __init__(self) -> None:
--- /dev/null
+++ b/cassiaweir/teams/_keys.py
@@ -0,0 +1,205 @@
+"""Keys of teams: granted, withdrawn, listed; kept only as digests."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import datetime
+
+import msgspec
+
+from cassiaweir.configuration import (
+    AuditedTable,
+    KeyRow,
+    Operator,
+    OperatorRole,
+    secret_digest,
+)
+from cassiaweir.configuration._rows import (
+    KEYS,
+    KEYS_HEAD,
+    Counter,
+    decode_counter,
+    unchanged,
+)
+from cassiaweir.exceptions import ConflictError, InvalidInputError, NotFoundError
+from cassiaweir.types import Check, Clock, Row, Write
+
+KEY_BYTES = 32
+KEY_USES = "key_use/"
+SHORTEST_PREFIX = 8
+MOST_RACES = 16
+AUDIT_AREA = "keys"
+
+
+class KeyUse(msgspec.Struct, frozen=True):
+    """The row `key_use/<digest>`."""
+
+    last_use: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedKey:
+    """A new key; `secret` is shown to the operator once and kept nowhere."""
+
+    secret: str
+    digest: str
+    team: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListedKey:
+    """A key as operators see it; `last_use` is None where none was noted."""
+
+    digest: str
+    team: str
+    withdrawn: bool
+    granted_by: str
+    granted_at: str
+    last_use: datetime | None
+
+
+class KeyRegistry:
+    """Grants and withdraws keys.
+
+    Each change raises `keys/head` and writes its audit row in the same transaction.
+    Raises `UnavailableError` with MAY_HAVE_RUN where the outcome stayed unknown.
+    """
+
+    def __init__(self, audited: AuditedTable, clock: Clock) -> None:
+        self._audited = audited
+        self._table = audited.table
+        self._clock = clock
+
+    async def grant(self, operator: Operator, team: str) -> GrantedKey:
+        """Create a key of `team` and return it, for the only time, with its secret.
+
+        The caller has checked that the team is in force.
+        """
+        operator.require(OperatorRole.ON_CALL)
+        secret = secrets.token_urlsafe(KEY_BYTES)
+        digest = secret_digest(secret)
+        key = KeyRow(team, operator.name, self._clock.now().isoformat())
+        check = Check(KEYS + digest, 0)
+        await self._change(operator, "grant", digest, key, check)
+        return GrantedKey(secret, digest, team)
+
+    async def withdraw(self, operator: Operator, prefix: str) -> str:
+        """Withdraw the key whose digest starts with `prefix`, and return the digest.
+
+        Withdrawing a withdrawn key changes nothing.
+        """
+        operator.require(OperatorRole.ON_CALL)
+        row = await self._find(prefix)
+        digest = row.key.removeprefix(KEYS)
+        key = msgspec.json.decode(row.value, type=KeyRow)
+        if key.withdrawn:
+            return digest
+        changed = msgspec.structs.replace(
+            key, withdrawn=True, withdrawn_by=operator.name
+        )
+        check = unchanged(row.key, row)
+        await self._change(operator, "withdraw", digest, changed, check)
+        return digest
+
+    async def list(self, team: str = "") -> list[ListedKey]:
+        """Return the keys of `team`, or all, by digest."""
+        uses = {
+            row.key.removeprefix(KEY_USES): msgspec.json.decode(row.value, type=KeyUse)
+            for row in await self._table.scan(KEY_USES)
+        }
+        listed = [_listed(row, uses) for row in await self._table.scan(KEYS)]
+        return [key for key in listed if team in ("", key.team)]
+
+    async def note_uses(self, uses: Mapping[str, datetime]) -> None:
+        """Store the last use of key digests where it is later than the stored one."""
+        if not uses:
+            return
+        keys = [KEY_USES + digest for digest in uses]
+        rows = await self._table.read(keys)
+        writes = []
+        for digest, used in uses.items():
+            row = rows.get(KEY_USES + digest)
+            if row is None or _decode_use(row).last_use < used:
+                value = msgspec.json.encode(KeyUse(used))
+                writes.append(Write(KEY_USES + digest, value))
+        if writes:
+            await self._table.commit([], writes)
+
+    async def _find(self, prefix: str) -> Row:
+        if len(prefix) < SHORTEST_PREFIX:
+            raise InvalidInputError(
+                f"key {prefix}: give at least {SHORTEST_PREFIX} digits of the digest"
+            )
+        rows = await self._table.scan(KEYS + prefix)
+        if not rows:
+            raise NotFoundError(f"key {prefix}: no key has this digest")
+        if len(rows) > 1:
+            raise InvalidInputError(f"key {prefix}: {len(rows)} keys start like this")
+        return rows[0]
+
+    async def _change(
+        self, operator: Operator, action: str, digest: str, key: KeyRow, check: Check
+    ) -> None:
+        """Write `key` and raise the head, again where only the head was contended."""
+        for _race in range(MOST_RACES):
+            head = (await self._table.read([KEYS_HEAD])).get(KEYS_HEAD)
+            version = decode_counter(head).version + 1
+            try:
+                await self._commit(operator, action, digest, key, check, head, version)
+                return
+            except ConflictError:
+                await self._require_unchanged(digest, check)
+        raise ConflictError("keys: other operators' changes came first; try again")
+
+    async def _commit(
+        self,
+        operator: Operator,
+        action: str,
+        digest: str,
+        key: KeyRow,
+        check: Check,
+        head: Row | None,
+        version: int,
+    ) -> None:
+        await self._audited.commit(
+            operator.name,
+            action,
+            [check, unchanged(KEYS_HEAD, head)],
+            [
+                Write(KEYS + digest, msgspec.json.encode(key)),
+                Write(KEYS_HEAD, msgspec.json.encode(Counter(version))),
+            ],
+            area=AUDIT_AREA,
+            version=version,
+            digest=digest,
+            detail=key.team,
+        )
+
+    async def _require_unchanged(self, digest: str, check: Check) -> None:
+        """Raise `ConflictError` naming who changed the key itself meanwhile."""
+        row = (await self._table.read([check.key])).get(check.key)
+        if unchanged(check.key, row) == check:
+            return
+        found = msgspec.json.decode(row.value, type=KeyRow) if row else None
+        winner = found.withdrawn_by or found.granted_by if found else "another operator"
+        raise ConflictError(f"key {digest[:SHORTEST_PREFIX]}: changed by {winner}")
+
+
+def _decode_use(row: Row) -> KeyUse:
+    return msgspec.json.decode(row.value, type=KeyUse)
+
+
+def _listed(row: Row, uses: Mapping[str, KeyUse]) -> ListedKey:
+    digest = row.key.removeprefix(KEYS)
+    key = msgspec.json.decode(row.value, type=KeyRow)
+    use = uses.get(digest)
+    return ListedKey(
+        digest,
+        key.team,
+        key.withdrawn,
+        key.granted_by,
+        key.granted_at,
+        use.last_use if use else None,
+    )
--- /dev/null
+++ b/tests/test_membership_peers.py
@@ -0,0 +1,301 @@
+"""Tests of heartbeats between processes, over gRPC on loopback."""
+
+import random
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import grpc
+import pytest
+
+from cassiaweir.clock import ManualClock
+from cassiaweir.configuration import (
+    AuditedTable,
+    Bundle,
+    BundleRepository,
+    Operator,
+    OperatorRole,
+    TableView,
+    parse_bundle,
+)
+from cassiaweir.exceptions import RefusedError
+from cassiaweir.membership import Member, Peers
+from cassiaweir.observe import EventLog, Metrics
+from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
+from cassiaweir.rpc._peer import PeerServicer
+from cassiaweir.rpc._server import Channels, RpcServer
+from cassiaweir.teams import KeyRegistry
+from cassiaweir.types import Resources, ShardOwner
+from standins.memory import MemoryTable
+
+BUNDLE = """
+[[team]]
+name = "dogana"
+share = 2
+limit = { cpu_millis = 8000, memory_mb = 1024 }
+
+[[queue]]
+name = "spot-checks"
+"""
+ALL_ROLES = frozenset(OperatorRole)
+ANNA = Operator("anna", ALL_ROLES)
+BRUNO = Operator("bruno", ALL_ROLES)
+HEARTBEAT = timedelta(milliseconds=500)
+OTHER_MAJOR = 2 << 16
+
+
+class Owned:
+    """Owned shards that a test sets."""
+
+    def __init__(self) -> None:
+        self.shards: list[ShardOwner] = []
+
+    def owned(self) -> list[ShardOwner]:
+        return self.shards
+
+
+class Node:
+    """One process of the cell, without its settings."""
+
+    def __init__(self, name: str, domain: str, table, clock, **member) -> None:
+        self.clock = clock
+        self.table = table
+        self.events = EventLog(name, clock)
+        self.channels = Channels()
+        self.owned = Owned()
+        self.rows: list[Member] = []
+        self.view = TableView(
+            table,
+            self.events,
+            clock,
+            poll=timedelta(milliseconds=500),
+            age_limit=timedelta(seconds=3),
+        )
+        self.name = name
+        self.domain = domain
+        self.member = member
+        self.servicer = PeerServicer(
+            self, self.view, self.events, Metrics(), clock, state=lambda: "ready"
+        )
+        self.server = RpcServer("127.0.0.1:0", [self.servicer.register], self.events)
+
+    def answer(self, heartbeat):
+        return self.peers.answer(heartbeat)
+
+    async def start(self) -> None:
+        await self.server.start()
+        self.address = self.server.bound_address
+        member = Member(
+            self.name, "scheduler", self.name, self.domain, self.address, **self.member
+        )
+        self.peers = Peers(
+            member,
+            self.view,
+            self.channels,
+            self.events,
+            self.clock,
+            heartbeat=HEARTBEAT,
+            members=lambda: self.rows,
+            owned=self.owned,
+            rng=random.Random(1),
+        )
+
+    async def stop(self) -> None:
+        await self.channels.stop()
+        await self.server.stop()
+
+    def kinds(self) -> list[str]:
+        return [event.kind for event in self.events.after(0, 1000)]
+
+
+@asynccontextmanager
+async def cell(*names: str, **member):
+    """Start nodes that share a clock; each has a handle on the table of its own."""
+    clock = ManualClock()
+    nodes = [
+        Node(name, name.split("-")[0], MemoryTable(), clock, **member) for name in names
+    ]
+    for node in nodes:
+        await node.start()
+    try:
+        yield nodes
+    finally:
+        for node in nodes:
+            await node.stop()
+
+
+async def roll_out(table: MemoryTable, text: str = BUNDLE) -> None:
+    repository = BundleRepository(AuditedTable(table, ManualClock()))
+    draft = await repository.draft(ANNA, parse_bundle({"bundle.toml": text}))
+    await repository.propose(ANNA, draft.version, draft.digest)
+    await repository.review(BRUNO, draft.version, draft.digest, approve=True)
+    await repository.roll_out(ANNA, draft.version, draft.digest)
+
+
+async def test_a_view_stays_fresh_through_a_peer_while_the_table_is_cut_off():
+    async with cell("augusta-1", "augusta-2") as (cut, near):
+        for node in (cut, near):
+            await node.view.refresh()
+        cut.table.down = True
+        cut.clock.advance(10)
+        await cut.view.refresh()
+        assert cut.view.age() == timedelta(seconds=10)
+        await near.view.refresh()
+        cut.clock.advance(1)
+        assert await cut.peers.exchange(near.address)
+        assert cut.view.age() == timedelta(seconds=1)
+
+
+async def test_time_since_the_call_was_sent_counts_as_age():
+    async with cell("augusta-1", "augusta-2") as (cut, near):
+        await near.view.refresh()
+        answer = near.peers.answer(cell_pb2.Heartbeat(sender=cut.peers._statement()))
+        cut.clock.advance(2.5)
+        cut.peers.heard(answer, 0.0)
+        assert cut.view.age() == timedelta(seconds=2.5)
+
+
+async def test_an_incoming_call_makes_nothing_fresh_but_tells_of_the_process():
+    async with cell("augusta-1", "augusta-2") as (one, two):
+        await two.view.refresh()
+        one.peers.answer(cell_pb2.Heartbeat(sender=two.peers._statement()))
+        assert one.view.age() == timedelta.max
+        assert not one.peers.heard_within("augusta-2", timedelta(days=1))
+        assert [known.state.process for known in one.peers.processes()] == ["augusta-2"]
+
+
+async def test_an_older_peer_does_not_make_a_view_fresh():
+    async with cell("augusta-1", "augusta-2") as (new, old):
+        await old.view.refresh()
+        await roll_out(new.table)
+        await new.view.refresh()
+        new.clock.advance(5)
+        await old.view.refresh()
+        await new.peers.exchange(old.address)
+        assert new.view.age() == timedelta(seconds=5)
+        assert new.view.bundle_version == 1
+
+
+async def test_a_fresh_process_takes_the_view_from_a_peer_while_the_table_is_down():
+    async with cell("augusta-1", "augusta-2") as (fresh, old):
+        await roll_out(old.table)
+        registry = KeyRegistry(AuditedTable(old.table, old.clock), old.clock)
+        key = await registry.grant(ANNA, "dogana")
+        await old.view.refresh()
+        fresh.table.down = True
+        await fresh.view.refresh()
+        await fresh.peers.exchange(old.address)
+        assert fresh.view.bundle_version == 1
+        assert fresh.view.authenticate(key.secret) == "dogana"
+        fresh.clock.advance(4)
+        with pytest.raises(RefusedError) as caught:
+            fresh.view.authenticate(key.secret)
+        assert caught.value.reason == "view_too_old"
+
+
+async def test_a_withdrawal_reaches_a_process_that_is_cut_off_from_the_table():
+    async with cell("augusta-1", "augusta-2") as (cut, near):
+        await roll_out(near.table)
+        registry = KeyRegistry(AuditedTable(near.table, near.clock), near.clock)
+        key = await registry.grant(ANNA, "dogana")
+        await near.view.refresh()
+        cut.table.down = True
+        await cut.view.refresh()
+        await cut.peers.exchange(near.address)
+        await registry.withdraw(BRUNO, key.digest)
+        await near.view.refresh()
+        await cut.peers.exchange(near.address)
+        with pytest.raises(RefusedError) as caught:
+            cut.view.authenticate(key.secret)
+        assert caught.value.reason == "key_withdrawn"
+
+
+async def test_a_third_process_is_heard_of_with_its_age_and_shards():
+    async with cell("augusta-1", "priolo-1", "milazzo-1") as (one, two, three):
+        three.owned.shards = [
+            ShardOwner(
+                "milazzo-0",
+                "milazzo",
+                "milazzo-1",
+                three.address,
+                7,
+                Resources(16_000, 64_000),
+                Resources(8_000, 32_000),
+                3,
+                5,
+            )
+        ]
+        await two.peers.exchange(three.address)
+        one.clock.advance(4)
+        await one.peers.exchange(two.address)
+        assert one.peers.owner("milazzo-0") == three.owned.shards[0]
+        assert list(one.peers.owners()) == three.owned.shards
+        assert one.peers.heard_within("milazzo-1", timedelta(seconds=4))
+        assert not one.peers.heard_within("milazzo-1", timedelta(seconds=3))
+        one.clock.advance(7)
+        assert one.peers.owner("milazzo-0") is None
+
+
+async def test_a_higher_epoch_wins_over_what_is_owned_here():
+    async with cell("augusta-1", "augusta-2") as (old, new):
+        amount = Resources(1, 1)
+        old.owned.shards = [
+            ShardOwner(
+                "augusta-0", "augusta", "augusta-1", "a", 1, amount, amount, 0, 0
+            )
+        ]
+        new.owned.shards = [
+            ShardOwner(
+                "augusta-0", "augusta", "augusta-2", "b", 2, amount, amount, 0, 0
+            )
+        ]
+        await old.peers.exchange(new.address)
+        await new.peers.exchange(old.address)
+        assert old.peers.owner("augusta-0").process == "augusta-2"
+        assert new.peers.owner("augusta-0").process == "augusta-2"
+
+
+async def test_a_peer_with_another_major_version_is_told_and_not_used():
+    async with cell("augusta-1", "augusta-2") as (one, two):
+        stub = cell_pb2_grpc.PeerStub(one.channels.get(two.address))
+        state = cell_pb2.ProcessState(process="new", protocol_version=OTHER_MAJOR)
+        answer = await stub.Exchange(cell_pb2.Heartbeat(sender=state))
+        assert answer.sender.process == "augusta-2"
+        assert two.peers.processes() == []
+        assert two.kinds().count("peer_protocol_differs") == 1
+        one.peers.heard(cell_pb2.Heartbeat(sender=state), 0.0)
+        assert one.peers.processes() == []
+
+
+async def test_an_unheard_peer_is_recorded_once_and_when_it_is_back():
+    async with cell("augusta-1") as (one,):
+        assert not await one.peers.exchange("127.0.0.1:1")
+        assert not await one.peers.exchange("127.0.0.1:1")
+        assert one.kinds().count("peer_unheard") == 1
+
+
+async def test_events_and_texts_are_served():
+    async with cell("augusta-1", "augusta-2") as (one, two):
+        stub = cell_pb2_grpc.PeerStub(one.channels.get(two.address))
+        two.events.record("tried", "here")
+        answer = await stub.Events(cell_pb2.EventsRequest(after=0, limit=10))
+        assert answer.process == "augusta-2"
+        assert b'"kind":"tried"' in answer.events[-1]
+        assert (await stub.Text(cell_pb2.TextRequest(name="state"))).text == "ready"
+        with pytest.raises(grpc.aio.AioRpcError) as caught:
+            await stub.Text(cell_pb2.TextRequest(name="secrets"))
+        assert caught.value.code() is grpc.StatusCode.NOT_FOUND
+
+
+async def test_tasks_follow_the_members():
+    async with cell("augusta-1", "augusta-2") as (one, two):
+        one.rows = [two.peers._member]
+        one.peers._reconcile()
+        assert list(one.peers._tasks) == [two.address]
+        one.rows = []
+        one.peers._reconcile()
+        assert list(one.peers._tasks) == []
+        await one.peers.stop()
+
+
+def test_an_empty_bundle_round_trips():
+    assert Bundle.decode(Bundle().encode()) == Bundle()
