--- a/cassiaweir/configuration/_view.py
+++ b/cassiaweir/configuration/_view.py
@@ -27,6 +27,7 @@
 from cassiaweir.observe import EventLog
 from cassiaweir.types import Clock, Queue, Row, Table, Team
 
+LONGEST_AGE = timedelta(days=30)
 RETRY_AFTER = timedelta(seconds=1)
 
 
@@ -119,12 +120,13 @@
     def age(self) -> timedelta:
         """Return the time since the view was known to be the newest.
 
-        It is `timedelta.max` before anything was learnt.
+        It is `timedelta.max` past `LONGEST_AGE` and before anything was learnt.
         """
         fresh_at = min(self._bundle_fresh_at, self._keys_fresh_at)
-        if fresh_at == -math.inf:
+        age_seconds = max(self._clock.monotonic() - fresh_at, 0)
+        if age_seconds > LONGEST_AGE.total_seconds():
             return timedelta.max
-        return timedelta(seconds=max(self._clock.monotonic() - fresh_at, 0))
+        return timedelta(seconds=age_seconds)
 
     def teams(self) -> Sequence[Team]:
         """Return all teams in force."""
--- /dev/null
+++ b/tests/test_configuration_view.py
@@ -0,0 +1,337 @@
+"""Tests of the view that a process has of configuration and keys."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiaweir.clock import ManualClock
+from cassiaweir.configuration import (
+    AuditedTable,
+    BundleRepository,
+    Operator,
+    OperatorRole,
+    TableView,
+    ViewContent,
+    parse_bundle,
+)
+from cassiaweir.exceptions import RefusedError
+from cassiaweir.observe import EventLog
+from cassiaweir.rpc._peer import age_to_ms, decode_view, encode_view, ms_to_seconds
+from cassiaweir.teams import KeyRegistry
+from cassiaweir.types import Write
+from standins.memory import MemoryTable
+
+BUNDLE = """
+[[team]]
+name = "dogana"
+share = {share}
+limit = {{ cpu_millis = 8000, memory_mb = 1024 }}
+
+[[queue]]
+name = "audits"
+
+[[queue]]
+name = "public"
+open = true
+team = "dogana"
+"""
+ROLES = frozenset(OperatorRole)
+ANNA = Operator("anna", ROLES)
+BRUNO = Operator("bruno", ROLES)
+AGE_LIMIT = timedelta(seconds=3)
+MARGIN_SECONDS = 0.000_01
+LIMIT_SECONDS = AGE_LIMIT.total_seconds()
+
+
+class Cell:
+    """A table, its operators, and views of it."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.table = MemoryTable()
+        audited = AuditedTable(self.table, self.clock)
+        self.bundles = BundleRepository(audited)
+        self.keys = KeyRegistry(audited, self.clock)
+
+    def view(self, table=None) -> TableView:
+        return TableView(
+            table or self.table,
+            EventLog("view", self.clock),
+            self.clock,
+            poll=timedelta(milliseconds=500),
+            age_limit=AGE_LIMIT,
+        )
+
+    async def roll_out(self, share: int = 1) -> int:
+        bundle = parse_bundle({"b.toml": BUNDLE.format(share=share)})
+        draft = await self.bundles.draft(ANNA, bundle)
+        await self.bundles.propose(ANNA, draft.version, draft.digest)
+        await self.bundles.review(BRUNO, draft.version, draft.digest, approve=True)
+        await self.bundles.roll_out(ANNA, draft.version, draft.digest)
+        return draft.version
+
+
+class CutTable:
+    """A process's own way to the table, which can be cut."""
+
+    def __init__(self, table: MemoryTable) -> None:
+        self.table = table
+        self.cut = False
+
+    async def read(self, keys):
+        self._check()
+        return await self.table.read(keys)
+
+    async def scan(self, prefix):
+        self._check()
+        return await self.table.scan(prefix)
+
+    def _check(self):
+        if self.cut:
+            down = MemoryTable()
+            down.down = True
+            down._require_up()
+
+
+def reason(view: TableView, secret: str) -> str:
+    with pytest.raises(RefusedError) as caught:
+        view.authenticate(secret)
+    assert caught.value.verdict == "not_run"
+    return caught.value.reason
+
+
+async def test_a_poll_reads_once_and_loads_only_what_changed():
+    cell = Cell()
+    view = cell.view()
+    await cell.roll_out()
+    await view.refresh()
+    before = cell.table.reads
+    await view.refresh()
+    assert cell.table.reads == before + 1
+    assert view.team("dogana").share == 1
+    assert view.queue("public").open
+    assert view.queue("audits").team == ""
+    assert view.queue("none") is None
+
+
+async def test_the_age_limit_holds_for_keys_and_not_for_open_queues():
+    cell = Cell()
+    view = cell.view()
+    await cell.roll_out()
+    key = await cell.keys.grant(ANNA, "dogana")
+    await view.refresh()
+    cell.table.down = True
+    cell.clock.advance(LIMIT_SECONDS)
+    await view.refresh()
+    assert view.authenticate(key.secret) == "dogana"
+    cell.clock.advance(0.001)
+    with pytest.raises(RefusedError) as caught:
+        view.authenticate(key.secret)
+    assert caught.value.reason == "view_too_old"
+    assert caught.value.retry_after > timedelta(0)
+    assert view.queue("public").open
+    cell.table.down = False
+    await view.refresh()
+    assert view.authenticate(key.secret) == "dogana"
+
+
+async def test_refusals_say_why():
+    cell = Cell()
+    view = cell.view()
+    assert reason(view, "x") == "view_too_old"
+    await view.refresh()
+    assert reason(view, "x") == "key_unknown"
+    key = await cell.keys.grant(ANNA, "dogana")
+    await view.refresh()
+    assert reason(view, key.secret) == "key_unknown"
+    await cell.roll_out()
+    await cell.keys.withdraw(ANNA, key.digest)
+    await view.refresh()
+    assert reason(view, key.secret) == "key_withdrawn"
+    cell.clock.advance(LIMIT_SECONDS + 1)
+    assert reason(view, key.secret) == "key_withdrawn"
+
+
+async def test_the_time_that_a_read_takes_counts_as_age():
+    cell = Cell()
+    view = cell.view()
+    read = cell.table.read
+
+    async def slow(keys):
+        rows = await read(keys)
+        cell.clock.advance(2)
+        return rows
+
+    cell.table.read = slow
+    await view.refresh()
+    assert view.age() == timedelta(seconds=2)
+
+
+async def test_a_lower_head_is_neither_installed_nor_fresh():
+    cell = Cell()
+    view = cell.view()
+    await cell.roll_out()
+    old = cell.table._rows["bundle/head"].value
+    await cell.roll_out(share=2)
+    await view.refresh()
+    await cell.table.commit([], [Write("bundle/head", old)])
+    cell.clock.advance(5)
+    await view.refresh()
+    assert view.bundle_version == 2
+    assert view.team("dogana").share == 2
+    assert view.age() == timedelta(seconds=5)
+
+
+async def test_content_with_another_digest_is_not_installed():
+    cell = Cell()
+    view = cell.view()
+    await cell.roll_out()
+    key = "bundle/version/0000000001"
+    value = cell.table._rows[key].value.replace(b'"share":1', b'"share":9')
+    await cell.table.commit([], [Write(key, value)])
+    await view.refresh()
+    assert view.bundle_version == 0
+    assert view.age() == timedelta.max
+
+
+async def test_a_hint_wakes_the_view_once():
+    cell = Cell()
+    view = cell.view()
+    view.hint(0, 0)
+    assert not view._wake.is_set()
+    view.hint(1, 0)
+    assert view._wake.is_set()
+    view._wake.clear()
+    view.hint(1, 0)
+    assert not view._wake.is_set()
+
+
+async def test_a_running_view_follows_the_table():
+    cell = Cell()
+    view = cell.view()
+    await view.start()
+    await cell.roll_out()
+    while view.bundle_version == 0:
+        await asyncio.sleep(0)
+    await view.stop()
+    assert view.team("dogana").share == 1
+
+
+def exchange(taker: TableView, giver: TableView, now: float, delay: float) -> None:
+    """Hand the view over as a call sent `delay` seconds before `now` would."""
+    content = giver.export(taker.bundle_version, taker.keys_version)
+    taker.install(decode_view(encode_view(content, now), now - delay))
+
+
+class ViewAges(RuleBasedStateMachine):
+    """Views learn from the table and from one another while keys are withdrawn."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cell = Cell()
+        self.tables = [CutTable(self.cell.table) for _ in range(3)]
+        self.views = [self.cell.view(table) for table in self.tables]
+        self.granted = []
+        self.withdrawn = {}
+        self.seen = [(0, 0)] * 3
+        asyncio.run(self.cell.roll_out())
+
+    @rule()
+    def grant(self):
+        key = asyncio.run(self.cell.keys.grant(ANNA, "dogana"))
+        self.granted.append((self.cell.clock.monotonic(), key))
+
+    @rule(index=st.integers(0, 5))
+    def withdraw(self, index):
+        if index < len(self.granted):
+            _, key = self.granted[index]
+            asyncio.run(self.cell.keys.withdraw(BRUNO, key.digest))
+            self.withdrawn.setdefault(key.secret, self.cell.clock.monotonic())
+
+    @rule()
+    def roll_out(self):
+        asyncio.run(self.cell.roll_out())
+
+    @rule(view=st.integers(0, 2), cut=st.booleans())
+    def cut(self, view, cut):
+        self.tables[view].cut = cut
+
+    @rule(view=st.integers(0, 2))
+    def refresh(self, view):
+        asyncio.run(self.views[view].refresh())
+
+    @rule(taker=st.integers(0, 2), giver=st.integers(0, 2), delay=st.floats(0, 2))
+    def hear(self, taker, giver, delay):
+        now = self.cell.clock.monotonic()
+        exchange(self.views[taker], self.views[giver], now, delay)
+
+    @rule(taker=st.integers(0, 2), giver=st.integers(0, 2), delay=st.floats(0, 2))
+    def confirm(self, taker, giver, delay):
+        """Hear the giver's statement in an answer to a call sent `delay` ago."""
+        other = self.views[giver]
+        age = ms_to_seconds(age_to_ms(other.age()))
+        fresh_at = self.cell.clock.monotonic() - delay - age
+        versions = other.bundle_version, other.keys_version
+        self.views[taker].confirm(*versions, fresh_at)
+
+    @rule(seconds=st.floats(0, 2))
+    def wait(self, seconds):
+        self.cell.clock.advance(seconds)
+
+    @rule(view=st.integers(0, 2))
+    def replace(self, view):
+        self.views[view] = self.cell.view(self.tables[view])
+        self.seen[view] = (0, 0)
+
+    @invariant()
+    def no_view_reverts(self):
+        for index, view in enumerate(self.views):
+            now = (view.bundle_version, view.keys_version)
+            assert now[0] >= self.seen[index][0] and now[1] >= self.seen[index][1]
+            self.seen[index] = now
+
+    @invariant()
+    def a_view_knows_what_happened_before_it_was_fresh(self):
+        now = self.cell.clock.monotonic()
+        for view in self.views:
+            for at, key in self.granted:
+                if now - at > view.age().total_seconds() + MARGIN_SECONDS:
+                    assert key.digest in view._keys
+            for secret, at in self.withdrawn.items():
+                if now - at > view.age().total_seconds() + MARGIN_SECONDS:
+                    assert reason(view, secret) == "key_withdrawn"
+
+    @invariant()
+    def a_withdrawn_key_stops_within_the_limit(self):
+        now = self.cell.clock.monotonic()
+        late = [
+            secret
+            for secret, at in self.withdrawn.items()
+            if now - at > LIMIT_SECONDS + MARGIN_SECONDS
+        ]
+        for secret in late:
+            for view in self.views:
+                assert reason(view, secret) in ("key_withdrawn", "view_too_old")
+
+
+TestViewAges = ViewAges.TestCase
+TestViewAges.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=30, deadline=None
+)
+
+
+async def test_a_part_that_is_behind_is_not_made_fresh_by_the_other():
+    cell = Cell()
+    view = cell.view()
+    await view.refresh()
+    cell.clock.advance(10)
+    view.install(ViewContent(1, None, 1, {}, 10.0))
+    assert view.age() == timedelta(seconds=10)
+    view.confirm(1, 1, 10.0)
+    assert view.age() == timedelta(seconds=10)
+    view.confirm(0, 1, 9.0)
+    assert view.age() == timedelta(seconds=1)
