--- a/tests/test_api_requests.py
+++ b/tests/test_api_requests.py
@@ -186,8 +186,9 @@
         assert (await get(front, "/ready")) == 503
         assert (await get(front, "/metrics")) == 200
         clock.gate.set()
-        while front.accepting:
+        for _ in range(5):
             await asyncio.sleep(0)
+        assert not front.accepting
         assert not asked.done()
         with pytest.raises(aiohttp.ClientConnectorError):
             await get(front, "/ready")
--- /dev/null
+++ b/tests/test_requests_broker.py
@@ -0,0 +1,314 @@
+"""Tests of `cassiaweir.requests._broker` with a clock moved by hand."""
+
+from datetime import timedelta
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiaweir.clock import ManualClock
+from cassiaweir.requests._broker import Backend, SlotBroker
+from cassiaweir.requests._models import Grant, Hold, Refusal, SlotOutcome, Want
+from cassiaweir.types import Urgency
+
+LONGEST = 10.0
+MARGIN = 2.0
+SLOTS = 2
+ALL = ("a", "b")
+
+
+def make_broker(clock, *, share=lambda team: 1.0, queue_limit=8) -> SlotBroker:
+    return SlotBroker(
+        clock,
+        longest=timedelta(seconds=LONGEST),
+        margin=timedelta(seconds=MARGIN),
+        queue_limit=queue_limit,
+        share=share,
+    )
+
+
+def backend(name, *, slots=SLOTS, leaving=False) -> Backend:
+    return Backend(name, "inventory", f"{name}:1", "augusta-0", slots, leaving)
+
+
+def make_want(clock, ticket, *, team="t", gateway="g", **changes) -> Want:
+    values = {"urgency": Urgency.NORMAL, "deadline": clock.monotonic() + LONGEST}
+    return Want(gateway, ticket, "inventory", team, **(values | changes))
+
+
+def settled(clock, *names, **changes) -> SlotBroker:
+    """Return a broker that has waited out the grants of earlier owners."""
+    broker = make_broker(clock, **changes)
+    broker.set_backends([backend(name) for name in names], gateways=[])
+    broker.decide()
+    return broker
+
+
+def grants(decisions) -> list[Grant]:
+    return [decision for decision in decisions if isinstance(decision, Grant)]
+
+
+def test_the_server_with_the_fewest_slots_in_use_is_picked():
+    clock = ManualClock()
+    broker = settled(clock, "a", "b")
+    for ticket in range(2):
+        broker.want(make_want(clock, ticket))
+    assert {grant.backend for grant in grants(broker.decide())} == {"a", "b"}
+
+
+def test_servers_to_avoid_and_leaving_ones_get_nothing():
+    clock = ManualClock()
+    broker = settled(clock, "a", "b", "c")
+    broker.set_backends([backend("a", leaving=True), backend("b"), backend("c")], [])
+    for ticket in range(SLOTS):
+        broker.want(make_want(clock, ticket, avoid=frozenset({"b"})))
+    assert [grant.backend for grant in grants(broker.decide())] == ["c"] * SLOTS
+
+
+def test_a_server_that_refused_gets_nothing_for_a_while():
+    clock = ManualClock()
+    broker = settled(clock, "a")
+    broker.want(make_want(clock, 1))
+    broker.decide()
+    broker.done("g", 1, SlotOutcome.REFUSED)
+    broker.want(make_want(clock, 2))
+    assert grants(broker.decide()) == []
+    clock.advance(5)
+    assert len(grants(broker.decide())) == 1
+
+
+def test_a_suspect_slot_is_in_use_until_its_lease_ends():
+    clock = ManualClock()
+    broker = settled(clock, "a")
+    broker.want(make_want(clock, 1))
+    broker.decide()
+    broker.done("g", 1, SlotOutcome.SUSPECT)
+    clock.advance(LONGEST + MARGIN - 0.1)
+    broker.decide()
+    assert broker.granted("a") == 1
+    clock.advance(0.1)
+    broker.decide()
+    assert broker.granted("a") == 0
+
+
+def test_grants_of_a_dead_gateway_come_back_after_the_lease():
+    clock = ManualClock()
+    broker = settled(clock, "a")
+    for ticket in range(SLOTS):
+        broker.want(make_want(clock, ticket, gateway="dead"))
+    broker.decide()
+    broker.detach("dead")
+    clock.advance(LONGEST + MARGIN - 1)
+    broker.want(make_want(clock, 9))
+    assert grants(broker.decide()) == []
+    clock.advance(1)
+    assert len(grants(broker.decide())) == 1
+
+
+def test_a_new_owner_waits_for_slots_it_does_not_know_of():
+    clock = ManualClock()
+    broker = make_broker(clock)
+    broker.set_backends([backend("a")], gateways=["g", "h"])
+    broker.attach("g", [Hold(1, "a", 3.0)])
+    broker.want(make_want(clock, 2))
+    assert grants(broker.decide()) == []
+    broker.attach("h", [])
+    assert len(grants(broker.decide())) == 1
+    assert broker.granted("a") == SLOTS
+
+
+def test_a_new_owner_may_use_again_what_it_was_told_of_and_got_back():
+    clock = ManualClock()
+    broker = make_broker(clock)
+    broker.set_backends([backend("a")], gateways=None)
+    broker.attach("g", [Hold(1, "a", 3.0)])
+    broker.want(make_want(clock, 2))
+    broker.done("g", 1, SlotOutcome.FREE)
+    assert len(grants(broker.decide())) == 1
+    broker.want(make_want(clock, 3, deadline=clock.monotonic() + 99))
+    assert grants(broker.decide()) == []
+    clock.advance(LONGEST + MARGIN)
+    assert len(grants(broker.decide())) == 1
+
+
+def test_a_full_queue_refuses_at_once_with_the_time_to_come_back():
+    clock = ManualClock()
+    broker = settled(clock, "a", queue_limit=3)
+    refused = [broker.want(make_want(clock, ticket)) for ticket in range(5)]
+    broker.decide()
+    more = [broker.want(make_want(clock, 10 + ticket)) for ticket in range(3)]
+    refusals = [refusal for refusal in refused + more if refusal is not None]
+    assert {refusal.reason for refusal in refusals} == {"queue_full"}
+    assert all(refusal.retry_after > 0 for refusal in refusals)
+
+
+def test_a_deadline_that_cannot_be_met_is_refused_at_once():
+    clock = ManualClock()
+    broker = settled(clock, "a")
+    for ticket in range(4):
+        broker.want(make_want(clock, ticket))
+        broker.decide()
+    refusal = broker.want(make_want(clock, 9, deadline=clock.monotonic() + 0.15))
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == "deadline_too_near"
+
+
+def test_waiting_wants_are_refused_when_the_last_server_is_gone():
+    clock = ManualClock()
+    broker = settled(clock, "a")
+    for ticket in range(SLOTS + 1):
+        broker.want(make_want(clock, ticket))
+    broker.decide()
+    broker.set_backends([], [])
+    (refusal,) = broker.decide()
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == "no_backend"
+
+
+def serve(broker, clock, rounds) -> list[str]:
+    """Serve one want at a time and return the teams in the order of service."""
+    order = []
+    for _ in range(rounds):
+        (grant,) = grants(broker.decide())
+        order.append(TEAM_OF[grant.ticket // 100])
+        clock.advance(0.01)
+        broker.done("g", grant.ticket, SlotOutcome.FREE)
+    return order
+
+
+TEAM_OF = {0: "flood", 1: "small", 2: "first"}
+
+
+def one_slot(clock, share) -> SlotBroker:
+    broker = make_broker(clock, share=share, queue_limit=99)
+    broker.set_backends([backend("a", slots=1)], gateways=[])
+    broker.decide()
+    return broker
+
+
+@pytest.mark.parametrize("urgency", list(Urgency))
+def test_a_flood_from_one_team_leaves_others_served(urgency):
+    clock = ManualClock()
+    broker = one_slot(clock, lambda team: 1.0)
+    for ticket in range(60):
+        want = make_want(clock, ticket, team="flood", urgency=urgency, deadline=1e6)
+        broker.want(want)
+    for ticket in range(100, 105):
+        broker.want(make_want(clock, ticket, team="small", deadline=1e6))
+    assert serve(broker, clock, 40).count("small") == 5
+
+
+def test_service_follows_the_shares():
+    clock = ManualClock()
+    broker = one_slot(clock, lambda team: 3.0 if team == "flood" else 1.0)
+    for ticket in range(40):
+        broker.want(make_want(clock, ticket, team="flood", deadline=1e6))
+        broker.want(make_want(clock, 100 + ticket, team="small", deadline=1e6))
+    order = serve(broker, clock, 40)
+    assert abs(order.count("flood") - 30) <= 1
+
+
+def test_urgent_wants_go_first():
+    clock = ManualClock()
+    broker = one_slot(clock, lambda team: 1.0)
+    for ticket in range(5):
+        broker.want(make_want(clock, ticket, team="flood"))
+    broker.want(make_want(clock, 100, team="small", urgency=Urgency.URGENT))
+    assert serve(broker, clock, 1) == ["small"]
+
+
+class BrokerMachine(RuleBasedStateMachine):
+    """Two gateways, two servers and owners that know nothing when they take over."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.next_ticket = 0
+        self.live = {"g": True, "h": True}
+        # The truth: until when each grant may occupy its server.
+        self.used: dict[tuple[str, int], tuple[str, float]] = {}
+        self.leaving: frozenset[str] = frozenset()
+        self.take_over()
+
+    @rule()
+    def take_over(self) -> None:
+        self.broker = make_broker(self.clock)
+        self.gateways = [name for name, live in self.live.items() if live]
+        self.list_servers(self.leaving)
+
+    @rule(leaving=st.frozensets(st.sampled_from(ALL)))
+    def list_servers(self, leaving) -> None:
+        self.leaving = leaving
+        servers = [backend(name, leaving=name in leaving) for name in ALL]
+        # Gateways that died may hold slots, so they stay among those to be heard.
+        self.broker.set_backends(servers, ["g", "h"])
+
+    @rule(gateway=st.sampled_from(("g", "h")))
+    def reconnect(self, gateway) -> None:
+        now = self.clock.monotonic()
+        self.broker.detach(gateway)
+        holds = [
+            Hold(ticket, name, until - now)
+            for (holder, ticket), (name, until) in self.used.items()
+            if holder == gateway and until > now
+        ]
+        self.broker.attach(gateway, holds)
+
+    @rule(
+        gateway=st.sampled_from(("g", "h")),
+        team=st.sampled_from(("s", "t")),
+        urgency=st.sampled_from(Urgency),
+        left=st.floats(0.1, LONGEST),
+        avoid=st.frozensets(st.sampled_from(ALL)),
+    )
+    def ask(self, gateway, team, urgency, left, avoid) -> None:
+        self.next_ticket += 1
+        deadline = self.clock.monotonic() + left
+        self.broker.want(
+            make_want(
+                self.clock,
+                self.next_ticket,
+                team=team,
+                gateway=gateway,
+                urgency=urgency,
+                deadline=deadline,
+                avoid=avoid,
+            )
+        )
+
+    @rule()
+    def decide(self) -> None:
+        now = self.clock.monotonic()
+        for grant in grants(self.broker.decide()):
+            assert grant.backend not in self.leaving
+            assert grant.lease <= LONGEST + MARGIN
+            key = (grant.gateway, grant.ticket)
+            assert key not in self.used
+            self.used[key] = (grant.backend, now + grant.lease)
+
+    @rule(data=st.data(), outcome=st.sampled_from(SlotOutcome))
+    def finish(self, data, outcome) -> None:
+        if not self.used:
+            return
+        key = data.draw(st.sampled_from(sorted(self.used)))
+        if outcome is not SlotOutcome.SUSPECT:
+            del self.used[key]
+        self.broker.done(*key, outcome)
+
+    @rule(seconds=st.floats(0.01, 15))
+    def wait(self, seconds) -> None:
+        self.clock.advance(seconds)
+
+    @invariant()
+    def no_server_has_more_than_its_slots(self) -> None:
+        now = self.clock.monotonic()
+        for name in ALL:
+            used = [u for server, u in self.used.values() if server == name and u > now]
+            assert len(used) <= SLOTS
+
+
+BrokerMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
+TestBrokerMachine = BrokerMachine.TestCase
--- a/tests/test_requests_helpers.py
+++ b/tests/test_requests_helpers.py
@@ -19,6 +19,8 @@
 from cassiaweir.types import Queue, Team
 from standins.memory import MemoryTable
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 KEYS = {"key-customs": "customs", "key-deck": "deck"}
 
 
@@ -86,9 +88,7 @@
 class BackendServer:
     """A backend server whose handler the test sets; counts what reached it."""
 
-    def __init__(
-        self, handler: Callable[[web.Request], Awaitable[web.StreamResponse]] = None
-    ) -> None:
+    def __init__(self, handler: Handler | None = None) -> None:
         self.handler = handler or self.echo
         self.bodies: list[bytes] = []
         self.peers: list[tuple] = []
