--- a/cassiaweir/membership/__init__.py
+++ b/cassiaweir/membership/__init__.py
@@ -4,6 +4,7 @@
 from cassiaweir.membership._models import PROTOCOL_VERSION, Member, compatible
 from cassiaweir.membership._peers import Peers
 from cassiaweir.membership._rows import MemberRows
+from cassiaweir.membership._schedulers import SchedulerPeers
 
 __all__ = [
     "PROTOCOL_VERSION",
@@ -12,5 +13,6 @@
     "Member",
     "MemberRows",
     "Peers",
+    "SchedulerPeers",
     "compatible",
 ]
--- /dev/null
+++ b/cassiaweir/membership/_schedulers.py
@@ -0,0 +1,73 @@
+"""The schedulers of the cell, as a candidate for the ownership of shards sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from cassiaweir.membership._known import KnownProcess
+from cassiaweir.membership._models import Member
+from cassiaweir.membership._peers import Peers
+
+SCHEDULER_ROLE = "scheduler"
+LIVE_WITHIN = timedelta(seconds=5)
+
+
+class SchedulerPeers:
+    """Answers what shard ownership asks about other schedulers.
+
+    `member` is this process itself.
+    """
+
+    def __init__(self, member: Member, peers: Peers) -> None:
+        self._member = member
+        self._peers = peers
+
+    def schedulers(self, failure_domain: str) -> Sequence[str]:
+        """Return the live schedulers of a failure domain, this one included."""
+        live = [
+            known.state.process
+            for known in self._known_schedulers()
+            if known.state.failure_domain == failure_domain and self._usable(known)
+        ]
+        if self._member.failure_domain == failure_domain:
+            live.append(self._member.process)
+        return live
+
+    def highest_epoch(self, shard: str) -> int:
+        """Return the highest epoch of `shard` that any process told of, or 0."""
+        return max(
+            (
+                owned.epoch
+                for known in self._known_schedulers()
+                for owned in known.state.shards
+                if owned.shard == shard
+            ),
+            default=0,
+        )
+
+    def replaced(self, process: str, address: str) -> bool:
+        """Tell whether another process than `process` answers at `address`.
+
+        Two processes cannot listen on one address, so `process` has ended.
+        """
+        if self._member.address == address:
+            return self._member.process != process
+        return any(
+            known.state.address == address and known.state.process != process
+            for known in self._known_schedulers()
+            if self._heard(known)
+        )
+
+    def _known_schedulers(self) -> list[KnownProcess]:
+        return [
+            known
+            for known in self._peers.processes()
+            if known.state.role == SCHEDULER_ROLE
+        ]
+
+    def _usable(self, known: KnownProcess) -> bool:
+        return not known.state.leaving and self._heard(known)
+
+    def _heard(self, known: KnownProcess) -> bool:
+        return self._peers.heard_within(known.state.process, LIVE_WITHIN)
--- a/cassiaweir/requests/_backends.py
+++ b/cassiaweir/requests/_backends.py
@@ -60,6 +60,9 @@
         self._clock = clock
         self._sessions: dict[str, ClientSession] = {}
 
+    async def start(self) -> None:
+        """Do nothing; connections are made on demand."""
+
     async def stop(self) -> None:
         """Close all connections."""
         for session in self._sessions.values():
--- a/cassiaweir/requests/_slot_service.py
+++ b/cassiaweir/requests/_slot_service.py
@@ -53,6 +53,10 @@
         self._streams: dict[str, asyncio.Queue[cell_pb2.SlotAnswer]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
+    def register(self, server: grpc.aio.Server) -> None:
+        """Add the service to `server`."""
+        cell_pb2_grpc.add_SlotsServicer_to_server(self, server)
+
     async def start(self) -> None:
         """Read the list of VMs and begin to grant."""
         await self._fetch()
