--- /dev/null
+++ b/cassiaweir/api/_access.py
@@ -0,0 +1,42 @@
+"""Decides which team a call of a caller is charged to."""
+
+from __future__ import annotations
+
+from sanic import Request
+
+from cassiaweir.exceptions import RefusedError
+from cassiaweir.types import CellView
+
+BEARER = "Bearer "
+
+
+def read_bearer(request: Request) -> str:
+    """Return the secret of the Authorization header, or raise `RefusedError`."""
+    header = request.headers.get("Authorization", "")
+    secret = header.removeprefix(BEARER)
+    if secret == header or not secret:
+        raise RefusedError("key_missing", "expected 'Authorization: Bearer <key>'")
+    return secret
+
+
+def read_team(request: Request, view: CellView) -> str:
+    """Return the team of the key, which `Cassiaweir-Team` may name but not change."""
+    team = view.authenticate(read_bearer(request))
+    if request.headers.get("Cassiaweir-Team", team) != team:
+        raise RefusedError("other_team", "the key belongs to another team")
+    return team
+
+
+def read_queue_team(request: Request, view: CellView, name: str) -> str:
+    """Return the team that work on the queue `name` is charged to.
+
+    An open queue needs no key.  The key is checked before the queue is looked up, so
+    that a caller without one learns nothing of the queues.
+    """
+    queue = view.queue(name)
+    if queue is not None and queue.open:
+        return queue.team
+    team = read_team(request, view)
+    if queue is None:
+        raise RefusedError("queue_unknown", f"there is no queue {name!r}")
+    return team
--- /dev/null
+++ b/cassiaweir/api/_jobs.py
@@ -0,0 +1,113 @@
+"""Callers' jobs: /v1/jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import msgspec
+from sanic import Blueprint, HTTPResponse, Request
+
+from cassiaweir.api._access import read_queue_team, read_team
+from cassiaweir.exceptions import InvalidInputError, NotFoundError
+from cassiaweir.types import CellView
+from cassiaweir.work import JobRow, JobSpec, JobStatus
+
+JSON = "application/json"
+DEFAULT_PAGE = 100
+MOST_PER_PAGE = 1000
+
+
+class Jobs(Protocol):
+    """What callers may do with jobs."""
+
+    async def submit(self, spec: JobSpec, team: str) -> JobRow:
+        """Commit a job, or return the one that was committed with the same name."""
+
+    async def status(self, job: str) -> JobStatus:
+        """Return the state of a job, or raise `NotFoundError`."""
+
+    async def cancel(self, job: str) -> JobRow:
+        """Cancel a job, or raise `NotFoundError`."""
+
+    async def list(self, *, after: str = "", limit: int = DEFAULT_PAGE) -> list[JobRow]:
+        """Return jobs ordered by name, from the first one past `after`."""
+
+
+class JobPage(msgspec.Struct, frozen=True):
+    """A page of jobs; `next` continues the listing and is empty at its end."""
+
+    jobs: Sequence[JobRow]
+    next: str
+
+
+class JobApi:
+    """Checks callers' calls about jobs; a team sees and cancels its own ones only."""
+
+    def __init__(self, view: CellView, jobs: Jobs) -> None:
+        self._view = view
+        self._jobs = jobs
+
+    def blueprint(self) -> Blueprint:
+        """Return the routes."""
+        routes = Blueprint("jobs", url_prefix="/v1/jobs")
+        routes.add_route(self.submit, "/", methods=["POST"], name="submit")
+        routes.add_route(self.list, "/", methods=["GET"], name="list")
+        routes.add_route(self.show, "/<job:str>", methods=["GET"], name="show")
+        routes.add_route(self.cancel, "/<job:str>", methods=["DELETE"], name="cancel")
+        return routes
+
+    async def submit(self, request: Request) -> HTTPResponse:
+        """Answer 201 with the committed job; a repeat gets the same answer."""
+        spec = _decode_spec(request.body)
+        team = read_queue_team(request, self._view, spec.queue)
+        row = await self._jobs.submit(spec, team)
+        return _json_response(row, status=201)
+
+    async def show(self, request: Request, job: str) -> HTTPResponse:
+        """Answer with the job and the live state of its parts."""
+        team = read_team(request, self._view)
+        status = await self._jobs.status(job)
+        _require_own(status.job, team)
+        return _json_response(status)
+
+    async def cancel(self, request: Request, job: str) -> HTTPResponse:
+        """Cancel the job; its running tasks are stopped soon after."""
+        team = read_team(request, self._view)
+        status = await self._jobs.status(job)
+        _require_own(status.job, team)
+        return _json_response(await self._jobs.cancel(job))
+
+    async def list(self, request: Request) -> HTTPResponse:
+        """Answer with a page of the team's jobs."""
+        team = read_team(request, self._view)
+        limit = _read_limit(request)
+        rows = await self._jobs.list(after=request.args.get("after", ""), limit=limit)
+        own = [row for row in rows if row.team == team]
+        following = rows[-1].job if len(rows) == limit else ""
+        return _json_response(JobPage(own, following))
+
+
+def _decode_spec(body: bytes) -> JobSpec:
+    """Return the submitted job, or raise `InvalidInputError` naming the field."""
+    try:
+        return msgspec.json.decode(body, type=JobSpec)
+    except msgspec.MsgspecError as exc:
+        raise InvalidInputError(f"job: {exc}") from exc
+
+
+def _read_limit(request: Request) -> int:
+    text = request.args.get("limit", str(DEFAULT_PAGE))
+    if not text.isdigit() or not 1 <= int(text) <= MOST_PER_PAGE:
+        raise InvalidInputError(f"limit: expected 1 to {MOST_PER_PAGE}")
+    return int(text)
+
+
+def _require_own(row: JobRow, team: str) -> None:
+    """Hide the jobs of other teams."""
+    if row.team != team:
+        raise NotFoundError(f"there is no job {row.job!r}")
+
+
+def _json_response(value: msgspec.Struct, *, status: int = 200) -> HTTPResponse:
+    return HTTPResponse(msgspec.json.encode(value), status=status, content_type=JSON)
--- a/cassiaweir/api/_requests.py
+++ b/cassiaweir/api/_requests.py
@@ -8,7 +8,8 @@
 
 from sanic import Blueprint, HTTPResponse, Request
 
-from cassiaweir.exceptions import InvalidInputError, RefusedError
+from cassiaweir.api._access import read_queue_team
+from cassiaweir.exceptions import InvalidInputError
 from cassiaweir.requests import Router, ServiceAnswer, ServiceRequest
 from cassiaweir.types import CellView, Clock, Urgency
 
@@ -17,7 +18,6 @@
 DEADLINE_PATTERN = re.compile(r"[1-9][0-9]{0,8}")
 FLAGS = {"true": True, "false": False}
 REQUEST_ID_BYTES = 12
-BEARER = "Bearer "
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 
@@ -47,7 +47,8 @@
         """Return the checked request; raises `InvalidInputError`, `RefusedError`."""
         if not NAME_PATTERN.fullmatch(service):
             raise InvalidInputError("the name of the service is malformed")
-        team = self._team(request, service)
+        queue = request.headers.get("Cassiaweir-Queue", service)
+        team = read_queue_team(request, self._view, queue)
         idempotent = _flag(request, "Cassiaweir-Idempotent")
         return ServiceRequest(
             request_id=secrets.token_hex(REQUEST_ID_BYTES),
@@ -61,19 +62,6 @@
             content_type=request.headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
         )
 
-    def _team(self, request: Request, service: str) -> str:
-        """Return the team that the request is charged to."""
-        name = request.headers.get("Cassiaweir-Queue", service)
-        queue = self._view.queue(name)
-        if queue is not None and queue.open:
-            return queue.team
-        team = self._view.authenticate(_bearer(request))
-        if request.headers.get("Cassiaweir-Team", team) != team:
-            raise RefusedError("other_team", "the key belongs to another team")
-        if queue is None:
-            raise RefusedError("queue_unknown", f"there is no queue {name!r}")
-        return team
-
     def _time_left(self, request: Request) -> float:
         """Return the seconds that the request may take."""
         longest = self._longest.total_seconds()
@@ -85,14 +73,6 @@
         return min(longest, int(value) / 1000)
 
 
-def _bearer(request: Request) -> str:
-    header = request.headers.get("Authorization", "")
-    secret = header.removeprefix(BEARER)
-    if secret == header or not secret:
-        raise RefusedError("key_missing", "expected 'Authorization: Bearer <key>'")
-    return secret
-
-
 def _flag(request: Request, name: str) -> bool:
     value = request.headers.get(name, "false")
     if value not in FLAGS:
--- a/cassiaweir/membership/__init__.py
+++ b/cassiaweir/membership/__init__.py
@@ -1,5 +1,6 @@
 """Membership: the rows of processes, heartbeats, and who owns which shard."""
 
+from cassiaweir.membership._collector import Collected, Collector
 from cassiaweir.membership._known import KnownProcess, KnownProcesses
 from cassiaweir.membership._models import PROTOCOL_VERSION, Member, compatible
 from cassiaweir.membership._peers import Peers
@@ -8,6 +9,8 @@
 
 __all__ = [
     "PROTOCOL_VERSION",
+    "Collected",
+    "Collector",
     "KnownProcess",
     "KnownProcesses",
     "Member",
--- /dev/null
+++ b/cassiaweir/membership/_collector.py
@@ -0,0 +1,74 @@
+"""Gathers the events and texts of all processes that can be reached."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import grpc
+import msgspec
+
+from cassiaweir.membership._peers import Peers
+from cassiaweir.observe import Event, EventLog, merge_events
+from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
+from cassiaweir.rpc._server import Channels
+
+EVENTS_PER_CALL = 1000
+CALL_TIMEOUT = timedelta(seconds=2)
+
+
+@dataclass(slots=True)
+class Collected:
+    """Merged events, and the processes that gave none."""
+
+    events: list[Event] = field(default_factory=list)
+    silent: list[str] = field(default_factory=list)
+
+
+class Collector:
+    """Asks every known process for what it has recorded."""
+
+    def __init__(self, peers: Peers, channels: Channels, events: EventLog) -> None:
+        self._peers = peers
+        self._channels = channels
+        self._events = events
+
+    async def collect(self) -> Collected:
+        """Return the kept events of all processes in one causal order."""
+        states = [known.state for known in self._peers.processes()]
+        answers = await asyncio.gather(
+            *(self._read_all(state.address) for state in states),
+            return_exceptions=True,
+        )
+        found = Collected()
+        gathered = list(self._events.after(0, EVENTS_PER_CALL * EVENTS_PER_CALL))
+        for state, answer in zip(states, answers, strict=True):
+            if isinstance(answer, BaseException):
+                found.silent.append(state.process)
+            else:
+                gathered += answer
+        found.events = merge_events(gathered)
+        return found
+
+    async def _read_all(self, address: str) -> Sequence[Event]:
+        """Return all kept events of the process at `address`."""
+        stub = cell_pb2_grpc.PeerStub(self._channels.get(address))
+        events: list[Event] = []
+        after = 0
+        while True:
+            answer = await self._call(stub, after)
+            events += [msgspec.json.decode(item, type=Event) for item in answer.events]
+            if len(answer.events) < EVENTS_PER_CALL:
+                return events
+            after = answer.last
+
+    async def _call(
+        self, stub: cell_pb2_grpc.PeerStub, after: int
+    ) -> cell_pb2.EventsAnswer:
+        request = cell_pb2.EventsRequest(after=after, limit=EVENTS_PER_CALL)
+        try:
+            return await stub.Events(request, timeout=CALL_TIMEOUT.total_seconds())
+        except grpc.aio.AioRpcError as exc:
+            raise ConnectionError(exc.details()) from exc
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Trials: small measurements that decide between ways of doing a thing."""
