Reserve room for overdue work and checkpoint batch work for urgent work

Cause: large work was passed by for ever where small work kept the VMs busy, and urgent work waited for a full fleet. An overdue lane gets VMs that take only backfill; urgent work claims room that checkpoints free, least lost work first. WorkerHealth tells bad workers from bad jobs. Estimates correct run time and use by the median of what was observed. Ruled out: ageing as a term of the order, since a team with an old backlog would keep more than its share; the reservation is paid for by a tenth of the work started in fair order instead. Found by the state machine and mended: a VM overfull in one dimension by adoption took gang tasks that need none of it.

--- a/cassiaweir/placement/__init__.py
+++ b/cassiaweir/placement/__init__.py
@@ -1,5 +1,6 @@
 """The policy: which task runs on which VM, and in what order."""
 
+from cassiaweir.placement._health import WorkerHealth
 from cassiaweir.placement._planner import FairPlanner
 from cassiaweir.placement._types import (
     Placement,
@@ -22,4 +23,5 @@
     "VmCondition",
     "VmOffer",
     "WaitReason",
+    "WorkerHealth",
 ]
--- a/cassiaweir/placement/_choice.py
+++ b/cassiaweir/placement/_choice.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Sequence
 from itertools import islice
 
 from cassiaweir.placement._fleet import Fleet
-from cassiaweir.placement._records import Amounts, JobRecord, RackRecord, VmRecord
+from cassiaweir.placement._records import JobRecord, RackRecord, VmRecord
 from cassiaweir.types import JobKind, Resources
 
 MOST_SERVICE_CANDIDATES = 24
@@ -39,17 +40,24 @@
     )
 
 
-def choose_for_gang(fleet: Fleet, size: Resources, count: int) -> list[VmRecord]:
-    """Return VMs for `count` tasks, in one rack where possible, or nothing."""
-    if not enough_free(fleet, size, count):
+def choose_for_gang(
+    fleet: Fleet, size: Resources, count: int, kept: Sequence[VmRecord] = ()
+) -> list[VmRecord]:
+    """Return VMs for `count` tasks, in one rack where possible, or nothing.
+
+    `kept` are VMs that are not listed but reserved for these tasks.
+    """
+    kept_slots = _slots(kept, size)
+    missing = count - _total_slots(kept_slots)
+    if not enough_free(fleet, size, missing):
         return []
     for rack in _racks_that_may_hold(fleet, size, count):
-        vms = _fill(_slots(list(rack.vms.values()), size), count)
+        vms = _fill(_slots(rack.vms.values(), size), count)
         if vms:
             return vms
-    by_rack = [_slots(list(rack.vms.values()), size) for rack in fleet.racks.values()]
+    by_rack = [_slots(rack.vms.values(), size) for rack in fleet.racks.values()]
     by_rack.sort(key=_total_slots, reverse=True)
-    return _fill([pair for slots in by_rack for pair in slots], count)
+    return _fill(kept_slots + [pair for slots in by_rack for pair in slots], count)
 
 
 def enough_free(fleet: Fleet, size: Resources, count: int) -> bool:
@@ -63,9 +71,9 @@
     return sorted(racks, key=lambda rack: rack.free.cpu_millis)
 
 
-def _slots(vms: list[VmRecord], size: Resources) -> list[tuple[int, VmRecord]]:
+def _slots(vms: Iterable[VmRecord], size: Resources) -> list[tuple[int, VmRecord]]:
     """Return how many tasks of `size` fit each VM, most first, without the zeros."""
-    slots = [(vm.free.slots(size), vm) for vm in vms]
+    slots = [(vm.slots(size), vm) for vm in vms]
     slots = [pair for pair in slots if pair[0]]
     slots.sort(key=lambda pair: pair[0], reverse=True)
     return slots
@@ -83,11 +91,3 @@
         if len(chosen) == count:
             return chosen
     return []
-
-
-def total_room(vms: list[VmRecord]) -> Amounts:
-    """Return the sum of what is free on `vms`."""
-    total = Amounts()
-    for vm in vms:
-        total.add(vm.free.resources())
-    return total
--- /dev/null
+++ b/cassiaweir/placement/_estimates.py
@@ -0,0 +1,87 @@
+"""Corrects declared sizes and run times by what was observed."""
+
+from __future__ import annotations
+
+from collections import deque
+from statistics import median
+
+from cassiaweir.placement._records import RunningTask
+from cassiaweir.placement._types import TaskGroup
+from cassiaweir.types import JobKind, Resources
+
+WINDOW_SAMPLES = 31
+FEWEST_SAMPLES = 5
+LOWEST_FACTOR = 0.05
+HIGHEST_FACTOR = 20.0
+NEVER = float("inf")
+
+
+class RatioWindow:
+    """The median of the last ratios of observed to declared, within bounds."""
+
+    __slots__ = ("_factor", "_ratios")
+
+    def __init__(self) -> None:
+        self._ratios: deque[float] = deque(maxlen=WINDOW_SAMPLES)
+        self._factor: float | None = None
+
+    def add(self, ratio: float) -> None:
+        """Note one ratio."""
+        self._ratios.append(min(max(ratio, LOWEST_FACTOR), HIGHEST_FACTOR))
+        self._factor = None
+
+    def factor(self) -> float:
+        """Return the median, or 1 while the samples are too few."""
+        if self._factor is None:
+            enough = len(self._ratios) >= FEWEST_SAMPLES
+            self._factor = median(self._ratios) if enough else 1.0
+        return self._factor
+
+
+class Estimates:
+    """Factors of processor use and of run time, by team and kind of job.
+
+    They steer the order and the choice of VMs; what a VM and a team may hold is
+    always counted by declared size.
+    """
+
+    def __init__(self) -> None:
+        self._usage: dict[tuple[str, JobKind], RatioWindow] = {}
+        self._duration: dict[tuple[str, JobKind], RatioWindow] = {}
+
+    def note_usage(self, group: TaskGroup, usage: Resources) -> None:
+        """Note the observed use of a running task; zero is not yet known."""
+        if usage.cpu_millis and group.size.cpu_millis:
+            window = self._usage.setdefault((group.team, group.kind), RatioWindow())
+            window.add(usage.cpu_millis / group.size.cpu_millis)
+
+    def note_duration(self, group: TaskGroup, seconds: float) -> None:
+        """Note how long a task ran that ended by itself."""
+        if group.declared_seconds:
+            window = self._duration.setdefault((group.team, group.kind), RatioWindow())
+            window.add(seconds / group.declared_seconds)
+
+    def expected_cpu(self, group: TaskGroup) -> int:
+        """Return the processor use to expect of a task, in millis."""
+        window = self._usage.get((group.team, group.kind))
+        factor = window.factor() if window else 1.0
+        return int(group.size.cpu_millis * factor)
+
+    def expected_seconds(self, group: TaskGroup) -> float:
+        """Return the run time to expect of a task; services never end."""
+        if group.kind is JobKind.SERVICE or not group.declared_seconds:
+            return NEVER
+        window = self._duration.get((group.team, group.kind))
+        return group.declared_seconds * (window.factor() if window else 1.0)
+
+    def longest_seconds(self, group: TaskGroup) -> float:
+        """Return the longer one of the declared and the expected run time."""
+        return max(group.declared_seconds, self.expected_seconds(group))
+
+    def expected_end(self, task: RunningTask, now: float) -> float:
+        """Return when a running task is expected to end.
+
+        One that has overrun is expected to run as long again as it has run.
+        """
+        end = task.started_at + self.expected_seconds(task.job.group)
+        return end if end > now else 2 * now - task.started_at
--- a/cassiaweir/placement/_explain.py
+++ b/cassiaweir/placement/_explain.py
@@ -11,8 +11,10 @@
 
 def explain(fleet: Fleet, job: JobRecord | None) -> WaitReason:
     """Return the reason why the waiting tasks of `job` do not run."""
-    if job is None or not job.waiting:
+    if job is None or not (job.waiting or job.claimed):
         return WaitReason.NOTHING_WAITS
+    if not job.waiting:
+        return WaitReason.NO_ROOM
     size = job.group.size
     if not fleet.fits_some_vm(size):
         return WaitReason.FITS_NO_VM
--- a/cassiaweir/placement/_fleet.py
+++ b/cassiaweir/placement/_fleet.py
@@ -7,6 +7,7 @@
 
 from cassiaweir.placement._index import RoomIndex
 from cassiaweir.placement._records import (
+    NO_ROOM,
     Amounts,
     RackRecord,
     RunningTask,
@@ -89,8 +90,6 @@
         vm.free.add(size, -1)
         if not task.preemptible:
             vm.reclaimable.add(size, -1)
-        if vm.indexed:
-            vm.rack.free.add(size, -1)
         self.refresh(vm)
 
     def end(self, task: RunningTask) -> None:
@@ -101,41 +100,43 @@
         vm.free.add(size)
         if not task.preemptible:
             vm.reclaimable.add(size)
-        if vm.indexed:
-            vm.rack.free.add(size)
         self.grown[vm.name] = vm
         self.refresh(vm)
         if vm.removed and not vm.tasks:
             self.remove_vm(vm.name)
 
-    def mark_stopping(self, task: RunningTask) -> None:
-        """Count `task` as checkpointing, so that it is not preempted again."""
-        if task.preemptible:
-            task.stopping = True
-            task.vm.reclaimable.add(task.job.group.size, -1)
+    def mark_stopping(self, task: RunningTask, *, stopping: bool = True) -> None:
+        """Note whether `task` is being checkpointed and cannot be chosen again."""
+        if task.stopping != stopping:
+            task.stopping = stopping
+            task.vm.reclaimable.add(task.job.group.size, -1 if stopping else 1)
             self.refresh(task.vm)
 
-    def hold(self, vm: VmRecord) -> None:
-        """Keep `vm` for a reservation or a claim."""
-        vm.holds += 1
+    def promise(self, vm: VmRecord, size: Resources, count: int = 1) -> None:
+        """Keep room for `count` tasks of `size`; a negative count undoes it."""
+        vm.promised.add(size, count)
+        vm.free.add(size, -count)
+        vm.reclaimable.add(size, -count)
+        if count < 0:
+            self.grown[vm.name] = vm
         self.refresh(vm)
 
-    def release(self, vm: VmRecord) -> None:
-        """Undo one `hold`."""
-        vm.holds -= 1
+    def hold(self, vm: VmRecord, *, held: bool = True) -> None:
+        """Keep `vm` out of the indexes for a reservation, or list it again."""
+        vm.held = held
         self.refresh(vm)
 
     def refresh(self, vm: VmRecord) -> None:
         """List `vm` in the indexes as its state demands."""
-        usable = vm.takes_tasks() and not vm.holds and not vm.removed
+        usable = vm.takes_tasks() and not vm.held and not vm.removed
         if not usable:
             self._unlist(vm)
             return
         if not vm.indexed:
             vm.indexed = True
             vm.rack.vms[vm.name] = vm
-            vm.rack.free.add(vm.free.resources())
             self.grown[vm.name] = vm
+        vm.rack.free.move(vm.counted, vm.usable_room())
         self.room.update(vm, vm.free)
         self.reclaimable.update(vm, vm.reclaimable)
 
@@ -143,7 +144,7 @@
         if vm.indexed:
             vm.indexed = False
             del vm.rack.vms[vm.name]
-            vm.rack.free.add(vm.free.resources(), -1)
+            vm.rack.free.move(vm.counted, NO_ROOM)
             self.room.discard(vm)
             self.reclaimable.discard(vm)
 
--- a/cassiaweir/placement/_ledger.py
+++ b/cassiaweir/placement/_ledger.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from cassiaweir.placement._estimates import Estimates
 from cassiaweir.placement._fleet import Fleet
 from cassiaweir.placement._records import (
     JobRecord,
@@ -20,8 +21,9 @@
 class Ledger:
     """Keeps what waits and what runs, by team, job and task."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, estimates: Estimates) -> None:
         self._fleet = fleet
+        self._estimates = estimates
         self._sequence = 0
         self.teams: dict[str, TeamRecord] = {}
         self.jobs: dict[str, JobRecord] = {}
@@ -46,29 +48,41 @@
 
     def add_waiting(self, job: JobRecord, indexes: Iterable[int]) -> int:
         """Add the indexes that are not known yet, and return how many they are."""
-        new = [i for i in indexes if i not in job.waiting and i not in job.running]
-        job.waiting.update(dict.fromkeys(new))
-        job.team.wanted.add(job.group.size, len(job.waiting.keys() & new))
+        new = {
+            index: None
+            for index in indexes
+            if index not in job.waiting
+            and index not in job.running
+            and index not in job.claimed
+        }
+        job.waiting.update(new)
+        job.team.wanted.add(job.group.size, len(new))
         return len(new)
 
     def drop_waiting(self, job: JobRecord) -> None:
-        """Drop all waiting tasks of `job`."""
-        job.team.wanted.add(job.group.size, -len(job.waiting))
+        """Drop all waiting and claimed tasks of `job`."""
+        count = len(job.waiting) + len(job.claimed)
+        job.team.wanted.add(job.group.size, -count)
         job.waiting.clear()
+        job.claimed.clear()
 
     def start(self, job: JobRecord, index: int, vm: VmRecord, now: float) -> None:
         """Count the task as running on `vm` from `now` on."""
         size, team = job.group.size, job.team
         if index in job.waiting:
             del job.waiting[index]
+        elif index in job.claimed:
+            del job.claimed[index]
         else:
             team.wanted.add(size)
-        task = RunningTask(TaskId(job.group.job, index), job, vm, now, size.cpu_millis)
+        expected_cpu = self._estimates.expected_cpu(job.group)
+        task = RunningTask(TaskId(job.group.job, index), job, vm, now, expected_cpu)
         job.running[index] = self.running[task.task] = task
         job.racks[vm.rack.name] = job.racks.get(vm.rack.name, 0) + 1
         job.vms[vm.name] = job.vms.get(vm.name, 0) + 1
         self._fleet.start(task)
         team.used.add(size)
+        team.tasks += 1
         team.reorder(self._fleet.total)
 
     def end(self, task: RunningTask) -> None:
@@ -79,12 +93,13 @@
         _decrement(job.vms, task.vm.name)
         self._fleet.end(task)
         job.team.used.add(job.group.size, -1)
+        job.team.tasks -= 1
         job.team.wanted.add(job.group.size, -1)
         job.team.reorder(self._fleet.total)
 
     def forget_if_done(self, job: JobRecord) -> None:
         """Forget `job` once nothing of it waits or runs."""
-        if not job.waiting and not job.running:
+        if not job.waiting and not job.running and not job.claimed:
             self.jobs.pop(job.group.job, None)
             job.team.jobs.pop(job.group.job, None)
 
--- a/cassiaweir/placement/_planner.py
+++ b/cassiaweir/placement/_planner.py
@@ -2,32 +2,58 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from datetime import timedelta
 
-from cassiaweir.placement._choice import choose
+from cassiaweir.placement._estimates import Estimates
 from cassiaweir.placement._explain import explain
 from cassiaweir.placement._fleet import Fleet
 from cassiaweir.placement._ledger import Ledger
-from cassiaweir.placement._queue import WaitingQueue
-from cassiaweir.placement._records import JobRecord, RunningTask, VmRecord
+from cassiaweir.placement._records import JobRecord, RunningTask
+from cassiaweir.placement._round import Rounds
 from cassiaweir.placement._types import (
-    Placement,
     Plan,
     TaskGroup,
     VmCondition,
     VmOffer,
     WaitReason,
 )
-from cassiaweir.types import JobKind, Resources, TaskId, TaskState, Urgency
+from cassiaweir.types import Resources, TaskId, TaskState, Urgency
 
+AGEING_BOUND = timedelta(minutes=2)
+URGENT_AGEING_BOUND = timedelta(milliseconds=500)
+
+
+def _never_poisoned(job: str) -> bool:
+    return False
 
-class FairPlanner:
-    """Implements `Planner` for one shard; pure, without a clock of its own."""
 
-    def __init__(self) -> None:
+class FairPlanner:
+    """Implements `Planner` for one shard; pure, without a clock of its own.
+
+    `ageing_bound` and `urgent_ageing_bound` say how long equal demands of a team
+    wait without a start before their oldest job gets a reservation.  `is_poisoned`
+    tells whether a job must not start any more.
+    """
+
+    def __init__(
+        self,
+        *,
+        ageing_bound: timedelta = AGEING_BOUND,
+        urgent_ageing_bound: timedelta = URGENT_AGEING_BOUND,
+        is_poisoned: Callable[[str], bool] = _never_poisoned,
+    ) -> None:
+        bounds = {
+            Urgency.URGENT: urgent_ageing_bound.total_seconds(),
+            Urgency.NORMAL: ageing_bound.total_seconds(),
+        }
+        self._is_poisoned = is_poisoned
         self._fleet = Fleet()
-        self._ledger = Ledger(self._fleet)
-        self._queues = {urgency: WaitingQueue() for urgency in Urgency}
+        self._estimates = Estimates()
+        self._ledger = Ledger(self._fleet, self._estimates)
+        self._rounds = Rounds(
+            self._fleet, self._ledger, self._estimates, bounds, is_poisoned
+        )
 
     def set_vm(self, vm: VmOffer, condition: VmCondition) -> None:
         """Add or change a VM."""
@@ -47,14 +73,14 @@
         team = self._ledger.team(name)
         team.share, team.allotment = share, allotment
         team.reorder(self._fleet.total)
-        self._offer_lanes(team.name)
+        self._rounds.offer_lanes(name)
 
     def enqueue(self, group: TaskGroup) -> None:
         """Add waiting tasks; those already known are left as they are."""
         job = self._ledger.job(group)
-        added = self._ledger.add_waiting(job, group.indexes)
-        if added:
-            self._queue(job)
+        self._ledger.add_waiting(job, group.indexes)
+        if job.waiting:
+            self._rounds.queue(job)
 
     def cancel(self, job: str) -> list[tuple[TaskId, str]]:
         """Drop the job's waiting tasks and return its running ones with their VMs."""
@@ -62,6 +88,8 @@
         if record is None:
             return []
         running = [(task.task, task.vm.name) for task in record.running.values()]
+        if record.claimed:
+            self._rounds.preemptor.close_all_of(record)
         self._ledger.drop_waiting(record)
         self._settle(record)
         return running
@@ -74,8 +102,13 @@
             unknown = VmOffer(vm, "", "", Resources())
             self._fleet.set_vm(unknown, VmCondition.UNREACHABLE)
         job = self._ledger.job(group)
+        if task.index in job.claimed:
+            self._rounds.preemptor.close_all_of(job)
+            job.waiting.update(job.claimed)
+            job.claimed.clear()
+            self._rounds.queue(job)
         self._ledger.start(job, task.index, self._fleet.vms[vm], started_at)
-        self._after_waiting_fell(job)
+        self._rounds.waiting_fell(job)
 
     def task_refused(self, task: TaskId, now: float) -> None:
         """Put a placed task that certainly did not start back into the queue."""
@@ -84,13 +117,16 @@
             return
         self._end(running)
         self._ledger.add_waiting(running.job, (task.index,))
-        self._queue(running.job)
+        self._rounds.queue(running.job)
 
     def task_ended(self, task: TaskId, state: TaskState, now: float) -> None:
         """Free what `task` held; it is not queued again unless enqueued again."""
         running = self._ledger.running.get(task)
         if running is None:
             return
+        if state is TaskState.SUCCEEDED:
+            seconds = now - running.started_at
+            self._estimates.note_duration(running.job.group, seconds)
         self._end(running)
         self._settle(running.job)
 
@@ -98,6 +134,7 @@
         """Note the observed use of a running task."""
         running = self._ledger.running.get(task)
         if running is not None:
+            self._estimates.note_usage(running.job.group, usage)
             running.vm.expected_cpu += usage.cpu_millis - running.expected_cpu
             running.expected_cpu = usage.cpu_millis
 
@@ -106,11 +143,7 @@
 
         A gang of more than `most` tasks is placed alone, in a plan of its own.
         """
-        self._unblock_grown()
-        plan = Plan([], [])
-        for urgency in (Urgency.URGENT, Urgency.NORMAL):
-            self._serve(self._queues[urgency], plan, now, most)
-        return plan
+        return self._rounds.plan(now, most)
 
     def excess(self, team: str) -> Sequence[tuple[TaskId, str]]:
         """Return the tasks to stop so that the team is within its allotment."""
@@ -126,81 +159,27 @@
 
     def waiting(self, job: str, now: float) -> WaitReason:
         """Say why the job's tasks wait."""
+        if self._is_poisoned(job):
+            return WaitReason.POISONED
         return explain(self._fleet, self._ledger.jobs.get(job))
 
     def fits_some_vm(self, size: Resources) -> bool:
         """Tell whether a VM of this shard could ever hold `size`."""
         return self._fleet.fits_some_vm(size)
 
-    def _serve(self, queue: WaitingQueue, plan: Plan, now: float, most: int) -> None:
-        """Place what `queue` holds, in order, until nothing more can start."""
-        while len(plan.placements) < most:
-            lane = queue.first()
-            job = lane.head() if lane else None
-            if lane is None or job is None:
-                return
-            need = job.needed_at_once
-            if plan.placements and len(plan.placements) + need > most:
-                return
-            if not job.team.allows(job.group.size, need):
-                lane.demand.withdraw(lane)
-                continue
-            vms = choose(self._fleet, job)
-            if vms:
-                self._place(job, vms, plan, now)
-            else:
-                queue.block(lane.demand)
-
-    def _place(
-        self, job: JobRecord, vms: list[VmRecord], plan: Plan, now: float
-    ) -> None:
-        """Start the next waiting tasks of `job` on `vms`, one on each."""
-        for index, vm in zip(list(job.waiting)[: len(vms)], vms, strict=True):
-            self._ledger.start(job, index, vm, now)
-            plan.placements.append(Placement(TaskId(job.group.job, index), vm.name))
-        self._after_waiting_fell(job)
-
     def _end(self, running: RunningTask) -> None:
+        self._rounds.preemptor.victim_ended(running.task)
         self._ledger.end(running)
-        self._offer_lanes(running.job.team.name)
-
-    def _queue(self, job: JobRecord) -> None:
-        """Enter `job` in the lane that its waiting tasks belong to."""
-        before = job.lane
-        queue = self._queues[job.group.urgency]
-        lane = queue.add(job)
-        if before is not None and before is not lane:
-            queue.forget_if_empty(before)
-
-    def _after_waiting_fell(self, job: JobRecord) -> None:
-        """Requeue a gang whose rest forms another class; drop an empty lane."""
-        if job.waiting and job.group.kind is JobKind.GANG:
-            self._queue(job)
-        elif not job.waiting and job.lane is not None:
-            self._queues[job.group.urgency].forget_if_empty(job.lane)
+        self._rounds.offer_lanes(running.job.team.name)
 
     def _settle(self, job: JobRecord) -> None:
         """Forget `job` once nothing of it waits or runs."""
-        self._after_waiting_fell(job)
+        if job.waiting and self._is_poisoned(job.group.job):
+            self._rounds.queue(job)
+        self._rounds.waiting_fell(job)
         self._ledger.forget_if_done(job)
 
     def _reorder_all(self) -> None:
         for team in self._ledger.teams.values():
             team.reorder(self._fleet.total)
-            self._offer_lanes(team.name)
-
-    def _offer_lanes(self, name: str) -> None:
-        """Enter the lanes of a team again after its order fell or its limit rose."""
-        for lane in self._ledger.teams[name].lanes.values():
-            self._queues[lane.demand.key.urgency].offer(lane)
-
-    def _unblock_grown(self) -> None:
-        """Let the classes be served again for which a VM has got room."""
-        grown = self._fleet.grown
-        if not grown:
-            return
-        for queue in self._queues.values():
-            for size in queue.blocked_sizes():
-                if any(vm.reclaimable.holds(size) for vm in grown.values()):
-                    queue.unblock_size(size)
-        grown.clear()
+            self._rounds.offer_lanes(team.name)
--- a/cassiaweir/placement/_queue.py
+++ b/cassiaweir/placement/_queue.py
@@ -46,12 +46,14 @@
     """The waiting jobs of one team with equal demand, oldest first.
 
     `entry` is the order of the lane's valid entry in the heap of its class.
+    `served_at` is when a task of the lane last started, in monotonic seconds.
     """
 
     team: TeamRecord
     demand: DemandClass
     entry: float = NO_ENTRY
     served_at: float = -NO_ENTRY
+    watched: bool = False
     heap: list[tuple[float, int, int, JobRecord]] = field(default_factory=list)
 
     def add(self, job: JobRecord) -> None:
--- a/cassiaweir/placement/_records.py
+++ b/cassiaweir/placement/_records.py
@@ -13,6 +13,7 @@
     from cassiaweir.placement._queue import ClassKey, Lane
 
 SMALLEST_SHARE = 1e-6
+MOST_SLOTS = 1 << 30
 
 
 @dataclass(slots=True, eq=False)
@@ -29,6 +30,15 @@
         self.memory_mb += size.memory_mb * count
         self.accelerators += size.accelerators * count
 
+    def move(self, old: Amounts, new: Amounts) -> None:
+        """Count `new` in place of `old`, and make `old` equal to `new`."""
+        self.cpu_millis += new.cpu_millis - old.cpu_millis
+        self.memory_mb += new.memory_mb - old.memory_mb
+        self.accelerators += new.accelerators - old.accelerators
+        old.cpu_millis = new.cpu_millis
+        old.memory_mb = new.memory_mb
+        old.accelerators = new.accelerators
+
     def holds(self, size: Resources, count: int = 1) -> bool:
         """Tell whether `size` fits `count` times in every dimension."""
         return (
@@ -38,7 +48,9 @@
         )
 
     def slots(self, size: Resources) -> int:
-        """Return how many times `size` fits."""
+        """Return how many times `size` fits; none where a dimension is below zero."""
+        if self.cpu_millis < 0 or self.memory_mb < 0 or self.accelerators < 0:
+            return 0
         count = math.inf
         if size.cpu_millis:
             count = self.cpu_millis // size.cpu_millis
@@ -46,13 +58,16 @@
             count = min(count, self.memory_mb // size.memory_mb)
         if size.accelerators:
             count = min(count, self.accelerators // size.accelerators)
-        return max(0, int(min(count, 1 << 30)))
+        return int(min(count, MOST_SLOTS))
 
     def resources(self) -> Resources:
         """Return the sum as a value."""
         return Resources(self.cpu_millis, self.memory_mb, self.accelerators)
 
 
+NO_ROOM = Amounts()
+
+
 @dataclass(slots=True, eq=False)
 class RackRecord:
     """The VMs of a rack that take new tasks, and the sum of their free amounts."""
@@ -66,9 +81,11 @@
 class VmRecord:
     """A VM with what runs on it.
 
-    `free` falls below zero where adopted tasks exceed the capacity.  `expected_cpu`
-    is the processor use that is expected or was observed, in millis.  `holds`
-    counts the reservations and claims that keep other work away.
+    `free` leaves out what is `promised` to claims, and falls below zero while their
+    room is not free yet or where adopted tasks exceed the capacity.  `reclaimable`
+    is `free` and what normal batch tasks hold.  `expected_cpu` is the processor use
+    that is expected or was observed, in millis.  `counted` is what the rack's sum
+    has of the VM.  `held` keeps the VM for a reservation.
     """
 
     name: str
@@ -78,11 +95,11 @@
     free: Amounts
     reclaimable: Amounts
     expected_cpu: int = 0
-    holds: int = 0
+    promised: Amounts = field(default_factory=Amounts)
+    counted: Amounts = field(default_factory=Amounts)
+    held: bool = False
     removed: bool = False
     indexed: bool = False
-    cell: int = -1
-    reclaim_cell: int = -1
     tasks: dict[TaskId, RunningTask] = field(default_factory=dict)
 
     @classmethod
@@ -101,6 +118,20 @@
             return not self.tasks
         return self.condition is VmCondition.OPEN
 
+    def slots(self, size: Resources) -> int:
+        """Return how many tasks of `size` may start on the VM now."""
+        if not self.takes_tasks():
+            return 0
+        slots = self.free.slots(size)
+        return slots if self.condition is VmCondition.OPEN else min(slots, 1)
+
+    def usable_room(self) -> Amounts:
+        """Return what is free, or nothing where a dimension is below zero."""
+        free = self.free
+        if free.cpu_millis < 0 or free.memory_mb < 0 or free.accelerators < 0:
+            return NO_ROOM
+        return free
+
 
 @dataclass(slots=True, eq=False)
 class RunningTask:
@@ -128,8 +159,8 @@
 class JobRecord:
     """A job's waiting and running tasks in this shard.
 
-    `waiting` keeps indexes in the order in which they start.  `preempted` counts the
-    checkpoints of each index.
+    `waiting` keeps indexes in the order in which they start.  `claimed` has those
+    for which checkpoints are making room.  `racks` and `vms` count running tasks.
     """
 
     group: TaskGroup
@@ -139,7 +170,7 @@
     queued: bool = False
     waiting: dict[int, None] = field(default_factory=dict)
     running: dict[int, RunningTask] = field(default_factory=dict)
-    preempted: dict[int, int] = field(default_factory=dict)
+    claimed: dict[int, None] = field(default_factory=dict)
     racks: dict[str, int] = field(default_factory=dict)
     vms: dict[str, int] = field(default_factory=dict)
 
@@ -153,6 +184,7 @@
 class TeamRecord:
     """A team's share, limit and use.
 
+    `promised` is what claims keep for it, `tasks` the number of its running tasks.
     `order` is the dominant share by weight: the smaller, the sooner its turn.
     """
 
@@ -160,6 +192,8 @@
     share: float
     allotment: Resources
     used: Amounts = field(default_factory=Amounts)
+    promised: Amounts = field(default_factory=Amounts)
+    tasks: int = 0
     wanted: Amounts = field(default_factory=Amounts)
     order: float = 0.0
     lanes: dict[ClassKey, Lane] = field(default_factory=dict)
@@ -167,11 +201,14 @@
 
     def allows(self, size: Resources, count: int = 1) -> bool:
         """Tell whether `count` more tasks of `size` stay within the allotment."""
-        used, limit = self.used, self.allotment
+        used, promised, limit = self.used, self.promised, self.allotment
         return (
-            used.cpu_millis + size.cpu_millis * count <= limit.cpu_millis
-            and used.memory_mb + size.memory_mb * count <= limit.memory_mb
-            and used.accelerators + size.accelerators * count <= limit.accelerators
+            used.cpu_millis + promised.cpu_millis + size.cpu_millis * count
+            <= limit.cpu_millis
+            and used.memory_mb + promised.memory_mb + size.memory_mb * count
+            <= limit.memory_mb
+            and used.accelerators + promised.accelerators + size.accelerators * count
+            <= limit.accelerators
         )
 
     def reorder(self, total: Amounts) -> None:
--- /dev/null
+++ b/cassiaweir/placement/_round.py
@@ -0,0 +1,208 @@
+"""One round of decisions: claims, reservations, then the queues in order."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cassiaweir.placement._choice import choose
+from cassiaweir.placement._estimates import Estimates
+from cassiaweir.placement._fleet import Fleet
+from cassiaweir.placement._ledger import Ledger
+from cassiaweir.placement._preemption import Claim, Preemptor
+from cassiaweir.placement._queue import WaitingQueue
+from cassiaweir.placement._records import JobRecord, VmRecord
+from cassiaweir.placement._reservation import Reserver
+from cassiaweir.placement._types import Placement, Plan, Preemption
+from cassiaweir.types import JobKind, Resources, TaskId, Urgency
+
+URGENT_RETRY_SECONDS = 1.0
+PREEMPTION_REASON = "urgent_work"
+
+
+class Rounds:
+    """Keeps the queues and turns them into plans."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        ledger: Ledger,
+        estimates: Estimates,
+        bounds: dict[Urgency, float],
+        is_poisoned: Callable[[str], bool],
+    ) -> None:
+        self._is_poisoned = is_poisoned
+        self._fleet = fleet
+        self._ledger = ledger
+        self.preemptor = Preemptor(fleet)
+        self._queues = {urgency: WaitingQueue() for urgency in Urgency}
+        self._reservers = {
+            urgency: Reserver(fleet, estimates, bound)
+            for urgency, bound in bounds.items()
+        }
+        self._urgent_retry_at = 0.0
+
+    def queue(self, job: JobRecord) -> None:
+        """Enter `job` in the lane of its waiting tasks, unless it is poisoned."""
+        before, queue = job.lane, self._queues[job.group.urgency]
+        if self._is_poisoned(job.group.job):
+            job.lane, job.queued = None, False
+            if before is not None:
+                queue.forget_if_empty(before)
+            return
+        lane = queue.add(job)
+        self._reservers[job.group.urgency].watch(lane)
+        if before is not None and before is not lane:
+            queue.forget_if_empty(before)
+
+    def waiting_fell(self, job: JobRecord) -> None:
+        """Requeue a gang whose rest forms another class; drop an empty lane."""
+        if job.waiting and job.group.kind is JobKind.GANG:
+            self.queue(job)
+        elif not job.waiting and job.lane is not None:
+            self._queues[job.group.urgency].forget_if_empty(job.lane)
+
+    def offer_lanes(self, team_name: str) -> None:
+        """Enter the lanes of a team again after its order fell or its limit rose."""
+        for lane in self._ledger.teams[team_name].lanes.values():
+            self._queues[lane.demand.key.urgency].offer(lane)
+
+    def plan(self, now: float, most: int) -> Plan:
+        """Decide on at most `most` placements and the preemptions they need."""
+        grown = bool(self._fleet.grown)
+        self._unblock(now)
+        plan = Plan([], [])
+        self._serve_claims(plan, now, most)
+        for urgency in (Urgency.URGENT, Urgency.NORMAL):
+            self._serve_overdue(urgency, plan, now, most, grown)
+            self._serve(urgency, plan, now, most)
+        return plan
+
+    def _serve_claims(self, plan: Plan, now: float, most: int) -> None:
+        """Start the urgent tasks whose room has become free."""
+        for claim in self.preemptor.ready(now):
+            if not _within(plan, len(claim.vms), most):
+                return
+            self.preemptor.close(claim)
+            if not claim.pending and _has_room(claim):
+                self._place(claim.job, claim.vms, plan, now)
+                continue
+            for index in claim.vms:
+                del claim.job.claimed[index]
+                claim.job.waiting[index] = None
+            self.queue(claim.job)
+
+    def _serve_overdue(
+        self, urgency: Urgency, plan: Plan, now: float, most: int, grown: bool
+    ) -> None:
+        """Start overdue jobs whose reserved VMs hold them."""
+        reserver = self._reservers[urgency]
+        while (job := reserver.next_job(now)) is not None:
+            if not _within(plan, job.needed_at_once, most):
+                return
+            vms = reserver.choose(job, grown=grown)
+            if not vms:
+                return
+            reserver.fulfilled(job, len(vms))
+            self._place_next(job, vms, plan, now)
+
+    def _serve(self, urgency: Urgency, plan: Plan, now: float, most: int) -> None:
+        """Place what the queue holds, in order, until nothing more can start."""
+        queue = self._queues[urgency]
+        while (lane := queue.first()) is not None and (job := lane.head()) is not None:
+            need = job.needed_at_once
+            if not _within(plan, need, most):
+                return
+            if not job.team.allows(job.group.size, need):
+                lane.demand.withdraw(lane)
+                continue
+            vms = choose(self._fleet, job) or self._kept_room(job, now)
+            if vms:
+                self._reservers[urgency].started(job.group.size, len(vms))
+                self._place_next(job, vms, plan, now)
+            elif urgency is Urgency.NORMAL or not self._preempt(job, plan, now):
+                queue.block(lane.demand)
+
+    def _kept_room(self, job: JobRecord, now: float) -> list[VmRecord]:
+        """Return a VM kept for overdue normal work that `job` may use all the same."""
+        reserver = self._reservers[Urgency.NORMAL]
+        if job.group.urgency is Urgency.URGENT:
+            return reserver.yield_to_urgent(job)
+        return reserver.backfill(job, now)
+
+    def _preempt(self, job: JobRecord, plan: Plan, now: float) -> bool:
+        """Claim room for the next tasks of `job` by checkpoints, if that suffices."""
+        claim = self.preemptor.claim(job, now)
+        if claim is None:
+            return False
+        for victim in claim.pending.values():
+            preemption = Preemption(victim.task, victim.vm.name, PREEMPTION_REASON)
+            plan.preemptions.append(preemption)
+        for index in claim.vms:
+            del job.waiting[index]
+            job.claimed[index] = None
+        self.waiting_fell(job)
+        return True
+
+    def _place_next(
+        self, job: JobRecord, vms: list[VmRecord], plan: Plan, now: float
+    ) -> None:
+        """Start the next waiting tasks of `job` on `vms`, one on each."""
+        indexes = list(job.waiting)[: len(vms)]
+        self._place(job, dict(zip(indexes, vms, strict=True)), plan, now)
+
+    def _place(
+        self, job: JobRecord, vms: dict[int, VmRecord], plan: Plan, now: float
+    ) -> None:
+        for index, vm in vms.items():
+            self._ledger.start(job, index, vm, now)
+            plan.placements.append(Placement(TaskId(job.group.job, index), vm.name))
+        if job.lane is not None:
+            job.lane.served_at = now
+        self.waiting_fell(job)
+
+    def _unblock(self, now: float) -> None:
+        """Let the classes be served again for which a VM has got room."""
+        grown = self._fleet.grown
+        if grown:
+            self._unblock_grown(list(grown.values()))
+            grown.clear()
+        urgent = self._queues[Urgency.URGENT]
+        if now >= self._urgent_retry_at:
+            self._urgent_retry_at = now + URGENT_RETRY_SECONDS
+            for size in urgent.blocked_sizes():
+                urgent.unblock_size(size)
+
+    def _unblock_grown(self, grown: list[VmRecord]) -> None:
+        normal, urgent = (self._queues[u] for u in (Urgency.NORMAL, Urgency.URGENT))
+        for size in normal.blocked_sizes():
+            if any(vm.free.holds(size) for vm in grown):
+                normal.unblock_size(size)
+        for size in urgent.blocked_sizes():
+            if any(vm.reclaimable.holds(size) for vm in grown):
+                urgent.unblock_size(size)
+
+
+def _within(plan: Plan, count: int, most: int) -> bool:
+    """Tell whether `count` more placements fit; a larger gang may go alone."""
+    if not plan.placements and most > 0:
+        return True
+    return len(plan.placements) + count <= most
+
+
+def _has_room(claim: Claim) -> bool:
+    """Tell whether the claimed room is truly free, now that the claim is closed.
+
+    Room that other claims have been promised counts as free: their own tasks to
+    checkpoint still hold as much.
+    """
+    size, counts = claim.job.group.size, dict[str, int]()
+    for vm in claim.vms.values():
+        counts[vm.name] = counts.get(vm.name, 0) + 1
+        held = size * counts[vm.name]
+        if vm.removed or not vm.takes_tasks() or not _physical(vm, held):
+            return False
+    return True
+
+
+def _physical(vm: VmRecord, size: Resources) -> bool:
+    return size.fits(vm.free.resources() + vm.promised.resources())
