--- a/cassiaweir/requests/_broker.py
+++ b/cassiaweir/requests/_broker.py
@@ -10,6 +10,8 @@
 from cassiaweir.requests._waiting import WaitingWants
 from cassiaweir.types import Clock
 
+MARGIN = timedelta(seconds=2)
+MOST_WAITING = 64
 SUSPECT_SECONDS = 5.0
 REFUSED_SECONDS = 5.0
 FIRST_SERVICE_SECONDS = 0.1
@@ -85,6 +87,8 @@
     to the request's deadline plus `margin`, and a backend server must stop serving
     a request within `margin` after its deadline.  `longest` bounds the time to a
     deadline, so `longest + margin` after a takeover no earlier grant is in use.
+    `share` gives the positive weight of a team; `queue_limit` bounds the waiting
+    wants of each team and class.
     """
 
     def __init__(
@@ -92,9 +96,9 @@
         clock: Clock,
         *,
         longest: timedelta,
-        margin: timedelta,
-        queue_limit: int,
         share: Callable[[str], float],
+        margin: timedelta = MARGIN,
+        queue_limit: int = MOST_WAITING,
     ) -> None:
         self._clock = clock
         self._longest = longest.total_seconds()
--- a/cassiaweir/requests/_slot_service.py
+++ b/cassiaweir/requests/_slot_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator, Callable, Sequence
 from datetime import timedelta
 
@@ -16,6 +17,7 @@
 from cassiaweir.types import Clock, OwnedShards, Urgency, Vm, VmList, VmRole, VmState
 
 TICK = timedelta(milliseconds=50)
+TICKS_PER_LOAD = 4
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -50,6 +52,7 @@
         self._metrics = metrics
         self._listed: list[Vm] = []
         self._known: list[Backend] = []
+        self._told_loads: list[cell_pb2.SlotLoad] = []
         self._streams: dict[str, asyncio.Queue[cell_pb2.SlotAnswer]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -84,6 +87,7 @@
         reader = asyncio.create_task(
             self._read(gateway, first, request_iterator, answers)
         )
+        self._decide()
         answers.put_nowait(cell_pb2.SlotAnswer(loads=self._loads()))
         try:
             while not reader.done() or not answers.empty():
@@ -188,10 +192,21 @@
 
     async def _tick(self) -> None:
         """Let leases end, wants fall due and shards change hands."""
-        while True:
+        for number in itertools.count(1):
             await self._clock.sleep(TICK)
             self._refresh()
             self._decide()
+            if number % TICKS_PER_LOAD == 0:
+                self._tell_loads()
+
+    def _tell_loads(self) -> None:
+        """Send changed loads to all gateways, so that they ask where slots are free."""
+        loads = self._loads()
+        if loads == self._told_loads:
+            return
+        self._told_loads = loads
+        for stream in self._streams.values():
+            stream.put_nowait(cell_pb2.SlotAnswer(loads=loads))
 
     async def _follow_vms(self) -> None:
         while True:
--- /dev/null
+++ b/tests/test_requests_slots.py
@@ -0,0 +1,205 @@
+"""Tests of slots between gateways and owners over real gRPC on loopback."""
+
+import asyncio
+from collections.abc import Sequence
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import grpc.aio
+import pytest
+
+from cassiaweir.clock import SystemClock
+from cassiaweir.exceptions import RefusedError
+from cassiaweir.observe import EventLog, Metrics
+from cassiaweir.requests import SlotBroker, SlotClient, SlotService
+from cassiaweir.requests._models import SlotOutcome
+from cassiaweir.rpc import cell_pb2_grpc
+from cassiaweir.types import Resources, ShardOwner, Vm, VmRole, VmState
+from cassiaweir.verdict import Verdict
+from tests.test_requests_helpers import make_request
+
+SLOTS = 2
+
+
+def server(name, domain, state=VmState.LIVE) -> Vm:
+    return Vm(
+        name=name,
+        role=VmRole.BACKEND,
+        address=f"{name}:1",
+        failure_domain=domain,
+        rack="r1",
+        incarnation="1",
+        state=state,
+        service="inventory",
+        slots=SLOTS,
+    )
+
+
+class Owner:
+    """A scheduler that owns the only shard of a failure domain."""
+
+    def __init__(self, domain: str) -> None:
+        self.domain = domain
+        self.vms = [server(f"{domain}-s1", domain)]
+        self.address = ""
+
+    async def fetch(self) -> list[Vm]:
+        return self.vms
+
+    def owned(self) -> Sequence[ShardOwner]:
+        return [self.describe()]
+
+    def describe(self) -> ShardOwner:
+        return ShardOwner(
+            shard=f"{self.domain}-0",
+            failure_domain=self.domain,
+            process=f"scheduler-{self.domain}",
+            address=self.address,
+            epoch=1,
+            capacity=Resources(),
+            free=Resources(),
+            queued_tasks=0,
+            running_tasks=0,
+        )
+
+    @asynccontextmanager
+    async def running(self, port: int = 0):
+        clock = SystemClock()
+        self.broker = SlotBroker(
+            clock,
+            longest=timedelta(seconds=10),
+            margin=timedelta(seconds=2),
+            queue_limit=8,
+            share=lambda team: 1.0,
+        )
+        service = SlotService(
+            self.broker,
+            self,
+            self,
+            shard_of=lambda vm: f"{vm.failure_domain}-0",
+            gateways=lambda: ["gateway-1"],
+            vm_poll=timedelta(milliseconds=20),
+            clock=clock,
+            events=EventLog("scheduler", clock),
+            metrics=Metrics(),
+        )
+        rpc = grpc.aio.server()
+        cell_pb2_grpc.add_SlotsServicer_to_server(service, rpc)
+        bound = rpc.add_insecure_port(f"127.0.0.1:{port}")
+        self.address = f"127.0.0.1:{bound}"
+        await service.start()
+        await rpc.start()
+        try:
+            yield self
+        finally:
+            await service.stop()
+            await rpc.stop(None)
+
+
+class Directory:
+    """Implements the `ShardDirectory` protocol over owners of the test."""
+
+    def __init__(self, *owners: Owner) -> None:
+        self.list = list(owners)
+
+    def owners(self) -> Sequence[ShardOwner]:
+        return [owner.describe() for owner in self.list]
+
+    def owner(self, shard: str) -> ShardOwner | None:
+        found = [owner for owner in self.owners() if owner.shard == shard]
+        return found[0] if found else None
+
+
+@asynccontextmanager
+async def client_of(*owners: Owner):
+    """Run the slot client of a gateway in augusta, connected to all owners."""
+    clock = SystemClock()
+    client = SlotClient(
+        Directory(*owners),
+        process="gateway-1",
+        failure_domain="augusta",
+        clock=clock,
+        events=EventLog("gateway-1", clock),
+    )
+    await client.start()
+    try:
+        await until(lambda: all(link.loads for link in client._links.values()))
+        yield client
+    finally:
+        await client.stop()
+
+
+async def until(met) -> None:
+    """Wait for what other tasks bring about."""
+    async with asyncio.timeout(20):
+        for _ in iter(met, True):
+            await asyncio.sleep(0.005)
+
+
+def take(client, **changes):
+    return client.acquire(make_request(**changes), frozenset())
+
+
+async def test_slots_come_from_our_own_failure_domain_first_then_from_others():
+    async with (
+        Owner("priolo").running() as priolo,
+        Owner("augusta").running() as augusta,
+        client_of(priolo, augusta) as client,
+    ):
+        backends = [(await take(client)).backend for _ in range(2 * SLOTS)]
+    assert backends == ["augusta-s1"] * SLOTS + ["priolo-s1"] * SLOTS
+
+
+async def test_a_slot_given_back_goes_to_the_one_that_waits():
+    async with Owner("augusta").running() as owner, client_of(owner) as client:
+        held = [await take(client) for _ in range(SLOTS)]
+        waiting = asyncio.create_task(take(client))
+        await until(lambda: owner.broker.load("inventory").waiting == 1)
+        client.release(held[0], SlotOutcome.FREE)
+        assert (await waiting).backend == "augusta-s1"
+
+
+async def test_a_want_that_is_given_up_frees_its_place():
+    async with Owner("augusta").running() as owner, client_of(owner) as client:
+        for _ in range(SLOTS):
+            await take(client)
+        waiting = asyncio.create_task(take(client))
+        await until(lambda: owner.broker.load("inventory").waiting == 1)
+        waiting.cancel()
+        await until(lambda: owner.broker.load("inventory").waiting == 0)
+
+
+async def test_a_lost_owner_refuses_what_waits_and_is_told_of_holds_when_back():
+    owner = Owner("augusta")
+    async with client_of() as client:
+        client._directory.list.append(owner)
+        async with owner.running():
+            port = int(owner.address.rpartition(":")[2])
+            await until(lambda: any(link.loads for link in client._links.values()))
+            held = [await take(client) for _ in range(SLOTS)]
+            waiting = asyncio.create_task(take(client))
+            await until(lambda: owner.broker.load("inventory").waiting == 1)
+        with pytest.raises(RefusedError) as caught:
+            await waiting
+        assert caught.value.verdict is Verdict.NOT_RUN
+        async with owner.running(port):
+            await until(lambda: owner.broker.granted("augusta-s1") == SLOTS)
+            client.release(held[0], SlotOutcome.FREE)
+            await until(lambda: owner.broker.granted("augusta-s1") == SLOTS - 1)
+
+
+async def test_a_leaving_server_gets_nothing_new():
+    async with Owner("augusta").running() as owner, client_of(owner) as client:
+        await take(client)
+        owner.vms = [server("augusta-s1", "augusta", VmState.LEAVING)]
+        await until(lambda: owner.broker.load("inventory").slots == 0)
+        with pytest.raises(RefusedError) as caught:
+            await take(client)
+    assert caught.value.reason == "no_backend"
+
+
+async def test_without_an_owner_a_request_is_refused_at_once():
+    async with client_of() as client:
+        with pytest.raises(RefusedError) as caught:
+            await take(client)
+    assert (caught.value.reason, caught.value.verdict) == ("no_owner", Verdict.NOT_RUN)
