--- a/cassiaweir/requests/_broker.py
+++ b/cassiaweir/requests/_broker.py
@@ -16,6 +16,7 @@
 REFUSED_SECONDS = 5.0
 FIRST_SERVICE_SECONDS = 0.1
 SERVICE_TIME_WEIGHT = 0.05
+SHED_SECONDS = 0.05
 SHORTEST_RETRY_SECONDS = 0.05
 UNKNOWN_SERVICE_RETRY_SECONDS = 1.0
 
@@ -109,6 +110,7 @@
         self._grants: dict[tuple[str, int], _Held] = {}
         self._waiting: dict[str, WaitingWants] = {}
         self._service_seconds: dict[str, float] = {}
+        self._next_shed = 0.0
 
     def set_backends(
         self, backends: Iterable[Backend], gateways: Sequence[str] | None = None
@@ -119,6 +121,7 @@
         then only time settles a backend server that is new here.
         """
         now = self._clock.monotonic()
+        self._next_shed = 0.0
         new = {backend.name: backend for backend in backends}
         for name in self._servers.keys() - new.keys():
             self._drop(name)
@@ -205,8 +208,12 @@
         self._expire(now)
         self._settle(now)
         decisions: list[Decision] = []
+        shed = now >= self._next_shed
+        if shed:
+            self._next_shed = now + SHED_SECONDS
         for service, queue in self._waiting.items():
-            decisions += self._shed(service, queue, now)
+            if shed:
+                decisions += self._shed(service, queue, now)
             decisions += self._grant_waiting(queue, now)
         return decisions
 
