--- a/cassiaweir/requests/_broker.py
+++ b/cassiaweir/requests/_broker.py
@@ -10,10 +10,13 @@
 from cassiaweir.requests._waiting import WaitingWants
 from cassiaweir.types import Clock
 
+MARGIN = timedelta(seconds=2)
+MOST_WAITING = 64
 SUSPECT_SECONDS = 5.0
 REFUSED_SECONDS = 5.0
 FIRST_SERVICE_SECONDS = 0.1
 SERVICE_TIME_WEIGHT = 0.05
+SHED_SECONDS = 0.05
 SHORTEST_RETRY_SECONDS = 0.05
 UNKNOWN_SERVICE_RETRY_SECONDS = 1.0
 
@@ -85,6 +88,8 @@
     to the request's deadline plus `margin`, and a backend server must stop serving
     a request within `margin` after its deadline.  `longest` bounds the time to a
     deadline, so `longest + margin` after a takeover no earlier grant is in use.
+    `share` gives the positive weight of a team; `queue_limit` bounds the waiting
+    wants of each team and class.
     """
 
     def __init__(
@@ -92,9 +97,9 @@
         clock: Clock,
         *,
         longest: timedelta,
-        margin: timedelta,
-        queue_limit: int,
         share: Callable[[str], float],
+        margin: timedelta = MARGIN,
+        queue_limit: int = MOST_WAITING,
     ) -> None:
         self._clock = clock
         self._longest = longest.total_seconds()
@@ -105,6 +110,7 @@
         self._grants: dict[tuple[str, int], _Held] = {}
         self._waiting: dict[str, WaitingWants] = {}
         self._service_seconds: dict[str, float] = {}
+        self._next_shed = 0.0
 
     def set_backends(
         self, backends: Iterable[Backend], gateways: Sequence[str] | None = None
@@ -115,6 +121,7 @@
         then only time settles a backend server that is new here.
         """
         now = self._clock.monotonic()
+        self._next_shed = 0.0
         new = {backend.name: backend for backend in backends}
         for name in self._servers.keys() - new.keys():
             self._drop(name)
@@ -201,8 +208,12 @@
         self._expire(now)
         self._settle(now)
         decisions: list[Decision] = []
+        shed = now >= self._next_shed
+        if shed:
+            self._next_shed = now + SHED_SECONDS
         for service, queue in self._waiting.items():
-            decisions += self._shed(service, queue, now)
+            if shed:
+                decisions += self._shed(service, queue, now)
             decisions += self._grant_waiting(queue, now)
         return decisions
 
