--- a/cassiaweir/fleet/_lease.py
+++ b/cassiaweir/fleet/_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -171,9 +172,21 @@
         if not self._owned:
             return
         self.lose()
+        try:
+            await self._write_released(self.version)
+        except ConflictError:
+            # A renewal of ours whose answer was lost may have raised the version.
+            row = (await self._table.read([self.key])).get(self.key)
+            state = _decode(row)
+            if row is None or (state.owner, state.epoch) != (self._process, self.epoch):
+                return
+            with contextlib.suppress(ConflictError):
+                await self._write_released(row.version)
+
+    async def _write_released(self, version: int) -> None:
         state = ShardRow("", "", self.epoch, self._renewals)
         await self._table.commit(
-            [Check(self.key, self.version)],
+            [Check(self.key, version)],
             [Write(self.key, msgspec.json.encode(state))],
         )
 
--- a/tests/test_fleet_lease.py
+++ b/tests/test_fleet_lease.py
@@ -162,3 +162,14 @@
     assert first.version == version
     clock.advance(timedelta(seconds=1).total_seconds())
     await first.renew()
+
+
+async def test_a_release_after_a_takeover_changes_nothing(table, clock):
+    first, second = lease("a", table, clock), lease("b", table, clock)
+    await first.challenge()
+    await second.challenge()
+    clock.advance(WATCH)
+    assert await second.challenge()
+    await first.release()
+    await second.renew()
+    assert second.held()
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -63,6 +63,7 @@
             for n, link in enumerate(self.links)
         ]
         self.succeeded = set()
+        self.frozen = set()
         self.jobs = 0
         self.run(self.rigs[0].acquire())
         self.submit(3)
@@ -87,6 +88,26 @@
     def advance(self, seconds):
         self.clock.advance(seconds)
 
+    @rule(seconds=st.sampled_from([1, 2, 2, 4, 7]), rounds=st.integers(1, 4))
+    def work(self, seconds, rounds):
+        for _ in range(rounds):
+            self.clock.advance(seconds)
+            for owner in (0, 1):
+                if owner not in self.frozen:
+                    self.hold(owner)
+                    self.turn(owner)
+            self.runs_once()
+
+    @rule(owner=OWNERS, cut=st.booleans())
+    def cut_off(self, owner, cut):
+        """Cut an owner from the table so long that the other one takes over."""
+        self.links[owner].cut = cut
+        self.work(2, 4)
+
+    @rule(owner=OWNERS)
+    def freeze(self, owner):
+        self.frozen ^= {owner}
+
     @rule(owner=OWNERS)
     def hold(self, owner):
         rig = self.rigs[owner]
