--- a/cassiaweir/fleet/__init__.py
+++ b/cassiaweir/fleet/__init__.py
@@ -5,6 +5,7 @@
 from cassiaweir.fleet._part_store import Committer
 from cassiaweir.fleet._roster import Health
 from cassiaweir.fleet._runner import Allotments, PartStatus, RunnerTerms, ShardRunner
+from cassiaweir.fleet._service import SchedulerService
 from cassiaweir.fleet._shards import shard_domain, shard_name, shard_names, shard_of
 from cassiaweir.fleet._worker_driver import DriverTerms, WorkerDriver
 
@@ -18,6 +19,7 @@
     "Peers",
     "Predecessor",
     "RunnerTerms",
+    "SchedulerService",
     "ShardKeeper",
     "ShardLease",
     "ShardRow",
--- a/cassiaweir/work/__init__.py
+++ b/cassiaweir/work/__init__.py
@@ -1,5 +1,6 @@
 """Jobs, their parts, and the life of a task."""
 
+from cassiaweir.work._division import ShardRoom, Share, divide
 from cassiaweir.work._models import JobRow, JobSpec, PartRow, TaskSize
 from cassiaweir.work._part import (
     Acknowledgement,
@@ -20,16 +21,30 @@
     part_key,
     part_prefix,
 )
+from cassiaweir.work._scheduler_client import (
+    PartAnswer,
+    SchedulerCalls,
+    SchedulerClient,
+)
+from cassiaweir.work._submission import JobPage, JobStatus, Submission
 
 __all__ = [
     "JOB_PREFIX",
     "Acknowledgement",
     "DoneRow",
+    "JobPage",
     "JobRow",
     "JobSpec",
+    "JobStatus",
     "NextStep",
     "Part",
+    "PartAnswer",
     "PartRow",
+    "SchedulerCalls",
+    "SchedulerClient",
+    "ShardRoom",
+    "Share",
+    "Submission",
     "TaskPhase",
     "TaskRecord",
     "TaskSize",
@@ -37,6 +52,7 @@
     "decode_done",
     "decode_job",
     "decode_part",
+    "divide",
     "done_key",
     "expand_ranges",
     "job_key",
