--- a/cassiaweir/api/_jobs.py
+++ b/cassiaweir/api/_jobs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from typing import Protocol
 
 import msgspec
@@ -11,7 +10,7 @@
 from cassiaweir.api._access import read_queue_team, read_team
 from cassiaweir.exceptions import InvalidInputError, NotFoundError
 from cassiaweir.types import CellView
-from cassiaweir.work import JobRow, JobSpec, JobStatus
+from cassiaweir.work import JobPage, JobRow, JobSpec, JobStatus
 
 JSON = "application/json"
 DEFAULT_PAGE = 100
@@ -30,15 +29,10 @@
     async def cancel(self, job: str) -> JobRow:
         """Cancel a job, or raise `NotFoundError`."""
 
-    async def list(self, *, after: str = "", limit: int = DEFAULT_PAGE) -> list[JobRow]:
-        """Return jobs ordered by name, from the first one past `after`."""
-
-
-class JobPage(msgspec.Struct, frozen=True):
-    """A page of jobs; `next` continues the listing and is empty at its end."""
-
-    jobs: Sequence[JobRow]
-    next: str
+    async def list(
+        self, prefix: str, *, after: str = "", limit: int = DEFAULT_PAGE
+    ) -> JobPage:
+        """Return jobs whose names start with `prefix` and follow `after`."""
 
 
 class JobApi:
@@ -68,24 +62,25 @@
         """Answer with the job and the live state of its parts."""
         team = read_team(request, self._view)
         status = await self._jobs.status(job)
-        _require_own(status.job, team)
+        _require_own(status.row, team)
         return _json_response(status)
 
     async def cancel(self, request: Request, job: str) -> HTTPResponse:
         """Cancel the job; its running tasks are stopped soon after."""
         team = read_team(request, self._view)
         status = await self._jobs.status(job)
-        _require_own(status.job, team)
+        _require_own(status.row, team)
         return _json_response(await self._jobs.cancel(job))
 
     async def list(self, request: Request) -> HTTPResponse:
         """Answer with a page of the team's jobs."""
         team = read_team(request, self._view)
         limit = _read_limit(request)
-        rows = await self._jobs.list(after=request.args.get("after", ""), limit=limit)
-        own = [row for row in rows if row.team == team]
-        following = rows[-1].job if len(rows) == limit else ""
-        return _json_response(JobPage(own, following))
+        prefix = request.args.get("prefix", "")
+        after = request.args.get("after", "")
+        page = await self._jobs.list(prefix, after=after, limit=limit)
+        own = [row for row in page.jobs if row.team == team]
+        return _json_response(JobPage(own, page.after))
 
 
 def _decode_spec(body: bytes) -> JobSpec:
@@ -109,5 +104,5 @@
         raise NotFoundError(f"there is no job {row.job!r}")
 
 
-def _json_response(value: msgspec.Struct, *, status: int = 200) -> HTTPResponse:
+def _json_response(value: object, *, status: int = 200) -> HTTPResponse:
     return HTTPResponse(msgspec.json.encode(value), status=status, content_type=JSON)
--- a/cassiaweir/composition.py
+++ b/cassiaweir/composition.py
@@ -11,6 +11,7 @@
     DriverTerms,
     LeaseTerms,
     RunnerTerms,
+    SchedulerService,
     ShardKeeper,
     ShardLease,
     ShardRunner,
@@ -27,6 +28,8 @@
     HttpVmList,
     HttpWorkers,
     PlatformSession,
+    SharedVmList,
+    WorkerSizes,
 )
 from cassiaweir.process import Component, Process, run_process
 from cassiaweir.rpc._peer import PeerServicer
@@ -37,6 +40,7 @@
 PROCESS_SUFFIX_BYTES = 4
 GATEWAY = "gateway"
 SCHEDULER = "scheduler"
+WORKER_SIZES_POLL = timedelta(seconds=10)
 SLOT_LEASE_MARGIN = timedelta(seconds=1)
 MOST_WAITING_REQUESTS = 512
 
@@ -70,7 +74,11 @@
         self.session = PlatformSession(settings.vm_name, settings.platform_timeout)
         self.table = HttpTable(self.session, settings.platform_table, self.clock)
         self.objects = HttpObjectStore(self.session, settings.platform_objects)
-        self.vm_list = HttpVmList(self.session, settings.platform_vms)
+        self.vm_list = SharedVmList(
+            HttpVmList(self.session, settings.platform_vms),
+            self.clock,
+            longest_age=settings.platform_vm_poll,
+        )
         self.commits = GroupCommit(self.table, self.clock, self.metrics)
         self.channels = Channels()
         self.view = TableView(
@@ -139,8 +147,9 @@
 
 def build_gateway(settings: Settings) -> Process:
     """Wire the gateway."""
-    from cassiaweir.api import HttpFront, RequestApi
+    from cassiaweir.api import HttpFront, JobApi, RequestApi
     from cassiaweir.requests import BackendCaller, Claims, Router, SlotClient
+    from cassiaweir.work import SchedulerClient, Submission
 
     base = _Foundation(settings, GATEWAY, settings.gateway_rpc)
     base.join()
@@ -176,7 +185,23 @@
         longest=settings.gateway_request_timeout,
         clock=base.clock,
     )
-    front = HttpFront(settings, [requests.blueprint()], base.events, base.metrics)
+    sizes = WorkerSizes(
+        base.vm_list,
+        base.clock,
+        shard_of=lambda vm: _shard_of(settings, vm),
+        poll=WORKER_SIZES_POLL,
+    )
+    schedulers = SchedulerClient(base.channels, settings.platform_timeout)
+    jobs = Submission(
+        table=base.table,
+        directory=base.peers,
+        vm_sizes=sizes.of_shard,
+        schedulers=schedulers,
+        clock=base.clock,
+        events=base.events,
+    )
+    blueprints = [requests.blueprint(), JobApi(base.view, jobs).blueprint()]
+    front = HttpFront(settings, blueprints, base.events, base.metrics)
     rpc = RpcServer(settings.gateway_rpc, [base.peer_service.register], base.events)
     components: list[Component] = [
         base.session,
@@ -186,6 +211,8 @@
         base.view,
         base.rows,
         base.peers,
+        sizes,
+        jobs,
         backends,
         slots,
         front,
@@ -233,7 +260,11 @@
     )
     rpc = RpcServer(
         settings.scheduler_rpc,
-        [base.peer_service.register, slots.register],
+        [
+            base.peer_service.register,
+            slots.register,
+            SchedulerService(keeper).register,
+        ],
         base.events,
     )
     components: list[Component] = [
--- a/cassiaweir/fleet/_service.py
+++ b/cassiaweir/fleet/_service.py
@@ -14,6 +14,10 @@
     def __init__(self, keeper: ShardKeeper) -> None:
         self._keeper = keeper
 
+    def register(self, server: grpc.aio.Server) -> None:
+        """Add the service to `server`."""
+        cell_pb2_grpc.add_SchedulerServicer_to_server(self, server)
+
     async def NotifyParts(  # noqa: N802
         self, req: cell_pb2.PartsCommitted, context: grpc.aio.ServicerContext
     ) -> cell_pb2.Ack:
--- a/cassiaweir/platform/__init__.py
+++ b/cassiaweir/platform/__init__.py
@@ -3,6 +3,7 @@
 from cassiaweir.platform._group_commit import GroupCommit
 from cassiaweir.platform._services import HttpObjectStore, HttpVmList, HttpWorkers
 from cassiaweir.platform._session import PlatformSession
+from cassiaweir.platform._shared_list import SharedVmList, WorkerSizes
 from cassiaweir.platform._table import HttpTable
 
 __all__ = [
@@ -12,4 +13,6 @@
     "HttpVmList",
     "HttpWorkers",
     "PlatformSession",
+    "SharedVmList",
+    "WorkerSizes",
 ]
--- /dev/null
+++ b/cassiaweir/platform/_shared_list.py
@@ -0,0 +1,84 @@
+"""One copy of the VM list for all parts of a process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from cassiaweir.exceptions import UnavailableError
+from cassiaweir.types import Clock, Resources, Vm, VmList, VmRole
+
+
+class SharedVmList:
+    """Implements `VmList` with one call to the platform for many readers.
+
+    A reader gets a list that was asked for at most `longest_age` ago.
+    """
+
+    def __init__(
+        self, vm_list: VmList, clock: Clock, *, longest_age: timedelta
+    ) -> None:
+        self._vm_list = vm_list
+        self._clock = clock
+        self._longest_age = longest_age.total_seconds()
+        self._vms: list[Vm] = []
+        self._asked_at = float("-inf")
+        self._lock = asyncio.Lock()
+
+    async def fetch(self) -> list[Vm]:
+        """Return all VMs, or raise `UnavailableError`."""
+        async with self._lock:
+            now = self._clock.monotonic()
+            if now - self._asked_at >= self._longest_age:
+                self._vms = await self._vm_list.fetch()
+                self._asked_at = now
+            return self._vms
+
+
+class WorkerSizes:
+    """Keeps the sizes of the worker VMs of each shard, as last listed."""
+
+    def __init__(
+        self,
+        vm_list: VmList,
+        clock: Clock,
+        *,
+        shard_of: Callable[[Vm], str],
+        poll: timedelta,
+    ) -> None:
+        self._vm_list = vm_list
+        self._clock = clock
+        self._shard_of = shard_of
+        self._poll = poll
+        self._sizes: dict[str, list[Resources]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to follow the list."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop following the list."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def of_shard(self, shard: str) -> Sequence[Resources]:
+        """Return the capacities of the worker VMs of `shard`."""
+        return self._sizes.get(shard, ())
+
+    async def refresh(self) -> None:
+        """Read the list once, or raise `UnavailableError`."""
+        sizes: dict[str, list[Resources]] = {}
+        for vm in await self._vm_list.fetch():
+            if vm.role is VmRole.WORKER:
+                sizes.setdefault(self._shard_of(vm), []).append(vm.capacity)
+        self._sizes = sizes
+
+    async def _run(self) -> None:
+        while True:
+            with contextlib.suppress(UnavailableError):
+                await self.refresh()
+            await self._clock.sleep(self._poll)
--- a/cassiaweir/work/_scheduler_client.py
+++ b/cassiaweir/work/_scheduler_client.py
@@ -10,6 +10,7 @@
 
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
+from cassiaweir.rpc._server import Channels
 from cassiaweir.verdict import Verdict
 
 
@@ -36,20 +37,11 @@
 
 
 class SchedulerClient:
-    """Implements `SchedulerCalls` over gRPC, with one channel for each address."""
+    """Implements `SchedulerCalls` over gRPC."""
 
-    def __init__(self, timeout: timedelta) -> None:
+    def __init__(self, channels: Channels, timeout: timedelta) -> None:
+        self._channels = channels
         self._timeout = timeout.total_seconds()
-        self._channels: dict[str, grpc.aio.Channel] = {}
-
-    async def start(self) -> None:
-        """Do nothing; channels are opened with the first call."""
-
-    async def stop(self) -> None:
-        """Close all channels."""
-        for channel in self._channels.values():
-            await channel.close()
-        self._channels.clear()
 
     async def notify_parts(self, address: str, shard: str, job: str) -> None:
         """Tell the owner of `shard` to look at the part of `job`."""
@@ -79,10 +71,7 @@
         ]
 
     def _stub(self, address: str) -> cell_pb2_grpc.SchedulerStub:
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = self._channels[address] = grpc.aio.insecure_channel(address)
-        return cell_pb2_grpc.SchedulerStub(channel)
+        return cell_pb2_grpc.SchedulerStub(self._channels.get(address))
 
 
 def _unavailable(address: str, exc: grpc.aio.AioRpcError) -> UnavailableError:
--- a/tests/test_configuration_life.py
+++ b/tests/test_configuration_life.py
@@ -1,6 +1,7 @@
 """Tests of the life of a bundle: races, lost answers, crashes and rereads."""
 
 import asyncio
+import contextlib
 from datetime import timedelta
 
 import pytest
@@ -70,10 +71,8 @@
         held, self._held = self._held, None
         if held is None:
             return
-        try:
+        with contextlib.suppress(ConflictError):
             await super().commit(*held)
-        except ConflictError:
-            pass
 
 
 def bundle(share: int) -> Bundle:
@@ -172,7 +171,7 @@
 
     @rule()
     def restart(self):
-        """A process starts afresh and reads everything again."""
+        """Start a process afresh, which reads everything again."""
         self.repository = BundleRepository(self.audited)
         self.view = make_view(self.table)
 
--- a/tests/test_configuration_view.py
+++ b/tests/test_configuration_view.py
@@ -24,6 +24,7 @@
 from cassiaweir.teams import KeyRegistry
 from cassiaweir.types import Write
 from standins.memory import MemoryTable
+from tests.waiting import until
 
 BUNDLE = """
 [[team]]
@@ -215,8 +216,7 @@
     view = cell.view()
     await view.start()
     await cell.roll_out()
-    while view.bundle_version == 0:
-        await asyncio.sleep(0)
+    await until(lambda: view.bundle_version > 0)
     await view.stop()
     assert view.team("dogana").share == 1
 
--- a/tests/test_membership_rows.py
+++ b/tests/test_membership_rows.py
@@ -117,7 +117,7 @@
     await two.step()
     await one.step()
     fleet.clock.advance(STALE_SECONDS)
-    (row,) = [row for row in await fleet.table.scan("member/t")]
+    (row,) = await fleet.table.scan("member/t")
     await two.step()
     await one._remove(row)
     assert await fleet.names() == ["one", "two"]
