Run gateway and scheduler of an entry VM in one process

Cause: two idle processes took 79.7 MiB of PSS and 7.5% of a core on an entry VM, above the aim of 64 MB and 3.9%. Ruled out: leaving out a library, as each of sanic, aiohttp and gRPC serves one border. The roles stay available alone.

--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -11,6 +11,7 @@
 
 from cassiaweir import __version__
 from cassiaweir.exceptions import CassiaweirError
+from cassiaweir.roles import Role
 from cassiaweir.settings import Settings
 
 EXIT_FAILURE = 1
@@ -55,28 +56,40 @@
     """
 
 
+@main.command()
+@settings_options
+def entry(path: Path | None, overrides: tuple[str, ...]) -> None:
+    """Run gateway and scheduler of an entry VM in one process.
+
+    Example: cassiaweir entry --settings entry-vm.toml
+    """
+    _run(Role.ENTRY, path, overrides)
+
+
 @main.command()
 @settings_options
 def gateway(path: Path | None, overrides: tuple[str, ...]) -> None:
-    """Run the gateway of an entry VM.
+    """Run only the gateway of an entry VM.
 
     Example: cassiaweir gateway --settings entry-vm.toml
     """
-    from cassiaweir.composition import run_gateway
-
-    run_gateway(load_settings(path, overrides))
+    _run(Role.GATEWAY, path, overrides)
 
 
 @main.command()
 @settings_options
 def scheduler(path: Path | None, overrides: tuple[str, ...]) -> None:
-    """Run the scheduler of an entry VM.
+    """Run only the scheduler of an entry VM.
 
     Example: cassiaweir scheduler --settings entry-vm.toml
     """
-    from cassiaweir.composition import run_scheduler
+    _run(Role.SCHEDULER, path, overrides)
+
+
+def _run(role: Role, path: Path | None, overrides: tuple[str, ...]) -> None:
+    from cassiaweir.composition import run_role
 
-    run_scheduler(load_settings(path, overrides))
+    run_role(load_settings(path, overrides), role)
 
 
 @main.command("check-settings")
--- /dev/null
+++ b/cassiaweir/composition/_foundation.py
@@ -0,0 +1,138 @@
+"""What every process has: platform clients, view, membership and events."""
+
+from __future__ import annotations
+
+import secrets
+
+from cassiaweir.clock import SystemClock
+from cassiaweir.configuration import TableView
+from cassiaweir.fleet import shard_of
+from cassiaweir.membership import Member, MemberRows, Peers, Role
+from cassiaweir.observe import EventLog, Metrics, configure_logs
+from cassiaweir.platform import (
+    GroupCommit,
+    HttpObjectStore,
+    HttpTable,
+    HttpVmList,
+    PlatformSession,
+    SharedVmList,
+)
+from cassiaweir.process import Component, Process
+from cassiaweir.rpc._peer import PeerServicer
+from cassiaweir.rpc._server import Channels, Registration, RpcServer
+from cassiaweir.settings import Settings
+from cassiaweir.types import OwnedShards, Vm
+
+PROCESS_SUFFIX_BYTES = 4
+
+
+def process_name(settings: Settings, role: Role) -> str:
+    """Return a name that no other start of any process has."""
+    return f"{settings.vm_name}.{role}.{secrets.token_hex(PROCESS_SUFFIX_BYTES)}"
+
+
+class Foundation:
+    """What every process has: platform clients, view, membership, events."""
+
+    def __init__(self, settings: Settings, role: Role, address: str) -> None:
+        self.settings = settings
+        self.process = process_name(settings, role)
+        configure_logs(self.process, settings.log_level)
+        self.clock = SystemClock()
+        self.events = EventLog(self.process, self.clock)
+        self.metrics = Metrics()
+        self.session = PlatformSession(settings.vm_name, settings.platform_timeout)
+        self.table = HttpTable(self.session, settings.platform_table, self.clock)
+        self.objects = HttpObjectStore(self.session, settings.platform_objects)
+        self.vm_list = SharedVmList(
+            HttpVmList(self.session, settings.platform_vms),
+            self.clock,
+            longest_age=settings.platform_vm_poll,
+        )
+        self.commits = GroupCommit(self.table, self.clock, self.metrics)
+        self.channels = Channels()
+        self.view = TableView(
+            self.table,
+            self.events,
+            self.clock,
+            poll=settings.platform_poll,
+            age_limit=settings.cell_view_age_limit,
+        )
+        self.member = Member(
+            process=self.process,
+            role=role,
+            vm=settings.vm_name,
+            failure_domain=settings.vm_failure_domain,
+            address=address,
+        )
+
+    def join(self, owned: OwnedShards | None = None) -> None:
+        """Build the membership; `owned` tells the shards of this process."""
+        self.rows = MemberRows(
+            self.member,
+            self.table,
+            self.events,
+            self.clock,
+            heard_within=lambda process, age: self.peers.heard_within(process, age),
+        )
+        self.peers = Peers(
+            self.member,
+            self.view,
+            self.channels,
+            self.events,
+            self.clock,
+            heartbeat=self.settings.cell_heartbeat,
+            members=self.rows.members,
+            owned=owned,
+        )
+        self.peer_service = PeerServicer(
+            self.peers,
+            self.view,
+            self.events,
+            self.metrics,
+            self.clock,
+            state=self.describe,
+        )
+
+    def describe(self) -> str:
+        """Return the state of the process as text."""
+        lines = [
+            f"process: {self.process}",
+            f"bundle_version: {self.view.bundle_version}",
+            f"keys_version: {self.view.keys_version}",
+            f"view_age_seconds: {self.view.age().total_seconds():.3f}",
+        ]
+        lines += [
+            f"shard: {owner.shard} owner={owner.process} epoch={owner.epoch}"
+            for owner in self.peers.owners()
+        ]
+        return "\n".join(lines) + "\n"
+
+    def gateways(self) -> list[str]:
+        """Return the process ids of the other processes that are gateways."""
+        return [
+            member.process
+            for member in self.rows.members()
+            if Role.GATEWAY in member.role.parts
+        ]
+
+    def shard_of(self, vm: Vm) -> str:
+        """Return the shard that `vm` belongs to."""
+        return shard_of(vm, self.settings.scheduler_shards_per_domain)
+
+    def process_of(
+        self, registrations: list[Registration], components: list[Component]
+    ) -> Process:
+        """Return the process; `components` start after everything of this class."""
+        services = [self.peer_service.register, *registrations]
+        rpc = RpcServer(self.member.address, services, self.events)
+        first: list[Component] = [
+            self.session,
+            self.commits,
+            self.channels,
+            rpc,
+            self.view,
+            self.rows,
+            self.peers,
+        ]
+        return Process(first + components, self.events)
--- /dev/null
+++ b/cassiaweir/composition/_gateway.py
@@ -0,0 +1,69 @@
+"""Wires what serves callers."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from cassiaweir.api import HttpFront, JobApi, RequestApi
+from cassiaweir.composition._foundation import Foundation
+from cassiaweir.platform import WorkerSizes
+from cassiaweir.process import Component
+from cassiaweir.requests import BackendCaller, Claims, Router, SlotClient
+from cassiaweir.work import SchedulerClient, Submission
+
+WORKER_SIZES_POLL = timedelta(seconds=10)
+
+
+def gateway_components(base: Foundation) -> list[Component]:
+    """Return the components of a gateway in the order of their start."""
+    settings = base.settings
+    slots = SlotClient(
+        base.peers,
+        process=base.process,
+        failure_domain=settings.vm_failure_domain,
+        clock=base.clock,
+        events=base.events,
+    )
+    backends = BackendCaller(
+        gateways=lambda: 1 + len(base.gateways()), clock=base.clock
+    )
+    claims = Claims(
+        base.table,
+        base.commits,
+        base.objects,
+        process=base.process,
+        clock=base.clock,
+        events=base.events,
+    )
+    router = Router(
+        slots,
+        backends,
+        claims,
+        clock=base.clock,
+        events=base.events,
+        metrics=base.metrics,
+    )
+    requests = RequestApi(
+        base.view,
+        router,
+        longest=settings.gateway_request_timeout,
+        clock=base.clock,
+    )
+    sizes = WorkerSizes(
+        base.vm_list,
+        base.clock,
+        shard_of=base.shard_of,
+        poll=WORKER_SIZES_POLL,
+    )
+    schedulers = SchedulerClient(base.channels, settings.platform_timeout)
+    jobs = Submission(
+        table=base.table,
+        directory=base.peers,
+        vm_sizes=sizes.of_shard,
+        schedulers=schedulers,
+        clock=base.clock,
+        events=base.events,
+    )
+    blueprints = [requests.blueprint(), JobApi(base.view, jobs).blueprint()]
+    front = HttpFront(settings, blueprints, base.events, base.metrics)
+    return [sizes, jobs, backends, slots, front]
--- /dev/null
+++ b/cassiaweir/composition/_scheduler.py
@@ -0,0 +1,133 @@
+"""Wires what owns shards and grants slots."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from cassiaweir.composition._foundation import Foundation
+from cassiaweir.configuration import TableView
+from cassiaweir.fleet import (
+    DriverTerms,
+    LeaseTerms,
+    RunnerTerms,
+    SchedulerService,
+    ShardKeeper,
+    ShardLease,
+    ShardRunner,
+    shard_names,
+)
+from cassiaweir.membership import SchedulerPeers
+from cassiaweir.placement import FairPlanner
+from cassiaweir.platform import HttpWorkers
+from cassiaweir.process import Component
+from cassiaweir.requests import SlotBroker, SlotService
+from cassiaweir.rpc._server import Registration
+from cassiaweir.types import ShardOwner
+
+SLOT_LEASE_MARGIN = timedelta(seconds=1)
+MOST_WAITING_REQUESTS = 512
+
+
+class DeferredShards:
+    """Breaks the circle between the keeper of shards and the heartbeats."""
+
+    def __init__(self) -> None:
+        self.keeper: ShardKeeper | None = None
+
+    def owned(self) -> list[ShardOwner]:
+        """Return the shards that this process owns."""
+        return list(self.keeper.owned()) if self.keeper is not None else []
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerParts:
+    """The gRPC services of a scheduler, and its components in order of start."""
+
+    registrations: list[Registration]
+    components: list[Component]
+
+
+def scheduler_parts(base: Foundation, shards: DeferredShards) -> SchedulerParts:
+    """Return the parts of a scheduler; `shards` learns of what it owns."""
+    settings = base.settings
+    keeper = _build_keeper(base)
+    shards.keeper = keeper
+    broker = SlotBroker(
+        base.clock,
+        longest=settings.gateway_request_timeout,
+        margin=SLOT_LEASE_MARGIN,
+        queue_limit=MOST_WAITING_REQUESTS,
+        share=lambda team: _share(base.view, team),
+    )
+    slots = SlotService(
+        broker,
+        keeper,
+        base.vm_list,
+        shard_of=base.shard_of,
+        gateways=base.gateways,
+        vm_poll=settings.platform_vm_poll,
+        clock=base.clock,
+        events=base.events,
+        metrics=base.metrics,
+    )
+    return SchedulerParts(
+        [slots.register, SchedulerService(keeper).register], [slots, keeper]
+    )
+
+
+def _build_keeper(base: Foundation) -> ShardKeeper:
+    """Wire the ownership of shards and what runs each of them."""
+    cfg = base.settings
+    terms = LeaseTerms(
+        lease=cfg.scheduler_shard_lease,
+        drift=cfg.scheduler_clock_drift,
+        autonomy=cfg.scheduler_autonomy,
+        workers_fence=cfg.scheduler_workers_fence,
+    )
+    driver_terms = DriverTerms(
+        task_lease=cfg.scheduler_task_lease,
+        task_renewal=cfg.scheduler_task_renewal,
+        command_expiry=cfg.scheduler_command_expiry,
+        drift=cfg.scheduler_clock_drift,
+    )
+    runner_terms = RunnerTerms(
+        lease=terms,
+        driver=driver_terms,
+        shards_per_domain=cfg.scheduler_shards_per_domain,
+        vm_poll=cfg.platform_vm_poll,
+    )
+    workers = HttpWorkers(base.session)
+
+    def build_runner(lease: ShardLease) -> ShardRunner:
+        return ShardRunner(
+            lease,
+            table=base.table,
+            committer=base.commits,
+            vm_list=base.vm_list,
+            workers=workers,
+            planner=FairPlanner(),
+            clock=base.clock,
+            events=base.events,
+            terms=runner_terms,
+        )
+
+    return ShardKeeper(
+        shard_names(cfg.cell_failure_domains, cfg.scheduler_shards_per_domain),
+        base.process,
+        base.member.address,
+        cfg.vm_failure_domain,
+        table=base.table,
+        clock=base.clock,
+        events=base.events,
+        terms=terms,
+        renewal=cfg.scheduler_shard_renewal,
+        peers=SchedulerPeers(base.member, base.peers),
+        build_runner=build_runner,
+    )
+
+
+def _share(view: TableView, name: str) -> float:
+    """Return the share of a team; teams that are not known yet get the least."""
+    team = view.team(name)
+    return team.share if team is not None else 1
--- a/cassiaweir/membership/__init__.py
+++ b/cassiaweir/membership/__init__.py
@@ -2,7 +2,7 @@
 
 from cassiaweir.membership._collector import Collected, Collector
 from cassiaweir.membership._known import KnownProcess, KnownProcesses
-from cassiaweir.membership._models import PROTOCOL_VERSION, Member, compatible
+from cassiaweir.membership._models import PROTOCOL_VERSION, Member, Role, compatible
 from cassiaweir.membership._peers import Peers
 from cassiaweir.membership._rows import MemberRows
 from cassiaweir.membership._schedulers import SchedulerPeers
@@ -16,6 +16,7 @@
     "Member",
     "MemberRows",
     "Peers",
+    "Role",
     "SchedulerPeers",
     "compatible",
 ]
--- a/cassiaweir/membership/_models.py
+++ b/cassiaweir/membership/_models.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from cassiaweir.roles import Role
+
 PROTOCOL_MAJOR = 1
 PROTOCOL_MINOR = 0
 MAJOR_SHIFT = 16
@@ -17,7 +19,7 @@
     """
 
     process: str
-    role: str
+    role: Role
     vm: str
     failure_domain: str
     address: str
--- a/cassiaweir/membership/_schedulers.py
+++ b/cassiaweir/membership/_schedulers.py
@@ -6,10 +6,10 @@
 from datetime import timedelta
 
 from cassiaweir.membership._known import KnownProcess
-from cassiaweir.membership._models import Member
+from cassiaweir.membership._models import Member, Role
 from cassiaweir.membership._peers import Peers
 
-SCHEDULER_ROLE = "scheduler"
+SCHEDULER_ROLES = {role for role in Role if Role.SCHEDULER in role.parts}
 LIVE_WITHIN = timedelta(seconds=5)
 
 
@@ -63,7 +63,7 @@
         return [
             known
             for known in self._peers.processes()
-            if known.state.role == SCHEDULER_ROLE
+            if known.state.role in SCHEDULER_ROLES
         ]
 
     def _usable(self, known: KnownProcess) -> bool:
--- a/lab/footprint.py
+++ b/lab/footprint.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import os
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import click
@@ -59,9 +60,10 @@
     return sum(values) / len(values)
 
 
-async def measure(deployment: str, seconds: float) -> None:
+async def measure(deployment: str, roles: Sequence[str], seconds: float) -> None:
     """Run an idle deployment and print the costs of each role."""
-    cluster = Cluster(DEPLOYMENTS[deployment], Path("build/footprint"))
+    layout = replace(DEPLOYMENTS[deployment], roles=roles)
+    cluster = Cluster(layout, Path("build/footprint"))
     try:
         await cluster.start()
         await asyncio.sleep(SETTLE_SECONDS)
@@ -71,7 +73,7 @@
         await asyncio.sleep(seconds)
         after = [read_sample(process.pid) for process in processes]
         total_bytes = read_loopback_bytes() - bytes_before
-        _print_roles(processes, before, after, seconds)
+        _print_roles(roles, processes, before, after, seconds)
         rate = total_bytes / seconds / len(cluster.entry_vms)
         click.echo(f"loopback bytes a second per entry VM: {rate:.0f}")
         await cluster.stop()
@@ -80,13 +82,14 @@
 
 
 def _print_roles(
+    roles: Sequence[str],
     processes: list[ManagedProcess],
     before: list[Sample],
     after: list[Sample],
     seconds: float,
 ) -> None:
     """Print PSS, processor share and threads of each role."""
-    for role in ("gateway", "scheduler"):
+    for role in roles:
         chosen = [
             (first, last)
             for process, first, last in zip(processes, before, after, strict=True)
@@ -106,10 +109,13 @@
 
 @click.command()
 @click.option("--deployment", type=click.Choice(list(DEPLOYMENTS)), required=True)
+@click.option(
+    "--roles", default="entry", show_default=True, help="entry or gateway,scheduler"
+)
 @click.option("--seconds", default=30.0, show_default=True)
-def main(deployment: str, seconds: float) -> None:
+def main(deployment: str, roles: str, seconds: float) -> None:
     """Measure an idle deployment with two entry VMs a failure domain."""
-    asyncio.run(measure(deployment, seconds))
+    asyncio.run(measure(deployment, roles.split(","), seconds))
 
 
 if __name__ == "__main__":
--- a/prove/cluster.py
+++ b/prove/cluster.py
@@ -38,6 +38,7 @@
     workers_fence: bool = True
     base_port: int = PLATFORM_BASE_PORT
     entry_base_port: int = ENTRY_BASE_PORT
+    roles: Sequence[str] = ("entry",)
     overrides: Sequence[str] = ()
 
     def platform_address(self, offset: int) -> str:
@@ -60,15 +61,16 @@
 
 @dataclass(slots=True)
 class EntryVmProcesses:
-    """The two processes of an entry VM and where they listen."""
+    """The processes of an entry VM by role, and where callers reach it."""
 
     name: str
     failure_domain: str
     http: str
-    gateway_rpc: str
-    scheduler_rpc: str
-    gateway: ManagedProcess
-    scheduler: ManagedProcess
+    processes: dict[str, ManagedProcess]
+
+    def serving(self, role: str) -> ManagedProcess:
+        """Return the process that fulfils `role` on this VM."""
+        return self.processes.get(role) or self.processes["entry"]
 
 
 @dataclass(slots=True)
@@ -98,11 +100,11 @@
         return self.layout.platform_address(CONTROL_OFFSET)
 
     def processes(self) -> list[ManagedProcess]:
-        """Return the gateways and schedulers."""
+        """Return the processes of all entry VMs."""
         return [
             process
             for vm in self.entry_vms.values()
-            for process in (vm.scheduler, vm.gateway)
+            for process in vm.processes.values()
         ]
 
     async def start(self) -> None:
@@ -151,10 +153,10 @@
             name=name,
             failure_domain=domain,
             http=addresses[0],
-            gateway_rpc=addresses[1],
-            scheduler_rpc=addresses[2],
-            gateway=self._role("gateway", name, domain, addresses),
-            scheduler=self._role("scheduler", name, domain, addresses),
+            processes={
+                role: self._role(role, name, domain, addresses)
+                for role in self.layout.roles
+            },
         )
 
     def _role(
