--- a/cassiaweir/fleet/_lease.py
+++ b/cassiaweir/fleet/_lease.py
@@ -120,7 +120,7 @@
         version = row.version if row else 0
         state = _decode(row)
         if state.owner == self._process:
-            return self._recognise(state, version)
+            return await self._recognise(state, version)
         if self._sighting is None or self._sighting.version != version:
             self._sighting = _Sighting(version, seen_at)
         if seen_at - self._sighting.since < self._patience(state, delay):
@@ -204,7 +204,6 @@
     async def _take(self, state: ShardRow, version: int) -> bool:
         taken = ShardRow(self._process, self._address, state.epoch + 1, 0)
         sent_at = self._clock.monotonic()
-        self._first_sent = {0: sent_at}
         self.predecessor = Predecessor(state.owner, state.address, not state.owner)
         try:
             versions = await self._table.commit(
@@ -218,14 +217,20 @@
             row = rows.get(self.key)
             if row is None or _decode(row).owner != self._process:
                 return False
-            return self._recognise(_decode(row), row.version)
+            return await self._recognise(_decode(row), row.version)
         self._begin(taken, versions[self.key], sent_at)
         return True
 
-    def _recognise(self, state: ShardRow, version: int) -> bool:
-        """Accept a row of ours that was written although the answer was lost."""
-        sent_at = self._first_sent.get(state.renewals, NEVER)
-        self._begin(state, version, sent_at)
+    async def _recognise(self, state: ShardRow, version: int) -> bool:
+        """Accept a row of ours that was written although the answer was lost.
+
+        It may stem from any of several attempts, so its lease counts as passed.
+        """
+        self._begin(state, version, NEVER)
+        try:
+            await self.renew()
+        except LeaseLostError:
+            return False
         return True
 
     def _begin(self, state: ShardRow, version: int, sent_at: float) -> None:
--- a/cassiaweir/fleet/_ownership.py
+++ b/cassiaweir/fleet/_ownership.py
@@ -11,7 +11,7 @@
 from cassiaweir.exceptions import LeaseLostError, UnavailableError
 from cassiaweir.fleet._lease import LeaseTerms, ShardLease
 from cassiaweir.fleet._runner import ShardRunner
-from cassiaweir.fleet._shards import rendezvous_rank, shard_domain
+from cassiaweir.fleet._shards import due_owners, shard_domain
 from cassiaweir.observe import EventLog
 from cassiaweir.types import Clock, ShardOwner, Table
 
@@ -197,10 +197,10 @@
 
     def _is_due(self, shard: str) -> bool:
         """Tell whether this process is the preferred owner of `shard`."""
-        live = self._peers.schedulers(shard_domain(shard))
-        if not live:
-            return True
-        return self._process == max(live, key=lambda name: rendezvous_rank(name, shard))
+        domain = shard_domain(shard)
+        live = self._peers.schedulers(domain)
+        shards = [name for name in self._seats if shard_domain(name) == domain]
+        return not live or self._process == due_owners(shards, live)[shard]
 
     def _is_surplus(self, shard: str) -> bool:
         """Tell whether a live process of the shard's failure domain owns too little.
--- a/cassiaweir/fleet/_runner.py
+++ b/cassiaweir/fleet/_runner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
@@ -53,10 +55,13 @@
 class Allotments(Protocol):
     """What each team may run in the shard."""
 
-    def apply(self, planner: Planner, book: TaskBook) -> None:
-        """Tell the planner what each team may run now."""
+    def apply(self, planner: Planner, held: Mapping[str, Resources]) -> list[str]:
+        """Tell the planner what each team may run, and return teams that run too much.
 
-    async def balance(self, planner: Planner) -> None:
+        `held` is what a former owner may still run for each team of the shard.
+        """
+
+    async def balance(self, planner: Planner, held: Mapping[str, Resources]) -> None:
         """Move allotments towards demand; raises `UnavailableError`."""
 
 
@@ -121,13 +126,16 @@
         self._notified: set[str] = set()
         self._table_wake = asyncio.Event()
         self._plan_wake = asyncio.Event()
+        self._allotment_wake = asyncio.Event()
         self._polled_at = float("-inf")
         self._listed_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Begin to recover the shard and run it."""
-        loops = (self._run_table, self._run_vm_list, self._run_plans)
+        loops = [self._run_table, self._run_vm_list, self._run_plans]
+        if self._allotments is not None:
+            loops.append(self._run_allotments)
         self._tasks = [asyncio.create_task(loop()) for loop in loops]
 
     async def stop(self) -> None:
@@ -291,7 +299,9 @@
         if not self.may_start():
             return Plan([], [])
         if self._allotments is not None:
-            self._allotments.apply(self._planner, self._book)
+            held = self._book.held_by_team()
+            for team in self._allotments.apply(self._planner, held):
+                self.stop_excess(team)
         plan = self._planner.plan(now, MOST_PLACEMENTS_A_ROUND)
         for preemption in plan.preemptions:
             self._book.stop(preemption.task, preemption.vm, checkpoint=True)
@@ -302,6 +312,13 @@
             self._book.place(placement)
         return plan
 
+    async def balance_allotments(self) -> None:
+        """Move the allotments of the shard's teams towards their demand."""
+        if self._allotments is not None and self.recovered:
+            held = self._book.held_by_team()
+            await self._allotments.balance(self._planner, held)
+            self._plan_wake.set()
+
     def stop_excess(self, team: str) -> None:
         """Checkpoint the tasks of `team` beyond its allotment."""
         for task, vm in self._planner.excess(team):
@@ -326,6 +343,7 @@
                 self._book.cancel(part)
         for part in changed:
             self._book.cancel(part)
+        self._allotment_wake.set()
         self._plan_wake.set()
 
     def _settle_hold(self, now: float) -> None:
@@ -389,6 +407,13 @@
                 self._events.record("vm_list_unavailable", self._lease.shard)
             await self._clock.sleep(self._terms.vm_poll)
 
+    async def _run_allotments(self) -> None:
+        while self._lease.owned:
+            self._allotment_wake.clear()
+            with contextlib.suppress(UnavailableError):
+                await self.balance_allotments()
+            await self._wait(self._allotment_wake, self._terms.vm_poll)
+
     async def _run_plans(self) -> None:
         while self._lease.owned:
             self._plan_wake.clear()
--- a/cassiaweir/fleet/_shards.py
+++ b/cassiaweir/fleet/_shards.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import xxhash
 
@@ -34,6 +34,20 @@
     return max(names, key=lambda name: rendezvous_rank(name, vm.rack))
 
 
+def due_owners(shards: Iterable[str], processes: Sequence[str]) -> dict[str, str]:
+    """Deal `shards` out to `processes` evenly; all who know the same get the same."""
+    counts = dict.fromkeys(processes, 0)
+    owners = {}
+    for shard in sorted(shards):
+        fewest = min(counts.values())
+        idle = [name for name, count in counts.items() if count == fewest]
+        ranks = {name: rendezvous_rank(name, shard) for name in idle}
+        owner = max(ranks, key=ranks.__getitem__)
+        owners[shard] = owner
+        counts[owner] += 1
+    return owners
+
+
 def rendezvous_rank(node: str, key: str) -> int:
     """Return the rank of `node` for `key`; the node of the highest rank wins."""
     return xxhash.xxh64_intdigest(f"{node}\0{key}".encode())
--- a/cassiaweir/fleet/_task_book.py
+++ b/cassiaweir/fleet/_task_book.py
@@ -53,13 +53,13 @@
         """Tell whether a task runs, or is being started, on `vm`."""
         return bool(self._on_vm.get(vm))
 
-    def held_back(self, team: str) -> Resources:
-        """Return what a former owner may still run for `team`, unseen by us."""
-        total = Resources()
+    def held_by_team(self) -> dict[str, Resources]:
+        """Return what a former owner may still run, unseen by us, for each team."""
+        total: dict[str, Resources] = {}
         for part in self._parts.values():
-            if part.row.team == team:
-                held = part.count([TaskPhase.HELD_BACK])
-                total += part.row.spec.size.resources() * held
+            held = part.count([TaskPhase.HELD_BACK])
+            amount = part.row.spec.size.resources() * held
+            total[part.row.team] = total.get(part.row.team, Resources()) + amount
         return total
 
     def running_tasks(self) -> int:
--- a/cassiaweir/teams/__init__.py
+++ b/cassiaweir/teams/__init__.py
@@ -1,5 +1,12 @@
 """Teams: keys, and the allotments of their upper limits."""
 
+from cassiaweir.teams._allotments import AllotmentRow, ShardAllotments
 from cassiaweir.teams._keys import GrantedKey, KeyRegistry, ListedKey
 
-__all__ = ["GrantedKey", "KeyRegistry", "ListedKey"]
+__all__ = [
+    "AllotmentRow",
+    "GrantedKey",
+    "KeyRegistry",
+    "ListedKey",
+    "ShardAllotments",
+]
--- a/cassiaweir/work/_scheduler_client.py
+++ b/cassiaweir/work/_scheduler_client.py
@@ -48,7 +48,7 @@
     async def stop(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
-            await channel.close()
+            await channel.close(None)
         self._channels.clear()
 
     async def notify_parts(self, address: str, shard: str, job: str) -> None:
--- /dev/null
+++ b/tests/test_fleet_ownership.py
@@ -0,0 +1,202 @@
+"""Tests of `cassiaweir.fleet._ownership` and of the scheduler's gRPC service."""
+
+from datetime import timedelta
+
+import grpc
+import pytest
+
+from cassiaweir.clock import ManualClock
+from cassiaweir.exceptions import UnavailableError
+from cassiaweir.fleet import PartStatus, SchedulerService, ShardKeeper
+from cassiaweir.observe import EventLog
+from cassiaweir.placement import WaitReason
+from cassiaweir.rpc import cell_pb2_grpc
+from cassiaweir.work import SchedulerClient
+from standins.memory import MemoryTable
+from tests.fleet_fakes import LEASE
+
+SHARDS = ["augusta-0", "augusta-1", "priolo-0"]
+
+
+class Peers:
+    """Says which schedulers live, for all keepers of a test."""
+
+    def __init__(self):
+        self.live = {"augusta": ["a", "b"], "priolo": []}
+        self.epoch = 0
+        self.gone = False
+
+    def schedulers(self, failure_domain):
+        return self.live[failure_domain]
+
+    def highest_epoch(self, shard):
+        return self.epoch
+
+    def replaced(self, process, address):
+        return self.gone
+
+
+class Runner:
+    """Stands for the runner of a shard."""
+
+    settled = True
+
+    def __init__(self, lease):
+        self.epoch = lease.epoch
+        self.running = False
+        self.former_gone = False
+        self.notified = []
+
+    async def start(self):
+        self.running = True
+
+    async def stop(self):
+        self.running = False
+
+    def former_owner_gone(self):
+        self.former_gone = True
+
+    def notify(self, job):
+        self.notified.append(job)
+
+    def status(self, job):
+        if job != "j1":
+            return None
+        return PartStatus("augusta-0", 1, 2, 3, 4, WaitReason.NO_ROOM)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def table():
+    return MemoryTable()
+
+
+@pytest.fixture
+def peers():
+    return Peers()
+
+
+@pytest.fixture
+def keepers(table, clock, peers):
+    return {name: keeper(name, table, clock, peers) for name in ("a", "b")}
+
+
+def keeper(name, table, clock, peers):
+    return ShardKeeper(
+        SHARDS,
+        name,
+        "127.0.0.1:1",
+        "augusta",
+        table=table,
+        clock=clock,
+        events=EventLog(name, clock),
+        terms=LEASE,
+        renewal=timedelta(seconds=2),
+        peers=peers,
+        build_runner=Runner,
+    )
+
+
+async def rounds(keepers, clock, count, skip=()):
+    for _ in range(count):
+        for name, one in keepers.items():
+            if name not in skip:
+                for shard in SHARDS:
+                    await one.step(shard)
+        clock.advance(2)
+
+
+def owners(keepers):
+    return {
+        shard: [name for name, one in keepers.items() if one.runner(shard)]
+        for shard in SHARDS
+    }
+
+
+async def test_every_shard_gets_one_owner_and_none_owns_all(keepers, clock):
+    await rounds(keepers, clock, 10)
+    found = owners(keepers)
+    assert all(len(names) == 1 for names in found.values())
+    assert found["augusta-0"] != found["augusta-1"]
+
+
+async def test_a_dead_owner_is_followed_after_lease_and_drift(keepers, clock, peers):
+    await rounds(keepers, clock, 10)
+    dead = owners(keepers)["augusta-0"][0]
+    (other,) = {"a", "b"} - {dead}
+    peers.live["augusta"] = [other]
+    await rounds(keepers, clock, 8, skip=[dead])
+    assert keepers[other].runner("augusta-0").epoch == 2
+    await keepers[dead].step("augusta-0")
+    assert keepers[dead].runner("augusta-0") is None
+
+
+async def test_a_stopped_keeper_releases_at_once(keepers, clock, peers):
+    await rounds(keepers, clock, 10)
+    gone = owners(keepers)["augusta-0"][0]
+    (other,) = {"a", "b"} - {gone}
+    runner = keepers[gone].runner("augusta-0")
+    await keepers[gone].stop()
+    assert not runner.running
+    peers.live["augusta"] = [other]
+    await keepers[other].step("augusta-0")
+    assert keepers[other].runner("augusta-0").running
+
+
+async def test_a_higher_epoch_told_by_a_peer_makes_the_owner_step_down(
+    keepers, clock, peers
+):
+    await rounds(keepers, clock, 10)
+    name = owners(keepers)["augusta-0"][0]
+    peers.epoch = 9
+    await keepers[name].step("augusta-0")
+    assert keepers[name].runner("augusta-0") is None
+
+
+async def test_without_the_table_an_owner_keeps_its_shard(keepers, clock, table):
+    await rounds(keepers, clock, 10)
+    name = owners(keepers)["augusta-0"][0]
+    table.down = True
+    await rounds(keepers, clock, 10)
+    assert keepers[name].runner("augusta-0").running
+
+
+async def test_the_runner_learns_that_its_predecessor_is_gone(keepers, clock, peers):
+    await rounds(keepers, clock, 10)
+    dead = owners(keepers)["augusta-0"][0]
+    (other,) = {"a", "b"} - {dead}
+    peers.live["augusta"] = [other]
+    await rounds(keepers, clock, 8, skip=[dead])
+    assert not keepers[other].runner("augusta-0").former_gone
+    peers.gone = True
+    await keepers[other].step("augusta-0")
+    assert keepers[other].runner("augusta-0").former_gone
+
+
+async def test_the_service_notifies_and_answers(keepers, clock):
+    await rounds(keepers, clock, 10)
+    name = owners(keepers)["augusta-0"][0]
+    server = grpc.aio.server()
+    cell_pb2_grpc.add_SchedulerServicer_to_server(
+        SchedulerService(keepers[name]), server
+    )
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    client = SchedulerClient(timedelta(seconds=5))
+    address = f"127.0.0.1:{port}"
+    try:
+        await client.notify_parts(address, "augusta-0", "j1")
+        assert keepers[name].runner("augusta-0").notified == ["j1"]
+        answers = await client.query_job(address, "j1")
+        (answer,) = answers
+        assert (answer.running, answer.waiting_reason) == (2, "no_room")
+        assert await client.query_job(address, "j2") == []
+        with pytest.raises(UnavailableError):
+            await client.notify_parts(address, "milazzo-0", "j1")
+    finally:
+        await client.stop()
+        await server.stop(None)
