Let a new owner settle by shard and epoch

A takeover waited out the longest lease for every new server, or trusted whatever list of gateways it had. That list lags by its scan, so an empty or early one could settle a shard while another gateway held slots. Now the first epoch settles at once, later ones after 6 s if all gateways listed within the longest lease have told, else after the longest lease; a server missing from the list keeps its grants.

--- a/cassiaweir/requests/_broker.py
+++ b/cassiaweir/requests/_broker.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from cassiaweir.requests._models import Grant, Hold, Refusal, SlotOutcome, Want
@@ -12,6 +12,10 @@
 
 MARGIN = timedelta(seconds=2)
 MOST_WAITING = 64
+FIRST_EPOCH = 1
+EARLY_SECONDS = 6.0
+"""Longer than a new member may be missing from the list of gateways."""
+
 SUSPECT_SECONDS = 5.0
 REFUSED_SECONDS = 5.0
 FIRST_SERVICE_SECONDS = 0.1
@@ -45,18 +49,26 @@
     suspect: bool = False
 
 
+@dataclass(slots=True)
+class _Shard:
+    """How far an owner has learnt what earlier owners of the shard granted."""
+
+    epoch: int
+    settles_at: float
+    early_at: float
+    told: set[str] = field(default_factory=set)
+
+
 @dataclass(slots=True)
 class _Server:
     """A backend server with its grants.
 
-    `unknown` slots may have been granted by an earlier owner; they count as in use
-    until `settles_at`, or until every known gateway has told what it holds.
+    `unknown` slots may have been granted by an earlier owner and count as in use
+    until the shard has settled.
     """
 
     backend: Backend
     unknown: int
-    settles_at: float
-    untold: set[str] | None
     held: set[tuple[str, int]] = field(default_factory=set)
     suspect_until: float = 0.0
     closed_until: float = 0.0
@@ -110,34 +122,50 @@
         self._grants: dict[tuple[str, int], _Held] = {}
         self._waiting: dict[str, WaitingWants] = {}
         self._service_seconds: dict[str, float] = {}
+        self._shards: dict[str, _Shard] = {}
+        self._gateways: dict[str, float] = {}
+        self._gateways_known = False
         self._next_shed = 0.0
 
     def set_backends(
-        self, backends: Iterable[Backend], gateways: Sequence[str] | None = None
+        self, backends: Iterable[Backend], owned: Mapping[str, int]
     ) -> None:
-        """Replace the backend servers by those of the shards owned now.
+        """Replace the backend servers by those of the shards in `owned`.
 
-        `gateways` are all live gateways; None means that they are not known, and
-        then only time settles a backend server that is new here.
+        `owned` gives the epoch of each shard.  A server that the list no longer
+        holds gets nothing new and is forgotten when its grants have ended.
         """
-        now = self._clock.monotonic()
         self._next_shed = 0.0
+        self._set_shards(owned)
         new = {backend.name: backend for backend in backends}
-        for name in self._servers.keys() - new.keys():
-            self._drop(name)
+        for name, server in list(self._servers.items()):
+            kept = server.backend.shard in owned and (name in new or server.held)
+            moved = name in new and new[name].shard != server.backend.shard
+            if moved or not kept:
+                self._drop(name)
+            elif name not in new:
+                server.backend = replace(server.backend, leaving=True)
         for name, backend in new.items():
-            server = self._servers.get(name)
-            if server is not None and server.backend.shard == backend.shard:
-                server.backend = backend
+            known = self._servers.get(name)
+            if known is not None:
+                known.backend = backend
                 continue
-            if server is not None:
-                self._drop(name)
-            self._servers[name] = _Server(
-                backend=backend,
-                unknown=backend.slots,
-                settles_at=now + self._longest + self._margin,
-                untold=None if gateways is None else set(gateways),
-            )
+            settled = self._settled(self._shards[backend.shard])
+            unknown = 0 if settled else backend.slots
+            self._servers[name] = _Server(backend, unknown)
+
+    def set_gateways(self, gateways: Iterable[str] | None) -> None:
+        """Note the gateways listed now, or None where they are not known.
+
+        One that is no longer listed may still hold slots for the longest lease.
+        """
+        now = self._clock.monotonic()
+        self._gateways_known = gateways is not None
+        for gateway in gateways or ():
+            self._gateways[gateway] = now
+        oldest = now - self._longest - self._margin
+        for gateway in [g for g, seen in self._gateways.items() if seen < oldest]:
+            del self._gateways[gateway]
 
     def attach(self, gateway: str, holds: Sequence[Hold]) -> None:
         """Begin a stream: grants that `holds` lacks never reached `gateway`."""
@@ -158,9 +186,8 @@
             lease = min(hold.lease, self._longest + self._margin)
             self._grants[key] = _Held(hold.backend, now, now + lease)
             server.held.add(key)
-        for server in self._servers.values():
-            if server.untold is not None:
-                server.untold.discard(gateway)
+        for shard in self._shards.values():
+            shard.told.add(gateway)
 
     def want(self, want: Want) -> Refusal | None:
         """Queue `want`, or refuse it at once where waiting cannot help."""
@@ -206,7 +233,7 @@
         """Return the grants and refusals that are due now."""
         now = self._clock.monotonic()
         self._expire(now)
-        self._settle(now)
+        self._settle()
         decisions: list[Decision] = []
         shed = now >= self._next_shed
         if shed:
@@ -282,14 +309,45 @@
         for key in server.held:
             del self._grants[key]
 
+    def _drop_shard(self, shard: str) -> None:
+        servers = list(self._servers.items())
+        for name in [name for name, s in servers if s.backend.shard == shard]:
+            self._drop(name)
+
     def _expire(self, now: float) -> None:
         for key in [k for k, held in self._grants.items() if held.expires_at <= now]:
             self._free(key)
 
-    def _settle(self, now: float) -> None:
+    def _set_shards(self, owned: Mapping[str, int]) -> None:
+        """Note the shards taken over, and forget those given up."""
+        now = self._clock.monotonic()
+        for shard in self._shards.keys() - owned.keys():
+            del self._shards[shard]
+        for shard, epoch in owned.items():
+            known = self._shards.get(shard)
+            if known is not None and known.epoch == epoch:
+                continue
+            self._drop_shard(shard)
+            # The first owner of a shard has no earlier one to wait for.
+            first = epoch <= FIRST_EPOCH
+            self._shards[shard] = _Shard(
+                epoch=epoch,
+                settles_at=now if first else now + self._longest + self._margin,
+                early_at=now + EARLY_SECONDS,
+            )
+
+    def _settled(self, shard: _Shard) -> bool:
+        """Tell whether no unknown grant of an earlier owner is in use."""
+        now = self._clock.monotonic()
+        if now >= shard.settles_at:
+            return True
+        if not self._gateways_known or now < shard.early_at:
+            return False
+        return self._gateways.keys() <= shard.told
+
+    def _settle(self) -> None:
         for server in self._servers.values():
-            told = server.untold is not None and not server.untold
-            if server.unknown and (told or now >= server.settles_at):
+            if server.unknown and self._settled(self._shards[server.backend.shard]):
                 server.unknown = 0
 
     def _shed(self, service: str, queue: WaitingWants, now: float) -> list[Refusal]:
--- a/cassiaweir/requests/_router.py
+++ b/cassiaweir/requests/_router.py
@@ -67,6 +67,9 @@
         task.add_done_callback(self._forget)
         return await asyncio.shield(task)
 
+    async def start(self) -> None:
+        """Do nothing; the router works as it is asked."""
+
     async def stop(self) -> None:
         """Wait for the requests that go on without their callers."""
         try:
--- a/cassiaweir/requests/_slot_service.py
+++ b/cassiaweir/requests/_slot_service.py
@@ -25,7 +25,7 @@
     """Serves the slots of the backend servers in the shards owned here.
 
     `shard_of` gives the shard of a VM.  `gateways` returns the process ids of all
-    live gateways as read after the newest takeover, or None while they are unknown.
+    gateways that are listed, or None while they are unknown.
     """
 
     def __init__(
@@ -50,8 +50,9 @@
         self._clock = clock
         self._events = events
         self._metrics = metrics
-        self._listed: list[Vm] = []
+        self._listed: list[Backend] = []
         self._known: list[Backend] = []
+        self._epochs: dict[str, int] = {}
         self._told_loads: list[cell_pb2.SlotLoad] = []
         self._streams: dict[str, asyncio.Queue[cell_pb2.SlotAnswer]] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -119,8 +120,10 @@
         answers.put_nowait(cell_pb2.SlotAnswer())
 
     def _take_in(self, gateway: str, message: cell_pb2.SlotRequest) -> None:
-        if message.tells_holds:
+        # A process that was paused may have lost its shards in the meantime.
+        if message.tells_holds or self._owned_epochs() != self._epochs:
             self._refresh()
+        if message.tells_holds:
             self._broker.tell(gateway, [_read_hold(hold) for hold in message.holds])
         for done in message.done:
             self._broker.done(gateway, done.ticket, _read_outcome(done))
@@ -219,28 +222,29 @@
 
     async def _fetch(self) -> None:
         try:
-            self._listed = await self._vms.fetch()
+            vms = await self._vms.fetch()
         except UnavailableError as exc:
             self._events.record("vm_list_unavailable", reason=str(exc))
             return
+        self._listed = [
+            _backend_of(vm, self._shard_of(vm))
+            for vm in vms
+            if vm.role is VmRole.BACKEND
+        ]
         self._refresh()
 
+    def _owned_epochs(self) -> dict[str, int]:
+        return {owner.shard: owner.epoch for owner in self._owned.owned()}
+
     def _refresh(self) -> None:
         """Tell the broker which backend servers it answers for now."""
-        owned = {owner.shard for owner in self._owned.owned()}
-        backends = [
-            backend
-            for backend in (
-                _backend_of(vm, self._shard_of(vm))
-                for vm in self._listed
-                if vm.role is VmRole.BACKEND
-            )
-            if backend.shard in owned
-        ]
-        if backends == self._known:
+        owned = self._owned_epochs()
+        backends = [backend for backend in self._listed if backend.shard in owned]
+        self._broker.set_gateways(self._gateways())
+        if (backends, owned) == (self._known, self._epochs):
             return
-        self._known = backends
-        self._broker.set_backends(backends, self._gateways())
+        self._known, self._epochs = backends, owned
+        self._broker.set_backends(backends, owned)
         self._events.record("slots_changed", servers=len(backends))
 
 
--- a/lab/slots.py
+++ b/lab/slots.py
@@ -173,7 +173,7 @@
             Backend(f"s{n}", "inventory", f"s{n}:1", "shard", SLOTS_PER_SERVER)
             for n in range(SERVERS)
         ],
-        gateways=[],
+        {"shard": 1},
     )
     # A grant travels to the gateway before the slot is in use, and its end travels
     # back; a request that passes through the owner is there already.
--- a/tests/test_requests_broker.py
+++ b/tests/test_requests_broker.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from cassiaweir.clock import ManualClock
-from cassiaweir.requests._broker import Backend, SlotBroker
+from cassiaweir.requests._broker import EARLY_SECONDS, Backend, SlotBroker
 from cassiaweir.requests._models import Grant, Hold, Refusal, SlotOutcome, Want
 from cassiaweir.types import Urgency
 
@@ -16,6 +16,8 @@
 MARGIN = 2.0
 SLOTS = 2
 ALL = ("a", "b")
+FIRST = {"augusta-0": 1}
+LATER = {"augusta-0": 2}
 
 
 def make_broker(clock, *, share=lambda team: 1.0, queue_limit=8) -> SlotBroker:
@@ -38,9 +40,9 @@
 
 
 def settled(clock, *names, **changes) -> SlotBroker:
-    """Return a broker that has waited out the grants of earlier owners."""
+    """Return the broker of a shard's first owner."""
     broker = make_broker(clock, **changes)
-    broker.set_backends([backend(name) for name in names], gateways=[])
+    broker.set_backends([backend(name) for name in names], FIRST)
     broker.decide()
     return broker
 
@@ -60,7 +62,8 @@
 def test_servers_to_avoid_and_leaving_ones_get_nothing():
     clock = ManualClock()
     broker = settled(clock, "a", "b", "c")
-    broker.set_backends([backend("a", leaving=True), backend("b"), backend("c")], [])
+    servers = [backend("a", leaving=True), backend("b"), backend("c")]
+    broker.set_backends(servers, FIRST)
     for ticket in range(SLOTS):
         broker.want(make_want(clock, ticket, avoid=frozenset({"b"})))
     assert [grant.backend for grant in grants(broker.decide())] == ["c"] * SLOTS
@@ -109,8 +112,10 @@
 def test_a_new_owner_waits_for_slots_it_does_not_know_of():
     clock = ManualClock()
     broker = make_broker(clock)
-    broker.set_backends([backend("a")], gateways=["g", "h"])
-    broker.attach("g", [Hold(1, "a", 3.0)])
+    broker.set_backends([backend("a")], LATER)
+    broker.set_gateways(["g", "h"])
+    broker.attach("g", [Hold(1, "a", 9.0)])
+    clock.advance(EARLY_SECONDS)
     broker.want(make_want(clock, 2))
     assert grants(broker.decide()) == []
     broker.attach("h", [])
@@ -118,10 +123,59 @@
     assert broker.granted("a") == SLOTS
 
 
+@pytest.mark.parametrize("gateways", [None, ["g"], ["g", "unheard"]])
+def test_a_new_owner_does_not_trust_an_early_list_of_gateways(gateways):
+    clock = ManualClock()
+    broker = make_broker(clock)
+    broker.set_backends([backend("a")], LATER)
+    broker.set_gateways(gateways)
+    broker.attach("g", [])
+    broker.want(make_want(clock, 1))
+    clock.advance(EARLY_SECONDS - 0.1)
+    assert grants(broker.decide()) == []
+    broker.set_gateways(gateways and [*gateways, "new"])
+    clock.advance(1)
+    assert grants(broker.decide()) == []
+
+
+def test_a_gateway_that_left_the_list_is_waited_for():
+    clock = ManualClock()
+    broker = make_broker(clock)
+    broker.set_gateways(["left"])
+    broker.set_backends([backend("a")], LATER)
+    broker.set_gateways([])
+    clock.advance(EARLY_SECONDS)
+    broker.want(make_want(clock, 1, deadline=1e6))
+    assert grants(broker.decide()) == []
+    clock.advance(LONGEST + MARGIN)
+    assert len(grants(broker.decide())) == 1
+
+
+def test_a_shard_owned_again_at_a_higher_epoch_is_unknown_again():
+    clock = ManualClock()
+    broker = settled(clock, "a")
+    broker.set_backends([backend("a")], LATER)
+    broker.want(make_want(clock, 1))
+    assert grants(broker.decide()) == []
+
+
+def test_a_server_missing_from_the_list_keeps_its_grants():
+    clock = ManualClock()
+    broker = settled(clock, "a")
+    for ticket in range(SLOTS):
+        broker.want(make_want(clock, ticket))
+    broker.decide()
+    broker.set_backends([], FIRST)
+    broker.set_backends([backend("a")], FIRST)
+    broker.want(make_want(clock, 9))
+    assert grants(broker.decide()) == []
+    assert broker.granted("a") == SLOTS
+
+
 def test_a_new_owner_may_use_again_what_it_was_told_of_and_got_back():
     clock = ManualClock()
     broker = make_broker(clock)
-    broker.set_backends([backend("a")], gateways=None)
+    broker.set_backends([backend("a")], LATER)
     broker.attach("g", [Hold(1, "a", 3.0)])
     broker.want(make_want(clock, 2))
     broker.done("g", 1, SlotOutcome.FREE)
@@ -160,7 +214,7 @@
     for ticket in range(SLOTS + 1):
         broker.want(make_want(clock, ticket))
     broker.decide()
-    broker.set_backends([], [])
+    broker.set_backends([], FIRST)
     (refusal,) = broker.decide()
     assert isinstance(refusal, Refusal)
     assert refusal.reason == "no_backend"
@@ -182,7 +236,7 @@
 
 def one_slot(clock, share) -> SlotBroker:
     broker = make_broker(clock, share=share, queue_limit=99)
-    broker.set_backends([backend("a", slots=1)], gateways=[])
+    broker.set_backends([backend("a", slots=1)], FIRST)
     broker.decide()
     return broker
 
@@ -239,8 +293,8 @@
     def list_servers(self, leaving) -> None:
         self.leaving = leaving
         servers = [backend(name, leaving=name in leaving) for name in ALL]
-        # Gateways that died may hold slots, so they stay among those to be heard.
-        self.broker.set_backends(servers, ["g", "h"])
+        self.broker.set_backends(servers, LATER)
+        self.broker.set_gateways(["g", "h"])
 
     @rule(gateway=st.sampled_from(("g", "h")))
     def reconnect(self, gateway) -> None:
--- a/tests/test_requests_slots.py
+++ b/tests/test_requests_slots.py
@@ -42,12 +42,13 @@
         self.domain = domain
         self.vms = [server(f"{domain}-s1", domain)]
         self.address = ""
+        self.owns = True
 
     async def fetch(self) -> list[Vm]:
         return self.vms
 
     def owned(self) -> Sequence[ShardOwner]:
-        return [self.describe()]
+        return [self.describe()] if self.owns else []
 
     def describe(self) -> ShardOwner:
         return ShardOwner(
@@ -203,3 +204,12 @@
         with pytest.raises(RefusedError) as caught:
             await take(client)
     assert (caught.value.reason, caught.value.verdict) == ("no_owner", Verdict.NOT_RUN)
+
+
+async def test_an_owner_that_lost_its_shard_grants_nothing():
+    async with Owner("augusta").running() as owner, client_of(owner) as client:
+        await take(client)
+        owner.owns = False
+        with pytest.raises(RefusedError) as caught:
+            await take(client)
+    assert caught.value.reason == "no_backend"
