--- a/lab/__init__.py
+++ b/lab/__init__.py
@@ -1,1 +1,1 @@
-"""Small trials of decisions, on an injected clock and with fixed seeds."""
+"""Trials: small measurements that decide between ways of doing a thing."""
