--- a/cassiaweir/requests/_backends.py
+++ b/cassiaweir/requests/_backends.py
@@ -48,6 +48,10 @@
                 proto.close()
         return await super()._get(key, traces)
 
+    def set_limit(self, limit: int) -> None:
+        """Bound the connections; surplus idle ones end by their own timeout."""
+        self._limit = limit
+
 
 class BackendCaller:
     """Sends requests to backend servers and returns whole answers only.
@@ -125,15 +129,22 @@
         session = self._sessions.get(address)
         if session is None:
             session = self._sessions[address] = self._open()
+        connector = session.connector
+        if isinstance(connector, _StrictConnector):
+            connector.set_limit(self._limit())
         return session
 
-    def _open(self) -> ClientSession:
+    def _limit(self) -> int:
+        """Return our part of a backend server's connections."""
         share = CONNECTIONS_PER_BACKEND // max(1, self._gateways())
+        return max(1, min(MOST_CONNECTIONS, share))
+
+    def _open(self) -> ClientSession:
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(_on_headers_sent)
         return aiohttp.ClientSession(
             connector=_StrictConnector(
-                limit=max(1, min(MOST_CONNECTIONS, share)),
+                limit=self._limit(),
                 keepalive_timeout=IDLE_CONNECTION.total_seconds(),
             ),
             timeout=aiohttp.ClientTimeout(total=None),
--- a/lab/slots.py
+++ b/lab/slots.py
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 
 import click
 
@@ -134,7 +135,7 @@
             events.at(events.clock.monotonic() + REBALANCE_SECONDS, move_credits)
 
     for arrival in arrivals:
-        events.at(arrival.at, lambda arrival=arrival: arrive(arrival))
+        events.at(arrival.at, partial(arrive, arrival))
     if rebalance:
         events.at(REBALANCE_SECONDS, move_credits)
     events.run()
@@ -201,14 +202,14 @@
             arrival = arrivals[grant.ticket]
             waits.append(now + idle + answer - arrival.at)
             end = now + idle + arrival.service + idle
-            events.at(end, lambda grant=grant: finish(grant))
+            events.at(end, partial(finish, grant))
 
     def finish(grant: Grant) -> None:
         broker.done(grant.gateway, grant.ticket, SlotOutcome.FREE)
         decide()
 
     for arrival in arrivals:
-        events.at(arrival.at + HOP_SECONDS, lambda arrival=arrival: ask(arrival))
+        events.at(arrival.at + HOP_SECONDS, partial(ask, arrival))
     events.run()
     return waits
 
--- a/tests/test_api_requests.py
+++ b/tests/test_api_requests.py
@@ -158,6 +158,26 @@
     assert server.bodies == [b"gauge"]
 
 
+async def test_a_caller_that_sends_too_slowly_is_refused():
+    async with serving(BackendServer(), "gateway.request_timeout=300ms") as front:
+        answer = await send_raw(
+            front, b"POST /v1/requests/inventory HTTP/1.1\r\nHost: a\r\nContent-"
+        )
+    assert answer.startswith(b"HTTP/1.1 408")
+    assert b'"verdict":"not_run"' in answer
+
+
+async def test_too_large_headers_are_refused():
+    async with serving(BackendServer()) as front:
+        answer = await send_raw(
+            front,
+            b"POST /v1/requests/inventory HTTP/1.1\r\nX: "
+            + b"x" * 20_000
+            + b"\r\n\r\n",
+        )
+    assert b'"verdict":"not_run"' in answer
+
+
 class GateClock(SystemClock):
     """A clock whose sleeps end when the test opens the gate."""
 
--- a/tests/test_requests_backends.py
+++ b/tests/test_requests_backends.py
@@ -182,3 +182,25 @@
     server.close()
     assert answer.body == b"whole"
     assert len(writers) == 2
+
+
+async def test_a_gateway_uses_no_more_than_its_part_of_the_connections():
+    go_on = asyncio.Event()
+
+    async def wait(request: web.Request) -> web.Response:
+        await go_on.wait()
+        return web.Response(body=b"whole")
+
+    gateways = [7]
+    caller = BackendCaller(gateways=lambda: gateways[0], clock=SystemClock())
+    server = BackendServer(wait)
+    async with server.running() as address:
+        go_on.set()
+        await caller.call(address, make_request())
+        gateways[0] = 30
+        calls = [
+            asyncio.create_task(caller.call(address, make_request())) for _ in range(6)
+        ]
+        await asyncio.gather(*calls)
+        await caller.stop()
+    assert len(set(server.peers)) <= 2
