--- a/cassiaweir/requests/_broker.py
+++ b/cassiaweir/requests/_broker.py
@@ -3,21 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 from datetime import timedelta
 
 from cassiaweir.requests._models import Grant, Hold, Refusal, SlotOutcome, Want
+from cassiaweir.requests._slot_book import Backend, SlotBook
 from cassiaweir.requests._waiting import WaitingWants
 from cassiaweir.types import Clock
 
 MARGIN = timedelta(seconds=2)
 MOST_WAITING = 64
-FIRST_EPOCH = 1
-EARLY_SECONDS = 6.0
-"""Longer than a new member may be missing from the list of gateways."""
-
-SUSPECT_SECONDS = 5.0
-REFUSED_SECONDS = 5.0
 FIRST_SERVICE_SECONDS = 0.1
 SERVICE_TIME_WEIGHT = 0.05
 SHED_SECONDS = 0.05
@@ -27,62 +22,6 @@
 Decision = Grant | Refusal
 
 
-@dataclass(frozen=True, slots=True)
-class Backend:
-    """A backend server of an owned shard, as the list of VMs describes it."""
-
-    name: str
-    service: str
-    address: str
-    shard: str
-    slots: int
-    leaving: bool = False
-
-
-@dataclass(slots=True)
-class _Held:
-    """A slot in use; `expires_at` is when it is certainly free again."""
-
-    backend: str
-    granted_at: float
-    expires_at: float
-    suspect: bool = False
-
-
-@dataclass(slots=True)
-class _Shard:
-    """How far an owner has learnt what earlier owners of the shard granted."""
-
-    epoch: int
-    settles_at: float
-    early_at: float
-    told: set[str] = field(default_factory=set)
-
-
-@dataclass(slots=True)
-class _Server:
-    """A backend server with its grants.
-
-    `unknown` slots may have been granted by an earlier owner and count as in use
-    until the shard has settled.
-    """
-
-    backend: Backend
-    unknown: int
-    held: set[tuple[str, int]] = field(default_factory=set)
-    suspect_until: float = 0.0
-    closed_until: float = 0.0
-
-    @property
-    def free(self) -> int:
-        return self.backend.slots - len(self.held) - self.unknown
-
-    def usable(self, now: float) -> bool:
-        if self.backend.leaving or now < self.closed_until or self.free < 1:
-            return False
-        return now >= self.suspect_until or not self.held
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceLoad:
     """The slots of one service at this owner and the wants waiting for them."""
@@ -118,80 +57,33 @@
         self._margin = margin.total_seconds()
         self._queue_limit = queue_limit
         self._share = share
-        self._servers: dict[str, _Server] = {}
-        self._grants: dict[tuple[str, int], _Held] = {}
+        self._book = SlotBook(clock, self._longest + self._margin)
         self._waiting: dict[str, WaitingWants] = {}
         self._service_seconds: dict[str, float] = {}
-        self._shards: dict[str, _Shard] = {}
-        self._gateways: dict[str, float] = {}
-        self._gateways_known = False
         self._next_shed = 0.0
 
     def set_backends(
         self, backends: Iterable[Backend], owned: Mapping[str, int]
     ) -> None:
-        """Replace the backend servers by those of the shards in `owned`.
-
-        `owned` gives the epoch of each shard.  A server that the list no longer
-        holds gets nothing new and is forgotten when its grants have ended.
-        """
+        """Replace the backend servers; see `SlotBook.set_backends`."""
         self._next_shed = 0.0
-        self._set_shards(owned)
-        new = {backend.name: backend for backend in backends}
-        for name, server in list(self._servers.items()):
-            kept = server.backend.shard in owned and (name in new or server.held)
-            moved = name in new and new[name].shard != server.backend.shard
-            if moved or not kept:
-                self._drop(name)
-            elif name not in new:
-                server.backend = replace(server.backend, leaving=True)
-        for name, backend in new.items():
-            known = self._servers.get(name)
-            if known is not None:
-                known.backend = backend
-                continue
-            settled = self._settled(self._shards[backend.shard])
-            unknown = 0 if settled else backend.slots
-            self._servers[name] = _Server(backend, unknown)
+        self._book.set_backends(backends, owned)
 
     def set_gateways(self, gateways: Iterable[str] | None) -> None:
-        """Note the gateways listed now, or None where they are not known.
-
-        One that is no longer listed may still hold slots for the longest lease.
-        """
-        now = self._clock.monotonic()
-        self._gateways_known = gateways is not None
-        for gateway in gateways or ():
-            self._gateways[gateway] = now
-        oldest = now - self._longest - self._margin
-        for gateway in [g for g, seen in self._gateways.items() if seen < oldest]:
-            del self._gateways[gateway]
+        """Note the gateways listed now; see `Settling.set_gateways`."""
+        self._book.set_gateways(gateways)
 
     def attach(self, gateway: str, holds: Sequence[Hold]) -> None:
-        """Begin a stream: grants that `holds` lacks never reached `gateway`."""
-        kept = {(gateway, hold.ticket) for hold in holds}
-        for key in [k for k in self._grants if k[0] == gateway and k not in kept]:
-            self._free(key)
-        self.tell(gateway, holds)
+        """Begin a stream of `gateway`, which holds nothing but `holds`."""
+        self._book.attach(gateway, holds)
 
     def tell(self, gateway: str, holds: Sequence[Hold]) -> None:
         """Note what `gateway` holds from earlier owners."""
-        now = self._clock.monotonic()
-        for hold in holds:
-            server = self._servers.get(hold.backend)
-            key = (gateway, hold.ticket)
-            if server is None or key in self._grants:
-                continue
-            server.unknown = max(0, server.unknown - 1)
-            lease = min(hold.lease, self._longest + self._margin)
-            self._grants[key] = _Held(hold.backend, now, now + lease)
-            server.held.add(key)
-        for shard in self._shards.values():
-            shard.told.add(gateway)
+        self._book.tell(gateway, holds)
 
     def want(self, want: Want) -> Refusal | None:
         """Queue `want`, or refuse it at once where waiting cannot help."""
-        if (want.gateway, want.ticket) in self._grants:
+        if self._book.holds((want.gateway, want.ticket)):
             return None
         now = self._clock.monotonic()
         load = self.load(want.service)
@@ -208,21 +100,12 @@
 
     def done(self, gateway: str, ticket: int, outcome: SlotOutcome) -> None:
         """Take a slot back, or drop the want that still waits."""
-        now = self._clock.monotonic()
-        held = self._grants.get((gateway, ticket))
-        if held is None:
+        if not self._book.holds((gateway, ticket)):
             self._forget_want(gateway, ticket)
             return
-        server = self._servers[held.backend]
-        if outcome is SlotOutcome.SUSPECT:
-            held.suspect = True
-            server.suspect_until = now + SUSPECT_SECONDS
-            return
-        if outcome is SlotOutcome.REFUSED:
-            server.closed_until = now + REFUSED_SECONDS
-        else:
-            self._learn(server.backend.service, now - held.granted_at)
-        self._free((gateway, ticket))
+        use = self._book.give_back((gateway, ticket), outcome)
+        if use is not None:
+            self._learn(use.service, use.seconds)
 
     def detach(self, gateway: str) -> None:
         """Forget the waiting wants of `gateway`; what it holds lasts its lease."""
@@ -232,8 +115,7 @@
     def decide(self) -> list[Decision]:
         """Return the grants and refusals that are due now."""
         now = self._clock.monotonic()
-        self._expire(now)
-        self._settle()
+        self._book.advance()
         decisions: list[Decision] = []
         shed = now >= self._next_shed
         if shed:
@@ -246,26 +128,20 @@
 
     def load(self, service: str) -> ServiceLoad:
         """Return the load of one service; leaving backend servers do not count."""
-        servers = [
-            server
-            for server in self._servers.values()
-            if server.backend.service == service and not server.backend.leaving
-        ]
         return ServiceLoad(
             service=service,
-            slots=sum(server.backend.slots for server in servers),
-            free=sum(max(0, server.free) for server in servers),
+            slots=self._book.slots(service),
+            free=self._book.free(service),
             waiting=len(self._waiting.get(service, ())),
         )
 
     def services(self) -> list[str]:
         """Return the services with a backend server here, in order."""
-        return sorted({server.backend.service for server in self._servers.values()})
+        return self._book.services()
 
     def granted(self, backend: str) -> int:
-        """Return the slots of `backend` that count as in use by a known grant."""
-        server = self._servers.get(backend)
-        return len(server.held) if server else 0
+        """Return the known grants of the backend server `backend`."""
+        return self._book.granted(backend)
 
     def _queue(self, service: str) -> WaitingWants:
         queue = self._waiting.get(service)
@@ -300,56 +176,6 @@
         for queue in self._waiting.values():
             queue.remove(lambda want: want.gateway == gateway and want.ticket == ticket)
 
-    def _free(self, key: tuple[str, int]) -> None:
-        held = self._grants.pop(key)
-        self._servers[held.backend].held.discard(key)
-
-    def _drop(self, name: str) -> None:
-        server = self._servers.pop(name)
-        for key in server.held:
-            del self._grants[key]
-
-    def _drop_shard(self, shard: str) -> None:
-        servers = list(self._servers.items())
-        for name in [name for name, s in servers if s.backend.shard == shard]:
-            self._drop(name)
-
-    def _expire(self, now: float) -> None:
-        for key in [k for k, held in self._grants.items() if held.expires_at <= now]:
-            self._free(key)
-
-    def _set_shards(self, owned: Mapping[str, int]) -> None:
-        """Note the shards taken over, and forget those given up."""
-        now = self._clock.monotonic()
-        for shard in self._shards.keys() - owned.keys():
-            del self._shards[shard]
-        for shard, epoch in owned.items():
-            known = self._shards.get(shard)
-            if known is not None and known.epoch == epoch:
-                continue
-            self._drop_shard(shard)
-            # The first owner of a shard has no earlier one to wait for.
-            first = epoch <= FIRST_EPOCH
-            self._shards[shard] = _Shard(
-                epoch=epoch,
-                settles_at=now if first else now + self._longest + self._margin,
-                early_at=now + EARLY_SECONDS,
-            )
-
-    def _settled(self, shard: _Shard) -> bool:
-        """Tell whether no unknown grant of an earlier owner is in use."""
-        now = self._clock.monotonic()
-        if now >= shard.settles_at:
-            return True
-        if not self._gateways_known or now < shard.early_at:
-            return False
-        return self._gateways.keys() <= shard.told
-
-    def _settle(self) -> None:
-        for server in self._servers.values():
-            if server.unknown and self._settled(self._shards[server.backend.shard]):
-                server.unknown = 0
-
     def _shed(self, service: str, queue: WaitingWants, now: float) -> list[Refusal]:
         """Refuse the wants that can no longer be served in time."""
         if not len(queue):
@@ -374,30 +200,19 @@
 
     def _grant_first(self, queue: WaitingWants, now: float) -> Grant | None:
         for want in queue.candidates():
-            server = self._pick(want, now)
-            if server is not None:
+            grant = self._grant(want, now)
+            if grant is not None:
                 queue.take(want)
-                return self._grant(want, server, now)
+                return grant
         return None
 
-    def _pick(self, want: Want, now: float) -> _Server | None:
-        """Return the usable backend server with the fewest slots in use."""
-        usable = [
-            server
-            for name, server in self._servers.items()
-            if server.backend.service == want.service
-            and name not in want.avoid
-            and server.usable(now)
-        ]
-        return min(usable, key=lambda s: (now < s.suspect_until, -s.free), default=None)
-
-    def _grant(self, want: Want, server: _Server, now: float) -> Grant:
-        key = (want.gateway, want.ticket)
+    def _grant(self, want: Want, now: float) -> Grant | None:
         left = min(want.deadline - now, self._longest)
         lease = left + self._margin
-        backend = server.backend
-        self._grants[key] = _Held(backend.name, now, now + lease)
-        server.held.add(key)
+        key = (want.gateway, want.ticket)
+        backend = self._book.grant(key, want.service, want.avoid, lease)
+        if backend is None:
+            return None
         return Grant(
             gateway=want.gateway,
             ticket=want.ticket,
--- a/cassiaweir/requests/_slot_service.py
+++ b/cassiaweir/requests/_slot_service.py
@@ -11,8 +11,9 @@
 
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.observe import EventLog, Metrics
-from cassiaweir.requests._broker import Backend, Decision, SlotBroker
+from cassiaweir.requests._broker import Decision, SlotBroker
 from cassiaweir.requests._models import Grant, Hold, Refusal, SlotOutcome, Want
+from cassiaweir.requests._slot_book import Backend
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
 from cassiaweir.types import Clock, OwnedShards, Urgency, Vm, VmList, VmRole, VmState
 
--- a/lab/slots.py
+++ b/lab/slots.py
@@ -24,8 +24,9 @@
 import click
 
 from cassiaweir.clock import ManualClock
-from cassiaweir.requests._broker import Backend, SlotBroker
+from cassiaweir.requests._broker import SlotBroker
 from cassiaweir.requests._models import Grant, SlotOutcome, Want
+from cassiaweir.requests._slot_book import Backend
 from cassiaweir.types import Urgency
 
 SERVERS = 24
--- a/tests/test_requests_broker.py
+++ b/tests/test_requests_broker.py
@@ -8,8 +8,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from cassiaweir.clock import ManualClock
-from cassiaweir.requests._broker import EARLY_SECONDS, Backend, SlotBroker
+from cassiaweir.requests._broker import SlotBroker
 from cassiaweir.requests._models import Grant, Hold, Refusal, SlotOutcome, Want
+from cassiaweir.requests._settling import EARLY_SECONDS
+from cassiaweir.requests._slot_book import Backend
 from cassiaweir.types import Urgency
 
 LONGEST = 10.0
