--- a/lab/slots.py
+++ b/lab/slots.py
@@ -24,8 +24,9 @@
 import click
 
 from cassiaweir.clock import ManualClock
-from cassiaweir.requests._broker import Backend, SlotBroker
+from cassiaweir.requests._broker import SlotBroker
 from cassiaweir.requests._models import Grant, SlotOutcome, Want
+from cassiaweir.requests._slot_book import Backend
 from cassiaweir.types import Urgency
 
 SERVERS = 24
@@ -174,7 +175,7 @@
             Backend(f"s{n}", "inventory", f"s{n}:1", "shard", SLOTS_PER_SERVER)
             for n in range(SERVERS)
         ],
-        gateways=[],
+        {"shard": 1},
     )
     # A grant travels to the gateway before the slot is in use, and its end travels
     # back; a request that passes through the owner is there already.
