Bound the heartbeats of a process and retell only owners of shards

Cause: with a call to each chosen peer every heartbeat, the bytes of a process grew with the size of its failure domain. Now the pause between two calls to one peer grows with the number of peers. A process that only called is forgotten after 70 s of silence; it was kept for ever before.

--- a/cassiaweir/membership/_known.py
+++ b/cassiaweir/membership/_known.py
@@ -15,11 +15,13 @@
     """The newest statement of a process.
 
     It was made at `made_at` or later, in seconds of this process's monotonic clock;
-    minus infinity where only an incoming call told of it.
+    minus infinity where only an incoming call told of it.  It was learnt at
+    `learnt_at`, however old it was then.
     """
 
     state: cell_pb2.ProcessState
     made_at: float
+    learnt_at: float
 
 
 class KnownProcesses:
@@ -36,19 +38,22 @@
         self._owners_valid = True
         self._turn = 0
 
-    def merge(self, state: cell_pb2.ProcessState, made_at: float) -> None:
+    def merge(
+        self, state: cell_pb2.ProcessState, made_at: float, *, now: float
+    ) -> None:
         """Take over `state`, which was stated at `made_at` or later."""
         if state.process == self._process:
             return
         known = self._known.get(state.process)
         if known is None:
-            self._known[state.process] = KnownProcess(state, made_at)
+            self._known[state.process] = KnownProcess(state, made_at, now)
             self._owners_valid = False
             return
         if state.sequence < known.state.sequence:
             return
         if state.sequence > known.state.sequence:
             known.state = state
+            known.learnt_at = now
             self._owners_valid = False
         known.made_at = max(known.made_at, made_at)
 
@@ -64,6 +69,14 @@
         """Return the processes whose statement was made at `moment` or later."""
         return [known for known in self._known.values() if known.made_at >= moment]
 
+    def silent_since(self, moment: float) -> list[str]:
+        """Return the processes of which nothing new was learnt since `moment`."""
+        return [
+            known.state.process
+            for known in self._known.values()
+            if known.learnt_at < moment
+        ]
+
     def forget(self, processes: Iterable[str]) -> None:
         """Drop what is known of `processes`."""
         for process in processes:
@@ -71,8 +84,8 @@
         self._owners_valid = False
 
     def take_turn(self, moment: float, most: int) -> list[KnownProcess]:
-        """Return at most `most` processes heard since `moment`, each in its turn."""
-        heard = self.heard_since(moment)
+        """Return at most `most` owners of shards heard since `moment`, in turn."""
+        heard = [known for known in self.heard_since(moment) if known.state.shards]
         if len(heard) <= most:
             return heard
         start = self._turn % len(heard)
--- a/cassiaweir/membership/_peers.py
+++ b/cassiaweir/membership/_peers.py
@@ -26,7 +26,8 @@
 from cassiaweir.types import Clock, OwnedShards, ShardOwner
 
 MOST_TOLD = 4
-HEARD_LIMIT = timedelta(seconds=10)
+EXCHANGES_PER_HEARTBEAT = 1
+HEARD_LIMIT = timedelta(seconds=20)
 FORGET_AFTER = timedelta(seconds=70)
 CALL_TIMEOUT_HEARTBEATS = 2
 
@@ -106,9 +107,9 @@
         return self._known.all()
 
     def heard_within(self, process: str, duration: timedelta) -> bool:
-        """Tell whether `process` made a statement within `duration`."""
+        """Tell whether anything new was learnt of `process` within `duration`."""
         known = self._known.get(process)
-        return known is not None and known.made_at >= self._moment(duration)
+        return known is not None and known.learnt_at >= self._moment(duration)
 
     def owners(self) -> Sequence[ShardOwner]:
         """Return the known owners, one a shard, that were heard from lately."""
@@ -132,7 +133,7 @@
         sender = heartbeat.sender
         if not self._check_protocol(sender):
             return cell_pb2.Heartbeat(sender=self._statement())
-        self._known.merge(sender, NEVER)
+        self._known.merge(sender, NEVER, now=self._clock.monotonic())
         self._view.hint(sender.bundle_version, sender.keys_version)
         heard = self._known.take_turn(self._moment(HEARD_LIMIT), MOST_TOLD)
         told = [self._retell(known) for known in heard]
@@ -142,11 +143,12 @@
         """Learn from the answer to a heartbeat that was sent at `sent_at`."""
         if not self._check_protocol(answer.sender):
             return
+        now = self._clock.monotonic()
         for state in (answer.sender, *answer.known):
             if not compatible(state.protocol_version):
                 continue
             made_at = sent_at - ms_to_seconds(state.age_ms)
-            self._known.merge(state, made_at)
+            self._known.merge(state, made_at, now=now)
             fresh_at = made_at - ms_to_seconds(state.view_age_ms)
             self._view.confirm(state.bundle_version, state.keys_version, fresh_at)
             self._view.hint(state.bundle_version, state.keys_version)
@@ -191,7 +193,14 @@
         """Exchange heartbeats with one peer until cancelled."""
         while True:
             await self.exchange(address)
-            await self._clock.sleep(self._heartbeat)
+            await self._clock.sleep(self._pause())
+
+    def _pause(self) -> timedelta:
+        """Return the time between heartbeats to one peer.
+
+        It grows with the number of peers, so that the bytes per second do not.
+        """
+        return self._heartbeat * max(len(self._tasks) / EXCHANGES_PER_HEARTBEAT, 1)
 
     async def exchange(self, address: str) -> bool:
         """Exchange one heartbeat, and fetch the view if the table has it not."""
@@ -274,12 +283,7 @@
     def _forget_silent(self) -> None:
         """Forget processes that are in no row and have been silent for long."""
         rows = {member.process for member in self._members()}
-        moment = self._moment(FORGET_AFTER)
-        silent = [
-            known.state.process
-            for known in self._known.all()
-            if NEVER < known.made_at < moment and known.state.process not in rows
-        ]
+        silent = set(self._known.silent_since(self._moment(FORGET_AFTER))) - rows
         if silent:
             self._known.forget(silent)
 
