Measure the policy against naive baselines in one run

python -m bench drives the planner and the baselines with an injected clock, and times decisions at 24, 350 and 1,400 VMs. Found with it: a first look at the masks of the index took over a millisecond to build; they are now the intersection of two that are built at import.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,9 @@
 
 proto: setup ## Generate the gRPC code again.
 	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. cassiaweir/rpc/cell.proto
+
+bench: setup ## Measure the policy against the baselines; SEED chooses the load.
+	$(PYTHON) -m bench --seed $(SEED)
+
+report: setup ## Draw the plots of the last bench into docs/.
+	$(PYTHON) -m bench plots
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the policy against naive baselines, with an injected clock."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,107 @@
+"""Runs the bench: `python -m bench [run|slopes|plots]`."""
+
+from __future__ import annotations
+
+import gc
+import platform
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import click
+import msgspec
+
+from bench._baselines import FirstComeFirstServed, FirstFit, FullScanBestFit
+from bench._cost import FLEETS, measure
+from bench._drive import Driver
+from bench._load import (
+    ESTIMATE_ERROR,
+    PACIFICO_NORTE,
+    SICILIA_EST,
+    Scenario,
+    batch_heavy,
+    full,
+    full_of_teams,
+    mixed,
+)
+from bench._results import Report, RunResult, cost_result, run_result
+from bench._slopes import measure_slopes
+from bench._table import lines
+from cassiaweir.placement import FairPlanner, Planner
+
+RESULT_PATH = Path("build/bench.json")
+PLANNERS: dict[str, Callable[[], Planner]] = {
+    "fair": FairPlanner,
+    "fcfs": FirstComeFirstServed,
+    "first fit": FirstFit,
+    "full scan": FullScanBestFit,
+}
+
+
+@click.group(invoke_without_command=True)
+@click.option("--seed", default=1, show_default=True, help="Seed of the loads.")
+@click.option("--only", default="", help="Part of the scenarios' names, or cost.")
+@click.pass_context
+def main(ctx: click.Context, seed: int, only: str) -> None:
+    """Measure the policy against the baselines, print a table and write JSON."""
+    if ctx.invoked_subcommand is not None:
+        return
+    report = Report(seed, platform.python_version())
+    report.runs = list(_runs(seed, only))
+    if only in ("", "cost"):
+        for planner, vms, tasks, backlog in _cost_cases():
+            _progress(f"cost of {planner} at {vms} VMs")
+            make = PLANNERS[planner]
+            cost = measure(planner, make, vms, tasks, seed, backlog=backlog)
+            report.costs.append(cost_result(cost))
+    for line in lines(report):
+        click.echo(line)
+    if not only:
+        RESULT_PATH.parent.mkdir(exist_ok=True)
+        RESULT_PATH.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+
+
+@main.command()
+def slopes() -> None:
+    """Measure the bytes that a planner holds by running task, VM and team."""
+    click.echo(f"{'thing':<14}{'count':>8}{'bytes':>12}{'bytes each':>12}")
+    for slope in measure_slopes():
+        click.echo(
+            f"{slope.thing:<14}{slope.count:>8}{slope.total_bytes:>12}"
+            f"{slope.bytes_each:>12.0f}"
+        )
+
+
+def _runs(seed: int, only: str) -> Iterator[RunResult]:
+    for scenario in _scenarios(seed):
+        if only not in scenario.name:
+            continue
+        for name, make in PLANNERS.items():
+            _progress(f"{scenario.name}: {name}")
+            outcome = Driver(make, scenario).run()
+            yield run_result(scenario.name, name, outcome)
+            gc.collect()
+
+
+def _scenarios(seed: int) -> Iterator[Scenario]:
+    for deployment in (SICILIA_EST, PACIFICO_NORTE):
+        yield mixed(deployment, seed)
+        yield mixed(deployment, seed, error=ESTIMATE_ERROR)
+        yield full(deployment, seed)
+        yield batch_heavy(deployment, seed)
+    yield full_of_teams(350, 320, seed)
+
+
+def _cost_cases() -> Iterator[tuple[str, int, int, bool]]:
+    for vms, tasks in FLEETS:
+        for planner in PLANNERS:
+            yield planner, vms, tasks, False
+    for vms, tasks in FLEETS:
+        yield "fair", vms, tasks, True
+
+
+def _progress(text: str) -> None:
+    click.echo(text, err=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/cassiaweir/placement/_index.py
+++ b/cassiaweir/placement/_index.py
@@ -50,26 +50,26 @@
     return LEVEL_OF_UNITS[units] if units < LARGEST_UNIT else LEVELS - 1
 
 
-class CellMasks:
-    """Caches, for a pair of levels, the bits of all cells at or above both."""
+def _at_least(floors: list[list[int]]) -> list[int]:
+    """Return, for each level, the bits of the cells listed at it and above."""
+    masks, bits = [], 0
+    for positions in reversed(floors):
+        for position in positions:
+            bits |= 1 << position
+        masks.append(bits)
+    return masks[::-1]
 
-    def __init__(self) -> None:
-        self._masks: dict[int, int] = {}
 
-    def mask(self, cpu: int, memory: int) -> int:
-        """Return the bits of the cells whose levels are at least `cpu` and `memory`."""
-        key = cpu * LEVELS + memory
-        found = self._masks.get(key)
-        if found is None:
-            found = 0
-            for row in POSITION[cpu:]:
-                for position in row[memory:]:
-                    found |= 1 << position
-            self._masks[key] = found
-        return found
+CPU_AT_LEAST = _at_least(POSITION)
+MEMORY_AT_LEAST = _at_least([list(column) for column in zip(*POSITION, strict=True)])
 
 
-MASKS = CellMasks()
+def cells_at_least(size: Resources) -> int:
+    """Return the bits of the cells whose VMs may hold `size`."""
+    return (
+        CPU_AT_LEAST[cpu_level(size.cpu_millis)]
+        & MEMORY_AT_LEAST[memory_level(size.memory_mb)]
+    )
 
 
 class _Grid:
@@ -139,7 +139,7 @@
 
         The caller checks the exact amounts, and stops when it has what it needs.
         """
-        mask = MASKS.mask(cpu_level(size.cpu_millis), memory_level(size.memory_mb))
+        mask = cells_at_least(size)
         for accelerators in self._accelerators:
             if accelerators < size.accelerators:
                 continue
@@ -152,7 +152,7 @@
 
     def roomiest(self, size: Resources) -> Iterator[VmRecord]:
         """Yield VMs that may hold `size`, most room first."""
-        mask = MASKS.mask(cpu_level(size.cpu_millis), memory_level(size.memory_mb))
+        mask = cells_at_least(size)
         for accelerators in self._accelerators:
             if accelerators < size.accelerators:
                 continue
