Spend less time on each decision

Enum and nested dataclass keys were hashed several times a decision, both indexes were updated where only one had changed, and stale heap entries were looked at one by one.

--- a/cassiaweir/placement/_estimates.py
+++ b/cassiaweir/placement/_estimates.py
@@ -38,50 +38,64 @@
         return self._factor
 
 
-class Estimates:
-    """Factors of processor use and of run time, by team and kind of job.
+class KindEstimates:
+    """Factors of processor use and of run time, for one kind of job of a team.
 
     They steer the order and the choice of VMs; what a VM and a team may hold is
     always counted by declared size.
     """
 
+    __slots__ = ("_duration", "_usage")
+
     def __init__(self) -> None:
-        self._usage: dict[tuple[str, JobKind], RatioWindow] = {}
-        self._duration: dict[tuple[str, JobKind], RatioWindow] = {}
+        self._usage = RatioWindow()
+        self._duration = RatioWindow()
 
     def note_usage(self, group: TaskGroup, usage: Resources) -> None:
         """Note the observed use of a running task; zero is not yet known."""
         if usage.cpu_millis and group.size.cpu_millis:
-            window = self._usage.setdefault((group.team, group.kind), RatioWindow())
-            window.add(usage.cpu_millis / group.size.cpu_millis)
+            self._usage.add(usage.cpu_millis / group.size.cpu_millis)
 
     def note_duration(self, group: TaskGroup, seconds: float) -> None:
         """Note how long a task ran that ended by itself."""
         if group.declared_seconds:
-            window = self._duration.setdefault((group.team, group.kind), RatioWindow())
-            window.add(seconds / group.declared_seconds)
+            self._duration.add(seconds / group.declared_seconds)
 
     def expected_cpu(self, group: TaskGroup) -> int:
         """Return the processor use to expect of a task, in millis."""
-        window = self._usage.get((group.team, group.kind))
-        factor = window.factor() if window else 1.0
-        return int(group.size.cpu_millis * factor)
+        return int(group.size.cpu_millis * self._usage.factor())
 
     def expected_seconds(self, group: TaskGroup) -> float:
         """Return the run time to expect of a task; services never end."""
         if group.kind is JobKind.SERVICE or not group.declared_seconds:
             return NEVER
-        window = self._duration.get((group.team, group.kind))
-        return group.declared_seconds * (window.factor() if window else 1.0)
+        return group.declared_seconds * self._duration.factor()
 
     def longest_seconds(self, group: TaskGroup) -> float:
         """Return the longer one of the declared and the expected run time."""
         return max(group.declared_seconds, self.expected_seconds(group))
 
-    def expected_end(self, task: RunningTask, now: float) -> float:
-        """Return when a running task is expected to end.
 
-        One that has overrun is expected to run as long again as it has run.
-        """
-        end = task.started_at + self.expected_seconds(task.job.group)
-        return end if end > now else 2 * now - task.started_at
+class Estimates:
+    """The estimates of all teams and kinds."""
+
+    def __init__(self) -> None:
+        self._by_kind: dict[tuple[str, JobKind], KindEstimates] = {}
+
+    def of(self, group: TaskGroup) -> KindEstimates:
+        """Return the estimates for the jobs like `group`."""
+        key = (group.team, group.kind)
+        found = self._by_kind.get(key)
+        if found is None:
+            found = self._by_kind[key] = KindEstimates()
+        return found
+
+
+def expected_end(task: RunningTask, now: float) -> float:
+    """Return when a running task is expected to end.
+
+    One that has overrun is expected to run as long again as it has run.
+    """
+    job = task.job
+    end = task.started_at + job.estimates.expected_seconds(job.group)
+    return end if end > now else 2 * now - task.started_at
--- a/cassiaweir/placement/_fleet.py
+++ b/cassiaweir/placement/_fleet.py
@@ -35,8 +35,8 @@
         self.vms: dict[str, VmRecord] = {}
         self.racks: dict[str, RackRecord] = {}
         self.total = Amounts()
-        self.room = RoomIndex()
-        self.reclaimable = RoomIndex()
+        self.room = RoomIndex(0)
+        self.reclaimable = RoomIndex(1)
         self.shapes: dict[Resources, ShapeCount] = {}
         self.grown: dict[str, VmRecord] = {}
 
@@ -88,6 +88,9 @@
         vm.tasks[task.task] = task
         vm.expected_cpu += task.expected_cpu
         vm.free.add(size, -1)
+        if task.preemptible and vm.indexed and vm.condition is VmCondition.OPEN:
+            self._room_changed(vm)
+            return
         if not task.preemptible:
             vm.reclaimable.add(size, -1)
         self.refresh(vm)
@@ -98,9 +101,12 @@
         del vm.tasks[task.task]
         vm.expected_cpu -= task.expected_cpu
         vm.free.add(size)
+        self.grown[vm.name] = vm
+        if task.preemptible and vm.indexed and vm.condition is VmCondition.OPEN:
+            self._room_changed(vm)
+            return
         if not task.preemptible:
             vm.reclaimable.add(size)
-        self.grown[vm.name] = vm
         self.refresh(vm)
         if vm.removed and not vm.tasks:
             self.remove_vm(vm.name)
@@ -136,9 +142,13 @@
             vm.indexed = True
             vm.rack.vms[vm.name] = vm
             self.grown[vm.name] = vm
+        self._room_changed(vm)
+        self.reclaimable.update(vm, vm.reclaimable)
+
+    def _room_changed(self, vm: VmRecord) -> None:
+        """Note what is free on a listed VM."""
         vm.rack.free.move(vm.counted, vm.usable_room())
         self.room.update(vm, vm.free)
-        self.reclaimable.update(vm, vm.reclaimable)
 
     def _unlist(self, vm: VmRecord) -> None:
         if vm.indexed:
--- a/cassiaweir/placement/_index.py
+++ b/cassiaweir/placement/_index.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 from cassiaweir.placement._records import Amounts, VmRecord
 from cassiaweir.types import Resources
@@ -72,7 +73,7 @@
     )
 
 
-class _Grid:
+class Grid:
     """The cells of the VMs with one number of free accelerators."""
 
     __slots__ = ("bits", "cells")
@@ -82,6 +83,7 @@
         self.cells: dict[int, dict[str, VmRecord]] = {}
 
     def add(self, position: int, vm: VmRecord) -> None:
+        """Put `vm` into a cell."""
         cell = self.cells.get(position)
         if cell is None:
             self.cells[position] = {vm.name: vm}
@@ -90,6 +92,7 @@
             cell[vm.name] = vm
 
     def remove(self, position: int, vm: VmRecord) -> None:
+        """Take `vm` out of a cell."""
         cell = self.cells[position]
         del cell[vm.name]
         if not cell:
@@ -97,40 +100,52 @@
             self.bits ^= 1 << position
 
 
+@dataclass(slots=True)
+class Place:
+    """The cell of an index that a VM is in."""
+
+    grid: Grid
+    position: int
+
+
 class RoomIndex:
-    """VMs by an amount of room that the owner of the index tells."""
+    """VMs by an amount of room that the owner of the index tells.
 
-    def __init__(self) -> None:
-        self._grids: dict[int, _Grid] = {}
+    `number` tells where in `VmRecord.places` this index notes where the VM is.
+    """
+
+    def __init__(self, number: int) -> None:
+        self._number = number
+        self._grids: dict[int, Grid] = {}
         self._accelerators: list[int] = []
-        self._places: dict[str, tuple[_Grid, int]] = {}
 
     def update(self, vm: VmRecord, room: Amounts) -> None:
         """Put `vm` where `room` belongs."""
-        if room.cpu_millis < 0 or room.memory_mb < 0 or room.accelerators < 0:
+        cpu, memory, accelerators = room.cpu_millis, room.memory_mb, room.accelerators
+        if cpu < 0 or memory < 0 or accelerators < 0:
             self.discard(vm)
             return
-        grid = self._grids.get(room.accelerators) or self._new_grid(room.accelerators)
-        position = POSITION[cpu_level(room.cpu_millis)][memory_level(room.memory_mb)]
-        place = self._places.get(vm.name)
+        grid = self._grids.get(accelerators) or self._new_grid(accelerators)
+        position = POSITION[cpu_level(cpu)][memory_level(memory)]
+        place = vm.places[self._number]
         if place is not None:
-            if place[0] is grid and place[1] == position:
+            if place.position == position and place.grid is grid:
                 return
-            place[0].remove(place[1], vm)
+            place.grid.remove(place.position, vm)
+            place.grid, place.position = grid, position
+        else:
+            vm.places[self._number] = Place(grid, position)
         grid.add(position, vm)
-        self._places[vm.name] = (grid, position)
 
     def discard(self, vm: VmRecord) -> None:
         """Take `vm` out, if it is in."""
-        place = self._places.pop(vm.name, None)
+        place = vm.places[self._number]
         if place is not None:
-            place[0].remove(place[1], vm)
-
-    def __contains__(self, vm: VmRecord) -> bool:
-        return vm.name in self._places
+            place.grid.remove(place.position, vm)
+            vm.places[self._number] = None
 
-    def _new_grid(self, accelerators: int) -> _Grid:
-        grid = self._grids[accelerators] = _Grid()
+    def _new_grid(self, accelerators: int) -> Grid:
+        grid = self._grids[accelerators] = Grid()
         self._accelerators = sorted(self._grids)
         return grid
 
--- a/cassiaweir/placement/_ledger.py
+++ b/cassiaweir/placement/_ledger.py
@@ -41,7 +41,12 @@
         job = self.jobs.get(group.job)
         if job is None:
             self._sequence += 1
-            job = JobRecord(group, self.team(group.team), self._sequence)
+            job = JobRecord(
+                group,
+                self.team(group.team),
+                self._sequence,
+                self._estimates.of(group),
+            )
             self.jobs[group.job] = job
             job.team.jobs[group.job] = job
         return job
@@ -66,7 +71,9 @@
         job.waiting.clear()
         job.claimed.clear()
 
-    def start(self, job: JobRecord, index: int, vm: VmRecord, now: float) -> None:
+    def start(
+        self, job: JobRecord, index: int, vm: VmRecord, now: float
+    ) -> RunningTask:
         """Count the task as running on `vm` from `now` on."""
         size, team = job.group.size, job.team
         if index in job.waiting:
@@ -75,22 +82,27 @@
             del job.claimed[index]
         else:
             team.wanted.add(size)
-        expected_cpu = self._estimates.expected_cpu(job.group)
-        task = RunningTask(TaskId(job.group.job, index), job, vm, now, expected_cpu)
+        expected_cpu = job.estimates.expected_cpu(job.group)
+        task = RunningTask(
+            TaskId(job.group.job, index), job, vm, vm.rack.name, now, expected_cpu
+        )
         job.running[index] = self.running[task.task] = task
-        job.racks[vm.rack.name] = job.racks.get(vm.rack.name, 0) + 1
-        job.vms[vm.name] = job.vms.get(vm.name, 0) + 1
+        if job.group.kind is JobKind.SERVICE:
+            job.racks[vm.rack.name] = job.racks.get(vm.rack.name, 0) + 1
+            job.vms[vm.name] = job.vms.get(vm.name, 0) + 1
         self._fleet.start(task)
         team.used.add(size)
         team.tasks += 1
         team.reorder(self._fleet.total)
+        return task
 
     def end(self, task: RunningTask) -> None:
         """Free what `task` held."""
         job = task.job
         del self.running[task.task], job.running[task.task.index]
-        _decrement(job.racks, task.vm.rack.name)
-        _decrement(job.vms, task.vm.name)
+        if job.group.kind is JobKind.SERVICE:
+            _decrement(job.racks, task.rack)
+            _decrement(job.vms, task.vm.name)
         self._fleet.end(task)
         job.team.used.add(job.group.size, -1)
         job.team.tasks -= 1
--- a/cassiaweir/placement/_planner.py
+++ b/cassiaweir/placement/_planner.py
@@ -49,11 +49,8 @@
         }
         self._is_poisoned = is_poisoned
         self._fleet = Fleet()
-        self._estimates = Estimates()
-        self._ledger = Ledger(self._fleet, self._estimates)
-        self._rounds = Rounds(
-            self._fleet, self._ledger, self._estimates, bounds, is_poisoned
-        )
+        self._ledger = Ledger(self._fleet, Estimates())
+        self._rounds = Rounds(self._fleet, self._ledger, bounds, is_poisoned)
 
     def set_vm(self, vm: VmOffer, condition: VmCondition) -> None:
         """Add or change a VM."""
@@ -73,7 +70,7 @@
         team = self._ledger.team(name)
         team.share, team.allotment = share, allotment
         team.reorder(self._fleet.total)
-        self._rounds.offer_lanes(name)
+        self._rounds.offer_lanes(team)
 
     def enqueue(self, group: TaskGroup) -> None:
         """Add waiting tasks; those already known are left as they are."""
@@ -126,7 +123,7 @@
             return
         if state is TaskState.SUCCEEDED:
             seconds = now - running.started_at
-            self._estimates.note_duration(running.job.group, seconds)
+            running.job.estimates.note_duration(running.job.group, seconds)
         self._end(running)
         self._settle(running.job)
 
@@ -134,7 +131,7 @@
         """Note the observed use of a running task."""
         running = self._ledger.running.get(task)
         if running is not None:
-            self._estimates.note_usage(running.job.group, usage)
+            running.job.estimates.note_usage(running.job.group, usage)
             running.vm.expected_cpu += usage.cpu_millis - running.expected_cpu
             running.expected_cpu = usage.cpu_millis
 
@@ -170,7 +167,7 @@
     def _end(self, running: RunningTask) -> None:
         self._rounds.preemptor.victim_ended(running.task)
         self._ledger.end(running)
-        self._rounds.offer_lanes(running.job.team.name)
+        self._rounds.offer_lanes(running.job.team)
 
     def _settle(self, job: JobRecord) -> None:
         """Forget `job` once nothing of it waits or runs."""
@@ -182,4 +179,4 @@
     def _reorder_all(self) -> None:
         for team in self._ledger.teams.values():
             team.reorder(self._fleet.total)
-            self._rounds.offer_lanes(team.name)
+            self._rounds.offer_lanes(team)
--- a/cassiaweir/placement/_queue.py
+++ b/cassiaweir/placement/_queue.py
@@ -15,6 +15,7 @@
 from cassiaweir.types import JobKind, Resources, Urgency
 
 NO_ENTRY = float("inf")
+MOST_IDLE_CLASSES = 512
 
 # Makes every heap entry unique, so that records themselves are never compared.
 _tie = itertools.count()
@@ -98,20 +99,18 @@
     def first(self) -> Lane | None:
         """Return the lane whose team has the least order, with its entry right."""
         while self.lanes:
-            order, _, _, lane = self.lanes[0]
+            order, submitted_at, _, lane = self.lanes[0]
             if order != lane.entry:
                 heapq.heappop(self.lanes)
-                continue
-            head = lane.head()
-            if head is None:
+            elif lane.team.order > order:
+                lane.entry = lane.team.order
+                entry = (lane.entry, submitted_at, next(_tie), lane)
+                heapq.heapreplace(self.lanes, entry)
+            elif lane.head() is None:
                 heapq.heappop(self.lanes)
                 lane.entry = NO_ENTRY
-                continue
-            if lane.team.order <= order:
+            else:
                 return lane
-            lane.entry = lane.team.order
-            entry = (lane.entry, head.group.submitted_at, next(_tie), lane)
-            heapq.heapreplace(self.lanes, entry)
         return None
 
     def withdraw(self, lane: Lane) -> None:
@@ -130,8 +129,8 @@
 
     def add(self, job: JobRecord) -> Lane:
         """Queue the waiting tasks of `job`, and return their lane."""
-        key = class_key(job)
-        lane = job.team.lanes.get(key) or self._new_lane(job.team, key)
+        demand = self._demand(job)
+        lane = job.team.lanes.get(demand) or self._new_lane(job.team, demand)
         if job.lane is not lane or not job.queued:
             job.lane = lane
             job.queued = True
@@ -139,12 +138,25 @@
         self.offer(lane)
         return lane
 
-    def _new_lane(self, team: TeamRecord, key: ClassKey) -> Lane:
+    def _demand(self, job: JobRecord) -> DemandClass:
+        """Return the class of the waiting tasks of `job`."""
+        key = class_key(job)
         demand = self.classes.get(key)
         if demand is None:
+            if len(self.classes) >= MOST_IDLE_CLASSES:
+                self._forget_idle_classes()
             demand = self.classes[key] = DemandClass(key)
+        return demand
+
+    def _forget_idle_classes(self) -> None:
+        for key, demand in list(self.classes.items()):
+            if not demand.teams:
+                self.unblock(demand)
+                del self.classes[key]
+
+    def _new_lane(self, team: TeamRecord, demand: DemandClass) -> Lane:
         demand.teams += 1
-        lane = team.lanes[key] = Lane(team, demand)
+        lane = team.lanes[demand] = Lane(team, demand)
         return lane
 
     def offer(self, lane: Lane) -> None:
@@ -202,13 +214,11 @@
             self.unblock(demand)
 
     def forget_if_empty(self, lane: Lane) -> None:
-        """Drop `lane`, and its class, once nothing waits in them."""
-        key = lane.demand.key
-        if lane.head() is not None or lane.team.lanes.get(key) is not lane:
-            return
-        del lane.team.lanes[key]
-        lane.entry = NO_ENTRY
-        lane.demand.teams -= 1
-        if not lane.demand.teams:
-            self.unblock(lane.demand)
-            del self.classes[key]
+        """Drop `lane` once nothing waits in it."""
+        demand = lane.demand
+        if lane.head() is None and lane.team.lanes.get(demand) is lane:
+            del lane.team.lanes[demand]
+            lane.entry = NO_ENTRY
+            demand.teams -= 1
+            if not demand.teams:
+                self.unblock(demand)
--- a/cassiaweir/placement/_records.py
+++ b/cassiaweir/placement/_records.py
@@ -10,7 +10,9 @@
 from cassiaweir.types import JobKind, Resources, TaskId, Urgency
 
 if TYPE_CHECKING:
-    from cassiaweir.placement._queue import ClassKey, Lane
+    from cassiaweir.placement._estimates import KindEstimates
+    from cassiaweir.placement._index import Place
+    from cassiaweir.placement._queue import DemandClass, Lane
 
 SMALLEST_SHARE = 1e-6
 MOST_SLOTS = 1 << 30
@@ -100,6 +102,7 @@
     held: bool = False
     removed: bool = False
     indexed: bool = False
+    places: list[Place | None] = field(default_factory=lambda: [None, None])
     tasks: dict[TaskId, RunningTask] = field(default_factory=dict)
 
     @classmethod
@@ -140,6 +143,7 @@
     task: TaskId
     job: JobRecord
     vm: VmRecord
+    rack: str
     started_at: float
     expected_cpu: int
     stopping: bool = False
@@ -147,12 +151,7 @@
     @property
     def preemptible(self) -> bool:
         """Whether the task may be checkpointed for urgent work."""
-        group = self.job.group
-        return (
-            group.kind is JobKind.BATCH
-            and group.urgency is Urgency.NORMAL
-            and not self.stopping
-        )
+        return self.job.preemptible and not self.stopping
 
 
 @dataclass(slots=True, eq=False)
@@ -160,12 +159,16 @@
     """A job's waiting and running tasks in this shard.
 
     `waiting` keeps indexes in the order in which they start.  `claimed` has those
-    for which checkpoints are making room.  `racks` and `vms` count running tasks.
+    for which checkpoints are making room.  `racks` and `vms` count running tasks of
+    a service.
     """
 
     group: TaskGroup
     team: TeamRecord
     sequence: int
+    estimates: KindEstimates
+    gang: bool = field(init=False)
+    preemptible: bool = field(init=False)
     lane: Lane | None = None
     queued: bool = False
     waiting: dict[int, None] = field(default_factory=dict)
@@ -174,10 +177,15 @@
     racks: dict[str, int] = field(default_factory=dict)
     vms: dict[str, int] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        kind, urgency = self.group.kind, self.group.urgency
+        self.gang = kind is JobKind.GANG
+        self.preemptible = kind is JobKind.BATCH and urgency is Urgency.NORMAL
+
     @property
     def needed_at_once(self) -> int:
         """The number of tasks that have to start together."""
-        return len(self.waiting) if self.group.kind is JobKind.GANG else 1
+        return len(self.waiting) if self.gang else 1
 
 
 @dataclass(slots=True, eq=False)
@@ -196,7 +204,7 @@
     tasks: int = 0
     wanted: Amounts = field(default_factory=Amounts)
     order: float = 0.0
-    lanes: dict[ClassKey, Lane] = field(default_factory=dict)
+    lanes: dict[DemandClass, Lane] = field(default_factory=dict)
     jobs: dict[str, JobRecord] = field(default_factory=dict)
 
     def allows(self, size: Resources, count: int = 1) -> bool:
--- a/cassiaweir/placement/_reservation.py
+++ b/cassiaweir/placement/_reservation.py
@@ -15,7 +15,7 @@
 from itertools import islice
 
 from cassiaweir.placement._choice import choose, choose_for_gang
-from cassiaweir.placement._estimates import NEVER, Estimates
+from cassiaweir.placement._estimates import NEVER, expected_end
 from cassiaweir.placement._fleet import Fleet
 from cassiaweir.placement._queue import Lane
 from cassiaweir.placement._records import Amounts, JobRecord, VmRecord
@@ -55,9 +55,8 @@
 class Reserver:
     """Watches the lanes of one urgency and reserves VMs for the overdue ones."""
 
-    def __init__(self, fleet: Fleet, estimates: Estimates, bound: float) -> None:
+    def __init__(self, fleet: Fleet, bound: float) -> None:
         self._fleet = fleet
-        self._estimates = estimates
         self._bound = bound
         self._watched: list[tuple[float, int, Lane]] = []
         self._credit = 0.0
@@ -114,7 +113,7 @@
             return []
         if not job.group.declared_seconds:
             return []
-        if now + self._estimates.longest_seconds(job.group) > self.current.ready_at:
+        if now + job.estimates.longest_seconds(job.group) > self.current.ready_at:
             return []
         return self._first_kept(job.group.size)
 
@@ -210,8 +209,7 @@
         room = Amounts()
         room.add(vm.free.resources())
         ends = [
-            (self._estimates.expected_end(task, now), task.job.group.size)
-            for task in vm.tasks.values()
+            (expected_end(task, now), task.job.group.size) for task in vm.tasks.values()
         ]
         ends.sort(key=lambda end: end[0])
         at, slots = now, room.slots(size)
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -3,22 +3,30 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from cassiaweir.placement._choice import choose
-from cassiaweir.placement._estimates import Estimates
 from cassiaweir.placement._fleet import Fleet
 from cassiaweir.placement._ledger import Ledger
 from cassiaweir.placement._preemption import Claim, Preemptor
 from cassiaweir.placement._queue import WaitingQueue
-from cassiaweir.placement._records import JobRecord, VmRecord
+from cassiaweir.placement._records import JobRecord, TeamRecord, VmRecord
 from cassiaweir.placement._reservation import Reserver
 from cassiaweir.placement._types import Placement, Plan, Preemption
-from cassiaweir.types import JobKind, Resources, TaskId, Urgency
+from cassiaweir.types import Resources, Urgency
 
 URGENT_RETRY_SECONDS = 1.0
 PREEMPTION_REASON = "urgent_work"
 
 
+@dataclass(frozen=True, slots=True)
+class Tier:
+    """The waiting work of one urgency, and the reservations for it."""
+
+    queue: WaitingQueue
+    reserver: Reserver
+
+
 class Rounds:
     """Keeps the queues and turns them into plans."""
 
@@ -26,7 +34,6 @@
         self,
         fleet: Fleet,
         ledger: Ledger,
-        estimates: Estimates,
         bounds: dict[Urgency, float],
         is_poisoned: Callable[[str], bool],
     ) -> None:
@@ -34,49 +41,57 @@
         self._fleet = fleet
         self._ledger = ledger
         self.preemptor = Preemptor(fleet)
-        self._queues = {urgency: WaitingQueue() for urgency in Urgency}
-        self._reservers = {
-            urgency: Reserver(fleet, estimates, bound)
-            for urgency, bound in bounds.items()
-        }
+        self._urgent, self._normal = (
+            Tier(WaitingQueue(), Reserver(fleet, bounds[urgency]))
+            for urgency in (Urgency.URGENT, Urgency.NORMAL)
+        )
         self._urgent_retry_at = 0.0
 
     def queue(self, job: JobRecord) -> None:
         """Enter `job` in the lane of its waiting tasks, unless it is poisoned."""
-        before, queue = job.lane, self._queues[job.group.urgency]
+        before, tier = job.lane, self._tier(job)
         if self._is_poisoned(job.group.job):
             job.lane, job.queued = None, False
             if before is not None:
-                queue.forget_if_empty(before)
+                tier.queue.forget_if_empty(before)
             return
-        lane = queue.add(job)
-        self._reservers[job.group.urgency].watch(lane)
+        lane = tier.queue.add(job)
+        tier.reserver.watch(lane)
         if before is not None and before is not lane:
-            queue.forget_if_empty(before)
+            tier.queue.forget_if_empty(before)
 
     def waiting_fell(self, job: JobRecord) -> None:
         """Requeue a gang whose rest forms another class; drop an empty lane."""
-        if job.waiting and job.group.kind is JobKind.GANG:
-            self.queue(job)
-        elif not job.waiting and job.lane is not None:
-            self._queues[job.group.urgency].forget_if_empty(job.lane)
+        if job.waiting:
+            if job.gang:
+                self.queue(job)
+        elif job.lane is not None:
+            self._tier(job).queue.forget_if_empty(job.lane)
 
-    def offer_lanes(self, team_name: str) -> None:
+    def offer_lanes(self, team: TeamRecord) -> None:
         """Enter the lanes of a team again after its order fell or its limit rose."""
-        for lane in self._ledger.teams[team_name].lanes.values():
-            self._queues[lane.demand.key.urgency].offer(lane)
+        order = team.order
+        for lane in team.lanes.values():
+            if order < lane.entry:
+                urgent = lane.demand.key.urgency is Urgency.URGENT
+                (self._urgent if urgent else self._normal).queue.offer(lane)
 
     def plan(self, now: float, most: int) -> Plan:
         """Decide on at most `most` placements and the preemptions they need."""
         grown = bool(self._fleet.grown)
         self._unblock(now)
         plan = Plan([], [])
-        self._serve_claims(plan, now, most)
-        for urgency in (Urgency.URGENT, Urgency.NORMAL):
-            self._serve_overdue(urgency, plan, now, most, grown)
-            self._serve(urgency, plan, now, most)
+        if self.preemptor.claims:
+            self._serve_claims(plan, now, most)
+        for tier in (self._urgent, self._normal):
+            self._serve_overdue(tier, plan, now, most, grown)
+            self._serve(tier, plan, now, most)
         return plan
 
+    def _tier(self, job: JobRecord) -> Tier:
+        urgent = job.group.urgency is Urgency.URGENT
+        return self._urgent if urgent else self._normal
+
     def _serve_claims(self, plan: Plan, now: float, most: int) -> None:
         """Start the urgent tasks whose room has become free."""
         for claim in self.preemptor.ready(now):
@@ -92,10 +107,10 @@
             self.queue(claim.job)
 
     def _serve_overdue(
-        self, urgency: Urgency, plan: Plan, now: float, most: int, grown: bool
+        self, tier: Tier, plan: Plan, now: float, most: int, grown: bool
     ) -> None:
         """Start overdue jobs whose reserved VMs hold them."""
-        reserver = self._reservers[urgency]
+        reserver = tier.reserver
         while (job := reserver.next_job(now)) is not None:
             if not _within(plan, job.needed_at_once, most):
                 return
@@ -105,10 +120,11 @@
             reserver.fulfilled(job, len(vms))
             self._place_next(job, vms, plan, now)
 
-    def _serve(self, urgency: Urgency, plan: Plan, now: float, most: int) -> None:
+    def _serve(self, tier: Tier, plan: Plan, now: float, most: int) -> None:
         """Place what the queue holds, in order, until nothing more can start."""
-        queue = self._queues[urgency]
-        while (lane := queue.first()) is not None and (job := lane.head()) is not None:
+        queue = tier.queue
+        while (lane := queue.first()) is not None:
+            job = lane.heap[0][3]
             need = job.needed_at_once
             if not _within(plan, need, most):
                 return
@@ -117,14 +133,14 @@
                 continue
             vms = choose(self._fleet, job) or self._kept_room(job, now)
             if vms:
-                self._reservers[urgency].started(job.group.size, len(vms))
+                tier.reserver.started(job.group.size, len(vms))
                 self._place_next(job, vms, plan, now)
-            elif urgency is Urgency.NORMAL or not self._preempt(job, plan, now):
+            elif tier is self._normal or not self._preempt(job, plan, now):
                 queue.block(lane.demand)
 
     def _kept_room(self, job: JobRecord, now: float) -> list[VmRecord]:
         """Return a VM kept for overdue normal work that `job` may use all the same."""
-        reserver = self._reservers[Urgency.NORMAL]
+        reserver = self._normal.reserver
         if job.group.urgency is Urgency.URGENT:
             return reserver.yield_to_urgent(job)
         return reserver.backfill(job, now)
@@ -147,6 +163,9 @@
         self, job: JobRecord, vms: list[VmRecord], plan: Plan, now: float
     ) -> None:
         """Start the next waiting tasks of `job` on `vms`, one on each."""
+        if len(vms) == 1:
+            self._place(job, {next(iter(job.waiting)): vms[0]}, plan, now)
+            return
         indexes = list(job.waiting)[: len(vms)]
         self._place(job, dict(zip(indexes, vms, strict=True)), plan, now)
 
@@ -154,8 +173,8 @@
         self, job: JobRecord, vms: dict[int, VmRecord], plan: Plan, now: float
     ) -> None:
         for index, vm in vms.items():
-            self._ledger.start(job, index, vm, now)
-            plan.placements.append(Placement(TaskId(job.group.job, index), vm.name))
+            task = self._ledger.start(job, index, vm, now)
+            plan.placements.append(Placement(task.task, vm.name))
         if job.lane is not None:
             job.lane.served_at = now
         self.waiting_fell(job)
@@ -166,14 +185,14 @@
         if grown:
             self._unblock_grown(list(grown.values()))
             grown.clear()
-        urgent = self._queues[Urgency.URGENT]
         if now >= self._urgent_retry_at:
             self._urgent_retry_at = now + URGENT_RETRY_SECONDS
+            urgent = self._urgent.queue
             for size in urgent.blocked_sizes():
                 urgent.unblock_size(size)
 
     def _unblock_grown(self, grown: list[VmRecord]) -> None:
-        normal, urgent = (self._queues[u] for u in (Urgency.NORMAL, Urgency.URGENT))
+        normal, urgent = self._normal.queue, self._urgent.queue
         for size in normal.blocked_sizes():
             if any(vm.free.holds(size) for vm in grown):
                 normal.unblock_size(size)
