--- a/cassiaweir/composition/_scheduler.py
+++ b/cassiaweir/composition/_scheduler.py
@@ -18,11 +18,12 @@
     shard_names,
 )
 from cassiaweir.membership import SchedulerPeers
-from cassiaweir.placement import FairPlanner
+from cassiaweir.placement import FairPlanner, WorkerHealth
 from cassiaweir.platform import HttpWorkers
 from cassiaweir.process import Component
 from cassiaweir.requests import SlotBroker, SlotService
 from cassiaweir.rpc._server import Registration
+from cassiaweir.teams import ShardAllotments
 from cassiaweir.types import ShardOwner
 
 SLOT_LEASE_MARGIN = timedelta(seconds=1)
@@ -100,16 +101,25 @@
     workers = HttpWorkers(base.session)
 
     def build_runner(lease: ShardLease) -> ShardRunner:
+        health = WorkerHealth()
         return ShardRunner(
             lease,
             table=base.table,
             committer=base.commits,
             vm_list=base.vm_list,
             workers=workers,
-            planner=FairPlanner(),
+            planner=FairPlanner(is_poisoned=health.is_poisoned),
             clock=base.clock,
             events=base.events,
             terms=runner_terms,
+            allotments=ShardAllotments(
+                lease,
+                table=base.table,
+                view=base.view,
+                clock=base.clock,
+                events=base.events,
+            ),
+            health=health,
         )
 
     return ShardKeeper(
--- a/cassiaweir/fleet/_task_book.py
+++ b/cassiaweir/fleet/_task_book.py
@@ -223,7 +223,7 @@
         self._on_vm[vm].discard(entry.task)
         self._planner.task_ended(entry.task, entry.state, now)
         if self._health is not None:
-            self._health.ended(vm, entry.task.job, entry.state, now)
+            self._health.task_ended(vm, entry.task.job, entry.state, now)
         step = part.end(entry)
         self._record("task_ended", entry.task, vm, entry.attempt, entry.state)
         if step is NextStep.RESTART:
