--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,9 @@
 	$(PYTHON) -m shiv --site-packages build/site --compressed --reproducible \
 		--entry-point cassiaweir.cmdline:main --output-file dist/cassiaweir
 
+demo: setup ## Show the whole path in separate processes on this machine.
+	$(PYTHON) -m prove.demo
+
 bench: setup ## Measure the policy against the baselines; SEED chooses the load.
 	$(PYTHON) -m bench --seed $(SEED)
 
--- a/prove/cluster.py
+++ b/prove/cluster.py
@@ -66,6 +66,7 @@
     name: str
     failure_domain: str
     http: str
+    rpc: dict[str, str]
     processes: dict[str, ManagedProcess]
 
     def serving(self, role: str) -> ManagedProcess:
@@ -107,6 +108,15 @@
             for process in vm.processes.values()
         ]
 
+    def rpc_addresses(self) -> list[str]:
+        """Return the gRPC addresses of the processes that run."""
+        return [
+            vm.rpc[role]
+            for vm in self.entry_vms.values()
+            for role, process in vm.processes.items()
+            if process.running
+        ]
+
     async def start(self) -> None:
         """Start everything and wait until each gateway is ready."""
         await self.start_platform()
@@ -153,6 +163,10 @@
             name=name,
             failure_domain=domain,
             http=addresses[0],
+            rpc={
+                role: addresses[1] if role == "gateway" else addresses[2]
+                for role in self.layout.roles
+            },
             processes={
                 role: self._role(role, name, domain, addresses)
                 for role in self.layout.roles
