Test the life of claims with a state machine

Kills, lost answers and outages at each commit and each call, repeats at once and in turn. The machine fails when a claim in doubt can be claimed again, when a claim that may have run is released, and when such a request is tried elsewhere.

--- /dev/null
+++ b/tests/test_requests_claim_life.py
@@ -0,0 +1,116 @@
+"""A state machine over the life of claims, with kills and faults at every point."""
+
+import asyncio
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from cassiaweir.exceptions import RefusedError, UnavailableError
+from cassiaweir.requests._models import ServiceAnswer
+from cassiaweir.verdict import Verdict
+from standins.memory import MemoryTable
+from tests.test_requests_helpers import (
+    FakeSlots,
+    make_claims,
+    make_request,
+    make_router,
+)
+
+COMMITS = ("ok", "ok", "lost", "down", "kill_before", "kill_after")
+CALLS = ("ok", "ok", "refused", "unsent", "cut_before", "cut_after", "kill_before")
+CALLS += ("kill_after",)
+
+
+class FaultyTable(MemoryTable):
+    """Follows a plan of faults, one for each commit.  A kill is a cancellation."""
+
+    plan: list[str] = []
+
+    async def commit(self, checks, writes):
+        fault = self.plan.pop(0) if self.plan else "ok"
+        await asyncio.sleep(0)
+        if fault == "kill_before":
+            raise asyncio.CancelledError
+        if fault == "down":
+            raise UnavailableError("down", verdict=Verdict.NOT_RUN)
+        versions = await super().commit(checks, writes)
+        if fault == "kill_after":
+            raise asyncio.CancelledError
+        if fault == "lost":
+            raise UnavailableError("lost", verdict=Verdict.MAY_HAVE_RUN)
+        return versions
+
+
+class FaultyBackend:
+    """Follows a plan of faults, one for each call, and notes what really ran."""
+
+    def __init__(self) -> None:
+        self.plan: list[str] = []
+        self.ran: list[tuple[str, str]] = []
+
+    async def call(self, address, req) -> ServiceAnswer:
+        fault = self.plan.pop(0) if self.plan else "ok"
+        await asyncio.sleep(0)
+        if fault == "refused":
+            raise RefusedError("backend_refused", "no")
+        if fault == "unsent":
+            raise UnavailableError("unsent", verdict=Verdict.NOT_RUN)
+        if fault == "cut_before":
+            raise UnavailableError("cut", verdict=Verdict.MAY_HAVE_RUN)
+        if fault == "kill_before":
+            raise asyncio.CancelledError
+        self.ran.append((req.idempotency_key, req.request_id))
+        if fault == "cut_after":
+            raise UnavailableError("cut", verdict=Verdict.MAY_HAVE_RUN)
+        if fault == "kill_after":
+            raise asyncio.CancelledError
+        return ServiceAnswer(200, req.request_id.encode())
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Callers repeat two requests through gateways that come and go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = FaultyTable()
+        self.backend = FaultyBackend()
+        self.serial = 0
+
+    @rule(
+        keys=st.lists(st.sampled_from(("k1", "k2")), min_size=1, max_size=3),
+        commits=st.lists(st.sampled_from(COMMITS), max_size=6),
+        calls=st.lists(st.sampled_from(CALLS), max_size=4),
+    )
+    def ask(self, keys, commits, calls) -> None:
+        self.table.plan = commits
+        self.backend.plan = calls
+        asyncio.run(self.ask_all(keys))
+
+    async def ask_all(self, keys) -> None:
+        await asyncio.gather(*[self.ask_one(key) for key in keys])
+
+    async def ask_one(self, key) -> None:
+        self.serial += 1
+        request_id = f"r{self.serial}"
+        router = make_router(
+            FakeSlots("a", "b", "c", "d"), self.backend, make_claims(self.table)
+        )
+        req = make_request(idempotency_key=key, request_id=request_id)
+        try:
+            answer = await router._run(req)
+        except RefusedError as exc:
+            if exc.verdict is Verdict.NOT_RUN:
+                assert (key, request_id) not in self.backend.ran
+        except asyncio.CancelledError:
+            pass
+        else:
+            assert (key, answer.body.decode()) in self.backend.ran
+        ran = [run for run in self.backend.ran if run[0] == key]
+        assert len(ran) <= 1
+
+
+ClaimMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=12, deadline=None
+)
+TestClaimMachine = ClaimMachine.TestCase
