--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,9 @@
 	mkdir -p dist
 	$(PYTHON) -m shiv --site-packages build/site --compressed --reproducible \
 		--entry-point cassiaweir.cmdline:main --output-file dist/cassiaweir
+
+bench: setup ## Measure the policy against the baselines; SEED chooses the load.
+	$(PYTHON) -m bench --seed $(SEED)
+
+report: setup ## Draw the plots of the last bench into docs/.
+	$(PYTHON) -m bench plots
--- a/cassiaweir/fleet/_task_book.py
+++ b/cassiaweir/fleet/_task_book.py
@@ -53,13 +53,13 @@
         """Tell whether a task runs, or is being started, on `vm`."""
         return bool(self._on_vm.get(vm))
 
-    def held_back(self, team: str) -> Resources:
-        """Return what a former owner may still run for `team`, unseen by us."""
-        total = Resources()
+    def held_by_team(self) -> dict[str, Resources]:
+        """Return what a former owner may still run, unseen by us, for each team."""
+        total: dict[str, Resources] = {}
         for part in self._parts.values():
-            if part.row.team == team:
-                held = part.count([TaskPhase.HELD_BACK])
-                total += part.row.spec.size.resources() * held
+            held = part.count([TaskPhase.HELD_BACK])
+            amount = part.row.spec.size.resources() * held
+            total[part.row.team] = total.get(part.row.team, Resources()) + amount
         return total
 
     def running_tasks(self) -> int:
@@ -223,7 +223,7 @@
         self._on_vm[vm].discard(entry.task)
         self._planner.task_ended(entry.task, entry.state, now)
         if self._health is not None:
-            self._health.ended(vm, entry.task.job, entry.state, now)
+            self._health.task_ended(vm, entry.task.job, entry.state, now)
         step = part.end(entry)
         self._record("task_ended", entry.task, vm, entry.attempt, entry.state)
         if step is NextStep.RESTART:
