--- a/cassiaweir/fleet/_roster.py
+++ b/cassiaweir/fleet/_roster.py
@@ -13,7 +13,7 @@
 class Health(Protocol):
     """Tells workers that fail what they start from those that do not."""
 
-    def ended(self, vm: str, job: str, state: TaskState, now: float) -> None:
+    def task_ended(self, vm: str, job: str, state: TaskState, now: float) -> None:
         """Note how a task of `job` ended on `vm`."""
 
     def condition(self, vm: str, now: float) -> VmCondition:
--- a/cassiaweir/requests/_broker.py
+++ b/cassiaweir/requests/_broker.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 
 from cassiaweir.requests._models import Grant, Hold, Refusal, SlotOutcome, Want
+from cassiaweir.requests._slot_book import Backend, SlotBook
 from cassiaweir.requests._waiting import WaitingWants
 from cassiaweir.types import Clock
 
 MARGIN = timedelta(seconds=2)
 MOST_WAITING = 64
-SUSPECT_SECONDS = 5.0
-REFUSED_SECONDS = 5.0
 FIRST_SERVICE_SECONDS = 0.1
 SERVICE_TIME_WEIGHT = 0.05
 SHED_SECONDS = 0.05
@@ -23,54 +22,6 @@
 Decision = Grant | Refusal
 
 
-@dataclass(frozen=True, slots=True)
-class Backend:
-    """A backend server of an owned shard, as the list of VMs describes it."""
-
-    name: str
-    service: str
-    address: str
-    shard: str
-    slots: int
-    leaving: bool = False
-
-
-@dataclass(slots=True)
-class _Held:
-    """A slot in use; `expires_at` is when it is certainly free again."""
-
-    backend: str
-    granted_at: float
-    expires_at: float
-    suspect: bool = False
-
-
-@dataclass(slots=True)
-class _Server:
-    """A backend server with its grants.
-
-    `unknown` slots may have been granted by an earlier owner; they count as in use
-    until `settles_at`, or until every known gateway has told what it holds.
-    """
-
-    backend: Backend
-    unknown: int
-    settles_at: float
-    untold: set[str] | None
-    held: set[tuple[str, int]] = field(default_factory=set)
-    suspect_until: float = 0.0
-    closed_until: float = 0.0
-
-    @property
-    def free(self) -> int:
-        return self.backend.slots - len(self.held) - self.unknown
-
-    def usable(self, now: float) -> bool:
-        if self.backend.leaving or now < self.closed_until or self.free < 1:
-            return False
-        return now >= self.suspect_until or not self.held
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceLoad:
     """The slots of one service at this owner and the wants waiting for them."""
@@ -106,65 +57,33 @@
         self._margin = margin.total_seconds()
         self._queue_limit = queue_limit
         self._share = share
-        self._servers: dict[str, _Server] = {}
-        self._grants: dict[tuple[str, int], _Held] = {}
+        self._book = SlotBook(clock, self._longest + self._margin)
         self._waiting: dict[str, WaitingWants] = {}
         self._service_seconds: dict[str, float] = {}
         self._next_shed = 0.0
 
     def set_backends(
-        self, backends: Iterable[Backend], gateways: Sequence[str] | None = None
+        self, backends: Iterable[Backend], owned: Mapping[str, int]
     ) -> None:
-        """Replace the backend servers by those of the shards owned now.
-
-        `gateways` are all live gateways; None means that they are not known, and
-        then only time settles a backend server that is new here.
-        """
-        now = self._clock.monotonic()
+        """Replace the backend servers; see `SlotBook.set_backends`."""
         self._next_shed = 0.0
-        new = {backend.name: backend for backend in backends}
-        for name in self._servers.keys() - new.keys():
-            self._drop(name)
-        for name, backend in new.items():
-            server = self._servers.get(name)
-            if server is not None and server.backend.shard == backend.shard:
-                server.backend = backend
-                continue
-            if server is not None:
-                self._drop(name)
-            self._servers[name] = _Server(
-                backend=backend,
-                unknown=backend.slots,
-                settles_at=now + self._longest + self._margin,
-                untold=None if gateways is None else set(gateways),
-            )
+        self._book.set_backends(backends, owned)
+
+    def set_gateways(self, gateways: Iterable[str] | None) -> None:
+        """Note the gateways listed now; see `Settling.set_gateways`."""
+        self._book.set_gateways(gateways)
 
     def attach(self, gateway: str, holds: Sequence[Hold]) -> None:
-        """Begin a stream: grants that `holds` lacks never reached `gateway`."""
-        kept = {(gateway, hold.ticket) for hold in holds}
-        for key in [k for k in self._grants if k[0] == gateway and k not in kept]:
-            self._free(key)
-        self.tell(gateway, holds)
+        """Begin a stream of `gateway`, which holds nothing but `holds`."""
+        self._book.attach(gateway, holds)
 
     def tell(self, gateway: str, holds: Sequence[Hold]) -> None:
         """Note what `gateway` holds from earlier owners."""
-        now = self._clock.monotonic()
-        for hold in holds:
-            server = self._servers.get(hold.backend)
-            key = (gateway, hold.ticket)
-            if server is None or key in self._grants:
-                continue
-            server.unknown = max(0, server.unknown - 1)
-            lease = min(hold.lease, self._longest + self._margin)
-            self._grants[key] = _Held(hold.backend, now, now + lease)
-            server.held.add(key)
-        for server in self._servers.values():
-            if server.untold is not None:
-                server.untold.discard(gateway)
+        self._book.tell(gateway, holds)
 
     def want(self, want: Want) -> Refusal | None:
         """Queue `want`, or refuse it at once where waiting cannot help."""
-        if (want.gateway, want.ticket) in self._grants:
+        if self._book.holds((want.gateway, want.ticket)):
             return None
         now = self._clock.monotonic()
         load = self.load(want.service)
@@ -181,21 +100,12 @@
 
     def done(self, gateway: str, ticket: int, outcome: SlotOutcome) -> None:
         """Take a slot back, or drop the want that still waits."""
-        now = self._clock.monotonic()
-        held = self._grants.get((gateway, ticket))
-        if held is None:
+        if not self._book.holds((gateway, ticket)):
             self._forget_want(gateway, ticket)
             return
-        server = self._servers[held.backend]
-        if outcome is SlotOutcome.SUSPECT:
-            held.suspect = True
-            server.suspect_until = now + SUSPECT_SECONDS
-            return
-        if outcome is SlotOutcome.REFUSED:
-            server.closed_until = now + REFUSED_SECONDS
-        else:
-            self._learn(server.backend.service, now - held.granted_at)
-        self._free((gateway, ticket))
+        use = self._book.give_back((gateway, ticket), outcome)
+        if use is not None:
+            self._learn(use.service, use.seconds)
 
     def detach(self, gateway: str) -> None:
         """Forget the waiting wants of `gateway`; what it holds lasts its lease."""
@@ -205,8 +115,7 @@
     def decide(self) -> list[Decision]:
         """Return the grants and refusals that are due now."""
         now = self._clock.monotonic()
-        self._expire(now)
-        self._settle(now)
+        self._book.advance()
         decisions: list[Decision] = []
         shed = now >= self._next_shed
         if shed:
@@ -219,26 +128,20 @@
 
     def load(self, service: str) -> ServiceLoad:
         """Return the load of one service; leaving backend servers do not count."""
-        servers = [
-            server
-            for server in self._servers.values()
-            if server.backend.service == service and not server.backend.leaving
-        ]
         return ServiceLoad(
             service=service,
-            slots=sum(server.backend.slots for server in servers),
-            free=sum(max(0, server.free) for server in servers),
+            slots=self._book.slots(service),
+            free=self._book.free(service),
             waiting=len(self._waiting.get(service, ())),
         )
 
     def services(self) -> list[str]:
         """Return the services with a backend server here, in order."""
-        return sorted({server.backend.service for server in self._servers.values()})
+        return self._book.services()
 
     def granted(self, backend: str) -> int:
-        """Return the slots of `backend` that count as in use by a known grant."""
-        server = self._servers.get(backend)
-        return len(server.held) if server else 0
+        """Return the known grants of the backend server `backend`."""
+        return self._book.granted(backend)
 
     def _queue(self, service: str) -> WaitingWants:
         queue = self._waiting.get(service)
@@ -273,25 +176,6 @@
         for queue in self._waiting.values():
             queue.remove(lambda want: want.gateway == gateway and want.ticket == ticket)
 
-    def _free(self, key: tuple[str, int]) -> None:
-        held = self._grants.pop(key)
-        self._servers[held.backend].held.discard(key)
-
-    def _drop(self, name: str) -> None:
-        server = self._servers.pop(name)
-        for key in server.held:
-            del self._grants[key]
-
-    def _expire(self, now: float) -> None:
-        for key in [k for k, held in self._grants.items() if held.expires_at <= now]:
-            self._free(key)
-
-    def _settle(self, now: float) -> None:
-        for server in self._servers.values():
-            told = server.untold is not None and not server.untold
-            if server.unknown and (told or now >= server.settles_at):
-                server.unknown = 0
-
     def _shed(self, service: str, queue: WaitingWants, now: float) -> list[Refusal]:
         """Refuse the wants that can no longer be served in time."""
         if not len(queue):
@@ -316,30 +200,19 @@
 
     def _grant_first(self, queue: WaitingWants, now: float) -> Grant | None:
         for want in queue.candidates():
-            server = self._pick(want, now)
-            if server is not None:
+            grant = self._grant(want, now)
+            if grant is not None:
                 queue.take(want)
-                return self._grant(want, server, now)
+                return grant
         return None
 
-    def _pick(self, want: Want, now: float) -> _Server | None:
-        """Return the usable backend server with the fewest slots in use."""
-        usable = [
-            server
-            for name, server in self._servers.items()
-            if server.backend.service == want.service
-            and name not in want.avoid
-            and server.usable(now)
-        ]
-        return min(usable, key=lambda s: (now < s.suspect_until, -s.free), default=None)
-
-    def _grant(self, want: Want, server: _Server, now: float) -> Grant:
-        key = (want.gateway, want.ticket)
+    def _grant(self, want: Want, now: float) -> Grant | None:
         left = min(want.deadline - now, self._longest)
         lease = left + self._margin
-        backend = server.backend
-        self._grants[key] = _Held(backend.name, now, now + lease)
-        server.held.add(key)
+        key = (want.gateway, want.ticket)
+        backend = self._book.grant(key, want.service, want.avoid, lease)
+        if backend is None:
+            return None
         return Grant(
             gateway=want.gateway,
             ticket=want.ticket,
--- a/lab/slots.py
+++ b/lab/slots.py
@@ -19,12 +19,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import partial
 
 import click
 
 from cassiaweir.clock import ManualClock
-from cassiaweir.requests._broker import Backend, SlotBroker
+from cassiaweir.requests._broker import SlotBroker
 from cassiaweir.requests._models import Grant, SlotOutcome, Want
+from cassiaweir.requests._slot_book import Backend
 from cassiaweir.types import Urgency
 
 SERVERS = 24
@@ -134,7 +136,7 @@
             events.at(events.clock.monotonic() + REBALANCE_SECONDS, move_credits)
 
     for arrival in arrivals:
-        events.at(arrival.at, lambda arrival=arrival: arrive(arrival))
+        events.at(arrival.at, partial(arrive, arrival))
     if rebalance:
         events.at(REBALANCE_SECONDS, move_credits)
     events.run()
@@ -173,7 +175,7 @@
             Backend(f"s{n}", "inventory", f"s{n}:1", "shard", SLOTS_PER_SERVER)
             for n in range(SERVERS)
         ],
-        gateways=[],
+        {"shard": 1},
     )
     # A grant travels to the gateway before the slot is in use, and its end travels
     # back; a request that passes through the owner is there already.
@@ -201,14 +203,14 @@
             arrival = arrivals[grant.ticket]
             waits.append(now + idle + answer - arrival.at)
             end = now + idle + arrival.service + idle
-            events.at(end, lambda grant=grant: finish(grant))
+            events.at(end, partial(finish, grant))
 
     def finish(grant: Grant) -> None:
         broker.done(grant.gateway, grant.ticket, SlotOutcome.FREE)
         decide()
 
     for arrival in arrivals:
-        events.at(arrival.at + HOP_SECONDS, lambda arrival=arrival: ask(arrival))
+        events.at(arrival.at + HOP_SECONDS, partial(ask, arrival))
     events.run()
     return waits
 
