--- a/cassiaweir/membership/_peers.py
+++ b/cassiaweir/membership/_peers.py
@@ -27,7 +27,7 @@
 
 MOST_TOLD = 4
 EXCHANGES_PER_HEARTBEAT = 1
-HEARD_LIMIT = timedelta(seconds=20)
+HEARD_LIMIT = timedelta(seconds=60)
 FORGET_AFTER = timedelta(seconds=70)
 CALL_TIMEOUT_HEARTBEATS = 2
 
