--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -11,6 +11,7 @@
 from cassiaweir.observe import EventLog
 from cassiaweir.placement import WaitReason
 from cassiaweir.rpc import cell_pb2_grpc
+from cassiaweir.rpc._server import Channels
 from cassiaweir.work import SchedulerClient
 from standins.memory import MemoryTable
 from tests.fleet_fakes import LEASE
@@ -186,7 +187,8 @@
     )
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
-    client = SchedulerClient(timedelta(seconds=5))
+    channels = Channels()
+    client = SchedulerClient(channels, timedelta(seconds=5))
     address = f"127.0.0.1:{port}"
     try:
         await client.notify_parts(address, "augusta-0", "j1")
@@ -198,5 +200,5 @@
         with pytest.raises(UnavailableError):
             await client.notify_parts(address, "milazzo-0", "j1")
     finally:
-        await client.stop()
+        await channels.stop()
         await server.stop(None)
