--- a/cassiaweir/platform/_services.py
+++ b/cassiaweir/platform/_services.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cassiaweir.exceptions import UnavailableError
 from cassiaweir.platform._session import PlatformSession
 from cassiaweir.platform.wire import (
     RenewRequest,
@@ -24,6 +25,9 @@
     Worker,
     WorkerReport,
 )
+from cassiaweir.verdict import Verdict
+
+VMS_PATH = "/v1/vms"
 
 
 class HttpObjectStore:
@@ -44,16 +48,24 @@
 
 
 class HttpVmList:
-    """Implements the `VmList` protocol over HTTP."""
+    """Implements the `VmList` protocol over HTTP.
+
+    The list is large and changes seldom, so an unchanged one is not sent again.
+    """
 
     def __init__(self, session: PlatformSession, address: str) -> None:
         self._session = session
         self._address = address
+        self._tag = ""
+        self._vms: list[Vm] = []
 
     async def fetch(self) -> list[Vm]:
         """Return all VMs, or raise `UnavailableError`."""
-        answer = await self._session.call(self._address, "/v1/vms", None, VmsAnswer)
-        return answer.vms
+        changed = await self._session.fetch_changed(self._address, VMS_PATH, self._tag)
+        if changed is not None:
+            self._vms = _decode_vms(changed.body)
+            self._tag = changed.tag
+        return self._vms
 
 
 class HttpWorkers:
@@ -102,6 +114,15 @@
         return await self._session.call(self._address, path, req, WorkerReport)
 
 
+def _decode_vms(body: bytes) -> list[Vm]:
+    try:
+        return msgspec.json.decode(body, type=VmsAnswer).vms
+    except msgspec.DecodeError as exc:
+        raise UnavailableError(
+            f"the VM list cannot be read: {exc}", verdict=Verdict.NOT_RUN
+        ) from exc
+
+
 def _object_path(name: str) -> str:
     """Return the path of the object called `name`."""
     return f"/v1/objects/{quote(name, safe='')}"
--- a/cassiaweir/platform/_session.py
+++ b/cassiaweir/platform/_session.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import TypeVar
 
@@ -20,10 +22,28 @@
 
 MOST_CONNECTIONS = 128
 STATUS_OK = 200
+STATUS_NOT_MODIFIED = 304
 
 T = TypeVar("T")
 
 
+@dataclass(frozen=True, slots=True)
+class Tagged:
+    """A resource with its entity tag, which is empty where the service gives none."""
+
+    body: bytes
+    tag: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Response:
+    """A whole HTTP response."""
+
+    status: int
+    body: bytes
+    tag: str
+
+
 class PlatformSession:
     """Sends requests to the platform's services on behalf of one VM.
 
@@ -83,6 +103,30 @@
         timeout: timedelta | None = None,
     ) -> bytes:
         """Send one request and return the whole body of a good answer."""
+        resp = await self._send(method, address, path, data, {}, timeout)
+        if resp.status == STATUS_OK:
+            return resp.body
+        raise _problem_error(address, path, resp.body)
+
+    async def fetch_changed(self, address: str, path: str, tag: str) -> Tagged | None:
+        """Get a resource, or return None where it still has the entity tag `tag`."""
+        headers = {"If-None-Match": tag} if tag else {}
+        resp = await self._send("GET", address, path, None, headers, None)
+        if resp.status == STATUS_NOT_MODIFIED:
+            return None
+        if resp.status == STATUS_OK:
+            return Tagged(resp.body, resp.tag)
+        raise _problem_error(address, path, resp.body)
+
+    async def _send(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        data: bytes | None,
+        headers: Mapping[str, str],
+        timeout: timedelta | None,
+    ) -> _Response:
         if self._client is None:
             raise UnavailableError("session is closed", verdict=Verdict.NOT_RUN)
         seconds = (timeout or self.timeout).total_seconds()
@@ -91,18 +135,17 @@
                 method,
                 f"http://{address}{path}",
                 data=data,
+                headers=headers,
                 timeout=aiohttp.ClientTimeout(total=seconds, connect=seconds / 2),
                 allow_redirects=False,
             ) as resp:
-                raw = await resp.read()
+                body = await resp.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             message = f"{address}{path}: cannot connect: {exc}"
             raise UnavailableError(message, verdict=Verdict.NOT_RUN) from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise _doubtful(address, path, exc) from exc
-        if resp.status == STATUS_OK:
-            return raw
-        raise _problem_error(address, path, raw)
+        return _Response(resp.status, body, resp.headers.get("ETag", ""))
 
 
 def _doubtful(address: str, path: str, exc: Exception) -> UnavailableError:
--- a/prove/cluster.py
+++ b/prove/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -12,8 +13,10 @@
 
 from prove.processes import ManagedProcess
 
-PLATFORM_BASE_PORT = 7000
-ENTRY_BASE_PORT = 17_000
+FIRST_BASE_PORT = 10_000
+LAST_BASE_PORT = 31_000
+PORTS_PER_RUN = 1_000
+ENTRY_OFFSET = 700
 PORTS_PER_ENTRY_VM = 10
 READY_ATTEMPTS = 300
 READY_INTERVAL_SECONDS = 0.1
@@ -36,15 +39,9 @@
     workers_per_rack: int = 8
     backends: int = 24
     workers_fence: bool = True
-    base_port: int = PLATFORM_BASE_PORT
-    entry_base_port: int = ENTRY_BASE_PORT
     roles: Sequence[str] = ("entry",)
     overrides: Sequence[str] = ()
 
-    def platform_address(self, offset: int) -> str:
-        """Return the address of one of the platform's stand-ins."""
-        return f"127.0.0.1:{self.base_port + offset}"
-
 
 SICILIA_EST = Layout(
     deployment="sicilia-est",
@@ -80,6 +77,7 @@
 
     layout: Layout
     folder: Path
+    base_port: int = field(default_factory=lambda: find_base_port())
     platform: ManagedProcess = field(init=False)
     entry_vms: dict[str, EntryVmProcesses] = field(init=False)
 
@@ -90,15 +88,19 @@
         }
         self.platform = self._platform()
 
+    def address(self, offset: int) -> str:
+        """Return the address at `offset` from the base port."""
+        return f"127.0.0.1:{self.base_port + offset}"
+
     @property
     def balancer(self) -> str:
         """The address that callers use."""
-        return self.layout.platform_address(BALANCER_OFFSET)
+        return self.address(BALANCER_OFFSET)
 
     @property
     def control(self) -> str:
         """The address of the stand-ins' control port."""
-        return self.layout.platform_address(CONTROL_OFFSET)
+        return self.address(CONTROL_OFFSET)
 
     def processes(self) -> list[ManagedProcess]:
         """Return the processes of all entry VMs."""
@@ -157,7 +159,7 @@
         domains = self.layout.failure_domains
         domain = domains[index % len(domains)]
         name = f"{domain}-{index // len(domains) + 1}"
-        port = self.layout.entry_base_port + index * PORTS_PER_ENTRY_VM
+        port = self.base_port + ENTRY_OFFSET + index * PORTS_PER_ENTRY_VM
         addresses = [f"127.0.0.1:{port + offset}" for offset in range(3)]
         return EntryVmProcesses(
             name=name,
@@ -185,9 +187,9 @@
             f"gateway.rpc={addresses[1]}",
             f"scheduler.rpc={addresses[2]}",
             f"scheduler.workers_fence={str(layout.workers_fence).lower()}",
-            f"platform.table={layout.platform_address(TABLE_OFFSET)}",
-            f"platform.objects={layout.platform_address(OBJECTS_OFFSET)}",
-            f"platform.vms={layout.platform_address(VMS_OFFSET)}",
+            f"platform.table={self.address(TABLE_OFFSET)}",
+            f"platform.objects={self.address(OBJECTS_OFFSET)}",
+            f"platform.vms={self.address(VMS_OFFSET)}",
             f"cell.failure_domains={','.join(layout.failure_domains)}",
             *layout.overrides,
         ]
@@ -224,7 +226,19 @@
             "workers_fence": layout.workers_fence,
             "entries": entries,
         }
-        return {"base_port": layout.base_port, "deployments": [deployment]}
+        return {"base_port": self.base_port, "deployments": [deployment]}
+
+
+def find_base_port() -> int:
+    """Return the first port of a block that no other run uses now."""
+    for base in range(FIRST_BASE_PORT, LAST_BASE_PORT, PORTS_PER_RUN):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", base + CONTROL_OFFSET))
+            except OSError:
+                continue
+            return base
+    raise RuntimeError("every block of ports is in use")
 
 
 async def wait_for_ok(url: str) -> None:
--- a/prove/demo.py
+++ b/prove/demo.py
@@ -231,7 +231,7 @@
     try:
         _say(f"starting {SICILIA_EST.deployment}: stand-ins and entry VMs")
         await cluster.start_platform()
-        table = SICILIA_EST.platform_address(TABLE_OFFSET)
+        table = cluster.address(TABLE_OFFSET)
         desk = await OperatorDesk.open(table)
         keys = await desk.set_up(TEAMS)
         await desk.close()
--- a/standins/_vms.py
+++ b/standins/_vms.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 
 import msgspec
+import xxhash
 from aiohttp import web
 
 from cassiaweir.platform.wire import ProblemKind, VmsAnswer
@@ -102,7 +103,13 @@
         self.app.router.add_post("/v1/control/lag", self._set_lag)
 
     async def _list(self, req: web.Request) -> web.Response:
-        return answer(VmsAnswer(self.registry.visible()))
+        body = msgspec.json.encode(VmsAnswer(self.registry.visible()))
+        tag = xxhash.xxh3_64_hexdigest(body)
+        if req.if_none_match and tag in {etag.value for etag in req.if_none_match}:
+            return web.Response(status=304, headers={"ETag": f'"{tag}"'})
+        return web.Response(
+            body=body, content_type="application/json", headers={"ETag": f'"{tag}"'}
+        )
 
     async def _set_lag(self, req: web.Request) -> web.Response:
         self.registry.lag = await read_body(req, float)
--- a/tests/test_platform_session.py
+++ b/tests/test_platform_session.py
@@ -108,6 +108,17 @@
         assert [item.state for item in await vms.fetch()] == [VmState.LEAVING]
 
 
+async def test_an_unchanged_vm_list_is_not_sent_again():
+    registry = VmRegistry(lag=0.0)
+    registry.add(worker_vm(ANY_PORT))
+    async with served(VmListService(registry)) as (session, address):
+        vms = HttpVmList(session, address)
+        first = await vms.fetch()
+        assert await vms.fetch() is first
+        registry.leave(first[0].name)
+        assert [item.state for item in await vms.fetch()] == [VmState.LEAVING]
+
+
 async def test_a_worker_is_driven_over_http():
     ledger = Ledger(lambda: 100.0)
     simulated = SimulatedWorker("w", Resources(4000, 4000), ledger, incarnation="w.0")
