--- a/tests/test_platform_group_commit.py
+++ b/tests/test_platform_group_commit.py
@@ -16,6 +16,7 @@
 from cassiaweir.verdict import Verdict
 from standins.memory import MemoryTable
 
+FAULTS = ["lose_answers", "lose_requests", "hold_commits"]
 KEYS = [f"k{number}" for number in range(6)]
 
 
@@ -123,6 +124,19 @@
     assert verdicts(results) == ["dict", "ConflictError"]
 
 
+async def test_a_repeat_of_a_creation_proves_nothing(table, group):
+    """The row may have been made by the batch and deleted by another process."""
+    table.apply([], [Write("b", b"0")])
+    table.lose_answers = 1
+    commits = gather(create(group, "a", 0), create(group, "b", 1))
+
+    def delete_before_repeat():
+        table.before_commit = lambda: table.apply([], [Write("a", None)])
+
+    table.before_commit = delete_before_repeat
+    assert verdicts(await commits) == ["dict", Verdict.MAY_HAVE_RUN]
+
+
 async def test_an_outage_in_the_middle_of_a_resolution_leaves_doubt(table, group):
     table.lose_requests = 2
     results = await gather(*(create(group, key) for key in KEYS))
@@ -210,27 +224,40 @@
         return row.version if row else 0
 
     @rule(
-        key=st.sampled_from(KEYS),
-        seen=st.sampled_from(["current", "stale", "none"]),
-        other=st.sampled_from([None, *KEYS]),
+        commits=st.lists(
+            st.tuples(
+                st.sampled_from(KEYS),
+                st.sampled_from(["current", "current", "current", "stale", "none"]),
+                st.sampled_from([None, None, *KEYS]),
+            ),
+            min_size=2,
+            max_size=8,
+        ),
+        fault=st.sampled_from([None, *FAULTS]),
+        drain=st.booleans(),
     )
-    def submit(self, key, seen, other):
-        """Submit a commit that writes one or two rows, with a value of its own."""
-        self.count += 1
-        value = f"v{self.count}".encode()
-        checks = [Check(key, self.version(key))] if seen == "current" else []
-        checks = [Check(key, 10_000)] if seen == "stale" else checks
-        keys = {key, other} - {None}
-        commit = self.group.commit(checks, [Write(k, value) for k in sorted(keys)])
-        self.submitted.append((value, keys, checks, self.runner.run(self.task(commit))))
-
-    async def task(self, commit):
-        task = asyncio.ensure_future(commit)
+    def submit(self, commits, fault, drain):
+        """Submit commits at once, each of one or two rows with a value of its own."""
+        if fault:
+            setattr(self.table, fault, 1)
+        self.runner.run(self.submit_all(commits))
+        if drain:
+            self.drain()
+
+    async def submit_all(self, commits):
+        for key, seen, other in commits:
+            self.count += 1
+            value = f"v{self.count}".encode()
+            checks = [Check(key, self.version(key))] if seen == "current" else []
+            checks = [Check(key, 10_000)] if seen == "stale" else checks
+            keys = {key, other} - {None}
+            writes = [Write(key, value) for key in sorted(keys)]
+            task = asyncio.ensure_future(self.group.commit(checks, writes))
+            self.submitted.append((value, keys, checks, task))
         await asyncio.sleep(0)
-        return task
 
     @rule(
-        fault=st.sampled_from(["lose_answers", "lose_requests", "hold_commits"]),
+        fault=st.sampled_from(FAULTS),
         count=st.integers(0, 3),
     )
     def set_fault(self, fault, count):
@@ -275,6 +302,17 @@
                 assert isinstance(exc, ConflictError | RefusedError | UnavailableError)
                 assert applied == []
 
+    @invariant()
+    def a_version_is_taken_once(self):
+        """Two commits that checked the same version of a row never both succeed."""
+        taken = [
+            (check.key, check.version)
+            for _, _, checks, task in self.submitted
+            if task.done() and not task.exception()
+            for check in checks
+        ]
+        assert len(taken) == len(set(taken))
+
     @invariant()
     def order_per_key_is_kept(self):
         """Guarded commits on one key take effect in the order of submission."""
--- a/tests/test_platform_table.py
+++ b/tests/test_platform_table.py
@@ -97,6 +97,7 @@
     memory.lose_answers = 1
     session.after = [lambda: overwrite_now(memory)]
     await commit_in_doubt(table, [Check("a", 0)], [Write("a", b"1")])
+    assert session.paths == ["/v1/commit", "/v1/read"]
 
 
 async def test_a_partly_overwritten_commit_is_no_plain_conflict(memory, session, table):
