--- a/standins/_http.py
+++ b/standins/_http.py
@@ -64,6 +64,7 @@
         self.app.router.add_post(FAULTS_PATH, self._set_faults)
         self.app.router.add_get(FAULTS_PATH, self._get_faults)
         self._runner: web.AppRunner | None = None
+        self._unanswered: set[asyncio.Transport] = set()
 
     async def listen(self, address: str) -> str:
         """Serve on `address` and return the real one, where its port was 0."""
@@ -77,6 +78,8 @@
 
     async def close(self) -> None:
         """Stop serving."""
+        for transport in self._unanswered:
+            transport.abort()
         runner, self._runner = self._runner, None
         if runner is not None:
             await runner.cleanup()
@@ -85,6 +88,24 @@
         """Tell whether a lost answer to `req` counts against `lose_answers`."""
         return req.method != "GET"
 
+    async def drop(self, req: web.Request) -> web.Response:
+        """Leave `req` unanswered and close its connection.
+
+        While `hang` is on that is once the caller gave up, or after a long time.
+        """
+        transport = req.transport
+        if transport is None:
+            return web.Response(status=503)
+        self._unanswered.add(transport)
+        polls = int(LONGEST_HOLD_SECONDS / HOLD_POLL_SECONDS)
+        for _ in range(polls if self.faults.hang else 0):
+            if transport.is_closing():
+                break
+            await asyncio.sleep(HOLD_POLL_SECONDS)
+        self._unanswered.discard(transport)
+        transport.abort()
+        return web.Response(status=503)
+
     async def _set_faults(self, req: web.Request) -> web.Response:
         self.faults = await read_body(req, Faults)
         return answer(self.faults)
@@ -100,36 +121,20 @@
             return await _guarded(request, handler)
         caller = request.headers.get(CALLER_HEADER, "")
         if self.faults.frozen or caller in self.faults.cut:
-            return await drop(request, hang=self.faults.hang)
+            return await self.drop(request)
         if self.faults.down:
             return problem(ProblemKind.UNAVAILABLE, "service is down")
         if self.faults.slow_ms:
             await asyncio.sleep(self.faults.slow_ms / 1000)
         resp = await _guarded(request, handler)
         if caller in self.faults.cut_answers:
-            return await drop(request, hang=self.faults.hang)
+            return await self.drop(request)
         if self.faults.lose_answers and self.changes_something(request):
             self.faults.lose_answers -= 1
-            return await drop(request, hang=self.faults.hang)
+            return await self.drop(request)
         return resp
 
 
-async def drop(req: web.Request, *, hang: bool) -> web.Response:
-    """Leave `req` unanswered and close the connection.
-
-    With `hang` that is once the caller gave up, or after a long time.
-    """
-    transport = req.transport
-    polls = int(LONGEST_HOLD_SECONDS / HOLD_POLL_SECONDS) if hang else 0
-    for _ in range(polls):
-        if transport is None or transport.is_closing():
-            break
-        await asyncio.sleep(HOLD_POLL_SECONDS)
-    if transport is not None:
-        transport.abort()
-    return web.Response(status=503)
-
-
 async def read_body(req: web.Request, model: type[T]) -> T:
     """Return the body of `req` as `model`, or raise `ValidationError`."""
     return msgspec.json.decode(await req.read(), type=model)
--- a/standins/_table.py
+++ b/standins/_table.py
@@ -16,7 +16,7 @@
     RowsAnswer,
     ScanRequest,
 )
-from standins._http import Service, answer, drop, problem, read_body
+from standins._http import Service, answer, problem, read_body
 from standins.memory import MemoryTable
 
 COMMIT_PATH = "/v1/commit"
@@ -64,7 +64,7 @@
             task = asyncio.create_task(self._apply_late(body))
             self._late.add(task)
             task.add_done_callback(self._late.discard)
-            return await drop(req, hang=self.faults.hang)
+            return await self.drop(req)
         try:
             versions = self.table.apply(body.checks, body.writes)
         except ConflictError as exc:
--- a/tests/test_standins_http.py
+++ b/tests/test_standins_http.py
@@ -90,6 +90,25 @@
         await other.stop()
 
 
+async def test_a_stop_does_not_wait_for_unanswered_callers():
+    arrived = asyncio.Event()
+
+    class FrozenTable(TableService):
+        async def drop(self, req):
+            asyncio.get_running_loop().call_soon(arrived.set)
+            return await super().drop(req)
+
+    service = FrozenTable()
+    service.faults.frozen = True
+    address = await service.listen(ANY_PORT)
+    async with aiohttp.ClientSession() as client:
+        call = asyncio.ensure_future(client.post(f"http://{address}/v1/read"))
+        await arrived.wait()
+        await service.close()
+        with pytest.raises(aiohttp.ClientError):
+            await call
+
+
 async def test_a_start_whose_answer_is_cut_runs_all_the_same():
     ledger = new_ledger()
     service = worker_service(ledger)
