--- a/standins/_relay.py
+++ b/standins/_relay.py
@@ -95,13 +95,17 @@
         timeout = aiohttp.ClientTimeout(total=CHECK_TIMEOUT_SECONDS)
         async with aiohttp.ClientSession(timeout=timeout) as client:
             while True:
-                results = await asyncio.gather(
-                    *(_is_ready(client, target) for target in self._targets)
-                )
-                pairs = zip(self._targets, results, strict=True)
-                self.ready = [target for target, ready in pairs if ready]
+                await self.refresh(client)
                 await asyncio.sleep(CHECK_SECONDS)
 
+    async def refresh(self, client: aiohttp.ClientSession) -> None:
+        """Ask all targets once whether they are ready."""
+        results = await asyncio.gather(
+            *(_is_ready(client, target) for target in self._targets)
+        )
+        pairs = zip(self._targets, results, strict=True)
+        self.ready = [target for target, ready in pairs if ready]
+
     async def _connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/test_standins_http.py
+++ b/tests/test_standins_http.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 
 from cassiaweir.clock import ManualClock, SystemClock
 from cassiaweir.exceptions import FencedError, UnavailableError
@@ -14,6 +15,7 @@
 from cassiaweir.verdict import Verdict
 from standins._backend import BackendFaults, BackendService
 from standins._deployment import PlatformFile
+from standins._http import Service
 from standins._ledger import Ledger
 from standins._platform import PlatformService
 from standins._relay import Relay
@@ -233,6 +235,29 @@
     await relay.close()
 
 
+async def test_a_balancer_follows_the_readiness_of_its_targets():
+    gateway = Service()
+    status = 200
+
+    async def ready(req):
+        return web.Response(status=status)
+
+    gateway.app.router.add_get("/ready", ready)
+    target = await gateway.listen(ANY_PORT)
+    relay = Relay([target, "127.0.0.1:1"])
+    address = await relay.relay(ANY_PORT)
+    async with aiohttp.ClientSession() as client:
+        await relay.refresh(client)
+        assert relay.ready == [target]
+        async with client.get(f"http://{address}/ready") as resp:
+            assert resp.status == 200
+        status = 503
+        await relay.refresh(client)
+        assert relay.ready == []
+    await relay.close()
+    await gateway.close()
+
+
 @pytest.fixture
 def platform(tmp_path):
     path = tmp_path / "cell.toml"
