--- a/prove/cluster.py
+++ b/prove/cluster.py
@@ -133,8 +133,10 @@
         """Start all gateways and schedulers and wait until they are ready."""
         for process in self.processes():
             await process.start()
+        await asyncio.gather(*map(wait_for_listener, self.rpc_addresses()))
         for vm in self.entry_vms.values():
-            await wait_for_ok(f"http://{vm.http}/ready")
+            if vm.serving("gateway").running:
+                await wait_for_ok(f"http://{vm.http}/ready")
 
     async def stop(self) -> list[int]:
         """Stop everything; return the exit statuses of gateways and schedulers."""
@@ -241,6 +243,20 @@
     raise RuntimeError("every block of ports is in use")
 
 
+async def wait_for_listener(address: str) -> None:
+    """Wait until `address` accepts connections, or raise `TimeoutError`."""
+    host, _, port = address.rpartition(":")
+    for _ in range(READY_ATTEMPTS):
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            await asyncio.sleep(READY_INTERVAL_SECONDS)
+            continue
+        writer.close()
+        return
+    raise TimeoutError(f"{address} never accepted a connection")
+
+
 async def wait_for_ok(url: str) -> None:
     """Ask `url` until it answers with status 200, or raise `TimeoutError`."""
     async with aiohttp.ClientSession() as session:
