Let urgent work of a team at its limit checkpoint the team's own batch work

Cause: all urgent waits above two seconds at 95% load were of a team that was at its own limit. Overdue work is told apart: a team below the mean share waits for room and gets a reservation after an eighth of the bound; one above it waits for its turn and pays by credit, now a twentieth of the work started in fair order.

--- a/cassiaweir/placement/_ledger.py
+++ b/cassiaweir/placement/_ledger.py
@@ -36,6 +36,13 @@
             team = self.teams[name] = TeamRecord(name, 0, Resources())
         return team
 
+    def level(self) -> float:
+        """Return the mean order of the teams with waiting work, weighted by share."""
+        waiting = [team for team in self.teams.values() if team.lanes]
+        shares = sum(team.share for team in waiting)
+        held = sum(team.order * team.share for team in waiting)
+        return held / shares if shares else 0.0
+
     def job(self, group: TaskGroup) -> JobRecord:
         """Return the record of the job of `group`, made at its first mention."""
         job = self.jobs.get(group.job)
@@ -121,7 +128,7 @@
         Batch tasks go first, the youngest of them; then whole gangs, then services.
         """
         team = self.teams.get(name)
-        if team is None or team.allows(Resources()):
+        if team is None or team.is_within_limit():
             return []
         tasks = [task for job in team.jobs.values() for task in job.running.values()]
         tasks.sort(key=lambda t: (STOP_ORDER[t.job.group.kind], -t.started_at))
@@ -135,7 +142,7 @@
     chosen: dict[TaskId, str] = {}
     left = Resources()
     for task in tasks:
-        if team.allows(left):
+        if team.is_within_limit(left):
             break
         if task.task in chosen or not _relieves(team, left, task.job.group.size):
             continue
--- a/cassiaweir/placement/_preemption.py
+++ b/cassiaweir/placement/_preemption.py
@@ -19,6 +19,7 @@
 
 CLAIM_SECONDS = 30.0
 MOST_CANDIDATES = 16
+MOST_OWN_TASKS = 64
 MOST_CHECKPOINTS_OF_TASK = 3
 MOST_REMEMBERED_TASKS = 4096
 TEAM_WINDOW_SECONDS = 60.0
@@ -76,17 +77,33 @@
 
         One task of a batch run or a service, all waiting tasks of a gang.
         """
-        need = job.needed_at_once
-        offers = self._offers(job, need, now)
+        size, need = job.group.size, job.needed_at_once
         vms: list[VmRecord] = []
         victims: list[RunningTask] = []
-        for offer in offers:
-            vms += [offer.vm] * min(offer.slots, need - len(vms))
+        for offer in self._offers(job, need, now):
+            left = need - len(vms)
+            if offer.slots > left:
+                offer = self._offer(offer.vm, size, left, now) or offer
+            vms += [offer.vm] * min(offer.slots, left)
             victims += offer.victims
             if len(vms) == need:
                 return self._open(job, vms, victims, now)
         return None
 
+    def claim_within_team(self, job: JobRecord, now: float) -> Claim | None:
+        """Claim room for one task of `job` from its own team, which is at its limit."""
+        if job.gang:
+            return None
+        offers = [
+            offer
+            for vm in _vms_of_team(job.team)
+            if (offer := self._own_offer(vm, job, now)) is not None
+        ]
+        if not offers:
+            return None
+        best = min(offers, key=lambda offer: offer.lost)
+        return self._open(job, [best.vm], best.victims, now)
+
     def victim_ended(self, task: TaskId) -> None:
         """Note the end of a task, whether or not a claim waits for it."""
         claim = self._by_victim.pop(task, None)
@@ -164,25 +181,45 @@
         self, vm: VmRecord, size: Resources, slots: int, now: float
     ) -> _Offer | None:
         """Return the cheapest victims on `vm` that make room for `slots` tasks."""
-        tasks = [
-            task
-            for task in vm.tasks.values()
-            if task.preemptible and self._may_checkpoint(task, now)
-        ]
-        tasks.sort(key=lambda task: _lost_work(task, now))
+        wanted = size * slots
         room = Amounts()
         room.add(vm.free.resources())
         victims: list[RunningTask] = []
-        for task in tasks:
-            if room.holds(size, slots):
+        for task in self._cheapest(vm, now):
+            if room.holds(wanted):
                 break
             room.add(task.job.group.size)
             victims.append(task)
-        if not room.holds(size, slots):
+        if not room.holds(wanted):
             return None
-        victims = _needed(victims, room, size * slots)
-        lost = sum(_lost_work(task, now) for task in victims)
-        return _Offer(vm, slots, lost, victims)
+        victims = _needed(victims, room, wanted)
+        return _Offer(vm, slots, _lost(victims, now), victims)
+
+    def _own_offer(self, vm: VmRecord, job: JobRecord, now: float) -> _Offer | None:
+        """Return victims on `vm` that make room there and in the team's allotment."""
+        size, team = job.group.size, job.team
+        if vm.condition is not VmCondition.OPEN or vm.held or vm.removed:
+            return None
+        freed = Resources()
+        victims: list[RunningTask] = []
+        for task in self._cheapest(vm, now):
+            if task.job.team is not team:
+                continue
+            freed = freed + task.job.group.size
+            victims.append(task)
+            if team.allows(size - freed) and size.fits(vm.free.resources() + freed):
+                return _Offer(vm, 1, _lost(victims, now), victims)
+        return None
+
+    def _cheapest(self, vm: VmRecord, now: float) -> list[RunningTask]:
+        """Return the tasks on `vm` that may be checkpointed, least lost work first."""
+        tasks = [
+            task
+            for task in vm.tasks.values()
+            if task.preemptible and self._may_checkpoint(task, now)
+        ]
+        tasks.sort(key=lambda task: _lost_work(task, now))
+        return tasks
 
     def _may_checkpoint(self, task: RunningTask, now: float) -> bool:
         if self._checkpoints.get(task.task, 0) >= MOST_CHECKPOINTS_OF_TASK:
@@ -208,6 +245,21 @@
     return max(FEWEST_OF_TEAM_IN_WINDOW, SHARE_OF_TEAM_IN_WINDOW * team.tasks)
 
 
+def _vms_of_team(team: TeamRecord) -> list[VmRecord]:
+    """Return some VMs with tasks of the team that may be checkpointed."""
+    tasks = (
+        task
+        for job in team.jobs.values()
+        if job.preemptible
+        for task in job.running.values()
+    )
+    return list({t.vm.name: t.vm for t in islice(tasks, MOST_OWN_TASKS)}.values())
+
+
+def _lost(victims: list[RunningTask], now: float) -> float:
+    return sum(_lost_work(task, now) for task in victims)
+
+
 def _lost_work(task: RunningTask, now: float) -> float:
     """Return the processor time since the start, in millis by seconds."""
     return (now - task.started_at) * task.job.group.size.cpu_millis
--- a/cassiaweir/placement/_records.py
+++ b/cassiaweir/placement/_records.py
@@ -16,6 +16,7 @@
 
 SMALLEST_SHARE = 1e-6
 MOST_SLOTS = 1 << 30
+NOTHING = Resources()
 
 
 @dataclass(slots=True, eq=False)
@@ -219,6 +220,10 @@
             <= limit.accelerators
         )
 
+    def is_within_limit(self, change: Resources = NOTHING) -> bool:
+        """Tell whether what runs, with `change` added, is within the allotment."""
+        return (self.used.resources() + change).fits(self.allotment)
+
     def reorder(self, total: Amounts) -> None:
         """Work out `order` again from the use and the capacity of all VMs."""
         dominant = max(
--- a/cassiaweir/placement/_reservation.py
+++ b/cassiaweir/placement/_reservation.py
@@ -11,6 +11,7 @@
 
 import heapq
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import islice
 
@@ -23,7 +24,8 @@
 from cassiaweir.types import JobKind, Resources
 
 MOST_CANDIDATES = 24
-CREDIT_OF_STARTED_WORK = 0.1
+CREDIT_OF_STARTED_WORK = 0.05
+ROOM_BOUND_PART = 0.125
 
 _tie = itertools.count()
 
@@ -55,9 +57,11 @@
 class Reserver:
     """Watches the lanes of one urgency and reserves VMs for the overdue ones."""
 
-    def __init__(self, fleet: Fleet, bound: float) -> None:
+    def __init__(self, fleet: Fleet, bound: float, level: Callable[[], float]) -> None:
         self._fleet = fleet
         self._bound = bound
+        self._room_bound = bound * ROOM_BOUND_PART
+        self._level = level
         self._watched: list[tuple[float, int, Lane]] = []
         self._credit = 0.0
         self.current: Reservation | None = None
@@ -66,7 +70,7 @@
         """Note that `lane` has waiting work."""
         if not lane.watched:
             lane.watched = True
-            self._push(lane, self._due(lane))
+            self._push(lane, self._since(lane) + self._room_bound)
 
     def started(self, size: Resources, count: int) -> None:
         """Let work that started in fair order pay for overdue work."""
@@ -78,21 +82,25 @@
         if self.current is not None and self._still_valid(self.current, now):
             return self.current.job
         self.release()
-        while self._credit >= 0 and self._watched and self._watched[0][0] <= now:
+        while self._watched and self._watched[0][0] <= now:
             lane = heapq.heappop(self._watched)[2]
             lane.watched = False
             job = lane.head()
             if job is None:
                 continue
-            if self._due(lane) > now:
-                self.watch(lane)
-            elif self._reserve(lane, job, now):
+            if self._is_overdue(lane, now) and self._reserve(lane, job, now):
                 return job
-            else:
-                lane.watched = True
-                self._push(lane, now + self._bound)
+            lane.watched = True
+            self._push(lane, max(now, self._since(lane)) + self._room_bound)
         return None
 
+    def _is_overdue(self, lane: Lane, now: float) -> bool:
+        """Tell whether the lane has waited too long, for room or for its turn."""
+        waited = now - self._since(lane)
+        if waited >= self._bound and self._credit >= 0:
+            return True
+        return waited >= self._room_bound and lane.team.order <= self._level()
+
     def choose(self, job: JobRecord, *, grown: bool) -> list[VmRecord]:
         """Return VMs for the job of the reservation, kept ones included.
 
@@ -126,8 +134,9 @@
     def fulfilled(self, job: JobRecord, count: int) -> None:
         """Note that `count` tasks of the reservation's job have started."""
         if self.current is not None and self.current.job is job:
-            volume = _volume(job.group.size, self._fleet.total) * count
-            self._credit -= volume
+            if job.team.order > self._level():
+                volume = _volume(job.group.size, self._fleet.total) * count
+                self._credit -= volume
             self.release()
 
     def release(self) -> None:
@@ -144,10 +153,10 @@
         kept = self.current.vms if self.current else []
         return next(([vm] for vm in kept if vm.slots(size)), [])
 
-    def _due(self, lane: Lane) -> float:
+    def _since(self, lane: Lane) -> float:
         head = lane.head()
         waiting_since = head.group.submitted_at if head else 0.0
-        return max(waiting_since, lane.served_at) + self._bound
+        return max(waiting_since, lane.served_at)
 
     def _push(self, lane: Lane, due: float) -> None:
         heapq.heappush(self._watched, (due, next(_tie), lane))
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -42,7 +42,7 @@
         self._ledger = ledger
         self.preemptor = Preemptor(fleet)
         self._urgent, self._normal = (
-            Tier(WaitingQueue(), Reserver(fleet, bounds[urgency]))
+            Tier(WaitingQueue(), Reserver(fleet, bounds[urgency], ledger.level))
             for urgency in (Urgency.URGENT, Urgency.NORMAL)
         )
         self._urgent_retry_at = 0.0
@@ -129,7 +129,8 @@
             if not _within(plan, need, most):
                 return
             if not job.team.allows(job.group.size, need):
-                lane.demand.withdraw(lane)
+                if tier is self._normal or not self._preempt_own(job, plan, now):
+                    lane.demand.withdraw(lane)
                 continue
             vms = choose(self._fleet, job) or self._kept_room(job, now)
             if vms:
@@ -148,8 +149,15 @@
     def _preempt(self, job: JobRecord, plan: Plan, now: float) -> bool:
         """Claim room for the next tasks of `job` by checkpoints, if that suffices."""
         claim = self.preemptor.claim(job, now)
-        if claim is None:
-            return False
+        return claim is not None and self._take_up(claim, plan)
+
+    def _preempt_own(self, job: JobRecord, plan: Plan, now: float) -> bool:
+        """Claim room within the allotment of the job's own team."""
+        claim = self.preemptor.claim_within_team(job, now)
+        return claim is not None and self._take_up(claim, plan)
+
+    def _take_up(self, claim: Claim, plan: Plan) -> bool:
+        job = claim.job
         for victim in claim.pending.values():
             preemption = Preemption(victim.task, victim.vm.name, PREEMPTION_REASON)
             plan.preemptions.append(preemption)
@@ -209,12 +217,14 @@
 
 
 def _has_room(claim: Claim) -> bool:
-    """Tell whether the claimed room is truly free, now that the claim is closed.
+    """Tell whether the claimed room is free and allowed, now that the claim is closed.
 
     Room that other claims have been promised counts as free: their own tasks to
     checkpoint still hold as much.
     """
     size, counts = claim.job.group.size, dict[str, int]()
+    if not claim.job.team.allows(size, len(claim.vms)):
+        return False
     for vm in claim.vms.values():
         counts[vm.name] = counts.get(vm.name, 0) + 1
         held = size * counts[vm.name]
--- a/tests/test_placement_machine.py
+++ b/tests/test_placement_machine.py
@@ -231,6 +231,7 @@
         for team in TEAMS:
             stop = dict(self.planner.excess(team))
             left = self.model.used_by(team)
+            assert not stop or not left.fits(self.model.allotments[team])
             for task in stop:
                 left = left - self.model.running[task].group.size
             assert left.fits(self.model.allotments[team])
