--- a/cassiaweir/placement/_choice.py
+++ b/cassiaweir/placement/_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Sequence
 from itertools import islice
 
@@ -10,9 +11,10 @@
 from cassiaweir.types import JobKind, Resources
 
 MOST_SERVICE_CANDIDATES = 24
+MOST_BATCH_CANDIDATES = 8
 
 
-def choose(fleet: Fleet, job: JobRecord) -> list[VmRecord]:
+def choose(fleet: Fleet, job: JobRecord, now: float) -> list[VmRecord]:
     """Return a VM for each task that has to start now, or nothing.
 
     One task of a batch run or a service, all waiting tasks of a gang.
@@ -22,10 +24,25 @@
     if job.group.kind is JobKind.SERVICE:
         vm = choose_for_service(fleet, job)
     else:
-        vm = next(fleet.fitting(job.group.size), None)
+        vm = choose_for_batch(fleet, job, now)
     return [vm] if vm else []
 
 
+def choose_for_batch(fleet: Fleet, job: JobRecord, now: float) -> VmRecord | None:
+    """Return a tight VM whose other tasks are expected to run as long as this one.
+
+    A VM becomes empty the sooner, the less its tasks outlast each other.
+    """
+    ends_at = now + job.estimates.expected_seconds(job.group)
+    best, least = None, math.inf
+    for vm in islice(fleet.fitting(job.group.size), MOST_BATCH_CANDIDATES):
+        if vm.busy_until >= ends_at:
+            return vm
+        if best is None or ends_at - vm.busy_until < least:
+            best, least = vm, ends_at - vm.busy_until
+    return best
+
+
 def choose_for_service(fleet: Fleet, job: JobRecord) -> VmRecord | None:
     """Return the VM whose rack, then which itself, has fewest of the job's tasks."""
     candidates = islice(fleet.fitting(job.group.size), MOST_SERVICE_CANDIDATES)
--- a/cassiaweir/placement/_explain.py
+++ b/cassiaweir/placement/_explain.py
@@ -9,7 +9,7 @@
 from cassiaweir.types import JobKind
 
 
-def explain(fleet: Fleet, job: JobRecord | None) -> WaitReason:
+def explain(fleet: Fleet, job: JobRecord | None, now: float) -> WaitReason:
     """Return the reason why the waiting tasks of `job` do not run."""
     if job is None or not (job.waiting or job.claimed):
         return WaitReason.NOTHING_WAITS
@@ -22,7 +22,7 @@
         return WaitReason.ALL_FITTING_VMS_CLOSED
     if not job.team.allows(size, job.needed_at_once):
         return WaitReason.TEAM_LIMIT
-    if choose(fleet, job):
+    if choose(fleet, job, now):
         return WaitReason.BEHIND_OTHERS
     if job.group.kind is JobKind.GANG and any(fleet.fitting(size)):
         return WaitReason.WAITING_FOR_ALL
--- a/cassiaweir/placement/_fleet.py
+++ b/cassiaweir/placement/_fleet.py
@@ -7,6 +7,7 @@
 
 from cassiaweir.placement._index import RoomIndex
 from cassiaweir.placement._records import (
+    NEVER_BUSY,
     NO_ROOM,
     Amounts,
     RackRecord,
@@ -87,6 +88,7 @@
         vm, size = task.vm, task.job.group.size
         vm.tasks[task.task] = task
         vm.expected_cpu += task.expected_cpu
+        vm.busy_until = max(vm.busy_until, task.ends_at)
         vm.free.add(size, -1)
         if task.preemptible and vm.indexed and vm.condition is VmCondition.OPEN:
             self._room_changed(vm)
@@ -100,6 +102,9 @@
         vm, size = task.vm, task.job.group.size
         del vm.tasks[task.task]
         vm.expected_cpu -= task.expected_cpu
+        if task.ends_at >= vm.busy_until:
+            left = (other.ends_at for other in vm.tasks.values())
+            vm.busy_until = max(left, default=NEVER_BUSY)
         vm.free.add(size)
         self.grown[vm.name] = vm
         if task.preemptible and vm.indexed and vm.condition is VmCondition.OPEN:
--- a/cassiaweir/placement/_ledger.py
+++ b/cassiaweir/placement/_ledger.py
@@ -89,9 +89,15 @@
             del job.claimed[index]
         else:
             team.wanted.add(size)
-        expected_cpu = job.estimates.expected_cpu(job.group)
+        estimates, group = job.estimates, job.group
         task = RunningTask(
-            TaskId(job.group.job, index), job, vm, vm.rack.name, now, expected_cpu
+            task=TaskId(group.job, index),
+            job=job,
+            vm=vm,
+            rack=vm.rack.name,
+            started_at=now,
+            ends_at=now + estimates.expected_seconds(group),
+            expected_cpu=estimates.expected_cpu(group),
         )
         job.running[index] = self.running[task.task] = task
         if job.group.kind is JobKind.SERVICE:
--- a/cassiaweir/placement/_planner.py
+++ b/cassiaweir/placement/_planner.py
@@ -158,7 +158,7 @@
         """Say why the job's tasks wait."""
         if self._is_poisoned(job):
             return WaitReason.POISONED
-        return explain(self._fleet, self._ledger.jobs.get(job))
+        return explain(self._fleet, self._ledger.jobs.get(job), now)
 
     def fits_some_vm(self, size: Resources) -> bool:
         """Tell whether a VM of this shard could ever hold `size`."""
--- a/cassiaweir/placement/_records.py
+++ b/cassiaweir/placement/_records.py
@@ -17,6 +17,7 @@
 SMALLEST_SHARE = 1e-6
 MOST_SLOTS = 1 << 30
 NOTHING = Resources()
+NEVER_BUSY = -math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -87,7 +88,8 @@
     `free` leaves out what is `promised` to claims, and falls below zero while their
     room is not free yet or where adopted tasks exceed the capacity.  `reclaimable`
     is `free` and what normal batch tasks hold.  `expected_cpu` is the processor use
-    that is expected or was observed, in millis.  `counted` is what the rack's sum
+    that is expected or was observed, in millis; `busy_until` is when the last task
+    is expected to end.  `counted` is what the rack's sum
     has of the VM.  `held` keeps the VM for a reservation.
     """
 
@@ -98,6 +100,7 @@
     free: Amounts
     reclaimable: Amounts
     expected_cpu: int = 0
+    busy_until: float = NEVER_BUSY
     promised: Amounts = field(default_factory=Amounts)
     counted: Amounts = field(default_factory=Amounts)
     held: bool = False
@@ -139,13 +142,17 @@
 
 @dataclass(slots=True, eq=False)
 class RunningTask:
-    """A task that runs, or that a plan has placed."""
+    """A task that runs, or that a plan has placed.
+
+    `ends_at` is when it was expected to end as it started.
+    """
 
     task: TaskId
     job: JobRecord
     vm: VmRecord
     rack: str
     started_at: float
+    ends_at: float
     expected_cpu: int
     stopping: bool = False
 
--- a/cassiaweir/placement/_reservation.py
+++ b/cassiaweir/placement/_reservation.py
@@ -101,7 +101,7 @@
             return True
         return waited >= self._room_bound and lane.team.order <= self._level()
 
-    def choose(self, job: JobRecord, *, grown: bool) -> list[VmRecord]:
+    def choose(self, job: JobRecord, now: float, *, grown: bool) -> list[VmRecord]:
         """Return VMs for the job of the reservation, kept ones included.
 
         `grown` says whether any VM got more room since the last call.
@@ -113,7 +113,7 @@
         size = job.group.size
         if job.group.kind is JobKind.GANG:
             return choose_for_gang(self._fleet, size, len(job.waiting), current.vms)
-        return choose(self._fleet, job) or self._first_kept(size)
+        return choose(self._fleet, job, now) or self._first_kept(size)
 
     def backfill(self, job: JobRecord, now: float) -> list[VmRecord]:
         """Return a kept VM for a task of `job` that ends before it is needed."""
@@ -178,7 +178,7 @@
         size, need = job.group.size, job.needed_at_once
         if not job.team.allows(size, need):
             return False
-        if choose(self._fleet, job):
+        if choose(self._fleet, job, now):
             self.current = Reservation(lane, job, [], now, now)
             return True
         chosen: list[_Readiness] = []
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -114,7 +114,7 @@
         while (job := reserver.next_job(now)) is not None:
             if not _within(plan, job.needed_at_once, most):
                 return
-            vms = reserver.choose(job, grown=grown)
+            vms = reserver.choose(job, now, grown=grown)
             if not vms:
                 return
             reserver.fulfilled(job, len(vms))
@@ -132,7 +132,7 @@
                 if tier is self._normal or not self._preempt_own(job, plan, now):
                     lane.demand.withdraw(lane)
                 continue
-            vms = choose(self._fleet, job) or self._kept_room(job, now)
+            vms = choose(self._fleet, job, now) or self._kept_room(job, now)
             if vms:
                 tier.reserver.started(job.group.size, len(vms))
                 self._place_next(job, vms, plan, now)
