--- a/cassiaweir/placement/_queue.py
+++ b/cassiaweir/placement/_queue.py
@@ -204,6 +204,11 @@
                 del self._blocked[demand.key.size]
             self._enter(demand)
 
+    @property
+    def any_blocked(self) -> bool:
+        """Whether a class is blocked."""
+        return bool(self._blocked)
+
     def blocked_sizes(self) -> list[Resources]:
         """Return the sizes of the blocked classes."""
         return list(self._blocked)
--- a/cassiaweir/placement/_reservation.py
+++ b/cassiaweir/placement/_reservation.py
@@ -79,9 +79,10 @@
 
     def next_job(self, now: float) -> JobRecord | None:
         """Return the job that holds or gets the reservation, or None."""
-        if self.current is not None and self._still_valid(self.current, now):
-            return self.current.job
-        self.release()
+        if self.current is not None:
+            if self._still_valid(self.current, now):
+                return self.current.job
+            self.release()
         while self._watched and self._watched[0][0] <= now:
             lane = heapq.heappop(self._watched)[2]
             lane.watched = False
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from cassiaweir.placement._choice import choose
@@ -99,7 +99,7 @@
                 return
             self.preemptor.close(claim)
             if not claim.pending and _has_room(claim):
-                self._place(claim.job, claim.vms, plan, now)
+                self._place_claimed(claim.job, claim.vms, plan, now)
                 continue
             for index in claim.vms:
                 del claim.job.claimed[index]
@@ -122,8 +122,8 @@
 
     def _serve(self, tier: Tier, plan: Plan, now: float, most: int) -> None:
         """Place what the queue holds, in order, until nothing more can start."""
-        queue = tier.queue
-        while (lane := queue.first()) is not None:
+        queue, placements = tier.queue, plan.placements
+        while len(placements) < most and (lane := queue.first()) is not None:
             job = lane.heap[0][3]
             need = job.needed_at_once
             if not _within(plan, need, most):
@@ -171,15 +171,17 @@
         self, job: JobRecord, vms: list[VmRecord], plan: Plan, now: float
     ) -> None:
         """Start the next waiting tasks of `job` on `vms`, one on each."""
-        if len(vms) == 1:
-            self._place(job, {next(iter(job.waiting)): vms[0]}, plan, now)
-            return
-        indexes = list(job.waiting)[: len(vms)]
-        self._place(job, dict(zip(indexes, vms, strict=True)), plan, now)
+        for vm in vms:
+            task = self._ledger.start(job, next(iter(job.waiting)), vm, now)
+            plan.placements.append(Placement(task.task, vm.name))
+        if job.lane is not None:
+            job.lane.served_at = now
+        self.waiting_fell(job)
 
-    def _place(
+    def _place_claimed(
         self, job: JobRecord, vms: dict[int, VmRecord], plan: Plan, now: float
     ) -> None:
+        """Start the claimed tasks of `job`."""
         for index, vm in vms.items():
             task = self._ledger.start(job, index, vm, now)
             plan.placements.append(Placement(task.task, vm.name))
@@ -191,22 +193,24 @@
         """Let the classes be served again for which a VM has got room."""
         grown = self._fleet.grown
         if grown:
-            self._unblock_grown(list(grown.values()))
+            self._unblock_grown(grown.values())
             grown.clear()
-        if now >= self._urgent_retry_at:
+        urgent = self._urgent.queue
+        if urgent.any_blocked and now >= self._urgent_retry_at:
             self._urgent_retry_at = now + URGENT_RETRY_SECONDS
-            urgent = self._urgent.queue
             for size in urgent.blocked_sizes():
                 urgent.unblock_size(size)
 
-    def _unblock_grown(self, grown: list[VmRecord]) -> None:
+    def _unblock_grown(self, grown: Collection[VmRecord]) -> None:
         normal, urgent = self._normal.queue, self._urgent.queue
-        for size in normal.blocked_sizes():
-            if any(vm.free.holds(size) for vm in grown):
-                normal.unblock_size(size)
-        for size in urgent.blocked_sizes():
-            if any(vm.reclaimable.holds(size) for vm in grown):
-                urgent.unblock_size(size)
+        if normal.any_blocked:
+            for size in normal.blocked_sizes():
+                if any(vm.free.holds(size) for vm in grown):
+                    normal.unblock_size(size)
+        if urgent.any_blocked:
+            for size in urgent.blocked_sizes():
+                if any(vm.reclaimable.holds(size) for vm in grown):
+                    urgent.unblock_size(size)
 
 
 def _within(plan: Plan, count: int, most: int) -> bool:
