Try checkpoints before a reservation for urgent work, and test each rule

Cause: an urgent job older than a sixteenth of a second at its first plan got a reservation and no checkpoint. Urgent work is now served from its queue first; VMs of a reservation that was given up are used in the same plan.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,14 +23,16 @@
     full_of_teams,
     mixed,
 )
-from bench._results import Report, RunResult, cost_result, run_result
+from bench._results import CostResult, Report, RunResult, cost_result, run_result
 from bench._slopes import measure_slopes
 from bench._table import lines
 from cassiaweir.placement import FairPlanner, Planner
 
 RESULT_PATH = Path("build/bench.json")
+DECISIONS_OF_ROUND = 8
+FAIR = "fair"
 PLANNERS: dict[str, Callable[[], Planner]] = {
-    "fair": FairPlanner,
+    FAIR: FairPlanner,
     "fcfs": FirstComeFirstServed,
     "first fit": FirstFit,
     "full scan": FullScanBestFit,
@@ -48,11 +50,7 @@
     report = Report(seed, platform.python_version())
     report.runs = list(_runs(seed, only))
     if only in ("", "cost"):
-        for planner, vms, tasks, backlog in _cost_cases():
-            _progress(f"cost of {planner} at {vms} VMs")
-            make = PLANNERS[planner]
-            cost = measure(planner, make, vms, tasks, seed, backlog=backlog)
-            report.costs.append(cost_result(cost))
+        report.costs = list(_costs(seed))
     for line in lines(report):
         click.echo(line)
     if not only:
@@ -91,12 +89,18 @@
     yield full_of_teams(350, 320, seed)
 
 
-def _cost_cases() -> Iterator[tuple[str, int, int, bool]]:
-    for vms, tasks in FLEETS:
-        for planner in PLANNERS:
-            yield planner, vms, tasks, False
-    for vms, tasks in FLEETS:
-        yield "fair", vms, tasks, True
+def _costs(seed: int) -> Iterator[CostResult]:
+    for backlog, per_plan in ((False, 1), (False, DECISIONS_OF_ROUND), (True, 1)):
+        for vms, tasks in FLEETS:
+            for name, make in PLANNERS.items():
+                if backlog and name != FAIR:
+                    continue
+                _progress(f"cost of {name} at {vms} VMs")
+                cost = measure(
+                    name, make, vms, tasks, seed, backlog=backlog, per_plan=per_plan
+                )
+                yield cost_result(cost)
+                gc.collect()
 
 
 def _progress(text: str) -> None:
--- a/bench/_cost.py
+++ b/bench/_cost.py
@@ -34,8 +34,9 @@
 class Cost:
     """Times in nanoseconds of a decision, and of the events around it.
 
-    `decision` has the calls of `plan` that placed a task, `whole` the same with the
-    end and the submission that led to it.
+    `decision` has the time of a call of `plan` by placed task, `whole` the same with
+    the ends and the submissions that led to it.  `regime` says whether the fleet has
+    room or a backlog, and how many decisions a call may make.
     """
 
     planner: str
@@ -93,22 +94,26 @@
         self.running += [placement.task for placement in plan.placements]
         return len(plan.placements)
 
-    def step(self, cost: Cost, submit: int) -> None:
-        """End a task, submit one of `submit` tasks at most, and time one decision."""
-        self._now += 1 / STARTS_PER_SECOND
-        number = self._random.randrange(len(self.running))
-        self.running[number], self.running[-1] = self.running[-1], self.running[number]
-        ended = self.running.pop()
+    def step(self, cost: Cost, count: int, *, submit: bool) -> None:
+        """End `count` tasks, submit as many, and time the plan that follows."""
+        self._now += count / STARTS_PER_SECOND
+        ended = [self._draw_running() for _ in range(count)]
         began = time.perf_counter_ns()
-        self._planner.task_ended(ended, TaskState.SUCCEEDED, self._now)
-        if submit:
-            self.submit(submit)
+        for task in ended:
+            self._planner.task_ended(task, TaskState.SUCCEEDED, self._now)
+            if submit:
+                self.submit(1)
         before = time.perf_counter_ns()
-        started = self.plan(1)
+        started = self.plan(count)
         after = time.perf_counter_ns()
         if started:
-            cost.decision.record_value(after - before)
-            cost.whole.record_value(after - began)
+            cost.decision.record_value((after - before) // started)
+            cost.whole.record_value((after - began) // started)
+
+    def _draw_running(self) -> TaskId:
+        number = self._random.randrange(len(self.running))
+        self.running[number], self.running[-1] = self.running[-1], self.running[number]
+        return self.running.pop()
 
 
 def measure(
@@ -119,15 +124,19 @@
     seed: int,
     *,
     backlog: bool,
+    per_plan: int = 1,
 ) -> Cost:
-    """Return the cost with room for all, or with a backlog on a full fleet."""
+    """Return the cost with room for all, or with a backlog on a full fleet.
+
+    `per_plan` is how many decisions a call of `plan` may make.
+    """
     churn = _Churn(make_planner(), vms, tasks, seed)
-    regime = "full" if backlog else "room"
+    regime = f"{'full' if backlog else 'room'}/{per_plan}"
     cost = Cost(name, vms, regime)
     if backlog:
         _fill(churn, vms)
-    for _ in range(DECISIONS):
-        churn.step(cost, submit=0 if backlog else 1)
+    for _ in range(DECISIONS // per_plan):
+        churn.step(cost, per_plan, submit=not backlog)
     cost.running = len(churn.running)
     return cost
 
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -83,9 +83,13 @@
         plan = Plan([], [])
         if self.preemptor.claims:
             self._serve_claims(plan, now, most)
-        for tier in (self._urgent, self._normal):
-            self._serve_overdue(tier, plan, now, most, grown)
-            self._serve(tier, plan, now, most)
+        # Urgent work gets a reservation only where checkpoints made no room for it.
+        self._serve(self._urgent, plan, now, most)
+        self._serve_overdue(self._urgent, plan, now, most, grown)
+        self._serve_overdue(self._normal, plan, now, most, grown)
+        # A reservation that was given up has listed its VMs again.
+        self._unblock(now)
+        self._serve(self._normal, plan, now, most)
         return plan
 
     def _tier(self, job: JobRecord) -> Tier:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,42 +1,8 @@
 """Tests of `cassiaweir.placement.FairPlanner`, rule by rule."""
 
-from cassiaweir.placement import (
-    FairPlanner,
-    TaskGroup,
-    VmCondition,
-    VmOffer,
-    WaitReason,
-)
+from cassiaweir.placement import VmCondition, VmOffer, WaitReason
 from cassiaweir.types import JobKind, Resources, TaskId, TaskState, Urgency
-
-CORE = Resources(1000, 1024)
-VM_SIZE = Resources(4000, 16_384)
-PLENTY = Resources(10**9, 10**9, 10**6)
-
-
-def planner_with(vms: int = 2, racks: int = 1, teams=("a", "b")) -> FairPlanner:
-    planner = FairPlanner()
-    for number in range(vms):
-        offer = VmOffer(f"vm{number}", "augusta", f"rack{number % racks}", VM_SIZE)
-        planner.set_vm(offer, VmCondition.OPEN)
-    for name in teams:
-        planner.set_team(name, 1, PLENTY)
-    return planner
-
-
-def group(job: str, team: str = "a", tasks: int = 1, **changes) -> TaskGroup:
-    values = {
-        "kind": JobKind.BATCH,
-        "urgency": Urgency.NORMAL,
-        "size": CORE,
-        "submitted_at": 0.0,
-        "declared_seconds": 10.0,
-    } | changes
-    return TaskGroup(job=job, team=team, indexes=tuple(range(tasks)), **values)
-
-
-def placed(plan) -> list[str]:
-    return [str(placement.task) for placement in plan.placements]
+from tests.placement_helpers import CORE, PLENTY, VM_SIZE, group, placed, planner_with
 
 
 def test_batch_packs_one_vm_before_it_uses_the_next():
--- /dev/null
+++ b/tests/test_placement_ageing.py
@@ -0,0 +1,175 @@
+"""Tests of reservations, backfill and the bound on waiting."""
+
+import pytest
+
+from cassiaweir.placement import FairPlanner, VmCondition, WaitReason
+from cassiaweir.types import JobKind, Resources, TaskId, TaskState
+from tests.placement_helpers import (
+    CORE,
+    PLENTY,
+    VM_SIZE,
+    end,
+    group,
+    offer,
+    placed,
+    planner_with,
+)
+
+BOUND_SECONDS = 120
+STREAM_SECONDS = 8
+
+
+class Stream:
+    """Keeps a fleet busy with small tasks of team a that each run a while."""
+
+    def __init__(self, planner: FairPlanner) -> None:
+        self.planner = planner
+        self.now = 0.0
+        self.count = 0
+        self.ends: list[tuple[float, str]] = []
+
+    def step(self) -> list[str]:
+        """Move one second on, and return what started."""
+        self.now += 1
+        for at, task in list(self.ends):
+            if at <= self.now:
+                end(self.planner, task, self.now)
+                self.ends.remove((at, task))
+        for _ in range(3):
+            self.count += 1
+            job = group(
+                f"small{self.count}",
+                submitted_at=self.now,
+                declared_seconds=float(STREAM_SECONDS),
+            )
+            self.planner.enqueue(job)
+        started = placed(self.planner.plan(self.now, 99))
+        self.ends += [
+            (self.now + STREAM_SECONDS, task)
+            for task in started
+            if task.startswith("small")
+        ]
+        return started
+
+    def seconds_until(self, task: str, most: int) -> int:
+        """Return the seconds until `task` starts; fail after `most`."""
+        began = self.now
+        for _ in range(most):
+            if task in self.step():
+                return int(self.now - began)
+        raise AssertionError(f"{task} did not start within {most} s")
+
+
+@pytest.mark.parametrize("team", ["a", "b"])
+def test_large_work_starts_within_the_bound_although_small_work_keeps_coming(team):
+    stream = Stream(planner_with(vms=2))
+    for _ in range(20):
+        stream.step()
+    large = group("large", team, size=VM_SIZE, submitted_at=stream.now)
+    stream.planner.enqueue(large)
+    stream.seconds_until("large/0", BOUND_SECONDS + 2 * STREAM_SECONDS)
+
+
+def test_a_gang_of_the_whole_fleet_starts_within_the_bound():
+    stream = Stream(planner_with(vms=3))
+    for _ in range(20):
+        stream.step()
+    gang = group("g", "b", tasks=12, kind=JobKind.GANG, submitted_at=stream.now)
+    stream.planner.enqueue(gang)
+    stream.seconds_until("g/0", BOUND_SECONDS + 2 * STREAM_SECONDS)
+
+
+def test_two_gangs_that_each_need_most_of_the_fleet_both_start():
+    stream = Stream(planner_with(vms=2, teams=("a", "b", "c")))
+    for _ in range(20):
+        stream.step()
+    for team in ("b", "c"):
+        gang = group(
+            f"g{team}", team, tasks=7, kind=JobKind.GANG, submitted_at=stream.now
+        )
+        stream.planner.enqueue(gang)
+    started = set()
+    for _ in range(3 * BOUND_SECONDS):
+        for task in stream.step():
+            if task.startswith("g"):
+                started.add(task)
+                stream.ends.append((stream.now + STREAM_SECONDS, task))
+    assert len(started) == 14
+
+
+def test_a_small_team_is_not_starved_by_a_large_one():
+    stream = Stream(planner_with(vms=1))
+    stream.planner.set_team("a", 100, PLENTY)
+    for _ in range(20):
+        stream.step()
+    stream.planner.enqueue(group("rare", "b", submitted_at=stream.now))
+    stream.seconds_until("rare/0", STREAM_SECONDS)
+
+
+def reserved_planner():
+    """Return a planner that keeps its only VM for a job of the VM's whole size."""
+    planner = planner_with(vms=1)
+    planner.enqueue(group("busy", tasks=3, declared_seconds=100.0))
+    planner.plan(0, 9)
+    planner.enqueue(group("large", "b", size=VM_SIZE))
+    planner.plan(20, 9)
+    return planner
+
+
+def test_reserved_vms_take_backfill_that_ends_in_time_and_nothing_else():
+    planner = reserved_planner()
+    planner.enqueue(group("long", declared_seconds=200.0, submitted_at=20.0))
+    planner.enqueue(
+        group("service", kind=JobKind.SERVICE, declared_seconds=0, submitted_at=20.0)
+    )
+    assert not planner.plan(21, 9).placements
+    planner.enqueue(group("short", declared_seconds=50.0, submitted_at=21.0))
+    assert placed(planner.plan(22, 9)) == ["short/0"]
+
+
+def test_a_cancelled_reservation_gives_its_vms_back():
+    planner = reserved_planner()
+    planner.enqueue(group("long", declared_seconds=200.0, submitted_at=20.0))
+    assert not planner.plan(21, 9).placements
+    planner.cancel("large")
+    planner.plan(22, 9)
+    assert planner.running("a") == CORE * 4
+
+
+def test_a_reservation_moves_when_its_vm_closes():
+    planner = reserved_planner()
+    planner.set_vm(offer(0), VmCondition.DRAINING)
+    planner.set_vm(offer(1), VmCondition.OPEN)
+    assert placed(planner.plan(22, 9)) == ["large/0"]
+
+
+def test_a_job_at_its_team_limit_gets_no_reservation():
+    planner = planner_with(vms=1)
+    planner.set_team("b", 1, CORE)
+    planner.enqueue(group("busy", tasks=3))
+    planner.plan(0, 9)
+    planner.enqueue(group("large", "b", size=CORE * 2))
+    planner.plan(BOUND_SECONDS + 1, 9)
+    planner.enqueue(group("more", declared_seconds=500.0))
+    assert placed(planner.plan(BOUND_SECONDS + 2, 9)) == ["more/0"]
+    assert planner.waiting("large", 0) is WaitReason.TEAM_LIMIT
+
+
+def test_run_times_are_corrected_by_what_was_observed():
+    planner = reserved_planner()
+    for index in range(5):
+        job = group(f"slow{index}", declared_seconds=1.0)
+        planner.adopt(job, TaskId(job.job, 0), "vm0", 0.0)
+        planner.task_ended(TaskId(job.job, 0), TaskState.SUCCEEDED, 20.0)
+    planner.enqueue(group("short", declared_seconds=50.0, submitted_at=21.0))
+    assert not planner.plan(22, 9).placements
+
+
+def test_a_job_that_fits_no_vm_holds_up_nothing():
+    planner = planner_with(vms=1)
+    planner.enqueue(group("huge", size=VM_SIZE * 2))
+    planner.enqueue(group("gang", "b", tasks=9, kind=JobKind.GANG))
+    planner.plan(BOUND_SECONDS + 1, 9)
+    planner.enqueue(group("n", tasks=4))
+    assert len(planner.plan(BOUND_SECONDS + 2, 9).placements) == 4
+    assert planner.demand("b") == Resources(9000, 9 * 1024)
