Notice a runner that failed, ask for a stop once, split the runner's types out

A failed task of a runner or a driver was silent; the keeper now releases the shard and builds the runner anew. Held amounts are only counted while tasks are held back. The test of the service uses the channels that the client now takes. 307 tests pass (make test).

--- a/cassiaweir/fleet/__init__.py
+++ b/cassiaweir/fleet/__init__.py
@@ -4,7 +4,8 @@
 from cassiaweir.fleet._ownership import Peers, ShardKeeper
 from cassiaweir.fleet._part_store import Committer
 from cassiaweir.fleet._roster import Health
-from cassiaweir.fleet._runner import Allotments, PartStatus, RunnerTerms, ShardRunner
+from cassiaweir.fleet._runner import ShardRunner
+from cassiaweir.fleet._runner_types import Allotments, PartStatus, RunnerTerms
 from cassiaweir.fleet._service import SchedulerService
 from cassiaweir.fleet._shards import shard_domain, shard_name, shard_names, shard_of
 from cassiaweir.fleet._worker_driver import DriverTerms, WorkerDriver
--- /dev/null
+++ b/cassiaweir/fleet/_background.py
@@ -0,0 +1,50 @@
+"""Background tasks whose failure is noticed, and waiting for an event."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+
+from cassiaweir.types import Clock
+
+Loop = Callable[[], Coroutine[None, None, None]]
+
+
+class Background:
+    """The tasks that a component runs until it is stopped."""
+
+    def __init__(self) -> None:
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self, *loops: Loop) -> None:
+        """Run each of `loops` in a task of its own."""
+        self._tasks += [asyncio.create_task(loop()) for loop in loops]
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for their end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    def failure(self) -> BaseException | None:
+        """Return what a task failed with, or None."""
+        for task in self._tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                return task.exception()
+        return None
+
+
+async def wait_for_event(event: asyncio.Event, clock: Clock, limit: timedelta) -> None:
+    """Wait for `event`, at most for `limit`."""
+    waits = [
+        asyncio.create_task(event.wait()),
+        asyncio.create_task(clock.sleep(limit)),
+    ]
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for wait in waits:
+            wait.cancel()
+        await asyncio.gather(*waits, return_exceptions=True)
--- a/cassiaweir/fleet/_ownership.py
+++ b/cassiaweir/fleet/_ownership.py
@@ -6,9 +6,11 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import Protocol
 
 from cassiaweir.exceptions import LeaseLostError, UnavailableError
+from cassiaweir.fleet._background import Background
 from cassiaweir.fleet._lease import LeaseTerms, ShardLease
 from cassiaweir.fleet._runner import ShardRunner
 from cassiaweir.fleet._shards import due_owners, shard_domain
@@ -81,17 +83,15 @@
             )
             for shard in shards
         }
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = Background()
 
     async def start(self) -> None:
         """Begin to hold or challenge every shard, each in a task of its own."""
-        self._tasks = [asyncio.create_task(self._run(seat)) for seat in self._by_rank()]
+        self._background.start(*(partial(self._run, seat) for seat in self._by_rank()))
 
     async def stop(self) -> None:
         """Stop the runners and release the shards, so that successors need not wait."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.stop()
         await asyncio.gather(*(self._release(seat) for seat in self._seats.values()))
 
     def owned(self) -> Sequence[ShardOwner]:
@@ -132,7 +132,9 @@
         shard = seat.lease.shard
         if self._peers.highest_epoch(shard) > seat.lease.epoch:
             seat.lease.lose()
-        elif self._is_surplus(shard) and self._runs_settled(seat):
+        elif self._runner_failed(seat) or (
+            self._is_surplus(shard) and self._runs_settled(seat)
+        ):
             await self._release(seat)
             return
         try:
@@ -220,6 +222,18 @@
         total = sum(shard_domain(name) == domain for name in self._seats)
         return mine > -(-total // len(live))
 
+    def _runner_failed(self, seat: _Seat) -> bool:
+        """Tell whether the runner has to be built anew after an unexpected error."""
+        exc = seat.runner.failure() if seat.runner is not None else None
+        if exc is not None:
+            self._events.record(
+                "runner_failed",
+                seat.lease.shard,
+                epoch=seat.lease.epoch,
+                error=repr(exc),
+            )
+        return exc is not None
+
     def _runs_settled(self, seat: _Seat) -> bool:
         """Tell whether the shard has settled since its takeover."""
         return seat.runner is not None and seat.runner.settled
--- a/cassiaweir/fleet/_runner.py
+++ b/cassiaweir/fleet/_runner.py
@@ -4,21 +4,19 @@
 
 import asyncio
 import contextlib
-from collections.abc import Mapping
-from dataclasses import dataclass
-from datetime import timedelta
-from typing import Protocol
 
 from cassiaweir.exceptions import LeaseLostError, UnavailableError
+from cassiaweir.fleet._background import Background, wait_for_event
 from cassiaweir.fleet._hold_back import HoldBack
-from cassiaweir.fleet._lease import LeaseTerms, ShardLease
+from cassiaweir.fleet._lease import ShardLease
 from cassiaweir.fleet._part_store import Committer, PartStore
 from cassiaweir.fleet._roster import Health, Roster
+from cassiaweir.fleet._runner_types import Allotments, PartStatus, RunnerTerms
 from cassiaweir.fleet._shards import shard_domain, shard_of
 from cassiaweir.fleet._task_book import TaskBook
-from cassiaweir.fleet._worker_driver import DriverTerms, WorkerDriver
+from cassiaweir.fleet._worker_driver import WorkerDriver
 from cassiaweir.observe import EventLog
-from cassiaweir.placement import Plan, Planner, WaitReason
+from cassiaweir.placement import Plan, Planner
 from cassiaweir.types import (
     Clock,
     Resources,
@@ -36,47 +34,6 @@
 MOST_PLACEMENTS_A_ROUND = 256
 
 
-@dataclass(frozen=True, slots=True)
-class RunnerTerms:
-    """The durations of a runner.
-
-    `list_lag` bounds how long a VM stays out of the list that a reader gets.
-    """
-
-    lease: LeaseTerms
-    driver: DriverTerms
-    shards_per_domain: int = 1
-    round: timedelta = timedelta(milliseconds=50)
-    vm_poll: timedelta = timedelta(seconds=1)
-    part_poll: timedelta = timedelta(seconds=5)
-    list_lag: timedelta = timedelta(seconds=5)
-
-
-class Allotments(Protocol):
-    """What each team may run in the shard."""
-
-    def apply(self, planner: Planner, held: Mapping[str, Resources]) -> list[str]:
-        """Tell the planner what each team may run, and return teams that run too much.
-
-        `held` is what a former owner may still run for each team of the shard.
-        """
-
-    async def balance(self, planner: Planner, held: Mapping[str, Resources]) -> None:
-        """Move allotments towards demand; raises `UnavailableError`."""
-
-
-@dataclass(frozen=True, slots=True)
-class PartStatus:
-    """The live state of the part of a job in this shard."""
-
-    shard: str
-    queued: int
-    running: int
-    succeeded: int
-    failed: int
-    reason: WaitReason
-
-
 class ShardRunner:
     """Runs the tasks of one shard for as long as its lease, or autonomy, lasts.
 
@@ -129,25 +86,29 @@
         self._allotment_wake = asyncio.Event()
         self._polled_at = float("-inf")
         self._listed_at = float("-inf")
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = Background()
 
     async def start(self) -> None:
         """Begin to recover the shard and run it."""
         loops = [self._run_table, self._run_vm_list, self._run_plans]
         if self._allotments is not None:
             loops.append(self._run_allotments)
-        self._tasks = [asyncio.create_task(loop()) for loop in loops]
+        self._background.start(*loops)
 
     async def stop(self) -> None:
         """Stop commanding, and wait until no start of ours can still be carried out."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.stop()
         drivers = list(self._roster.drivers.values())
         await asyncio.gather(*(driver.stop() for driver in drivers))
         if any(driver.in_doubt for driver in drivers):
             await self._clock.sleep(self._terms.driver.command_expiry)
 
+    def failure(self) -> BaseException | None:
+        """Return what a task of the runner, or of a driver, failed with, or None."""
+        drivers = self._roster.drivers.values()
+        failures = [self._background.failure(), *(d.failure() for d in drivers)]
+        return next((exc for exc in failures if exc is not None), None)
+
     def held(self) -> bool:
         """Tell whether nobody else can have taken the shard over yet."""
         return self._lease.held()
@@ -299,7 +260,7 @@
         if not self.may_start():
             return Plan([], [])
         if self._allotments is not None:
-            held = self._book.held_by_team()
+            held = self._held_by_team()
             for team in self._allotments.apply(self._planner, held):
                 self.stop_excess(team)
         plan = self._planner.plan(now, MOST_PLACEMENTS_A_ROUND)
@@ -315,7 +276,7 @@
     async def balance_allotments(self) -> None:
         """Move the allotments of the shard's teams towards their demand."""
         if self._allotments is not None and self.recovered:
-            held = self._book.held_by_team()
+            held = self._held_by_team()
             await self._allotments.balance(self._planner, held)
             self._plan_wake.set()
 
@@ -373,6 +334,9 @@
             hold.former_owner_gone(now)
         return hold
 
+    def _held_by_team(self) -> dict[str, Resources]:
+        return self._book.held_by_team(holding=self._holding)
+
     def _build_driver(self, vm: Vm) -> WorkerDriver:
         return WorkerDriver(
             self._lease.shard,
@@ -396,7 +360,7 @@
                 await self._clock.sleep(self._terms.vm_poll)
             except LeaseLostError:
                 return
-            await self._wait(self._table_wake, self._terms.vm_poll)
+            await wait_for_event(self._table_wake, self._clock, self._terms.vm_poll)
 
     async def _run_vm_list(self) -> None:
         while self._lease.owned:
@@ -412,23 +376,10 @@
             self._allotment_wake.clear()
             with contextlib.suppress(UnavailableError):
                 await self.balance_allotments()
-            await self._wait(self._allotment_wake, self._terms.vm_poll)
+            await wait_for_event(self._allotment_wake, self._clock, self._terms.vm_poll)
 
     async def _run_plans(self) -> None:
         while self._lease.owned:
             self._plan_wake.clear()
             self.plan()
-            await self._wait(self._plan_wake, self._terms.round)
-
-    async def _wait(self, event: asyncio.Event, limit: timedelta) -> None:
-        """Wait for `event`, at most for `limit`."""
-        waits = [
-            asyncio.create_task(event.wait()),
-            asyncio.create_task(self._clock.sleep(limit)),
-        ]
-        try:
-            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for wait in waits:
-                wait.cancel()
-            await asyncio.gather(*waits, return_exceptions=True)
+            await wait_for_event(self._plan_wake, self._clock, self._terms.round)
--- a/cassiaweir/fleet/_task_book.py
+++ b/cassiaweir/fleet/_task_book.py
@@ -53,11 +53,14 @@
         """Tell whether a task runs, or is being started, on `vm`."""
         return bool(self._on_vm.get(vm))
 
-    def held_by_team(self) -> dict[str, Resources]:
-        """Return what a former owner may still run, unseen by us, for each team."""
+    def held_by_team(self, *, holding: bool) -> dict[str, Resources]:
+        """Return what a former owner may still run, unseen by us, for each team.
+
+        All teams with a part are in it; without `holding` nothing is held back.
+        """
         total: dict[str, Resources] = {}
         for part in self._parts.values():
-            held = part.count([TaskPhase.HELD_BACK])
+            held = part.count([TaskPhase.HELD_BACK]) if holding else 0
             amount = part.row.spec.size.resources() * held
             total[part.row.team] = total.get(part.row.team, Resources()) + amount
         return total
@@ -91,12 +94,18 @@
         self._record("task_placed", placement.task, placement.vm, start.attempt)
 
     def stop(self, task: TaskId, vm: str, *, checkpoint: bool) -> None:
-        """Stop a task that runs on `vm`, or drop its start if it was not sent yet."""
+        """Stop a task that runs on `vm`, or drop its start if it was not sent yet.
+
+        Asking again for a task that is being stopped changes nothing.
+        """
+        record = self._parts[task.job].records[task.index]
+        if record.stopping:
+            return
         driver = self._drivers[vm]
+        record.stopping = True
         if not driver.withdraw_start(task):
             driver.stop_task(task, checkpoint=checkpoint)
             return
-        record = self._parts[task.job].records[task.index]
         self._not_started(self._parts[task.job], record, vm)
 
     def cancel(self, part: Part) -> None:
@@ -165,6 +174,7 @@
             self._adopt(part, record, vm, entry)
         elif record.phase is TaskPhase.STARTING and record.attempt == entry.attempt:
             record.phase = TaskPhase.RUNNING
+            record.stopping = False
             self._record("task_started", entry.task, vm, entry.attempt)
             self._release_checkpoint(record)
         if entry.usage != Resources():
--- a/cassiaweir/fleet/_worker_driver.py
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Protocol
 
 from cassiaweir.exceptions import FencedError, UnavailableError
+from cassiaweir.fleet._background import Background, wait_for_event
 from cassiaweir.types import (
     Clock,
     Command,
@@ -112,17 +112,19 @@
         self._stops: dict[TaskId, bool] = {}
         self._acknowledged: list[TaskReport] = []
         self._wake = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
+        self._background = Background()
 
     async def start(self) -> None:
         """Begin to drive the worker."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start(self._run)
 
     async def stop(self) -> None:
-        """Stop after the call in flight; nothing is sent afterwards."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        """Give up the call in flight; starts in it stay in doubt."""
+        await self._background.stop()
+
+    def failure(self) -> BaseException | None:
+        """Return what the driver's task failed with, or None."""
+        return self._background.failure()
 
     @property
     def in_doubt(self) -> bool:
@@ -203,15 +205,7 @@
     async def _run(self) -> None:
         while True:
             await self.step()
-            sleep = asyncio.create_task(self._clock.sleep(self._terms.task_renewal))
-            wake = asyncio.create_task(self._wake.wait())
-            try:
-                await asyncio.wait((sleep, wake), return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                sleep.cancel()
-                wake.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await asyncio.gather(sleep, wake, return_exceptions=True)
+            await wait_for_event(self._wake, self._clock, self._terms.task_renewal)
 
     async def _call_worker(self) -> None:
         self._wake.clear()
--- a/cassiaweir/work/_part.py
+++ b/cassiaweir/work/_part.py
@@ -35,8 +35,9 @@
 class TaskRecord:
     """What the owner knows of one task; `vm` is empty while it runs nowhere.
 
-    Attempts up to `closed_attempt` have ended.  `saved_by` is the report of the
-    checkpoint that the next attempt resumes, kept by the worker `saved_on`.
+    Attempts up to `closed_attempt` have ended; `stopping` is set once a stop was
+    asked for.  `saved_by` is the report of the checkpoint that the next attempt
+    resumes, kept by the worker `saved_on`.
     """
 
     task: TaskId
@@ -45,6 +46,7 @@
     closed_attempt: int = 0
     failures: int = 0
     vm: str = ""
+    stopping: bool = False
     checkpoint: str = ""
     saved_by: TaskReport | None = None
     saved_on: str = ""
@@ -127,6 +129,7 @@
         record = self.records[index]
         record.phase = TaskPhase.WAITING
         record.vm = ""
+        record.stopping = False
 
     def adopt(self, index: int, vm: str, attempt: int) -> None:
         """Note that a worker lists an attempt that this process did not start."""
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -11,6 +11,7 @@
 from cassiaweir.observe import EventLog
 from cassiaweir.placement import WaitReason
 from cassiaweir.rpc import cell_pb2_grpc
+from cassiaweir.rpc._server import Channels
 from cassiaweir.work import SchedulerClient
 from standins.memory import MemoryTable
 from tests.fleet_fakes import LEASE
@@ -44,6 +45,7 @@
     def __init__(self, lease):
         self.epoch = lease.epoch
         self.running = False
+        self.error = None
         self.former_gone = False
         self.notified = []
 
@@ -53,6 +55,9 @@
     async def stop(self):
         self.running = False
 
+    def failure(self):
+        return self.error
+
     def former_owner_gone(self):
         self.former_gone = True
 
@@ -177,6 +182,18 @@
     assert keepers[other].runner("augusta-0").former_gone
 
 
+async def test_a_runner_that_failed_is_built_anew(keepers, clock):
+    await rounds(keepers, clock, 10)
+    name = owners(keepers)["augusta-0"][0]
+    failed = keepers[name].runner("augusta-0")
+    failed.error = KeyError("w1")
+    await keepers[name].step("augusta-0")
+    await keepers[name].step("augusta-0")
+    assert not failed.running
+    assert keepers[name].runner("augusta-0").running
+    assert keepers[name].runner("augusta-0").epoch == failed.epoch + 1
+
+
 async def test_the_service_notifies_and_answers(keepers, clock):
     await rounds(keepers, clock, 10)
     name = owners(keepers)["augusta-0"][0]
@@ -186,7 +203,8 @@
     )
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
-    client = SchedulerClient(timedelta(seconds=5))
+    channels = Channels()
+    client = SchedulerClient(channels, timedelta(seconds=5))
     address = f"127.0.0.1:{port}"
     try:
         await client.notify_parts(address, "augusta-0", "j1")
@@ -198,5 +216,5 @@
         with pytest.raises(UnavailableError):
             await client.notify_parts(address, "milazzo-0", "j1")
     finally:
-        await client.stop()
+        await channels.stop()
         await server.stop(None)
