--- a/cassiaweir/fleet/_task_book.py
+++ b/cassiaweir/fleet/_task_book.py
@@ -186,7 +186,8 @@
         self, part: Part, record: TaskRecord, vm: str, entry: TaskReport
     ) -> None:
         if entry.attempt <= record.closed_attempt:
-            if not _keeps_checkpoint(record, vm, entry):
+            kept = _keeps_checkpoint(record, vm, entry)
+            if not kept and not _awaits_commit(part, vm, entry):
                 self._drivers[vm].acknowledge(entry)
             return
         if record.vm not in ("", vm):
@@ -255,6 +256,11 @@
         if entry.state is TaskState.CHECKPOINTED:
             # The worker keeps the report, which names the checkpoint, for a successor.
             record.saved_by, record.saved_on = entry, vm
+        elif entry.state is TaskState.FAILED:
+            # A successor has to know how often the task failed.
+            part.unacknowledged.append(Acknowledgement(vm, entry))
+            part.dirty = True
+            self._on_ends()
         elif entry.state is not TaskState.LAPSED:
             self._drivers[vm].acknowledge(entry)
         if held:
@@ -312,7 +318,8 @@
 
 def _awaits_commit(part: Part, vm: str, entry: TaskReport) -> bool:
     return any(
-        waiting.vm == vm and waiting.report.task == entry.task
+        (waiting.vm, waiting.report.task, waiting.report.attempt)
+        == (vm, entry.task, entry.attempt)
         for waiting in part.unacknowledged
     )
 
--- a/cassiaweir/work/_models.py
+++ b/cassiaweir/work/_models.py
@@ -67,7 +67,8 @@
     """The row `part/<shard>/<job>`: tasks `first` up to `first + count` of a job.
 
     `succeeded` and `failed` hold ranges of ended indexes, each from its first index
-    up to and without its second one.
+    up to and without its second one.  `tried` holds, for open tasks with failures,
+    their number and the number of the last attempt that ended.
     """
 
     job: str
@@ -78,4 +79,5 @@
     count: int
     succeeded: list[tuple[int, int]] = []
     failed: list[tuple[int, int]] = []
+    tried: dict[int, tuple[int, int]] = {}
     cancelled: bool = False
--- a/cassiaweir/work/_part.py
+++ b/cassiaweir/work/_part.py
@@ -88,7 +88,10 @@
         part.failed = expand_ranges(row.failed)
         for index in range(row.first, row.first + row.count):
             if index not in part.succeeded and index not in part.failed:
-                part.records[index] = TaskRecord(TaskId(row.job, index), phase)
+                record = TaskRecord(TaskId(row.job, index), phase)
+                record.failures, record.closed_attempt = row.tried.get(index, (0, 0))
+                record.attempt = record.closed_attempt
+                part.records[index] = record
         return part
 
     @property
@@ -183,5 +186,10 @@
             self.row,
             succeeded=collect_ranges(self.succeeded),
             failed=collect_ranges(self.failed),
+            tried={
+                index: (record.failures, record.closed_attempt)
+                for index, record in self.records.items()
+                if record.failures
+            },
             cancelled=self.cancelled,
         )
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -411,3 +411,41 @@
     await rig.turn()
     assert total_running(workers) == 1
     assert sum(worker.starts for worker in workers) == 1
+
+
+async def test_a_successor_counts_the_failures_before_the_takeover(
+    table, clock, workers
+):
+    old = await owner(table, clock, workers)
+    await add_part(table, make_spec(tasks=1, attempts=2))
+    await old.turn()
+    workers[0].finish(TASK, TaskState.FAILED)
+    clock.advance(2)
+    await old.turn()
+    assert workers[0].running() == {TASK}
+    new = Rig("new", table, clock, workers)
+    await take_over(new, clock)
+    await new.turn()
+    workers[0].finish(TASK, TaskState.FAILED)
+    clock.advance(2)
+    await new.turn()
+    rows = await table.read([done_key("j1", SHARD)])
+    assert decode_done(rows[done_key("j1", SHARD)]).failed == 1
+    assert sum(worker.starts for worker in workers) == 2
+
+
+async def test_a_failure_that_was_committed_is_not_counted_twice(table, clock, workers):
+    old = await owner(table, clock, workers)
+    await add_part(table, make_spec(tasks=1, attempts=3))
+    await old.turn()
+    workers[0].finish(TASK, TaskState.FAILED)
+    clock.advance(2)
+    await old.drive()
+    await old.runner.sync_table()
+    assert workers[0].entries[TASK].state is TaskState.FAILED
+    new = Rig("new", table, clock, workers)
+    await take_over(new, clock)
+    await new.turn()
+    assert new.runner._store.parts["j1"].records[0].failures == 1
+    assert workers[0].entries[TASK].attempt == 2
+    assert workers[0].running() == {TASK}
