Watch all shards of the cell with one read

Each process read each shard's row on its own every renewal; it now reads all rows that are not its own in one call. A takeover whose answer was lost starts one runner. A background task that fails writes a line.

--- a/cassiaweir/fleet/_background.py
+++ b/cassiaweir/fleet/_background.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 
+from loguru import logger
+
 from cassiaweir.types import Clock
 
 Loop = Callable[[], Coroutine[None, None, None]]
@@ -19,7 +21,10 @@
 
     def start(self, *loops: Loop) -> None:
         """Run each of `loops` in a task of its own."""
-        self._tasks += [asyncio.create_task(loop()) for loop in loops]
+        for loop in loops:
+            task = asyncio.create_task(loop())
+            task.add_done_callback(_log_failure)
+            self._tasks.append(task)
 
     async def stop(self) -> None:
         """Cancel all tasks and wait for their end."""
@@ -36,6 +41,12 @@
         return None
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    """Write a line about a task that ended by an unexpected error."""
+    if not task.cancelled() and task.exception() is not None:
+        logger.bind(error=repr(task.exception())).error("background_task_failed")
+
+
 async def wait_for_event(event: asyncio.Event, clock: Clock, limit: timedelta) -> None:
     """Wait for `event`, at most for `limit`."""
     waits = [
--- a/cassiaweir/fleet/_lease.py
+++ b/cassiaweir/fleet/_lease.py
@@ -115,8 +115,14 @@
         `delay` is waited on top of the lease.  Raises `UnavailableError`.
         """
         rows = await self._table.read([self.key])
-        row = rows.get(self.key)
-        seen_at = self._clock.monotonic()
+        return await self.consider(
+            rows.get(self.key), self._clock.monotonic(), delay=delay
+        )
+
+    async def consider(
+        self, row: Row | None, seen_at: float, *, delay: timedelta = timedelta(0)
+    ) -> bool:
+        """Challenge as `challenge` does, by a `row` whose read ended at `seen_at`."""
         version = row.version if row else 0
         state = _decode(row)
         if state.owner == self._process:
--- a/cassiaweir/fleet/_ownership.py
+++ b/cassiaweir/fleet/_ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -15,7 +16,7 @@
 from cassiaweir.fleet._runner import ShardRunner
 from cassiaweir.fleet._shards import due_owners, shard_domain
 from cassiaweir.observe import EventLog
-from cassiaweir.types import Clock, ShardOwner, Table
+from cassiaweir.types import Clock, Row, ShardOwner, Table
 
 
 class Peers(Protocol):
@@ -64,6 +65,7 @@
         self._process = process
         self._address = address
         self._failure_domain = failure_domain
+        self._table = table
         self._clock = clock
         self._events = events
         self._renewal = renewal
@@ -86,8 +88,9 @@
         self._background = Background()
 
     async def start(self) -> None:
-        """Begin to hold or challenge every shard, each in a task of its own."""
-        self._background.start(*(partial(self._run, seat) for seat in self._by_rank()))
+        """Begin to hold or challenge every shard."""
+        holds = [partial(self._run, seat) for seat in self._by_rank()]
+        self._background.start(self._run_watch, *holds)
 
     async def stop(self) -> None:
         """Stop the runners and release the shards, so that successors need not wait."""
@@ -114,20 +117,44 @@
     async def step(self, shard: str) -> None:
         """Renew or challenge one shard, and start or stop its runner."""
         seat = self._seats[shard]
-        try:
+        if seat.lease.owned:
+            await self._hold(seat)
+        else:
+            await self._stop_runner(seat)
+            await self._watch([seat])
+
+    async def _run(self, seat: _Seat) -> None:
+        """Hold a shard while it is ours."""
+        while True:
             if seat.lease.owned:
-                await self._keep(seat)
+                await self._hold(seat)
             else:
                 await self._stop_runner(seat)
-                await self._challenge(seat)
-        except UnavailableError:
-            self._note_autonomy(seat)
+            await self._clock.sleep(self._renewal)
 
-    async def _run(self, seat: _Seat) -> None:
+    async def _run_watch(self) -> None:
+        """Watch all shards that are not ours, with one read for all of them."""
         while True:
-            await self.step(seat.lease.shard)
+            seats = self._by_rank()
+            await self._watch(
+                [s for s in seats if not s.lease.owned and s.runner is None]
+            )
             await self._clock.sleep(self._renewal)
 
+    async def _hold(self, seat: _Seat) -> None:
+        try:
+            await self._keep(seat)
+        except UnavailableError:
+            self._note_autonomy(seat)
+
+    async def _watch(self, seats: Sequence[_Seat]) -> None:
+        """Read the rows of `seats` and take the shards whose lease has passed."""
+        with contextlib.suppress(UnavailableError):
+            rows = await self._table.read([seat.lease.key for seat in seats])
+            seen_at = self._clock.monotonic()
+            for seat in seats:
+                await self._challenge(seat, rows.get(seat.lease.key), seen_at)
+
     async def _keep(self, seat: _Seat) -> None:
         shard = seat.lease.shard
         if self._peers.highest_epoch(shard) > seat.lease.epoch:
@@ -147,11 +174,13 @@
         elif self._former_owner_gone(seat.lease):
             seat.runner.former_owner_gone()
 
-    async def _challenge(self, seat: _Seat) -> None:
+    async def _challenge(self, seat: _Seat, row: Row | None, seen_at: float) -> None:
         shard = seat.lease.shard
         due = self._is_due(shard)
         delay = timedelta(0) if due else 2 * self._renewal
-        if await seat.lease.challenge(delay=delay):
+        taken = await seat.lease.consider(row, seen_at, delay=delay)
+        # The task that holds the shard may have started the runner meanwhile.
+        if taken and seat.runner is None:
             await self._start_runner(seat)
 
     async def _start_runner(self, seat: _Seat) -> None:
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -194,6 +194,14 @@
     assert keepers[name].runner("augusta-0").epoch == failed.epoch + 1
 
 
+async def test_all_shards_are_watched_with_one_read(keepers, clock, table):
+    await rounds(keepers, clock, 10)
+    idle = keeper("c", table, clock, Peers())
+    reads = table.reads
+    await idle._watch(list(idle._seats.values()))
+    assert table.reads == reads + 1
+
+
 async def test_the_service_notifies_and_answers(keepers, clock):
     await rounds(keepers, clock, 10)
     name = owners(keepers)["augusta-0"][0]
@@ -218,3 +226,19 @@
     finally:
         await channels.stop()
         await server.stop(None)
+
+
+async def test_a_lost_takeover_starts_one_runner(keepers, clock, table):
+    one = keepers["a"]
+    built = []
+    one._build_runner = lambda lease: built.append(Runner(lease)) or built[-1]
+    seat = one._seats["priolo-0"]
+    await one.step("priolo-0")
+    clock.advance(20)
+    table.hold_commits = 1
+    await one.step("priolo-0")
+    table.apply_held()
+    await one.step("priolo-0")
+    await one.step("priolo-0")
+    assert len(built) == 1
+    assert seat.lease.held()
