--- a/cassiaweir/fleet/_runner.py
+++ b/cassiaweir/fleet/_runner.py
@@ -12,6 +12,7 @@
 from cassiaweir.fleet._part_store import Committer, PartStore
 from cassiaweir.fleet._roster import Health, Roster
 from cassiaweir.fleet._runner_types import Allotments, PartStatus, RunnerTerms
+from cassiaweir.fleet._shard_load import part_status, shard_load
 from cassiaweir.fleet._shards import shard_domain, shard_of
 from cassiaweir.fleet._task_book import TaskBook
 from cassiaweir.fleet._worker_driver import WorkerDriver
@@ -174,36 +175,23 @@
         part = self._store.parts.get(job)
         if part is None:
             return None
-        waiting = part.count([TaskPhase.WAITING, TaskPhase.HELD_BACK])
-        return PartStatus(
-            self._lease.shard,
-            waiting,
-            part.count([TaskPhase.STARTING, TaskPhase.RUNNING]),
-            len(part.succeeded),
-            len(part.failed),
-            self._planner.waiting(job, self._clock.monotonic()),
-        )
+        reason = self._planner.waiting(job, self._clock.monotonic())
+        return part_status(self._lease.shard, part, reason)
 
     def describe(self, process: str, address: str) -> ShardOwner:
         """Return what heartbeats tell of the shard."""
         vms = [driver.vm for driver in self._roster.drivers.values()]
-        capacity = sum((vm.capacity for vm in vms), Resources())
-        used = Resources()
-        queued = 0
-        for part in self._store.parts.values():
-            running = part.count([TaskPhase.STARTING, TaskPhase.RUNNING])
-            used += part.row.spec.size.resources() * running
-            queued += part.count([TaskPhase.WAITING, TaskPhase.HELD_BACK])
+        load = shard_load(vms, self._store.parts.values())
         return ShardOwner(
             self._lease.shard,
             shard_domain(self._lease.shard),
             process,
             address,
             self.epoch,
-            capacity,
-            capacity - used,
-            queued,
-            self._book.running_tasks(),
+            load.capacity,
+            load.free,
+            load.queued,
+            load.running,
         )
 
     async def recover(self) -> None:
--- a/cassiaweir/fleet/_task_book.py
+++ b/cassiaweir/fleet/_task_book.py
@@ -65,10 +65,6 @@
             total[part.row.team] = total.get(part.row.team, Resources()) + amount
         return total
 
-    def running_tasks(self) -> int:
-        """Return how many tasks run or are being started."""
-        return sum(len(tasks) for tasks in self._on_vm.values())
-
     def add_part(self, part: Part) -> None:
         """Queue the waiting tasks of a part."""
         if not part.cancelled:
--- a/cassiaweir/work/_division.py
+++ b/cassiaweir/work/_division.py
@@ -5,9 +5,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 from cassiaweir.exceptions import InvalidInputError
-from cassiaweir.types import JobKind, Resources, ShardOwner
-from cassiaweir.work._models import JobSpec
+from cassiaweir.types import JobKind, Resources, ShardOwner, Write
+from cassiaweir.work._models import JobRow, JobSpec, PartRow
+from cassiaweir.work._rows import part_key
 
 MOST_TASKS_KEPT_TOGETHER = 64
 
@@ -19,6 +22,15 @@
     owner: ShardOwner
     vms: Sequence[Resources] = field(default_factory=tuple)
 
+    @classmethod
+    def without_owner(cls, shard: str, vms: Sequence[Resources]) -> ShardRoom:
+        """Return a shard whose load nobody tells of just now."""
+        domain = shard.rpartition("-")[0]
+        capacity = sum(vms, Resources())
+        return cls(
+            ShardOwner(shard, domain, "", "", 0, capacity, Resources(), 0, 0), vms
+        )
+
     def slots(self, size: Resources) -> int:
         """Return how many tasks of `size` the empty shard holds."""
         return sum(count_fitting(size, vm) for vm in self.vms)
@@ -137,3 +149,17 @@
         f"the largest has {largest.cpu_millis}, {largest.memory_mb} and "
         f"{largest.accelerators}"
     )
+
+
+def part_writes(row: JobRow, shares: Sequence[Share]) -> list[Write]:
+    """Return the writes of the rows of the parts, which take the tasks in order."""
+    writes = []
+    first = 0
+    for share in shares:
+        part = PartRow(
+            row.job, row.team, row.spec, row.submitted_at, first, share.count
+        )
+        key = part_key(share.shard, row.job)
+        writes.append(Write(key, msgspec.json.encode(part)))
+        first += share.count
+    return writes
--- a/cassiaweir/work/_submission.py
+++ b/cassiaweir/work/_submission.py
@@ -11,6 +11,7 @@
 
 from cassiaweir.exceptions import (
     ConflictError,
+    InvalidInputError,
     NotFoundError,
     RefusedError,
     UnavailableError,
@@ -26,7 +27,7 @@
     Write,
 )
 from cassiaweir.verdict import Verdict
-from cassiaweir.work._division import ShardRoom, Share, divide
+from cassiaweir.work._division import ShardRoom, Share, divide, part_writes
 from cassiaweir.work._models import JobRow, JobSpec, PartRow
 from cassiaweir.work._rows import (
     DoneRow,
@@ -74,7 +75,8 @@
 class Submission:
     """Writes jobs and their parts, and tells the owners of the shards.
 
-    `vm_sizes` returns the capacities of the worker VMs of a shard.
+    `vm_sizes` returns the capacities of the worker VMs of a shard, and `shards` names
+    all shards of the cell, also those whose owner is not known just now.
     """
 
     def __init__(
@@ -86,7 +88,9 @@
         schedulers: SchedulerCalls,
         clock: Clock,
         events: EventLog,
+        shards: Sequence[str] = (),
     ) -> None:
+        self._shards = shards
         self._table = table
         self._directory = directory
         self._vm_sizes = vm_sizes
@@ -117,7 +121,7 @@
             raise RefusedError(
                 "no_scheduler", "no owner of a shard is known", retry_after=RETRY_AFTER
             )
-        shares = divide(spec, rooms)
+        shares = self._divide(spec, rooms)
         now = self._clock.now().timestamp()
         row = JobRow(spec.job, team, spec, now, [share.shard for share in shares])
         committed = await self._commit(row, shares)
@@ -179,11 +183,32 @@
         more = len(following) > limit
         return JobPage(jobs, jobs[-1].job if more and jobs else "")
 
+    def _divide(self, spec: JobSpec, rooms: Sequence[ShardRoom]) -> Sequence[Share]:
+        """Divide a job, and tell one that never fits from one that does not just now.
+
+        A shard between two owners is in no list of owners for some seconds.
+        """
+        try:
+            return divide(spec, rooms)
+        except InvalidInputError:
+            known = {room.owner.shard for room in rooms}
+            silent = [
+                ShardRoom.without_owner(shard, self._vm_sizes(shard))
+                for shard in self._shards
+                if shard not in known
+            ]
+            divide(spec, [*rooms, *silent])
+        raise RefusedError(
+            "shard_without_owner",
+            "the shards that could hold the job have no owner just now",
+            retry_after=RETRY_AFTER,
+        )
+
     async def _commit(self, row: JobRow, shares: Sequence[Share]) -> JobRow:
         """Write the rows, or return those that an earlier attempt wrote."""
         writes = [
             Write(job_key(row.job), msgspec.json.encode(row)),
-            *_parts(row, shares),
+            *part_writes(row, shares),
         ]
         checks = [Check(write.key, 0) for write in writes]
         verdict = Verdict.NOT_RUN
@@ -273,20 +298,6 @@
             self._events.record("notice_failed", job, shard=owner.shard)
 
 
-def _parts(row: JobRow, shares: Sequence[Share]) -> list[Write]:
-    """Return the writes of the parts, which take the tasks in order."""
-    writes = []
-    first = 0
-    for share in shares:
-        part = PartRow(
-            row.job, row.team, row.spec, row.submitted_at, first, share.count
-        )
-        key = part_key(share.shard, row.job)
-        writes.append(Write(key, msgspec.json.encode(part)))
-        first += share.count
-    return writes
-
-
 def _refused(exc: UnavailableError) -> RefusedError:
     return RefusedError(
         "table_unavailable",
--- a/tests/test_work_submission.py
+++ b/tests/test_work_submission.py
@@ -134,6 +134,19 @@
         await submission.submit(make_spec(cpu=4001), "t1")
 
 
+async def test_a_job_for_a_shard_without_an_owner_is_not_run_yet(submission):
+    submission._shards = [*FREE, "siracusa-0"]
+    submission._vm_sizes = lambda shard: (
+        [Resources(9000, 9000)] if shard == "siracusa-0" else [CAPACITY]
+    )
+    with pytest.raises(RefusedError) as caught:
+        await submission.submit(make_spec(cpu=9000), "t1")
+    assert caught.value.reason == "shard_without_owner"
+    assert caught.value.verdict is Verdict.NOT_RUN
+    with pytest.raises(InvalidInputError, match="the largest has 9000"):
+        await submission.submit(make_spec(cpu=9001), "t1")
+
+
 async def test_a_repeat_returns_the_first_row_and_another_job_conflicts(submission):
     first = await submission.submit(make_spec(), "t1")
     assert await submission.submit(make_spec(), "t1") == first
