--- a/cassiaweir/fleet/__init__.py
+++ b/cassiaweir/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Shards of VMs, their owners, and the workers that they drive."""
 
+from cassiaweir.fleet._driver_types import DriverTerms
 from cassiaweir.fleet._lease import LeaseTerms, Predecessor, ShardLease, ShardRow
 from cassiaweir.fleet._ownership import Peers, ShardKeeper
 from cassiaweir.fleet._part_store import Committer
@@ -8,7 +9,7 @@
 from cassiaweir.fleet._runner_types import Allotments, PartStatus, RunnerTerms
 from cassiaweir.fleet._service import SchedulerService
 from cassiaweir.fleet._shards import shard_domain, shard_name, shard_names, shard_of
-from cassiaweir.fleet._worker_driver import DriverTerms, WorkerDriver
+from cassiaweir.fleet._worker_driver import WorkerDriver
 
 __all__ = [
     "Allotments",
--- a/cassiaweir/fleet/_hold_back.py
+++ b/cassiaweir/fleet/_hold_back.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from cassiaweir.fleet._driver_types import DriverTerms
 from cassiaweir.fleet._lease import LeaseTerms
-from cassiaweir.fleet._worker_driver import DriverTerms, WorkerDriver
+from cassiaweir.fleet._worker_driver import WorkerDriver
 
 
 @dataclass(slots=True)
--- a/cassiaweir/fleet/_runner_types.py
+++ b/cassiaweir/fleet/_runner_types.py
@@ -7,8 +7,8 @@
 from datetime import timedelta
 from typing import Protocol
 
+from cassiaweir.fleet._driver_types import DriverTerms
 from cassiaweir.fleet._lease import LeaseTerms
-from cassiaweir.fleet._worker_driver import DriverTerms
 from cassiaweir.placement import Planner, WaitReason
 from cassiaweir.types import Resources
 
--- a/cassiaweir/fleet/_task_book.py
+++ b/cassiaweir/fleet/_task_book.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable, Mapping
 
 from cassiaweir.fleet._roster import Health
+from cassiaweir.fleet._task_facts import awaits_commit, keeps_checkpoint, task_group
 from cassiaweir.fleet._worker_driver import WorkerDriver
 from cassiaweir.observe import EventLog
 from cassiaweir.placement import Placement, Planner, TaskGroup
 from cassiaweir.types import (
     Clock,
-    JobKind,
     Resources,
     TaskId,
     TaskReport,
@@ -151,7 +151,7 @@
         """Clear away an attempt of a task whose end is known."""
         if not entry.state.ended:
             self._drivers[vm].stop_task(entry.task, checkpoint=False)
-        elif part is None or not _awaits_commit(part, vm, entry):
+        elif part is None or not awaits_commit(part, vm, entry):
             self._drivers[vm].acknowledge(entry)
 
     def _take_running(
@@ -182,8 +182,8 @@
         self, part: Part, record: TaskRecord, vm: str, entry: TaskReport
     ) -> None:
         if entry.attempt <= record.closed_attempt:
-            kept = _keeps_checkpoint(record, vm, entry)
-            if not kept and not _awaits_commit(part, vm, entry):
+            kept = keeps_checkpoint(record, vm, entry)
+            if not kept and not awaits_commit(part, vm, entry):
                 self._drivers[vm].acknowledge(entry)
             return
         if record.vm not in ("", vm):
@@ -290,19 +290,7 @@
             self._planner.enqueue(self._group(part, indexes))
 
     def _group(self, part: Part, indexes: tuple[int, ...]) -> TaskGroup:
-        spec = part.row.spec
-        age = self._clock.now().timestamp() - part.row.submitted_at
-        seconds = 0 if spec.kind is JobKind.SERVICE else spec.declared_seconds
-        return TaskGroup(
-            job=part.row.job,
-            team=part.row.team,
-            kind=spec.kind,
-            urgency=spec.urgency,
-            size=spec.size.resources(),
-            indexes=indexes,
-            submitted_at=self._clock.monotonic() - max(age, 0),
-            declared_seconds=seconds,
-        )
+        return task_group(part, indexes, self._clock)
 
     def _record(
         self, kind: str, task: TaskId, vm: str, attempt: int, state: str = ""
@@ -310,17 +298,3 @@
         self._events.record(
             kind, str(task), epoch=self.epoch, vm=vm, attempt=attempt, state=state
         )
-
-
-def _awaits_commit(part: Part, vm: str, entry: TaskReport) -> bool:
-    return any(
-        (waiting.vm, waiting.report.task, waiting.report.attempt)
-        == (vm, entry.task, entry.attempt)
-        for waiting in part.unacknowledged
-    )
-
-
-def _keeps_checkpoint(record: TaskRecord, vm: str, entry: TaskReport) -> bool:
-    """Tell whether the worker's entry names the checkpoint to resume from."""
-    saved = record.saved_by
-    return saved is not None and (record.saved_on, saved.attempt) == (vm, entry.attempt)
--- a/cassiaweir/fleet/_worker_driver.py
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -5,11 +5,10 @@
 import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
-from datetime import timedelta
-from typing import Protocol
 
 from cassiaweir.exceptions import FencedError, UnavailableError
 from cassiaweir.fleet._background import Background, wait_for_event
+from cassiaweir.fleet._driver_types import Authority, DriverTerms, ReportSink
 from cassiaweir.types import (
     Clock,
     Command,
@@ -23,47 +22,6 @@
 from cassiaweir.verdict import Verdict
 
 
-class Authority(Protocol):
-    """The right to command the workers of a shard."""
-
-    epoch: int
-
-    def held(self) -> bool:
-        """Tell whether nobody else can have taken the shard over yet."""
-
-    def may_renew_tasks(self) -> bool:
-        """Tell whether task leases may be renewed."""
-
-    def may_start(self) -> bool:
-        """Tell whether tasks may be started."""
-
-
-class ReportSink(Protocol):
-    """Receives what a worker says; called within the driver's task."""
-
-    def worker_reported(self, driver: WorkerDriver, report: WorkerReport) -> None:
-        """Take in a report made under the current epoch."""
-
-    def worker_replaced(self, driver: WorkerDriver) -> None:
-        """Note that the VM is another incarnation: all it ran has ended."""
-
-    def start_settled(self, driver: WorkerDriver, start: TaskStart) -> None:
-        """Note that `start` certainly did not, and will not, run."""
-
-    def fenced(self, driver: WorkerDriver) -> None:
-        """Note that the worker has seen a higher epoch."""
-
-
-@dataclass(frozen=True, slots=True)
-class DriverTerms:
-    """The durations that a driver works with."""
-
-    task_lease: timedelta
-    task_renewal: timedelta
-    command_expiry: timedelta
-    drift: timedelta
-
-
 @dataclass(frozen=True, slots=True)
 class _SentStart:
     """A start that was sent; the worker refuses it past `expires_at` of its clock."""
--- a/cassiaweir/teams/__init__.py
+++ b/cassiaweir/teams/__init__.py
@@ -1,6 +1,7 @@
 """Teams: keys, and the allotments of their upper limits."""
 
-from cassiaweir.teams._allotments import AllotmentRow, ShardAllotments
+from cassiaweir.teams._allotment_row import AllotmentRow
+from cassiaweir.teams._allotments import ShardAllotments
 from cassiaweir.teams._keys import GrantedKey, KeyRegistry, ListedKey
 
 __all__ = [
--- a/cassiaweir/teams/_allotments.py
+++ b/cassiaweir/teams/_allotments.py
@@ -12,6 +12,12 @@
 from cassiaweir.exceptions import ConflictError, UnavailableError
 from cassiaweir.observe import EventLog
 from cassiaweir.placement import Planner
+from cassiaweir.teams._allotment_row import (
+    AllotmentRow,
+    allotment_key,
+    decode_allotment,
+    put_amount,
+)
 from cassiaweir.teams._amounts import (
     Amount,
     combine,
@@ -29,20 +35,6 @@
 NOTHING = Resources()
 
 
-class AllotmentRow(msgspec.Struct, frozen=True):
-    """The row `allot/<team>`.
-
-    `limit` is that of bundle `bundle_version`.  `amounts` is what each shard may run;
-    their sum never passes `limit`, but for what still runs after a lowering.  `wants`
-    is what each shard would run.
-    """
-
-    bundle_version: int
-    limit: Amount
-    amounts: dict[str, Amount] = {}
-    wants: dict[str, Amount] = {}
-
-
 class Tenure(Protocol):
     """The lease under which the allotments of a shard are changed."""
 
@@ -123,9 +115,9 @@
             for team in self._view.teams()
             if team.name in held or team.name in self._holdings
         ]
-        rows = await self._table.read([_key(team.name) for team in teams])
+        rows = await self._table.read([allotment_key(team.name) for team in teams])
         for team in teams:
-            row = rows.get(_key(team.name))
+            row = rows.get(allotment_key(team.name))
             holding = self._holdings.setdefault(team.name, _Holding())
             hidden = held.get(team.name, Resources())
             running = planner.running(team.name) + hidden
@@ -145,7 +137,7 @@
         amount = self._target(state, holding, own, running, demand)
         want = round_up(demand, _chunk(state.limit.resources()))
         changed = self._changed(state, amount, want)
-        unchanged = row is not None and changed == _decode(row)
+        unchanged = row is not None and changed == decode_allotment(row)
         if unchanged and not holding.doubtful:
             self._grant(holding, own)
             return
@@ -153,10 +145,10 @@
         holding.cap = least(least(holding.cap, own), amount)
         version = row.version if row is not None else 0
         checks = [
-            Check(_key(team.name), version),
+            Check(allotment_key(team.name), version),
             Check(self._tenure.key, self._tenure.version),
         ]
-        write = Write(_key(team.name), msgspec.json.encode(changed))
+        write = Write(allotment_key(team.name), msgspec.json.encode(changed))
         try:
             await self._table.commit(checks, [write])
         except ConflictError:
@@ -175,7 +167,7 @@
         limit = Amount.of(team.limit)
         if row is None:
             return AllotmentRow(version, limit)
-        state = _decode(row)
+        state = decode_allotment(row)
         if version > state.bundle_version:
             return msgspec.structs.replace(state, bundle_version=version, limit=limit)
         return state
@@ -282,8 +274,8 @@
         shard = self._tenure.shard
         amounts = dict(state.amounts)
         wants = dict(state.wants)
-        _put(amounts, shard, amount)
-        _put(wants, shard, want)
+        put_amount(amounts, shard, amount)
+        put_amount(wants, shard, want)
         return msgspec.structs.replace(state, amounts=amounts, wants=wants)
 
     def _record(self, team: Team, amount: Resources) -> None:
@@ -297,21 +289,6 @@
         )
 
 
-def _key(team: str) -> str:
-    return f"allot/{team}"
-
-
-def _decode(row: Row) -> AllotmentRow:
-    return msgspec.json.decode(row.value, type=AllotmentRow)
-
-
-def _put(amounts: dict[str, Amount], shard: str, amount: Resources) -> None:
-    if amount == Resources():
-        amounts.pop(shard, None)
-    else:
-        amounts[shard] = Amount.of(amount)
-
-
 def _chunk(limit: Resources) -> Resources:
     return combine(lambda value: -(-value // CHUNKS_PER_LIMIT), limit)
 
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -13,7 +13,7 @@
 from cassiaweir.clock import ManualClock
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.observe import EventLog
-from cassiaweir.teams._allotments import AllotmentRow, ShardAllotments
+from cassiaweir.teams import AllotmentRow, ShardAllotments
 from cassiaweir.types import Resources, Team
 from standins.memory import MemoryTable
 
