--- a/cassiaweir/fleet/_ownership.py
+++ b/cassiaweir/fleet/_ownership.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import Protocol
 
 from cassiaweir.exceptions import LeaseLostError, UnavailableError
+from cassiaweir.fleet._background import Background
 from cassiaweir.fleet._lease import LeaseTerms, ShardLease
 from cassiaweir.fleet._runner import ShardRunner
 from cassiaweir.fleet._shards import due_owners, shard_domain
 from cassiaweir.observe import EventLog
-from cassiaweir.types import Clock, ShardOwner, Table
+from cassiaweir.types import Clock, Row, ShardOwner, Table
 
 
 class Peers(Protocol):
@@ -62,6 +65,7 @@
         self._process = process
         self._address = address
         self._failure_domain = failure_domain
+        self._table = table
         self._clock = clock
         self._events = events
         self._renewal = renewal
@@ -81,17 +85,16 @@
             )
             for shard in shards
         }
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = Background()
 
     async def start(self) -> None:
-        """Begin to hold or challenge every shard, each in a task of its own."""
-        self._tasks = [asyncio.create_task(self._run(seat)) for seat in self._by_rank()]
+        """Begin to hold or challenge every shard."""
+        holds = [partial(self._run, seat) for seat in self._by_rank()]
+        self._background.start(self._run_watch, *holds)
 
     async def stop(self) -> None:
         """Stop the runners and release the shards, so that successors need not wait."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.stop()
         await asyncio.gather(*(self._release(seat) for seat in self._seats.values()))
 
     def owned(self) -> Sequence[ShardOwner]:
@@ -114,25 +117,51 @@
     async def step(self, shard: str) -> None:
         """Renew or challenge one shard, and start or stop its runner."""
         seat = self._seats[shard]
-        try:
+        if seat.lease.owned:
+            await self._hold(seat)
+        else:
+            await self._stop_runner(seat)
+            await self._watch([seat])
+
+    async def _run(self, seat: _Seat) -> None:
+        """Hold a shard while it is ours."""
+        while True:
             if seat.lease.owned:
-                await self._keep(seat)
+                await self._hold(seat)
             else:
                 await self._stop_runner(seat)
-                await self._challenge(seat)
-        except UnavailableError:
-            self._note_autonomy(seat)
+            await self._clock.sleep(self._renewal)
 
-    async def _run(self, seat: _Seat) -> None:
+    async def _run_watch(self) -> None:
+        """Watch all shards that are not ours, with one read for all of them."""
         while True:
-            await self.step(seat.lease.shard)
+            seats = self._by_rank()
+            await self._watch(
+                [s for s in seats if not s.lease.owned and s.runner is None]
+            )
             await self._clock.sleep(self._renewal)
 
+    async def _hold(self, seat: _Seat) -> None:
+        try:
+            await self._keep(seat)
+        except UnavailableError:
+            self._note_autonomy(seat)
+
+    async def _watch(self, seats: Sequence[_Seat]) -> None:
+        """Read the rows of `seats` and take the shards whose lease has passed."""
+        with contextlib.suppress(UnavailableError):
+            rows = await self._table.read([seat.lease.key for seat in seats])
+            seen_at = self._clock.monotonic()
+            for seat in seats:
+                await self._challenge(seat, rows.get(seat.lease.key), seen_at)
+
     async def _keep(self, seat: _Seat) -> None:
         shard = seat.lease.shard
         if self._peers.highest_epoch(shard) > seat.lease.epoch:
             seat.lease.lose()
-        elif self._is_surplus(shard) and self._runs_settled(seat):
+        elif self._runner_failed(seat) or (
+            self._is_surplus(shard) and self._runs_settled(seat)
+        ):
             await self._release(seat)
             return
         try:
@@ -145,11 +174,13 @@
         elif self._former_owner_gone(seat.lease):
             seat.runner.former_owner_gone()
 
-    async def _challenge(self, seat: _Seat) -> None:
+    async def _challenge(self, seat: _Seat, row: Row | None, seen_at: float) -> None:
         shard = seat.lease.shard
         due = self._is_due(shard)
         delay = timedelta(0) if due else 2 * self._renewal
-        if await seat.lease.challenge(delay=delay):
+        taken = await seat.lease.consider(row, seen_at, delay=delay)
+        # The task that holds the shard may have started the runner meanwhile.
+        if taken and seat.runner is None:
             await self._start_runner(seat)
 
     async def _start_runner(self, seat: _Seat) -> None:
@@ -220,6 +251,18 @@
         total = sum(shard_domain(name) == domain for name in self._seats)
         return mine > -(-total // len(live))
 
+    def _runner_failed(self, seat: _Seat) -> bool:
+        """Tell whether the runner has to be built anew after an unexpected error."""
+        exc = seat.runner.failure() if seat.runner is not None else None
+        if exc is not None:
+            self._events.record(
+                "runner_failed",
+                seat.lease.shard,
+                epoch=seat.lease.epoch,
+                error=repr(exc),
+            )
+        return exc is not None
+
     def _runs_settled(self, seat: _Seat) -> bool:
         """Tell whether the shard has settled since its takeover."""
         return seat.runner is not None and seat.runner.settled
--- a/cassiaweir/fleet/_task_book.py
+++ b/cassiaweir/fleet/_task_book.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable, Mapping
 
 from cassiaweir.fleet._roster import Health
+from cassiaweir.fleet._task_facts import awaits_commit, keeps_checkpoint, task_group
 from cassiaweir.fleet._worker_driver import WorkerDriver
 from cassiaweir.observe import EventLog
 from cassiaweir.placement import Placement, Planner, TaskGroup
 from cassiaweir.types import (
     Clock,
-    JobKind,
     Resources,
     TaskId,
     TaskReport,
@@ -53,19 +53,18 @@
         """Tell whether a task runs, or is being started, on `vm`."""
         return bool(self._on_vm.get(vm))
 
-    def held_by_team(self) -> dict[str, Resources]:
-        """Return what a former owner may still run, unseen by us, for each team."""
+    def held_by_team(self, *, holding: bool) -> dict[str, Resources]:
+        """Return what a former owner may still run, unseen by us, for each team.
+
+        All teams with a part are in it; without `holding` nothing is held back.
+        """
         total: dict[str, Resources] = {}
         for part in self._parts.values():
-            held = part.count([TaskPhase.HELD_BACK])
+            held = part.count([TaskPhase.HELD_BACK]) if holding else 0
             amount = part.row.spec.size.resources() * held
             total[part.row.team] = total.get(part.row.team, Resources()) + amount
         return total
 
-    def running_tasks(self) -> int:
-        """Return how many tasks run or are being started."""
-        return sum(len(tasks) for tasks in self._on_vm.values())
-
     def add_part(self, part: Part) -> None:
         """Queue the waiting tasks of a part."""
         if not part.cancelled:
@@ -91,12 +90,18 @@
         self._record("task_placed", placement.task, placement.vm, start.attempt)
 
     def stop(self, task: TaskId, vm: str, *, checkpoint: bool) -> None:
-        """Stop a task that runs on `vm`, or drop its start if it was not sent yet."""
+        """Stop a task that runs on `vm`, or drop its start if it was not sent yet.
+
+        Asking again for a task that is being stopped changes nothing.
+        """
+        record = self._parts[task.job].records[task.index]
+        if record.stopping:
+            return
         driver = self._drivers[vm]
+        record.stopping = True
         if not driver.withdraw_start(task):
             driver.stop_task(task, checkpoint=checkpoint)
             return
-        record = self._parts[task.job].records[task.index]
         self._not_started(self._parts[task.job], record, vm)
 
     def cancel(self, part: Part) -> None:
@@ -146,7 +151,7 @@
         """Clear away an attempt of a task whose end is known."""
         if not entry.state.ended:
             self._drivers[vm].stop_task(entry.task, checkpoint=False)
-        elif part is None or not _awaits_commit(part, vm, entry):
+        elif part is None or not awaits_commit(part, vm, entry):
             self._drivers[vm].acknowledge(entry)
 
     def _take_running(
@@ -165,6 +170,7 @@
             self._adopt(part, record, vm, entry)
         elif record.phase is TaskPhase.STARTING and record.attempt == entry.attempt:
             record.phase = TaskPhase.RUNNING
+            record.stopping = False
             self._record("task_started", entry.task, vm, entry.attempt)
             self._release_checkpoint(record)
         if entry.usage != Resources():
@@ -176,7 +182,8 @@
         self, part: Part, record: TaskRecord, vm: str, entry: TaskReport
     ) -> None:
         if entry.attempt <= record.closed_attempt:
-            if not _keeps_checkpoint(record, vm, entry):
+            kept = keeps_checkpoint(record, vm, entry)
+            if not kept and not awaits_commit(part, vm, entry):
                 self._drivers[vm].acknowledge(entry)
             return
         if record.vm not in ("", vm):
@@ -245,6 +252,11 @@
         if entry.state is TaskState.CHECKPOINTED:
             # The worker keeps the report, which names the checkpoint, for a successor.
             record.saved_by, record.saved_on = entry, vm
+        elif entry.state is TaskState.FAILED:
+            # A successor has to know how often the task failed.
+            part.unacknowledged.append(Acknowledgement(vm, entry))
+            part.dirty = True
+            self._on_ends()
         elif entry.state is not TaskState.LAPSED:
             self._drivers[vm].acknowledge(entry)
         if held:
@@ -278,19 +290,7 @@
             self._planner.enqueue(self._group(part, indexes))
 
     def _group(self, part: Part, indexes: tuple[int, ...]) -> TaskGroup:
-        spec = part.row.spec
-        age = self._clock.now().timestamp() - part.row.submitted_at
-        seconds = 0 if spec.kind is JobKind.SERVICE else spec.declared_seconds
-        return TaskGroup(
-            job=part.row.job,
-            team=part.row.team,
-            kind=spec.kind,
-            urgency=spec.urgency,
-            size=spec.size.resources(),
-            indexes=indexes,
-            submitted_at=self._clock.monotonic() - max(age, 0),
-            declared_seconds=seconds,
-        )
+        return task_group(part, indexes, self._clock)
 
     def _record(
         self, kind: str, task: TaskId, vm: str, attempt: int, state: str = ""
@@ -298,16 +298,3 @@
         self._events.record(
             kind, str(task), epoch=self.epoch, vm=vm, attempt=attempt, state=state
         )
-
-
-def _awaits_commit(part: Part, vm: str, entry: TaskReport) -> bool:
-    return any(
-        waiting.vm == vm and waiting.report.task == entry.task
-        for waiting in part.unacknowledged
-    )
-
-
-def _keeps_checkpoint(record: TaskRecord, vm: str, entry: TaskReport) -> bool:
-    """Tell whether the worker's entry names the checkpoint to resume from."""
-    saved = record.saved_by
-    return saved is not None and (record.saved_on, saved.attempt) == (vm, entry.attempt)
--- a/cassiaweir/work/_part.py
+++ b/cassiaweir/work/_part.py
@@ -35,8 +35,9 @@
 class TaskRecord:
     """What the owner knows of one task; `vm` is empty while it runs nowhere.
 
-    Attempts up to `closed_attempt` have ended.  `saved_by` is the report of the
-    checkpoint that the next attempt resumes, kept by the worker `saved_on`.
+    Attempts up to `closed_attempt` have ended; `stopping` is set once a stop was
+    asked for.  `saved_by` is the report of the checkpoint that the next attempt
+    resumes, kept by the worker `saved_on`.
     """
 
     task: TaskId
@@ -45,6 +46,7 @@
     closed_attempt: int = 0
     failures: int = 0
     vm: str = ""
+    stopping: bool = False
     checkpoint: str = ""
     saved_by: TaskReport | None = None
     saved_on: str = ""
@@ -86,7 +88,10 @@
         part.failed = expand_ranges(row.failed)
         for index in range(row.first, row.first + row.count):
             if index not in part.succeeded and index not in part.failed:
-                part.records[index] = TaskRecord(TaskId(row.job, index), phase)
+                record = TaskRecord(TaskId(row.job, index), phase)
+                record.failures, record.closed_attempt = row.tried.get(index, (0, 0))
+                record.attempt = record.closed_attempt
+                part.records[index] = record
         return part
 
     @property
@@ -127,6 +132,7 @@
         record = self.records[index]
         record.phase = TaskPhase.WAITING
         record.vm = ""
+        record.stopping = False
 
     def adopt(self, index: int, vm: str, attempt: int) -> None:
         """Note that a worker lists an attempt that this process did not start."""
@@ -180,5 +186,10 @@
             self.row,
             succeeded=collect_ranges(self.succeeded),
             failed=collect_ranges(self.failed),
+            tried={
+                index: (record.failures, record.closed_attempt)
+                for index, record in self.records.items()
+                if record.failures
+            },
             cancelled=self.cancelled,
         )
