--- a/cassiaweir/membership/_peers.py
+++ b/cassiaweir/membership/_peers.py
@@ -161,6 +161,7 @@
     def _reconcile(self) -> None:
         """Have one task for each peer of this round and none for others."""
         self._forget_silent()
+        self._drop_failed()
         wanted = {peer.address for peer in self._selection.choose(self._candidates())}
         wanted = wanted or set(self._seeds()) - {self._member.address}
         for address in self._tasks.keys() - wanted:
@@ -169,6 +170,13 @@
         for address in sorted(wanted - self._tasks.keys()):
             self._tasks[address] = asyncio.create_task(self._exchange_with(address))
 
+    def _drop_failed(self) -> None:
+        """Drop tasks that ended by an error, so that they are made again."""
+        for address, task in list(self._tasks.items()):
+            if task.done():
+                del self._tasks[address]
+                self._events.record("peer_task_failed", address, reason=_reason(task))
+
     def _candidates(self) -> list[PeerAddress]:
         """Return the processes of the rows and those heard of since."""
         found = {
@@ -300,3 +308,8 @@
     def _moment(self, duration: timedelta) -> float:
         """Return the reading of the clock `duration` ago."""
         return self._clock.monotonic() - duration.total_seconds()
+
+
+def _reason(task: asyncio.Task[None]) -> str:
+    """Return why `task`, which has ended, did so."""
+    return "cancelled" if task.cancelled() else repr(task.exception())
--- a/cassiaweir/teams/_keys.py
+++ b/cassiaweir/teams/_keys.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 
 import msgspec
 
@@ -23,11 +24,17 @@
     decode_counter,
     unchanged,
 )
-from cassiaweir.exceptions import ConflictError, InvalidInputError, NotFoundError
+from cassiaweir.exceptions import (
+    ConflictError,
+    InvalidInputError,
+    NotFoundError,
+    UnavailableError,
+)
 from cassiaweir.types import Check, Clock, Row, Write
 
 KEY_BYTES = 32
 KEY_USES = "key_use/"
+USES_INTERVAL = timedelta(minutes=1)
 SHORTEST_PREFIX = 8
 MOST_RACES = 16
 AUDIT_AREA = "keys"
@@ -187,6 +194,52 @@
         raise ConflictError(f"key {digest[:SHORTEST_PREFIX]}: changed by {winner}")
 
 
+class KeyUseWriter:
+    """Stores the last uses of keys once per `USES_INTERVAL`.
+
+    `take_uses` returns the uses since it was last called; what could not be stored
+    is kept for the next time.
+    """
+
+    def __init__(
+        self,
+        registry: KeyRegistry,
+        clock: Clock,
+        *,
+        take_uses: Callable[[], Mapping[str, datetime]],
+    ) -> None:
+        self._registry = registry
+        self._clock = clock
+        self._take_uses = take_uses
+        self._pending: dict[str, datetime] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to store uses."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Store what is left if the table can be reached."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self.flush()
+
+    async def flush(self) -> None:
+        """Store the uses noted so far, or keep them where the table is away."""
+        self._pending.update(self._take_uses())
+        try:
+            await self._registry.note_uses(self._pending)
+        except UnavailableError:
+            return
+        self._pending.clear()
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(USES_INTERVAL)
+            await self.flush()
+
+
 def _decode_use(row: Row) -> KeyUse:
     return msgspec.json.decode(row.value, type=KeyUse)
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -12,7 +12,7 @@
     NotFoundError,
     RefusedError,
 )
-from cassiaweir.teams import KeyRegistry
+from cassiaweir.teams import KeyRegistry, KeyUseWriter
 from standins.memory import MemoryTable
 
 ANNA = Operator("anna", frozenset({OperatorRole.ON_CALL}))
@@ -76,6 +76,21 @@
     assert len(await registry.list()) == 2
 
 
+async def test_uses_wait_while_the_table_is_down():
+    table, _, registry = make()
+    key = await registry.grant(ANNA, "dogana")
+    used = datetime(2026, 2, 2, tzinfo=UTC)
+    uses = [{key.digest: used}, {}, {}]
+    writer = KeyUseWriter(registry, ManualClock(), take_uses=lambda: uses.pop(0))
+    table.down = True
+    await writer.flush()
+    table.down = False
+    await writer.start()
+    await writer.stop()
+    (listed,) = await registry.list()
+    assert listed.last_use == used
+
+
 async def test_a_race_on_the_head_alone_is_won_by_both():
     table, _, registry = make()
 
