--- a/cassiaweir/configuration/__init__.py
+++ b/cassiaweir/configuration/__init__.py
@@ -24,7 +24,8 @@
     KeyRow,
     Review,
 )
-from cassiaweir.configuration._view import KnownKey, TableView, ViewContent
+from cassiaweir.configuration._view import TableView
+from cassiaweir.configuration._view_content import KnownKey, ViewContent
 
 __all__ = [
     "AuditEntry",
--- a/cassiaweir/configuration/_view.py
+++ b/cassiaweir/configuration/_view.py
@@ -7,7 +7,6 @@
 import hmac
 import math
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 import msgspec
@@ -23,6 +22,7 @@
     decode_head,
     version_key,
 )
+from cassiaweir.configuration._view_content import KnownKey, ViewContent
 from cassiaweir.exceptions import InvalidInputError, RefusedError, UnavailableError
 from cassiaweir.observe import EventLog
 from cassiaweir.types import Clock, Queue, Row, Table, Team
@@ -31,29 +31,6 @@
 RETRY_AFTER = timedelta(seconds=1)
 
 
-class KnownKey(msgspec.Struct, frozen=True):
-    """A key as the view keeps it and hands it to other processes."""
-
-    digest: str
-    team: str
-    withdrawn: bool
-
-
-@dataclass(frozen=True, slots=True)
-class ViewContent:
-    """The parts of a view that one process hands to another.
-
-    `fresh_at` is in seconds of the receiver's monotonic clock: at that moment or
-    later the versions were the newest.  A part that was not asked for is None.
-    """
-
-    bundle_version: int
-    bundle: Bundle | None
-    keys_version: int
-    keys: Mapping[str, KnownKey] | None
-    fresh_at: float
-
-
 class TableView:
     """Implements `CellView` from one read of two head rows per `poll`.
 
--- a/cassiaweir/membership/_peers.py
+++ b/cassiaweir/membership/_peers.py
@@ -11,17 +11,13 @@
 
 from cassiaweir.configuration import TableView
 from cassiaweir.exceptions import InvalidInputError
-from cassiaweir.membership._known import (
-    NEVER,
-    KnownProcess,
-    KnownProcesses,
-    encode_owner,
-)
+from cassiaweir.membership._known import NEVER, KnownProcess, KnownProcesses
 from cassiaweir.membership._models import Member, compatible
 from cassiaweir.membership._selection import PeerAddress, PeerSelection
+from cassiaweir.membership._statements import NoShards, Statements
 from cassiaweir.observe import EventLog
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
-from cassiaweir.rpc._peer import age_to_ms, decode_view, ms_to_seconds, seconds_to_ms
+from cassiaweir.rpc._peer import decode_view, ms_to_seconds
 from cassiaweir.rpc._server import Channels
 from cassiaweir.types import Clock, OwnedShards, ShardOwner
 
@@ -32,14 +28,6 @@
 CALL_TIMEOUT_HEARTBEATS = 2
 
 
-class NoShards:
-    """Implements `OwnedShards` for a process that owns none."""
-
-    def owned(self) -> Sequence[ShardOwner]:
-        """Return nothing."""
-        return ()
-
-
 class Peers:
     """Exchanges heartbeats, one task a peer, and implements `ShardDirectory`.
 
@@ -73,11 +61,11 @@
         self._heartbeat = heartbeat
         self._members = members
         self._owned = owned or NoShards()
+        self._statements = Statements(member, view, self._owned, clock)
         self._seeds = seeds
         self._known = KnownProcesses(member.process)
         rng = rng or random.Random(member.process)
         self._selection = PeerSelection(member.failure_domain, rng)
-        self._sequence = 0
         self._leaving = False
         self._unusable: set[str] = set()
         self._unheard: set[str] = set()
@@ -136,7 +124,7 @@
         self._known.merge(sender, NEVER, now=self._clock.monotonic())
         self._view.hint(sender.bundle_version, sender.keys_version)
         heard = self._known.take_turn(self._moment(HEARD_LIMIT), MOST_TOLD)
-        told = [self._retell(known) for known in heard]
+        told = [self._statements.retell(known) for known in heard]
         return cell_pb2.Heartbeat(sender=self._statement(), known=told)
 
     def heard(self, answer: cell_pb2.Heartbeat, sent_at: float) -> None:
@@ -250,28 +238,7 @@
 
     def _statement(self) -> cell_pb2.ProcessState:
         """Return what this process states of itself now."""
-        self._sequence += 1
-        return cell_pb2.ProcessState(
-            process=self._member.process,
-            role=self._member.role,
-            vm=self._member.vm,
-            failure_domain=self._member.failure_domain,
-            address=self._member.address,
-            protocol_version=self._member.protocol_version,
-            leaving=self._leaving,
-            bundle_version=self._view.bundle_version,
-            keys_version=self._view.keys_version,
-            view_age_ms=age_to_ms(self._view.age()),
-            shards=[encode_owner(owner) for owner in self._owned.owned()],
-            sequence=self._sequence,
-        )
-
-    def _retell(self, known: KnownProcess) -> cell_pb2.ProcessState:
-        """Return a statement of another process with its age by now."""
-        state = cell_pb2.ProcessState()
-        state.CopyFrom(known.state)
-        state.age_ms = seconds_to_ms(self._clock.monotonic() - known.made_at)
-        return state
+        return self._statements.own(leaving=self._leaving)
 
     def _check_protocol(self, sender: cell_pb2.ProcessState) -> bool:
         """Tell whether the sender can be used, and record it once if not."""
--- /dev/null
+++ b/cassiaweir/membership/_statements.py
@@ -0,0 +1,57 @@
+"""What a process states of itself, and how it retells others' statements."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from cassiaweir.membership._known import KnownProcess, encode_owner
+from cassiaweir.membership._models import Member
+from cassiaweir.rpc import cell_pb2
+from cassiaweir.rpc._peer import age_to_ms, seconds_to_ms
+from cassiaweir.types import CellView, Clock, OwnedShards, ShardOwner
+
+
+class NoShards:
+    """Implements `OwnedShards` for a process that owns none."""
+
+    def owned(self) -> Sequence[ShardOwner]:
+        """Return nothing."""
+        return ()
+
+
+class Statements:
+    """Makes the statements of one process; each has a higher sequence number."""
+
+    def __init__(
+        self, member: Member, view: CellView, owned: OwnedShards, clock: Clock
+    ) -> None:
+        self._member = member
+        self._view = view
+        self._owned = owned
+        self._clock = clock
+        self._sequence = 0
+
+    def own(self, *, leaving: bool) -> cell_pb2.ProcessState:
+        """Return what this process states of itself now."""
+        self._sequence += 1
+        return cell_pb2.ProcessState(
+            process=self._member.process,
+            role=self._member.role,
+            vm=self._member.vm,
+            failure_domain=self._member.failure_domain,
+            address=self._member.address,
+            protocol_version=self._member.protocol_version,
+            leaving=leaving,
+            bundle_version=self._view.bundle_version,
+            keys_version=self._view.keys_version,
+            view_age_ms=age_to_ms(self._view.age()),
+            shards=[encode_owner(owner) for owner in self._owned.owned()],
+            sequence=self._sequence,
+        )
+
+    def retell(self, known: KnownProcess) -> cell_pb2.ProcessState:
+        """Return a statement of another process with its age by now."""
+        state = cell_pb2.ProcessState()
+        state.CopyFrom(known.state)
+        state.age_ms = seconds_to_ms(self._clock.monotonic() - known.made_at)
+        return state
--- a/tests/test_membership_peers.py
+++ b/tests/test_membership_peers.py
@@ -19,12 +19,12 @@
     TableView,
     parse_bundle,
 )
-from cassiaweir.exceptions import RefusedError
+from cassiaweir.exceptions import InvalidInputError, RefusedError
 from cassiaweir.membership import PROTOCOL_VERSION, Member, Peers
 from cassiaweir.membership._peers import MOST_TOLD
 from cassiaweir.observe import EventLog, Metrics
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
-from cassiaweir.rpc._peer import PeerServicer
+from cassiaweir.rpc._peer import PeerServicer, decode_view
 from cassiaweir.rpc._server import Channels, RpcServer
 from cassiaweir.teams import KeyRegistry
 from cassiaweir.types import Resources, ShardOwner
@@ -396,3 +396,17 @@
 
 def test_an_empty_bundle_round_trips():
     assert Bundle.decode(Bundle().encode()) == Bundle()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        cell_pb2.ViewAnswer(bundle_version=1, bundle=b"{"),
+        cell_pb2.ViewAnswer(bundle_version=1, bundle=b'{"team":[{}]}'),
+        cell_pb2.ViewAnswer(keys_version=1, keys=b"[{}]"),
+        cell_pb2.ViewAnswer(keys_version=1, keys=b"\xff"),
+    ],
+)
+def test_malformed_content_from_a_peer_is_refused(answer):
+    with pytest.raises(InvalidInputError, match=r"bundle|keys"):
+        decode_view(answer, 0.0)
