--- a/cassiaweir/placement/__init__.py
+++ b/cassiaweir/placement/__init__.py
@@ -1,5 +1,7 @@
 """The policy: which task runs on which VM, and in what order."""
 
+from cassiaweir.placement._health import WorkerHealth
+from cassiaweir.placement._planner import FairPlanner
 from cassiaweir.placement._types import (
     Placement,
     Plan,
@@ -12,6 +14,7 @@
 )
 
 __all__ = [
+    "FairPlanner",
     "Placement",
     "Plan",
     "Planner",
@@ -20,4 +23,5 @@
     "VmCondition",
     "VmOffer",
     "WaitReason",
+    "WorkerHealth",
 ]
--- /dev/null
+++ b/cassiaweir/placement/_planner.py
@@ -0,0 +1,182 @@
+"""The planner: urgent work first, then weighted dominant-resource fair share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from cassiaweir.placement._estimates import Estimates
+from cassiaweir.placement._explain import explain
+from cassiaweir.placement._fleet import Fleet
+from cassiaweir.placement._ledger import Ledger
+from cassiaweir.placement._records import JobRecord, RunningTask
+from cassiaweir.placement._round import Rounds
+from cassiaweir.placement._types import (
+    Plan,
+    TaskGroup,
+    VmCondition,
+    VmOffer,
+    WaitReason,
+)
+from cassiaweir.types import Resources, TaskId, TaskState, Urgency
+
+AGEING_BOUND = timedelta(minutes=2)
+URGENT_AGEING_BOUND = timedelta(milliseconds=500)
+
+
+def _never_poisoned(job: str) -> bool:
+    return False
+
+
+class FairPlanner:
+    """Implements `Planner` for one shard; pure, without a clock of its own.
+
+    `ageing_bound` and `urgent_ageing_bound` say how long equal demands of a team
+    wait without a start before their oldest job gets a reservation.  `is_poisoned`
+    tells whether a job must not start any more.
+    """
+
+    def __init__(
+        self,
+        *,
+        ageing_bound: timedelta = AGEING_BOUND,
+        urgent_ageing_bound: timedelta = URGENT_AGEING_BOUND,
+        is_poisoned: Callable[[str], bool] = _never_poisoned,
+    ) -> None:
+        bounds = {
+            Urgency.URGENT: urgent_ageing_bound.total_seconds(),
+            Urgency.NORMAL: ageing_bound.total_seconds(),
+        }
+        self._is_poisoned = is_poisoned
+        self._fleet = Fleet()
+        self._ledger = Ledger(self._fleet, Estimates())
+        self._rounds = Rounds(self._fleet, self._ledger, bounds, is_poisoned)
+
+    def set_vm(self, vm: VmOffer, condition: VmCondition) -> None:
+        """Add or change a VM."""
+        known = self._fleet.vms.get(vm.name)
+        changed = known is None or known.capacity != vm.capacity
+        self._fleet.set_vm(vm, condition)
+        if changed:
+            self._reorder_all()
+
+    def remove_vm(self, name: str) -> None:
+        """Forget a VM; one that still runs tasks is closed until they ended."""
+        self._fleet.remove_vm(name)
+        self._reorder_all()
+
+    def set_team(self, name: str, share: int, allotment: Resources) -> None:
+        """Add or change a team; `allotment` bounds what it runs in this shard."""
+        team = self._ledger.team(name)
+        team.share, team.allotment = share, allotment
+        team.reorder(self._fleet.total)
+        self._rounds.offer_lanes(team)
+
+    def enqueue(self, group: TaskGroup) -> None:
+        """Add waiting tasks; those already known are left as they are."""
+        job = self._ledger.job(group)
+        self._ledger.add_waiting(job, group.indexes)
+        if job.waiting:
+            self._rounds.queue(job)
+
+    def cancel(self, job: str) -> list[tuple[TaskId, str]]:
+        """Drop the job's waiting tasks and return its running ones with their VMs."""
+        record = self._ledger.jobs.get(job)
+        if record is None:
+            return []
+        running = [(task.task, task.vm.name) for task in record.running.values()]
+        if record.claimed:
+            self._rounds.preemptor.close_all_of(record)
+        self._ledger.drop_waiting(record)
+        self._settle(record)
+        return running
+
+    def adopt(self, group: TaskGroup, task: TaskId, vm: str, started_at: float) -> None:
+        """Count `task` of `group` as running on `vm`, whatever the limits say."""
+        if task in self._ledger.running:
+            return
+        if vm not in self._fleet.vms:
+            unknown = VmOffer(vm, "", "", Resources())
+            self._fleet.set_vm(unknown, VmCondition.UNREACHABLE)
+        job = self._ledger.job(group)
+        if task.index in job.claimed:
+            self._rounds.preemptor.close_all_of(job)
+            job.waiting.update(job.claimed)
+            job.claimed.clear()
+            self._rounds.queue(job)
+        self._ledger.start(job, task.index, self._fleet.vms[vm], started_at)
+        self._rounds.waiting_fell(job)
+
+    def task_refused(self, task: TaskId, now: float) -> None:
+        """Put a placed task that certainly did not start back into the queue."""
+        running = self._ledger.running.get(task)
+        if running is None:
+            return
+        self._end(running)
+        self._ledger.add_waiting(running.job, (task.index,))
+        self._rounds.queue(running.job)
+
+    def task_ended(self, task: TaskId, state: TaskState, now: float) -> None:
+        """Free what `task` held; it is not queued again unless enqueued again."""
+        running = self._ledger.running.get(task)
+        if running is None:
+            return
+        if state is TaskState.SUCCEEDED:
+            seconds = now - running.started_at
+            running.job.estimates.note_duration(running.job.group, seconds)
+        self._end(running)
+        self._settle(running.job)
+
+    def task_usage(self, task: TaskId, usage: Resources) -> None:
+        """Note the observed use of a running task."""
+        running = self._ledger.running.get(task)
+        if running is not None:
+            running.job.estimates.note_usage(running.job.group, usage)
+            running.vm.expected_cpu += usage.cpu_millis - running.expected_cpu
+            running.expected_cpu = usage.cpu_millis
+
+    def plan(self, now: float, most: int) -> Plan:
+        """Decide on at most `most` placements and the preemptions they need.
+
+        A gang of more than `most` tasks is placed alone, in a plan of its own.
+        """
+        return self._rounds.plan(now, most)
+
+    def excess(self, team: str) -> Sequence[tuple[TaskId, str]]:
+        """Return the tasks to stop so that the team is within its allotment."""
+        return self._ledger.excess(team)
+
+    def demand(self, team: str) -> Resources:
+        """Return what the team runs and waits for in this shard."""
+        return self._ledger.team(team).wanted.resources()
+
+    def running(self, team: str) -> Resources:
+        """Return what the team runs in this shard."""
+        return self._ledger.team(team).used.resources()
+
+    def waiting(self, job: str, now: float) -> WaitReason:
+        """Say why the job's tasks wait."""
+        if self._is_poisoned(job):
+            return WaitReason.POISONED
+        return explain(self._fleet, self._ledger.jobs.get(job))
+
+    def fits_some_vm(self, size: Resources) -> bool:
+        """Tell whether a VM of this shard could ever hold `size`."""
+        return self._fleet.fits_some_vm(size)
+
+    def _end(self, running: RunningTask) -> None:
+        self._rounds.preemptor.victim_ended(running.task)
+        self._ledger.end(running)
+        self._rounds.offer_lanes(running.job.team)
+
+    def _settle(self, job: JobRecord) -> None:
+        """Forget `job` once nothing of it waits or runs."""
+        if job.waiting and self._is_poisoned(job.group.job):
+            self._rounds.queue(job)
+        self._rounds.waiting_fell(job)
+        self._ledger.forget_if_done(job)
+
+    def _reorder_all(self) -> None:
+        for team in self._ledger.teams.values():
+            team.reorder(self._fleet.total)
+            self._rounds.offer_lanes(team)
