Take no late statement as proof that a former owner has gone

Cause: SchedulerPeers.replaced counted any process heard lately at the address. A statement of a process that had listened there before the former owner, retold or delayed in a call, said so too, and the successor could start a task that the former owner still ran. Now the statement must have been made after the former owner was first asked about. The new test fails with the old rule. Signs of life no longer include hearing an old statement late. One line in the composition passes the clock.

--- a/cassiaweir/composition/_scheduler.py
+++ b/cassiaweir/composition/_scheduler.py
@@ -132,7 +132,7 @@
         events=base.events,
         terms=terms,
         renewal=cfg.scheduler_shard_renewal,
-        peers=SchedulerPeers(base.member, base.peers),
+        peers=SchedulerPeers(base.member, base.peers, base.clock),
         build_runner=build_runner,
     )
 
--- a/cassiaweir/membership/_known.py
+++ b/cassiaweir/membership/_known.py
@@ -15,13 +15,13 @@
     """The newest statement of a process.
 
     It was made at `made_at` or later, in seconds of this process's monotonic clock;
-    minus infinity where only an incoming call told of it.  It was learnt at
-    `learnt_at`, however old it was then.
+    minus infinity where only an incoming call told of it.  The last sign
+    of life came at `alive_at`: a call that came in, or a statement made then.
     """
 
     state: cell_pb2.ProcessState
     made_at: float
-    learnt_at: float
+    alive_at: float
 
 
 class KnownProcesses:
@@ -39,21 +39,24 @@
         self._turn = 0
 
     def merge(
-        self, state: cell_pb2.ProcessState, made_at: float, *, now: float
+        self, state: cell_pb2.ProcessState, made_at: float, *, alive_at: float
     ) -> None:
-        """Take over `state`, which was stated at `made_at` or later."""
+        """Take over `state`, which was stated at `made_at` or later.
+
+        `alive_at` is the moment of the sign of life.
+        """
         if state.process == self._process:
             return
         known = self._known.get(state.process)
         if known is None:
-            self._known[state.process] = KnownProcess(state, made_at, now)
+            self._known[state.process] = KnownProcess(state, made_at, alive_at)
             self._owners_valid = False
             return
         if state.sequence < known.state.sequence:
             return
+        known.alive_at = max(known.alive_at, alive_at)
         if state.sequence > known.state.sequence:
             known.state = state
-            known.learnt_at = now
             self._owners_valid = False
         known.made_at = max(known.made_at, made_at)
 
@@ -70,11 +73,11 @@
         return [known for known in self._known.values() if known.made_at >= moment]
 
     def silent_since(self, moment: float) -> list[str]:
-        """Return the processes of which nothing new was learnt since `moment`."""
+        """Return the processes that gave no sign of life since `moment`."""
         return [
             known.state.process
             for known in self._known.values()
-            if known.learnt_at < moment
+            if known.alive_at < moment
         ]
 
     def forget(self, processes: Iterable[str]) -> None:
--- a/cassiaweir/membership/_peers.py
+++ b/cassiaweir/membership/_peers.py
@@ -95,9 +95,9 @@
         return self._known.all()
 
     def heard_within(self, process: str, duration: timedelta) -> bool:
-        """Tell whether anything new was learnt of `process` within `duration`."""
+        """Tell whether `process` gave a sign of life within `duration`."""
         known = self._known.get(process)
-        return known is not None and known.learnt_at >= self._moment(duration)
+        return known is not None and known.alive_at >= self._moment(duration)
 
     def owners(self) -> Sequence[ShardOwner]:
         """Return the known owners, one a shard, that were heard from lately."""
@@ -121,7 +121,7 @@
         sender = heartbeat.sender
         if not self._check_protocol(sender):
             return cell_pb2.Heartbeat(sender=self._statement())
-        self._known.merge(sender, NEVER, now=self._clock.monotonic())
+        self._known.merge(sender, NEVER, alive_at=self._clock.monotonic())
         self._view.hint(sender.bundle_version, sender.keys_version)
         heard = self._known.take_turn(self._moment(HEARD_LIMIT), MOST_TOLD)
         told = [self._statements.retell(known) for known in heard]
@@ -131,12 +131,11 @@
         """Learn from the answer to a heartbeat that was sent at `sent_at`."""
         if not self._check_protocol(answer.sender):
             return
-        now = self._clock.monotonic()
         for state in (answer.sender, *answer.known):
             if not compatible(state.protocol_version):
                 continue
             made_at = sent_at - ms_to_seconds(state.age_ms)
-            self._known.merge(state, made_at, now=now)
+            self._known.merge(state, made_at, alive_at=made_at)
             fresh_at = made_at - ms_to_seconds(state.view_age_ms)
             self._view.confirm(state.bundle_version, state.keys_version, fresh_at)
             self._view.hint(state.bundle_version, state.keys_version)
--- a/cassiaweir/membership/_schedulers.py
+++ b/cassiaweir/membership/_schedulers.py
@@ -8,6 +8,7 @@
 from cassiaweir.membership._known import KnownProcess
 from cassiaweir.membership._models import Member, Role
 from cassiaweir.membership._peers import Peers
+from cassiaweir.types import Clock
 
 SCHEDULER_ROLES = {role for role in Role if Role.SCHEDULER in role.parts}
 LIVE_WITHIN = timedelta(seconds=5)
@@ -19,9 +20,11 @@
     `member` is this process itself.
     """
 
-    def __init__(self, member: Member, peers: Peers) -> None:
+    def __init__(self, member: Member, peers: Peers, clock: Clock) -> None:
         self._member = member
         self._peers = peers
+        self._clock = clock
+        self._asked_at: dict[str, float] = {}
 
     def schedulers(self, failure_domain: str) -> Sequence[str]:
         """Return the live schedulers of a failure domain, this one included."""
@@ -49,14 +52,17 @@
     def replaced(self, process: str, address: str) -> bool:
         """Tell whether another process than `process` answers at `address`.
 
-        Two processes cannot listen on one address, so `process` has ended.
+        Two processes cannot listen on one address, so `process` has ended.  The
+        other one must have answered after this was first asked: what is heard late
+        of a process that listened there before `process` proves nothing.
         """
         if self._member.address == address:
             return self._member.process != process
+        asked_at = self._asked_at.setdefault(process, self._clock.monotonic())
         return any(
             known.state.address == address and known.state.process != process
             for known in self._known_schedulers()
-            if self._heard(known)
+            if known.made_at > asked_at
         )
 
     def _known_schedulers(self) -> list[KnownProcess]:
--- a/tests/test_membership_peers.py
+++ b/tests/test_membership_peers.py
@@ -20,7 +20,7 @@
     parse_bundle,
 )
 from cassiaweir.exceptions import InvalidInputError, RefusedError
-from cassiaweir.membership import PROTOCOL_VERSION, Member, Peers
+from cassiaweir.membership import PROTOCOL_VERSION, Member, Peers, SchedulerPeers
 from cassiaweir.membership._peers import MOST_TOLD
 from cassiaweir.observe import EventLog, Metrics
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
@@ -410,3 +410,55 @@
 def test_malformed_content_from_a_peer_is_refused(answer):
     with pytest.raises(InvalidInputError, match=r"bundle|keys"):
         decode_view(answer, 0.0)
+
+
+async def test_an_earlier_process_at_an_address_does_not_prove_a_later_one_gone():
+    async with cell("augusta-1") as (one,):
+        schedulers = SchedulerPeers(one.peers._member, one.peers, one.clock)
+
+        def hear(process: str, sequence: int) -> None:
+            state = cell_pb2.ProcessState(
+                process=process,
+                role="scheduler",
+                address="10.0.0.2:7202",
+                failure_domain="augusta",
+                protocol_version=PROTOCOL_VERSION,
+                sequence=sequence,
+            )
+            sent_at = one.clock.monotonic()
+            one.peers.heard(cell_pb2.Heartbeat(sender=state), sent_at)
+
+        hear("first", 1)
+        one.clock.advance(1)
+        assert not schedulers.replaced("second", "10.0.0.2:7202")
+        one.peers.answer(
+            cell_pb2.Heartbeat(
+                sender=cell_pb2.ProcessState(
+                    process="first",
+                    role="scheduler",
+                    address="10.0.0.2:7202",
+                    protocol_version=PROTOCOL_VERSION,
+                    sequence=2,
+                )
+            )
+        )
+        assert not schedulers.replaced("second", "10.0.0.2:7202")
+        one.clock.advance(1)
+        hear("third", 1)
+        assert schedulers.replaced("second", "10.0.0.2:7202")
+        assert "third" in schedulers.schedulers("augusta")
+
+
+async def test_what_others_retell_of_a_process_is_no_sign_of_life_now():
+    async with cell("augusta-1") as (one,):
+        one.clock.advance(100)
+        state = cell_pb2.ProcessState(
+            process="dead", protocol_version=PROTOCOL_VERSION, age_ms=30_000
+        )
+        teller = cell_pb2.ProcessState(
+            process="teller", protocol_version=PROTOCOL_VERSION
+        )
+        answer = cell_pb2.Heartbeat(sender=teller, known=[state])
+        one.peers.heard(answer, one.clock.monotonic())
+        assert one.peers.heard_within("dead", timedelta(seconds=30))
+        assert not one.peers.heard_within("dead", timedelta(seconds=29))
--- a/tests/test_membership_rows.py
+++ b/tests/test_membership_rows.py
@@ -163,7 +163,9 @@
     for order in ((1, 2), (2, 1)):
         known = KnownProcesses("one")
         for sequence in order:
-            known.merge(state(sequence, keys_version=sequence), 10.0 - sequence, now=0)
+            known.merge(
+                state(sequence, keys_version=sequence), 10.0 - sequence, alive_at=0
+            )
         assert known.get("two").state.keys_version == 2
 
 
@@ -173,7 +175,7 @@
     """Statement `n` is made at time `n` and heard `delay` late, in any order."""
     known = KnownProcesses("one")
     for sequence, delay in heard:
-        known.merge(state(sequence), sequence - delay, now=0)
+        known.merge(state(sequence), sequence - delay, alive_at=0)
     newest = known.get("two")
     assert newest.made_at <= newest.state.sequence
     assert newest.state.sequence == max(sequence for sequence, _ in heard)
@@ -181,7 +183,7 @@
 
 def test_a_process_learns_nothing_of_itself():
     known = KnownProcesses("two")
-    known.merge(state(1), 1.0, now=0)
+    known.merge(state(1), 1.0, alive_at=0)
     assert known.all() == []
 
 
@@ -191,7 +193,7 @@
     for index in range(20):
         shards = [shard] if index < 10 else []
         told = cell_pb2.ProcessState(process=f"p{index}", sequence=1, shards=shards)
-        known.merge(told, 1.0, now=1.0)
+        known.merge(told, 1.0, alive_at=1.0)
     turns = [known.take_turn(0.0, 4) for _ in range(3)]
     names = {entry.state.process for turn in turns for entry in turn}
     assert names == {f"p{index}" for index in range(10)}
@@ -200,7 +202,7 @@
 
 def test_a_process_that_only_called_is_forgotten_after_its_last_call():
     known = KnownProcesses("one")
-    known.merge(state(1), NEVER, now=5.0)
+    known.merge(state(1), NEVER, alive_at=5.0)
     assert known.silent_since(5.0) == []
     assert known.silent_since(6.0) == ["two"]
     known.forget(["two"])
