--- a/cassiaweir/composition/_foundation.py
+++ b/cassiaweir/composition/_foundation.py
@@ -6,7 +6,7 @@
 
 from cassiaweir.clock import SystemClock
 from cassiaweir.configuration import TableView
-from cassiaweir.fleet import shard_of
+from cassiaweir.fleet import shard_names, shard_of
 from cassiaweir.membership import Member, MemberRows, Peers, Role
 from cassiaweir.observe import EventLog, Metrics, configure_logs
 from cassiaweir.platform import (
@@ -116,6 +116,11 @@
             if Role.GATEWAY in member.role.parts
         ]
 
+    def shard_names(self) -> list[str]:
+        """Return the names of all shards of the cell."""
+        cfg = self.settings
+        return shard_names(cfg.cell_failure_domains, cfg.scheduler_shards_per_domain)
+
     def shard_of(self, vm: Vm) -> str:
         """Return the shard that `vm` belongs to."""
         return shard_of(vm, self.settings.scheduler_shards_per_domain)
--- a/cassiaweir/composition/_gateway.py
+++ b/cassiaweir/composition/_gateway.py
@@ -6,9 +6,11 @@
 
 from cassiaweir.api import HttpFront, JobApi, RequestApi
 from cassiaweir.composition._foundation import Foundation
+from cassiaweir.configuration import AuditedTable
 from cassiaweir.platform import WorkerSizes
 from cassiaweir.process import Component
 from cassiaweir.requests import BackendCaller, Claims, Router, SlotClient
+from cassiaweir.teams import KeyRegistry, KeyUseWriter
 from cassiaweir.work import SchedulerClient, Submission
 
 WORKER_SIZES_POLL = timedelta(seconds=10)
@@ -63,7 +65,13 @@
         schedulers=schedulers,
         clock=base.clock,
         events=base.events,
+        shards=base.shard_names(),
     )
     blueprints = [requests.blueprint(), JobApi(base.view, jobs).blueprint()]
     front = HttpFront(settings, blueprints, base.events, base.metrics)
-    return [sizes, jobs, backends, slots, front]
+    key_uses = KeyUseWriter(
+        KeyRegistry(AuditedTable(base.table, base.clock), base.clock),
+        base.clock,
+        take_uses=base.view.take_uses,
+    )
+    return [sizes, jobs, backends, slots, key_uses, front]
