Name the worker's incarnation in each command; seeds for a fresh VM

Cause: a worker that rebooted has forgotten which epochs it has seen, so a start on its way to the former incarnation was accepted. Ruled out: a renewal just before the start, as the reboot may come between. The new test fails without the change to the driver. A process tells its peers that it is leaving before it stops its first component, and with the table down a fresh VM asks the addresses in cell.seeds.

--- a/cassiaweir/composition/_foundation.py
+++ b/cassiaweir/composition/_foundation.py
@@ -84,6 +84,7 @@
             heartbeat=self.settings.cell_heartbeat,
             members=self.rows.members,
             owned=owned,
+            seeds=lambda: self.settings.cell_seeds,
         )
         self.peer_service = PeerServicer(
             self.peers,
@@ -140,4 +141,4 @@
             self.rows,
             self.peers,
         ]
-        return Process(first + components, self.events)
+        return Process(first + components, self.events, on_stopping=self.peers.leave)
--- a/cassiaweir/fleet/_worker_driver.py
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -171,6 +171,8 @@
             return
         if self._clock_offset is None:
             await self._read_clock()
+            if not self._may_contact():
+                return
         if self.answered_at is None or self._renewal_due():
             await self._renew()
         if self._stops:
@@ -191,8 +193,10 @@
         return age >= self._terms.task_renewal.total_seconds()
 
     async def _read_clock(self) -> None:
-        """Learn the worker's clock without extending any lease."""
+        """Learn the worker's clock and incarnation without extending any lease."""
         report = await self._worker.list()
+        if report.incarnation != self.vm.incarnation:
+            self.replaced(report.incarnation)
         self._note_clock(report)
 
     def _note_clock(self, report: WorkerReport) -> None:
@@ -203,7 +207,9 @@
         assert self._clock_offset is not None
         worker_clock = self._clock.monotonic() + self._clock_offset
         expires_at = worker_clock + self._terms.command_expiry.total_seconds()
-        return Command(self._shard, self._authority.epoch, expires_at)
+        return Command(
+            self._shard, self._authority.epoch, expires_at, self.vm.incarnation
+        )
 
     async def _renew(self) -> None:
         ended = list(self._acknowledged)
--- a/cassiaweir/process.py
+++ b/cassiaweir/process.py
@@ -32,11 +32,21 @@
 
 
 class Process:
-    """Starts components in order and stops them in reverse on a signal."""
-
-    def __init__(self, components: Sequence[Component], events: EventLog) -> None:
+    """Starts components in order and stops them in reverse on a signal.
+
+    `on_stopping` is called before the first component is stopped.
+    """
+
+    def __init__(
+        self,
+        components: Sequence[Component],
+        events: EventLog,
+        *,
+        on_stopping: Callable[[], None] = lambda: None,
+    ) -> None:
         self._components = components
         self._events = events
+        self._on_stopping = on_stopping
         self._signals = 0
         self._stopping = asyncio.Event()
         self._hurried = asyncio.Event()
@@ -51,6 +61,7 @@
         self._events.record("process_started", pid=os.getpid())
         await self._stopping.wait()
         self._events.record("process_stopping")
+        self._on_stopping()
         await self._stop_or_hurry()
         self._events.record("process_stopped")
 
--- a/cassiaweir/settings.py
+++ b/cassiaweir/settings.py
@@ -77,6 +77,14 @@
     return tuple(parse_name(item) for item in items)
 
 
+def parse_addresses(value: object) -> tuple[str, ...]:
+    """Return the addresses in a list, or in text with commas."""
+    items = value.split(",") if isinstance(value, str) else value
+    if not isinstance(items, list):
+        raise ValueError("expected a list of IP numbers and ports")
+    return tuple(parse_address(item) for item in items if item)
+
+
 def parse_count(value: object) -> int:
     """Return a whole number from 1 up."""
     number = int(value) if isinstance(value, str) and value.isdigit() else value
@@ -143,6 +151,7 @@
     Option("platform.poll", parse_duration, "500ms", "between looks at the table"),
     Option("platform.vm_poll", parse_duration, "1s", "between looks at the VM list"),
     Option("cell.failure_domains", parse_names, None, "all failure domains"),
+    Option("cell.seeds", parse_addresses, [], "gRPC of some processes of the cell"),
     Option("cell.view_age_limit", parse_duration, "3s", "oldest view for keyed work"),
     Option("cell.heartbeat", parse_duration, "500ms", "between heartbeats of peers"),
     Option("cell.first_operator_digest", parse_digest, "", "first operator's digest"),
@@ -184,6 +193,7 @@
     platform_poll: timedelta
     platform_vm_poll: timedelta
     cell_failure_domains: tuple[str, ...]
+    cell_seeds: tuple[str, ...]
     cell_view_age_limit: timedelta
     cell_heartbeat: timedelta
     cell_first_operator_digest: str
--- a/cassiaweir/types.py
+++ b/cassiaweir/types.py
@@ -208,12 +208,15 @@
 
     A worker that fences refuses an `epoch` below the highest one it has seen from
     the shard.  `expires_at` is in seconds of the worker's own clock; a worker
-    refuses a command that arrives later.
+    refuses a command that arrives later.  A worker refuses a command for another
+    `incarnation` than its own, as it has forgotten which epochs it has seen; empty
+    addresses any.
     """
 
     shard: str
     epoch: int
     expires_at: float
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/prove/cluster.py
+++ b/prove/cluster.py
@@ -40,6 +40,7 @@
     backends: int = 24
     workers_fence: bool = True
     roles: Sequence[str] = ("entry",)
+    seeds: bool = True
     overrides: Sequence[str] = ()
 
 
@@ -195,6 +196,8 @@
             f"cell.failure_domains={','.join(layout.failure_domains)}",
             *layout.overrides,
         ]
+        if layout.seeds:
+            settings.append(f"cell.seeds={self.address(ENTRY_OFFSET + 2)}")
         arguments = ["cassiaweir", role]
         for text in settings:
             arguments += ["--set", text]
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -156,6 +156,8 @@
         """Refuse an expired or fenced command, and return the time."""
         now = self._ledger.now()
         self.settle(now)
+        if command.incarnation not in ("", self.incarnation):
+            raise ExpiredError(f"{self.name}: the command is for another incarnation")
         if now + self.clock_offset > command.expires_at:
             raise ExpiredError(f"{self.name}: the command has expired")
         highest = self._epochs.get(command.shard, 0)
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -103,6 +103,8 @@
         self.expire()
         if command is None:
             return
+        if command.incarnation not in ("", self.incarnation):
+            raise UnavailableError("other incarnation", verdict=Verdict.NOT_RUN)
         if command.expires_at < self.now():
             raise UnavailableError("expired", verdict=Verdict.NOT_RUN)
         if self.fences and command.epoch < self.epoch:
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -196,6 +196,22 @@
     assert sum(worker.starts for worker in workers) == 2
 
 
+async def test_a_start_does_not_reach_a_worker_that_rebooted_meanwhile(
+    table, clock, workers
+):
+    rig = await owner(table, clock, workers)
+    await rig.turn()
+    await add_part(table, make_spec(tasks=1))
+    for worker in workers:
+        worker.delay_starts = True
+    rig.runner.notify("j1")
+    await rig.turn()
+    for worker in workers:
+        worker.reboot()
+        worker.deliver()
+    assert sum(worker.starts for worker in workers) == 0
+
+
 async def test_a_start_in_doubt_stays_counted_until_it_expired(table, clock, workers):
     rig = await owner(table, clock, workers)
     await rig.turn()
