Keep several reservations, and let a team save up for work that its limit holds back

Cause: one reservation at a time serves one large task at a time, whatever the size of the fleet; and a team at its limit filled each gap with its own small tasks.

--- a/cassiaweir/placement/_fleet.py
+++ b/cassiaweir/placement/_fleet.py
@@ -38,6 +38,7 @@
         self.total = Amounts()
         self.room = RoomIndex(0)
         self.reclaimable = RoomIndex(1)
+        self.kept = RoomIndex(2)
         self.shapes: dict[Resources, ShapeCount] = {}
         self.grown: dict[str, VmRecord] = {}
 
@@ -139,8 +140,12 @@
 
     def refresh(self, vm: VmRecord) -> None:
         """List `vm` in the indexes as its state demands."""
-        usable = vm.takes_tasks() and not vm.held and not vm.removed
-        if not usable:
+        usable = vm.takes_tasks() and not vm.removed
+        if usable and vm.held:
+            self.kept.update(vm, vm.free)
+        else:
+            self.kept.discard(vm)
+        if not usable or vm.held:
             self._unlist(vm)
             return
         if not vm.indexed:
@@ -169,6 +174,12 @@
             if vm.free.holds(size):
                 yield vm
 
+    def kept_fitting(self, size: Resources) -> Iterator[VmRecord]:
+        """Yield VMs kept by reservations that have room for `size` now."""
+        for vm in self.kept.tightest(size):
+            if vm.free.holds(size):
+                yield vm
+
     def fits_some_vm(self, size: Resources) -> bool:
         """Tell whether the capacity of a VM holds `size`."""
         return any(size.fits(shape) for shape in self.shapes)
--- a/cassiaweir/placement/_records.py
+++ b/cassiaweir/placement/_records.py
@@ -106,7 +106,7 @@
     held: bool = False
     removed: bool = False
     indexed: bool = False
-    places: list[Place | None] = field(default_factory=lambda: [None, None])
+    places: list[Place | None] = field(default_factory=lambda: [None, None, None])
     tasks: dict[TaskId, RunningTask] = field(default_factory=dict)
 
     @classmethod
@@ -167,8 +167,8 @@
     """A job's waiting and running tasks in this shard.
 
     `waiting` keeps indexes in the order in which they start.  `claimed` has those
-    for which checkpoints are making room.  `racks` and `vms` count running tasks of
-    a service.
+    for which checkpoints are making room; `reserved` counts its reservations;
+    `racks` and `vms` count running tasks of a service.
     """
 
     group: TaskGroup
@@ -179,6 +179,7 @@
     preemptible: bool = field(init=False)
     lane: Lane | None = None
     queued: bool = False
+    reserved: int = 0
     waiting: dict[int, None] = field(default_factory=dict)
     running: dict[int, RunningTask] = field(default_factory=dict)
     claimed: dict[int, None] = field(default_factory=dict)
@@ -201,7 +202,9 @@
     """A team's share, limit and use.
 
     `promised` is what claims keep for it, `tasks` the number of its running tasks.
-    `order` is the dominant share by weight: the smaller, the sooner its turn.
+    `saving_for` is a lane that waits too long for the team's own limit; the others
+    then start nothing.  `order` is the dominant share by weight: the smaller, the
+    sooner the team's turn.
     """
 
     name: str
@@ -212,6 +215,7 @@
     tasks: int = 0
     wanted: Amounts = field(default_factory=Amounts)
     order: float = 0.0
+    saving_for: Lane | None = None
     lanes: dict[DemandClass, Lane] = field(default_factory=dict)
     jobs: dict[str, JobRecord] = field(default_factory=dict)
 
--- a/cassiaweir/placement/_reservation.py
+++ b/cassiaweir/placement/_reservation.py
@@ -1,17 +1,21 @@
-"""Keeps VMs free for a job that waits too long, one job at a time.
+"""Keeps VMs free for work that waits too long.
 
-A lane is overdue when its oldest job has waited, and nothing of the lane has
-started, for a bound.  The lane that has been overdue longest gets a reservation: VMs
-that take no other work, except backfill that ends by its declared time before the
-reservation is expected to be ready.  What overdue lanes start is paid for by a part
-of what all others start, so that ageing does not replace the fair share.
+A lane is overdue when its oldest job has waited, and nothing of the lane has started
+in fair order, for a bound.  The bound is short for a team that holds less than the
+mean share: such work waits for room that smaller work keeps taking.  It is longer for
+a team that holds more: such work waits for its turn, and what it starts is paid for
+by a part of what others start, so that ageing does not replace the fair share.
+
+An overdue job gets a reservation: VMs that take no other normal work, except backfill
+that ends by its declared time before the reservation is expected to be ready.  One
+gang at a time has a reservation, so two gangs never hold VMs that the other needs.
 """
 
 from __future__ import annotations
 
 import heapq
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from itertools import islice
 
@@ -24,25 +28,24 @@
 from cassiaweir.types import JobKind, Resources
 
 MOST_CANDIDATES = 24
+MOST_BACKFILL_CANDIDATES = 8
 CREDIT_OF_STARTED_WORK = 0.05
 ROOM_BOUND_PART = 0.125
+KEPT_PART_OF_FLEET = 1 / 12
+SWEEP_SECONDS = 1.0
 
 _tie = itertools.count()
 
 
 @dataclass(slots=True, eq=False)
 class Reservation:
-    """The VMs kept for a job, and when they are expected to hold it.
-
-    `tried` is set once the job was found not to fit what is free now.
-    """
+    """The VMs kept for a job, and when they are expected to hold it."""
 
     lane: Lane
     job: JobRecord
     vms: list[VmRecord]
     made_at: float
     ready_at: float
-    tried: bool = False
 
 
 @dataclass(slots=True)
@@ -55,7 +58,10 @@
 
 
 class Reserver:
-    """Watches the lanes of one urgency and reserves VMs for the overdue ones."""
+    """Watches the lanes of one urgency and reserves VMs for the overdue ones.
+
+    `level` returns the mean order of the teams with waiting work.
+    """
 
     def __init__(self, fleet: Fleet, bound: float, level: Callable[[], float]) -> None:
         self._fleet = fleet
@@ -64,7 +70,9 @@
         self._level = level
         self._watched: list[tuple[float, int, Lane]] = []
         self._credit = 0.0
-        self.current: Reservation | None = None
+        self._by_vm: dict[str, Reservation] = {}
+        self._gang: Reservation | None = None
+        self._sweep_at = 0.0
 
     def watch(self, lane: Lane) -> None:
         """Note that `lane` has waiting work."""
@@ -72,87 +80,120 @@
             lane.watched = True
             self._push(lane, self._since(lane) + self._room_bound)
 
-    def started(self, size: Resources, count: int) -> None:
-        """Let work that started in fair order pay for overdue work."""
-        volume = _volume(size, self._fleet.total) * count
+    def is_past_bound(self, lane: Lane, now: float) -> bool:
+        """Tell whether the lane has waited longer than the bound."""
+        return now - self._since(lane) >= self._bound
+
+    def started(self, lane: Lane, count: int, now: float) -> None:
+        """Note that `count` tasks started in fair order; they pay for overdue work."""
+        lane.served_at = now
+        volume = _volume(lane.demand.key.size, self._fleet.total) * count
         self._credit = min(0.0, self._credit + CREDIT_OF_STARTED_WORK * volume)
 
-    def next_job(self, now: float) -> JobRecord | None:
-        """Return the job that holds or gets the reservation, or None."""
-        if self.current is not None:
-            if self._still_valid(self.current, now):
-                return self.current.job
-            self.release()
-        while self._watched and self._watched[0][0] <= now:
+    def due(self, now: float, grown: Collection[VmRecord]) -> list[Reservation]:
+        """Return the reservations to try now, those of `grown` VMs above all."""
+        if not self._by_vm:
+            return []
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP_SECONDS
+            found = {id(kept): kept for kept in self._by_vm.values()}
+            return list(found.values())
+        names = (vm.name for vm in grown)
+        found = {id(r): r for name in names if (r := self._by_vm.get(name))}
+        if grown and self._gang is not None:
+            found[id(self._gang)] = self._gang
+        return list(found.values())
+
+    def pick(self, now: float) -> Reservation | None:
+        """Reserve VMs for the job that has been overdue longest, if there is one."""
+        while self._watched and self._watched[0][0] <= now and self._may_keep_more():
             lane = heapq.heappop(self._watched)[2]
             lane.watched = False
             job = lane.head()
             if job is None:
                 continue
-            if self._is_overdue(lane, now) and self._reserve(lane, job, now):
-                return job
+            if self._is_overdue(lane, now):
+                reservation = self._reserve(lane, job, now)
+                if reservation is not None:
+                    self.watch(lane)
+                    return reservation
             lane.watched = True
             self._push(lane, max(now, self._since(lane)) + self._room_bound)
         return None
 
-    def _is_overdue(self, lane: Lane, now: float) -> bool:
-        """Tell whether the lane has waited too long, for room or for its turn."""
-        waited = now - self._since(lane)
-        if waited >= self._bound and self._credit >= 0:
-            return True
-        return waited >= self._room_bound and lane.team.order <= self._level()
-
-    def choose(self, job: JobRecord, now: float, *, grown: bool) -> list[VmRecord]:
-        """Return VMs for the job of the reservation, kept ones included.
-
-        `grown` says whether any VM got more room since the last call.
-        """
-        current = self.current
-        if current is None or (current.tried and not grown):
-            return []
-        current.tried = True
-        size = job.group.size
-        if job.group.kind is JobKind.GANG:
-            return choose_for_gang(self._fleet, size, len(job.waiting), current.vms)
-        return choose(self._fleet, job, now) or self._first_kept(size)
+    def choose(self, reservation: Reservation, now: float) -> list[VmRecord]:
+        """Return VMs for the next tasks of the reservation, or nothing yet."""
+        job = reservation.job
+        if job.gang:
+            size, count = job.group.size, len(job.waiting)
+            return choose_for_gang(self._fleet, size, count, reservation.vms)
+        kept = [vm for vm in reservation.vms if vm.slots(job.group.size)]
+        return kept[:1] or choose(self._fleet, job, now)
 
     def backfill(self, job: JobRecord, now: float) -> list[VmRecord]:
         """Return a kept VM for a task of `job` that ends before it is needed."""
-        if self.current is None or job.group.kind is not JobKind.BATCH:
+        if not self._by_vm or job.group.kind is not JobKind.BATCH:
             return []
         if not job.group.declared_seconds:
             return []
-        if now + job.estimates.longest_seconds(job.group) > self.current.ready_at:
-            return []
-        return self._first_kept(job.group.size)
+        ends_at = now + job.estimates.longest_seconds(job.group)
+        kept = self._fleet.kept_fitting(job.group.size)
+        for vm in islice(kept, MOST_BACKFILL_CANDIDATES):
+            reservation = self._by_vm.get(vm.name)
+            if reservation is not None and ends_at <= reservation.ready_at:
+                return [vm]
+        return []
 
     def yield_to_urgent(self, job: JobRecord) -> list[VmRecord]:
         """Return a kept VM with room for a task of the urgent `job`."""
-        if self.current is None or job.group.kind is JobKind.GANG:
+        if not self._by_vm or job.gang:
             return []
-        return self._first_kept(job.group.size)
-
-    def fulfilled(self, job: JobRecord, count: int) -> None:
-        """Note that `count` tasks of the reservation's job have started."""
-        if self.current is not None and self.current.job is job:
-            if job.team.order > self._level():
-                volume = _volume(job.group.size, self._fleet.total) * count
-                self._credit -= volume
-            self.release()
-
-    def release(self) -> None:
-        """Give up the reservation; its lane is watched again."""
-        current, self.current = self.current, None
-        if current is None:
-            return
-        for vm in current.vms:
+        kept = self._fleet.kept_fitting(job.group.size)
+        return next(([vm] for vm in kept if vm.name in self._by_vm), [])
+
+    def fulfilled(self, reservation: Reservation, count: int, now: float) -> None:
+        """Note that `count` tasks of a reservation start now."""
+        job = reservation.job
+        if job.team.order > self._level():
+            reservation.lane.served_at = now
+            self._credit -= _volume(job.group.size, self._fleet.total) * count
+        self.release(reservation)
+
+    def release(self, reservation: Reservation) -> None:
+        """Give up a reservation; its lane is watched again."""
+        reservation.job.reserved -= 1
+        if self._gang is reservation:
+            self._gang = None
+        for vm in reservation.vms:
+            del self._by_vm[vm.name]
             self._fleet.hold(vm, held=False)
-        if current.lane.head() is not None:
-            self.watch(current.lane)
+        reservation.vms = []
+        if reservation.lane.head() is not None:
+            self.watch(reservation.lane)
+
+    def is_valid(self, reservation: Reservation, now: float) -> bool:
+        """Tell whether the job still needs the VMs and they can still serve it."""
+        job, lane = reservation.job, reservation.lane
+        return (
+            job.reserved <= len(job.waiting)
+            and job.lane is lane
+            and lane.head() is job
+            and lane.served_at < reservation.made_at
+            and now < reservation.ready_at + self._bound
+            and job.team.allows(job.group.size, job.needed_at_once)
+            and all(_usable(vm) for vm in reservation.vms)
+        )
 
-    def _first_kept(self, size: Resources) -> list[VmRecord]:
-        kept = self.current.vms if self.current else []
-        return next(([vm] for vm in kept if vm.slots(size)), [])
+    def _may_keep_more(self) -> bool:
+        most = max(1.0, KEPT_PART_OF_FLEET * len(self._fleet.vms))
+        return len(self._by_vm) < most
+
+    def _is_overdue(self, lane: Lane, now: float) -> bool:
+        """Tell whether the lane has waited too long, for room or for its turn."""
+        waited = now - self._since(lane)
+        if waited >= self._bound and self._credit >= 0:
+            return True
+        return waited >= self._room_bound and lane.team.order <= self._level()
 
     def _since(self, lane: Lane) -> float:
         head = lane.head()
@@ -162,40 +203,31 @@
     def _push(self, lane: Lane, due: float) -> None:
         heapq.heappush(self._watched, (due, next(_tie), lane))
 
-    def _still_valid(self, current: Reservation, now: float) -> bool:
-        job = current.job
-        return (
-            bool(job.waiting and current.vms)
-            and job.lane is current.lane
-            and current.lane.head() is job
-            and current.lane.served_at < current.made_at
-            and now < current.ready_at + self._bound
-            and job.team.allows(job.group.size, job.needed_at_once)
-            and all(_usable(vm) for vm in current.vms)
-        )
-
-    def _reserve(self, lane: Lane, job: JobRecord, now: float) -> bool:
-        """Keep the VMs that are expected to hold `job` first; tell whether any are."""
+    def _reserve(self, lane: Lane, job: JobRecord, now: float) -> Reservation | None:
+        """Keep the VMs that are expected to hold the next tasks of `job` first."""
         size, need = job.group.size, job.needed_at_once
-        if not job.team.allows(size, need):
-            return False
-        if choose(self._fleet, job, now):
-            self.current = Reservation(lane, job, [], now, now)
-            return True
+        wanted = need if job.gang else job.reserved + 1
+        if job.reserved >= len(job.waiting) or not job.team.allows(size, wanted):
+            return None
+        if job.team.saving_for not in (None, lane):
+            return None
+        if job.gang and self._gang is not None:
+            return None
         chosen: list[_Readiness] = []
-        for readiness in self._soonest(size, need, now):
-            chosen.append(readiness)
-            need -= readiness.slots
-            if need <= 0:
-                break
-        else:
-            return False
-        ready_at = max(readiness.at for readiness in chosen)
+        if not choose(self._fleet, job, now):
+            chosen = _first_that_suffice(self._soonest(size, need, now), need)
+            if not chosen:
+                return None
+        ready_at = max((readiness.at for readiness in chosen), default=now)
         vms = [readiness.vm for readiness in chosen]
-        self.current = Reservation(lane, job, vms, now, ready_at)
+        reservation = Reservation(lane, job, vms, now, ready_at)
+        job.reserved += 1
         for vm in vms:
+            self._by_vm[vm.name] = reservation
             self._fleet.hold(vm)
-        return True
+        if job.gang and vms:
+            self._gang = reservation
+        return reservation
 
     def _soonest(self, size: Resources, need: int, now: float) -> list[_Readiness]:
         """Return when some VMs will hold tasks of `size`, soonest first."""
@@ -232,6 +264,17 @@
         return _Readiness(at, slots, vm) if slots else None
 
 
+def _first_that_suffice(soonest: list[_Readiness], need: int) -> list[_Readiness]:
+    """Return the first VMs whose slots add up to `need`, or nothing."""
+    chosen: list[_Readiness] = []
+    for readiness in soonest:
+        chosen.append(readiness)
+        need -= readiness.slots
+        if need <= 0:
+            return chosen
+    return []
+
+
 def _usable(vm: VmRecord) -> bool:
     return vm.condition is VmCondition.OPEN and not vm.removed
 
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -9,9 +9,9 @@
 from cassiaweir.placement._fleet import Fleet
 from cassiaweir.placement._ledger import Ledger
 from cassiaweir.placement._preemption import Claim, Preemptor
-from cassiaweir.placement._queue import WaitingQueue
+from cassiaweir.placement._queue import Lane, WaitingQueue
 from cassiaweir.placement._records import JobRecord, TeamRecord, VmRecord
-from cassiaweir.placement._reservation import Reserver
+from cassiaweir.placement._reservation import Reservation, Reserver
 from cassiaweir.placement._types import Placement, Plan, Preemption
 from cassiaweir.types import Resources, Urgency
 
@@ -78,7 +78,7 @@
 
     def plan(self, now: float, most: int) -> Plan:
         """Decide on at most `most` placements and the preemptions they need."""
-        grown = bool(self._fleet.grown)
+        grown = list(self._fleet.grown.values())
         self._unblock(now)
         plan = Plan([], [])
         if self.preemptor.claims:
@@ -111,18 +111,38 @@
             self.queue(claim.job)
 
     def _serve_overdue(
-        self, tier: Tier, plan: Plan, now: float, most: int, grown: bool
+        self, tier: Tier, plan: Plan, now: float, most: int, grown: list[VmRecord]
     ) -> None:
-        """Start overdue jobs whose reserved VMs hold them."""
+        """Start overdue jobs whose reserved VMs hold them, and reserve for others."""
         reserver = tier.reserver
-        while (job := reserver.next_job(now)) is not None:
-            if not _within(plan, job.needed_at_once, most):
+        for reservation in reserver.due(now, grown):
+            if not reserver.is_valid(reservation, now):
+                reserver.release(reservation)
+            else:
+                self._start_reserved(reserver, reservation, plan, now, most)
+        while len(plan.placements) < most and (new := reserver.pick(now)) is not None:
+            started = self._start_reserved(reserver, new, plan, now, most)
+            if not started and not new.vms:
+                reserver.release(new)
                 return
-            vms = reserver.choose(job, now, grown=grown)
-            if not vms:
-                return
-            reserver.fulfilled(job, len(vms))
+
+    def _start_reserved(
+        self,
+        reserver: Reserver,
+        reservation: Reservation,
+        plan: Plan,
+        now: float,
+        most: int,
+    ) -> bool:
+        """Start the next tasks of a reservation; tell whether they could."""
+        job = reservation.job
+        if not _within(plan, job.needed_at_once, most):
+            return False
+        vms = reserver.choose(reservation, now)
+        if vms:
+            reserver.fulfilled(reservation, len(vms), now)
             self._place_next(job, vms, plan, now)
+        return bool(vms)
 
     def _serve(self, tier: Tier, plan: Plan, now: float, most: int) -> None:
         """Place what the queue holds, in order, until nothing more can start."""
@@ -132,17 +152,45 @@
             need = job.needed_at_once
             if not _within(plan, need, most):
                 return
-            if not job.team.allows(job.group.size, need):
-                if tier is self._normal or not self._preempt_own(job, plan, now):
-                    lane.demand.withdraw(lane)
+            if not self._is_allowed(tier, lane, job, plan, now):
                 continue
             vms = choose(self._fleet, job, now) or self._kept_room(job, now)
             if vms:
-                tier.reserver.started(job.group.size, len(vms))
+                tier.reserver.started(lane, len(vms), now)
                 self._place_next(job, vms, plan, now)
             elif tier is self._normal or not self._preempt(job, plan, now):
                 queue.block(lane.demand)
 
+    def _is_allowed(
+        self, tier: Tier, lane: Lane, job: JobRecord, plan: Plan, now: float
+    ) -> bool:
+        """Tell whether the team's limit lets the lane start; else withdraw the lane.
+
+        Urgent work may make room within the limit by checkpoints.  Normal work that
+        the limit keeps waiting too long makes the team's other lanes wait for it,
+        since smaller work would take what ends for ever.
+        """
+        team = job.team
+        saving_for = team.saving_for
+        if saving_for is not None and saving_for.head() is None:
+            team.saving_for = saving_for = None
+        if team.allows(job.group.size, job.needed_at_once):
+            if tier is self._urgent or saving_for in (None, lane):
+                return True
+            lane.demand.withdraw(lane)
+            return False
+        if tier is self._urgent and self._preempt_own(job, plan, now):
+            return False
+        if (
+            tier is self._normal
+            and saving_for is None
+            and tier.reserver.is_past_bound(lane, now)
+            and _may_ever_start(job)
+        ):
+            team.saving_for = lane
+        lane.demand.withdraw(lane)
+        return False
+
     def _kept_room(self, job: JobRecord, now: float) -> list[VmRecord]:
         """Return a VM kept for overdue normal work that `job` may use all the same."""
         reserver = self._normal.reserver
@@ -178,8 +226,9 @@
         for vm in vms:
             task = self._ledger.start(job, next(iter(job.waiting)), vm, now)
             plan.placements.append(Placement(task.task, vm.name))
-        if job.lane is not None:
-            job.lane.served_at = now
+        if job.team.saving_for is not None and job.team.saving_for is job.lane:
+            job.team.saving_for = None
+            self.offer_lanes(job.team)
         self.waiting_fell(job)
 
     def _place_claimed(
@@ -189,8 +238,6 @@
         for index, vm in vms.items():
             task = self._ledger.start(job, index, vm, now)
             plan.placements.append(Placement(task.task, vm.name))
-        if job.lane is not None:
-            job.lane.served_at = now
         self.waiting_fell(job)
 
     def _unblock(self, now: float) -> None:
@@ -224,6 +271,11 @@
     return len(plan.placements) + count <= most
 
 
+def _may_ever_start(job: JobRecord) -> bool:
+    """Tell whether the team's allotment holds the next tasks of `job` alone."""
+    return (job.group.size * job.needed_at_once).fits(job.team.allotment)
+
+
 def _has_room(claim: Claim) -> bool:
     """Tell whether the claimed room is free and allowed, now that the claim is closed.
 
