Bound the time that a round spends on reservations

A round makes one new reservation at most, looks at 16 VMs for it, and the mean share is worked out four times a second.

--- a/cassiaweir/placement/_ledger.py
+++ b/cassiaweir/placement/_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from cassiaweir.placement._estimates import Estimates
@@ -15,6 +16,7 @@
 from cassiaweir.placement._types import TaskGroup
 from cassiaweir.types import JobKind, Resources, TaskId
 
+LEVEL_SECONDS = 0.25
 STOP_ORDER = {JobKind.BATCH: 0, JobKind.GANG: 1, JobKind.SERVICE: 2}
 
 
@@ -25,6 +27,8 @@
         self._fleet = fleet
         self._estimates = estimates
         self._sequence = 0
+        self._level = 0.0
+        self._level_at = -math.inf
         self.teams: dict[str, TeamRecord] = {}
         self.jobs: dict[str, JobRecord] = {}
         self.running: dict[TaskId, RunningTask] = {}
@@ -36,12 +40,18 @@
             team = self.teams[name] = TeamRecord(name, 0, Resources())
         return team
 
-    def level(self) -> float:
-        """Return the mean order of the teams with waiting work, weighted by share."""
-        waiting = [team for team in self.teams.values() if team.lanes]
-        shares = sum(team.share for team in waiting)
-        held = sum(team.order * team.share for team in waiting)
-        return held / shares if shares else 0.0
+    def level(self, now: float) -> float:
+        """Return the mean order of the teams with waiting work, weighted by share.
+
+        It is worked out at most once in `LEVEL_SECONDS`.
+        """
+        if now - self._level_at >= LEVEL_SECONDS:
+            waiting = [team for team in self.teams.values() if team.lanes]
+            shares = sum(team.share for team in waiting)
+            held = sum(team.order * team.share for team in waiting)
+            self._level = held / shares if shares else 0.0
+            self._level_at = now
+        return self._level
 
     def job(self, group: TaskGroup) -> JobRecord:
         """Return the record of the job of `group`, made at its first mention."""
--- a/cassiaweir/placement/_reservation.py
+++ b/cassiaweir/placement/_reservation.py
@@ -15,19 +15,20 @@
 
 import heapq
 import itertools
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from dataclasses import dataclass
 from itertools import islice
 
 from cassiaweir.placement._choice import choose, choose_for_gang
 from cassiaweir.placement._estimates import NEVER, expected_end
 from cassiaweir.placement._fleet import Fleet
+from cassiaweir.placement._ledger import Ledger
 from cassiaweir.placement._queue import Lane
 from cassiaweir.placement._records import Amounts, JobRecord, VmRecord
 from cassiaweir.placement._types import VmCondition
 from cassiaweir.types import JobKind, Resources
 
-MOST_CANDIDATES = 24
+MOST_CANDIDATES = 16
 MOST_BACKFILL_CANDIDATES = 8
 CREDIT_OF_STARTED_WORK = 0.05
 ROOM_BOUND_PART = 0.125
@@ -58,16 +59,13 @@
 
 
 class Reserver:
-    """Watches the lanes of one urgency and reserves VMs for the overdue ones.
+    """Watches the lanes of one urgency and reserves VMs for the overdue ones."""
 
-    `level` returns the mean order of the teams with waiting work.
-    """
-
-    def __init__(self, fleet: Fleet, bound: float, level: Callable[[], float]) -> None:
+    def __init__(self, fleet: Fleet, bound: float, ledger: Ledger) -> None:
         self._fleet = fleet
         self._bound = bound
         self._room_bound = bound * ROOM_BOUND_PART
-        self._level = level
+        self._ledger = ledger
         self._watched: list[tuple[float, int, Lane]] = []
         self._credit = 0.0
         self._by_vm: dict[str, Reservation] = {}
@@ -154,7 +152,7 @@
     def fulfilled(self, reservation: Reservation, count: int, now: float) -> None:
         """Note that `count` tasks of a reservation start now."""
         job = reservation.job
-        if job.team.order > self._level():
+        if job.team.order > self._ledger.level(now):
             reservation.lane.served_at = now
             self._credit -= _volume(job.group.size, self._fleet.total) * count
         self.release(reservation)
@@ -193,7 +191,7 @@
         waited = now - self._since(lane)
         if waited >= self._bound and self._credit >= 0:
             return True
-        return waited >= self._room_bound and lane.team.order <= self._level()
+        return waited >= self._room_bound and lane.team.order <= self._ledger.level(now)
 
     def _since(self, lane: Lane) -> float:
         head = lane.head()
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -42,7 +42,7 @@
         self._ledger = ledger
         self.preemptor = Preemptor(fleet)
         self._urgent, self._normal = (
-            Tier(WaitingQueue(), Reserver(fleet, bounds[urgency], ledger.level))
+            Tier(WaitingQueue(), Reserver(fleet, bounds[urgency], ledger))
             for urgency in (Urgency.URGENT, Urgency.NORMAL)
         )
         self._urgent_retry_at = 0.0
@@ -121,9 +121,10 @@
             else:
                 self._start_reserved(reserver, reservation, plan, now, most)
         while len(plan.placements) < most and (new := reserver.pick(now)) is not None:
-            started = self._start_reserved(reserver, new, plan, now, most)
-            if not started and not new.vms:
-                reserver.release(new)
+            if not self._start_reserved(reserver, new, plan, now, most):
+                if not new.vms:
+                    reserver.release(new)
+                # One new reservation a round bounds the time of the round.
                 return
 
     def _start_reserved(
--- a/tests/test_placement_ageing.py
+++ b/tests/test_placement_ageing.py
@@ -106,6 +106,29 @@
     stream.seconds_until("rare/0", STREAM_SECONDS)
 
 
+def test_several_large_tasks_have_reservations_at_once():
+    planner = planner_with(vms=24)
+    planner.enqueue(group("busy", tasks=24, size=CORE * 3, declared_seconds=100.0))
+    planner.plan(0, 99)
+    planner.enqueue(group("large", "b", tasks=9, size=VM_SIZE))
+    planner.plan(20, 99)
+    planner.plan(20, 99)
+    planner.enqueue(group("long", tasks=24, declared_seconds=500.0, submitted_at=20.0))
+    assert len(planner.plan(21, 99).placements) == 22
+
+
+def test_a_team_saves_up_for_work_that_its_own_limit_holds_back():
+    planner = planner_with(vms=2)
+    planner.set_team("a", 1, CORE * 4)
+    stream = Stream(planner)
+    for _ in range(20):
+        stream.step()
+    large = group("large", size=VM_SIZE, submitted_at=stream.now)
+    planner.set_team("a", 1, VM_SIZE)
+    planner.enqueue(large)
+    stream.seconds_until("large/0", BOUND_SECONDS + 2 * STREAM_SECONDS)
+
+
 def reserved_planner():
     """Return a planner that keeps its only VM for a job of the VM's whole size."""
     planner = planner_with(vms=1)
