--- a/cassiaweir/placement/_fleet.py
+++ b/cassiaweir/placement/_fleet.py
@@ -38,6 +38,7 @@
         self.total = Amounts()
         self.room = RoomIndex(0)
         self.reclaimable = RoomIndex(1)
+        self.kept = RoomIndex(2)
         self.shapes: dict[Resources, ShapeCount] = {}
         self.grown: dict[str, VmRecord] = {}
 
@@ -139,8 +140,12 @@
 
     def refresh(self, vm: VmRecord) -> None:
         """List `vm` in the indexes as its state demands."""
-        usable = vm.takes_tasks() and not vm.held and not vm.removed
-        if not usable:
+        usable = vm.takes_tasks() and not vm.removed
+        if usable and vm.held:
+            self.kept.update(vm, vm.free)
+        else:
+            self.kept.discard(vm)
+        if not usable or vm.held:
             self._unlist(vm)
             return
         if not vm.indexed:
@@ -164,10 +169,12 @@
             self.reclaimable.discard(vm)
 
     def fitting(self, size: Resources) -> Iterator[VmRecord]:
-        """Yield listed VMs that have room for `size` now, tightest first."""
-        for vm in self.room.tightest(size):
-            if vm.free.holds(size):
-                yield vm
+        """Return listed VMs that have room for `size` now, tightest first."""
+        return self.room.fitting(size)
+
+    def kept_fitting(self, size: Resources) -> Iterator[VmRecord]:
+        """Return VMs kept by reservations with room for `size`, tightest first."""
+        return self.kept.fitting(size)
 
     def fits_some_vm(self, size: Resources) -> bool:
         """Tell whether the capacity of a VM holds `size`."""
