Add the administration API and the operators' command line

Cell (cassiaweir/facade.py) holds what operators may do; /v1/admin serves it and `cassiaweir ctl` calls it over HTTP. The messages of both stand in the new package cassiaweir/administration, which the command line can import without gRPC and sanic.

Drained and quarantined VMs are rows `vm/<name>` below `vms/head`. A VM list that wraps the platform's one shows them as leaving, so that neither the roster nor the slot service has to change: both already know what a leaving VM means.

The demo sets the cell up by the command line in place of the repository classes.

--- /dev/null
+++ b/cassiaweir/administration/_processes.py
@@ -0,0 +1,117 @@
+"""Asks every process of the cell what it has in force."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+import grpc
+
+from cassiaweir.administration._models import ProcessInfo, ProcessText
+from cassiaweir.exceptions import NotFoundError
+from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
+from cassiaweir.rpc._peer import UNKNOWN_AGE_MS
+from cassiaweir.rpc._server import Channels
+
+CALL_TIMEOUT = timedelta(seconds=2)
+MILLISECONDS_PER_SECOND = 1_000
+# No process has a version above this one, so the answer carries no content.
+NOTHING_NEWER = 2**63
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessAddress:
+    """A process and the address of its gRPC server."""
+
+    process: str
+    role: str
+    vm: str
+    failure_domain: str
+    address: str
+
+
+class ProcessProbe:
+    """Calls each process directly, as heartbeats may take seconds to spread.
+
+    `list_processes` returns every process of the cell, this one included.
+    """
+
+    def __init__(
+        self,
+        list_processes: Callable[[], Sequence[ProcessAddress]],
+        channels: Channels,
+    ) -> None:
+        self._list_processes = list_processes
+        self._channels = channels
+
+    async def look(self) -> list[ProcessInfo]:
+        """Return every process with the versions that it has in force, by name."""
+        processes = sorted(self._list_processes(), key=lambda item: item.process)
+        return list(await asyncio.gather(*(self._look_at(item) for item in processes)))
+
+    async def texts(self, name: str, process: str = "") -> list[ProcessText]:
+        """Return the text called `name` of every process, or of one.
+
+        Raises `NotFoundError` where no process is called `process`.
+        """
+        processes = sorted(self._list_processes(), key=lambda item: item.process)
+        wanted = [item for item in processes if process in ("", item.process)]
+        if not wanted:
+            raise NotFoundError(f"there is no process {process!r}")
+        return list(await asyncio.gather(*(self._text(item, name) for item in wanted)))
+
+    async def _look_at(self, item: ProcessAddress) -> ProcessInfo:
+        request = cell_pb2.ViewRequest(
+            bundle_version=NOTHING_NEWER, keys_version=NOTHING_NEWER
+        )
+        try:
+            answer = await self._stub(item).FetchView(request, timeout=_timeout())
+        except grpc.aio.AioRpcError:
+            return _info(item, answered=False)
+        age = None
+        if answer.view_age_ms < UNKNOWN_AGE_MS:
+            age = answer.view_age_ms / MILLISECONDS_PER_SECOND
+        return _info(
+            item,
+            answered=True,
+            bundle_version=answer.bundle_version,
+            keys_version=answer.keys_version,
+            view_age_seconds=age,
+        )
+
+    async def _text(self, item: ProcessAddress, name: str) -> ProcessText:
+        request = cell_pb2.TextRequest(name=name)
+        try:
+            answer = await self._stub(item).Text(request, timeout=_timeout())
+        except grpc.aio.AioRpcError:
+            return ProcessText(process=item.process, answered=False)
+        return ProcessText(process=item.process, answered=True, text=answer.text)
+
+    def _stub(self, item: ProcessAddress) -> cell_pb2_grpc.PeerStub:
+        return cell_pb2_grpc.PeerStub(self._channels.get(item.address))
+
+
+def _timeout() -> float:
+    return CALL_TIMEOUT.total_seconds()
+
+
+def _info(
+    item: ProcessAddress,
+    *,
+    answered: bool,
+    bundle_version: int = 0,
+    keys_version: int = 0,
+    view_age_seconds: float | None = None,
+) -> ProcessInfo:
+    return ProcessInfo(
+        process=item.process,
+        role=item.role,
+        vm=item.vm,
+        failure_domain=item.failure_domain,
+        answered=answered,
+        bundle_version=bundle_version,
+        keys_version=keys_version,
+        view_age_seconds=view_age_seconds,
+    )
--- /dev/null
+++ b/cassiaweir/administration/_teams.py
@@ -0,0 +1,129 @@
+"""What the bundle in force says, beside what the cell has."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+import msgspec
+
+from cassiaweir.administration._models import (
+    Amount,
+    QueueInfo,
+    QueueList,
+    ServiceInfo,
+    ServiceList,
+    TeamInfo,
+    TeamList,
+    VmConditionName,
+    VmInfo,
+    VmsReport,
+)
+from cassiaweir.administration._vms import VmConditionRow
+from cassiaweir.configuration import Bundle, ServiceEntry
+from cassiaweir.teams import AllotmentRow, ListedKey
+from cassiaweir.types import Resources, Row, Vm, VmRole
+
+ALLOTMENTS = "allot/"
+
+
+def describe_teams(
+    bundle: Bundle, version: int, allotments: Iterable[Row], keys: Iterable[ListedKey]
+) -> TeamList:
+    """Return the teams with what the shards may run for them now."""
+    allotted = {
+        row.key.removeprefix(ALLOTMENTS): _sum_allotment(row) for row in allotments
+    }
+    granted = Counter(key.team for key in keys if not key.withdrawn)
+    teams = []
+    for entry in bundle.team:
+        team = entry.team()
+        teams.append(
+            TeamInfo(
+                name=team.name,
+                share=team.share,
+                limit=Amount.of(team.limit),
+                allotted=Amount.of(allotted.get(team.name, Resources())),
+                keys=granted[team.name],
+            )
+        )
+    return TeamList(bundle_version=version, teams=teams)
+
+
+def describe_queues(bundle: Bundle, version: int) -> QueueList:
+    """Return the queues with the services whose requests they admit."""
+    queues = []
+    for entry in bundle.queue:
+        services = [
+            service.name
+            for service in bundle.service
+            if entry.name in service_queues(service)
+        ]
+        queues.append(
+            QueueInfo(
+                name=entry.name,
+                open=entry.open,
+                team=entry.team or "",
+                services=services,
+            )
+        )
+    return QueueList(bundle_version=version, queues=queues)
+
+
+def describe_services(bundle: Bundle, version: int, vms: Sequence[Vm]) -> ServiceList:
+    """Return the services with their listed backend servers."""
+    services = []
+    for entry in bundle.service:
+        servers = [vm for vm in vms if vm.service == entry.name]
+        services.append(
+            ServiceInfo(
+                name=entry.name,
+                queues=list(service_queues(entry)),
+                servers=len(servers),
+                slots=sum(vm.slots for vm in servers),
+            )
+        )
+    return ServiceList(bundle_version=version, services=services)
+
+
+def describe_vms(
+    vms: Iterable[Vm],
+    conditions: Mapping[str, VmConditionRow],
+    shard_of: Callable[[Vm], str],
+) -> VmsReport:
+    """Return the VMs by name with the conditions that operators asked for."""
+    found = [_describe_vm(vm, conditions.get(vm.name), shard_of) for vm in vms]
+    return VmsReport(vms=sorted(found, key=lambda item: item.name))
+
+
+def service_queues(entry: ServiceEntry) -> Sequence[str]:
+    """Return the queues that admit requests of a service, the default first."""
+    return [entry.queue]
+
+
+def _describe_vm(
+    vm: Vm, asked: VmConditionRow | None, shard_of: Callable[[Vm], str]
+) -> VmInfo:
+    entry = vm.role is VmRole.ENTRY
+    return VmInfo(
+        name=vm.name,
+        role=vm.role,
+        failure_domain=vm.failure_domain,
+        rack=vm.rack,
+        shard="" if entry else shard_of(vm),
+        state=vm.state,
+        condition=asked.condition if asked else VmConditionName.OPEN,
+        by=asked.by if asked else "",
+        service=vm.service,
+        slots=vm.slots,
+        capacity=Amount.of(vm.capacity),
+    )
+
+
+def _sum_allotment(row: Row) -> Resources:
+    total = Resources()
+    for amount in msgspec.json.decode(row.value, type=AllotmentRow).amounts.values():
+        total = total + Resources(
+            amount.cpu_millis, amount.memory_mb, amount.accelerators
+        )
+    return total
--- a/cassiaweir/api/__init__.py
+++ b/cassiaweir/api/__init__.py
@@ -1,8 +1,16 @@
 """The HTTP interface for callers and operators."""
 
+from cassiaweir.api._admin_api import admin_blueprints
 from cassiaweir.api._app import HttpFront
 from cassiaweir.api._jobs import JobApi
 from cassiaweir.api._problems import Problem, problem_response
 from cassiaweir.api._requests import RequestApi
 
-__all__ = ["HttpFront", "JobApi", "Problem", "RequestApi", "problem_response"]
+__all__ = [
+    "HttpFront",
+    "JobApi",
+    "Problem",
+    "RequestApi",
+    "admin_blueprints",
+    "problem_response",
+]
--- a/cassiaweir/api/_app.py
+++ b/cassiaweir/api/_app.py
@@ -59,7 +59,7 @@
         app: Sanic = Sanic(
             f"cassiaweir-{next(_serials)}",
             configure_logging=False,
-            error_handler=ProblemHandler(self._events),
+            error_handler=ProblemHandler(self._events, self._metrics),
         )
         timeout = self._settings.gateway_request_timeout
         app.config.MOTD = False
@@ -77,6 +77,11 @@
             app.blueprint(blueprint)
         return app
 
+    @property
+    def app(self) -> Sanic:
+        """The application with its routes."""
+        return self._app
+
     @property
     def accepting(self) -> bool:
         """Whether new connections are accepted."""
--- a/cassiaweir/api/_problems.py
+++ b/cassiaweir/api/_problems.py
@@ -18,7 +18,7 @@
     RefusedError,
     UnavailableError,
 )
-from cassiaweir.observe import EventLog
+from cassiaweir.observe import EventLog, Metrics
 from cassiaweir.verdict import Verdict
 
 CONTENT_TYPE = "application/problem+json"
@@ -27,11 +27,16 @@
     "key_missing": 401,
     "key_unknown": 401,
     "key_withdrawn": 401,
+    "credential_missing": 401,
+    "operator_unknown": 401,
     "other_team": 403,
+    "role_missing": 403,
     "queue_unknown": 404,
     "in_doubt": 409,
+    "confirmation_needed": 409,
     "key_reused": 422,
     "queue_full": 429,
+    "too_many_calls": 429,
     "backend_failed": 502,
     "deadline_passed": 504,
 }
@@ -107,9 +112,10 @@
 class ProblemHandler(ErrorHandler):
     """Answers every exception of a handler or of the HTTP library."""
 
-    def __init__(self, events: EventLog) -> None:
+    def __init__(self, events: EventLog, metrics: Metrics) -> None:
         super().__init__()
         self._events = events
+        self._metrics = metrics
 
     def default(self, request: Request, exception: Exception) -> HTTPResponse:
         """Return the problem for `exception`; unexpected ones leave an event."""
@@ -117,4 +123,5 @@
             self._events.record(
                 "internal_error", reason=type(exception).__name__, detail=str(exception)
             )
+        self._metrics.count("http_refusals", reason=describe(exception)[0].reason)
         return problem_response(exception)
--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -10,6 +10,7 @@
 import click
 
 from cassiaweir import __version__
+from cassiaweir.ctl import ctl
 from cassiaweir.exceptions import CassiaweirError
 from cassiaweir.roles import Role
 from cassiaweir.settings import Settings
@@ -103,6 +104,9 @@
     click.echo("settings are valid")
 
 
+main.add_command(ctl)
+
+
 @main.group()
 def debug() -> None:
     """Print what the program sees."""
--- a/cassiaweir/composition/_foundation.py
+++ b/cassiaweir/composition/_foundation.py
@@ -4,6 +4,7 @@
 
 import secrets
 
+from cassiaweir.administration._vms import AdministeredVmList
 from cassiaweir.clock import SystemClock
 from cassiaweir.configuration import TableView
 from cassiaweir.fleet import shard_of
@@ -44,11 +45,18 @@
         self.session = PlatformSession(settings.vm_name, settings.platform_timeout)
         self.table = HttpTable(self.session, settings.platform_table, self.clock)
         self.objects = HttpObjectStore(self.session, settings.platform_objects)
-        self.vm_list = SharedVmList(
+        self.platform_vm_list = SharedVmList(
             HttpVmList(self.session, settings.platform_vms),
             self.clock,
             longest_age=settings.platform_vm_poll,
         )
+        self.vm_list = AdministeredVmList(
+            self.platform_vm_list,
+            self.table,
+            self.events,
+            self.clock,
+            longest_age=settings.platform_vm_poll,
+        )
         self.commits = GroupCommit(self.table, self.clock, self.metrics)
         self.channels = Channels()
         self.view = TableView(
--- /dev/null
+++ b/cassiaweir/ctl/_commands.py
@@ -0,0 +1,265 @@
+"""`cassiaweir ctl` and the commands that look at the cell as a whole."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from cassiaweir.administration import (
+    AuditList,
+    ProcessList,
+    QueueList,
+    ServiceList,
+    ShardList,
+    StatusReport,
+    TeamList,
+    TimelineReport,
+)
+from cassiaweir.ctl._bundle import bundle
+from cassiaweir.ctl._client import Call
+from cassiaweir.ctl._context import (
+    DEFAULT_SERVER,
+    SERVER_VARIABLE,
+    CtlContext,
+    OneLineErrors,
+    json_option,
+    pass_ctl,
+    watch_option,
+)
+from cassiaweir.ctl._jobs import explain, job
+from cassiaweir.ctl._keys import key, operator
+from cassiaweir.ctl._output import short, show_table
+from cassiaweir.ctl._status import show_processes, show_shards, show_status, show_teams
+from cassiaweir.ctl._vms import vm
+
+EPILOG = (
+    "Exit codes: 0 done, 1 refused or failed, 2 wrong command line, 3 another "
+    "operator came first, 4 unavailable, try again. Completion in bash: "
+    'eval "$(_CASSIAWEIR_COMPLETE=bash_source cassiaweir)".'
+)
+
+
+@click.group(cls=OneLineErrors, epilog=EPILOG)
+@click.option(
+    "--server",
+    envvar=SERVER_VARIABLE,
+    default=DEFAULT_SERVER,
+    show_default=True,
+    help="Address of any entry VM or of the balancer.",
+)
+@click.option(
+    "--credential-file",
+    type=click.Path(path_type=Path),
+    help="File with the credential; else CASSIAWEIR_CREDENTIAL holds it.",
+)
+@click.pass_context
+def ctl(ctx: click.Context, server: str, credential_file: Path | None) -> None:
+    """Operate a cell through the administration API of any entry VM.
+
+    Example: cassiaweir ctl --server 10.0.0.1:7200 --credential-file me.key status
+    """
+    ctx.obj = CtlContext(server, credential_file)
+
+
+@ctl.command()
+@json_option
+@watch_option
+@pass_ctl
+def status(ctl: CtlContext, as_json: bool) -> None:
+    """Show the cell on one screen.
+
+    Example: cassiaweir ctl status --watch
+    """
+    call = Call("GET", "/v1/admin/status")
+    ctl.ask(call, StatusReport, show_status, as_json=as_json)
+
+
+@ctl.command()
+@click.option("--job", default="", help="Only events about this job.")
+@click.option("--request", default="", help="Only events about this request.")
+@click.option("--since", default="", help="ISO 8601 time of the first event.")
+@click.option("--trace", type=click.Path(path_type=Path), help="Write a trace file.")
+@json_option
+@pass_ctl
+def timeline(
+    ctl: CtlContext,
+    job: str,
+    request: str,
+    since: str,
+    trace: Path | None,
+    as_json: bool,
+) -> None:
+    """Show the merged events of all processes.
+
+    Example: cassiaweir ctl timeline --job fuel-audits.audit
+    """
+    query = {"job": job, "request": request, "since": since}
+    if trace is not None:
+        query["format"] = "trace"
+        trace.write_bytes(
+            ctl.client().call_raw(Call("GET", "/v1/admin/timeline", query))
+        )
+        click.echo(f"wrote {trace}")
+        return
+    call = Call("GET", "/v1/admin/timeline", query)
+    ctl.ask(call, TimelineReport, _show_timeline, as_json=as_json)
+
+
+def _show_timeline(report: TimelineReport) -> None:
+    for line in report.lines:
+        click.echo(line)
+    for process in report.silent:
+        click.echo(f"no answer from {process}", err=True)
+
+
+@ctl.group()
+def team() -> None:
+    """Look at teams; they are changed by a bundle."""
+
+
+@team.command("list")
+@json_option
+@watch_option
+@pass_ctl
+def team_list(ctl: CtlContext, as_json: bool) -> None:
+    """List the teams in force.
+
+    Example: cassiaweir ctl team list
+    """
+    call = Call("GET", "/v1/admin/teams")
+    ctl.ask(call, TeamList, lambda found: show_teams(found.teams), as_json=as_json)
+
+
+@ctl.group()
+def queue() -> None:
+    """Look at queues; they are changed by a bundle."""
+
+
+@queue.command("list")
+@json_option
+@pass_ctl
+def queue_list(ctl: CtlContext, as_json: bool) -> None:
+    """List the queues in force.
+
+    Example: cassiaweir ctl queue list
+    """
+    call = Call("GET", "/v1/admin/queues")
+    ctl.ask(call, QueueList, _show_queues, as_json=as_json)
+
+
+def _show_queues(found: QueueList) -> None:
+    show_table(
+        ("queue", "open", "team", "services"),
+        [(item.name, item.open, item.team, item.services) for item in found.queues],
+    )
+
+
+@ctl.group()
+def service() -> None:
+    """Look at the services of the backend servers."""
+
+
+@service.command("list")
+@json_option
+@pass_ctl
+def service_list(ctl: CtlContext, as_json: bool) -> None:
+    """List the services in force.
+
+    Example: cassiaweir ctl service list
+    """
+    call = Call("GET", "/v1/admin/services")
+    ctl.ask(call, ServiceList, _show_services, as_json=as_json)
+
+
+def _show_services(found: ServiceList) -> None:
+    show_table(
+        ("service", "queues", "servers", "slots"),
+        [(item.name, item.queues, item.servers, item.slots) for item in found.services],
+    )
+
+
+@ctl.group()
+def shard() -> None:
+    """Look at shards and their owners."""
+
+
+@shard.command("list")
+@json_option
+@watch_option
+@pass_ctl
+def shard_list(ctl: CtlContext, as_json: bool) -> None:
+    """List the shards and their owners.
+
+    Example: cassiaweir ctl shard list
+    """
+    call = Call("GET", "/v1/admin/shards")
+    ctl.ask(call, ShardList, lambda found: show_shards(found.shards), as_json=as_json)
+
+
+@ctl.group()
+def process() -> None:
+    """Look at the processes of the cell."""
+
+
+@process.command("list")
+@json_option
+@watch_option
+@pass_ctl
+def process_list(ctl: CtlContext, as_json: bool) -> None:
+    """List the processes and the versions in force in each.
+
+    Example: cassiaweir ctl process list
+    """
+    call = Call("GET", "/v1/admin/processes")
+    ctl.ask(
+        call,
+        ProcessList,
+        lambda found: show_processes(found.processes),
+        as_json=as_json,
+    )
+
+
+@ctl.group()
+def audit() -> None:
+    """Look at the record of changes."""
+
+
+@audit.command("list")
+@click.option("--area", default="", help="bundle, keys, operators, vms or jobs.")
+@click.option("--operator", default="", help="Only changes of this operator.")
+@click.option("--limit", default=100, show_default=True, help="Newest entries.")
+@json_option
+@pass_ctl
+def audit_list(
+    ctl: CtlContext, area: str, operator: str, limit: int, as_json: bool
+) -> None:
+    """List who changed what, oldest first.
+
+    Example: cassiaweir ctl audit list --area keys
+    """
+    query = {"area": area, "operator": operator, "limit": str(limit)}
+    call = Call("GET", "/v1/admin/audit", query)
+    ctl.ask(call, AuditList, _show_audit, as_json=as_json)
+
+
+def _show_audit(found: AuditList) -> None:
+    show_table(
+        ("at", "operator", "area", "action", "version", "digest", "detail"),
+        [
+            (
+                item.at,
+                item.operator,
+                item.area,
+                item.action,
+                item.version or None,
+                short(item.digest),
+                item.detail,
+            )
+            for item in found.entries
+        ],
+    )
+
+
+for command in (bundle, explain, job, key, operator, vm):
+    ctl.add_command(command)
--- /dev/null
+++ b/cassiaweir/facade.py
@@ -0,0 +1,286 @@
+"""Everything that operators may do with a cell, in one class."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import datetime
+from typing import Protocol
+
+import msgspec
+
+from cassiaweir.administration import (
+    Amount,
+    AuditInfo,
+    AuditList,
+    ConditionChange,
+    IssuedCredential,
+    IssuedKey,
+    KeyInfo,
+    KeyList,
+    OperatorInfo,
+    OperatorList,
+    ProcessList,
+    ProcessText,
+    QueueList,
+    ServiceList,
+    ShardInfo,
+    ShardList,
+    StatusReport,
+    TeamList,
+    VmConditionName,
+    VmInfo,
+    VmsReport,
+    WithdrawnKey,
+)
+from cassiaweir.administration._bundles import BundleAdministration
+from cassiaweir.administration._jobs import JobAdministration, JobStore
+from cassiaweir.administration._processes import ProcessProbe
+from cassiaweir.administration._selection import count_refusals, select_events
+from cassiaweir.administration._teams import (
+    ALLOTMENTS,
+    describe_queues,
+    describe_services,
+    describe_teams,
+    describe_vms,
+)
+from cassiaweir.administration._vms import VmConditions
+from cassiaweir.configuration import (
+    AuditedTable,
+    BundleRepository,
+    Operator,
+    OperatorRole,
+    Operators,
+    TableView,
+)
+from cassiaweir.exceptions import InvalidInputError, NotFoundError
+from cassiaweir.observe import Event
+from cassiaweir.teams import KeyRegistry
+from cassiaweir.types import Clock, ShardDirectory, Vm, VmList
+
+
+class Gathered(Protocol):
+    """Merged events, and the processes that gave none."""
+
+    events: list[Event]
+    silent: list[str]
+
+
+class EventSource(Protocol):
+    """Gathers the events of all processes."""
+
+    async def collect(self) -> Gathered:
+        """Return the kept events of all processes in one causal order."""
+
+
+@dataclass(frozen=True, slots=True)
+class CellSources:
+    """What a cell is read from.
+
+    `vm_list` is the platform's own list; `shard_names` are all shards of the cell.
+    """
+
+    deployment: str
+    view: TableView
+    directory: ShardDirectory
+    vm_list: VmList
+    shard_of: Callable[[Vm], str]
+    shard_names: Sequence[str]
+    probe: ProcessProbe
+    events: EventSource
+    clock: Clock
+
+
+class Cell:
+    """The operations of operators; each change needs a role of the operator.
+
+    All methods raise `UnavailableError` where the table gives no answer.  Those
+    that change something raise `RefusedError` where the role is missing, and
+    `ConflictError` naming the winner where another operator came first.
+    """
+
+    def __init__(
+        self,
+        sources: CellSources,
+        audited: AuditedTable,
+        jobs: JobStore,
+        *,
+        first_operator_digest: str = "",
+    ) -> None:
+        self._sources = sources
+        self._audited = audited
+        self._operators = Operators(audited, first_operator_digest)
+        self._keys = KeyRegistry(audited, sources.clock)
+        self._conditions = VmConditions(audited)
+        self.jobs = JobAdministration(jobs, sources.view, audited)
+        self.bundles = BundleAdministration(
+            BundleRepository(audited), self.jobs, sources.directory, sources.probe
+        )
+
+    async def authenticate(self, secret: str) -> Operator:
+        """Return the operator whose credential is `secret`."""
+        return await self._operators.authenticate(secret)
+
+    async def operators(self) -> OperatorList:
+        """Return all operators."""
+        rows = await self._operators.list()
+        return OperatorList(
+            operators=[
+                OperatorInfo(name=row.name, roles=[str(role) for role in row.roles])
+                for row in rows
+            ]
+        )
+
+    async def add_operator(
+        self, by: Operator, name: str, roles: Sequence[str]
+    ) -> IssuedCredential:
+        """Add an operator and return the credential, which is not shown again."""
+        wanted = [_role(role) for role in roles]
+        secret = await self._operators.add(by, name, wanted)
+        return IssuedCredential(name=name, roles=list(roles), credential=secret)
+
+    async def remove_operator(self, by: Operator, name: str) -> OperatorList:
+        """Remove an operator and return those that are left."""
+        await self._operators.remove(by, name)
+        return await self.operators()
+
+    async def keys(self, team: str) -> KeyList:
+        """Return the keys of `team`, or all."""
+        found = await self._keys.list(team)
+        return KeyList(
+            keys=[
+                KeyInfo(
+                    digest=key.digest,
+                    team=key.team,
+                    withdrawn=key.withdrawn,
+                    granted_by=key.granted_by,
+                    granted_at=key.granted_at,
+                    last_use=key.last_use,
+                )
+                for key in found
+            ]
+        )
+
+    async def grant_key(self, by: Operator, team: str) -> IssuedKey:
+        """Create a key of a team in force; its secret is not shown again."""
+        by.require(OperatorRole.ON_CALL)
+        if self._sources.view.team(team) is None:
+            raise NotFoundError(f"team {team} is not in force")
+        key = await self._keys.grant(by, team)
+        return IssuedKey(team=key.team, digest=key.digest, secret=key.secret)
+
+    async def withdraw_key(self, by: Operator, prefix: str) -> WithdrawnKey:
+        """Withdraw the key whose digest starts with `prefix`."""
+        return WithdrawnKey(digest=await self._keys.withdraw(by, prefix))
+
+    async def teams(self) -> TeamList:
+        """Return the teams in force with what the shards may run for them."""
+        view = self._sources.view
+        allotments = await self._audited.table.scan(ALLOTMENTS)
+        keys = await self._keys.list()
+        return describe_teams(view.bundle, view.bundle_version, allotments, keys)
+
+    def queues(self) -> QueueList:
+        """Return the queues in force."""
+        view = self._sources.view
+        return describe_queues(view.bundle, view.bundle_version)
+
+    async def services(self) -> ServiceList:
+        """Return the services in force with their backend servers."""
+        view = self._sources.view
+        vms = await self._sources.vm_list.fetch()
+        return describe_services(view.bundle, view.bundle_version, vms)
+
+    async def vms(self) -> VmsReport:
+        """Return the platform's VMs with the conditions that operators asked for."""
+        vms = await self._sources.vm_list.fetch()
+        return describe_vms(vms, await self._conditions.all(), self._sources.shard_of)
+
+    async def set_vm_condition(
+        self, by: Operator, name: str, change: ConditionChange
+    ) -> VmInfo:
+        """Drain, quarantine or open a listed VM or backend server."""
+        by.require(OperatorRole.ON_CALL)
+        listed = {vm.name: vm for vm in await self._sources.vm_list.fetch()}
+        if name not in listed and change.condition is not VmConditionName.OPEN:
+            raise NotFoundError(f"vm {name} is not in the platform's list")
+        row = await self._conditions.set(by, name, change.condition, change.reason)
+        if name not in listed:
+            raise NotFoundError(f"vm {name} is open and no longer listed")
+        conditions = {name: row}
+        return describe_vms([listed[name]], conditions, self._sources.shard_of).vms[0]
+
+    def shards(self) -> ShardList:
+        """Return every shard of the cell with the owner that was heard of last."""
+        names = self._sources.shard_names
+        return ShardList(shards=[self._shard(name) for name in names])
+
+    def _shard(self, name: str) -> ShardInfo:
+        owner = self._sources.directory.owner(name)
+        return ShardInfo(
+            shard=name,
+            failure_domain=name.rpartition("-")[0],
+            process=owner.process if owner else "",
+            epoch=owner.epoch if owner else 0,
+            capacity=Amount.of(owner.capacity) if owner else Amount(),
+            free=Amount.of(owner.free) if owner else Amount(),
+            queued_tasks=owner.queued_tasks if owner else 0,
+            running_tasks=owner.running_tasks if owner else 0,
+        )
+
+    async def processes(self) -> ProcessList:
+        """Return every process with the versions that it has in force."""
+        return ProcessList(processes=await self._sources.probe.look())
+
+    async def texts(self, name: str, process: str) -> list[ProcessText]:
+        """Return the `metrics` or the `state` of every process, or of one."""
+        return await self._sources.probe.texts(name, process)
+
+    async def audit(self, *, area: str, operator: str, limit: int) -> AuditList:
+        """Return the newest `limit` changes that took effect, oldest first."""
+        entries = await self._audited.entries(f"{area}/" if area else "")
+        wanted = [entry for entry in entries if operator in ("", entry.operator)]
+        newest = sorted(wanted, key=lambda entry: entry.at)[-limit:]
+        return AuditList(
+            entries=[
+                msgspec.convert(entry, AuditInfo, from_attributes=True)
+                for entry in newest
+            ]
+        )
+
+    async def timeline(
+        self, *, job: str, request: str, since: datetime | None
+    ) -> tuple[list[Event], list[str]]:
+        """Return the selected events of all processes, and who gave none."""
+        gathered = await self._sources.events.collect()
+        events = select_events(gathered.events, job=job, request=request, since=since)
+        return events, gathered.silent
+
+    async def status(self) -> StatusReport:
+        """Return what one screen shows of the cell."""
+        view = self._sources.view
+        processes = await self._sources.probe.look()
+        metrics = await self._sources.probe.texts("metrics")
+        teams = TeamList(bundle_version=view.bundle_version, teams=[])
+        if view.table_reachable:
+            teams = await self.teams()
+        return StatusReport(
+            at=self._sources.clock.now(),
+            deployment=self._sources.deployment,
+            table_reachable=view.table_reachable,
+            bundle_version=view.bundle_version,
+            bundle_digest=view.bundle.digest(),
+            keys_version=view.keys_version,
+            processes=processes,
+            shards=self.shards().shards,
+            teams=teams.teams,
+            refusals=count_refusals([item.text for item in metrics]),
+        )
+
+
+def _role(name: str) -> OperatorRole:
+    try:
+        return OperatorRole(name)
+    except ValueError as exc:
+        known = ", ".join(OperatorRole)
+        raise InvalidInputError(f"role {name}: expected one of {known}") from exc
--- a/prove/demo.py
+++ b/prove/demo.py
@@ -10,7 +10,7 @@
 import asyncio
 import shutil
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 import aiohttp
@@ -23,8 +23,8 @@
 from cassiaweir.types import JobKind, Urgency
 from cassiaweir.work import JobSpec, TaskSize
 from prove.callers import ANSWERED, Answer, Caller
-from prove.cluster import SICILIA_EST, TABLE_OFFSET, Cluster
-from prove.operators import OperatorDesk
+from prove.cluster import SICILIA_EST, Cluster
+from prove.operators import AUTHOR, FIRST_OPERATOR_SETTING, OperatorDesk
 
 FOLDER = Path("build/demo")
 TEAMS = ("fuel-audits", "settlements")
@@ -118,9 +118,12 @@
 class Demo:
     """Runs the steps of the demo against a started cluster."""
 
-    def __init__(self, cluster: Cluster, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, cluster: Cluster, session: aiohttp.ClientSession, desk: OperatorDesk
+    ) -> None:
         self.cluster = cluster
         self.session = session
+        self.desk = desk
 
     async def run(self, keys: dict[str, str]) -> Outcome:
         """Drive all work to its end and return what the stand-ins counted."""
@@ -146,6 +149,7 @@
         )
         _say("all batch runs and gangs have finished; the services still run")
         await asyncio.gather(*requests)
+        await self._look_around(works[0])
         await self._print_timeline()
         for work in works:
             await work.caller.cancel(work.service.job)
@@ -179,6 +183,14 @@
                 _say(f"killed {event.process}, the owner of {shard}")
                 return
 
+    async def _look_around(self, work: Work) -> None:
+        """Look at the cell as an operator does."""
+        await self.desk.run(AUTHOR, "status")
+        await self.desk.run(AUTHOR, "explain", work.service.job)
+        await self.desk.run(AUTHOR, "key", "list")
+        await self.desk.run(AUTHOR, "bundle", "history")
+        await self.desk.run(AUTHOR, "audit", "list")
+
     async def _events(self) -> list[Event]:
         """Return the merged events of all processes that answer."""
         found: list[Event] = []
@@ -227,17 +239,15 @@
 async def run_demo() -> Outcome:
     """Start everything, run the demo and stop everything."""
     shutil.rmtree(FOLDER, ignore_errors=True)
-    cluster = Cluster(SICILIA_EST, FOLDER)
+    layout = replace(SICILIA_EST, overrides=(FIRST_OPERATOR_SETTING,))
+    cluster = Cluster(layout, FOLDER)
     try:
         _say(f"starting {SICILIA_EST.deployment}: stand-ins and entry VMs")
-        await cluster.start_platform()
-        table = cluster.address(TABLE_OFFSET)
-        desk = await OperatorDesk.open(table)
+        await cluster.start()
+        desk = await OperatorDesk.open(cluster.balancer, FOLDER, echo=True)
         keys = await desk.set_up(TEAMS)
-        await desk.close()
-        await cluster.start_entry_vms()
         async with aiohttp.ClientSession() as session:
-            outcome = await Demo(cluster, session).run(keys)
+            outcome = await Demo(cluster, session, desk).run(keys)
         _say(f"graceful stop: exit statuses {await cluster.stop()}")
         return outcome
     finally:
