--- a/cassiaweir/administration/_models.py
+++ b/cassiaweir/administration/_models.py
@@ -290,8 +290,10 @@
 
 
 class ProcessList(_Message):
-    """The processes of the cell."""
+    """The processes of the cell; the versions are the newest in the table."""
 
+    bundle_version: int
+    keys_version: int
     processes: list[ProcessInfo]
 
 
--- a/cassiaweir/administration/_processes.py
+++ b/cassiaweir/administration/_processes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        list_processes: Callable[[], Sequence[ProcessAddress]],
+        list_processes: Callable[[], Awaitable[Sequence[ProcessAddress]]],
         channels: Channels,
     ) -> None:
         self._list_processes = list_processes
@@ -48,7 +48,7 @@
 
     async def look(self) -> list[ProcessInfo]:
         """Return every process with the versions that it has in force, by name."""
-        processes = sorted(self._list_processes(), key=lambda item: item.process)
+        processes = await self._sorted()
         return list(await asyncio.gather(*(self._look_at(item) for item in processes)))
 
     async def texts(self, name: str, process: str = "") -> list[ProcessText]:
@@ -56,12 +56,17 @@
 
         Raises `NotFoundError` where no process is called `process`.
         """
-        processes = sorted(self._list_processes(), key=lambda item: item.process)
-        wanted = [item for item in processes if process in ("", item.process)]
+        wanted = [
+            item for item in await self._sorted() if process in ("", item.process)
+        ]
         if not wanted:
             raise NotFoundError(f"there is no process {process!r}")
         return list(await asyncio.gather(*(self._text(item, name) for item in wanted)))
 
+    async def _sorted(self) -> list[ProcessAddress]:
+        found = await self._list_processes()
+        return sorted(found, key=lambda item: item.process)
+
     async def _look_at(self, item: ProcessAddress) -> ProcessInfo:
         request = cell_pb2.ViewRequest(
             bundle_version=NOTHING_NEWER, keys_version=NOTHING_NEWER
--- a/cassiaweir/composition/_scheduler.py
+++ b/cassiaweir/composition/_scheduler.py
@@ -15,7 +15,6 @@
     ShardKeeper,
     ShardLease,
     ShardRunner,
-    shard_names,
 )
 from cassiaweir.membership import SchedulerPeers
 from cassiaweir.placement import FairPlanner, WorkerHealth
@@ -123,7 +122,7 @@
         )
 
     return ShardKeeper(
-        shard_names(cfg.cell_failure_domains, cfg.scheduler_shards_per_domain),
+        base.shard_names(),
         base.process,
         base.member.address,
         cfg.vm_failure_domain,
@@ -132,7 +131,7 @@
         events=base.events,
         terms=terms,
         renewal=cfg.scheduler_shard_renewal,
-        peers=SchedulerPeers(base.member, base.peers),
+        peers=SchedulerPeers(base.member, base.peers, base.clock),
         build_runner=build_runner,
     )
 
--- a/cassiaweir/ctl/_keys.py
+++ b/cassiaweir/ctl/_keys.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import sys
+import time
 from urllib.parse import quote
 
 import click
@@ -15,6 +16,7 @@
     KeyList,
     NewOperator,
     OperatorList,
+    ProcessList,
     WithdrawnKey,
 )
 from cassiaweir.ctl._client import Call, CtlError, ExitCode
@@ -22,6 +24,12 @@
 from cassiaweir.ctl._output import short, show_table
 
 SHORTEST_SECRET = 20
+LONGEST_WAIT_SECONDS = 10.0
+WAIT_INTERVAL_SECONDS = 0.2
+
+wait_option = click.option(
+    "--wait", is_flag=True, help="Wait until every process knows."
+)
 
 
 @click.group()
@@ -31,15 +39,18 @@
 
 @key.command("grant")
 @click.argument("team")
+@wait_option
 @json_option
 @pass_ctl
-def grant(ctl: CtlContext, team: str, as_json: bool) -> None:
+def grant(ctl: CtlContext, team: str, wait: bool, as_json: bool) -> None:
     """Grant a key to TEAM; the secret is shown once, on standard output.
 
-    Example: cassiaweir ctl key grant inspectors
+    Example: cassiaweir ctl key grant inspectors --wait
     """
     call = Call("POST", "/v1/admin/keys", body=KeyGrant(team=team))
     ctl.ask(call, IssuedKey, _show_issued, as_json=as_json)
+    if wait:
+        wait_for_keys(ctl)
 
 
 def _show_issued(issued: IssuedKey) -> None:
@@ -81,12 +92,15 @@
 
 @key.command("withdraw")
 @click.argument("digest")
+@wait_option
 @json_option
 @pass_ctl
-def withdraw(ctl: CtlContext, digest: str, as_json: bool) -> None:
+def withdraw(ctl: CtlContext, digest: str, wait: bool, as_json: bool) -> None:
     """Withdraw the key whose DIGEST starts so; it never works again.
 
-    Example: cassiaweir ctl key withdraw 8c1f0a2b
+    With --wait it exits with 4 where a process may still accept the key.
+
+    Example: cassiaweir ctl key withdraw 8c1f0a2b --wait
     """
     call = Call("DELETE", f"/v1/admin/keys/{quote(digest, safe='')}")
     ctl.ask(
@@ -95,6 +109,28 @@
         lambda found: click.echo(f"withdrawn {found.digest}"),
         as_json=as_json,
     )
+    if wait:
+        wait_for_keys(ctl)
+
+
+def wait_for_keys(ctl: CtlContext) -> None:
+    """Wait until every process has the keys as they are now, or raise `CtlError`."""
+    client = ctl.client()
+    until = time.monotonic() + LONGEST_WAIT_SECONDS
+    while True:
+        found = client.call(Call("GET", "/v1/admin/processes"), ProcessList)
+        behind = [
+            item.process
+            for item in found.processes
+            if not item.answered or item.keys_version < found.keys_version
+        ]
+        if not behind:
+            click.echo(f"in force in {len(found.processes)} processes", err=True)
+            return
+        if time.monotonic() > until:
+            message = f"not in force, or no answer: {', '.join(behind)}"
+            raise CtlError(message, ExitCode.UNAVAILABLE)
+        time.sleep(WAIT_INTERVAL_SECONDS)
 
 
 @click.group()
--- a/cassiaweir/facade.py
+++ b/cassiaweir/facade.py
@@ -53,6 +53,12 @@
     Operators,
     TableView,
 )
+from cassiaweir.configuration._rows import (
+    BUNDLE_HEAD,
+    KEYS_HEAD,
+    decode_counter,
+    decode_head,
+)
 from cassiaweir.exceptions import InvalidInputError, NotFoundError
 from cassiaweir.observe import Event
 from cassiaweir.teams import KeyRegistry
@@ -229,8 +235,17 @@
         )
 
     async def processes(self) -> ProcessList:
-        """Return every process with the versions that it has in force."""
-        return ProcessList(processes=await self._sources.probe.look())
+        """Return every process with the versions that it has in force.
+
+        The heads are read first, so that a process that has them is up to date with
+        every change that was made before the call.
+        """
+        rows = await self._audited.table.read([BUNDLE_HEAD, KEYS_HEAD])
+        return ProcessList(
+            bundle_version=decode_head(rows.get(BUNDLE_HEAD)).version,
+            keys_version=decode_counter(rows.get(KEYS_HEAD)).version,
+            processes=await self._sources.probe.look(),
+        )
 
     async def texts(self, name: str, process: str) -> list[ProcessText]:
         """Return the `metrics` or the `state` of every process, or of one."""
--- a/cassiaweir/fleet/_worker_driver.py
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
-from datetime import timedelta
-from typing import Protocol
 
 from cassiaweir.exceptions import FencedError, UnavailableError
+from cassiaweir.fleet._background import Background, wait_for_event
+from cassiaweir.fleet._driver_types import Authority, DriverTerms, ReportSink
 from cassiaweir.types import (
     Clock,
     Command,
@@ -23,47 +22,6 @@
 from cassiaweir.verdict import Verdict
 
 
-class Authority(Protocol):
-    """The right to command the workers of a shard."""
-
-    epoch: int
-
-    def held(self) -> bool:
-        """Tell whether nobody else can have taken the shard over yet."""
-
-    def may_renew_tasks(self) -> bool:
-        """Tell whether task leases may be renewed."""
-
-    def may_start(self) -> bool:
-        """Tell whether tasks may be started."""
-
-
-class ReportSink(Protocol):
-    """Receives what a worker says; called within the driver's task."""
-
-    def worker_reported(self, driver: WorkerDriver, report: WorkerReport) -> None:
-        """Take in a report made under the current epoch."""
-
-    def worker_replaced(self, driver: WorkerDriver) -> None:
-        """Note that the VM is another incarnation: all it ran has ended."""
-
-    def start_settled(self, driver: WorkerDriver, start: TaskStart) -> None:
-        """Note that `start` certainly did not, and will not, run."""
-
-    def fenced(self, driver: WorkerDriver) -> None:
-        """Note that the worker has seen a higher epoch."""
-
-
-@dataclass(frozen=True, slots=True)
-class DriverTerms:
-    """The durations that a driver works with."""
-
-    task_lease: timedelta
-    task_renewal: timedelta
-    command_expiry: timedelta
-    drift: timedelta
-
-
 @dataclass(frozen=True, slots=True)
 class _SentStart:
     """A start that was sent; the worker refuses it past `expires_at` of its clock."""
@@ -112,17 +70,19 @@
         self._stops: dict[TaskId, bool] = {}
         self._acknowledged: list[TaskReport] = []
         self._wake = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
+        self._background = Background()
 
     async def start(self) -> None:
         """Begin to drive the worker."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start(self._run)
 
     async def stop(self) -> None:
-        """Stop after the call in flight; nothing is sent afterwards."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        """Give up the call in flight; starts in it stay in doubt."""
+        await self._background.stop()
+
+    def failure(self) -> BaseException | None:
+        """Return what the driver's task failed with, or None."""
+        return self._background.failure()
 
     @property
     def in_doubt(self) -> bool:
@@ -203,15 +163,7 @@
     async def _run(self) -> None:
         while True:
             await self.step()
-            sleep = asyncio.create_task(self._clock.sleep(self._terms.task_renewal))
-            wake = asyncio.create_task(self._wake.wait())
-            try:
-                await asyncio.wait((sleep, wake), return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                sleep.cancel()
-                wake.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await asyncio.gather(sleep, wake, return_exceptions=True)
+            await wait_for_event(self._wake, self._clock, self._terms.task_renewal)
 
     async def _call_worker(self) -> None:
         self._wake.clear()
--- a/cassiaweir/membership/_peers.py
+++ b/cassiaweir/membership/_peers.py
@@ -11,17 +11,13 @@
 
 from cassiaweir.configuration import TableView
 from cassiaweir.exceptions import InvalidInputError
-from cassiaweir.membership._known import (
-    NEVER,
-    KnownProcess,
-    KnownProcesses,
-    encode_owner,
-)
+from cassiaweir.membership._known import NEVER, KnownProcess, KnownProcesses
 from cassiaweir.membership._models import Member, compatible
 from cassiaweir.membership._selection import PeerAddress, PeerSelection
+from cassiaweir.membership._statements import NoShards, Statements
 from cassiaweir.observe import EventLog
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
-from cassiaweir.rpc._peer import age_to_ms, decode_view, ms_to_seconds, seconds_to_ms
+from cassiaweir.rpc._peer import decode_view, ms_to_seconds
 from cassiaweir.rpc._server import Channels
 from cassiaweir.types import Clock, OwnedShards, ShardOwner
 
@@ -32,14 +28,6 @@
 CALL_TIMEOUT_HEARTBEATS = 2
 
 
-class NoShards:
-    """Implements `OwnedShards` for a process that owns none."""
-
-    def owned(self) -> Sequence[ShardOwner]:
-        """Return nothing."""
-        return ()
-
-
 class Peers:
     """Exchanges heartbeats, one task a peer, and implements `ShardDirectory`.
 
@@ -73,11 +61,11 @@
         self._heartbeat = heartbeat
         self._members = members
         self._owned = owned or NoShards()
+        self._statements = Statements(member, view, self._owned, clock)
         self._seeds = seeds
         self._known = KnownProcesses(member.process)
         rng = rng or random.Random(member.process)
         self._selection = PeerSelection(member.failure_domain, rng)
-        self._sequence = 0
         self._leaving = False
         self._unusable: set[str] = set()
         self._unheard: set[str] = set()
@@ -107,9 +95,9 @@
         return self._known.all()
 
     def heard_within(self, process: str, duration: timedelta) -> bool:
-        """Tell whether anything new was learnt of `process` within `duration`."""
+        """Tell whether `process` gave a sign of life within `duration`."""
         known = self._known.get(process)
-        return known is not None and known.learnt_at >= self._moment(duration)
+        return known is not None and known.alive_at >= self._moment(duration)
 
     def owners(self) -> Sequence[ShardOwner]:
         """Return the known owners, one a shard, that were heard from lately."""
@@ -133,22 +121,21 @@
         sender = heartbeat.sender
         if not self._check_protocol(sender):
             return cell_pb2.Heartbeat(sender=self._statement())
-        self._known.merge(sender, NEVER, now=self._clock.monotonic())
+        self._known.merge(sender, NEVER, alive_at=self._clock.monotonic())
         self._view.hint(sender.bundle_version, sender.keys_version)
         heard = self._known.take_turn(self._moment(HEARD_LIMIT), MOST_TOLD)
-        told = [self._retell(known) for known in heard]
+        told = [self._statements.retell(known) for known in heard]
         return cell_pb2.Heartbeat(sender=self._statement(), known=told)
 
     def heard(self, answer: cell_pb2.Heartbeat, sent_at: float) -> None:
         """Learn from the answer to a heartbeat that was sent at `sent_at`."""
         if not self._check_protocol(answer.sender):
             return
-        now = self._clock.monotonic()
         for state in (answer.sender, *answer.known):
             if not compatible(state.protocol_version):
                 continue
             made_at = sent_at - ms_to_seconds(state.age_ms)
-            self._known.merge(state, made_at, now=now)
+            self._known.merge(state, made_at, alive_at=made_at)
             fresh_at = made_at - ms_to_seconds(state.view_age_ms)
             self._view.confirm(state.bundle_version, state.keys_version, fresh_at)
             self._view.hint(state.bundle_version, state.keys_version)
@@ -161,6 +148,7 @@
     def _reconcile(self) -> None:
         """Have one task for each peer of this round and none for others."""
         self._forget_silent()
+        self._drop_failed()
         wanted = {peer.address for peer in self._selection.choose(self._candidates())}
         wanted = wanted or set(self._seeds()) - {self._member.address}
         for address in self._tasks.keys() - wanted:
@@ -169,6 +157,13 @@
         for address in sorted(wanted - self._tasks.keys()):
             self._tasks[address] = asyncio.create_task(self._exchange_with(address))
 
+    def _drop_failed(self) -> None:
+        """Drop tasks that ended by an error, so that they are made again."""
+        for address, task in list(self._tasks.items()):
+            if task.done():
+                del self._tasks[address]
+                self._events.record("peer_task_failed", address, reason=_reason(task))
+
     def _candidates(self) -> list[PeerAddress]:
         """Return the processes of the rows and those heard of since."""
         found = {
@@ -242,28 +237,7 @@
 
     def _statement(self) -> cell_pb2.ProcessState:
         """Return what this process states of itself now."""
-        self._sequence += 1
-        return cell_pb2.ProcessState(
-            process=self._member.process,
-            role=self._member.role,
-            vm=self._member.vm,
-            failure_domain=self._member.failure_domain,
-            address=self._member.address,
-            protocol_version=self._member.protocol_version,
-            leaving=self._leaving,
-            bundle_version=self._view.bundle_version,
-            keys_version=self._view.keys_version,
-            view_age_ms=age_to_ms(self._view.age()),
-            shards=[encode_owner(owner) for owner in self._owned.owned()],
-            sequence=self._sequence,
-        )
-
-    def _retell(self, known: KnownProcess) -> cell_pb2.ProcessState:
-        """Return a statement of another process with its age by now."""
-        state = cell_pb2.ProcessState()
-        state.CopyFrom(known.state)
-        state.age_ms = seconds_to_ms(self._clock.monotonic() - known.made_at)
-        return state
+        return self._statements.own(leaving=self._leaving)
 
     def _check_protocol(self, sender: cell_pb2.ProcessState) -> bool:
         """Tell whether the sender can be used, and record it once if not."""
@@ -300,3 +274,8 @@
     def _moment(self, duration: timedelta) -> float:
         """Return the reading of the clock `duration` ago."""
         return self._clock.monotonic() - duration.total_seconds()
+
+
+def _reason(task: asyncio.Task[None]) -> str:
+    """Return why `task`, which has ended, did so."""
+    return "cancelled" if task.cancelled() else repr(task.exception())
--- a/cassiaweir/placement/_ledger.py
+++ b/cassiaweir/placement/_ledger.py
@@ -36,6 +36,13 @@
             team = self.teams[name] = TeamRecord(name, 0, Resources())
         return team
 
+    def level(self) -> float:
+        """Return the mean order of the teams with waiting work, weighted by share."""
+        waiting = [team for team in self.teams.values() if team.lanes]
+        shares = sum(team.share for team in waiting)
+        held = sum(team.order * team.share for team in waiting)
+        return held / shares if shares else 0.0
+
     def job(self, group: TaskGroup) -> JobRecord:
         """Return the record of the job of `group`, made at its first mention."""
         job = self.jobs.get(group.job)
@@ -82,9 +89,15 @@
             del job.claimed[index]
         else:
             team.wanted.add(size)
-        expected_cpu = job.estimates.expected_cpu(job.group)
+        estimates, group = job.estimates, job.group
         task = RunningTask(
-            TaskId(job.group.job, index), job, vm, vm.rack.name, now, expected_cpu
+            task=TaskId(group.job, index),
+            job=job,
+            vm=vm,
+            rack=vm.rack.name,
+            started_at=now,
+            ends_at=now + estimates.expected_seconds(group),
+            expected_cpu=estimates.expected_cpu(group),
         )
         job.running[index] = self.running[task.task] = task
         if job.group.kind is JobKind.SERVICE:
@@ -121,7 +134,7 @@
         Batch tasks go first, the youngest of them; then whole gangs, then services.
         """
         team = self.teams.get(name)
-        if team is None or team.allows(Resources()):
+        if team is None or team.is_within_limit():
             return []
         tasks = [task for job in team.jobs.values() for task in job.running.values()]
         tasks.sort(key=lambda t: (STOP_ORDER[t.job.group.kind], -t.started_at))
@@ -135,7 +148,7 @@
     chosen: dict[TaskId, str] = {}
     left = Resources()
     for task in tasks:
-        if team.allows(left):
+        if team.is_within_limit(left):
             break
         if task.task in chosen or not _relieves(team, left, task.job.group.size):
             continue
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from cassiaweir.placement._choice import choose
@@ -42,7 +42,7 @@
         self._ledger = ledger
         self.preemptor = Preemptor(fleet)
         self._urgent, self._normal = (
-            Tier(WaitingQueue(), Reserver(fleet, bounds[urgency]))
+            Tier(WaitingQueue(), Reserver(fleet, bounds[urgency], ledger.level))
             for urgency in (Urgency.URGENT, Urgency.NORMAL)
         )
         self._urgent_retry_at = 0.0
@@ -83,9 +83,13 @@
         plan = Plan([], [])
         if self.preemptor.claims:
             self._serve_claims(plan, now, most)
-        for tier in (self._urgent, self._normal):
-            self._serve_overdue(tier, plan, now, most, grown)
-            self._serve(tier, plan, now, most)
+        # Urgent work gets a reservation only where checkpoints made no room for it.
+        self._serve(self._urgent, plan, now, most)
+        self._serve_overdue(self._urgent, plan, now, most, grown)
+        self._serve_overdue(self._normal, plan, now, most, grown)
+        # A reservation that was given up has listed its VMs again.
+        self._unblock(now)
+        self._serve(self._normal, plan, now, most)
         return plan
 
     def _tier(self, job: JobRecord) -> Tier:
@@ -99,7 +103,7 @@
                 return
             self.preemptor.close(claim)
             if not claim.pending and _has_room(claim):
-                self._place(claim.job, claim.vms, plan, now)
+                self._place_claimed(claim.job, claim.vms, plan, now)
                 continue
             for index in claim.vms:
                 del claim.job.claimed[index]
@@ -114,7 +118,7 @@
         while (job := reserver.next_job(now)) is not None:
             if not _within(plan, job.needed_at_once, most):
                 return
-            vms = reserver.choose(job, grown=grown)
+            vms = reserver.choose(job, now, grown=grown)
             if not vms:
                 return
             reserver.fulfilled(job, len(vms))
@@ -122,16 +126,17 @@
 
     def _serve(self, tier: Tier, plan: Plan, now: float, most: int) -> None:
         """Place what the queue holds, in order, until nothing more can start."""
-        queue = tier.queue
-        while (lane := queue.first()) is not None:
+        queue, placements = tier.queue, plan.placements
+        while len(placements) < most and (lane := queue.first()) is not None:
             job = lane.heap[0][3]
             need = job.needed_at_once
             if not _within(plan, need, most):
                 return
             if not job.team.allows(job.group.size, need):
-                lane.demand.withdraw(lane)
+                if tier is self._normal or not self._preempt_own(job, plan, now):
+                    lane.demand.withdraw(lane)
                 continue
-            vms = choose(self._fleet, job) or self._kept_room(job, now)
+            vms = choose(self._fleet, job, now) or self._kept_room(job, now)
             if vms:
                 tier.reserver.started(job.group.size, len(vms))
                 self._place_next(job, vms, plan, now)
@@ -148,8 +153,15 @@
     def _preempt(self, job: JobRecord, plan: Plan, now: float) -> bool:
         """Claim room for the next tasks of `job` by checkpoints, if that suffices."""
         claim = self.preemptor.claim(job, now)
-        if claim is None:
-            return False
+        return claim is not None and self._take_up(claim, plan)
+
+    def _preempt_own(self, job: JobRecord, plan: Plan, now: float) -> bool:
+        """Claim room within the allotment of the job's own team."""
+        claim = self.preemptor.claim_within_team(job, now)
+        return claim is not None and self._take_up(claim, plan)
+
+    def _take_up(self, claim: Claim, plan: Plan) -> bool:
+        job = claim.job
         for victim in claim.pending.values():
             preemption = Preemption(victim.task, victim.vm.name, PREEMPTION_REASON)
             plan.preemptions.append(preemption)
@@ -163,15 +175,17 @@
         self, job: JobRecord, vms: list[VmRecord], plan: Plan, now: float
     ) -> None:
         """Start the next waiting tasks of `job` on `vms`, one on each."""
-        if len(vms) == 1:
-            self._place(job, {next(iter(job.waiting)): vms[0]}, plan, now)
-            return
-        indexes = list(job.waiting)[: len(vms)]
-        self._place(job, dict(zip(indexes, vms, strict=True)), plan, now)
+        for vm in vms:
+            task = self._ledger.start(job, next(iter(job.waiting)), vm, now)
+            plan.placements.append(Placement(task.task, vm.name))
+        if job.lane is not None:
+            job.lane.served_at = now
+        self.waiting_fell(job)
 
-    def _place(
+    def _place_claimed(
         self, job: JobRecord, vms: dict[int, VmRecord], plan: Plan, now: float
     ) -> None:
+        """Start the claimed tasks of `job`."""
         for index, vm in vms.items():
             task = self._ledger.start(job, index, vm, now)
             plan.placements.append(Placement(task.task, vm.name))
@@ -183,22 +197,24 @@
         """Let the classes be served again for which a VM has got room."""
         grown = self._fleet.grown
         if grown:
-            self._unblock_grown(list(grown.values()))
+            self._unblock_grown(grown.values())
             grown.clear()
-        if now >= self._urgent_retry_at:
+        urgent = self._urgent.queue
+        if urgent.any_blocked and now >= self._urgent_retry_at:
             self._urgent_retry_at = now + URGENT_RETRY_SECONDS
-            urgent = self._urgent.queue
             for size in urgent.blocked_sizes():
                 urgent.unblock_size(size)
 
-    def _unblock_grown(self, grown: list[VmRecord]) -> None:
+    def _unblock_grown(self, grown: Collection[VmRecord]) -> None:
         normal, urgent = self._normal.queue, self._urgent.queue
-        for size in normal.blocked_sizes():
-            if any(vm.free.holds(size) for vm in grown):
-                normal.unblock_size(size)
-        for size in urgent.blocked_sizes():
-            if any(vm.reclaimable.holds(size) for vm in grown):
-                urgent.unblock_size(size)
+        if normal.any_blocked:
+            for size in normal.blocked_sizes():
+                if any(vm.free.holds(size) for vm in grown):
+                    normal.unblock_size(size)
+        if urgent.any_blocked:
+            for size in urgent.blocked_sizes():
+                if any(vm.reclaimable.holds(size) for vm in grown):
+                    urgent.unblock_size(size)
 
 
 def _within(plan: Plan, count: int, most: int) -> bool:
@@ -209,12 +225,14 @@
 
 
 def _has_room(claim: Claim) -> bool:
-    """Tell whether the claimed room is truly free, now that the claim is closed.
+    """Tell whether the claimed room is free and allowed, now that the claim is closed.
 
     Room that other claims have been promised counts as free: their own tasks to
     checkpoint still hold as much.
     """
     size, counts = claim.job.group.size, dict[str, int]()
+    if not claim.job.team.allows(size, len(claim.vms)):
+        return False
     for vm in claim.vms.values():
         counts[vm.name] = counts.get(vm.name, 0) + 1
         held = size * counts[vm.name]
--- a/prove/operators.py
+++ b/prove/operators.py
@@ -78,7 +78,10 @@
     async def set_up(self, teams: Sequence[str]) -> dict[str, str]:
         """Roll the example bundle out and return a key for each of `teams`."""
         await self.roll_out(BUNDLE)
-        return {team: await self.secret(AUTHOR, "key", "grant", team) for team in teams}
+        return {
+            team: await self.secret(AUTHOR, "key", "grant", team, "--wait")
+            for team in teams
+        }
 
     async def run(self, operator: str, *words: str) -> str:
         """Return the output of one command, or raise `CtlFailedError`."""
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -45,6 +45,7 @@
     def __init__(self, lease):
         self.epoch = lease.epoch
         self.running = False
+        self.error = None
         self.former_gone = False
         self.notified = []
 
@@ -54,6 +55,9 @@
     async def stop(self):
         self.running = False
 
+    def failure(self):
+        return self.error
+
     def former_owner_gone(self):
         self.former_gone = True
 
@@ -178,6 +182,26 @@
     assert keepers[other].runner("augusta-0").former_gone
 
 
+async def test_a_runner_that_failed_is_built_anew(keepers, clock):
+    await rounds(keepers, clock, 10)
+    name = owners(keepers)["augusta-0"][0]
+    failed = keepers[name].runner("augusta-0")
+    failed.error = KeyError("w1")
+    await keepers[name].step("augusta-0")
+    await keepers[name].step("augusta-0")
+    assert not failed.running
+    assert keepers[name].runner("augusta-0").running
+    assert keepers[name].runner("augusta-0").epoch == failed.epoch + 1
+
+
+async def test_all_shards_are_watched_with_one_read(keepers, clock, table):
+    await rounds(keepers, clock, 10)
+    idle = keeper("c", table, clock, Peers())
+    reads = table.reads
+    await idle._watch(list(idle._seats.values()))
+    assert table.reads == reads + 1
+
+
 async def test_the_service_notifies_and_answers(keepers, clock):
     await rounds(keepers, clock, 10)
     name = owners(keepers)["augusta-0"][0]
@@ -202,3 +226,19 @@
     finally:
         await channels.stop()
         await server.stop(None)
+
+
+async def test_a_lost_takeover_starts_one_runner(keepers, clock, table):
+    one = keepers["a"]
+    built = []
+    one._build_runner = lambda lease: built.append(Runner(lease)) or built[-1]
+    seat = one._seats["priolo-0"]
+    await one.step("priolo-0")
+    clock.advance(20)
+    table.hold_commits = 1
+    await one.step("priolo-0")
+    table.apply_held()
+    await one.step("priolo-0")
+    await one.step("priolo-0")
+    assert len(built) == 1
+    assert seat.lease.held()
--- a/tests/test_membership_peers.py
+++ b/tests/test_membership_peers.py
@@ -1,5 +1,6 @@
 """Tests of heartbeats between processes, over gRPC on loopback."""
 
+import asyncio
 import math
 import random
 from contextlib import asynccontextmanager
@@ -18,12 +19,12 @@
     TableView,
     parse_bundle,
 )
-from cassiaweir.exceptions import RefusedError
-from cassiaweir.membership import PROTOCOL_VERSION, Member, Peers
+from cassiaweir.exceptions import InvalidInputError, RefusedError
+from cassiaweir.membership import PROTOCOL_VERSION, Member, Peers, SchedulerPeers
 from cassiaweir.membership._peers import MOST_TOLD
 from cassiaweir.observe import EventLog, Metrics
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
-from cassiaweir.rpc._peer import PeerServicer
+from cassiaweir.rpc._peer import PeerServicer, decode_view
 from cassiaweir.rpc._server import Channels, RpcServer
 from cassiaweir.teams import KeyRegistry
 from cassiaweir.types import Resources, ShardOwner
@@ -46,6 +47,13 @@
 OTHER_MAJOR = 2 << 16
 
 
+class StoppedClock(ManualClock):
+    """A clock whose sleepers never wake up."""
+
+    async def sleep(self, duration: timedelta) -> None:
+        await asyncio.Event().wait()
+
+
 class Owned:
     """Owned shards that a test sets."""
 
@@ -113,7 +121,7 @@
 @asynccontextmanager
 async def cell(*names: str, **member):
     """Start nodes that share a clock; each has a handle on the table of its own."""
-    clock = ManualClock()
+    clock = StoppedClock()
     nodes = [
         Node(name, name.split("-")[0], MemoryTable(), clock, **member) for name in names
     ]
@@ -344,5 +352,113 @@
         assert answer.ByteSize() < LARGEST_ANSWER_BYTES
 
 
+async def test_started_peers_exchange_and_stop():
+    async with cell("augusta-1", "priolo-1") as (one, two):
+        await two.view.refresh()
+        heard = asyncio.Event()
+        learn = one.peers.heard
+
+        def noted(answer, sent_at):
+            learn(answer, sent_at)
+            heard.set()
+
+        one.peers.heard = noted
+        one.rows = [two.peers._member]
+        await one.peers.start()
+        await heard.wait()
+        assert one.view.age() == timedelta(0)
+        one.peers.leave()
+        await one.peers.stop()
+        answer = one.peers.answer(cell_pb2.Heartbeat(sender=two.peers._statement()))
+        assert answer.sender.leaving
+
+
+async def test_a_failed_task_is_made_again():
+    async with cell("augusta-1", "augusta-2") as (one, two):
+        one.rows = [two.peers._member]
+        one.peers._reconcile()
+        failed = one.peers._tasks[two.address]
+        failed.cancel()
+        await asyncio.gather(failed, return_exceptions=True)
+        one.peers._reconcile()
+        assert one.peers._tasks[two.address] is not failed
+        assert one.kinds().count("peer_task_failed") == 1
+        await one.peers.stop()
+
+
+async def test_seeds_are_tried_while_nobody_is_known():
+    async with cell("augusta-1", "augusta-2") as (one, two):
+        one.peers._seeds = lambda: [two.address, one.address]
+        one.peers._reconcile()
+        assert list(one.peers._tasks) == [two.address]
+        await one.peers.stop()
+
+
 def test_an_empty_bundle_round_trips():
     assert Bundle.decode(Bundle().encode()) == Bundle()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        cell_pb2.ViewAnswer(bundle_version=1, bundle=b"{"),
+        cell_pb2.ViewAnswer(bundle_version=1, bundle=b'{"team":[{}]}'),
+        cell_pb2.ViewAnswer(keys_version=1, keys=b"[{}]"),
+        cell_pb2.ViewAnswer(keys_version=1, keys=b"\xff"),
+    ],
+)
+def test_malformed_content_from_a_peer_is_refused(answer):
+    with pytest.raises(InvalidInputError, match=r"bundle|keys"):
+        decode_view(answer, 0.0)
+
+
+async def test_an_earlier_process_at_an_address_does_not_prove_a_later_one_gone():
+    async with cell("augusta-1") as (one,):
+        schedulers = SchedulerPeers(one.peers._member, one.peers, one.clock)
+
+        def hear(process: str, sequence: int) -> None:
+            state = cell_pb2.ProcessState(
+                process=process,
+                role="scheduler",
+                address="10.0.0.2:7202",
+                failure_domain="augusta",
+                protocol_version=PROTOCOL_VERSION,
+                sequence=sequence,
+            )
+            sent_at = one.clock.monotonic()
+            one.peers.heard(cell_pb2.Heartbeat(sender=state), sent_at)
+
+        hear("first", 1)
+        one.clock.advance(1)
+        assert not schedulers.replaced("second", "10.0.0.2:7202")
+        one.peers.answer(
+            cell_pb2.Heartbeat(
+                sender=cell_pb2.ProcessState(
+                    process="first",
+                    role="scheduler",
+                    address="10.0.0.2:7202",
+                    protocol_version=PROTOCOL_VERSION,
+                    sequence=2,
+                )
+            )
+        )
+        assert not schedulers.replaced("second", "10.0.0.2:7202")
+        one.clock.advance(1)
+        hear("third", 1)
+        assert schedulers.replaced("second", "10.0.0.2:7202")
+        assert "third" in schedulers.schedulers("augusta")
+
+
+async def test_what_others_retell_of_a_process_is_no_sign_of_life_now():
+    async with cell("augusta-1") as (one,):
+        one.clock.advance(100)
+        state = cell_pb2.ProcessState(
+            process="dead", protocol_version=PROTOCOL_VERSION, age_ms=30_000
+        )
+        teller = cell_pb2.ProcessState(
+            process="teller", protocol_version=PROTOCOL_VERSION
+        )
+        answer = cell_pb2.Heartbeat(sender=teller, known=[state])
+        one.peers.heard(answer, one.clock.monotonic())
+        assert one.peers.heard_within("dead", timedelta(seconds=30))
+        assert not one.peers.heard_within("dead", timedelta(seconds=29))
