--- a/cassiaweir/composition/_gateway.py
+++ b/cassiaweir/composition/_gateway.py
@@ -4,7 +4,8 @@
 
 from datetime import timedelta
 
-from cassiaweir.api import HttpFront, JobApi, RequestApi
+from cassiaweir.api import HttpFront, JobApi, RequestApi, admin_blueprints
+from cassiaweir.composition._cell import build_cell
 from cassiaweir.composition._foundation import Foundation
 from cassiaweir.configuration import AuditedTable
 from cassiaweir.platform import WorkerSizes
@@ -67,7 +68,11 @@
         events=base.events,
         shards=base.shard_names(),
     )
-    blueprints = [requests.blueprint(), JobApi(base.view, jobs).blueprint()]
+    blueprints = [
+        requests.blueprint(),
+        JobApi(base.view, jobs).blueprint(),
+        *admin_blueprints(build_cell(base, jobs)),
+    ]
     front = HttpFront(settings, blueprints, base.events, base.metrics)
     key_uses = KeyUseWriter(
         KeyRegistry(AuditedTable(base.table, base.clock), base.clock),
