Add make prove: concurrent callers, operators and failures, checked afterwards

The stand-ins list every execution with the call that it stems from; the call's name travels as a parameter of the content type, which gateways forward. Gateways name their VM to backend servers, so that the stand-ins can cut them off.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,9 @@
 demo: setup ## Show the whole path in separate processes on this machine.
 	$(PYTHON) -m prove.demo
 
+prove: setup ## Run processes under failures and check the history; SEED or SEEDS.
+	$(PYTHON) -m prove.run --seed $(SEED)
+
 bench: setup ## Measure the policy against the baselines; SEED chooses the load.
 	$(PYTHON) -m bench --seed $(SEED)
 
--- a/cassiaweir/composition/_gateway.py
+++ b/cassiaweir/composition/_gateway.py
@@ -27,7 +27,9 @@
         events=base.events,
     )
     backends = BackendCaller(
-        gateways=lambda: 1 + len(base.gateways()), clock=base.clock
+        gateways=lambda: 1 + len(base.gateways()),
+        clock=base.clock,
+        vm=settings.vm_name,
     )
     claims = Claims(
         base.table,
--- a/cassiaweir/requests/_backends.py
+++ b/cassiaweir/requests/_backends.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from cassiaweir.exceptions import RefusedError, UnavailableError
+from cassiaweir.platform.wire import CALLER_HEADER
 from cassiaweir.requests._models import (
     DEADLINE_HEADER,
     NOT_RUN_HEADER,
@@ -57,11 +58,15 @@
     """Sends requests to backend servers and returns whole answers only.
 
     `gateways` returns how many gateways share the connections of a backend server.
+    `vm` names the entry VM to the backend servers.
     """
 
-    def __init__(self, *, gateways: Callable[[], int], clock: Clock) -> None:
+    def __init__(
+        self, *, gateways: Callable[[], int], clock: Clock, vm: str = ""
+    ) -> None:
         self._gateways = gateways
         self._clock = clock
+        self._vm = vm
         self._sessions: dict[str, ClientSession] = {}
 
     async def start(self) -> None:
@@ -109,6 +114,7 @@
             REQUEST_ID_HEADER: req.request_id,
             DEADLINE_HEADER: str(int(left * 1000)),
             "Content-Type": req.content_type,
+            CALLER_HEADER: self._vm,
         }
         async with self._session(address).post(
             f"http://{address}/{req.service}",
--- a/prove/cluster.py
+++ b/prove/cluster.py
@@ -29,7 +29,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Layout:
-    """What a run consists of; `entry_vms` counts entry VMs a failure domain."""
+    """What a run consists of; `entry_vms` counts entry VMs a failure domain.
+
+    `without` names a mechanism that the entry VMs run without; see `prove.without`.
+    """
 
     deployment: str
     service: str
@@ -41,6 +44,7 @@
     workers_fence: bool = True
     roles: Sequence[str] = ("entry",)
     overrides: Sequence[str] = ()
+    without: str = ""
 
 
 SICILIA_EST = Layout(
@@ -196,6 +200,8 @@
             *layout.overrides,
         ]
         arguments = ["cassiaweir", role]
+        if layout.without:
+            arguments = ["prove.without", layout.without, *arguments]
         for text in settings:
             arguments += ["--set", text]
         return ManagedProcess(
--- a/prove/history.py
+++ b/prove/history.py
@@ -61,6 +61,24 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Overload:
+    """A backend server got more than it can take; `detail` says of what."""
+
+    backend: str
+    at: float
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """From `began_at` to `ended_at` an entry VM was killed, frozen or cut off."""
+
+    vm: str
+    began_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class KeyWithdrawal:
     """A withdrawal of a key that was confirmed to the operator at `at`."""
@@ -106,11 +124,15 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionSeen:
-    """The version that an entry VM's process had in force at `at`."""
+    """The version that an entry VM's process had in force at `at` or later.
+
+    `view_age` is how long before the process last knew it to be the newest.
+    """
 
     vm: str
     version: int
     at: float
+    view_age: float = 0.0
 
 
 @dataclass(slots=True)
@@ -123,6 +145,8 @@
     calls: list[Call] = field(default_factory=list)
     runs: list[TaskRun] = field(default_factory=list)
     executions: list[Execution] = field(default_factory=list)
+    overloads: list[Overload] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
     withdrawals: list[KeyWithdrawal] = field(default_factory=list)
     limits: list[LimitChange] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
--- /dev/null
+++ b/prove/run.py
@@ -0,0 +1,318 @@
+"""Runs real processes under failures and checks the history.
+
+`python -m prove.run --seed 1` prints a line for each point that must always hold.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import aiohttp
+import click
+import msgspec
+
+from cassiaweir.types import VmRole
+from prove.administration import Administration
+from prove.checkers import CHECKERS, Violation, check_all
+from prove.cluster import (
+    PACIFICO_NORTE,
+    SICILIA_EST,
+    TABLE_OFFSET,
+    Cluster,
+    Layout,
+)
+from prove.failures import FAILURES, Scene, draw_failures
+from prove.platform_control import PlatformControl
+from prove.recorder import (
+    Recorder,
+    Target,
+    take_executions,
+    take_ledger,
+    take_overloads,
+)
+from prove.traffic import Traffic
+
+FOLDER = Path("build/prove")
+DEPLOYMENTS = {layout.deployment: layout for layout in (SICILIA_EST, PACIFICO_NORTE)}
+TEAMS = ("fuel-audits", "inspectors", "settlements", "cooperatives")
+QUIET_SECONDS = 4.0
+SETTLE_SECONDS = 60.0
+SETTLE_POLL_SECONDS = 0.5
+MOST_SHOWN = 5
+RECOVERY = "recovery"
+
+
+class Window(msgspec.Struct):
+    """The failures of one step, and when they were brought about and healed."""
+
+    failures: list[str]
+    began_at: float
+    ended_at: float
+
+
+class Report(msgspec.Struct):
+    """What a run found."""
+
+    seed: int
+    deployment: str
+    without: str
+    windows: list[Window] = []
+    violations: dict[str, list[Violation]] = {}
+    calls: int = 0
+    answered: int = 0
+    executions: int = 0
+    task_starts: int = 0
+    settle_seconds: float = 0
+    reasons: dict[str, int] = {}
+    rollouts: int = 0
+    races: int = 0
+    conflicts: int = 0
+    withdrawals: int = 0
+
+    @property
+    def failed(self) -> bool:
+        """Whether any point did not hold."""
+        return any(self.violations.values())
+
+
+@dataclass(slots=True)
+class Options:
+    """What a run does; `steps` are the failures of each step, brought about at once."""
+
+    seed: int
+    layout: Layout
+    folder: Path
+    steps: Sequence[tuple[str, ...]]
+    quiet_seconds: float = QUIET_SECONDS
+
+
+@dataclass(slots=True)
+class ProofRun:
+    """One run against one cluster."""
+
+    options: Options
+    cluster: Cluster
+    session: aiohttp.ClientSession
+    rng: random.Random
+    recorder: Recorder = field(init=False)
+    control: PlatformControl = field(init=False)
+    windows: list[Window] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.recorder = Recorder(self.session)
+        self.control = PlatformControl(self.cluster, self.session)
+
+    async def run(self) -> Report:
+        """Start everything, bring the failures about, heal, settle and check."""
+        await self.cluster.start_platform()
+        await self.control.load()
+        self._note_platform()
+        table = self.cluster.address(TABLE_OFFSET)
+        history = self.recorder.history
+        admin = await Administration.open(table, history, self.rng)
+        try:
+            await admin.set_up(TEAMS)
+            await self.cluster.start_entry_vms()
+            traffic = self._traffic(admin)
+            await self._disturb(traffic, admin)
+            settle_seconds, unsettled = await self._settle(traffic)
+        finally:
+            await admin.close()
+        await self._collect()
+        report = self._report(admin, settle_seconds)
+        report.violations[RECOVERY] = unsettled
+        return report
+
+    def _note_platform(self) -> None:
+        history = self.recorder.history
+        for vm in self.control.vms.values():
+            if vm.role is VmRole.WORKER:
+                history.capacities[vm.name] = vm.capacity
+            if vm.role is VmRole.BACKEND:
+                history.slots[vm.name] = vm.slots
+
+    def _traffic(self, admin: Administration) -> Traffic:
+        targets = [Target("", self.cluster.balancer)] * 3
+        targets += [Target(vm.name, vm.http) for vm in self.cluster.entry_vms.values()]
+        return Traffic(
+            self.recorder,
+            targets,
+            self.cluster.layout.service,
+            lambda: admin.keys,
+            self.rng,
+        )
+
+    async def _disturb(self, traffic: Traffic, admin: Administration) -> None:
+        """Bring the failures about while callers and operators go on."""
+        tasks = [
+            asyncio.create_task(traffic.run(TEAMS)),
+            asyncio.create_task(admin.run(TEAMS)),
+            *self._watchers(),
+        ]
+        try:
+            await asyncio.sleep(self.options.quiet_seconds)
+            for step in self.options.steps:
+                await self._one_step(step)
+                await asyncio.sleep(self.options.quiet_seconds)
+            for task in tasks:
+                if task.done():
+                    task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _watchers(self) -> list[asyncio.Task[None]]:
+        return [
+            asyncio.create_task(self.recorder.watch_versions(vm.name, address))
+            for vm in self.cluster.entry_vms.values()
+            for address in vm.rpc.values()
+        ]
+
+    async def _one_step(self, step: tuple[str, ...]) -> None:
+        scene = Scene(self.cluster, self.control, self.recorder.history, self.rng)
+        window = Window(list(step), time.monotonic(), 0.0)
+        self.windows.append(window)
+        click.echo(f"prove: {' and '.join(step)}")
+        await asyncio.gather(*(FAILURES[name](scene) for name in step))
+        await self.control.heal()
+        window.ended_at = time.monotonic()
+
+    async def _settle(self, traffic: Traffic) -> tuple[float, list[Violation]]:
+        """Cancel what never ends and wait until all work has finished."""
+        began_at = time.monotonic()
+        await asyncio.gather(
+            *(traffic.cancel(job) for job in traffic.jobs if not job.finite)
+        )
+        waiting = list(traffic.jobs)
+        target = Target("", self.cluster.balancer)
+        while waiting and time.monotonic() < began_at + SETTLE_SECONDS:
+            states = [await traffic.open_parts(job, target) for job in waiting]
+            pairs = zip(waiting, states, strict=True)
+            waiting = [job for job, state in pairs if state != 0]
+            await asyncio.sleep(SETTLE_POLL_SECONDS)
+        now = time.monotonic()
+        left = [
+            Violation(RECOVERY, job.spec.job, now, "has not finished after healing")
+            for job in waiting
+        ]
+        return now - began_at, left
+
+    async def _collect(self) -> None:
+        """Take over what the stand-ins saw."""
+        history = self.recorder.history
+        take_executions(history, await self.control.executions())
+        stats = await self.control.backend_stats()
+        take_overloads(history, stats, time.monotonic())
+        take_ledger(history, await self.control.ledger())
+
+    def _report(self, admin: Administration, settle_seconds: float) -> Report:
+        history = self.recorder.history
+        return Report(
+            seed=self.options.seed,
+            deployment=self.cluster.layout.deployment,
+            without=self.cluster.layout.without,
+            windows=self.windows,
+            violations=check_all(history),
+            calls=len(history.calls),
+            answered=sum(call.outcome == "answered" for call in history.calls),
+            executions=len(history.executions),
+            task_starts=len(history.runs),
+            settle_seconds=settle_seconds,
+            reasons=self.recorder.reasons,
+            rollouts=len(history.rollouts),
+            races=admin.races,
+            conflicts=admin.conflicts,
+            withdrawals=len(history.withdrawals),
+        )
+
+
+async def run_once(options: Options) -> Report:
+    """Run against a cluster of its own and write history and report."""
+    cluster = Cluster(options.layout, options.folder)
+    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        proof = ProofRun(options, cluster, session, random.Random(options.seed))
+        try:
+            report = await proof.run()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SETTLE_SECONDS):
+                    await cluster.stop()
+        finally:
+            await cluster.kill()
+    history = proof.recorder.history
+    (options.folder / "history.json").write_bytes(msgspec.json.encode(history))
+    (options.folder / "report.json").write_bytes(msgspec.json.encode(report))
+    return report
+
+
+def show(report: Report) -> None:
+    """Print a line for each point, and its first violations."""
+    for point in (*CHECKERS, RECOVERY):
+        found = report.violations.get(point, [])
+        click.echo(f"{point}: {f'{len(found)} violations' if found else 'pass'}")
+        for item in found[:MOST_SHOWN]:
+            click.echo(f"    {item.at:.3f} {item.subject}: {item.detail}")
+    click.echo(
+        f"prove: seed {report.seed}, {report.calls} calls, {report.answered} answered, "
+        f"{report.executions} executions, {report.task_starts} task starts, "
+        f"{report.rollouts} roll-outs, {report.races} races with "
+        f"{report.conflicts} conflicts, {report.withdrawals} withdrawals, "
+        f"settled in {report.settle_seconds:.1f} s"
+    )
+    reasons = sorted(report.reasons.items())
+    click.echo(f"prove: outcomes {' '.join(f'{name}={n}' for name, n in reasons)}")
+
+
+def read_steps(failures: str, seed: int) -> list[tuple[str, ...]]:
+    """Return the steps that `failures` names, or those that the seed draws.
+
+    Commas part failures that come at once, semicolons part steps.
+    """
+    if not failures:
+        return draw_failures(random.Random(seed))
+    steps = [tuple(step.split(",")) for step in failures.split(";")]
+    unknown = {name for step in steps for name in step} - set(FAILURES)
+    if unknown:
+        raise click.BadParameter(f"unknown failures: {', '.join(sorted(unknown))}")
+    return steps
+
+
+@click.command()
+@click.option("--seed", default=1, help="chooses failures, victims and load")
+@click.option("--failures", default="", help="a,b at once; a;b one after another")
+@click.option("--seconds", default=QUIET_SECONDS, help="before and after each step")
+@click.option(
+    "--deployment", default=SICILIA_EST.deployment, type=click.Choice(list(DEPLOYMENTS))
+)
+@click.option("--without", default="", help="a mechanism to do without")
+@click.option("--fence/--no-fence", default=True, help="whether workers fence")
+def main(
+    seed: int,
+    failures: str,
+    seconds: float,
+    deployment: str,
+    without: str,
+    fence: bool,
+) -> None:
+    """Run once and exit with status 1 where a point did not hold."""
+    layout = replace(DEPLOYMENTS[deployment], without=without, workers_fence=fence)
+    name = f"{seed}-without-{without}" if without else str(seed)
+    folder = FOLDER / name
+    steps = read_steps(failures, seed)
+    shown = "; ".join(" and ".join(step) for step in steps)
+    click.echo(f"prove: seed {seed}, {deployment}, failures {shown}")
+    report = asyncio.run(run_once(Options(seed, layout, folder, steps, seconds)))
+    show(report)
+    sys.exit(report.failed)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/_backend.py
+++ b/standins/_backend.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
+from collections.abc import Mapping
 
 import msgspec
 from aiohttp import web
+from aiohttp.helpers import parse_mimetype
 
 from standins._http import Service, answer, read_body
 
@@ -50,9 +53,25 @@
     body: str
 
 
+class Executed(msgspec.Struct):
+    """One execution; times are of the machine's monotonic clock.
+
+    `call` and `key` are parameters of the request's content type.  `ended_at` is
+    None while it runs.
+    """
+
+    backend: str
+    request_id: str
+    call: str
+    key: str
+    began_at: float
+    ended_at: float | None = None
+
+
 class BackendStats(msgspec.Struct):
     """What a backend server has seen.
 
+    `over_slots` counts requests that came while all slots were in use.
     `after_leaving` counts requests that came after leaving began.  `executions`
     holds the idempotency keys that ran more than once.
     """
@@ -66,6 +85,7 @@
     connections: int = 0
     most_connections: int = 0
     over_connections: int = 0
+    over_slots: int = 0
     after_leaving: int = 0
     executions: dict[str, int] = {}
 
@@ -89,6 +109,7 @@
         self._connections = connections
         self._open: set[asyncio.BaseTransport] = set()
         self._executions: Counter[str] = Counter()
+        self.executed: list[Executed] = []
         self.app.router.add_get("/v1/stats", self._get_stats)
         self.app.router.add_post("/v1/control", self._control)
         self.app.router.add_post("/{path:.*}", self._serve)
@@ -117,7 +138,10 @@
         body = await req.read()
         if self.leaving:
             self.stats.after_leaving += 1
-        if self.leaving or self.stats.running >= self._slots:
+        full = self.stats.running >= self._slots
+        if full and not self.leaving:
+            self.stats.over_slots += 1
+        if self.leaving or full:
             self.stats.refused += 1
             return web.Response(status=503, headers={NOT_RUN_HEADER: "true"})
         await self._work(req)
@@ -132,7 +156,8 @@
     async def _work(self, req: web.Request) -> None:
         """Hold a slot for the time that the request asks for."""
         stats = self.stats
-        millis = req.headers.get(WORK_HEADER, "")
+        asked = parse_mimetype(req.headers.get("Content-Type", "")).parameters
+        millis = req.headers.get(WORK_HEADER, "") or asked.get("work", "")
         seconds = float(millis) / 1000 if millis else DEFAULT_WORK_SECONDS
         stats.running += 1
         stats.most_running = max(stats.most_running, stats.running)
@@ -140,11 +165,24 @@
         key = req.headers.get(IDEMPOTENCY_KEY_HEADER)
         if key:
             self._executions[key] += 1
+        execution = self._note_execution(req, asked)
         try:
             await asyncio.sleep(seconds)
         finally:
+            execution.ended_at = time.monotonic()
             stats.running -= 1
 
+    def _note_execution(self, req: web.Request, asked: Mapping[str, str]) -> Executed:
+        execution = Executed(
+            backend=self.name,
+            request_id=req.headers.get(REQUEST_ID_HEADER, ""),
+            call=asked.get("call", ""),
+            key=asked.get("key", ""),
+            began_at=time.monotonic(),
+        )
+        self.executed.append(execution)
+        return execution
+
     async def _answer(
         self, req: web.Request, body: bytes, request_id: str
     ) -> web.StreamResponse:
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -64,6 +64,7 @@
         self.registry.forget_history()
         self.app.router.add_get("/v1/ledger", self._get_ledger)
         self.app.router.add_get("/v1/stats", self._get_stats)
+        self.app.router.add_get("/v1/executions", self._get_executions)
         self.app.router.add_post("/v1/control/cut", self._cut)
         self.app.router.add_post("/v1/control/heal", self._heal)
         self.app.router.add_post("/v1/control/vm", self._fail_vm)
@@ -138,6 +139,9 @@
         stats: list[BackendStats] = [b.snapshot() for b in self.backends.values()]
         return answer(stats)
 
+    async def _get_executions(self, req: web.Request) -> web.Response:
+        return answer([e for b in self.backends.values() for e in b.executed])
+
     async def _cut(self, req: web.Request) -> web.Response:
         control = await read_body(req, CutControl)
         for name, service in self._named().items():
