Check overloads, whole planned stops and the age of a view

A process that is cut off cannot learn of a roll-out, so the check of the configuration takes the view age into account: an old version is in order only where the process says that its view is too old to admit a key. In return a view must hold every roll-out confirmed before the moment it dates from. The check of planned stops now covers calls that began during the stop and calls through the balancer.

--- a/prove/checkers.py
+++ b/prove/checkers.py
@@ -12,12 +12,15 @@
 from itertools import pairwise
 
 from cassiaweir.types import Resources
-from prove.history import Call, History, TaskRun
+from prove.history import Call, GracefulStop, History, TaskRun, VersionSeen
 
 KEY_BOUND_SECONDS = 5.0
 LEAVING_BOUND_SECONDS = 5.0
 ROLLOUT_BOUND_SECONDS = 3.0
+VIEW_AGE_LIMIT_SECONDS = 3.0
+CLOCK_GRAIN_SECONDS = 0.002
 LIMIT_LOWERED_BOUND_SECONDS = 30.0
+CUT_OUTCOMES = ("broken", "timed_out")
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,10 +164,13 @@
 
 def check_slots(history: History) -> list[Violation]:
     """Check that no backend server executes more requests at once than it has slots."""
+    found = [
+        Violation("slots", item.backend, item.at, item.detail)
+        for item in history.overloads
+    ]
     steps = [(item.began_at, 1, item.backend) for item in history.executions]
     steps += [(item.ended_at, -1, item.backend) for item in history.executions]
     used: dict[str, int] = defaultdict(int)
-    found = []
     for at, change, backend in sorted(steps):
         used[backend] += change
         if used[backend] > history.slots.get(backend, 0):
@@ -194,23 +200,38 @@
         found += [
             _call_violation("graceful_stop", call, "was cut off")
             for call in history.calls
-            if call.outcome == "broken"
-            and call.gateway == stop.gateway
-            and call.invoked_at <= stop.began_at <= call.returned_at
+            if call.outcome in CUT_OUTCOMES and _stopped(history, stop, call)
         ]
     return found
 
 
+def _stopped(history: History, stop: GracefulStop, call: Call) -> bool:
+    """Tell whether a planned stop may have cut `call` off.
+
+    A call through the balancer counts unless an entry VM was disturbed meanwhile, as
+    nobody can tell which one had it.
+    """
+    if call.returned_at < stop.began_at or call.invoked_at > stop.exited_at:
+        return False
+    if call.gateway:
+        return call.gateway == stop.gateway
+    return not any(
+        item.began_at <= call.returned_at and call.invoked_at <= item.ended_at
+        for item in history.disturbances
+    )
+
+
 def check_configuration(history: History) -> list[Violation]:
-    """Check that an accepted configuration is in force soon and never reverts."""
+    """Check that an accepted configuration is in force soon and never reverts.
+
+    A process that is cut off cannot learn of a roll-out.  An old version is in order
+    only where the process itself says that its view is so old that it admits no key,
+    and holds what was rolled out before the moment that its view dates from.
+    """
     highest: dict[str, int] = defaultdict(int)
     found = []
     for seen in sorted(history.versions, key=lambda seen: seen.at):
-        due = [
-            item.version
-            for item in history.rollouts
-            if item.at + ROLLOUT_BOUND_SECONDS < seen.at
-        ]
+        due = [item.version for item in history.rollouts if item.at < _due_before(seen)]
         if seen.version < max(due, default=0):
             detail = f"version {seen.version}, {max(due)} is due"
             found.append(Violation("configuration", seen.vm, seen.at, detail))
@@ -221,6 +242,14 @@
     return found
 
 
+def _due_before(seen: VersionSeen) -> float:
+    """Return the moment before which roll-outs must be in force."""
+    known_at = seen.at - seen.view_age - CLOCK_GRAIN_SECONDS
+    if seen.view_age > VIEW_AGE_LIMIT_SECONDS:
+        return known_at
+    return max(known_at, seen.at - ROLLOUT_BOUND_SECONDS)
+
+
 def _call_violation(point: str, call: Call, detail: str) -> Violation:
     """Return a violation that names a call."""
     return Violation(point, call.name, call.returned_at, detail)
--- a/prove/history.py
+++ b/prove/history.py
@@ -14,9 +14,10 @@
 class Call:
     """One call of a caller.
 
-    `outcome` is `answered`, `refused` or `broken` (the connection ended first).
+    `outcome` is `answered`, `refused`, `broken` (the connection ended first),
+    `timed_out` or `unreached` (no connection was made).
     `verdict` is what a refusal said.  `expected` and `body` are compared for answered
-    requests.  `gateway` is the entry VM that was called.
+    requests.  `gateway` is the entry VM that was called, empty for the balancer.
     """
 
     name: str
--- a/prove/recorder.py
+++ b/prove/recorder.py
@@ -46,7 +46,8 @@
 class Request:
     """One request to a service; an empty idempotency key makes it idempotent.
 
-    `work_ms` is how long the backend server is to hold a slot.
+    `work_ms` is how long the backend server is to hold a slot.  `claimed_team` is
+    what the request says of its team.
     """
 
     service: str
@@ -56,6 +57,7 @@
     idempotency_key: str = ""
     work_ms: int = 5
     queue: str = ""
+    claimed_team: str = ""
 
 
 @dataclass(slots=True)
@@ -79,6 +81,8 @@
             headers["Cassiaweir-Idempotent"] = "true"
         if req.queue:
             headers["Cassiaweir-Queue"] = req.queue
+        if req.claimed_team:
+            headers["Cassiaweir-Team"] = req.claimed_team
         call = Call(
             name=name,
             team=req.team,
--- a/prove/run.py
+++ b/prove/run.py
@@ -20,7 +20,12 @@
 
 from cassiaweir.types import VmRole
 from prove.administration import Administration
-from prove.checkers import CHECKERS, Violation, check_all
+from prove.checkers import (
+    CHECKERS,
+    VIEW_AGE_LIMIT_SECONDS,
+    Violation,
+    check_all,
+)
 from prove.cluster import (
     PACIFICO_NORTE,
     SICILIA_EST,
@@ -43,6 +48,7 @@
 DEPLOYMENTS = {layout.deployment: layout for layout in (SICILIA_EST, PACIFICO_NORTE)}
 TEAMS = ("fuel-audits", "inspectors", "settlements", "cooperatives")
 QUIET_SECONDS = 4.0
+RESTORED_CPU_MILLIS = 50_000
 SETTLE_SECONDS = 60.0
 SETTLE_POLL_SECONDS = 0.5
 MOST_SHOWN = 5
@@ -121,8 +127,13 @@
             await admin.set_up(TEAMS)
             await self.cluster.start_entry_vms()
             traffic = self._traffic(admin)
+            watchers = self._watchers()
             await self._disturb(traffic, admin)
+            await admin.change_limit(RESTORED_CPU_MILLIS)
             settle_seconds, unsettled = await self._settle(traffic)
+            for watcher in watchers:
+                watcher.cancel()
+            unsettled += self._behind()
         finally:
             await admin.close()
         await self._collect()
@@ -154,7 +165,6 @@
         tasks = [
             asyncio.create_task(traffic.run(TEAMS)),
             asyncio.create_task(admin.run(TEAMS)),
-            *self._watchers(),
         ]
         try:
             await asyncio.sleep(self.options.quiet_seconds)
@@ -205,6 +215,17 @@
         ]
         return now - began_at, left
 
+    def _behind(self) -> list[Violation]:
+        """Return the entry VMs that have not got the last version after healing."""
+        history = self.recorder.history
+        last = max(item.version for item in history.rollouts)
+        seen = {item.vm: item for item in history.versions}
+        return [
+            Violation(RECOVERY, vm, item.at, f"version {item.version}, not {last}")
+            for vm, item in seen.items()
+            if item.version < last or item.view_age > VIEW_AGE_LIMIT_SECONDS
+        ]
+
     async def _collect(self) -> None:
         """Take over what the stand-ins saw."""
         history = self.recorder.history
@@ -293,6 +314,7 @@
     "--deployment", default=SICILIA_EST.deployment, type=click.Choice(list(DEPLOYMENTS))
 )
 @click.option("--without", default="", help="a mechanism to do without")
+@click.option("--folder-suffix", default="", help="keeps runs of one seed apart")
 @click.option("--fence/--no-fence", default=True, help="whether workers fence")
 def main(
     seed: int,
@@ -301,11 +323,12 @@
     deployment: str,
     without: str,
     fence: bool,
+    folder_suffix: str,
 ) -> None:
     """Run once and exit with status 1 where a point did not hold."""
     layout = replace(DEPLOYMENTS[deployment], without=without, workers_fence=fence)
     name = f"{seed}-without-{without}" if without else str(seed)
-    folder = FOLDER / name
+    folder = FOLDER / (name + folder_suffix)
     steps = read_steps(failures, seed)
     shown = "; ".join(" and ".join(step) for step in steps)
     click.echo(f"prove: seed {seed}, {deployment}, failures {shown}")
--- a/prove/traffic.py
+++ b/prove/traffic.py
@@ -148,10 +148,12 @@
         while True:
             target = self.rng.choice(self.targets)
             body = f"strange-{next(self._serial)}".encode()
-            team = self.rng.choice(teams)
+            team, other = self.rng.sample(list(teams), 2)
+            key = self._key(other).secret
             for req in (
                 Request(self.service, team, "", body),
                 Request(self.service, team, "no-such-key", body),
+                Request(self.service, team, key, body, claimed_team=team),
                 Request(self.service, OPEN_TEAM, "", body, queue=OPEN_QUEUE),
             ):
                 await self.recorder.request(target, req)
--- a/tests/test_prove_checkers.py
+++ b/tests/test_prove_checkers.py
@@ -8,12 +8,14 @@
 from prove.checkers import CHECKERS, check_all
 from prove.history import (
     Call,
+    Disturbance,
     Execution,
     GracefulStop,
     History,
     KeyWithdrawal,
     Leaving,
     LimitChange,
+    Overload,
     Rollout,
     TaskRun,
     VersionSeen,
@@ -117,3 +119,46 @@
     history.runs[1] = make_run(attempt=2, started_at=5.0, ended_at=39.0)
     history.runs.append(late)
     assert CHECKERS["team_limit"](history)
+
+
+def test_a_backend_server_that_got_too_much_is_found():
+    history = make_history(overloads=[Overload("b1", 3.0, "9 at once")])
+    assert [item.detail for item in CHECKERS["slots"](history)] == ["9 at once"]
+
+
+def make_cut_call(**changes) -> Call:
+    return make_call(outcome="broken", invoked_at=2.0, returned_at=2.5, **changes)
+
+
+def test_a_call_cut_off_late_in_a_planned_stop_is_found():
+    stops = [GracefulStop("g1", 1.5, 3.0, 0)]
+    found = make_history(stops=stops, calls=[make_cut_call(gateway="g1")])
+    assert CHECKERS["graceful_stop"](found)
+    other = make_history(stops=stops, calls=[make_cut_call(gateway="g2")])
+    assert not CHECKERS["graceful_stop"](other)
+
+
+def test_a_call_through_the_balancer_counts_unless_a_vm_was_disturbed():
+    stops = [GracefulStop("g1", 1.5, 3.0, 0)]
+    history = make_history(stops=stops, calls=[make_cut_call()])
+    assert CHECKERS["graceful_stop"](history)
+    history.disturbances.append(Disturbance("g2", 2.2, 4.0))
+    assert not CHECKERS["graceful_stop"](history)
+
+
+def test_an_old_version_is_in_order_only_with_a_view_said_to_be_old():
+    rollouts = [Rollout(2, 10.0)]
+    cut_off = make_history(
+        rollouts=rollouts, versions=[VersionSeen("v1", 1, 20.0, view_age=11.0)]
+    )
+    assert not CHECKERS["configuration"](cut_off)
+    for age in (2.0, 9.0):
+        seen = [VersionSeen("v1", 1, 20.0, view_age=age)]
+        history = make_history(rollouts=rollouts, versions=seen)
+        assert CHECKERS["configuration"](history)
+
+
+def test_a_view_said_to_be_fresh_holds_what_was_rolled_out_before():
+    seen = [VersionSeen("v1", 1, 11.0, view_age=0.5)]
+    history = make_history(rollouts=[Rollout(2, 10.0)], versions=seen)
+    assert CHECKERS["configuration"](history)
