Run without one mechanism, and give runs that start at once ports of their own

Two runs that started within the same moment found the same block of ports, and the second worked on the table of the first (seen as a lost roll-out at its set-up).

--- a/prove/cluster.py
+++ b/prove/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -26,6 +27,8 @@
 VMS_OFFSET = 3
 BALANCER_OFFSET = 4
 
+_claimed_blocks: list[socket.socket] = []
+
 
 @dataclass(frozen=True, slots=True)
 class Layout:
@@ -238,17 +241,32 @@
 
 
 def find_base_port() -> int:
-    """Return the first port of a block that no other run uses now."""
-    for base in range(FIRST_BASE_PORT, LAST_BASE_PORT, PORTS_PER_RUN):
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", base + CONTROL_OFFSET))
-            except OSError:
-                continue
-            return base
+    """Return the first port of a block that no other run uses now.
+
+    The last port of the block stays bound while this process lives, so that two runs
+    that start at once get different blocks.
+    """
+    bases = list(range(FIRST_BASE_PORT, LAST_BASE_PORT, PORTS_PER_RUN))
+    turn = os.getpid() % len(bases)
+    for base in (*bases[turn:], *bases[:turn]):
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", base + PORTS_PER_RUN - 1))
+            _require_free(base + CONTROL_OFFSET)
+        except OSError:
+            claim.close()
+            continue
+        _claimed_blocks.append(claim)
+        return base
     raise RuntimeError("every block of ports is in use")
 
 
+def _require_free(port: int) -> None:
+    """Raise `OSError` where somebody listens on `port`."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", port))
+
+
 async def wait_for_listener(address: str) -> None:
     """Wait until `address` accepts connections, or raise `TimeoutError`."""
     host, _, port = address.rpartition(":")
--- a/prove/traffic.py
+++ b/prove/traffic.py
@@ -20,6 +20,11 @@
 RETRY_SECONDS = 0.3
 REQUESTERS_PER_TEAM = 4
 LONG_WORK_MS = 1500
+BURST_PAUSE_SECONDS = 4.0
+BURST_REQUESTS = 250
+BURST_WORK_MS = 300
+PASSING_KEY_PAUSE_SECONDS = 0.5
+PASSING_KEYS = 4
 BIGGEST_BODY_BYTES = 20_000
 OPEN_QUEUE = "landing-tickets"
 OPEN_TEAM = "public"
@@ -68,6 +73,8 @@
                     group.create_task(self._send_requests(team))
                 group.create_task(self._send_jobs(team))
             group.create_task(self._send_strange_requests(teams))
+            group.create_task(self._send_bursts(teams))
+            group.create_task(self._use_passing_keys(group, teams))
 
     async def submit(self, spec: JobSpec, key: TeamKey, *, finite: bool) -> bool:
         """Submit a job until it is accepted or refused for good."""
@@ -159,6 +166,41 @@
                 await self.recorder.request(target, req)
             await asyncio.sleep(0.3)
 
+    async def _send_bursts(self, teams: Sequence[str]) -> None:
+        """Send more requests at once than the backend servers have slots."""
+        while True:
+            await asyncio.sleep(BURST_PAUSE_SECONDS)
+            requests = [
+                self._plain_request(self._key(teams[index % len(teams)]), BURST_WORK_MS)
+                for index in range(BURST_REQUESTS)
+            ]
+            await asyncio.gather(
+                *(
+                    self.recorder.request(self.rng.choice(self.targets), req)
+                    for req in requests
+                )
+            )
+
+    async def _use_passing_keys(
+        self, group: asyncio.TaskGroup, teams: Sequence[str]
+    ) -> None:
+        """Use keys that come and go at every gateway, without waiting for answers."""
+        while True:
+            await asyncio.sleep(PASSING_KEY_PAUSE_SECONDS)
+            # Those of the operators' set-up last.
+            passing = list(self.keys())[len(teams) :][-PASSING_KEYS:]
+            for target in self.targets:
+                if target.gateway and passing:
+                    req = self._plain_request(self.rng.choice(passing), 5)
+                    group.create_task(self._record(target, req))
+
+    async def _record(self, target: Target, req: Request) -> None:
+        await self.recorder.request(target, req)
+
+    def _plain_request(self, key: TeamKey, work_ms: int) -> Request:
+        body = f"{key.team}-{next(self._serial)}".encode()
+        return Request(self.service, key.team, key.secret, body, work_ms=work_ms)
+
     async def _send_jobs(self, team: str) -> None:
         for wave in itertools.count():
             key = self._key(team)
--- /dev/null
+++ b/prove/without.py
@@ -0,0 +1,160 @@
+"""Runs cassiaweir without one of its mechanisms: `python -m prove.without NAME ...`.
+
+A checker is worth something only if it finds the violation that a mechanism
+prevents.  The product has no switch for that: this wrapper replaces the mechanism in
+its own process and hands the rest of the command line to cassiaweir.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from datetime import timedelta
+from typing import Any
+
+import aiohttp
+
+from cassiaweir.api import HttpFront
+from cassiaweir.cmdline import main as cassiaweir
+from cassiaweir.configuration import TableView
+from cassiaweir.configuration._view_content import ViewContent
+from cassiaweir.fleet._hold_back import HoldBack
+from cassiaweir.fleet._lease import ShardLease
+from cassiaweir.requests import Claims, ServiceAnswer, ServiceRequest, _backends
+from cassiaweir.requests._claims import Claim, ClaimRow, ClaimState
+from cassiaweir.requests._slot_book import _Server
+from cassiaweir.teams import ShardAllotments
+from cassiaweir.types import Resources
+
+UNLIMITED = Resources(2**40, 2**40, 2**40)
+FOREVER = timedelta(days=30)
+
+
+def _drop_hold_back() -> None:
+    """Place tasks after a takeover before all workers have answered."""
+    _put(HoldBack, "over", lambda self, drivers, now: True)
+    _put(HoldBack, "settled_at", lambda self: self.taken_at)
+
+
+def _drop_lease_check() -> None:
+    """Act as an owner until told otherwise, however old the lease is."""
+    for name in ("held", "may_start", "may_renew_tasks"):
+        _put(ShardLease, name, lambda self: self.owned)
+
+
+def _drop_team_caps() -> None:
+    """Let each shard run as much of a team as fits."""
+
+    def apply(self: Any, planner: Any, held: Mapping[str, Resources]) -> Sequence[str]:
+        for team in self._view.teams():
+            planner.set_team(team.name, team.share, UNLIMITED)
+        return []
+
+    _put(ShardAllotments, "apply", apply)
+
+
+def _drop_claims() -> None:
+    """Send non-idempotent requests without a claim in the table."""
+
+    async def claim(self: Any, req: ServiceRequest) -> Claim:
+        row = ClaimRow(ClaimState.CLAIMED, "", req.request_id, "", 0)
+        return Claim(f"claim/{req.team}/{req.idempotency_key}", 0, row)
+
+    async def finish(self: Any, claim: Claim, answer: ServiceAnswer) -> bool:
+        return True
+
+    async def release(self: Any, claim: Claim) -> bool:
+        return True
+
+    _put(Claims, "claim", claim)
+    _put(Claims, "finish", finish)
+    _put(Claims, "release", release)
+
+
+def _drop_view_age() -> None:
+    """Admit keys by a view of any age."""
+    init = TableView.__init__
+
+    def start(self: TableView, *args: Any, **options: Any) -> None:
+        init(self, *args, **{**options, "age_limit": FOREVER})
+
+    _put(TableView, "__init__", start)
+
+
+def _drop_strict_reuse() -> None:
+    """Reuse connections whatever came on them, and take any answer."""
+    _put(_backends._StrictConnector, "_get", aiohttp.TCPConnector._get)
+    _put(_backends, "_check", lambda response, req, body: None)
+
+
+def _drop_drain() -> None:
+    """Cut everything off at the signal to stop."""
+
+    async def stop(self: Any) -> None:
+        self._abort()
+
+    _put(HttpFront, "stop", stop)
+
+
+def _drop_slot_grants() -> None:
+    """Grant slots that are in use."""
+    _put(_Server, "free", property(lambda self: self.backend.slots))
+
+
+def _drop_version_order() -> None:
+    """Install whatever version a peer or the table tells of."""
+
+    def behind(self: TableView, bundle_version: int, keys_version: int) -> bool:
+        return bundle_version != self.bundle_version
+
+    def export(self: Any, bundle_version: int, keys_version: int) -> ViewContent:
+        fresh_at = min(self._bundle_fresh_at, self._keys_fresh_at)
+        return ViewContent(
+            self._bundle_version,
+            self._bundle,
+            self._keys_version,
+            self._keys,
+            fresh_at,
+        )
+
+    def install(self: Any, content: ViewContent) -> None:
+        if content.bundle is not None:
+            self._install_bundle(content.bundle_version, content.bundle)
+        if content.keys is not None:
+            self._install_keys(content.keys_version, content.keys)
+        self._bundle_fresh_at = max(self._bundle_fresh_at, content.fresh_at)
+        self._keys_fresh_at = max(self._keys_fresh_at, content.fresh_at)
+
+    _put(TableView, "behind", behind)
+    _put(TableView, "export", export)
+    _put(TableView, "install", install)
+
+
+def _put(owner: object, name: str, value: object) -> None:
+    setattr(owner, name, value)
+
+
+MECHANISMS: dict[str, Callable[[], None]] = {
+    "hold-back": _drop_hold_back,
+    "lease-check": _drop_lease_check,
+    "team-caps": _drop_team_caps,
+    "claims": _drop_claims,
+    "view-age": _drop_view_age,
+    "strict-reuse": _drop_strict_reuse,
+    "drain": _drop_drain,
+    "slot-grants": _drop_slot_grants,
+    "version-order": _drop_version_order,
+}
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Drop the mechanism that the first argument names and run cassiaweir."""
+    name, program, *rest = arguments
+    if program != "cassiaweir" or name not in MECHANISMS:
+        raise SystemExit(f"expected one of {', '.join(MECHANISMS)} and cassiaweir")
+    MECHANISMS[name]()
+    cassiaweir(args=rest, prog_name="cassiaweir")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
