Forward the idempotency key to backend servers, and count every gateway at a takeover

Cause: a new owner of backend servers asked the other processes for the slots they hold, but not the gateway in its own process, and believed an empty list before the member rows were read. Backend servers never saw an idempotency key, so a double run could not be noticed there.

--- a/cassiaweir/api/_requests.py
+++ b/cassiaweir/api/_requests.py
@@ -19,6 +19,8 @@
 FLAGS = {"true": True, "false": False}
 REQUEST_ID_BYTES = 12
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
+FORWARDED_HEADERS = ("accept", "accept-language", "traceparent")
+FORWARDED_PREFIX = "x-"
 
 
 class RequestApi:
@@ -60,6 +62,7 @@
             idempotent=idempotent,
             idempotency_key=_idempotency_key(request, required=not idempotent),
             content_type=request.headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
+            headers=_forwarded(request),
         )
 
     def _time_left(self, request: Request) -> float:
@@ -73,6 +76,16 @@
         return min(longest, int(value) / 1000)
 
 
+def _forwarded(request: Request) -> dict[str, str]:
+    """Return the caller's headers that the backend server gets as they are."""
+    return {
+        name: value
+        for name, value in request.headers.items()
+        if name.lower() in FORWARDED_HEADERS
+        or name.lower().startswith(FORWARDED_PREFIX)
+    }
+
+
 def _flag(request: Request, name: str) -> bool:
     value = request.headers.get(name, "false")
     if value not in FLAGS:
--- a/cassiaweir/composition/_foundation.py
+++ b/cassiaweir/composition/_foundation.py
@@ -117,11 +117,13 @@
         ]
         return "\n".join(lines) + "\n"
 
-    def gateways(self) -> list[str]:
-        """Return the process ids of the other processes that are gateways."""
+    def gateways(self) -> list[str] | None:
+        """Return the process ids of all gateways, or None before the rows were read."""
+        if not self.rows.scanned:
+            return None
         return [
             member.process
-            for member in self.rows.members()
+            for member in (self.member, *self.rows.members())
             if Role.GATEWAY in member.role.parts
         ]
 
--- a/cassiaweir/composition/_gateway.py
+++ b/cassiaweir/composition/_gateway.py
@@ -14,6 +14,9 @@
 from cassiaweir.teams import KeyRegistry, KeyUseWriter
 from cassiaweir.work import SchedulerClient, Submission
 
+UNKNOWN_GATEWAYS = 16
+"""How many gateways are assumed to share connections before the rows were read."""
+
 WORKER_SIZES_POLL = timedelta(seconds=10)
 
 
@@ -28,7 +31,7 @@
         events=base.events,
     )
     backends = BackendCaller(
-        gateways=lambda: 1 + len(base.gateways()),
+        gateways=lambda: len(base.gateways() or ()) or UNKNOWN_GATEWAYS,
         clock=base.clock,
         vm=settings.vm_name,
     )
@@ -81,4 +84,4 @@
         base.clock,
         take_uses=base.view.take_uses,
     )
-    return [sizes, jobs, backends, slots, key_uses, front]
+    return [sizes, jobs, backends, slots, router, key_uses, front]
--- a/cassiaweir/membership/_rows.py
+++ b/cassiaweir/membership/_rows.py
@@ -31,8 +31,9 @@
 class MemberRows:
     """Writes this process's row, reads the others', and removes stale ones.
 
-    `heard_within` tells whether a process was heard of within a duration.  A row is
-    stale when neither it nor its process has given a sign for `STALE_AFTER`.
+    `heard_within` tells whether a process was heard of within a duration.  `scanned`
+    tells whether the rows were ever read.  A row is stale when neither it nor its
+    process has given a sign for `STALE_AFTER`.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         self._heard_within = heard_within
         self._watched: dict[str, _Watched] = {}
         self._members: dict[str, Member] = {}
+        self.scanned = False
         self._refresh_at = clock.monotonic()
         self._task: asyncio.Task[None] | None = None
 
@@ -79,6 +81,7 @@
             await self._refresh()
             rows = await self._table.scan(MEMBERS)
             self._members = dict(self._decode(rows))
+            self.scanned = True
             for row in rows:
                 await self._remove_if_stale(row)
         except UnavailableError as exc:
--- a/cassiaweir/requests/_backends.py
+++ b/cassiaweir/requests/_backends.py
@@ -13,8 +13,10 @@
 from cassiaweir.platform.wire import CALLER_HEADER
 from cassiaweir.requests._models import (
     DEADLINE_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
+    TEAM_HEADER,
     ServiceAnswer,
     ServiceRequest,
 )
@@ -110,16 +112,10 @@
         left: float,
         sending: Callable[..., Any],
     ) -> ServiceAnswer:
-        headers = {
-            REQUEST_ID_HEADER: req.request_id,
-            DEADLINE_HEADER: str(int(left * 1000)),
-            "Content-Type": req.content_type,
-            CALLER_HEADER: self._vm,
-        }
         async with self._session(address).post(
             f"http://{address}/{req.service}",
             data=req.body,
-            headers=headers,
+            headers={**_headers(req, left), CALLER_HEADER: self._vm},
             allow_redirects=False,
             trace_request_ctx=sending,
         ) as response:
@@ -160,6 +156,20 @@
         )
 
 
+def _headers(req: ServiceRequest, left: float) -> dict[str, str]:
+    """Return the caller's headers and ours; a team's keys are told from others'."""
+    headers = {
+        **req.headers,
+        REQUEST_ID_HEADER: req.request_id,
+        DEADLINE_HEADER: str(int(left * 1000)),
+        TEAM_HEADER: req.team,
+        "Content-Type": req.content_type,
+    }
+    if req.idempotency_key:
+        headers[IDEMPOTENCY_KEY_HEADER] = f"{req.team}/{req.idempotency_key}"
+    return headers
+
+
 async def _on_headers_sent(_: Any, context: Any, __: Any) -> None:
     await context.trace_request_ctx()
 
--- a/cassiaweir/requests/_models.py
+++ b/cassiaweir/requests/_models.py
@@ -12,6 +12,8 @@
 REQUEST_ID_HEADER = "Cassiaweir-Request-Id"
 NOT_RUN_HEADER = "Cassiaweir-Not-Run"
 DEADLINE_HEADER = "Cassiaweir-Deadline-Ms"
+TEAM_HEADER = "Cassiaweir-Team"
+IDEMPOTENCY_KEY_HEADER = "Cassiaweir-Idempotency-Key"
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,7 +21,8 @@
     """A caller's request, checked and bound to a team.
 
     `deadline` is in seconds of the gateway's monotonic clock.  `idempotency_key` is
-    set for every request that is not idempotent.
+    set for every request that is not idempotent.  `headers` are the caller's own for
+    the backend server.
     """
 
     request_id: str
@@ -31,6 +34,7 @@
     idempotent: bool = False
     idempotency_key: str = ""
     content_type: str = "application/octet-stream"
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_api_requests.py
+++ b/tests/test_api_requests.py
@@ -100,6 +100,21 @@
     assert server.bodies == []
 
 
+async def test_a_backend_server_gets_the_callers_headers_but_never_the_key():
+    seen = {}
+
+    async def note(request: web.Request) -> web.Response:
+        seen.update({name.lower(): value for name, value in request.headers.items()})
+        return web.Response(body=b"whole")
+
+    async with serving(BackendServer(note)) as front:
+        await post(front, ONCE | {"X-Tank": "7", "Cookie": "a=b"})
+    assert seen["x-tank"] == "7"
+    assert seen["cassiaweir-team"] == "customs"
+    assert seen["cassiaweir-idempotency-key"] == "customs/k1"
+    assert not {"authorization", "cookie"} & seen.keys()
+
+
 async def test_an_open_queue_needs_no_key():
     async with serving(BackendServer()) as front:
         headers = {"Cassiaweir-Queue": "spot", "Cassiaweir-Idempotent": "true"}
