Read listings of the table in pages

Cause: the listing of jobs read its whole prefix for each page, and the listings of keys, audit rows and bundle versions asked for all rows in one answer.

`Table.scan` takes `after` and `limit`; calls without them mean what they meant. The wire request leaves both out where they have their defaults, so that a table that does not know them still serves a plain scan. `Submission.list` asks for one row more than the page. The other listings still return everything and read it in pages.

--- a/cassiaweir/configuration/_audit.py
+++ b/cassiaweir/configuration/_audit.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cassiaweir.exceptions import ConflictError, UnavailableError
+from cassiaweir.platform import scan_in_pages
 from cassiaweir.types import Check, Clock, Table, Write
 from cassiaweir.verdict import Verdict
 
@@ -78,7 +79,7 @@
 
     async def entries(self, area: str = "") -> list[AuditEntry]:
         """Return the audit rows of `area`, or all of them, by area and version."""
-        rows = await self.table.scan(f"{AUDIT_PREFIX}{area}")
+        rows = await scan_in_pages(self.table, f"{AUDIT_PREFIX}{area}")
         return [msgspec.json.decode(row.value, type=AuditEntry) for row in rows]
 
     async def _settle(
--- a/cassiaweir/configuration/_repository.py
+++ b/cassiaweir/configuration/_repository.py
@@ -24,9 +24,11 @@
     version_key,
 )
 from cassiaweir.exceptions import ConflictError, InvalidInputError, NotFoundError
+from cassiaweir.platform import scan_in_pages
 from cassiaweir.types import Check, Row, Write
 
 AUDIT_AREA = "bundle"
+VERSIONS_PER_PAGE = 16
 HEAD_ACTIONS = ("roll_out", "revert")
 REVIEWABLE = (BundleState.PROPOSED, BundleState.APPROVED)
 
@@ -61,7 +63,7 @@
 
     async def history(self) -> list[BundleVersion]:
         """Return all versions in rising order."""
-        rows = await self._table.scan(BUNDLE_VERSIONS)
+        rows = await scan_in_pages(self._table, BUNDLE_VERSIONS, page=VERSIONS_PER_PAGE)
         return [msgspec.json.decode(row.value, type=BundleVersion) for row in rows]
 
     async def draft(self, author: Operator, bundle: Bundle) -> BundleVersion:
--- a/cassiaweir/platform/__init__.py
+++ b/cassiaweir/platform/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the platform's services, behind the Protocols of `cassiaweir.types`."""
 
 from cassiaweir.platform._group_commit import GroupCommit
+from cassiaweir.platform._pages import scan_in_pages
 from cassiaweir.platform._services import HttpObjectStore, HttpVmList, HttpWorkers
 from cassiaweir.platform._session import PlatformSession
 from cassiaweir.platform._shared_list import SharedVmList, WorkerSizes
@@ -15,4 +16,5 @@
     "PlatformSession",
     "SharedVmList",
     "WorkerSizes",
+    "scan_in_pages",
 ]
--- a/cassiaweir/platform/_table.py
+++ b/cassiaweir/platform/_table.py
@@ -78,9 +78,12 @@
         rows = await self._fetch("/v1/read", ReadRequest(list(keys)))
         return {found.row.key: found.row for found in rows}
 
-    async def scan(self, prefix: str) -> list[Row]:
-        """Return all rows whose key starts with `prefix`, ordered by key."""
-        rows = await self._fetch("/v1/scan", ScanRequest(prefix))
+    async def scan(self, prefix: str, *, after: str = "", limit: int = 0) -> list[Row]:
+        """Return rows whose key starts with `prefix` and follows `after`, by key.
+
+        At most `limit` rows are returned, all of them where it is 0.
+        """
+        rows = await self._fetch("/v1/scan", ScanRequest(prefix, after, limit))
         return [found.row for found in rows]
 
     async def commit(
--- a/cassiaweir/platform/wire.py
+++ b/cassiaweir/platform/wire.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 
@@ -39,10 +40,15 @@
     keys: list[str]
 
 
-class ScanRequest(msgspec.Struct, frozen=True):
-    """Asks for all rows under a prefix."""
+class ScanRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Asks for the rows under a prefix whose keys follow `after`.
+
+    A `limit` of 0 asks for all of them.
+    """
 
     prefix: str
+    after: str = ""
+    limit: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class RowsAnswer(msgspec.Struct, frozen=True):
--- a/cassiaweir/teams/_keys.py
+++ b/cassiaweir/teams/_keys.py
@@ -30,6 +30,7 @@
     NotFoundError,
     UnavailableError,
 )
+from cassiaweir.platform import scan_in_pages
 from cassiaweir.types import Check, Clock, Row, Write
 
 KEY_BYTES = 32
@@ -37,6 +38,7 @@
 USES_INTERVAL = timedelta(minutes=1)
 SHORTEST_PREFIX = 8
 MOST_RACES = 16
+MOST_KEYS_NAMED = 2
 AUDIT_AREA = "keys"
 
 
@@ -114,9 +116,10 @@
         """Return the keys of `team`, or all, by digest."""
         uses = {
             row.key.removeprefix(KEY_USES): msgspec.json.decode(row.value, type=KeyUse)
-            for row in await self._table.scan(KEY_USES)
+            for row in await scan_in_pages(self._table, KEY_USES)
         }
-        listed = [_listed(row, uses) for row in await self._table.scan(KEYS)]
+        rows = await scan_in_pages(self._table, KEYS)
+        listed = [_listed(row, uses) for row in rows]
         return [key for key in listed if team in ("", key.team)]
 
     async def note_uses(self, uses: Mapping[str, datetime]) -> None:
@@ -139,11 +142,11 @@
             raise InvalidInputError(
                 f"key {prefix}: give at least {SHORTEST_PREFIX} digits of the digest"
             )
-        rows = await self._table.scan(KEYS + prefix)
+        rows = await self._table.scan(KEYS + prefix, limit=MOST_KEYS_NAMED)
         if not rows:
             raise NotFoundError(f"key {prefix}: no key has this digest")
         if len(rows) > 1:
-            raise InvalidInputError(f"key {prefix}: {len(rows)} keys start like this")
+            raise InvalidInputError(f"key {prefix}: several keys start like this")
         return rows[0]
 
     async def _change(
--- a/cassiaweir/types.py
+++ b/cassiaweir/types.py
@@ -110,8 +110,12 @@
     async def read(self, keys: Sequence[str]) -> dict[str, Row]:
         """Return the rows that exist among `keys`, from one snapshot."""
 
-    async def scan(self, prefix: str) -> list[Row]:
-        """Return all rows whose key starts with `prefix`, ordered by key."""
+    async def scan(self, prefix: str, *, after: str = "", limit: int = 0) -> list[Row]:
+        """Return rows whose key starts with `prefix`, ordered by key.
+
+        Only keys that follow `after` are returned, and at most `limit` rows, all of
+        them where it is 0.
+        """
 
     async def commit(
         self, checks: Sequence[Check], writes: Sequence[Write]
--- a/cassiaweir/work/_submission.py
+++ b/cassiaweir/work/_submission.py
@@ -175,12 +175,13 @@
     async def list(self, prefix: str, *, after: str = "", limit: int = 100) -> JobPage:
         """Return jobs whose names start with `prefix` and follow `after`."""
         try:
-            rows = await self._table.scan(job_key(prefix))
+            rows = await self._table.scan(
+                job_key(prefix), after=job_key(after), limit=limit + 1
+            )
         except UnavailableError as exc:
             raise _refused(exc) from exc
-        following = [row for row in rows if row.key > job_key(after)]
-        jobs = [decode_job(row) for row in following[:limit]]
-        more = len(following) > limit
+        jobs = [decode_job(row) for row in rows[:limit]]
+        more = len(rows) > limit
         return JobPage(jobs, jobs[-1].job if more and jobs else "")
 
     def _divide(self, spec: JobSpec, rooms: Sequence[ShardRoom]) -> Sequence[Share]:
--- a/standins/_table.py
+++ b/standins/_table.py
@@ -55,7 +55,8 @@
 
     async def _scan(self, req: web.Request) -> web.Response:
         body = await read_body(req, ScanRequest)
-        return answer(RowsAnswer(await self.table.scan(body.prefix)))
+        rows = await self.table.scan(body.prefix, after=body.after, limit=body.limit)
+        return answer(RowsAnswer(rows))
 
     async def _commit(self, req: web.Request) -> web.Response:
         body = await read_body(req, CommitRequest)
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -45,11 +45,12 @@
         self.reads += 1
         return {key: self._rows[key] for key in keys if key in self._rows}
 
-    async def scan(self, prefix: str) -> list[Row]:
-        """Return all rows whose key starts with `prefix`, ordered by key."""
+    async def scan(self, prefix: str, *, after: str = "", limit: int = 0) -> list[Row]:
+        """Return rows whose key starts with `prefix` and follows `after`, by key."""
         self._require_up()
         self.reads += 1
-        return [self._rows[key] for key in sorted(self._rows) if key.startswith(prefix)]
+        found = [key for key in self._rows if key.startswith(prefix) and key > after]
+        return [self._rows[key] for key in sorted(found)[: limit or None]]
 
     async def commit(
         self, checks: Sequence[Check], writes: Sequence[Write]
--- a/tests/test_platform_session.py
+++ b/tests/test_platform_session.py
@@ -13,6 +13,7 @@
     HttpVmList,
     HttpWorkers,
     PlatformSession,
+    scan_in_pages,
 )
 from cassiaweir.types import (
     Check,
@@ -64,6 +65,22 @@
             await table.commit([Check("job/a", 0)], [Write("job/a", b"2")])
 
 
+async def test_a_scan_is_read_in_pages():
+    async with served(TableService()) as (session, address):
+        table = HttpTable(session, address, SystemClock())
+        keys = [f"job/{number}" for number in range(5)]
+        writes = [Write(key, key.encode()) for key in (*keys, "jobs")]
+        await table.commit([], writes)
+        page = await table.scan("job/", after="job/0", limit=2)
+        assert [row.key for row in page] == keys[1:3]
+        assert page[0].value == b"job/1"
+        assert [row.key for row in await table.scan("job/", after="job/3")] == keys[4:]
+        assert await table.scan("job/", after="job/4", limit=2) == []
+        for size in (1, 2, 5, 6):
+            rows = await scan_in_pages(table, "job/", page=size)
+            assert [row.key for row in rows] == keys
+
+
 async def test_a_table_that_refuses_says_not_run():
     service = TableService()
     service.faults.down = True
