Remove old jobs, claims and bundle versions from the table

Cause: these rows grew for ever. A component of the scheduler pages through them and deletes, by the version that it judged, what nobody needs any more.

--- a/cassiaweir/composition/_scheduler.py
+++ b/cassiaweir/composition/_scheduler.py
@@ -21,6 +21,7 @@
 from cassiaweir.platform import HttpWorkers
 from cassiaweir.process import Component
 from cassiaweir.requests import SlotBroker, SlotService
+from cassiaweir.retention import Retention, RetentionTerms
 from cassiaweir.rpc._server import Registration
 from cassiaweir.teams import ShardAllotments
 from cassiaweir.types import ShardOwner
@@ -72,7 +73,29 @@
         metrics=base.metrics,
     )
     return SchedulerParts(
-        [slots.register, SchedulerService(keeper).register], [slots, keeper]
+        [slots.register, SchedulerService(keeper).register],
+        [slots, keeper, _build_retention(base, keeper)],
+    )
+
+
+def _build_retention(base: Foundation, keeper: ShardKeeper) -> Retention:
+    """Wire the removal of old rows."""
+    cfg = base.settings
+    terms = RetentionTerms(
+        jobs=cfg.retention_jobs,
+        claims=cfg.retention_claims,
+        watch=cfg.retention_watch,
+        bundles=cfg.retention_bundles,
+        rows_per_second=cfg.retention_rows_per_second,
+    )
+    return Retention(
+        base.table,
+        keeper,
+        base.shard_names(),
+        terms,
+        clock=base.clock,
+        events=base.events,
+        metrics=base.metrics,
     )
 
 
--- a/cassiaweir/configuration/__init__.py
+++ b/cassiaweir/configuration/__init__.py
@@ -18,16 +18,25 @@
 )
 from cassiaweir.configuration._repository import BundleRepository
 from cassiaweir.configuration._rows import (
+    BUNDLE_HEAD,
+    BUNDLE_LAST,
+    BUNDLE_VERSIONS,
     BundleHead,
     BundleState,
     BundleVersion,
     KeyRow,
     Review,
+    decode_counter,
+    decode_head,
+    version_key,
 )
 from cassiaweir.configuration._view import TableView
 from cassiaweir.configuration._view_content import KnownKey, ViewContent
 
 __all__ = [
+    "BUNDLE_HEAD",
+    "BUNDLE_LAST",
+    "BUNDLE_VERSIONS",
     "AuditEntry",
     "AuditedTable",
     "Bundle",
@@ -47,7 +56,10 @@
     "TableView",
     "TeamEntry",
     "ViewContent",
+    "decode_counter",
+    "decode_head",
     "parse_bundle",
     "read_bundle",
     "secret_digest",
+    "version_key",
 ]
--- a/cassiaweir/fleet/__init__.py
+++ b/cassiaweir/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Shards of VMs, their owners, and the workers that they drive."""
 
+from cassiaweir.fleet._background import Background
 from cassiaweir.fleet._driver_types import DriverTerms
 from cassiaweir.fleet._lease import LeaseTerms, Predecessor, ShardLease, ShardRow
 from cassiaweir.fleet._ownership import Peers, ShardKeeper
@@ -8,11 +9,18 @@
 from cassiaweir.fleet._runner import ShardRunner
 from cassiaweir.fleet._runner_types import Allotments, PartStatus, RunnerTerms
 from cassiaweir.fleet._service import SchedulerService
-from cassiaweir.fleet._shards import shard_domain, shard_name, shard_names, shard_of
+from cassiaweir.fleet._shards import (
+    rendezvous_rank,
+    shard_domain,
+    shard_name,
+    shard_names,
+    shard_of,
+)
 from cassiaweir.fleet._worker_driver import WorkerDriver
 
 __all__ = [
     "Allotments",
+    "Background",
     "Committer",
     "DriverTerms",
     "Health",
@@ -27,6 +35,7 @@
     "ShardRow",
     "ShardRunner",
     "WorkerDriver",
+    "rendezvous_rank",
     "shard_domain",
     "shard_name",
     "shard_names",
--- a/cassiaweir/requests/__init__.py
+++ b/cassiaweir/requests/__init__.py
@@ -2,7 +2,7 @@
 
 from cassiaweir.requests._backends import BackendCaller
 from cassiaweir.requests._broker import SlotBroker
-from cassiaweir.requests._claims import Claims, Committer
+from cassiaweir.requests._claims import ClaimRow, Claims, ClaimState, Committer
 from cassiaweir.requests._models import ServiceAnswer, ServiceRequest
 from cassiaweir.requests._router import Router
 from cassiaweir.requests._slot_client import SlotClient
@@ -10,6 +10,8 @@
 
 __all__ = [
     "BackendCaller",
+    "ClaimRow",
+    "ClaimState",
     "Claims",
     "Committer",
     "Router",
--- a/cassiaweir/requests/_claims.py
+++ b/cassiaweir/requests/_claims.py
@@ -49,6 +49,8 @@
 
     `digest` covers service and body.  `deadline_ms` is the time that the request had
     left when it was claimed.  `body` is absent where `stored_object` names it.
+    `ended_at` is in seconds since 1970 by the clock of the gateway that finished or
+    released the request; it only tells when the row may be removed.
     """
 
     state: ClaimState
@@ -60,6 +62,7 @@
     headers: dict[str, str] = {}
     body: bytes = b""
     stored_object: str = ""
+    ended_at: float = 0
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -139,6 +142,7 @@
                 headers=dict(answer.headers),
                 body=body,
                 stored_object=stored_object,
+                ended_at=self._clock.now().timestamp(),
             )
             await self._write(claim, row)
         except CassiaweirError as exc:
@@ -148,7 +152,11 @@
 
     async def release(self, claim: Claim) -> bool:
         """Note that the request certainly did not run; return False if unwritten."""
-        row = msgspec.structs.replace(claim.row, state=ClaimState.RELEASED)
+        row = msgspec.structs.replace(
+            claim.row,
+            state=ClaimState.RELEASED,
+            ended_at=self._clock.now().timestamp(),
+        )
         try:
             await self._write(claim, row)
         except CassiaweirError as exc:
--- /dev/null
+++ b/cassiaweir/retention/__init__.py
@@ -0,0 +1,17 @@
+"""Removes rows of the table that nobody needs any more."""
+
+from cassiaweir.retention._bundles import BundleRule
+from cassiaweir.retention._claims import ClaimRule
+from cassiaweir.retention._division import Division
+from cassiaweir.retention._jobs import JobRule
+from cassiaweir.retention._retention import Retention
+from cassiaweir.retention._terms import RetentionTerms
+
+__all__ = [
+    "BundleRule",
+    "ClaimRule",
+    "Division",
+    "JobRule",
+    "Retention",
+    "RetentionTerms",
+]
--- a/cassiaweir/settings.py
+++ b/cassiaweir/settings.py
@@ -22,8 +22,9 @@
     "s": timedelta(seconds=1),
     "m": timedelta(minutes=1),
     "h": timedelta(hours=1),
+    "d": timedelta(days=1),
 }
-DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h|d)")
 ADDRESS_PATTERN = re.compile(r"[0-9.]+:\d{1,5}|\[[0-9a-fA-F:]+\]:\d{1,5}")
 DIGEST_PATTERN = re.compile(r"(?:[0-9a-f]{64})?")
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
@@ -32,7 +33,7 @@
 
 
 def parse_duration(value: object) -> timedelta:
-    """Return the duration in text such as `1500ms`, `3s`, `5m` or `1h`."""
+    """Return the duration in text such as `1500ms`, `3s`, `5m`, `1h` or `7d`."""
     match = DURATION_PATTERN.fullmatch(value) if isinstance(value, str) else None
     if match is None:
         raise ValueError("expected a duration such as '1500ms', '3s' or '5m'")
@@ -155,6 +156,11 @@
     Option("cell.view_age_limit", parse_duration, "3s", "oldest view for keyed work"),
     Option("cell.heartbeat", parse_duration, "500ms", "between heartbeats of peers"),
     Option("cell.first_operator_digest", parse_digest, "", "first operator's digest"),
+    Option("retention.jobs", parse_duration, "7d", "finished jobs are kept"),
+    Option("retention.claims", parse_duration, "3d", "settled claims are kept"),
+    Option("retention.watch", parse_duration, "1h", "unchanged before a removal"),
+    Option("retention.bundles", parse_count, 100, "newest bundle versions kept"),
+    Option("retention.rows_per_second", parse_count, 10, "pace of a scheduler"),
     Option("log.level", parse_name, "info", "debug, info, warning or error"),
 )
 
@@ -197,6 +203,11 @@
     cell_view_age_limit: timedelta
     cell_heartbeat: timedelta
     cell_first_operator_digest: str
+    retention_jobs: timedelta
+    retention_claims: timedelta
+    retention_watch: timedelta
+    retention_bundles: int
+    retention_rows_per_second: int
     log_level: str
 
     def __init__(self) -> None:
@@ -285,6 +296,9 @@
         self._check_less("scheduler.shard_renewal", "scheduler.shard_lease")
         self._check_less("scheduler.task_renewal", "scheduler.task_lease")
         self._check_less("platform.poll", "cell.view_age_limit")
+        self._check_less("gateway.request_timeout", "retention.watch")
+        self._check_less("retention.watch", "retention.jobs")
+        self._check_less("retention.watch", "retention.claims")
         if self.vm_failure_domain not in self.cell_failure_domains:
             raise SettingsError(
                 f"vm.failure_domain: {self.vm_failure_domain} is not in "
--- a/cassiaweir/work/_models.py
+++ b/cassiaweir/work/_models.py
@@ -53,7 +53,10 @@
 
 
 class JobRow(msgspec.Struct, frozen=True):
-    """The row `job/<job>`; `submitted_at` is in seconds since 1970, for display."""
+    """The row `job/<job>`; times are in seconds since 1970 by the clock of some VM.
+
+    `finished_at` is set some time after the last part ended, and 0 before.
+    """
 
     job: str
     team: str
@@ -61,6 +64,7 @@
     submitted_at: float
     shards: list[str]
     cancelled: bool = False
+    finished_at: float = 0
 
 
 class PartRow(msgspec.Struct, frozen=True):
