--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -53,6 +53,8 @@
         ("[gateway]\nmax_body_bytes = -1\n", "gateway.max_body_bytes: expected"),
         ('[scheduler]\nshard_lease = "1s"\n', "must be shorter than"),
         ("[scheduler\n", "is not TOML"),
+        ('[retention]\nclaims = "30m"\n', "retention.watch: must be shorter than"),
+        ('[retention]\nwatch = "5s"\n', "gateway.request_timeout: must be shorter"),
         ('[log]\nlevel = "loud"\n', "log.level: loud"),
     ],
 )
@@ -61,6 +63,12 @@
         load(tmp_path, extra)
 
 
+def test_a_duration_may_be_given_in_days(tmp_path):
+    settings = load(tmp_path, '[retention]\njobs = "14d"\n')
+    assert settings.retention_jobs == timedelta(days=14)
+    assert settings.retention_watch < settings.retention_claims == timedelta(days=3)
+
+
 def test_an_unknown_variable_is_refused(tmp_path):
     with pytest.raises(SettingsError, match="CASSIAWEIR_NO_SUCH"):
         load(tmp_path, environment={"CASSIAWEIR_NO_SUCH": "1"})
