--- a/cassiaweir/administration/_jobs.py
+++ b/cassiaweir/administration/_jobs.py
@@ -113,7 +113,10 @@
 
     async def open_rows(self, team: str) -> list[JobStatus]:
         """Return the unfinished jobs of `team` with their live state."""
-        names = [row.job async for row in self._rows("") if row.team == team]
+        rows = self._rows("")
+        names = [
+            row.job async for row in rows if row.team == team and not row.finished_at
+        ]
         limit = asyncio.Semaphore(CANCELS_AT_ONCE)
 
         async def look(name: str) -> JobStatus:
