Remove the last uses of withdrawn keys

Cause: `key_use/` rows stayed after their keys were withdrawn. They go with the period of finished jobs; the rows of the keys themselves stay. Rows of allotments of teams that left the bundle are not removed: owners hold amounts there, and the bundle version in them keeps an older view from raising a limit again.

--- a/cassiaweir/retention/__init__.py
+++ b/cassiaweir/retention/__init__.py
@@ -4,6 +4,7 @@
 from cassiaweir.retention._claims import ClaimRule
 from cassiaweir.retention._division import Division
 from cassiaweir.retention._jobs import JobRule
+from cassiaweir.retention._key_uses import KeyUseRule
 from cassiaweir.retention._retention import Retention
 from cassiaweir.retention._terms import RetentionTerms
 
@@ -12,6 +13,7 @@
     "ClaimRule",
     "Division",
     "JobRule",
+    "KeyUseRule",
     "Retention",
     "RetentionTerms",
 ]
--- a/cassiaweir/retention/_claims.py
+++ b/cassiaweir/retention/_claims.py
@@ -93,15 +93,8 @@
         self._show_doubtful()
 
     async def _report_doubtful(self, most: int) -> None:
-        due = self._open.due(most)
-        if not due:
-            return
-        found = await self._table.read(list(due))
-        for key, version in due.items():
-            self._open.forget(key)
-            row = found.get(key)
-            if row is not None and row.version == version:
-                self._report(row)
+        async for row in self._open.due_rows(self._table, most):
+            self._report(row)
         self._show_doubtful()
 
     def _report(self, row: Row) -> None:
@@ -121,12 +114,5 @@
         self._metrics.set("claims_in_doubt", len(self._in_doubt))
 
     async def _remove_due(self, most: int) -> None:
-        due = self._watch.due(most)
-        if not due:
-            return
-        found = await self._table.read(list(due))
-        for key, version in due.items():
-            row = found.get(key)
-            if row is not None and row.version == version:
-                await remove_unchanged(self._table, [row], [], self._metrics, kind=KIND)
-            self._watch.forget(key)
+        async for row in self._watch.due_rows(self._table, most):
+            await remove_unchanged(self._table, [row], [], self._metrics, kind=KIND)
--- a/cassiaweir/retention/_jobs.py
+++ b/cassiaweir/retention/_jobs.py
@@ -98,15 +98,8 @@
             self._metrics.count("retention_races", kind=KIND)
 
     async def _remove_due(self, most: int) -> None:
-        due = self._watch.due(most)
-        if not due:
-            return
-        found = await self._table.read(list(due))
-        for key, version in due.items():
-            row = found.get(key)
-            if row is not None and row.version == version:
-                await self._remove(row)
-            self._watch.forget(key)
+        async for row in self._watch.due_rows(self._table, most):
+            await self._remove(row)
 
     async def _remove(self, row: Row) -> None:
         """Remove a job and its outcomes, but none with a part that is open."""
--- a/cassiaweir/retention/_retention.py
+++ b/cassiaweir/retention/_retention.py
@@ -13,13 +13,14 @@
 from cassiaweir.retention._claims import ClaimRule
 from cassiaweir.retention._division import Division
 from cassiaweir.retention._jobs import JobRule
+from cassiaweir.retention._key_uses import KeyUseRule
 from cassiaweir.retention._terms import RetentionTerms
 from cassiaweir.retention._watch import WallClockGuard
 from cassiaweir.types import Clock, OwnedShards, Table
 
 ROWS_PER_TURN = 20
 REMOVALS_PER_TURN = 4
-BUNDLES_INTERVAL = timedelta(minutes=1)
+SLOW_INTERVAL = timedelta(minutes=1)
 
 
 class Rule(Protocol):
@@ -55,7 +56,7 @@
         metrics: Metrics,
     ) -> None:
         self._division = Division(shards, owned)
-        self._rules: list[Rule] = [
+        jobs, claims, key_uses = (
             rule(
                 table,
                 self._division,
@@ -64,8 +65,10 @@
                 events=events,
                 metrics=metrics,
             )
-            for rule in (JobRule, ClaimRule)
-        ]
+            for rule in (JobRule, ClaimRule, KeyUseRule)
+        )
+        self._rules: list[Rule] = [jobs, claims]
+        self._slow_rules: list[Rule] = [key_uses]
         self._bundles = BundleRule(
             table, self._division, terms, events=events, metrics=metrics
         )
@@ -77,7 +80,7 @@
 
     async def start(self) -> None:
         """Begin to clean."""
-        self._background.start(self._run_rows, self._run_bundles)
+        self._background.start(self._run, self._run_slowly)
 
     async def stop(self) -> None:
         """Stop at once; what is half done is harmless."""
@@ -87,7 +90,7 @@
         """Take one turn of `rule`; an outage ends the turn."""
         if self._guard.stepped():
             self._events.record("wall_clock_stepped")
-            for each in self._rules:
+            for each in (*self._rules, *self._slow_rules):
                 each.clock_stepped()
         if not self._division.refresh():
             return
@@ -105,13 +108,16 @@
         except UnavailableError:
             return
 
-    async def _run_rows(self) -> None:
+    async def _run(self) -> None:
         while True:
             for rule in self._rules:
                 await self._clock.sleep(self._pause)
                 await self.clean_rows(rule)
 
-    async def _run_bundles(self) -> None:
+    async def _run_slowly(self) -> None:
+        """Clean the rows of which there are few."""
         while True:
-            await self._clock.sleep(BUNDLES_INTERVAL)
+            await self._clock.sleep(SLOW_INTERVAL)
             await self.clean_bundles()
+            for rule in self._slow_rules:
+                await self.clean_rows(rule)
--- a/cassiaweir/retention/_watch.py
+++ b/cassiaweir/retention/_watch.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from datetime import timedelta
 
-from cassiaweir.types import Clock, Row
+from cassiaweir.types import Clock, Row, Table
 
 MOST_WATCHED = 10_000
 FURTHEST_FUTURE = timedelta(days=1)
@@ -42,8 +43,21 @@
         due_at = self._clock.monotonic() + period.total_seconds()
         self._seen[row.key] = _Sighting(row.version, due_at)
 
-    def due(self, most: int) -> dict[str, int]:
-        """Return key and version of at most `most` rows whose period has passed."""
+    async def due_rows(self, table: Table, most: int) -> AsyncIterator[Row]:
+        """Yield the rows of at most `most` watches that passed without a change.
+
+        A row is forgotten once the caller is done with it, and kept for the next time
+        where the caller fails.  Raises `UnavailableError`.
+        """
+        due = self._due(most)
+        found = await table.read(list(due)) if due else {}
+        for key, version in due.items():
+            row = found.get(key)
+            if row is not None and row.version == version:
+                yield row
+            self._seen.pop(key, None)
+
+    def _due(self, most: int) -> dict[str, int]:
         now = self._clock.monotonic()
         found: dict[str, int] = {}
         for key, sighting in self._seen.items():
@@ -53,10 +67,6 @@
                 found[key] = sighting.version
         return found
 
-    def forget(self, key: str) -> None:
-        """Watch `key` no longer."""
-        self._seen.pop(key, None)
-
     def clear(self) -> None:
         """Begin anew."""
         self._seen.clear()
--- a/tests/retention_helpers.py
+++ b/tests/retention_helpers.py
@@ -93,7 +93,8 @@
 
     async def turn(self):
         """Take one turn of everything."""
-        for rule in self.retention._rules:
+        retention = self.retention
+        for rule in (*retention._rules, *retention._slow_rules):
             await self.retention.clean_rows(rule)
         await self.retention.clean_bundles()
 
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -1,5 +1,7 @@
 """Tests of `cassiaweir.retention`: what is removed, when, and what never is."""
 
+import asyncio
+
 import msgspec
 import pytest
 
@@ -8,7 +10,9 @@
     BUNDLE_HEAD,
     BUNDLE_LAST,
     BUNDLE_VERSIONS,
+    KEYS,
     BundleHead,
+    KeyRow,
     version_key,
 )
 from cassiaweir.configuration._rows import Counter
@@ -16,6 +20,7 @@
 from cassiaweir.requests import ServiceAnswer
 from cassiaweir.requests._claims import Claim
 from cassiaweir.retention._division import Division, Pages, group_of
+from cassiaweir.teams import KEY_USES, KeyUse
 from cassiaweir.types import Write
 from cassiaweir.verdict import Verdict
 from cassiaweir.work import Submission, decode_job, job_key
@@ -35,6 +40,7 @@
 )
 from tests.test_requests_helpers import make_request
 from tests.test_work_submission import Calls, Directory
+from tests.waiting import until
 
 ANSWER = ServiceAnswer(200, b"paid", {})
 
@@ -410,6 +416,58 @@
     assert table.names("audit/") == ["audit/b/1/x"]
 
 
+async def add_key(table, digest, *, withdrawn, last_use):
+    key = KeyRow("t1", "anna", "", withdrawn=withdrawn)
+    rows = {KEYS + digest: key, KEY_USES + digest: KeyUse(last_use)}
+    await table.commit(
+        [], [Write(name, msgspec.json.encode(row)) for name, row in rows.items()]
+    )
+
+
+async def test_the_last_use_of_a_withdrawn_key_goes(table, clock, cleaner):
+    await add_key(table, "a", withdrawn=True, last_use=clock.now())
+    await add_key(table, "b", withdrawn=False, last_use=clock.now())
+    clock.advance(7 * DAY)
+    await add_key(table, "c", withdrawn=True, last_use=clock.now())
+    await table.commit([], [Write("key/d", b"?"), Write("key_use/a?", b"?")])
+    await cleaner.turns()
+    clock.advance(HOUR - 1)
+    await cleaner.turns()
+    assert "key_use/a" in table.names()
+    clock.advance(1)
+    await cleaner.turns()
+    assert table.names("key_use/") == ["key_use/a?", "key_use/b", "key_use/c"]
+    assert table.names("key/") == ["key/a", "key/b", "key/c", "key/d"]
+
+
+async def test_a_use_noted_at_its_removal_stays(table, clock, cleaner):
+    await add_key(table, "a", withdrawn=True, last_use=clock.now())
+    clock.advance(7 * DAY)
+    await cleaner.turns()
+    clock.advance(HOUR)
+
+    async def use():
+        await add_key(table, "a", withdrawn=True, last_use=clock.now())
+
+    table.racer = use
+    await cleaner.turns()
+    assert table.names("key_use/") == ["key_use/a"]
+
+
+async def test_the_component_cleans_until_it_is_stopped(table, clock, cleaner):
+    await add_job(table)
+    await end_job(table)
+    await finish_claim(table, clock)
+    await add_key(table, "a", withdrawn=True, last_use=clock.now())
+    await cleaner.retention.start()
+    await until(lambda: table.names() == ["key/a"])
+    await cleaner.retention.stop()
+    reads = table.reads
+    clock.advance(DAY)
+    await asyncio.sleep(0)
+    assert table.reads == reads
+
+
 async def test_owners_divide_the_rows_and_cover_them_all(table, clock):
     for number in range(30):
         await add_job(table, f"j{number}")
