Remove up to ten objects a turn

Cause: in a run of processes on loopback with short periods, four removals a turn bounded the claims of one owner to two a turn of its whole pace; at the default pace that is one claim a second. Ten keep 24 owners at 120 removals a second by calculation.

--- a/cassiaweir/retention/_retention.py
+++ b/cassiaweir/retention/_retention.py
@@ -19,7 +19,7 @@
 from cassiaweir.types import Clock, OwnedShards, Table
 
 ROWS_PER_TURN = 20
-REMOVALS_PER_TURN = 4
+REMOVALS_PER_TURN = 10
 SLOW_INTERVAL = timedelta(minutes=1)
 
 
