Let commits under one lease share a transaction; split the parts out of the runner

Cause: every write of a part checks the row of its shard, and commits with a common key never shared a batch, so the ends of each part were a transaction of their own. Ruled out: dropping the check, as a stale owner could then let a finished task run again. Now only a key that one of them writes keeps commits apart; five writes under one lease are one transaction where they were five (the new test fails without the change).

--- a/cassiaweir/fleet/_runner.py
+++ b/cassiaweir/fleet/_runner.py
@@ -10,6 +10,7 @@
 from cassiaweir.fleet._hold_back import HoldBack
 from cassiaweir.fleet._lease import ShardLease
 from cassiaweir.fleet._part_store import Committer, PartStore
+from cassiaweir.fleet._part_sync import PartSync
 from cassiaweir.fleet._roster import Health, Roster
 from cassiaweir.fleet._runner_types import Allotments, PartStatus, RunnerTerms
 from cassiaweir.fleet._shard_load import part_status, shard_load
@@ -30,7 +31,6 @@
     WorkerReport,
     Workers,
 )
-from cassiaweir.work import Part, TaskPhase
 
 MOST_PLACEMENTS_A_ROUND = 256
 
@@ -78,14 +78,22 @@
             health=health,
         )
         self._book.epoch = lease.epoch
+        self._parts = PartSync(
+            lease.shard,
+            self._store,
+            self._book,
+            self._roster.drivers,
+            clock=clock,
+            events=events,
+            poll=terms.part_poll,
+            on_parts=self._wake_after_parts,
+        )
         self._hold = self._new_hold()
         self._holding = True
         self._early_reports: dict[str, WorkerReport] = {}
-        self._notified: set[str] = set()
         self._table_wake = asyncio.Event()
         self._plan_wake = asyncio.Event()
         self._allotment_wake = asyncio.Event()
-        self._polled_at = float("-inf")
         self._listed_at = float("-inf")
         self._background = Background()
 
@@ -167,7 +175,7 @@
 
     def notify(self, job: str) -> None:
         """Look at the part of `job` soon: it was committed or changed."""
-        self._notified.add(job)
+        self._parts.notify(job)
         self._wake_table()
 
     def status(self, job: str) -> PartStatus | None:
@@ -196,9 +204,7 @@
 
     async def recover(self) -> None:
         """Read the parts of the shard; their tasks are held back at first."""
-        parts, _ = await self._store.load(TaskPhase.HELD_BACK)
-        self._polled_at = self._clock.monotonic()
-        held = sum(part.count([TaskPhase.HELD_BACK]) for part in parts)
+        held = await self._parts.recover()
         self.recovered = True
         for vm, report in self._early_reports.items():
             self._book.take_report(vm, report)
@@ -223,21 +229,9 @@
 
     async def sync_table(self) -> None:
         """Read parts that are due and commit the ends that wait."""
-        now = self._clock.monotonic()
         if not self.recovered:
             await self.recover()
-        elif now - self._polled_at >= self._terms.part_poll.total_seconds():
-            self._take_parts(*await self._store.load(TaskPhase.WAITING))
-            self._polled_at = now
-        for job in sorted(self._notified):
-            self._take_parts(*await self._store.load_one(job))
-            self._notified.discard(job)
-        dirty = [part for part in self._store.parts.values() if part.dirty]
-        flushes = [self._flush(part) for part in dirty]
-        results = await asyncio.gather(*flushes, return_exceptions=True)
-        for result in results:
-            if isinstance(result, BaseException):
-                raise result
+        await self._parts.step()
 
     def plan(self) -> Plan:
         """Settle what time has settled, then place and preempt."""
@@ -273,28 +267,6 @@
         for task, vm in self._planner.excess(team):
             self._book.stop(task, vm, checkpoint=True)
 
-    async def _flush(self, part: Part) -> None:
-        acknowledged = await self._store.flush(part)
-        for item in acknowledged:
-            if item.vm in self._roster.drivers:
-                self._roster.drivers[item.vm].acknowledge(item.report)
-        if part.row.job not in self._store.parts:
-            self._events.record(
-                "part_finished", part.row.job, epoch=self.epoch, shard=self._lease.shard
-            )
-        elif part.gone:
-            self._book.cancel(part)
-
-    def _take_parts(self, added: list[Part], changed: list[Part]) -> None:
-        for part in added:
-            self._book.add_part(part)
-            if part.cancelled:
-                self._book.cancel(part)
-        for part in changed:
-            self._book.cancel(part)
-        self._allotment_wake.set()
-        self._plan_wake.set()
-
     def _settle_hold(self, now: float) -> None:
         if not self.recovered or not self._holding:
             return
@@ -336,6 +308,10 @@
             terms=self._terms.driver,
         )
 
+    def _wake_after_parts(self) -> None:
+        self._allotment_wake.set()
+        self._plan_wake.set()
+
     def _wake_table(self) -> None:
         self._table_wake.set()
 
--- a/cassiaweir/platform/_group_commit.py
+++ b/cassiaweir/platform/_group_commit.py
@@ -25,9 +25,9 @@
 class GroupCommit:
     """Commits for many callers in batches, one batch at a time.
 
-    Commits that touch the same key are applied in the order of the calls and never
-    share a batch.  The queue is bounded in rows and in the time that it takes; a
-    commit that finds it full is refused at once.
+    Commits of which one writes what the other writes or checks are applied in the
+    order of the calls and never share a batch.  The queue is bounded in rows and in
+    the time that it takes; a commit that finds it full is refused at once.
     """
 
     def __init__(
@@ -121,15 +121,22 @@
             await self._answer_batch(batch)
 
     def _take_batch(self) -> list[Member]:
-        """Remove and return the next members that do not touch each other's keys."""
+        """Remove and return the next members that may share a transaction.
+
+        They may check the same rows, such as that of their shard, but none of them
+        writes what another one checks or writes.
+        """
         batch: list[Member] = []
         left: list[Member] = []
         rows = 0
+        written: set[str] = set()
         touched: set[str] = set()
         for member in self._waiting:
             if member.fut.done():
                 continue
-            apart = touched.isdisjoint(member.keys)
+            apart = member.written.isdisjoint(touched)
+            apart = apart and member.keys.isdisjoint(written)
+            written |= member.written
             touched |= member.keys
             if apart and (not batch or rows + member.rows <= self._most_rows):
                 batch.append(member)
--- a/tests/test_platform_group_commit.py
+++ b/tests/test_platform_group_commit.py
@@ -73,6 +73,30 @@
     assert table.sizes == [6]
 
 
+async def test_commits_under_one_lease_share_a_transaction(table, group):
+    versions = await create(group, "shard")
+    lease = Check("shard", versions["shard"])
+    table.sizes.clear()
+    parts = [
+        group.commit([lease, Check(f"part{n}", 0)], [Write(f"part{n}", b"1")])
+        for n in range(5)
+    ]
+    assert all(isinstance(item, dict) for item in await gather(*parts))
+    assert table.sizes == [5]
+
+
+async def test_a_writer_of_the_checked_row_does_not_overtake_its_readers(table, group):
+    versions = await create(group, "shard")
+    lease = Check("shard", versions["shard"])
+    before = group.commit([lease, Check("part1", 0)], [Write("part1", b"1")])
+    renewal = group.commit([lease], [Write("shard", b"2")])
+    after = group.commit([lease, Check("part2", 0)], [Write("part2", b"1")])
+    first, second, third = await gather(before, renewal, after)
+    assert isinstance(first, dict)
+    assert isinstance(second, dict)
+    assert isinstance(third, ConflictError)
+
+
 async def test_a_batch_is_bounded(table, group):
     await gather(*(create(group, f"row{number}") for number in range(150)))
     assert table.sizes == [64, 64, 22]
