--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -69,6 +69,18 @@
         )
 
 
+@main.command()
+def plots() -> None:
+    """Draw the plots of the last whole run into docs/."""
+    if not RESULT_PATH.exists():
+        raise click.ClickException(f"{RESULT_PATH} is missing; run 'make bench' first")
+    from bench._plots import draw
+
+    report = msgspec.json.decode(RESULT_PATH.read_bytes(), type=Report)
+    for path in draw(report, Path("docs")):
+        click.echo(path)
+
+
 def _runs(seed: int, only: str) -> Iterator[RunResult]:
     for scenario in _scenarios(seed):
         if only not in scenario.name:
