Measure shares with small tasks too, and give each deployment its own load

Cause: the two deployments drew the same jobs, and with tasks of up to eight cores a team of a ninth of 384 cores can't come closer than a task to its share.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,6 +29,7 @@
 from cassiaweir.placement import FairPlanner, Planner
 
 RESULT_PATH = Path("build/bench.json")
+SEED_STEP = 1000
 DECISIONS_OF_ROUND = 8
 FAIR = "fair"
 PLANNERS: dict[str, Callable[[], Planner]] = {
@@ -93,11 +94,13 @@
 
 
 def _scenarios(seed: int) -> Iterator[Scenario]:
-    for deployment in (SICILIA_EST, PACIFICO_NORTE):
-        yield mixed(deployment, seed)
-        yield mixed(deployment, seed, error=ESTIMATE_ERROR)
-        yield full(deployment, seed)
-        yield batch_heavy(deployment, seed)
+    for number, deployment in enumerate((SICILIA_EST, PACIFICO_NORTE)):
+        own_seed = seed + number * SEED_STEP
+        yield mixed(deployment, own_seed)
+        yield mixed(deployment, own_seed, error=ESTIMATE_ERROR)
+        yield full(deployment, own_seed)
+        yield full(deployment, own_seed, small=True, horizon_seconds=300)
+        yield batch_heavy(deployment, own_seed)
     yield full_of_teams(350, 320, seed)
 
 
--- a/bench/_load.py
+++ b/bench/_load.py
@@ -137,6 +137,15 @@
         seconds = self.random.choice((20, 60, 60, 240))
         return self.make(team, JobKind.BATCH, Urgency.NORMAL, at, size, tasks, seconds)
 
+    def small_batch(self, team: str, at: float) -> BenchJob:
+        """Return a batch run of tasks that are small beside any team's share."""
+        size = Resources(
+            self.random.choice((250, 500, 1000)), self.random.choice((512, 1024, 2048))
+        )
+        tasks = self.random.choice((4, 8, 16))
+        seconds = self.random.choice((20, 40))
+        return self.make(team, JobKind.BATCH, Urgency.NORMAL, at, size, tasks, seconds)
+
     def gang(self, team: str, at: float) -> BenchJob:
         """Return a job whose tasks start together."""
         size = Resources(self.random.choice((2000, 4000)), 8192)
@@ -214,7 +223,13 @@
     return maker.random.choices(teams, CUSTOMER_DEMAND)[0].name
 
 
-def full(deployment: Deployment, seed: int, horizon_seconds: float = 900) -> Scenario:
+def full(
+    deployment: Deployment,
+    seed: int,
+    *,
+    small: bool = False,
+    horizon_seconds: float = 900,
+) -> Scenario:
     """Return batch work of all customers, several times what the fleet can do."""
     vms = make_vms(deployment)
     whole = VM_CAPACITY * len(vms)
@@ -222,7 +237,8 @@
         Team(f"customer{number}", share, whole)
         for number, share in enumerate(CUSTOMER_SHARES)
     )
-    return _backlog(f"{deployment.name} full", vms, teams, seed, horizon_seconds)
+    name = f"{deployment.name} full{' of small tasks' if small else ''}"
+    return _backlog(name, vms, teams, seed, horizon_seconds, small=small)
 
 
 def full_of_teams(
@@ -246,6 +262,8 @@
     teams: tuple[Team, ...],
     seed: int,
     horizon_seconds: float,
+    *,
+    small: bool = False,
 ) -> Scenario:
     """Return a scenario in which every team has work that waits from the start."""
     maker = JobMaker(seed)
@@ -255,7 +273,8 @@
     for team in teams:
         budget = 2.5 * cores * horizon_seconds * team.share / shares
         while budget > 0:
-            job = maker.batch(team.name, 0.0)
+            draw = maker.small_batch if small else maker.batch
+            job = draw(team.name, 0.0)
             budget -= cpu_seconds(job)
             jobs.append(job)
     jobs.sort(key=lambda job: job.group.submitted_at)
