--- a/cassiaweir/placement/_planner.py
+++ b/cassiaweir/placement/_planner.py
@@ -48,6 +48,7 @@
             Urgency.NORMAL: ageing_bound.total_seconds(),
         }
         self._is_poisoned = is_poisoned
+        self._capacity_changed = False
         self._fleet = Fleet()
         self._ledger = Ledger(self._fleet, Estimates())
         self._rounds = Rounds(self._fleet, self._ledger, bounds, is_poisoned)
@@ -55,15 +56,14 @@
     def set_vm(self, vm: VmOffer, condition: VmCondition) -> None:
         """Add or change a VM."""
         known = self._fleet.vms.get(vm.name)
-        changed = known is None or known.capacity != vm.capacity
+        if known is None or known.capacity != vm.capacity:
+            self._capacity_changed = True
         self._fleet.set_vm(vm, condition)
-        if changed:
-            self._reorder_all()
 
     def remove_vm(self, name: str) -> None:
         """Forget a VM; one that still runs tasks is closed until they ended."""
         self._fleet.remove_vm(name)
-        self._reorder_all()
+        self._capacity_changed = True
 
     def set_team(self, name: str, share: int, allotment: Resources) -> None:
         """Add or change a team; `allotment` bounds what it runs in this shard."""
@@ -140,6 +140,9 @@
 
         A gang of more than `most` tasks is placed alone, in a plan of its own.
         """
+        if self._capacity_changed:
+            self._capacity_changed = False
+            self._reorder_all()
         return self._rounds.plan(now, most)
 
     def excess(self, team: str) -> Sequence[tuple[TaskId, str]]:
--- /dev/null
+++ b/tests/test_placement_bench.py
@@ -0,0 +1,46 @@
+"""Tests of the bench's own driver, with the planner and the baselines."""
+
+import pytest
+
+from bench.__main__ import PLANNERS
+from bench._drive import Driver
+from bench._load import PACIFICO_NORTE, SICILIA_EST, mixed
+from bench._results import RunResult, run_result
+
+HORIZON_SECONDS = 120.0
+
+
+def drive(name: str, seed: int = 1, **changes) -> RunResult:
+    scenario = mixed(SICILIA_EST, seed, horizon_seconds=HORIZON_SECONDS, **changes)
+    return run_result(scenario.name, name, Driver(PLANNERS[name], scenario).run())
+
+
+@pytest.mark.parametrize("name", PLANNERS)
+def test_a_run_keeps_capacities_and_limits_and_accounts_for_all_tasks(name):
+    result = drive(name)
+    scenario = mixed(SICILIA_EST, 1, horizon_seconds=HORIZON_SECONDS)
+    tasks = sum(len(job.seconds) for job in scenario.jobs)
+    assert result.started + result.never_started == tasks
+    assert sum(wait.tasks for wait in result.waits) == tasks
+
+
+def test_the_same_seed_gives_the_same_result():
+    assert drive("fair") == drive("fair")
+
+
+def test_wrong_estimates_change_what_is_declared_and_not_what_is_true():
+    right = mixed(PACIFICO_NORTE, 3, horizon_seconds=HORIZON_SECONDS)
+    wrong = mixed(PACIFICO_NORTE, 3, horizon_seconds=HORIZON_SECONDS, error=10.0)
+    assert [job.seconds for job in right.jobs] == [job.seconds for job in wrong.jobs]
+    assert [j.group.submitted_at for j in right.jobs] == [
+        j.group.submitted_at for j in wrong.jobs
+    ]
+    assert right.jobs != wrong.jobs
+
+
+def test_urgent_work_waits_less_than_first_come_first_served():
+    waits = {
+        name: next(wait.p99 for wait in drive(name, load=4.0).waits)
+        for name in ("fair", "fcfs")
+    }
+    assert waits["fair"] * 5 < waits["fcfs"]
