--- /dev/null
+++ b/tests/admin_helpers.py
@@ -0,0 +1,355 @@
+"""A cell in memory behind a real HTTP front, for tests of the administration."""
+
+import asyncio
+import contextlib
+import threading
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import aiohttp
+import msgspec
+
+from cassiaweir.administration import BundleFile, ProcessInfo, ProcessText
+from cassiaweir.api import HttpFront, JobApi, RequestApi, admin_blueprints
+from cassiaweir.clock import SystemClock
+from cassiaweir.configuration import (
+    AuditedTable,
+    Operator,
+    OperatorRole,
+    Operators,
+    TableView,
+    secret_digest,
+)
+from cassiaweir.exceptions import NotFoundError, UnavailableError
+from cassiaweir.facade import Cell, CellSources
+from cassiaweir.observe import EventLog, Metrics
+from cassiaweir.types import Resources, ShardOwner, Vm, VmRole, VmState
+from cassiaweir.verdict import Verdict
+from cassiaweir.work import PartAnswer, Submission
+from standins.memory import MemoryTable
+from tests.test_requests_helpers import make_settings
+
+FIRST_SECRET = "the-first-operator-of-tests"
+EVERY_ROLE = frozenset(OperatorRole)
+SHARDS = ("augusta-0", "priolo-0")
+CAPACITY = Resources(16_000, 65_536)
+TEAMS = """
+[[team]]
+name = "customs"
+share = 4
+limit = { cpu_millis = 8000, memory_mb = 32000 }
+
+[[team]]
+name = "public"
+share = 1
+limit = { cpu_millis = 2000, memory_mb = 8000 }
+"""
+QUEUES = """
+[[queue]]
+name = "work"
+
+[[queue]]
+name = "walk-in"
+open = true
+team = "public"
+
+[[service]]
+name = "inventory"
+queue = "work"
+"""
+FILES = [
+    BundleFile(name="queues.toml", text=QUEUES),
+    BundleFile(name="teams.toml", text=TEAMS),
+]
+
+
+class RacingTable(MemoryTable):
+    """Runs `racer` before the next commit; reads wait while `hold_reads` is set."""
+
+    def __init__(self):
+        super().__init__()
+        self.racer = None
+        self.hold_reads = None
+
+    async def read(self, keys):
+        if self.hold_reads is not None:
+            await self.hold_reads.wait()
+        return await super().read(keys)
+
+    async def commit(self, checks, writes):
+        racer, self.racer = self.racer, None
+        if racer is not None:
+            await racer()
+        return await super().commit(checks, writes)
+
+
+class Directory:
+    """Every shard has an owner, but for those in `lost`."""
+
+    def __init__(self):
+        self.lost = set()
+
+    def owners(self):
+        return [self.owner(shard) for shard in SHARDS if shard not in self.lost]
+
+    def owner(self, shard):
+        if shard in self.lost:
+            return None
+        domain = shard.rpartition("-")[0]
+        return ShardOwner(
+            shard, domain, f"{domain}-1", "a:1", 3, CAPACITY, CAPACITY, 0, 0
+        )
+
+
+class Schedulers:
+    """Answers for every shard with `running` and `queued` tasks."""
+
+    def __init__(self):
+        self.running = 0
+        self.queued = 0
+        self.reason = ""
+        self.down = False
+
+    async def notify_parts(self, address, shard, job):
+        return None
+
+    async def query_job(self, address, job):
+        if self.down:
+            raise UnavailableError("down", verdict=Verdict.NOT_RUN)
+        return [
+            PartAnswer(shard, self.queued, self.running, 0, 0, self.reason)
+            for shard in SHARDS
+        ]
+
+
+class Probe:
+    """One process that has the view's versions, and those in `silent`."""
+
+    def __init__(self, view, metrics):
+        self._view = view
+        self._metrics = metrics
+        self.silent = []
+        self.behind = []
+
+    async def look(self):
+        found = [self._info("augusta-1", self._view.bundle_version)]
+        found += [self._info(name, 0) for name in self.behind]
+        found += [
+            ProcessInfo(
+                process=name, role="entry", vm=name, failure_domain="f", answered=False
+            )
+            for name in self.silent
+        ]
+        return found
+
+    async def texts(self, name, process=""):
+        if process not in ("", "augusta-1"):
+            raise NotFoundError(f"there is no process {process!r}")
+        text = self._metrics.render()
+        return [ProcessText(process="augusta-1", answered=True, text=text)]
+
+    def _info(self, name, version):
+        return ProcessInfo(
+            process=name,
+            role="entry",
+            vm=name,
+            failure_domain="augusta",
+            answered=True,
+            bundle_version=version,
+            keys_version=self._view.keys_version,
+            view_age_seconds=0.0,
+        )
+
+
+class VmsOfTests:
+    """The platform's list."""
+
+    def __init__(self):
+        self.vms = [
+            Vm(f"{domain}-{role}-1", role, "a:1", domain, "r1", "i1", VmState.LIVE)
+            for domain in ("augusta", "priolo")
+            for role in (VmRole.WORKER, VmRole.BACKEND, VmRole.ENTRY)
+        ]
+
+    async def fetch(self):
+        return list(self.vms)
+
+
+@dataclass
+class Gathered:
+    """What the time line is made from."""
+
+    events: list
+    silent: list = field(default_factory=list)
+
+
+class Events:
+    """Gives the events of one log."""
+
+    def __init__(self, log):
+        self.log = log
+        self.silent = []
+
+    async def collect(self):
+        return Gathered(self.log.after(0, 10_000), self.silent)
+
+
+@dataclass
+class Answer:
+    """The answer to one call."""
+
+    status: int
+    raw: bytes
+    headers: dict
+
+    @property
+    def body(self):
+        return msgspec.json.decode(self.raw)
+
+
+class AdminCell:
+    """A cell in memory; `call` sends HTTP as one of its operators."""
+
+    def __init__(self):
+        self.clock = SystemClock()
+        self.table = RacingTable()
+        self.log = EventLog("augusta-1", self.clock)
+        self.metrics = Metrics()
+        self.view = TableView(
+            self.table,
+            self.log,
+            self.clock,
+            poll=timedelta(seconds=1),
+            age_limit=timedelta(hours=1),
+        )
+        self.directory = Directory()
+        self.schedulers = Schedulers()
+        self.probe = Probe(self.view, self.metrics)
+        self.vms = VmsOfTests()
+        self.events = Events(self.log)
+        self.audited = AuditedTable(self.table, self.clock)
+        self.jobs = Submission(
+            table=self.table,
+            directory=self.directory,
+            vm_sizes=lambda shard: [CAPACITY],
+            schedulers=self.schedulers,
+            clock=self.clock,
+            events=self.log,
+        )
+        self.cell = Cell(
+            CellSources(
+                deployment="sicilia-est",
+                view=self.view,
+                directory=self.directory,
+                vm_list=self.vms,
+                shard_of=lambda vm: f"{vm.failure_domain}-0",
+                shard_names=SHARDS,
+                probe=self.probe,
+                events=self.events,
+                clock=self.clock,
+            ),
+            self.audited,
+            self.jobs,
+            first_operator_digest=secret_digest(FIRST_SECRET),
+        )
+        self.secrets = {"first": FIRST_SECRET}
+        self.address = ""
+
+    @asynccontextmanager
+    async def running(self):
+        """Serve, with the operators anna and bruno, who have every role."""
+        settings = make_settings()
+        requests = RequestApi(
+            self.view, None, longest=timedelta(seconds=1), clock=self.clock
+        )
+        blueprints = [
+            requests.blueprint(),
+            JobApi(self.view, self.jobs).blueprint(),
+            *admin_blueprints(self.cell),
+        ]
+        self.front = HttpFront(settings, blueprints, self.log, self.metrics)
+        await self.front.start()
+        self.address = self.front.address
+        for name in ("anna", "bruno"):
+            await self.add_operator(name, EVERY_ROLE)
+        try:
+            yield self
+        finally:
+            await self.front.stop()
+            await self.jobs.stop()
+
+    async def add_operator(self, name, roles):
+        """Add an operator whose calls `call` can make."""
+        operators = Operators(self.audited)
+        first = Operator("first", EVERY_ROLE)
+        self.secrets[name] = await operators.add(first, name, list(roles))
+
+    async def call(self, who, method, path, body=None, *, prefix="/v1/admin"):
+        """Send one call; `body` is a message, or bytes as they are."""
+        data = body
+        if body is not None and not isinstance(body, bytes):
+            data = msgspec.json.encode(body)
+        headers = {"Authorization": f"Bearer {self.secrets.get(who, who)}"}
+        url = f"http://{self.address}{prefix}{path}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, data=data, headers=headers) as resp,
+        ):
+            return Answer(resp.status, await resp.read(), dict(resp.headers))
+
+    async def draft(self, files=FILES, who="anna"):
+        """Store a draft; return its path and digest."""
+        answer = await self.call(who, "POST", "/bundles", {"files": files})
+        assert answer.status == 201, answer.raw
+        return f"/bundles/{answer.body['version']}", answer.body["digest"]
+
+    async def approved(self, files=FILES):
+        """Take a bundle to its approval; return its path and digest."""
+        path, digest = await self.draft(files)
+        await self.call("anna", "POST", f"{path}/propose", {"digest": digest})
+        review = {"digest": digest, "approve": True}
+        answer = await self.call("bruno", "POST", f"{path}/review", review)
+        assert answer.status == 200, answer.raw
+        return path, digest
+
+    async def roll_out(self, files=FILES, *, confirm=False):
+        """Take a bundle into force here."""
+        path, digest = await self.approved(files)
+        change = {"digest": digest, "confirm": confirm}
+        answer = await self.call("bruno", "POST", f"{path}/rollout", change)
+        await self.view.refresh()
+        return answer
+
+    async def grant(self, team="customs"):
+        """Grant a key that is in force here; return its message."""
+        answer = await self.call("anna", "POST", "/keys", {"team": team})
+        await self.view.refresh()
+        return answer.body
+
+
+class CellThread:
+    """Serves a cell in a thread of its own, for tests of synchronous commands."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever)
+        self._stack = contextlib.AsyncExitStack()
+
+    def __enter__(self):
+        self._thread.start()
+        self.admin = self.run(self._start())
+        return self
+
+    def __exit__(self, *exc_info):
+        self.run(self._stack.aclose())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+        self.loop.close()
+
+    def run(self, coroutine):
+        """Run a coroutine in the thread and return its result."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
+
+    async def _start(self):
+        return await self._stack.enter_async_context(AdminCell().running())
--- /dev/null
+++ b/tests/test_admin_bundles.py
@@ -0,0 +1,242 @@
+"""Tests of bundles over the administration API: their life, races, lost answers."""
+
+import pytest
+
+from cassiaweir.administration import BundleFile
+from tests.admin_helpers import FILES, QUEUES, TEAMS, AdminCell
+
+LOWER = [
+    BundleFile(name="queues.toml", text=QUEUES),
+    BundleFile(name="teams.toml", text=TEAMS.replace("8000, m", "3000, m")),
+]
+WITHOUT_CUSTOMS = [
+    BundleFile(name="queues.toml", text=QUEUES),
+    BundleFile(name="teams.toml", text=TEAMS[TEAMS.index('[[team]]\nname = "pub') :]),
+]
+HUGE = [
+    BundleFile(name="queues.toml", text=QUEUES),
+    BundleFile(name="teams.toml", text=TEAMS.replace("8000, m", "99000000, m")),
+]
+JOB = {
+    "job": "customs.audit",
+    "queue": "work",
+    "kind": "batch",
+    "tasks": 4,
+    "size": {"cpu_millis": 1000, "memory_mb": 1024},
+}
+
+
+@pytest.fixture
+async def cell():
+    async with AdminCell().running() as cell:
+        yield cell
+
+
+async def test_a_bundle_goes_from_draft_to_force(cell):
+    answer = await cell.roll_out()
+    assert (answer.status, answer.body["state"]) == (200, "rolled_out")
+    assert answer.body["in_force"]
+    assert cell.view.team("customs") is not None
+    history = (await cell.call("anna", "GET", "/bundles")).body["bundles"]
+    assert [(item["version"], item["approved_by"]) for item in history] == [
+        (1, "bruno")
+    ]
+
+
+async def test_nobody_reviews_their_own_bundle(cell):
+    path, digest = await cell.draft()
+    await cell.call("anna", "POST", f"{path}/propose", {"digest": digest})
+    review = {"digest": digest, "approve": True}
+    answer = await cell.call("anna", "POST", f"{path}/review", review)
+    assert (answer.status, answer.body["reason"]) == (400, "invalid_input")
+
+
+async def test_another_digest_than_the_one_reviewed_is_not_rolled_out(cell):
+    path, _ = await cell.approved()
+    change = {"digest": "0" * 64}
+    answer = await cell.call("bruno", "POST", f"{path}/rollout", change)
+    assert (answer.status, answer.body["verdict"]) == (409, "not_run")
+    assert cell.view.bundle_version == 0
+
+
+async def race(cell, winner, loser):
+    """Let the call `winner` come in just before `loser` commits."""
+    answers = []
+
+    async def run():
+        answers.append(await cell.call(*winner))
+
+    cell.table.racer = run
+    lost = await cell.call(*loser)
+    assert answers[0].status in (200, 201), answers[0].raw
+    assert lost.status == 409, lost.raw
+    assert lost.body["verdict"] == "not_run"
+    return lost.body["detail"]
+
+
+async def test_two_drafts_race(cell):
+    body = {"files": FILES}
+    draft = ("POST", "/bundles", body)
+    await race(cell, ("bruno", *draft), ("anna", *draft))
+    history = (await cell.call("anna", "GET", "/bundles")).body["bundles"]
+    assert [item["author"] for item in history] == ["bruno"]
+
+
+async def test_two_proposals_race(cell):
+    path, digest = await cell.draft()
+    propose = ("anna", "POST", f"{path}/propose", {"digest": digest})
+    assert "anna" in await race(cell, propose, propose)
+
+
+async def test_approval_and_rejection_race(cell):
+    await cell.add_operator("carla", ["reviewer"])
+    path, digest = await cell.draft()
+    await cell.call("anna", "POST", f"{path}/propose", {"digest": digest})
+    approve = {"digest": digest, "approve": True}
+    reject = {"digest": digest, "approve": False}
+    detail = await race(
+        cell,
+        ("carla", "POST", f"{path}/review", reject),
+        ("bruno", "POST", f"{path}/review", approve),
+    )
+    assert "carla" in detail and "rejected" in detail
+
+
+async def test_two_rollouts_race(cell):
+    first, digest = await cell.approved()
+    second, other = await cell.approved(LOWER)
+    detail = await race(
+        cell,
+        ("anna", "POST", f"{first}/rollout", {"digest": digest}),
+        ("bruno", "POST", f"{second}/rollout", {"digest": other}),
+    )
+    assert "anna has rolled out version 1" in detail
+    status = (await cell.call("anna", "GET", "/bundles/status")).body
+    assert (status["version"], status["digest"]) == (1, digest)
+
+
+async def test_a_revert_and_a_rollout_race(cell):
+    await cell.roll_out()
+    await cell.roll_out(LOWER)
+    path, digest = await cell.approved()
+    detail = await race(
+        cell,
+        ("anna", "POST", f"{path}/rollout", {"digest": digest}),
+        ("bruno", "POST", "/bundles/1/revert", {}),
+    )
+    assert "anna has rolled out version 3" in detail
+
+
+async def test_a_revert_is_a_new_higher_version(cell):
+    await cell.roll_out()
+    await cell.roll_out(LOWER)
+    answer = await cell.call("bruno", "POST", "/bundles/1/revert", {})
+    assert (answer.body["version"], answer.body["reverts_to"]) == (3, 1)
+    lines = (await cell.call("anna", "GET", "/bundles/3/diff?against=1")).body
+    assert lines == []
+
+
+@pytest.mark.parametrize("step", ["draft", "propose", "review", "rollout"])
+async def test_a_lost_answer_is_settled_by_reading_back(cell, step):
+    path, digest = "", ""
+    if step == "propose":
+        path, digest = await cell.draft()
+    elif step == "review":
+        path, digest = await cell.draft()
+        await cell.call("anna", "POST", f"{path}/propose", {"digest": digest})
+    elif step == "rollout":
+        path, digest = await cell.approved()
+    calls = {
+        "draft": ("anna", "POST", "/bundles", {"files": FILES}),
+        "propose": ("anna", "POST", f"{path}/propose", {"digest": digest}),
+        "review": (
+            "bruno",
+            "POST",
+            f"{path}/review",
+            {"digest": digest, "approve": True},
+        ),
+        "rollout": ("bruno", "POST", f"{path}/rollout", {"digest": digest}),
+    }
+    before = cell.table.commits
+    cell.table.lose_answers = 1
+    answer = await cell.call(*calls[step])
+    assert answer.status in (200, 201), answer.raw
+    assert cell.table.commits == before + 1
+
+
+@pytest.mark.parametrize("step", ["propose", "review", "rollout"])
+async def test_a_replayed_request_changes_nothing(cell, step):
+    path, digest = await cell.draft()
+    calls = {
+        "propose": ("anna", "POST", f"{path}/propose", {"digest": digest}),
+        "review": (
+            "bruno",
+            "POST",
+            f"{path}/review",
+            {"digest": digest, "approve": False},
+        ),
+    }
+    if step == "rollout":
+        path, digest = await cell.approved()
+        call = ("bruno", "POST", f"{path}/rollout", {"digest": digest})
+    else:
+        call = calls[step]
+        if step == "review":
+            await cell.call(*calls["propose"])
+    assert (await cell.call(*call)).status == 200
+    before = cell.table.commits
+    replay = await cell.call(*call)
+    assert (replay.status, replay.body["reason"]) == (409, "conflict")
+    assert cell.table.commits == before
+
+
+async def with_work(cell, *, running):
+    await cell.roll_out()
+    key = await cell.grant()
+    cell.secrets["team"] = key["secret"]
+    answer = await cell.call("team", "POST", "", JOB, prefix="/v1/jobs")
+    assert answer.status == 201, answer.raw
+    cell.schedulers.running = running
+
+
+@pytest.mark.parametrize(
+    ("files", "kind"),
+    [
+        (LOWER, "limit_below_running"),
+        (WITHOUT_CUSTOMS, "team_removed_with_work"),
+        (HUGE, "exceeds_cell"),
+    ],
+)
+async def test_a_bundle_that_breaks_work_asks_for_confirmation(cell, files, kind):
+    await with_work(cell, running=4)
+    report = (await cell.call("anna", "POST", "/bundles/check", {"files": files})).body
+    assert [finding["kind"] for finding in report["findings"]] == [kind]
+    assert report["findings"][0]["subject"] == "customs"
+    refused = await cell.roll_out(files)
+    assert (refused.status, refused.body["reason"]) == (409, "confirmation_needed")
+    assert (refused.body["verdict"], cell.view.bundle_version) == ("not_run", 1)
+    answer = await cell.roll_out(files, confirm=True)
+    assert answer.status == 200
+
+
+async def test_a_lower_limit_above_what_runs_asks_for_nothing(cell):
+    await with_work(cell, running=1)
+    report = (await cell.call("anna", "POST", "/bundles/check", {"files": LOWER})).body
+    assert report["findings"] == []
+    assert len(report["changes"]) == 2
+
+
+async def test_a_lower_limit_over_unknown_load_asks_for_confirmation(cell):
+    await with_work(cell, running=1)
+    cell.schedulers.down = True
+    report = (await cell.call("anna", "POST", "/bundles/check", {"files": LOWER})).body
+    assert [finding["kind"] for finding in report["findings"]] == ["unknown_load"]
+
+
+async def test_status_names_who_is_behind_and_who_is_silent(cell):
+    await cell.roll_out()
+    cell.probe.behind = ["priolo-1"]
+    cell.probe.silent = ["milazzo-1"]
+    status = (await cell.call("anna", "GET", "/bundles/status")).body
+    assert not status["complete"]
+    assert (status["behind"], status["silent"]) == (["priolo-1"], ["milazzo-1"])
