--- a/prove/history.py
+++ b/prove/history.py
@@ -14,9 +14,10 @@
 class Call:
     """One call of a caller.
 
-    `outcome` is `answered`, `refused` or `broken` (the connection ended first).
+    `outcome` is `answered`, `refused`, `broken` (the connection ended first),
+    `timed_out` or `unreached` (no connection was made).
     `verdict` is what a refusal said.  `expected` and `body` are compared for answered
-    requests.  `gateway` is the entry VM that was called.
+    requests.  `gateway` is the entry VM that was called, empty for the balancer.
     """
 
     name: str
@@ -61,6 +62,24 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Overload:
+    """A backend server got more than it can take; `detail` says of what."""
+
+    backend: str
+    at: float
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """From `began_at` to `ended_at` an entry VM was killed, frozen or cut off."""
+
+    vm: str
+    began_at: float
+    ended_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class KeyWithdrawal:
     """A withdrawal of a key that was confirmed to the operator at `at`."""
@@ -106,11 +125,15 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionSeen:
-    """The version that an entry VM's process had in force at `at`."""
+    """The version that an entry VM's process had in force at `at` or later.
+
+    `view_age` is how long before the process last knew it to be the newest.
+    """
 
     vm: str
     version: int
     at: float
+    view_age: float = 0.0
 
 
 @dataclass(slots=True)
@@ -123,6 +146,8 @@
     calls: list[Call] = field(default_factory=list)
     runs: list[TaskRun] = field(default_factory=list)
     executions: list[Execution] = field(default_factory=list)
+    overloads: list[Overload] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
     withdrawals: list[KeyWithdrawal] = field(default_factory=list)
     limits: list[LimitChange] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
