Let a request reach a service only through a queue that the service names

POST /v1/requests/<service> took the queue from the caller's header, so that one queue open to all opened every service. ServiceEntry may now name several queues, the first being the default; Cassiaweir-Queue chooses among them. A single name keeps its plain form in the canonical encoding, so that digests of earlier bundles stay. The view gains service_queues (CellView, in types.py).

Requests to a service that no bundle names were let through on a queue of the same name; they are refused service_unknown, not run.

--- a/cassiaweir/administration/_teams.py
+++ b/cassiaweir/administration/_teams.py
@@ -20,7 +20,7 @@
     VmsReport,
 )
 from cassiaweir.administration._vms import VmConditionRow
-from cassiaweir.configuration import Bundle, ServiceEntry
+from cassiaweir.configuration import Bundle
 from cassiaweir.teams import AllotmentRow, ListedKey
 from cassiaweir.types import Resources, Row, Vm, VmRole
 
@@ -55,9 +55,7 @@
     queues = []
     for entry in bundle.queue:
         services = [
-            service.name
-            for service in bundle.service
-            if entry.name in service_queues(service)
+            service.name for service in bundle.service if entry.name in service.queues()
         ]
         queues.append(
             QueueInfo(
@@ -78,7 +76,7 @@
         services.append(
             ServiceInfo(
                 name=entry.name,
-                queues=list(service_queues(entry)),
+                queues=list(entry.queues()),
                 servers=len(servers),
                 slots=sum(vm.slots for vm in servers),
             )
@@ -96,11 +94,6 @@
     return VmsReport(vms=sorted(found, key=lambda item: item.name))
 
 
-def service_queues(entry: ServiceEntry) -> Sequence[str]:
-    """Return the queues that admit requests of a service, the default first."""
-    return [entry.queue]
-
-
 def _describe_vm(
     vm: Vm, asked: VmConditionRow | None, shard_of: Callable[[Vm], str]
 ) -> VmInfo:
--- a/cassiaweir/api/_access.py
+++ b/cassiaweir/api/_access.py
@@ -27,6 +27,24 @@
     return team
 
 
+def read_service_team(request: Request, view: CellView, service: str) -> str:
+    """Return the team that a request to `service` is charged to.
+
+    `Cassiaweir-Queue` chooses among the queues of the service and no others: a queue
+    open to all would otherwise open every service.
+    """
+    queues = view.service_queues(service)
+    name = request.headers.get("Cassiaweir-Queue", queues[0] if queues else "")
+    if name in queues:
+        return read_queue_team(request, view, name)
+    read_team(request, view)
+    if not queues:
+        raise RefusedError("service_unknown", f"there is no service {service!r}")
+    raise RefusedError(
+        "queue_unknown", f"no queue {name!r} admits requests to {service!r}"
+    )
+
+
 def read_queue_team(request: Request, view: CellView, name: str) -> str:
     """Return the team that work on the queue `name` is charged to.
 
--- a/cassiaweir/api/_problems.py
+++ b/cassiaweir/api/_problems.py
@@ -32,6 +32,7 @@
     "other_team": 403,
     "role_missing": 403,
     "queue_unknown": 404,
+    "service_unknown": 404,
     "in_doubt": 409,
     "confirmation_needed": 409,
     "key_reused": 422,
--- a/cassiaweir/api/_requests.py
+++ b/cassiaweir/api/_requests.py
@@ -8,7 +8,7 @@
 
 from sanic import Blueprint, HTTPResponse, Request
 
-from cassiaweir.api._access import read_queue_team
+from cassiaweir.api._access import read_service_team
 from cassiaweir.exceptions import InvalidInputError
 from cassiaweir.requests import Router, ServiceAnswer, ServiceRequest
 from cassiaweir.types import CellView, Clock, Urgency
@@ -47,8 +47,7 @@
         """Return the checked request; raises `InvalidInputError`, `RefusedError`."""
         if not NAME_PATTERN.fullmatch(service):
             raise InvalidInputError("the name of the service is malformed")
-        queue = request.headers.get("Cassiaweir-Queue", service)
-        team = read_queue_team(request, self._view, queue)
+        team = read_service_team(request, self._view, service)
         idempotent = _flag(request, "Cassiaweir-Idempotent")
         return ServiceRequest(
             request_id=secrets.token_hex(REQUEST_ID_BYTES),
--- a/cassiaweir/configuration/_bundle.py
+++ b/cassiaweir/configuration/_bundle.py
@@ -59,10 +59,20 @@
 
 
 class ServiceEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A service of the backend servers and the queue that admits its requests."""
+    """A service of the backend servers and the queues that admit its requests.
+
+    A request takes the first queue unless it names another of them.  One queue is
+    written as a plain name, so that bundles of earlier versions keep their digests.
+    """
 
     name: Name
-    queue: Name
+    queue: Name | Annotated[list[Name], msgspec.Meta(min_length=1)]
+
+    def queues(self) -> tuple[str, ...]:
+        """Return the queues that admit requests, the default first."""
+        if isinstance(self.queue, str):
+            return (self.queue,)
+        return tuple(self.queue)
 
 
 class Bundle(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -100,10 +110,7 @@
             _check_queue(queue, teams)
         queues = {entry.name for entry in self.queue}
         for service in self.service:
-            if service.queue not in queues:
-                raise InvalidInputError(
-                    f"service.{service.name}.queue: there is no queue {service.queue}"
-                )
+            _check_service(service, queues)
 
     def _sorted(self) -> Bundle:
         return Bundle(
@@ -176,6 +183,16 @@
         seen.add(name)
 
 
+def _check_service(service: ServiceEntry, queues: set[str]) -> None:
+    key = f"service.{service.name}.queue"
+    named = service.queues()
+    for name in named:
+        if name not in queues:
+            raise InvalidInputError(f"{key}: there is no queue {name}")
+        if named.count(name) > 1:
+            raise InvalidInputError(f"{key}: names {name} twice")
+
+
 def _check_queue(queue: QueueEntry, teams: set[str]) -> None:
     key = f"queue.{queue.name}.team"
     if queue.open and queue.team is None:
--- a/cassiaweir/configuration/_view.py
+++ b/cassiaweir/configuration/_view.py
@@ -61,6 +61,7 @@
         self._keys_fresh_at = -math.inf
         self._teams: dict[str, Team] = {}
         self._queues: dict[str, Queue] = {}
+        self._service_queues: dict[str, tuple[str, ...]] = {}
         self._uses: dict[str, datetime] = {}
         self._hinted = (0, 0)
         self._wake = asyncio.Event()
@@ -117,6 +118,10 @@
         """Return the queue called `name`, or None."""
         return self._queues.get(name)
 
+    def service_queues(self, service: str) -> Sequence[str]:
+        """Return the queues that admit requests to `service`, the default first."""
+        return self._service_queues.get(service, ())
+
     def authenticate(self, secret: str) -> str:
         """Return the team that the key `secret` belongs to.
 
@@ -261,6 +266,7 @@
         self._bundle_version = version
         self._teams = {entry.name: entry.team() for entry in bundle.team}
         self._queues = {entry.name: entry.queue() for entry in bundle.queue}
+        self._service_queues = {entry.name: entry.queues() for entry in bundle.service}
         self._events.record("bundle_installed", f"bundle/{version}", version=version)
 
     def _install_keys(self, version: int, keys: Mapping[str, KnownKey]) -> None:
--- a/cassiaweir/types.py
+++ b/cassiaweir/types.py
@@ -349,6 +349,12 @@
     def queue(self, name: str) -> Queue | None:
         """Return the queue called `name`, or None."""
 
+    def service_queues(self, service: str) -> Sequence[str]:
+        """Return the queues that admit requests to `service`, the default first.
+
+        Empty where no such service is in force.
+        """
+
     def authenticate(self, secret: str) -> str:
         """Return the team that the key `secret` belongs to.
 
--- /dev/null
+++ b/tests/test_admin_queues.py
@@ -0,0 +1,75 @@
+"""Tests that a request reaches a service only through a queue of that service."""
+
+import pytest
+
+from cassiaweir.configuration import parse_bundle
+from cassiaweir.exceptions import InvalidInputError
+from tests.test_api_requests import KEYED, post, serving
+from tests.test_requests_helpers import BackendServer
+
+IDEMPOTENT = {"Cassiaweir-Idempotent": "true"}
+OPEN = IDEMPOTENT | {"Cassiaweir-Queue": "spot"}
+TEAMS = """
+[[team]]
+name = "customs"
+share = 1
+limit = { cpu_millis = 1, memory_mb = 1 }
+"""
+QUEUES = """
+[[queue]]
+name = "inventory"
+
+[[queue]]
+name = "spot"
+open = true
+team = "customs"
+"""
+SERVICE = """
+[[service]]
+name = "inventory"
+queue = {}
+"""
+
+
+def bundle(queues):
+    text = SERVICE.replace("{}", queues)
+    return parse_bundle({"a.toml": TEAMS, "b.toml": QUEUES, "c.toml": text})
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("inventory", OPEN, 200),
+        ("inventory", IDEMPOTENT, 401),
+        ("inventory", IDEMPOTENT | KEYED, 200),
+        ("payouts", OPEN, 401),
+        ("payouts", OPEN | KEYED, 404),
+        ("nothing", OPEN, 401),
+        ("nothing", IDEMPOTENT | KEYED, 404),
+    ],
+)
+async def test_an_open_queue_opens_only_the_services_that_name_it(
+    path, headers, status
+):
+    server = BackendServer()
+    async with serving(server) as front:
+        answer = await post(front, headers, path=f"/v1/requests/{path}")
+    assert answer[0] == status, answer[1]
+
+
+def test_a_service_names_one_queue_or_several():
+    assert bundle('"inventory"').service[0].queues() == ("inventory",)
+    several = bundle('["spot", "inventory"]').service[0]
+    assert several.queues() == ("spot", "inventory")
+
+
+def test_one_queue_keeps_the_digest_of_earlier_versions():
+    assert b'"queue":"inventory"' in bundle('"inventory"').encode()
+
+
+@pytest.mark.parametrize(
+    "queues", ["[]", '["nowhere"]', '["spot", "spot"]', "7", '"nowhere"']
+)
+def test_a_service_without_a_known_queue_is_refused(queues):
+    with pytest.raises(InvalidInputError, match="service"):
+        bundle(queues)
--- a/tests/test_requests_helpers.py
+++ b/tests/test_requests_helpers.py
@@ -40,11 +40,19 @@
         return None
 
     def queue(self, name: str) -> Queue | None:
-        queues = {"inventory": Queue("inventory", False), "spot": Queue("spot", True)}
+        queues = {
+            "inventory": Queue("inventory", False),
+            "payouts": Queue("payouts", False),
+        }
         if name == "spot":
             return Queue("spot", True, "public")
         return queues.get(name)
 
+    def service_queues(self, service: str) -> Sequence[str]:
+        return {"inventory": ("inventory", "spot"), "payouts": ("payouts",)}.get(
+            service, ()
+        )
+
     def authenticate(self, secret: str) -> str:
         if secret not in KEYS:
             raise RefusedError("key_unknown", "the key is unknown")
