Select the time line by VM and kind; keep the operators' variables out of the settings

An entry VM started from a shell that holds CASSIAWEIR_SERVER or CASSIAWEIR_CREDENTIAL refused to start, as every variable with the prefix was taken for a setting. Seen while replacing a VM by hand; the two are left out now and a test holds it.

--- a/cassiaweir/administration/_selection.py
+++ b/cassiaweir/administration/_selection.py
@@ -5,6 +5,7 @@
 import re
 from collections import Counter
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from datetime import datetime
 
 from cassiaweir.observe import Event
@@ -14,19 +15,38 @@
 )
 
 
-def select_events(
-    events: Iterable[Event], *, job: str, request: str, since: datetime | None
-) -> list[Event]:
-    """Return the events about `job` or `request` that are not older than `since`.
+@dataclass(frozen=True, slots=True)
+class EventFilter:
+    """What events have to be about; an empty member selects every event.
 
-    An empty name selects every event.  The causes of a selected event come with it.
+    `kinds` is any of these kinds; `since` is the time of the oldest event.
     """
+
+    job: str = ""
+    request: str = ""
+    vm: str = ""
+    kinds: frozenset[str] = frozenset()
+    since: datetime | None = None
+
+    def matches(self, event: Event) -> bool:
+        """Tell whether `event` is selected, whatever its time."""
+        if self.job and not _names_job(event, self.job):
+            return False
+        if self.vm and self.vm not in (event.subject, event.fields.get("vm")):
+            return False
+        if self.kinds and event.kind not in self.kinds:
+            return False
+        names = (event.subject, event.fields.get("request"))
+        return not self.request or self.request in names
+
+
+def select_events(events: Iterable[Event], wanted_by: EventFilter) -> list[Event]:
+    """Return the events that match, and what caused them in other processes."""
+    since = wanted_by.since
     ordered = list(events)
     named = {f"{event.process}:{event.sequence}": event for event in ordered}
     wanted = {
-        (event.process, event.sequence)
-        for event in ordered
-        if _is_about(event, job, request)
+        (event.process, event.sequence) for event in ordered if wanted_by.matches(event)
     }
     for event in ordered:
         cause = event.cause
@@ -55,12 +75,6 @@
     return dict(sorted(total.items()))
 
 
-def _is_about(event: Event, job: str, request: str) -> bool:
-    if job and not _names_job(event, job):
-        return False
-    return not request or request in (event.subject, event.fields.get("request"))
-
-
 def _names_job(event: Event, job: str) -> bool:
     """Tell whether an event is about a job, one of its parts or one of its tasks."""
     subject = event.subject
--- a/cassiaweir/api/_admin_cell.py
+++ b/cassiaweir/api/_admin_cell.py
@@ -10,6 +10,7 @@
     NewOperator,
     TimelineReport,
 )
+from cassiaweir.administration._selection import EventFilter
 from cassiaweir.api._admin import (
     JSON,
     PREFIX,
@@ -140,11 +141,15 @@
         wanted = read_text(request, "format")
         if wanted not in TIMELINE_FORMATS:
             raise InvalidInputError("format: expected text or trace")
-        events, silent = await self.cell.timeline(
+        kinds = read_text(request, "kinds")
+        wanted_by = EventFilter(
             job=read_text(request, "job"),
             request=read_text(request, "request"),
+            vm=read_text(request, "vm"),
+            kinds=frozenset(kinds.split(",")) if kinds else frozenset(),
             since=read_time(request, "since"),
         )
+        events, silent = await self.cell.timeline(wanted_by)
         if wanted == "trace":
             return HTTPResponse(render_trace(events), content_type=JSON)
         lines = render_text(events).splitlines()
--- a/cassiaweir/api/_openapi_routes.py
+++ b/cassiaweir/api/_openapi_routes.py
@@ -217,7 +217,7 @@
         "/timeline",
         "Show the merged events; with format=trace as a trace-viewer file.",
         TimelineReport,
-        ("job", "request", "since", "format"),
+        ("job", "request", "vm", "kinds", "since", "format"),
     ),
     _read("/bundles", "List the versions of the bundle.", BundleList),
     _change(
--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -11,11 +11,14 @@
 
 from cassiaweir import __version__
 from cassiaweir.ctl import ctl
+from cassiaweir.ctl._context import CREDENTIAL_VARIABLE, SERVER_VARIABLE
 from cassiaweir.exceptions import CassiaweirError
 from cassiaweir.roles import Role
 from cassiaweir.settings import Settings
 
 EXIT_FAILURE = 1
+# An operator's shell may hold these; they are no settings of a process.
+CTL_VARIABLES = frozenset({CREDENTIAL_VARIABLE, SERVER_VARIABLE})
 
 
 class _ErrorsOnOneLine(click.Group):
@@ -45,7 +48,10 @@
 
 def load_settings(path: Path | None, overrides: tuple[str, ...]) -> Settings:
     """Read the settings of this process from all sources."""
-    return Settings.load(path, environment=os.environ, overrides=overrides)
+    environment = {
+        name: value for name, value in os.environ.items() if name not in CTL_VARIABLES
+    }
+    return Settings.load(path, environment=environment, overrides=overrides)
 
 
 @click.group(cls=_ErrorsOnOneLine)
--- a/cassiaweir/ctl/_commands.py
+++ b/cassiaweir/ctl/_commands.py
@@ -78,6 +78,8 @@
 @ctl.command()
 @click.option("--job", default="", help="Only events about this job.")
 @click.option("--request", default="", help="Only events about this request.")
+@click.option("--vm", default="", help="Only events about this VM.")
+@click.option("--kind", "kinds", multiple=True, help="Only events of these kinds.")
 @click.option("--since", default="", help="ISO 8601 time of the first event.")
 @click.option("--trace", type=click.Path(path_type=Path), help="Write a trace file.")
 @json_option
@@ -86,6 +88,8 @@
     ctl: CtlContext,
     job: str,
     request: str,
+    vm: str,
+    kinds: tuple[str, ...],
     since: str,
     trace: Path | None,
     as_json: bool,
@@ -94,7 +98,13 @@
 
     Example: cassiaweir ctl timeline --job fuel-audits.audit
     """
-    query = {"job": job, "request": request, "since": since}
+    query = {
+        "job": job,
+        "request": request,
+        "vm": vm,
+        "kinds": ",".join(kinds),
+        "since": since,
+    }
     if trace is not None:
         query["format"] = "trace"
         trace.write_bytes(
--- a/cassiaweir/facade.py
+++ b/cassiaweir/facade.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from datetime import datetime
 from typing import Protocol
 
 import msgspec
@@ -36,7 +35,11 @@
 from cassiaweir.administration._bundles import BundleAdministration
 from cassiaweir.administration._jobs import JobAdministration, JobStore
 from cassiaweir.administration._processes import ProcessProbe
-from cassiaweir.administration._selection import count_refusals, select_events
+from cassiaweir.administration._selection import (
+    EventFilter,
+    count_refusals,
+    select_events,
+)
 from cassiaweir.administration._teams import (
     ALLOTMENTS,
     describe_queues,
@@ -263,13 +266,10 @@
             ]
         )
 
-    async def timeline(
-        self, *, job: str, request: str, since: datetime | None
-    ) -> tuple[list[Event], list[str]]:
+    async def timeline(self, wanted_by: EventFilter) -> tuple[list[Event], list[str]]:
         """Return the selected events of all processes, and who gave none."""
         gathered = await self._sources.events.collect()
-        events = select_events(gathered.events, job=job, request=request, since=since)
-        return events, gathered.silent
+        return select_events(gathered.events, wanted_by), gathered.silent
 
     async def status(self) -> StatusReport:
         """Return what one screen shows of the cell."""
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -334,6 +334,19 @@
     assert trace.body["traceEvents"]
 
 
+async def test_the_time_line_is_selected_by_vm_and_kind_with_causes(cell):
+    cause = cell.log.record("slot_granted", "r1")
+    name = f"{cause.process}:{cause.sequence}"
+    cell.log.record("task_ended", "a/0", vm="augusta-worker-1", cause=name)
+    cell.log.record("task_ended", "a/1", vm="augusta-worker-2")
+    path = "/timeline?vm=augusta-worker-1&kinds=task_ended,task_started"
+    report = (await cell.call("anna", "GET", path)).body
+    assert [line.split()[2:4] for line in report["lines"]] == [
+        ["slot_granted", "r1"],
+        ["task_ended", "a/0"],
+    ]
+
+
 async def test_status_counts_refusals_by_reason(cell):
     await cell.call("nobody-knows-me", "GET", "/status")
     status = (await cell.call("anna", "GET", "/status")).body
--- /dev/null
+++ b/tests/test_cmdline.py
@@ -0,0 +1,83 @@
+"""Tests of `cassiaweir.cmdline`."""
+
+import re
+
+import click
+import pytest
+from click.testing import CliRunner
+
+from cassiaweir.cmdline import main
+from cassiaweir.settings import OPTIONS
+
+VALUES = {
+    "vm.name": "augusta-1",
+    "vm.failure_domain": "augusta",
+    "vm.deployment": "sicilia-est",
+    "platform.table": "127.0.0.1:1",
+    "platform.objects": "127.0.0.1:2",
+    "platform.vms": "127.0.0.1:3",
+    "cell.failure_domains": "augusta",
+}
+SET = [word for key, value in VALUES.items() for word in ("--set", f"{key}={value}")]
+
+
+def commands(group, path=()):
+    """Yield the path of every command below `group`."""
+    for name, command in group.commands.items():
+        if isinstance(command, click.Group):
+            yield from commands(command, (*path, name))
+        else:
+            yield (*path, name), command
+
+
+COMMANDS = list(commands(main))
+
+
+def run(*words, **environment):
+    return CliRunner().invoke(main, list(words), env=environment)
+
+
+@pytest.mark.parametrize("path", [path for path, _ in COMMANDS], ids=" ".join)
+def test_every_command_has_help_with_an_example(path):
+    result = run(*path, "--help")
+    assert result.exit_code == 0
+    text = " ".join(result.output.split())
+    assert re.search(rf"Example: .*cassiaweir {' '.join(path)}", text), text
+
+
+def test_no_option_takes_a_credential_itself():
+    names = {option for _, command in COMMANDS for option in _options(command)}
+    assert not {name for name in names if re.search("secret|password|token", name)}
+
+
+def _options(command):
+    return [text for param in command.params for text in param.opts]
+
+
+def test_settings_are_checked_without_listening():
+    assert run("check-settings", *SET).output == "settings are valid\n"
+
+
+def test_a_wrong_setting_is_one_line_and_exits_with_1():
+    result = run("check-settings", *SET, "--set", "log.level=loud")
+    assert result.exit_code == 1
+    assert result.stderr.startswith("cassiaweir: log.level")
+    assert len(result.stderr.splitlines()) == 1
+
+
+def test_variables_of_the_operators_shell_are_no_settings():
+    environment = {"CASSIAWEIR_CREDENTIAL": "x", "CASSIAWEIR_SERVER": "y"}
+    assert run("check-settings", *SET, **environment).exit_code == 0
+    result = run("check-settings", *SET, CASSIAWEIR_SERVERS="y")
+    assert "CASSIAWEIR_SERVERS: unknown option" in result.stderr
+
+
+def test_every_setting_is_shown_with_its_source():
+    output = run("debug", "settings", *SET).output
+    assert len(output.splitlines()) == len(OPTIONS)
+    assert "vm.name = augusta-1  # --set" in output
+
+
+def test_versions_are_shown():
+    assert "python: " in run("debug", "sys").output
+    assert run("--version").exit_code == 0
