--- a/prove/failures.py
+++ b/prove/failures.py
@@ -163,15 +163,18 @@
 async def restart_entries(scene: Scene) -> None:
     """Stop all entry VMs gracefully and start them again, one after another."""
     for vm in scene.cluster.entry_vms.values():
-        process = vm.serving("gateway")
-        if not process.running:
-            continue
-        began_at = time.monotonic()
-        status = await process.stop()
-        stop = GracefulStop(vm.name, began_at, time.monotonic(), status)
-        scene.history.stops.append(stop)
-        await process.start()
-        await wait_for_ok(f"http://{vm.http}/ready")
+        if vm.serving("gateway").running:
+            await stop_gracefully(scene, vm)
+            await vm.serving("gateway").start()
+            await wait_for_ok(f"http://{vm.http}/ready")
+
+
+async def stop_gracefully(scene: Scene, vm: EntryVmProcesses) -> None:
+    """Stop the process of an entry VM as planned and record the stop."""
+    began_at = time.monotonic()
+    status = await vm.serving("gateway").stop()
+    stop = GracefulStop(vm.name, began_at, time.monotonic(), status)
+    scene.history.stops.append(stop)
 
 
 async def cut_entry_from_table(scene: Scene) -> None:
--- a/prove/run.py
+++ b/prove/run.py
@@ -35,6 +35,7 @@
     Layout,
 )
 from prove.failures import FAILURES, Scene, draw_failures
+from prove.history import History
 from prove.platform_control import PlatformControl
 from prove.recorder import (
     Recorder,
@@ -121,7 +122,7 @@
         """Start everything, bring the failures about, heal, settle and check."""
         await self.cluster.start_platform()
         await self.control.load()
-        self._note_platform()
+        note_capacities(self.recorder.history, self.control)
         table = self.cluster.address(TABLE_OFFSET)
         history = self.recorder.history
         admin = await Administration.open(table, history, self.rng)
@@ -143,14 +144,6 @@
         report.violations[RECOVERY] = unsettled
         return report
 
-    def _note_platform(self) -> None:
-        history = self.recorder.history
-        for vm in self.control.vms.values():
-            if vm.role is VmRole.WORKER:
-                history.capacities[vm.name] = vm.capacity
-            if vm.role is VmRole.BACKEND:
-                history.slots[vm.name] = vm.slots
-
     def _traffic(self, admin: Administration) -> Traffic:
         targets = [Target("", self.cluster.balancer)] * 3
         targets += [Target(vm.name, vm.http) for vm in self.cluster.entry_vms.values()]
@@ -260,6 +253,15 @@
         )
 
 
+def note_capacities(history: History, control: PlatformControl) -> None:
+    """Record what workers and backend servers can take."""
+    for vm in control.vms.values():
+        if vm.role is VmRole.WORKER:
+            history.capacities[vm.name] = vm.capacity
+        if vm.role is VmRole.BACKEND:
+            history.slots[vm.name] = vm.slots
+
+
 async def run_once(options: Options) -> Report:
     """Run against a cluster of its own and write history and report."""
     cluster = Cluster(options.layout, options.folder)
--- a/prove/traffic.py
+++ b/prove/traffic.py
@@ -117,10 +117,11 @@
 
     async def _send_requests(self, team: str) -> None:
         while True:
-            await self._send_one(self._key(team))
+            await self.send_one(self._key(team))
             await asyncio.sleep(REQUEST_PAUSE_SECONDS)
 
-    async def _send_one(self, key: TeamKey) -> None:
+    async def send_one(self, key: TeamKey) -> None:
+        """Send one request, idempotent or not, to any gateway."""
         serial = next(self._serial)
         size = self.rng.choice((10, 200, BIGGEST_BODY_BYTES))
         body = f"{key.team}-{serial}-".encode().ljust(size, b"x")
--- a/prove/without.py
+++ b/prove/without.py
@@ -131,6 +131,9 @@
 
 
 def _put(owner: object, name: str, value: object) -> None:
+    """Replace an attribute that exists; a new name would change nothing."""
+    if not hasattr(owner, name):
+        raise AttributeError(f"{owner} has no {name} to do without")
     setattr(owner, name, value)
 
 
--- /dev/null
+++ b/tests/test_prove_run.py
@@ -0,0 +1,108 @@
+"""A small run of real processes: an owner is killed, a gateway is stopped gracefully.
+
+It waits for events, and no point that is checked has a bound in seconds here: keys
+and limits do not change, and no backend server leaves.
+"""
+
+import asyncio
+import random
+import subprocess
+import sys
+from dataclasses import replace
+
+import aiohttp
+import pytest
+
+from prove.administration import Administration
+from prove.checkers import check_all
+from prove.cluster import SICILIA_EST, TABLE_OFFSET, Cluster
+from prove.failures import Scene, kill_owner_for_good, stop_gracefully
+from prove.platform_control import PlatformControl
+from prove.recorder import (
+    Recorder,
+    Target,
+    take_executions,
+    take_ledger,
+    take_overloads,
+)
+from prove.run import note_capacities
+from prove.traffic import Traffic, plan_wave
+from prove.without import MECHANISMS
+
+LAYOUT = replace(SICILIA_EST, entry_vms=1, workers=6, workers_per_rack=2, backends=6)
+TEAMS = ("fuel-audits", "settlements")
+REQUESTS = 60
+HANG_SECONDS = 150
+POLL_SECONDS = 0.1
+
+
+@pytest.fixture
+async def cluster(tmp_path):
+    cluster = Cluster(LAYOUT, tmp_path)
+    try:
+        yield cluster
+    finally:
+        await cluster.kill()
+
+
+async def send_requests(traffic: Traffic) -> None:
+    keys = list(traffic.keys())
+    for index in range(REQUESTS):
+        await traffic.send_one(keys[index % len(keys)])
+
+
+async def wait_finished(traffic: Traffic) -> None:
+    for job in traffic.jobs:
+        target = Target("", traffic.targets[0].address)
+        open_parts = None
+        while open_parts != 0:
+            open_parts = await traffic.open_parts(job, target)
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def test_a_killed_owner_and_a_planned_stop_violate_nothing(cluster):
+    async with asyncio.timeout(HANG_SECONDS), aiohttp.ClientSession() as session:
+        rng = random.Random(1)
+        recorder, control = Recorder(session), PlatformControl(cluster, session)
+        history = recorder.history
+        await cluster.start_platform()
+        await control.load()
+        note_capacities(history, control)
+        admin = await Administration.open(cluster.address(TABLE_OFFSET), history, rng)
+        try:
+            await admin.set_up(TEAMS)
+        finally:
+            await admin.close()
+        await cluster.start_entry_vms()
+        targets = [Target("", cluster.balancer)]
+        targets += [Target(vm.name, vm.http) for vm in cluster.entry_vms.values()]
+        service = LAYOUT.service
+        traffic = Traffic(recorder, targets, service, lambda: admin.keys, rng)
+        scene = Scene(cluster, control, history, rng)
+
+        sending = [asyncio.create_task(send_requests(traffic)) for _ in range(4)]
+        for key in admin.keys:
+            for spec, finite in plan_wave(key.team, key.team):
+                await traffic.submit(spec, key, finite=finite)
+        await kill_owner_for_good(scene)
+        await stop_gracefully(scene, scene.any_vm())
+        await asyncio.gather(*sending)
+        for job in traffic.jobs:
+            if not job.finite:
+                await traffic.cancel(job)
+        await wait_finished(traffic)
+
+        take_executions(history, await control.executions())
+        take_overloads(history, await control.backend_stats(), 0.0)
+        take_ledger(history, await control.ledger())
+        assert await cluster.stop() == [0]
+    violations = check_all(history)
+    assert not any(violations.values()), violations
+    assert history.executions and history.runs and history.stops
+
+
+@pytest.mark.parametrize("name", MECHANISMS)
+def test_every_mechanism_can_be_done_without(name):
+    command = [sys.executable, "-m", "prove.without", name, "cassiaweir", "--version"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stderr
