--- a/prove/run.py
+++ b/prove/run.py
@@ -44,7 +44,7 @@
     take_ledger,
     take_overloads,
 )
-from prove.traffic import Traffic
+from prove.traffic import SubmittedJob, Traffic
 
 FOLDER = Path("build/prove")
 DEPLOYMENTS = {layout.deployment: layout for layout in (SICILIA_EST, PACIFICO_NORTE)}
@@ -193,16 +193,13 @@
     async def _settle(self, traffic: Traffic) -> tuple[float, list[Violation]]:
         """Cancel what never ends and wait until all work has finished."""
         began_at = time.monotonic()
-        await asyncio.gather(
-            *(traffic.cancel(job) for job in traffic.jobs if not job.finite)
-        )
         waiting = list(traffic.jobs)
-        target = Target("", self.cluster.balancer)
-        while waiting and time.monotonic() < began_at + SETTLE_SECONDS:
-            states = [await traffic.open_parts(job, target) for job in waiting]
-            pairs = zip(waiting, states, strict=True)
-            waiting = [job for job, state in pairs if state != 0]
-            await asyncio.sleep(SETTLE_POLL_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_SECONDS):
+                endless = [job for job in traffic.jobs if not job.finite]
+                await asyncio.gather(*map(traffic.cancel, endless))
+                while waiting:
+                    waiting = await self._unfinished(traffic, waiting)
         now = time.monotonic()
         left = [
             Violation(RECOVERY, job.spec.job, now, "has not finished after healing")
@@ -210,6 +207,16 @@
         ]
         return now - began_at, left
 
+    async def _unfinished(
+        self, traffic: Traffic, jobs: Sequence[SubmittedJob]
+    ) -> list[SubmittedJob]:
+        """Return the jobs that have open parts, or that nobody can tell of."""
+        await asyncio.sleep(SETTLE_POLL_SECONDS)
+        target = Target("", self.cluster.balancer)
+        states = [await traffic.open_parts(job, target) for job in jobs]
+        pairs = zip(jobs, states, strict=True)
+        return [job for job, state in pairs if state != 0]
+
     def _behind(self) -> list[Violation]:
         """Return the entry VMs that have not got the last version after healing."""
         history = self.recorder.history
--- a/prove/traffic.py
+++ b/prove/traffic.py
@@ -20,6 +20,7 @@
 RETRY_SECONDS = 0.3
 REQUESTERS_PER_TEAM = 4
 LONG_WORK_MS = 1500
+LASTING_KEY_SHARE = 0.7
 BURST_PAUSE_SECONDS = 4.0
 BURST_REQUESTS = 250
 BURST_WORK_MS = 300
@@ -87,7 +88,9 @@
             call = self.recorder.job_call(spec.job, key.team, key.secret, target)
             done = await self.recorder.job("POST", target, "/v1/jobs", call, body)
             if done.status == CREATED:
-                job = SubmittedJob(spec, key.team, key.secret, finite)
+                # The key of the submission may be withdrawn before the job ends.
+                lasting = self._lasting_key(key.team).secret
+                job = SubmittedJob(spec, key.team, lasting, finite)
                 self.jobs.append(job)
                 return True
             if 400 <= done.status < 500 and done.status != 429:
@@ -223,9 +226,13 @@
 
     def _key(self, team: str) -> TeamKey:
         """Return any key of the team, withdrawn ones as well."""
-        own = [key for key in self.keys() if key.team == team]
-        # The first key lasts, so that jobs go on; the others come and go.
-        return own[0] if self.rng.random() < 0.7 else self.rng.choice(own)
+        if self.rng.random() < LASTING_KEY_SHARE:
+            return self._lasting_key(team)
+        return self.rng.choice([key for key in self.keys() if key.team == team])
+
+    def _lasting_key(self, team: str) -> TeamKey:
+        """Return the first key of the team; the others come and go."""
+        return next(key for key in self.keys() if key.team == team)
 
 
 def plan_wave(team: str, prefix: str) -> list[tuple[JobSpec, bool]]:
