--- a/prove/run.py
+++ b/prove/run.py
@@ -20,12 +20,7 @@
 
 from cassiaweir.types import VmRole
 from prove.administration import Administration
-from prove.checkers import (
-    CHECKERS,
-    VIEW_AGE_LIMIT_SECONDS,
-    Violation,
-    check_all,
-)
+from prove.checkers import VIEW_AGE_LIMIT_SECONDS, Violation, check_all
 from prove.cluster import (
     PACIFICO_NORTE,
     SICILIA_EST,
@@ -34,6 +29,7 @@
     Layout,
 )
 from prove.failures import FAILURES, Scene, draw_failures
+from prove.history import History
 from prove.platform_control import PlatformControl
 from prove.recorder import (
     Recorder,
@@ -42,7 +38,8 @@
     take_ledger,
     take_overloads,
 )
-from prove.traffic import Traffic
+from prove.report import RECOVERY, Report, Window, show, show_table
+from prove.traffic import SubmittedJob, Traffic
 
 FOLDER = Path("build/prove")
 DEPLOYMENTS = {layout.deployment: layout for layout in (SICILIA_EST, PACIFICO_NORTE)}
@@ -51,41 +48,6 @@
 RESTORED_CPU_MILLIS = 50_000
 SETTLE_SECONDS = 60.0
 SETTLE_POLL_SECONDS = 0.5
-MOST_SHOWN = 5
-RECOVERY = "recovery"
-
-
-class Window(msgspec.Struct):
-    """The failures of one step, and when they were brought about and healed."""
-
-    failures: list[str]
-    began_at: float
-    ended_at: float
-
-
-class Report(msgspec.Struct):
-    """What a run found."""
-
-    seed: int
-    deployment: str
-    without: str
-    windows: list[Window] = []
-    violations: dict[str, list[Violation]] = {}
-    calls: int = 0
-    answered: int = 0
-    executions: int = 0
-    task_starts: int = 0
-    settle_seconds: float = 0
-    reasons: dict[str, int] = {}
-    rollouts: int = 0
-    races: int = 0
-    conflicts: int = 0
-    withdrawals: int = 0
-
-    @property
-    def failed(self) -> bool:
-        """Whether any point did not hold."""
-        return any(self.violations.values())
 
 
 @dataclass(slots=True)
@@ -119,7 +81,7 @@
         """Start everything, bring the failures about, heal, settle and check."""
         await self.cluster.start_platform()
         await self.control.load()
-        self._note_platform()
+        note_capacities(self.recorder.history, self.control)
         table = self.cluster.address(TABLE_OFFSET)
         history = self.recorder.history
         admin = await Administration.open(table, history, self.rng)
@@ -141,14 +103,6 @@
         report.violations[RECOVERY] = unsettled
         return report
 
-    def _note_platform(self) -> None:
-        history = self.recorder.history
-        for vm in self.control.vms.values():
-            if vm.role is VmRole.WORKER:
-                history.capacities[vm.name] = vm.capacity
-            if vm.role is VmRole.BACKEND:
-                history.slots[vm.name] = vm.slots
-
     def _traffic(self, admin: Administration) -> Traffic:
         targets = [Target("", self.cluster.balancer)] * 3
         targets += [Target(vm.name, vm.http) for vm in self.cluster.entry_vms.values()]
@@ -198,16 +152,13 @@
     async def _settle(self, traffic: Traffic) -> tuple[float, list[Violation]]:
         """Cancel what never ends and wait until all work has finished."""
         began_at = time.monotonic()
-        await asyncio.gather(
-            *(traffic.cancel(job) for job in traffic.jobs if not job.finite)
-        )
         waiting = list(traffic.jobs)
-        target = Target("", self.cluster.balancer)
-        while waiting and time.monotonic() < began_at + SETTLE_SECONDS:
-            states = [await traffic.open_parts(job, target) for job in waiting]
-            pairs = zip(waiting, states, strict=True)
-            waiting = [job for job, state in pairs if state != 0]
-            await asyncio.sleep(SETTLE_POLL_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_SECONDS):
+                endless = [job for job in traffic.jobs if not job.finite]
+                await asyncio.gather(*map(traffic.cancel, endless))
+                while waiting:
+                    waiting = await self._unfinished(traffic, waiting)
         now = time.monotonic()
         left = [
             Violation(RECOVERY, job.spec.job, now, "has not finished after healing")
@@ -215,6 +166,16 @@
         ]
         return now - began_at, left
 
+    async def _unfinished(
+        self, traffic: Traffic, jobs: Sequence[SubmittedJob]
+    ) -> list[SubmittedJob]:
+        """Return the jobs that have open parts, or that nobody can tell of."""
+        await asyncio.sleep(SETTLE_POLL_SECONDS)
+        target = Target("", self.cluster.balancer)
+        states = [await traffic.open_parts(job, target) for job in jobs]
+        pairs = zip(jobs, states, strict=True)
+        return [job for job, state in pairs if state != 0]
+
     def _behind(self) -> list[Violation]:
         """Return the entry VMs that have not got the last version after healing."""
         history = self.recorder.history
@@ -241,6 +202,9 @@
             deployment=self.cluster.layout.deployment,
             without=self.cluster.layout.without,
             windows=self.windows,
+            takeover_seconds=[
+                item.started_at - item.killed_at for item in history.takeovers
+            ],
             violations=check_all(history),
             calls=len(history.calls),
             answered=sum(call.outcome == "answered" for call in history.calls),
@@ -255,6 +219,15 @@
         )
 
 
+def note_capacities(history: History, control: PlatformControl) -> None:
+    """Record what workers and backend servers can take."""
+    for vm in control.vms.values():
+        if vm.role is VmRole.WORKER:
+            history.capacities[vm.name] = vm.capacity
+        if vm.role is VmRole.BACKEND:
+            history.slots[vm.name] = vm.slots
+
+
 async def run_once(options: Options) -> Report:
     """Run against a cluster of its own and write history and report."""
     cluster = Cluster(options.layout, options.folder)
@@ -274,22 +247,10 @@
     return report
 
 
-def show(report: Report) -> None:
-    """Print a line for each point, and its first violations."""
-    for point in (*CHECKERS, RECOVERY):
-        found = report.violations.get(point, [])
-        click.echo(f"{point}: {f'{len(found)} violations' if found else 'pass'}")
-        for item in found[:MOST_SHOWN]:
-            click.echo(f"    {item.at:.3f} {item.subject}: {item.detail}")
-    click.echo(
-        f"prove: seed {report.seed}, {report.calls} calls, {report.answered} answered, "
-        f"{report.executions} executions, {report.task_starts} task starts, "
-        f"{report.rollouts} roll-outs, {report.races} races with "
-        f"{report.conflicts} conflicts, {report.withdrawals} withdrawals, "
-        f"settled in {report.settle_seconds:.1f} s"
-    )
-    reasons = sorted(report.reasons.items())
-    click.echo(f"prove: outcomes {' '.join(f'{name}={n}' for name, n in reasons)}")
+def read_seeds(text: str) -> list[int]:
+    """Return the seeds of a text such as `3` or `1..5`."""
+    first, _, last = text.partition("..")
+    return list(range(int(first), int(last or first) + 1))
 
 
 def read_steps(failures: str, seed: int) -> list[tuple[str, ...]]:
@@ -307,7 +268,7 @@
 
 
 @click.command()
-@click.option("--seed", default=1, help="chooses failures, victims and load")
+@click.option("--seed", "seeds", default="1", help="such as 1, or 1..5 for a table")
 @click.option("--failures", default="", help="a,b at once; a;b one after another")
 @click.option("--seconds", default=QUIET_SECONDS, help="before and after each step")
 @click.option(
@@ -317,24 +278,29 @@
 @click.option("--folder-suffix", default="", help="keeps runs of one seed apart")
 @click.option("--fence/--no-fence", default=True, help="whether workers fence")
 def main(
-    seed: int,
+    seeds: str,
     failures: str,
     seconds: float,
     deployment: str,
     without: str,
-    fence: bool,
     folder_suffix: str,
+    fence: bool,
 ) -> None:
-    """Run once and exit with status 1 where a point did not hold."""
+    """Run each seed and exit with status 1 where a point did not hold."""
     layout = replace(DEPLOYMENTS[deployment], without=without, workers_fence=fence)
-    name = f"{seed}-without-{without}" if without else str(seed)
-    folder = FOLDER / (name + folder_suffix)
-    steps = read_steps(failures, seed)
-    shown = "; ".join(" and ".join(step) for step in steps)
-    click.echo(f"prove: seed {seed}, {deployment}, failures {shown}")
-    report = asyncio.run(run_once(Options(seed, layout, folder, steps, seconds)))
-    show(report)
-    sys.exit(report.failed)
+    reports = []
+    for seed in read_seeds(seeds):
+        steps = read_steps(failures, seed)
+        shown = "; ".join(" and ".join(step) for step in steps)
+        click.echo(f"prove: seed {seed}, {deployment}, failures {shown}")
+        name = f"{seed}-without-{without}" if without else str(seed)
+        folder = FOLDER / (name + folder_suffix)
+        options = Options(seed, layout, folder, steps, seconds)
+        reports.append(asyncio.run(run_once(options)))
+        show(reports[-1])
+    if len(reports) > 1:
+        show_table(reports)
+    sys.exit(any(report.failed for report in reports))
 
 
 if __name__ == "__main__":
