Measure slopes for the capacity page

Ruled out: the counter of the loopback device, which also counts what the stand-ins exchange among themselves; the counters of the sockets do not.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 SEEDS ?= 1..5
 
-.PHONY: help setup test format lint types unit demo bench prove proto binary report
+.PHONY: help setup test format lint types unit demo bench prove proto binary report capacity
 
 help: ## Show the targets.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -49,3 +49,6 @@
 
 report: setup ## Draw the plots of the last bench into docs/.
 	$(PYTHON) -m bench plots
+
+capacity: setup ## Measure what workers, tasks, teams, requests and peers cost.
+	$(PYTHON) -m lab.capacity
