--- a/lab/_site.py
+++ b/lab/_site.py
@@ -20,9 +20,9 @@
 )
 from cassiaweir.types import JobKind
 from cassiaweir.work import JobSpec, TaskSize
+from lab._desk import OperatorDesk
 from prove.callers import CREATED, Caller
 from prove.cluster import TABLE_OFFSET, Cluster, Layout
-from prove.operators import OperatorDesk
 
 FIRST_BASE_PORT = 20_000
 LAST_BASE_PORT = 30_000
