--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,7 +24,7 @@
     mixed,
 )
 from bench._results import CostResult, Report, RunResult, cost_result, run_result
-from bench._slopes import measure_slopes
+from bench._slopes import measure_events, measure_slopes
 from bench._table import lines
 from cassiaweir.placement import FairPlanner, Planner
 
@@ -61,13 +61,16 @@
 
 @main.command()
 def slopes() -> None:
-    """Measure the bytes that a planner holds by running task, VM and team."""
+    """Measure bytes by running task, VM and team, and the time of mass events."""
     click.echo(f"{'thing':<14}{'count':>8}{'bytes':>12}{'bytes each':>12}")
     for slope in measure_slopes():
         click.echo(
             f"{slope.thing:<14}{slope.count:>8}{slope.total_bytes:>12}"
             f"{slope.bytes_each:>12.0f}"
         )
+    click.echo(f"{'event':<14}{'count':>8}{'us each':>12}")
+    for cost in measure_events():
+        click.echo(f"{cost.event:<14}{cost.count:>8}{cost.microseconds_each:>12.1f}")
 
 
 @main.command()
--- a/bench/_slopes.py
+++ b/bench/_slopes.py
@@ -1,19 +1,21 @@
-"""Measures the memory of a planner by running task, VM and team."""
+"""Measures memory by running task, VM and team, and the time of mass events."""
 
 from __future__ import annotations
 
 import gc
+import time
 import tracemalloc
 from dataclasses import dataclass
 
 from bench._load import VM_CAPACITY
 from cassiaweir.placement import FairPlanner, TaskGroup, VmCondition, VmOffer
-from cassiaweir.types import JobKind, Resources, Urgency
+from cassiaweir.types import JobKind, Resources, TaskId, Urgency
 
 TASK_COUNTS = (1_000, 5_000, 19_000)
 VM_COUNTS = (24, 350, 1_400)
 TEAM_COUNTS = (6, 80, 320)
 TASKS_OF_JOB = 4
+MICROSECONDS = 1_000_000
 SIZE = Resources(500, 1024)
 WHOLE = Resources(10**9, 10**9, 10**6)
 
@@ -32,6 +34,44 @@
         return self.total_bytes / self.count
 
 
+@dataclass(frozen=True, slots=True)
+class EventCost:
+    """The time of one of `count` like events in a row."""
+
+    event: str
+    count: int
+    microseconds_each: float
+
+
+def measure_events() -> list[EventCost]:
+    """Return the times of adopting tasks and of cancelling jobs, at three sizes."""
+    costs = [EventCost("adopt", count, _adopt(count)) for count in TASK_COUNTS]
+    costs += [EventCost("cancel", count, _cancel(count)) for count in TASK_COUNTS]
+    return costs
+
+
+def _adopt(count: int) -> float:
+    planner = _prepared()
+    began = time.perf_counter()
+    for number in range(count):
+        group = _group(number // TASKS_OF_JOB)
+        task = TaskId(group.job, number % TASKS_OF_JOB)
+        planner.adopt(group, task, f"vm{number % VM_COUNTS[-1]}", 0.0)
+    planner.plan(0.0, 1)
+    return (time.perf_counter() - began) * MICROSECONDS / count
+
+
+def _cancel(count: int) -> float:
+    """Return the time to cancel every second one of `count` waiting jobs."""
+    planner = _prepared()
+    for number in range(count):
+        planner.enqueue(_group(number))
+    began = time.perf_counter()
+    for number in range(0, count, 2):
+        planner.cancel(f"job{number}")
+    return (time.perf_counter() - began) * MICROSECONDS / (count // 2)
+
+
 def measure_slopes() -> list[Slope]:
     """Return the memory at three sizes of each."""
     slopes = [Slope("VM", count, _bytes_of_vms(count)) for count in VM_COUNTS]
