Never save up for work that fits no VM

Cause: a team at its limit saved up for a job that no VM can hold, and started nothing more. The new test fails before this change. A team now saves only while the limit binds or VMs are kept for the old work, and only for work that an open VM could hold.

--- a/cassiaweir/placement/_queue.py
+++ b/cassiaweir/placement/_queue.py
@@ -72,6 +72,11 @@
             heapq.heappop(self.heap)
         return None
 
+    def waiting_since(self) -> float:
+        """Return since when the lane waits without a start, or infinity if empty."""
+        head = self.head()
+        return max(head.group.submitted_at, self.served_at) if head else NO_ENTRY
+
 
 @dataclass(slots=True, eq=False)
 class DemandClass:
--- a/cassiaweir/placement/_reservation.py
+++ b/cassiaweir/placement/_reservation.py
@@ -25,6 +25,7 @@
 from cassiaweir.placement._ledger import Ledger
 from cassiaweir.placement._queue import Lane
 from cassiaweir.placement._records import Amounts, JobRecord, VmRecord
+from cassiaweir.placement._saving import Saver
 from cassiaweir.placement._types import VmCondition
 from cassiaweir.types import JobKind, Resources
 
@@ -61,11 +62,14 @@
 class Reserver:
     """Watches the lanes of one urgency and reserves VMs for the overdue ones."""
 
-    def __init__(self, fleet: Fleet, bound: float, ledger: Ledger) -> None:
+    def __init__(
+        self, fleet: Fleet, ledger: Ledger, saver: Saver, bound: float
+    ) -> None:
         self._fleet = fleet
         self._bound = bound
         self._room_bound = bound * ROOM_BOUND_PART
         self._ledger = ledger
+        self._saver = saver
         self._watched: list[tuple[float, int, Lane]] = []
         self._credit = 0.0
         self._by_vm: dict[str, Reservation] = {}
@@ -76,11 +80,7 @@
         """Note that `lane` has waiting work."""
         if not lane.watched:
             lane.watched = True
-            self._push(lane, self._since(lane) + self._room_bound)
-
-    def is_past_bound(self, lane: Lane, now: float) -> bool:
-        """Tell whether the lane has waited longer than the bound."""
-        return now - self._since(lane) >= self._bound
+            self._push(lane, lane.waiting_since() + self._room_bound)
 
     def started(self, lane: Lane, count: int, now: float) -> None:
         """Note that `count` tasks started in fair order; they pay for overdue work."""
@@ -116,7 +116,7 @@
                     self.watch(lane)
                     return reservation
             lane.watched = True
-            self._push(lane, max(now, self._since(lane)) + self._room_bound)
+            self._push(lane, max(now, lane.waiting_since()) + self._room_bound)
         return None
 
     def choose(self, reservation: Reservation, now: float) -> list[VmRecord]:
@@ -188,16 +188,11 @@
 
     def _is_overdue(self, lane: Lane, now: float) -> bool:
         """Tell whether the lane has waited too long, for room or for its turn."""
-        waited = now - self._since(lane)
+        waited = now - lane.waiting_since()
         if waited >= self._bound and self._credit >= 0:
             return True
         return waited >= self._room_bound and lane.team.order <= self._ledger.level(now)
 
-    def _since(self, lane: Lane) -> float:
-        head = lane.head()
-        waiting_since = head.group.submitted_at if head else 0.0
-        return max(waiting_since, lane.served_at)
-
     def _push(self, lane: Lane, due: float) -> None:
         heapq.heappush(self._watched, (due, next(_tie), lane))
 
@@ -207,7 +202,7 @@
         wanted = need if job.gang else job.reserved + 1
         if job.reserved >= len(job.waiting) or not job.team.allows(size, wanted):
             return None
-        if job.team.saving_for not in (None, lane):
+        if self._saver.holds_back(lane, job, now):
             return None
         if job.gang and self._gang is not None:
             return None
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -12,6 +12,7 @@
 from cassiaweir.placement._queue import Lane, WaitingQueue
 from cassiaweir.placement._records import JobRecord, TeamRecord, VmRecord
 from cassiaweir.placement._reservation import Reservation, Reserver
+from cassiaweir.placement._saving import Saver
 from cassiaweir.placement._types import Placement, Plan, Preemption
 from cassiaweir.types import Resources, Urgency
 
@@ -41,8 +42,9 @@
         self._fleet = fleet
         self._ledger = ledger
         self.preemptor = Preemptor(fleet)
+        self._saver = Saver(fleet, bounds[Urgency.NORMAL])
         self._urgent, self._normal = (
-            Tier(WaitingQueue(), Reserver(fleet, bounds[urgency], ledger))
+            Tier(WaitingQueue(), Reserver(fleet, ledger, self._saver, bounds[urgency]))
             for urgency in (Urgency.URGENT, Urgency.NORMAL)
         )
         self._urgent_retry_at = 0.0
@@ -165,30 +167,21 @@
     def _is_allowed(
         self, tier: Tier, lane: Lane, job: JobRecord, plan: Plan, now: float
     ) -> bool:
-        """Tell whether the team's limit lets the lane start; else withdraw the lane.
+        """Tell whether the lane may start now; else withdraw it.
 
-        Urgent work may make room within the limit by checkpoints.  Normal work that
-        the limit keeps waiting too long makes the team's other lanes wait for it,
-        since smaller work would take what ends for ever.
+        Urgent work may make room within the team's limit by checkpoints.  Normal
+        work waits while the team saves up for older work.
         """
-        team = job.team
-        saving_for = team.saving_for
-        if saving_for is not None and saving_for.head() is None:
-            team.saving_for = saving_for = None
-        if team.allows(job.group.size, job.needed_at_once):
-            if tier is self._urgent or saving_for in (None, lane):
+        fits = job.team.allows(job.group.size, job.needed_at_once)
+        if tier is self._urgent:
+            if fits:
                 return True
-            lane.demand.withdraw(lane)
-            return False
-        if tier is self._urgent and self._preempt_own(job, plan, now):
-            return False
-        if (
-            tier is self._normal
-            and saving_for is None
-            and tier.reserver.is_past_bound(lane, now)
-            and _may_ever_start(job)
-        ):
-            team.saving_for = lane
+            if self._preempt_own(job, plan, now):
+                return False
+        elif not fits:
+            self._saver.save_for(lane, job, now)
+        elif not self._saver.holds_back(lane, job, now):
+            return True
         lane.demand.withdraw(lane)
         return False
 
@@ -272,11 +265,6 @@
     return len(plan.placements) + count <= most
 
 
-def _may_ever_start(job: JobRecord) -> bool:
-    """Tell whether the team's allotment holds the next tasks of `job` alone."""
-    return (job.group.size * job.needed_at_once).fits(job.team.allotment)
-
-
 def _has_room(claim: Claim) -> bool:
     """Tell whether the claimed room is free and allowed, now that the claim is closed.
 
--- a/tests/test_placement_ageing.py
+++ b/tests/test_placement_ageing.py
@@ -129,6 +129,17 @@
     stream.seconds_until("large/0", BOUND_SECONDS + 2 * STREAM_SECONDS)
 
 
+def test_a_team_does_not_save_up_for_work_that_fits_no_vm():
+    planner = planner_with(vms=2)
+    planner.set_team("a", 1, VM_SIZE * 2)
+    planner.enqueue(group("running", tasks=4))
+    planner.plan(0, 9)
+    planner.enqueue(group("never", size=VM_SIZE * 2))
+    planner.plan(BOUND_SECONDS + 1, 9)
+    planner.enqueue(group("n", tasks=4, submitted_at=BOUND_SECONDS + 1.0))
+    assert len(planner.plan(BOUND_SECONDS + 2, 9).placements) == 4
+
+
 def reserved_planner():
     """Return a planner that keeps its only VM for a job of the VM's whole size."""
     planner = planner_with(vms=1)
