Let known operators read while the table is down, and show how parts ended

Typed against a cluster whose table was down, every reading command was refused, as the operator's credential could not be looked up: just when they are needed. A finished part showed no ends, as only the owners' live answers were counted; its done row is shown now. A gang above the limit of its team says that it never starts.

--- a/cassiaweir/administration/_jobs.py
+++ b/cassiaweir/administration/_jobs.py
@@ -18,8 +18,15 @@
 )
 from cassiaweir.configuration import AuditedTable, Operator, OperatorRole
 from cassiaweir.exceptions import InvalidInputError, RefusedError
-from cassiaweir.types import CellView
-from cassiaweir.work import JobPage, JobRow, JobStatus
+from cassiaweir.types import CellView, JobKind
+from cassiaweir.work import (
+    DoneRow,
+    JobPage,
+    JobRow,
+    JobSpec,
+    JobStatus,
+    PartAnswer,
+)
 
 AUDIT_AREA = "jobs"
 PAGE = 500
@@ -139,6 +146,20 @@
             operator.name, "cancel", [], [], area=AUDIT_AREA, version=0, detail=detail
         )
 
+    def _compare_with_limit(self, row: JobRow) -> list[str]:
+        """Return why the job can never start under the limit in force, if so."""
+        team = self._view.team(row.team)
+        if team is None:
+            return [f"team {row.team} is not in force"]
+        needed = row.spec.size.resources() * _at_once(row.spec)
+        if needed.fits(team.limit):
+            return []
+        return [
+            f"it never starts under the limit of team {team.name}: what starts "
+            f"together needs {needed.cpu_millis} cpu_millis and {needed.memory_mb} "
+            f"memory_mb"
+        ]
+
     def _explain(self, status: JobStatus) -> list[str]:
         """Return why tasks of the job do not run, one sentence an entry."""
         if status.finished:
@@ -146,11 +167,7 @@
         reasons = []
         if status.row.cancelled:
             reasons.append("the job is cancelled; its running tasks are being stopped")
-        team = self._view.team(status.row.team)
-        if team is None:
-            reasons.append(f"team {status.row.team} is not in force")
-        elif not status.row.spec.size.resources().fits(team.limit):
-            reasons.append(f"a task is larger than the limit of team {team.name}")
+        reasons += self._compare_with_limit(status.row)
         reasons += [
             f"shard {part.shard}: {part.queued} tasks wait: "
             f"{part.waiting_reason or 'no reason was given yet'}"
@@ -164,6 +181,11 @@
         return reasons
 
 
+def _at_once(spec: JobSpec) -> int:
+    """Return the tasks of a job that only start together."""
+    return spec.tasks if spec.kind is JobKind.GANG else 1
+
+
 def _matches(row: JobRow, team: str, queue: str) -> bool:
     return team in ("", row.team) and queue in ("", row.spec.queue)
 
@@ -187,23 +209,37 @@
 def _parts(status: JobStatus) -> list[JobPart]:
     """Return one entry a shard, from the rows and from what the owners say."""
     live = {part.shard: part for part in status.live}
+    # The outcomes follow the order of the shards whose part is finished.
+    ends = iter(status.done)
     parts = []
     for shard in status.row.shards:
-        part = live.get(shard)
-        if part is None:
-            finished = shard not in status.silent
-            parts.append(JobPart(shard=shard, answered=finished, finished=finished))
-            continue
-        parts.append(
-            JobPart(
-                shard=shard,
-                answered=True,
-                finished=False,
-                queued=part.queued,
-                running=part.running,
-                succeeded=part.succeeded,
-                failed=part.failed,
-                waiting_reason=part.waiting_reason,
-            )
-        )
+        if shard in live:
+            parts.append(_live_part(live[shard]))
+        elif shard in status.silent:
+            parts.append(JobPart(shard=shard, answered=False, finished=False))
+        else:
+            parts.append(_finished_part(shard, next(ends, None)))
     return parts
+
+
+def _live_part(part: PartAnswer) -> JobPart:
+    return JobPart(
+        shard=part.shard,
+        answered=True,
+        finished=False,
+        queued=part.queued,
+        running=part.running,
+        succeeded=part.succeeded,
+        failed=part.failed,
+        waiting_reason=part.waiting_reason,
+    )
+
+
+def _finished_part(shard: str, end: DoneRow | None) -> JobPart:
+    return JobPart(
+        shard=shard,
+        answered=True,
+        finished=True,
+        succeeded=end.succeeded if end else 0,
+        failed=end.failed if end else 0,
+    )
--- a/cassiaweir/administration/_models.py
+++ b/cassiaweir/administration/_models.py
@@ -262,12 +262,12 @@
 
     shard: str
     failure_domain: str
-    process: str
-    epoch: int
-    capacity: Amount
-    free: Amount
-    queued_tasks: int
-    running_tasks: int
+    process: str = ""
+    epoch: int = 0
+    capacity: Amount = msgspec.field(default_factory=Amount)
+    free: Amount = msgspec.field(default_factory=Amount)
+    queued_tasks: int = 0
+    running_tasks: int = 0
 
 
 class ShardList(_Message):
@@ -290,11 +290,14 @@
 
 
 class ProcessList(_Message):
-    """The processes of the cell; the versions are the newest in the table."""
+    """The processes of the cell.
+
+    The versions are the newest in the table, null while it cannot be read.
+    """
 
-    bundle_version: int
-    keys_version: int
     processes: list[ProcessInfo]
+    bundle_version: int | None = None
+    keys_version: int | None = None
 
 
 class ProcessText(_Message):
--- a/cassiaweir/administration/_teams.py
+++ b/cassiaweir/administration/_teams.py
@@ -13,6 +13,7 @@
     QueueList,
     ServiceInfo,
     ServiceList,
+    ShardInfo,
     TeamInfo,
     TeamList,
     VmConditionName,
@@ -22,7 +23,7 @@
 from cassiaweir.administration._vms import VmConditionRow
 from cassiaweir.configuration import Bundle
 from cassiaweir.teams import AllotmentRow, ListedKey
-from cassiaweir.types import Resources, Row, Vm, VmRole
+from cassiaweir.types import Resources, Row, ShardOwner, Vm, VmRole
 
 ALLOTMENTS = "allot/"
 
@@ -94,6 +95,22 @@
     return VmsReport(vms=sorted(found, key=lambda item: item.name))
 
 
+def describe_shard(name: str, owner: ShardOwner | None) -> ShardInfo:
+    """Return a shard with the owner that was heard of last, if any."""
+    if owner is None:
+        return ShardInfo(shard=name, failure_domain=name.rpartition("-")[0])
+    return ShardInfo(
+        shard=name,
+        failure_domain=name.rpartition("-")[0],
+        process=owner.process,
+        epoch=owner.epoch,
+        capacity=Amount.of(owner.capacity),
+        free=Amount.of(owner.free),
+        queued_tasks=owner.queued_tasks,
+        running_tasks=owner.running_tasks,
+    )
+
+
 def _describe_vm(
     vm: Vm, asked: VmConditionRow | None, shard_of: Callable[[Vm], str]
 ) -> VmInfo:
--- a/cassiaweir/api/_admin.py
+++ b/cassiaweir/api/_admin.py
@@ -42,7 +42,9 @@
 
         async def answer(request: Request, **names: str) -> HTTPResponse:
             async with self._gate:
-                operator = await self.cell.authenticate(read_credential(request))
+                operator = await self.cell.authenticate(
+                    read_credential(request), reading=method == "GET"
+                )
                 return await handler(request, operator, **names)
 
         routes.add_route(answer, path, methods=[method], name=name)
--- a/cassiaweir/composition/_gateway.py
+++ b/cassiaweir/composition/_gateway.py
@@ -73,10 +73,11 @@
         events=base.events,
         shards=base.shard_names(),
     )
+    cell = build_cell(base, jobs)
     blueprints = [
         requests.blueprint(),
         JobApi(base.view, jobs).blueprint(),
-        *admin_blueprints(build_cell(base, jobs)),
+        *admin_blueprints(cell),
     ]
     front = HttpFront(settings, blueprints, base.events, base.metrics)
     key_uses = KeyUseWriter(
@@ -84,4 +85,4 @@
         base.clock,
         take_uses=base.view.take_uses,
     )
-    return [sizes, jobs, backends, slots, router, key_uses, front]
+    return [sizes, jobs, backends, slots, router, key_uses, cell.known_operators, front]
--- a/cassiaweir/configuration/_operators.py
+++ b/cassiaweir/configuration/_operators.py
@@ -147,6 +147,15 @@
             detail=name,
         )
 
+    async def by_digest(self) -> dict[str, Operator]:
+        """Return all operators of the table by the digests of their credentials."""
+        found = {}
+        for row in await self._table.scan(OPERATORS):
+            content = msgspec.json.decode(row.value, type=OperatorRow)
+            operator = Operator(content.name, frozenset(content.roles))
+            found[row.key.removeprefix(OPERATORS)] = operator
+        return found
+
     async def list(self) -> list[OperatorRow]:
         """Return all operators of the table, by name."""
         rows = await self._table.scan(OPERATORS)
--- a/cassiaweir/ctl/_keys.py
+++ b/cassiaweir/ctl/_keys.py
@@ -122,7 +122,9 @@
         behind = [
             item.process
             for item in found.processes
-            if not item.answered or item.keys_version < found.keys_version
+            if found.keys_version is None
+            or not item.answered
+            or item.keys_version < found.keys_version
         ]
         if not behind:
             click.echo(f"in force in {len(found.processes)} processes", err=True)
--- a/cassiaweir/facade.py
+++ b/cassiaweir/facade.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from cassiaweir.administration import (
-    Amount,
     AuditInfo,
     AuditList,
     ConditionChange,
@@ -23,7 +22,6 @@
     ProcessText,
     QueueList,
     ServiceList,
-    ShardInfo,
     ShardList,
     StatusReport,
     TeamList,
@@ -34,6 +32,7 @@
 )
 from cassiaweir.administration._bundles import BundleAdministration
 from cassiaweir.administration._jobs import JobAdministration, JobStore
+from cassiaweir.administration._known_operators import KnownOperators
 from cassiaweir.administration._processes import ProcessProbe
 from cassiaweir.administration._selection import (
     EventFilter,
@@ -44,6 +43,7 @@
     ALLOTMENTS,
     describe_queues,
     describe_services,
+    describe_shard,
     describe_teams,
     describe_vms,
 )
@@ -62,7 +62,11 @@
     decode_counter,
     decode_head,
 )
-from cassiaweir.exceptions import InvalidInputError, NotFoundError
+from cassiaweir.exceptions import (
+    InvalidInputError,
+    NotFoundError,
+    UnavailableError,
+)
 from cassiaweir.observe import Event
 from cassiaweir.teams import KeyRegistry
 from cassiaweir.types import Clock, ShardDirectory, Vm, VmList
@@ -103,9 +107,8 @@
 class Cell:
     """The operations of operators; each change needs a role of the operator.
 
-    All methods raise `UnavailableError` where the table gives no answer.  Those
-    that change something raise `RefusedError` where the role is missing, and
-    `ConflictError` naming the winner where another operator came first.
+    Methods raise `UnavailableError` where the table gives no answer.  Changes raise
+    `RefusedError` for a missing role and `ConflictError` naming who came first.
     """
 
     def __init__(
@@ -119,6 +122,7 @@
         self._sources = sources
         self._audited = audited
         self._operators = Operators(audited, first_operator_digest)
+        self.known_operators = KnownOperators(self._operators, sources.clock)
         self._keys = KeyRegistry(audited, sources.clock)
         self._conditions = VmConditions(audited)
         self.jobs = JobAdministration(jobs, sources.view, audited)
@@ -126,9 +130,12 @@
             BundleRepository(audited), self.jobs, sources.directory, sources.probe
         )
 
-    async def authenticate(self, secret: str) -> Operator:
-        """Return the operator whose credential is `secret`."""
-        return await self._operators.authenticate(secret)
+    async def authenticate(self, secret: str, *, reading: bool) -> Operator:
+        """Return the operator whose credential is `secret`.
+
+        While the table is down operators may still read, from the last copy.
+        """
+        return await self.known_operators.authenticate(secret, reading=reading)
 
     async def operators(self) -> OperatorList:
         """Return all operators."""
@@ -221,29 +228,21 @@
 
     def shards(self) -> ShardList:
         """Return every shard of the cell with the owner that was heard of last."""
-        names = self._sources.shard_names
-        return ShardList(shards=[self._shard(name) for name in names])
-
-    def _shard(self, name: str) -> ShardInfo:
-        owner = self._sources.directory.owner(name)
-        return ShardInfo(
-            shard=name,
-            failure_domain=name.rpartition("-")[0],
-            process=owner.process if owner else "",
-            epoch=owner.epoch if owner else 0,
-            capacity=Amount.of(owner.capacity) if owner else Amount(),
-            free=Amount.of(owner.free) if owner else Amount(),
-            queued_tasks=owner.queued_tasks if owner else 0,
-            running_tasks=owner.running_tasks if owner else 0,
-        )
+        sources = self._sources
+        owners = [(name, sources.directory.owner(name)) for name in sources.shard_names]
+        return ShardList(shards=[describe_shard(*item) for item in owners])
 
     async def processes(self) -> ProcessList:
         """Return every process with the versions that it has in force.
 
         The heads are read first, so that a process that has them is up to date with
-        every change that was made before the call.
+        every change that was made before the call.  While the table is down they are
+        null, as nobody can tell which versions are the newest.
         """
-        rows = await self._audited.table.read([BUNDLE_HEAD, KEYS_HEAD])
+        try:
+            rows = await self._audited.table.read([BUNDLE_HEAD, KEYS_HEAD])
+        except UnavailableError:
+            return ProcessList(processes=await self._sources.probe.look())
         return ProcessList(
             bundle_version=decode_head(rows.get(BUNDLE_HEAD)).version,
             keys_version=decode_counter(rows.get(KEYS_HEAD)).version,
@@ -276,19 +275,20 @@
         view = self._sources.view
         processes = await self._sources.probe.look()
         metrics = await self._sources.probe.texts("metrics")
-        teams = TeamList(bundle_version=view.bundle_version, teams=[])
-        if view.table_reachable:
-            teams = await self.teams()
+        try:
+            teams = (await self.teams()).teams
+        except UnavailableError:
+            teams = []
         return StatusReport(
             at=self._sources.clock.now(),
             deployment=self._sources.deployment,
             table_reachable=view.table_reachable,
             bundle_version=view.bundle_version,
-            bundle_digest=view.bundle.digest(),
+            bundle_digest=view.bundle.digest() if view.bundle_version else "",
             keys_version=view.keys_version,
             processes=processes,
             shards=self.shards().shards,
-            teams=teams.teams,
+            teams=teams,
             refusals=count_refusals([item.text for item in metrics]),
         )
 
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -3,12 +3,14 @@
 import asyncio
 from datetime import timedelta
 
+import msgspec
 import pytest
 
 from cassiaweir.administration._vms import AdministeredVmList
 from cassiaweir.api._admin import MOST_CALLS_AT_ONCE
 from cassiaweir.clock import ManualClock
-from cassiaweir.types import VmState
+from cassiaweir.types import VmState, Write
+from cassiaweir.work import DoneRow, done_key, part_key
 from tests.admin_helpers import FILES, AdminCell
 from tests.test_admin_bundles import JOB, race
 
@@ -165,6 +167,27 @@
     assert (answer.headers["Retry-After"], answer.body["verdict"]) == ("1", "not_run")
 
 
+async def test_with_the_table_down_known_operators_still_read(cell):
+    cell.table.down = True
+    assert (await cell.call("anna", "GET", "/status")).status == 503
+    cell.table.down = False
+    await cell.cell.known_operators.copy()
+    cell.table.down = True
+    for path in ("/status", "/processes", "/shards", "/timeline", "/queues"):
+        answer = await cell.call("anna", "GET", path)
+        assert answer.status == 200, (path, answer.raw)
+    change = {"condition": "drained"}
+    path = "/vms/augusta-worker-1/condition"
+    assert (await cell.call("anna", "PUT", path, change)).status == 503
+    assert (await cell.call("nobody-knows-me", "GET", "/shards")).status == 503
+
+
+async def test_a_removed_operator_reads_nothing_while_the_table_answers(cell):
+    await cell.cell.known_operators.copy()
+    await cell.call("anna", "DELETE", "/operators/bruno")
+    assert (await cell.call("bruno", "GET", "/shards")).status == 401
+
+
 async def test_an_answer_that_stays_unknown_may_have_run(cell):
     cell.table.lose_requests = 100
     answer = await cell.call("anna", "POST", "/keys", {"team": "customs"})
@@ -307,6 +330,28 @@
     assert all("no owner answers" in reason for reason in detail["waiting"])
 
 
+async def test_a_gang_above_the_limit_of_its_team_says_that_it_never_starts(cell, job):
+    gang = JOB | {"job": "customs.gang", "kind": "gang", "tasks": 9}
+    await cell.call("team", "POST", "", gang, prefix="/v1/jobs")
+    detail = (await cell.call("anna", "GET", "/jobs/customs.gang")).body
+    assert "never starts under the limit of team customs" in detail["waiting"][0]
+    detail = (await cell.call("anna", "GET", f"/jobs/{job}")).body
+    assert not any("never" in reason for reason in detail["waiting"])
+
+
+async def test_a_finished_part_keeps_its_outcome(cell, job):
+    detail = (await cell.call("anna", "GET", f"/jobs/{job}")).body
+    shard = detail["parts"][0]["shard"]
+    done = DoneRow(job, "customs", succeeded=3, failed=1, cancelled=False)
+    part = Write(part_key(shard, job), None)
+    end = Write(done_key(job, shard), msgspec.json.encode(done))
+    cell.table.apply([], [part, end])
+    detail = (await cell.call("anna", "GET", f"/jobs/{job}")).body
+    assert detail["finished"] and detail["waiting"] == []
+    (part,) = detail["parts"]
+    assert (part["finished"], part["succeeded"], part["failed"]) == (True, 3, 1)
+
+
 async def test_jobs_are_cancelled_one_by_one_and_by_selector(cell, job):
     for name in ("customs.b", "other.c"):
         await cell.call("team", "POST", "", JOB | {"job": name}, prefix="/v1/jobs")
