--- a/prove/failures.py
+++ b/prove/failures.py
@@ -22,6 +22,7 @@
 PAST_THE_LEASE_SECONDS = 9.0
 CUT_SECONDS = 9.0
 OUTAGE_SECONDS = 6.0
+WORKERS_HANG_SECONDS = 14.0
 LIST_LAG_SECONDS = 10.0
 FAULTY_ANSWERS = 30
 LONGEST_TAKEOVER_SECONDS = 60.0
@@ -271,6 +272,13 @@
     await scene.control.fail_all_tasks(name, False)
 
 
+async def workers_hang(scene: Scene) -> None:
+    """Let half of the workers leave all calls unanswered, while their tasks run."""
+    names = scene.control.names(VmRole.WORKER)
+    await scene.control.hang(scene.rng.sample(names, len(names) // 2))
+    await asyncio.sleep(WORKERS_HANG_SECONDS)
+
+
 async def backend_leaves(scene: Scene) -> None:
     """Let a backend server leave, by its own signal and by the list."""
     name = scene.any_name(VmRole.BACKEND)
@@ -299,8 +307,9 @@
 
 
 async def backends_answer_twice(scene: Scene) -> None:
-    """Let backend servers send answers twice."""
-    await _spoil_answers(scene, BackendFaults(twice=FAULTY_ANSWERS))
+    """Let backend servers send answers twice, at once and a little later."""
+    faults = BackendFaults(twice=FAULTY_ANSWERS, again=2 * FAULTY_ANSWERS)
+    await _spoil_answers(scene, faults)
 
 
 async def _spoil_answers(scene: Scene, faults: BackendFaults) -> None:
@@ -336,6 +345,7 @@
         worker_dies,
         worker_replaced,
         worker_fails_all,
+        workers_hang,
         backend_leaves,
         list_says_leaving,
         backends_cut_answers,
--- a/prove/platform_control.py
+++ b/prove/platform_control.py
@@ -77,6 +77,11 @@
         changed = msgspec.structs.replace(faults, **changes)
         await self._post(address, "/v1/faults", changed)
 
+    async def hang(self, names: Sequence[str]) -> None:
+        """Let VMs leave all calls unanswered."""
+        for name in names:
+            await self._post(self.vms[name].address, "/v1/faults", Faults(frozen=True))
+
     async def set_list_lag(self, seconds: float) -> None:
         """Let the list of VMs lag."""
         address = self.cluster.address(VMS_OFFSET)
--- a/prove/run.py
+++ b/prove/run.py
@@ -184,7 +184,8 @@
         return [
             Violation(RECOVERY, vm, item.at, f"version {item.version}, not {last}")
             for vm, item in seen.items()
-            if item.version < last or item.view_age > VIEW_AGE_LIMIT_SECONDS
+            if self.cluster.entry_vms[vm].serving("gateway").running
+            and (item.version < last or item.view_age > VIEW_AGE_LIMIT_SECONDS)
         ]
 
     async def _collect(self) -> None:
--- a/standins/_backend.py
+++ b/standins/_backend.py
@@ -16,6 +16,7 @@
 DEFAULT_SLOTS = 8
 DEFAULT_CONNECTIONS = 64
 DEFAULT_WORK_SECONDS = 0.005
+AGAIN_SECONDS = 0.01
 REQUEST_ID_HEADER = "Cassiaweir-Request-Id"
 IDEMPOTENCY_KEY_HEADER = "Cassiaweir-Idempotency-Key"
 WORK_HEADER = "Cassiaweir-Work-Ms"
@@ -26,14 +27,16 @@
     """How many of the next answers go wrong in which way.
 
     `late` answers come `late_ms` later, `cut` ones end in the middle of the body,
-    `twice` ones are sent twice, and `closed` ones are missing: the connection
-    closes after the work was done.
+    `twice` ones are sent twice, `again` ones once more a little later, when the
+    connection may be idle or in use for another request, and `closed` ones are
+    missing: the connection closes after the work was done.
     """
 
     late: int = 0
     late_ms: int = 1000
     cut: int = 0
     twice: int = 0
+    again: int = 0
     closed: int = 0
 
 
@@ -200,7 +203,11 @@
             return await _answer_half(req, body, headers)
         if faults.twice:
             faults.twice -= 1
-            await _answer_early(req, body, headers)
+            _write_answer(req.transport, body, headers)
+        if faults.again:
+            faults.again -= 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(AGAIN_SECONDS, _write_answer, req.transport, body, headers)
         self.stats.answered += 1
         return web.Response(body=body, headers=headers, content_type="application/json")
 
@@ -237,11 +244,12 @@
     return resp
 
 
-async def _answer_early(req: web.Request, body: bytes, headers: dict[str, str]) -> None:
-    """Send one more whole answer on the connection before the real one."""
+def _write_answer(
+    transport: asyncio.BaseTransport | None, body: bytes, headers: dict[str, str]
+) -> None:
+    """Send one more whole answer on the connection."""
     lines = ["HTTP/1.1 200 OK", "Content-Type: application/json"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines += [f"Content-Length: {len(body)}", "", ""]
-    transport = req.transport
-    if isinstance(transport, asyncio.WriteTransport):
+    if isinstance(transport, asyncio.WriteTransport) and not transport.is_closing():
         transport.write("\r\n".join(lines).encode() + body)
