--- a/prove/failures.py
+++ b/prove/failures.py
@@ -14,12 +14,18 @@
 
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
 from cassiaweir.types import VmRole
+from prove.administration import Administration
+from prove.checkers import KEY_BOUND_SECONDS
 from prove.cluster import Cluster, EntryVmProcesses, wait_for_ok
 from prove.history import Disturbance, GracefulStop, History, Leaving, Takeover
 from prove.platform_control import ALL_SERVICES, PlatformControl
+from prove.recorder import Recorder, Request, Target
 from standins._backend import BackendFaults
 
 PAST_THE_LEASE_SECONDS = 9.0
+PAST_THE_TAKEOVER_SECONDS = 25.0
+KEY_KNOWN_SECONDS = 2.0
+LATE_CALLS = 5
 CUT_SECONDS = 9.0
 OUTAGE_SECONDS = 6.0
 WORKERS_HANG_SECONDS = 14.0
@@ -39,9 +45,15 @@
 
     cluster: Cluster
     control: PlatformControl
-    history: History
+    recorder: Recorder
+    admin: Administration
     rng: random.Random
 
+    @property
+    def history(self) -> History:
+        """What the run recorded up to now."""
+        return self.recorder.history
+
     def any_vm(self) -> EntryVmProcesses:
         """Return an entry VM whose process runs."""
         running = [
@@ -144,19 +156,44 @@
 
 async def freeze_entry(scene: Scene) -> None:
     """Freeze the process of an entry VM for as long as a lease and more."""
-    await _freeze(scene, scene.any_vm())
+    await _freeze(scene, scene.any_vm(), PAST_THE_LEASE_SECONDS)
 
 
 async def freeze_owner(scene: Scene) -> None:
-    """Freeze the process that owns a shard past its lease."""
-    await _freeze(scene, await scene.any_owner())
+    """Freeze the process that owns a shard until its successor runs the shard."""
+    await _freeze(scene, await scene.any_owner(), PAST_THE_TAKEOVER_SECONDS)
+
+
+async def withdraw_key_from_frozen(scene: Scene) -> None:
+    """Withdraw a key while an entry VM is frozen, and use it there later."""
+    key = await scene.admin.grant(scene.admin.keys[0].team)
+    await asyncio.sleep(KEY_KNOWN_SECONDS)
+    vm = scene.any_vm()
+    began_at = time.monotonic()
+    vm.serving("gateway").freeze()
+    await scene.admin.withdraw(key)
+    await asyncio.sleep(KEY_BOUND_SECONDS + 1)
+    target = Target(vm.name, vm.http)
+    service = scene.cluster.layout.service
+    calls = [
+        asyncio.create_task(
+            scene.recorder.request(
+                target, Request(service, key.team, key.secret, f"late-{i}".encode())
+            )
+        )
+        for i in range(LATE_CALLS)
+    ]
+    await asyncio.sleep(1)
+    vm.serving("gateway").thaw()
+    scene.disturb(vm.name, began_at)
+    await asyncio.gather(*calls)
 
 
-async def _freeze(scene: Scene, vm: EntryVmProcesses) -> None:
+async def _freeze(scene: Scene, vm: EntryVmProcesses, seconds: float) -> None:
     process = vm.serving("gateway")
     began_at = time.monotonic()
     process.freeze()
-    await asyncio.sleep(PAST_THE_LEASE_SECONDS)
+    await asyncio.sleep(seconds)
     process.thaw()
     scene.disturb(vm.name, began_at)
 
@@ -330,6 +367,7 @@
         kill_domain,
         freeze_entry,
         freeze_owner,
+        withdraw_key_from_frozen,
         restart_entries,
         cut_entry_from_table,
         cut_domain_from_table,
--- a/prove/run.py
+++ b/prove/run.py
@@ -123,7 +123,7 @@
         try:
             await asyncio.sleep(self.options.quiet_seconds)
             for step in self.options.steps:
-                await self._one_step(step)
+                await self._one_step(step, admin)
                 await asyncio.sleep(self.options.quiet_seconds)
             for task in tasks:
                 if task.done():
@@ -140,8 +140,8 @@
             for address in vm.rpc.values()
         ]
 
-    async def _one_step(self, step: tuple[str, ...]) -> None:
-        scene = Scene(self.cluster, self.control, self.recorder.history, self.rng)
+    async def _one_step(self, step: tuple[str, ...], admin: Administration) -> None:
+        scene = Scene(self.cluster, self.control, self.recorder, admin, self.rng)
         window = Window(list(step), time.monotonic(), 0.0)
         self.windows.append(window)
         click.echo(f"prove: {' and '.join(step)}")
--- a/tests/test_prove_run.py
+++ b/tests/test_prove_run.py
@@ -78,7 +78,7 @@
         targets += [Target(vm.name, vm.http) for vm in cluster.entry_vms.values()]
         service = LAYOUT.service
         traffic = Traffic(recorder, targets, service, lambda: admin.keys, rng)
-        scene = Scene(cluster, control, history, rng)
+        scene = Scene(cluster, control, recorder, admin, rng)
 
         sending = [asyncio.create_task(send_requests(traffic)) for _ in range(4)]
         for key in admin.keys:
