--- a/prove/failures.py
+++ b/prove/failures.py
@@ -31,6 +31,7 @@
 WORKERS_HANG_SECONDS = 14.0
 LIST_LAG_SECONDS = 10.0
 FAULTY_ANSWERS = 30
+TWICE_ANSWERS = 3
 LONGEST_TAKEOVER_SECONDS = 60.0
 LEDGER_POLL_SECONDS = 0.25
 IN_FLIGHT_SECONDS = 0.5
@@ -345,7 +346,7 @@
 
 async def backends_answer_twice(scene: Scene) -> None:
     """Let backend servers send answers twice, at once and a little later."""
-    faults = BackendFaults(twice=FAULTY_ANSWERS, again=2 * FAULTY_ANSWERS)
+    faults = BackendFaults(twice=TWICE_ANSWERS, again=FAULTY_ANSWERS)
     await _spoil_answers(scene, faults)
 
 
--- a/tests/test_standins_http.py
+++ b/tests/test_standins_http.py
@@ -297,3 +297,26 @@
         async with client.get("/v1/ledger") as resp:
             assert (await resp.json())["run_twice"] == 0
     await platform.close()
+
+
+async def test_an_answer_sent_again_comes_on_the_same_connection():
+    async with backend() as (service, client):
+        service.answers = BackendFaults(again=1)
+        host, port = client._base_url.host, client._base_url.port
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        for _ in range(2):
+            assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 200")
+            await reader.readuntil(b"}")
+        writer.close()
+
+
+async def test_executions_are_listed_with_the_call_that_they_stem_from():
+    async with backend() as (service, client):
+        headers = {"Content-Type": "application/x-proof; call=c1; work=1; key=k1"}
+        async with client.post("/x", data=b"", headers=headers) as resp:
+            assert resp.status == 200
+    [item] = service.executed
+    assert (item.call, item.key) == ("c1", "k1")
+    assert item.ended_at is not None
+    assert item.ended_at >= item.began_at
