--- a/prove/failures.py
+++ b/prove/failures.py
@@ -166,7 +166,11 @@
 
 
 async def withdraw_key_from_frozen(scene: Scene) -> None:
-    """Withdraw a key while an entry VM is frozen, and use it there later."""
+    """Withdraw a key while an entry VM is frozen, and use it there later.
+
+    When the VM goes on it is cut off from the table, so that its view stays old for
+    a moment.
+    """
     key = await scene.admin.grant(scene.admin.keys[0].team)
     await asyncio.sleep(KEY_KNOWN_SECONDS)
     vm = scene.any_vm()
@@ -184,6 +188,7 @@
         )
         for i in range(LATE_CALLS)
     ]
+    await scene.control.cut([vm.name], TABLE_SERVICES)
     await asyncio.sleep(1)
     vm.serving("gateway").thaw()
     scene.disturb(vm.name, began_at)
