--- a/prove/traffic.py
+++ b/prove/traffic.py
@@ -20,6 +20,8 @@
 RETRY_SECONDS = 0.3
 REQUESTERS_PER_TEAM = 4
 LONG_WORK_MS = 1500
+STANDING_JOBS = 3
+STANDING_TASKS = 2
 LASTING_KEY_SHARE = 0.7
 BURST_PAUSE_SECONDS = 4.0
 BURST_REQUESTS = 250
@@ -47,6 +49,7 @@
 class SubmittedJob:
     """A job that was accepted; `finite` ones must finish by themselves.
 
+    `standing` ones are in no wave of cancellations.
     Services are not, nor are jobs that always fail: these are parked with a reason.
     """
 
@@ -54,6 +57,7 @@
     team: str
     key: str
     finite: bool
+    standing: bool = False
     cancelled: bool = False
 
 
@@ -80,7 +84,9 @@
             group.create_task(self._send_bursts(teams))
             group.create_task(self._use_passing_keys(group, teams))
 
-    async def submit(self, spec: JobSpec, key: TeamKey, *, finite: bool) -> bool:
+    async def submit(
+        self, spec: JobSpec, key: TeamKey, *, finite: bool, standing: bool = False
+    ) -> bool:
         """Submit a job until it is accepted or refused for good."""
         body = msgspec.json.encode(spec)
         while True:
@@ -90,7 +96,7 @@
             if done.status == CREATED:
                 # The key of the submission may be withdrawn before the job ends.
                 lasting = self._lasting_key(key.team).secret
-                job = SubmittedJob(spec, key.team, lasting, finite)
+                job = SubmittedJob(spec, key.team, lasting, finite, standing)
                 self.jobs.append(job)
                 return True
             if 400 <= done.status < 500 and done.status != 429:
@@ -209,6 +215,9 @@
         return Request(self.service, key.team, key.secret, body, work_ms=work_ms)
 
     async def _send_jobs(self, team: str) -> None:
+        for index in range(STANDING_JOBS):
+            spec = service_job(f"{team}-standing-{index}", STANDING_TASKS)
+            await self.submit(spec, self._key(team), finite=False, standing=True)
         for wave in itertools.count():
             key = self._key(team)
             specs = plan_wave(team, f"{team}-{next(self._serial)}")
@@ -221,7 +230,7 @@
 
     async def _cancel_wave(self, team: str) -> None:
         own = [job for job in self.jobs if job.team == team and not job.cancelled]
-        endless = [job for job in own if not job.finite]
+        endless = [job for job in own if not job.finite and not job.standing]
         await asyncio.gather(*(self.cancel(job) for job in endless))
 
     def _key(self, team: str) -> TeamKey:
@@ -235,6 +244,11 @@
         return next(key for key in self.keys() if key.team == team)
 
 
+def service_job(name: str, tasks: int) -> JobSpec:
+    """Return a service that runs until it is cancelled."""
+    return JobSpec(name, WORK_QUEUE, JobKind.SERVICE, tasks, SMALL, payload="forever")
+
+
 def plan_wave(team: str, prefix: str) -> list[tuple[JobSpec, bool]]:
     """Return the jobs of a wave, and whether each finishes by itself."""
 
@@ -258,7 +272,7 @@
         (spec("urgent", JobKind.BATCH, 2, "run:0.3", urgency=Urgency.URGENT), True),
         (spec("gang", JobKind.GANG, 6, "run:1"), True),
         (spec("wrong", JobKind.BATCH, 4, "run:3 usage:10", declared_seconds=0.3), True),
-        (spec("service", JobKind.SERVICE, 4, "forever", declared_seconds=0), False),
+        (service_job(f"{prefix}-service", 4), False),
         (spec("huge", JobKind.BATCH, 1, "run:1", size=TOO_LARGE), False),
         (spec("failing", JobKind.BATCH, 2, "fail:0.2", attempts=2), False),
     ]
