--- a/prove/without.py
+++ b/prove/without.py
@@ -24,7 +24,7 @@
 from cassiaweir.requests._claims import Claim, ClaimRow, ClaimState
 from cassiaweir.requests._slot_book import _Server
 from cassiaweir.teams import ShardAllotments
-from cassiaweir.types import Resources
+from cassiaweir.types import Resources, Row
 
 UNLIMITED = Resources(2**40, 2**40, 2**40)
 FOREVER = timedelta(days=30)
@@ -42,6 +42,17 @@
         _put(ShardLease, name, lambda self: self.owned)
 
 
+def _drop_ownership() -> None:
+    """Own a shard for ever, whatever the lease, the table and peers say."""
+
+    def observe(self: Any, row: Row | None) -> None:
+        return
+
+    _drop_lease_check()
+    _put(ShardLease, "observe", observe)
+    _put(ShardLease, "lose", lambda self: None)
+
+
 def _drop_team_caps() -> None:
     """Let each shard run as much of a team as fits."""
 
@@ -140,6 +151,7 @@
 MECHANISMS: dict[str, Callable[[], None]] = {
     "hold-back": _drop_hold_back,
     "lease-check": _drop_lease_check,
+    "ownership": _drop_ownership,
     "team-caps": _drop_team_caps,
     "claims": _drop_claims,
     "view-age": _drop_view_age,
