--- a/prove/run.py
+++ b/prove/run.py
@@ -123,7 +123,7 @@
         try:
             await asyncio.sleep(self.options.quiet_seconds)
             for step in self.options.steps:
-                await self._one_step(step)
+                await self._one_step(step, admin)
                 await asyncio.sleep(self.options.quiet_seconds)
             for task in tasks:
                 if task.done():
@@ -140,8 +140,8 @@
             for address in vm.rpc.values()
         ]
 
-    async def _one_step(self, step: tuple[str, ...]) -> None:
-        scene = Scene(self.cluster, self.control, self.recorder.history, self.rng)
+    async def _one_step(self, step: tuple[str, ...], admin: Administration) -> None:
+        scene = Scene(self.cluster, self.control, self.recorder, admin, self.rng)
         window = Window(list(step), time.monotonic(), 0.0)
         self.windows.append(window)
         click.echo(f"prove: {' and '.join(step)}")
@@ -184,7 +184,8 @@
         return [
             Violation(RECOVERY, vm, item.at, f"version {item.version}, not {last}")
             for vm, item in seen.items()
-            if item.version < last or item.view_age > VIEW_AGE_LIMIT_SECONDS
+            if self.cluster.entry_vms[vm].serving("gateway").running
+            and (item.version < last or item.view_age > VIEW_AGE_LIMIT_SECONDS)
         ]
 
     async def _collect(self) -> None:
