Do not count all tasks, plan and hash racks when nothing has changed

Cause: the owner of a shard counted all its tasks 30 times a second, as the slots and the heartbeats ask which shards are owned; it planned 20 times a second and after each renewal of any worker; each wait made two tasks; and each look at the VM list hashed the rack of every worker of the cell (4.6 ms for 1,400 workers). Ruled out: longer polls of the table, which would delay keys and configuration; a longer round while tasks wait, which would delay starts. Conclusion: the load is counted at most four times a second and after placements, rounds without waiting tasks come every 250 ms unless an end calls for one, and waiting for an event takes one task.

--- a/cassiaweir/fleet/_background.py
+++ b/cassiaweir/fleet/_background.py
@@ -48,14 +48,16 @@
 
 
 async def wait_for_event(event: asyncio.Event, clock: Clock, limit: timedelta) -> None:
-    """Wait for `event`, at most for `limit`."""
-    waits = [
-        asyncio.create_task(event.wait()),
-        asyncio.create_task(clock.sleep(limit)),
-    ]
+    """Wait for `event`, and set it when `limit` has passed without it."""
+    timer = asyncio.create_task(_set_after(event, clock, limit))
     try:
-        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        # An event that is set already must not keep other tasks from running.
+        await asyncio.sleep(0)
+        await event.wait()
     finally:
-        for wait in waits:
-            wait.cancel()
-        await asyncio.gather(*waits, return_exceptions=True)
+        timer.cancel()
+
+
+async def _set_after(event: asyncio.Event, clock: Clock, limit: timedelta) -> None:
+    await clock.sleep(limit)
+    event.set()
--- a/cassiaweir/fleet/_runner.py
+++ b/cassiaweir/fleet/_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from datetime import timedelta
 
 from cassiaweir.exceptions import LeaseLostError, UnavailableError
 from cassiaweir.fleet._background import Background, wait_for_event
@@ -12,7 +13,7 @@
 from cassiaweir.fleet._part_store import Committer, PartStore
 from cassiaweir.fleet._roster import Health, Roster
 from cassiaweir.fleet._runner_types import Allotments, PartStatus, RunnerTerms
-from cassiaweir.fleet._shard_load import part_status, shard_load
+from cassiaweir.fleet._shard_load import ShardLoad, part_status, shard_load
 from cassiaweir.fleet._shards import shard_domain, shard_of
 from cassiaweir.fleet._task_book import TaskBook
 from cassiaweir.fleet._worker_driver import WorkerDriver
@@ -33,6 +34,7 @@
 from cassiaweir.work import Part, TaskPhase
 
 MOST_PLACEMENTS_A_ROUND = 256
+LONGEST_LOAD_AGE_SECONDS = 0.25
 
 
 class ShardRunner:
@@ -87,6 +89,8 @@
         self._allotment_wake = asyncio.Event()
         self._polled_at = float("-inf")
         self._listed_at = float("-inf")
+        self._load: ShardLoad | None = None
+        self._load_at = float("-inf")
         self._background = Background()
 
     async def start(self) -> None:
@@ -132,7 +136,8 @@
             self._early_reports[driver.vm.name] = report
             return
         self._book.take_report(driver.vm.name, report)
-        self._plan_wake.set()
+        if not driver.reachable or any(task.state.ended for task in report.tasks):
+            self._plan_wake.set()
 
     def worker_replaced(self, driver: WorkerDriver) -> None:
         """Restart elsewhere what the former incarnation ran.
@@ -179,9 +184,12 @@
         return part_status(self._lease.shard, part, reason)
 
     def describe(self, process: str, address: str) -> ShardOwner:
-        """Return what heartbeats tell of the shard."""
-        vms = [driver.vm for driver in self._roster.drivers.values()]
-        load = shard_load(vms, self._store.parts.values())
+        """Return what heartbeats tell of the shard.
+
+        Counting all tasks takes long, so the load lacks what happened since the last
+        placement, for up to `LONGEST_LOAD_AGE_SECONDS`.
+        """
+        load = self._current_load()
         return ShardOwner(
             self._lease.shard,
             shard_domain(self._lease.shard),
@@ -194,6 +202,14 @@
             load.running,
         )
 
+    def _current_load(self) -> ShardLoad:
+        now = self._clock.monotonic()
+        if self._load is None or now - self._load_at >= LONGEST_LOAD_AGE_SECONDS:
+            vms = [driver.vm for driver in self._roster.drivers.values()]
+            self._load = shard_load(vms, self._store.parts.values())
+            self._load_at = now
+        return self._load
+
     async def recover(self) -> None:
         """Read the parts of the shard; their tasks are held back at first."""
         parts, _ = await self._store.load(TaskPhase.HELD_BACK)
@@ -259,6 +275,7 @@
             )
         for placement in plan.placements:
             self._book.place(placement)
+            self._load = None
         return plan
 
     async def balance_allotments(self) -> None:
@@ -370,4 +387,9 @@
         while self._lease.owned:
             self._plan_wake.clear()
             self.plan()
-            await wait_for_event(self._plan_wake, self._clock, self._terms.round)
+            await wait_for_event(self._plan_wake, self._clock, self._round())
+
+    def _round(self) -> timedelta:
+        """Return the time to the next round where nothing calls for one before."""
+        waits = self._current_load().queued
+        return self._terms.round if waits else self._terms.idle_round
--- a/cassiaweir/fleet/_runner_types.py
+++ b/cassiaweir/fleet/_runner_types.py
@@ -17,13 +17,16 @@
 class RunnerTerms:
     """The durations of a runner.
 
-    `list_lag` bounds how long a VM stays out of the list that a reader gets.
+    Placement is tried every `round` while tasks wait and every `idle_round` else, and
+    whenever something calls for it.  `list_lag` bounds how long a VM stays out of the
+    list that a reader gets.
     """
 
     lease: LeaseTerms
     driver: DriverTerms
     shards_per_domain: int = 1
     round: timedelta = timedelta(milliseconds=50)
+    idle_round: timedelta = timedelta(milliseconds=250)
     vm_poll: timedelta = timedelta(seconds=1)
     part_poll: timedelta = timedelta(seconds=5)
     list_lag: timedelta = timedelta(seconds=5)
--- a/cassiaweir/fleet/_shards.py
+++ b/cassiaweir/fleet/_shards.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 
 import xxhash
 
 from cassiaweir.types import Vm
 
+MOST_RACKS_KEPT = 4096
+
 
 def shard_name(failure_domain: str, number: int) -> str:
     """Return the name of shard `number` of a failure domain."""
@@ -30,8 +33,13 @@
 
 def shard_of(vm: Vm, shards_per_domain: int) -> str:
     """Return the shard that `vm` belongs to, by rendezvous hashing of its rack."""
-    names = shard_names([vm.failure_domain], shards_per_domain)
-    return max(names, key=lambda name: rendezvous_rank(name, vm.rack))
+    return _shard_of_rack(vm.failure_domain, vm.rack, shards_per_domain)
+
+
+@lru_cache(maxsize=MOST_RACKS_KEPT)
+def _shard_of_rack(failure_domain: str, rack: str, shards_per_domain: int) -> str:
+    names = shard_names([failure_domain], shards_per_domain)
+    return max(names, key=lambda name: rendezvous_rank(name, rack))
 
 
 def due_owners(shards: Iterable[str], processes: Sequence[str]) -> dict[str, str]:
--- a/lab/_site.py
+++ b/lab/_site.py
@@ -131,6 +131,8 @@
     """Return the first port of a block that no other run uses now."""
     for base in range(FIRST_BASE_PORT, LAST_BASE_PORT, PORTS_PER_SITE):
         with socket.socket() as probe:
+            # Connections of an earlier run that wait for their end do not count.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind(("127.0.0.1", base))
             except OSError:
