--- a/lab/_parts.py
+++ b/lab/_parts.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from cassiaweir.types import JobKind
+from lab._listing import measure_listing
 from lab._readings import take_reading
 from lab._recovery import measure_roll_outs, measure_takeovers
 from lab._results import Point, point_of
@@ -223,5 +224,6 @@
     "idempotent": ("idempotent requests a second", measure_idempotent),
     "once": ("non-idempotent requests a second", measure_once),
     "peers": ("entry processes", measure_peers),
+    "listing": ("VMs in the list", measure_listing),
     "takeover": ("worker VMs of the shard", measure_takeover),
 }
