--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,11 +24,12 @@
     mixed,
 )
 from bench._results import CostResult, Report, RunResult, cost_result, run_result
-from bench._slopes import measure_slopes
+from bench._slopes import measure_events, measure_slopes
 from bench._table import lines
 from cassiaweir.placement import FairPlanner, Planner
 
 RESULT_PATH = Path("build/bench.json")
+SEED_STEP = 1000
 DECISIONS_OF_ROUND = 8
 FAIR = "fair"
 PLANNERS: dict[str, Callable[[], Planner]] = {
@@ -60,13 +61,28 @@
 
 @main.command()
 def slopes() -> None:
-    """Measure the bytes that a planner holds by running task, VM and team."""
+    """Measure bytes by running task, VM and team, and the time of mass events."""
     click.echo(f"{'thing':<14}{'count':>8}{'bytes':>12}{'bytes each':>12}")
     for slope in measure_slopes():
         click.echo(
             f"{slope.thing:<14}{slope.count:>8}{slope.total_bytes:>12}"
             f"{slope.bytes_each:>12.0f}"
         )
+    click.echo(f"{'event':<14}{'count':>8}{'us each':>12}")
+    for cost in measure_events():
+        click.echo(f"{cost.event:<14}{cost.count:>8}{cost.microseconds_each:>12.1f}")
+
+
+@main.command()
+def plots() -> None:
+    """Draw the plots of the last whole run into docs/."""
+    if not RESULT_PATH.exists():
+        raise click.ClickException(f"{RESULT_PATH} is missing; run 'make bench' first")
+    from bench._plots import draw
+
+    report = msgspec.json.decode(RESULT_PATH.read_bytes(), type=Report)
+    for path in draw(report, Path("docs")):
+        click.echo(path)
 
 
 def _runs(seed: int, only: str) -> Iterator[RunResult]:
@@ -81,11 +97,13 @@
 
 
 def _scenarios(seed: int) -> Iterator[Scenario]:
-    for deployment in (SICILIA_EST, PACIFICO_NORTE):
-        yield mixed(deployment, seed)
-        yield mixed(deployment, seed, error=ESTIMATE_ERROR)
-        yield full(deployment, seed)
-        yield batch_heavy(deployment, seed)
+    for number, deployment in enumerate((SICILIA_EST, PACIFICO_NORTE)):
+        own_seed = seed + number * SEED_STEP
+        yield mixed(deployment, own_seed)
+        yield mixed(deployment, own_seed, error=ESTIMATE_ERROR)
+        yield full(deployment, own_seed)
+        yield full(deployment, own_seed, small=True, horizon_seconds=300)
+        yield batch_heavy(deployment, own_seed)
     yield full_of_teams(350, 320, seed)
 
 
--- a/cassiaweir/administration/_teams.py
+++ b/cassiaweir/administration/_teams.py
@@ -13,6 +13,7 @@
     QueueList,
     ServiceInfo,
     ServiceList,
+    ShardInfo,
     TeamInfo,
     TeamList,
     VmConditionName,
@@ -20,9 +21,9 @@
     VmsReport,
 )
 from cassiaweir.administration._vms import VmConditionRow
-from cassiaweir.configuration import Bundle, ServiceEntry
+from cassiaweir.configuration import Bundle
 from cassiaweir.teams import AllotmentRow, ListedKey
-from cassiaweir.types import Resources, Row, Vm, VmRole
+from cassiaweir.types import Resources, Row, ShardOwner, Vm, VmRole
 
 ALLOTMENTS = "allot/"
 
@@ -55,9 +56,7 @@
     queues = []
     for entry in bundle.queue:
         services = [
-            service.name
-            for service in bundle.service
-            if entry.name in service_queues(service)
+            service.name for service in bundle.service if entry.name in service.queues()
         ]
         queues.append(
             QueueInfo(
@@ -78,7 +77,7 @@
         services.append(
             ServiceInfo(
                 name=entry.name,
-                queues=list(service_queues(entry)),
+                queues=list(entry.queues()),
                 servers=len(servers),
                 slots=sum(vm.slots for vm in servers),
             )
@@ -96,9 +95,20 @@
     return VmsReport(vms=sorted(found, key=lambda item: item.name))
 
 
-def service_queues(entry: ServiceEntry) -> Sequence[str]:
-    """Return the queues that admit requests of a service, the default first."""
-    return [entry.queue]
+def describe_shard(name: str, owner: ShardOwner | None) -> ShardInfo:
+    """Return a shard with the owner that was heard of last, if any."""
+    if owner is None:
+        return ShardInfo(shard=name, failure_domain=name.rpartition("-")[0])
+    return ShardInfo(
+        shard=name,
+        failure_domain=name.rpartition("-")[0],
+        process=owner.process,
+        epoch=owner.epoch,
+        capacity=Amount.of(owner.capacity),
+        free=Amount.of(owner.free),
+        queued_tasks=owner.queued_tasks,
+        running_tasks=owner.running_tasks,
+    )
 
 
 def _describe_vm(
