Bound what retention reads to three rows a second

Cause: the pace was chosen without looking at the bytes. Encoded as the table answers, a row of a job is 985 bytes and a row of a claim 1,074, so that ten rows a second would have taken more than half of the 16 KB a second of a node; three take a fifth.

--- a/cassiaweir/settings.py
+++ b/cassiaweir/settings.py
@@ -160,7 +160,7 @@
     Option("retention.claims", parse_duration, "3d", "settled claims are kept"),
     Option("retention.watch", parse_duration, "1h", "unchanged before a removal"),
     Option("retention.bundles", parse_count, 100, "newest bundle versions kept"),
-    Option("retention.rows_per_second", parse_count, 10, "pace of a scheduler"),
+    Option("retention.rows_per_second", parse_count, 3, "pace of a scheduler"),
     Option("log.level", parse_name, "info", "debug, info, warning or error"),
 )
 
