Follow a worker's list by a long poll between renewals

Cause: ends were noticed with the renewals, so a VM stood idle for most of two seconds between two tasks, which is waiting time. Ruled out: renewing more often, as each renewal costs bytes on every worker; a call from worker to scheduler, as workers offer no such thing. Workers without the call are followed by their renewals as before.

--- a/cassiaweir/fleet/_worker_driver.py
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
-from cassiaweir.exceptions import FencedError, UnavailableError
+from cassiaweir.exceptions import FencedError, NotFoundError, UnavailableError
 from cassiaweir.fleet._background import Background, wait_for_event
 from cassiaweir.fleet._driver_types import Authority, DriverTerms, ReportSink
 from cassiaweir.types import (
@@ -16,6 +16,7 @@
     TaskReport,
     TaskStart,
     Vm,
+    WatchableWorker,
     Worker,
     WorkerReport,
 )
@@ -64,6 +65,8 @@
         self._clock = clock
         self._terms = terms
         self._clock_offset: float | None = None
+        self._revision = 0
+        self._watchable = True
         self._renewed_at = float("-inf")
         self._starts: list[TaskStart] = []
         self._sent: dict[tuple[TaskId, int], _SentStart] = {}
@@ -75,6 +78,8 @@
     async def start(self) -> None:
         """Begin to drive the worker."""
         self._background.start(self._run)
+        if isinstance(self._worker, WatchableWorker):
+            self._background.start(self._follow)
 
     async def stop(self) -> None:
         """Give up the call in flight; starts in it stay in doubt."""
@@ -145,6 +150,7 @@
         self.forget_tasks()
         self._clock_offset = None
         self.answered_at = None
+        self._revision = 0
         self._sink.worker_replaced(self)
 
     async def step(self) -> None:
@@ -160,6 +166,41 @@
             self._clock_offset = None
             self._renewed_at = float("-inf")
 
+    async def watch(self) -> bool:
+        """Wait for a change of the worker's list; return False where that failed.
+
+        A watch extends no lease, so it never counts as contact.
+        """
+        if not isinstance(self._worker, WatchableWorker) or not self._may_watch():
+            return False
+        try:
+            report = await self._worker.watch(self._revision, self._terms.task_renewal)
+        except NotFoundError:
+            self._watchable = False
+            return False
+        except UnavailableError:
+            self._call_soon()
+            return False
+        if report.incarnation != self.vm.incarnation:
+            self._call_soon()
+            return False
+        self._take(report)
+        return True
+
+    def _may_watch(self) -> bool:
+        counts = self._watchable and self._revision > 0
+        return counts and self.reachable and self._may_contact()
+
+    def _call_soon(self) -> None:
+        """Have the next call made now, as the worker may be gone or be another."""
+        self._renewed_at = float("-inf")
+        self._wake.set()
+
+    async def _follow(self) -> None:
+        while True:
+            if not await self.watch():
+                await self._clock.sleep(self._terms.task_renewal)
+
     async def _run(self) -> None:
         while True:
             await self.step()
@@ -271,7 +312,10 @@
         self._note_clock(report)
         for task in report.tasks:
             self._sent.pop((task.task, task.attempt), None)
-        self._sink.worker_reported(self, report)
+        # A watch and a command may be answered out of order.
+        if report.revision >= self._revision:
+            self._revision = report.revision
+            self._sink.worker_reported(self, report)
         expired = [s.start for s in self._sent.values() if s.expires_at < report.clock]
         self._settle(expired)
         return True
--- a/cassiaweir/platform/_services.py
+++ b/cassiaweir/platform/_services.py
@@ -27,6 +27,7 @@
 )
 from cassiaweir.verdict import Verdict
 
+MILLISECOND = timedelta(milliseconds=1)
 VMS_PATH = "/v1/vms"
 
 
@@ -110,6 +111,14 @@
         """Stop tasks, saving their state first where `checkpoint` is set."""
         return await self._call("/v1/stop", StopRequest(command, [*tasks], checkpoint))
 
+    async def watch(self, revision: int, wait: timedelta) -> WorkerReport:
+        """Return the list once it is past `revision`, or after `wait`."""
+        path = f"/v1/watch?revision={revision}&wait_ms={wait // MILLISECOND}"
+        timeout = wait + self._session.timeout
+        return await self._session.call(
+            self._address, path, None, WorkerReport, timeout=timeout
+        )
+
     async def _call(self, path: str, req: msgspec.Struct | None) -> WorkerReport:
         return await self._session.call(self._address, path, req, WorkerReport)
 
--- a/cassiaweir/platform/_session.py
+++ b/cassiaweir/platform/_session.py
@@ -21,7 +21,7 @@
 from cassiaweir.platform.wire import CALLER_HEADER, Problem, ProblemKind
 from cassiaweir.verdict import Verdict
 
-MOST_CONNECTIONS = 128
+MOST_CONNECTIONS = 1024
 COMPRESSION = "gzip"
 STATUS_OK = 200
 STATUS_NOT_MODIFIED = 304
--- a/cassiaweir/settings.py
+++ b/cassiaweir/settings.py
@@ -139,7 +139,7 @@
     Option("scheduler.shard_lease", parse_duration, "6s", "lease of a shard's owner"),
     Option("scheduler.shard_renewal", parse_duration, "2s", "between lease renewals"),
     Option("scheduler.task_lease", parse_duration, "20s", "lease of running tasks"),
-    Option("scheduler.task_renewal", parse_duration, "2s", "between task renewals"),
+    Option("scheduler.task_renewal", parse_duration, "5s", "between task renewals"),
     Option("scheduler.command_expiry", parse_duration, "2s", "life of a command"),
     Option("scheduler.clock_drift", parse_duration, "50ms", "drift within a lease"),
     Option("scheduler.autonomy", parse_duration, "30m", "work on without the table"),
--- a/cassiaweir/types.py
+++ b/cassiaweir/types.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from enum import StrEnum
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 
 class Clock(Protocol):
@@ -258,6 +258,8 @@
 
     Ended attempts stay listed until they are acknowledged.  `clock` is the
     worker's own clock in seconds.  `epoch` is the highest epoch it has seen.
+    `revision` rises when an attempt is added, ends or is forgotten; it is 0 where the
+    worker does not count.
     """
 
     worker: str
@@ -265,6 +267,7 @@
     clock: float
     epoch: int
     tasks: list[TaskReport] = field(default_factory=list)
+    revision: int = 0
 
 
 class Worker(Protocol):
@@ -297,6 +300,17 @@
         """Stop tasks, saving their state first where `checkpoint` is set."""
 
 
+@runtime_checkable
+class WatchableWorker(Worker, Protocol):
+    """A worker that can tell of a change of its list as soon as it happens.
+
+    The method is optional: a worker without it is asked with each renewal.
+    """
+
+    async def watch(self, revision: int, wait: timedelta) -> WorkerReport:
+        """Return the list once it is past `revision`, or after `wait`."""
+
+
 class Workers(Protocol):
     """Gives access to workers by their entry in the VM list."""
 
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -128,7 +128,7 @@
         if self.faults.slow_ms:
             await asyncio.sleep(self.faults.slow_ms / 1000)
         resp = await _guarded(request, handler)
-        if caller in self.faults.cut_answers:
+        if self.faults.frozen or caller in self.faults.cut + self.faults.cut_answers:
             return await self.drop(request)
         if self.faults.lose_answers and self.changes_something(request):
             self.faults.lose_answers -= 1
--- a/standins/_worker.py
+++ b/standins/_worker.py
@@ -23,6 +23,11 @@
     """A command arrived after its expiry on the worker's clock."""
 
 
+STEPS_UNTIL_RUNNING = 1
+STEPS_UNTIL_ENDED = 2
+STEPS_UNTIL_FORGOTTEN = 3
+
+
 @dataclass(slots=True)
 class _Attempt:
     """One attempt of a task on this worker; times are of the platform's clock."""
@@ -80,6 +85,7 @@
         self._epochs: dict[str, int] = {}
         self._attempts: dict[tuple[TaskId, int], _Attempt] = {}
         self._checkpoints: dict[str, float] = {}
+        self._past_steps = 1
         ledger.on_settle(name, self.settle)
 
     def list(self) -> WorkerReport:
@@ -92,6 +98,16 @@
             clock=now + self.clock_offset,
             epoch=max(self._epochs.values(), default=0),
             tasks=[self._report(attempt, now) for attempt in self._attempts.values()],
+            revision=self.revision,
+        )
+
+    @property
+    def revision(self) -> int:
+        """A number that rises when an attempt is added, ends or is forgotten."""
+        running = sum(attempt.running for attempt in self._attempts.values())
+        ended = len(self._attempts) - running
+        return (
+            self._past_steps + STEPS_UNTIL_RUNNING * running + STEPS_UNTIL_ENDED * ended
         )
 
     def renew(
@@ -103,6 +119,7 @@
             attempt = self._attempts.get((report.task, report.attempt))
             if attempt is not None and not attempt.running:
                 del self._attempts[attempt.key]
+                self._past_steps += STEPS_UNTIL_FORGOTTEN
         for attempt in self._attempts.values():
             attempt.lease_until = max(attempt.lease_until, now + lease_seconds)
         return self.list()
@@ -147,6 +164,7 @@
         for attempt in self._attempts.values():
             if attempt.running:
                 self._ledger.ended(attempt.run, TaskState.LAPSED, now)
+        self._past_steps += STEPS_UNTIL_FORGOTTEN * len(self._attempts)
         self._attempts.clear()
         self._epochs.clear()
         self._checkpoints.clear()
--- a/standins/_worker_service.py
+++ b/standins/_worker_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -18,6 +19,8 @@
 from standins._http import Service, answer, problem, read_body
 from standins._worker import ExpiredError, SimulatedWorker
 
+WATCH_INTERVAL_MS = 20
+
 
 class WorkerControl(msgspec.Struct, forbid_unknown_fields=True):
     """Changes a worker; what is None stays as it is.
@@ -40,6 +43,7 @@
         super().__init__()
         self.worker = worker
         self.app.router.add_get("/v1/list", self._list)
+        self.app.router.add_get("/v1/watch", self._watch)
         self.app.router.add_post("/v1/renew", self._renew)
         self.app.router.add_post("/v1/start", self._start)
         self.app.router.add_post("/v1/stop", self._stop)
@@ -60,6 +64,15 @@
     async def _list(self, req: web.Request) -> web.Response:
         return answer(self.worker.list())
 
+    async def _watch(self, req: web.Request) -> web.Response:
+        known = int(req.query["revision"])
+        looks = int(req.query["wait_ms"]) // WATCH_INTERVAL_MS
+        for _ in range(looks):
+            if self.worker.list().revision > known:
+                break
+            await asyncio.sleep(WATCH_INTERVAL_MS / 1000)
+        return answer(self.worker.list())
+
     async def _renew(self, req: web.Request) -> web.Response:
         body = await read_body(req, RenewRequest)
         return _carry_out(
