--- a/cassiaweir/placement/_reservation.py
+++ b/cassiaweir/placement/_reservation.py
@@ -85,8 +85,9 @@
     def started(self, lane: Lane, count: int, now: float) -> None:
         """Note that `count` tasks started in fair order; they pay for overdue work."""
         lane.served_at = now
-        volume = _volume(lane.demand.key.size, self._fleet.total) * count
-        self._credit = min(0.0, self._credit + CREDIT_OF_STARTED_WORK * volume)
+        if self._credit < 0:
+            volume = _volume(lane.demand.key.size, self._fleet.total) * count
+            self._credit = min(0.0, self._credit + CREDIT_OF_STARTED_WORK * volume)
 
     def due(self, now: float, grown: Collection[VmRecord]) -> list[Reservation]:
         """Return the reservations to try now, those of `grown` VMs above all."""
