--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -10,10 +10,15 @@
 import click
 
 from cassiaweir import __version__
+from cassiaweir.ctl import ctl
+from cassiaweir.ctl._context import CREDENTIAL_VARIABLE, SERVER_VARIABLE
 from cassiaweir.exceptions import CassiaweirError
+from cassiaweir.roles import Role
 from cassiaweir.settings import Settings
 
 EXIT_FAILURE = 1
+# An operator's shell may hold these; they are no settings of a process.
+CTL_VARIABLES = frozenset({CREDENTIAL_VARIABLE, SERVER_VARIABLE})
 
 
 class _ErrorsOnOneLine(click.Group):
@@ -43,7 +48,10 @@
 
 def load_settings(path: Path | None, overrides: tuple[str, ...]) -> Settings:
     """Read the settings of this process from all sources."""
-    return Settings.load(path, environment=os.environ, overrides=overrides)
+    environment = {
+        name: value for name, value in os.environ.items() if name not in CTL_VARIABLES
+    }
+    return Settings.load(path, environment=environment, overrides=overrides)
 
 
 @click.group(cls=_ErrorsOnOneLine)
@@ -55,28 +63,40 @@
     """
 
 
+@main.command()
+@settings_options
+def entry(path: Path | None, overrides: tuple[str, ...]) -> None:
+    """Run gateway and scheduler of an entry VM in one process.
+
+    Example: cassiaweir entry --settings entry-vm.toml
+    """
+    _run(Role.ENTRY, path, overrides)
+
+
 @main.command()
 @settings_options
 def gateway(path: Path | None, overrides: tuple[str, ...]) -> None:
-    """Run the gateway of an entry VM.
+    """Run only the gateway of an entry VM.
 
     Example: cassiaweir gateway --settings entry-vm.toml
     """
-    from cassiaweir.composition import run_gateway
-
-    run_gateway(load_settings(path, overrides))
+    _run(Role.GATEWAY, path, overrides)
 
 
 @main.command()
 @settings_options
 def scheduler(path: Path | None, overrides: tuple[str, ...]) -> None:
-    """Run the scheduler of an entry VM.
+    """Run only the scheduler of an entry VM.
 
     Example: cassiaweir scheduler --settings entry-vm.toml
     """
-    from cassiaweir.composition import run_scheduler
+    _run(Role.SCHEDULER, path, overrides)
+
+
+def _run(role: Role, path: Path | None, overrides: tuple[str, ...]) -> None:
+    from cassiaweir.composition import run_role
 
-    run_scheduler(load_settings(path, overrides))
+    run_role(load_settings(path, overrides), role)
 
 
 @main.command("check-settings")
@@ -90,6 +110,9 @@
     click.echo("settings are valid")
 
 
+main.add_command(ctl)
+
+
 @main.group()
 def debug() -> None:
     """Print what the program sees."""
--- /dev/null
+++ b/cassiaweir/composition/_cell.py
@@ -0,0 +1,77 @@
+"""Wires what operators may do."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from cassiaweir.administration._processes import ProcessAddress, ProcessProbe
+from cassiaweir.composition._foundation import Foundation
+from cassiaweir.configuration import AuditedTable
+from cassiaweir.exceptions import UnavailableError
+from cassiaweir.facade import Cell, CellSources
+from cassiaweir.membership import Collector, Member
+from cassiaweir.membership._rows import MEMBERS
+from cassiaweir.work import Submission
+
+
+def build_cell(base: Foundation, jobs: Submission) -> Cell:
+    """Return the facade of the cell that the process belongs to."""
+    settings = base.settings
+
+    async def list_processes() -> list[ProcessAddress]:
+        return await _list_processes(base)
+
+    async def list_addresses() -> dict[str, str]:
+        return {item.process: item.address for item in await _list_processes(base)}
+
+    sources = CellSources(
+        deployment=settings.vm_deployment,
+        view=base.view,
+        directory=base.peers,
+        vm_list=base.platform_vm_list,
+        shard_of=base.shard_of,
+        shard_names=base.shard_names(),
+        probe=ProcessProbe(list_processes, base.channels),
+        events=Collector(list_addresses, base.channels, base.events),
+        clock=base.clock,
+    )
+    return Cell(
+        sources,
+        AuditedTable(base.table, base.clock),
+        jobs,
+        first_operator_digest=settings.cell_first_operator_digest,
+    )
+
+
+async def _list_processes(base: Foundation) -> list[ProcessAddress]:
+    """Return every process of the rows, of the heartbeats, and this one.
+
+    The rows are read anew, as a process that has just started is in no older list.
+    """
+    members: Sequence[Member]
+    try:
+        rows = await base.table.scan(MEMBERS)
+        members = [msgspec.json.decode(row.value, type=Member) for row in rows]
+    except (UnavailableError, msgspec.MsgspecError):
+        members = base.rows.members()
+    found = {
+        known.state.process: ProcessAddress(
+            known.state.process,
+            known.state.role,
+            known.state.vm,
+            known.state.failure_domain,
+            known.state.address,
+        )
+        for known in base.peers.processes()
+        if not known.state.leaving
+    }
+    found.update({item.process: _address(item) for item in (*members, base.member)})
+    return list(found.values())
+
+
+def _address(member: Member) -> ProcessAddress:
+    return ProcessAddress(
+        member.process, member.role, member.vm, member.failure_domain, member.address
+    )
--- a/cassiaweir/types.py
+++ b/cassiaweir/types.py
@@ -208,12 +208,15 @@
 
     A worker that fences refuses an `epoch` below the highest one it has seen from
     the shard.  `expires_at` is in seconds of the worker's own clock; a worker
-    refuses a command that arrives later.
+    refuses a command that arrives later.  A worker refuses a command for another
+    `incarnation` than its own, as it has forgotten which epochs it has seen; empty
+    addresses any.
     """
 
     shard: str
     epoch: int
     expires_at: float
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -346,6 +349,12 @@
     def queue(self, name: str) -> Queue | None:
         """Return the queue called `name`, or None."""
 
+    def service_queues(self, service: str) -> Sequence[str]:
+        """Return the queues that admit requests to `service`, the default first.
+
+        Empty where no such service is in force.
+        """
+
     def authenticate(self, secret: str) -> str:
         """Return the team that the key `secret` belongs to.
 
