--- a/tests/test_requests_backends.py
+++ b/tests/test_requests_backends.py
@@ -204,3 +204,17 @@
         await asyncio.gather(*calls)
         await caller.stop()
     assert len(set(server.peers)) <= 2
+
+
+async def test_a_backend_server_learns_which_entry_vm_calls():
+    callers = []
+
+    async def answer(request: web.Request) -> web.Response:
+        callers.append(request.headers.get("Cassiaweir-Caller"))
+        return web.Response(body=b"whole")
+
+    caller = BackendCaller(gateways=lambda: 7, clock=SystemClock(), vm="augusta-1")
+    async with BackendServer(answer).running() as address:
+        await caller.call(address, make_request())
+        await caller.stop()
+    assert callers == ["augusta-1"]
