Keep a team's limit under the version that it was read with

Cause: balancing read the limits of the teams, awaited the read of the allotments, and then wrote the limit with the version that the view had by then. A roll-out within that read stored the old limit under the new version, where no later turn corrects it: a raised limit never came into force, and a lowered one was never held.

Before: the two new tests of a roll-out within a read fail (a raised limit: fewer than the 10 wanted tasks run; a lowered one: 30 tasks run where 16 may). After: both pass.

--- a/cassiaweir/teams/_allotment_row.py
+++ b/cassiaweir/teams/_allotment_row.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cassiaweir.teams._amounts import Amount
-from cassiaweir.types import Resources, Row
+from cassiaweir.types import Resources, Row, Team
 
 
 class AllotmentRow(msgspec.Struct, frozen=True):
@@ -38,3 +38,17 @@
         amounts.pop(shard, None)
     else:
         amounts[shard] = Amount.of(amount)
+
+
+def current_allotment(team: Team, row: Row | None, version: int) -> AllotmentRow:
+    """Return the row under the newest limit that is known.
+
+    `version` is that of the bundle which the limit of `team` comes from.
+    """
+    limit = Amount.of(team.limit)
+    if row is None:
+        return AllotmentRow(version, limit)
+    state = decode_allotment(row)
+    if version > state.bundle_version:
+        return msgspec.structs.replace(state, bundle_version=version, limit=limit)
+    return state
--- a/cassiaweir/teams/_allotments.py
+++ b/cassiaweir/teams/_allotments.py
@@ -15,6 +15,7 @@
 from cassiaweir.teams._allotment_row import (
     AllotmentRow,
     allotment_key,
+    current_allotment,
     decode_allotment,
     put_amount,
 )
@@ -110,6 +111,8 @@
         """
         if not self._tenure.held():
             return
+        # The view may change during the read: these limits are of this version.
+        version = self._view.bundle_version
         teams = [
             team
             for team in self._view.teams()
@@ -122,17 +125,18 @@
             hidden = held.get(team.name, Resources())
             running = planner.running(team.name) + hidden
             demand = most(planner.demand(team.name) + hidden, running)
-            await self._balance_team(team, holding, row, running, demand)
+            state = current_allotment(team, row, version)
+            await self._balance_team(team, holding, row, state, running, demand)
 
     async def _balance_team(
         self,
         team: Team,
         holding: _Holding,
         row: Row | None,
+        state: AllotmentRow,
         running: Resources,
         demand: Resources,
     ) -> None:
-        state = self._current(team, row)
         own = state.amounts.get(self._tenure.shard, Amount()).resources()
         amount = self._target(state, holding, own, running, demand)
         want = round_up(demand, _chunk(state.limit.resources()))
@@ -161,17 +165,6 @@
         if amount != own:
             self._record(team, amount)
 
-    def _current(self, team: Team, row: Row | None) -> AllotmentRow:
-        """Return the row under the newest limit that is known."""
-        version = self._view.bundle_version
-        limit = Amount.of(team.limit)
-        if row is None:
-            return AllotmentRow(version, limit)
-        state = decode_allotment(row)
-        if version > state.bundle_version:
-            return msgspec.structs.replace(state, bundle_version=version, limit=limit)
-        return state
-
     def _target(
         self,
         state: AllotmentRow,
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -305,3 +305,34 @@
     derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
 )
 TestFleet = Fleet.TestCase
+
+
+class _TableDuringRollOut(MemoryTable):
+    """Installs another limit while a read is under way."""
+
+    view: View | None = None
+
+    async def read(self, keys):
+        rows = await super().read(keys)
+        if self.view is not None:
+            self.view.change(16)
+            self.view = None
+        return rows
+
+
+async def test_a_limit_read_during_a_roll_out_is_not_kept_under_the_new_version():
+    table = _TableDuringRollOut()
+    shard = Shard(table, View(2), ManualClock(), "s0")
+    shard.planner.wanted = 10
+    table.view = shard.view
+    await turns([shard], 5)
+    assert shard.planner.runs == 10
+
+
+async def test_a_limit_lowered_during_a_read_is_held():
+    table = _TableDuringRollOut()
+    shard = Shard(table, View(40), ManualClock(), "s0")
+    shard.planner.wanted = 30
+    table.view = shard.view
+    await turns([shard], 40)
+    assert shard.planner.runs <= 16
