--- a/prove/failures.py
+++ b/prove/failures.py
@@ -8,13 +8,14 @@
 import re
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+import aiohttp
 import grpc
 
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
 from cassiaweir.types import VmRole
-from prove.administration import Administration
+from prove.administration import Administration, TeamKey
 from prove.checkers import KEY_BOUND_SECONDS
 from prove.cluster import Cluster, EntryVmProcesses, wait_for_ok
 from prove.history import Disturbance, GracefulStop, History, Leaving, Takeover
@@ -168,31 +169,40 @@
 async def withdraw_key_from_frozen(scene: Scene) -> None:
     """Withdraw a key while an entry VM is frozen, and use it there later.
 
-    When the VM goes on it is cut off from the table, so that its view stays old for
-    a moment.
+    The calls come on connections that are open before, so that the VM reads them
+    at once when it goes on.  It is cut off from the table then, so that its view
+    stays old for a moment.
     """
     key = await scene.admin.grant(scene.admin.keys[0].team)
     await asyncio.sleep(KEY_KNOWN_SECONDS)
     vm = scene.any_vm()
-    began_at = time.monotonic()
-    vm.serving("gateway").freeze()
-    await scene.admin.withdraw(key)
-    await asyncio.sleep(KEY_BOUND_SECONDS + 1)
+    process = vm.serving("gateway")
+    async with aiohttp.ClientSession() as session:
+        caller = replace(scene.recorder, session=session)
+        await _call_at_once(scene, caller, vm, key)
+        began_at = time.monotonic()
+        process.freeze()
+        await scene.admin.withdraw(key)
+        await asyncio.sleep(KEY_BOUND_SECONDS + 1)
+        late = asyncio.create_task(_call_at_once(scene, caller, vm, key))
+        await scene.control.cut([vm.name], TABLE_SERVICES)
+        await asyncio.sleep(1)
+        process.thaw()
+        scene.disturb(vm.name, began_at)
+        await late
+
+
+async def _call_at_once(
+    scene: Scene, caller: Recorder, vm: EntryVmProcesses, key: TeamKey
+) -> None:
+    """Send several requests with a key to one gateway at the same time."""
     target = Target(vm.name, vm.http)
     service = scene.cluster.layout.service
-    calls = [
-        asyncio.create_task(
-            scene.recorder.request(
-                target, Request(service, key.team, key.secret, f"late-{i}".encode())
-            )
-        )
-        for i in range(LATE_CALLS)
+    requests = [
+        Request(service, key.team, key.secret, f"at-once-{index}".encode())
+        for index in range(LATE_CALLS)
     ]
-    await scene.control.cut([vm.name], TABLE_SERVICES)
-    await asyncio.sleep(1)
-    vm.serving("gateway").thaw()
-    scene.disturb(vm.name, began_at)
-    await asyncio.gather(*calls)
+    await asyncio.gather(*(caller.request(target, req) for req in requests))
 
 
 async def _freeze(scene: Scene, vm: EntryVmProcesses, seconds: float) -> None:
