Send answers twice under uvloop as well

Cause: the stand-in wrote the second answer only on transports that are instances of asyncio.WriteTransport, which those of uvloop are not. So in its own process a backend server never sent an answer twice. Ruled out: the wrapper, which shows the fault against the stand-in under asyncio's own loop. Before: the new test under uvloop fails; after: it passes.

--- a/standins/_backend.py
+++ b/standins/_backend.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Mapping
+from typing import cast
 
 import msgspec
 from aiohttp import web
@@ -251,5 +252,7 @@
     lines = ["HTTP/1.1 200 OK", "Content-Type: application/json"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines += [f"Content-Length: {len(body)}", "", ""]
-    if isinstance(transport, asyncio.WriteTransport) and not transport.is_closing():
-        transport.write("\r\n".join(lines).encode() + body)
+    if transport is not None and not transport.is_closing():
+        # Transports of uvloop are of no common class with those of asyncio.
+        writable = cast(asyncio.WriteTransport, transport)
+        writable.write("\r\n".join(lines).encode() + body)
--- a/tests/test_standins_http.py
+++ b/tests/test_standins_http.py
@@ -6,8 +6,10 @@
 
 import aiohttp
 import pytest
+import uvloop
 from aiohttp import web
 
+import cassiaweir.process  # noqa: F401  (keeps uvloop off io_uring)
 from cassiaweir.clock import ManualClock, SystemClock
 from cassiaweir.exceptions import FencedError, UnavailableError
 from cassiaweir.platform import HttpTable, HttpWorkers, PlatformSession
@@ -197,6 +199,10 @@
 
 
 async def test_an_answer_sent_twice_leaves_bytes_on_the_connection():
+    await expect_an_answer_sent_twice()
+
+
+async def expect_an_answer_sent_twice():
     async with backend() as (service, client):
         service.answers = BackendFaults(twice=1)
         host, port = client._base_url.host, client._base_url.port
@@ -299,6 +305,11 @@
     await platform.close()
 
 
+def test_answers_are_sent_twice_under_the_loop_of_the_stand_ins_too():
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(expect_an_answer_sent_twice())
+
+
 async def test_an_answer_sent_again_comes_on_the_same_connection():
     async with backend() as (service, client):
         service.answers = BackendFaults(again=1)
