--- /dev/null
+++ b/tests/test_lab_sizing.py
@@ -0,0 +1,40 @@
+"""Tests of the arithmetic of `lab.sizing`."""
+
+from __future__ import annotations
+
+import pytest
+
+from lab._results import PartResult, Point
+from lab.sizing import Slopes, fewest_nodes, slopes_of
+
+
+def part(size_and_value: dict[float, float]) -> PartResult:
+    points = [Point(size, {"bytes": value}) for size, value in size_and_value.items()]
+    return PartResult("things", "now", points)
+
+
+def test_a_node_pays_its_share_of_the_fleet() -> None:
+    slopes = Slopes(fixed=10, worker=1, task=0.1, start=2)
+
+    assert slopes.at(10) == pytest.approx(10 + (1_400 + 1_900 + 280) / 10)
+
+
+def test_the_fewest_nodes_just_fit() -> None:
+    slopes = Slopes(fixed=10, worker=1, task=0, start=0)
+
+    assert fewest_nodes(slopes, 24) == 100
+
+
+def test_no_number_of_nodes_brings_the_fixed_part_down() -> None:
+    assert fewest_nodes(Slopes(fixed=10, worker=0, task=0, start=0), 9) == 0
+
+
+def test_slopes_come_from_the_parts_and_falling_ones_are_flat() -> None:
+    results = {
+        "workers": part({1: 10, 2: 12}),
+        "running": part({1: 10, 2: 9}),
+        "starts": part({0: 1, 2: 7}),
+        "peers": part({8: 4, 48: 5}),
+    }
+
+    assert slopes_of(results, "bytes") == Slopes(fixed=5, worker=2, task=0, start=3)
