Compress the answers to heartbeats in fact

Cause: the server of gRPC for asyncio uses the algorithm that a handler sets only if the handler sends its initial metadata by hand; so answers went out as they were. Ruled out: compression for the whole server, as each write to a stream would pay. Conclusion: the handler sends its metadata.

--- a/cassiaweir/rpc/_peer.py
+++ b/cassiaweir/rpc/_peer.py
@@ -105,6 +105,8 @@
     ) -> cell_pb2.Heartbeat:
         """Answer a heartbeat, compressed, as the statements resemble each other."""
         context.set_compression(grpc.Compression.Gzip)
+        # The algorithm is only told of, and used, with metadata sent by hand.
+        await context.send_initial_metadata(())
         return self._exchanger.answer(request)
 
     async def Events(  # noqa: N802
--- a/lab/_parts.py
+++ b/lab/_parts.py
@@ -141,7 +141,7 @@
         layout = replace(EIGHT_DOMAINS, entry_vms=count)
         async with open_site(layout, "peers") as site:
             reading = await take_reading(site.cluster, SECONDS)
-            point = point_of(len(site.cluster.entry_vms), reading)
+            point = point_of(reading.processes, reading)
             point.values |= await measure_roll_outs(site)
             points.append(point)
     return points
--- a/lab/_site.py
+++ b/lab/_site.py
@@ -21,12 +21,12 @@
 from cassiaweir.types import JobKind
 from cassiaweir.work import JobSpec, TaskSize
 from prove.callers import CREATED, Caller
-from prove.cluster import TABLE_OFFSET, Cluster, Layout
+from prove.cluster import PORTS_PER_RUN, TABLE_OFFSET, Cluster, Layout
 from prove.operators import OperatorDesk
 
-FIRST_BASE_PORT = 20_000
+FIRST_BASE_PORT = 14_000
 LAST_BASE_PORT = 30_000
-PORTS_PER_SITE = 2_000
+BLOCKS_PER_SITE = 2
 SERVICE = "inventory"
 TEAM = "team0"
 AMPLE = Limit(cpu_millis=10**9, memory_mb=10**9)
@@ -129,13 +129,21 @@
 
 def _find_base_port() -> int:
     """Return the first port of a block that no other run uses now."""
-    for base in range(FIRST_BASE_PORT, LAST_BASE_PORT, PORTS_PER_SITE):
-        with socket.socket() as probe:
-            # Connections of an earlier run that wait for their end do not count.
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", base))
-            except OSError:
-                continue
+    # Other runs take the lowest block that is free.
+    for base in reversed(range(FIRST_BASE_PORT, LAST_BASE_PORT, PORTS_PER_RUN)):
+        blocks = [base + number * PORTS_PER_RUN for number in range(BLOCKS_PER_SITE)]
+        if all(map(_is_free, blocks)):
             return base
     raise RuntimeError("every block of ports is in use")
+
+
+def _is_free(port: int) -> bool:
+    """Tell whether nobody listens on `port`."""
+    with socket.socket() as probe:
+        # Connections of an earlier run that wait for their end do not count.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
