Start a gang that was stopped for its team's limit again as a whole

Cause: the tasks of such a gang end one by one and are queued again one by one, so each would have started alone while the others still ended. Found by reading how the scheduler uses excess.

--- a/cassiaweir/placement/_explain.py
+++ b/cassiaweir/placement/_explain.py
@@ -22,6 +22,8 @@
         return WaitReason.ALL_FITTING_VMS_CLOSED
     if not job.team.allows(size, job.needed_at_once):
         return WaitReason.TEAM_LIMIT
+    if job.draining:
+        return WaitReason.WAITING_FOR_ALL
     if choose(fleet, job, now):
         return WaitReason.BEHIND_OTHERS
     if job.group.kind is JobKind.GANG and any(fleet.fitting(size)):
--- a/cassiaweir/placement/_ledger.py
+++ b/cassiaweir/placement/_ledger.py
@@ -142,6 +142,7 @@
         """Return tasks whose end brings the team within its allotment.
 
         Batch tasks go first, the youngest of them; then whole gangs, then services.
+        A gang that is named starts again as a whole, after its last task has ended.
         """
         team = self.teams.get(name)
         if team is None or team.is_within_limit():
@@ -162,8 +163,9 @@
             break
         if task.task in chosen or not _relieves(team, left, task.job.group.size):
             continue
-        whole = task.job.group.kind is JobKind.GANG
-        for member in task.job.running.values() if whole else (task,):
+        if task.job.gang:
+            task.job.draining = True
+        for member in task.job.running.values() if task.job.gang else (task,):
             chosen[member.task] = member.vm.name
             left = left - task.job.group.size
     return list(chosen.items())
--- a/cassiaweir/placement/_planner.py
+++ b/cassiaweir/placement/_planner.py
@@ -174,7 +174,7 @@
 
     def _settle(self, job: JobRecord) -> None:
         """Forget `job` once nothing of it waits or runs."""
-        if job.waiting and self._is_poisoned(job.group.job):
+        if job.waiting and (job.draining or self._is_poisoned(job.group.job)):
             self._rounds.queue(job)
         self._rounds.waiting_fell(job)
         self._ledger.forget_if_done(job)
--- a/cassiaweir/placement/_records.py
+++ b/cassiaweir/placement/_records.py
@@ -167,7 +167,8 @@
     """A job's waiting and running tasks in this shard.
 
     `waiting` keeps indexes in the order in which they start.  `claimed` has those
-    for which checkpoints are making room; `reserved` counts its reservations;
+    for which checkpoints are making room; `draining` says that all running tasks of a
+    gang are to stop before any starts again; `reserved` counts its reservations;
     `racks` and `vms` count running tasks of a service.
     """
 
@@ -179,6 +180,7 @@
     preemptible: bool = field(init=False)
     lane: Lane | None = None
     queued: bool = False
+    draining: bool = False
     reserved: int = 0
     waiting: dict[int, None] = field(default_factory=dict)
     running: dict[int, RunningTask] = field(default_factory=dict)
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -50,9 +50,10 @@
         self._urgent_retry_at = 0.0
 
     def queue(self, job: JobRecord) -> None:
-        """Enter `job` in the lane of its waiting tasks, unless it is poisoned."""
+        """Enter `job` in the lane of its waiting tasks, unless it may not start."""
         before, tier = job.lane, self._tier(job)
-        if self._is_poisoned(job.group.job):
+        job.draining = job.draining and bool(job.running)
+        if job.draining or self._is_poisoned(job.group.job):
             job.lane, job.queued = None, False
             if before is not None:
                 tier.queue.forget_if_empty(before)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Tests of `cassiaweir.placement.FairPlanner`, rule by rule."""
 
+from dataclasses import replace
+
 from cassiaweir.placement import VmCondition, VmOffer, WaitReason
 from cassiaweir.types import JobKind, Resources, TaskId, TaskState, Urgency
 from tests.placement_helpers import CORE, PLENTY, VM_SIZE, group, placed, planner_with
@@ -123,3 +125,22 @@
     planner.task_ended(TaskId("j", 0), TaskState.LAPSED, 1)
     assert planner.running("a") == Resources()
     assert not planner.fits_some_vm(CORE)
+
+
+def test_a_gang_stopped_for_its_team_limit_starts_again_as_a_whole():
+    planner = planner_with(vms=2)
+    gang = group("g", tasks=3, kind=JobKind.GANG)
+    planner.enqueue(gang)
+    planner.plan(0, 9)
+    planner.set_team("a", 1, CORE * 2)
+    assert len(planner.excess("a")) == 3
+    planner.set_team("a", 1, PLENTY)
+    for index in range(3):
+        assert not planner.plan(index, 9).placements
+        planner.task_ended(TaskId("g", index), TaskState.CHECKPOINTED, index)
+        planner.enqueue(replace(gang, indexes=(index,)))
+        expected = (
+            WaitReason.BEHIND_OTHERS if index == 2 else WaitReason.WAITING_FOR_ALL
+        )
+        assert planner.waiting("g", index) is expected
+    assert len(planner.plan(3, 9).placements) == 3
