--- a/cassiaweir/ctl/_bundle.py
+++ b/cassiaweir/ctl/_bundle.py
@@ -201,13 +201,18 @@
 
 
 def _wait_complete(ctl: CtlContext, timeout: float) -> None:
-    """Ask until the status is complete or the time is over."""
+    """Ask until the status is complete or the time is over; say who is awaited."""
     client = ctl.client()
     until = time.monotonic() + timeout
+    shown = ""
     while time.monotonic() < until:
         found = client.call(Call("GET", f"{PATH}/status"), BundleStatus)
         if found.complete:
             return
+        awaited = ", ".join([*found.behind, *found.silent])
+        if awaited != shown:
+            click.echo(f"waiting for {awaited}", err=True)
+            shown = awaited
         time.sleep(WAIT_INTERVAL_SECONDS)
 
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -213,6 +213,9 @@
     desk.roll_out()
     assert "version 1" in desk.done("anna", "bundle", "status", "--wait")
     desk.admin.probe.silent = ["milazzo-1"]
+    result = desk.type("anna", "bundle", "status", "--wait", "--timeout", "0.3")
+    assert result.stderr.startswith("waiting for milazzo-1\n")
+    assert result.exit_code == UNAVAILABLE
     result = desk.type("anna", "bundle", "status", "--wait", "--timeout", "0")
     assert "milazzo-1" in assert_one_line(result, UNAVAILABLE)
 
