--- a/prove/traffic.py
+++ b/prove/traffic.py
@@ -20,6 +20,9 @@
 RETRY_SECONDS = 0.3
 REQUESTERS_PER_TEAM = 4
 LONG_WORK_MS = 1500
+STANDING_JOBS = 3
+STANDING_TASKS = 2
+LASTING_KEY_SHARE = 0.7
 BURST_PAUSE_SECONDS = 4.0
 BURST_REQUESTS = 250
 BURST_WORK_MS = 300
@@ -44,12 +47,17 @@
 
 @dataclass(slots=True)
 class SubmittedJob:
-    """A job that was accepted; `finite` ones must finish by themselves."""
+    """A job that was accepted; `finite` ones must finish by themselves.
+
+    `standing` ones are in no wave of cancellations.
+    Services are not, nor are jobs that always fail: these are parked with a reason.
+    """
 
     spec: JobSpec
     team: str
     key: str
     finite: bool
+    standing: bool = False
     cancelled: bool = False
 
 
@@ -76,7 +84,9 @@
             group.create_task(self._send_bursts(teams))
             group.create_task(self._use_passing_keys(group, teams))
 
-    async def submit(self, spec: JobSpec, key: TeamKey, *, finite: bool) -> bool:
+    async def submit(
+        self, spec: JobSpec, key: TeamKey, *, finite: bool, standing: bool = False
+    ) -> bool:
         """Submit a job until it is accepted or refused for good."""
         body = msgspec.json.encode(spec)
         while True:
@@ -84,7 +94,9 @@
             call = self.recorder.job_call(spec.job, key.team, key.secret, target)
             done = await self.recorder.job("POST", target, "/v1/jobs", call, body)
             if done.status == CREATED:
-                job = SubmittedJob(spec, key.team, key.secret, finite)
+                # The key of the submission may be withdrawn before the job ends.
+                lasting = self._lasting_key(key.team).secret
+                job = SubmittedJob(spec, key.team, lasting, finite, standing)
                 self.jobs.append(job)
                 return True
             if 400 <= done.status < 500 and done.status != 429:
@@ -114,10 +126,11 @@
 
     async def _send_requests(self, team: str) -> None:
         while True:
-            await self._send_one(self._key(team))
+            await self.send_one(self._key(team))
             await asyncio.sleep(REQUEST_PAUSE_SECONDS)
 
-    async def _send_one(self, key: TeamKey) -> None:
+    async def send_one(self, key: TeamKey) -> None:
+        """Send one request, idempotent or not, to any gateway."""
         serial = next(self._serial)
         size = self.rng.choice((10, 200, BIGGEST_BODY_BYTES))
         body = f"{key.team}-{serial}-".encode().ljust(size, b"x")
@@ -202,6 +215,9 @@
         return Request(self.service, key.team, key.secret, body, work_ms=work_ms)
 
     async def _send_jobs(self, team: str) -> None:
+        for index in range(STANDING_JOBS):
+            spec = service_job(f"{team}-standing-{index}", STANDING_TASKS)
+            await self.submit(spec, self._key(team), finite=False, standing=True)
         for wave in itertools.count():
             key = self._key(team)
             specs = plan_wave(team, f"{team}-{next(self._serial)}")
@@ -214,14 +230,23 @@
 
     async def _cancel_wave(self, team: str) -> None:
         own = [job for job in self.jobs if job.team == team and not job.cancelled]
-        endless = [job for job in own if not job.finite]
+        endless = [job for job in own if not job.finite and not job.standing]
         await asyncio.gather(*(self.cancel(job) for job in endless))
 
     def _key(self, team: str) -> TeamKey:
         """Return any key of the team, withdrawn ones as well."""
-        own = [key for key in self.keys() if key.team == team]
-        # The first key lasts, so that jobs go on; the others come and go.
-        return own[0] if self.rng.random() < 0.7 else self.rng.choice(own)
+        if self.rng.random() < LASTING_KEY_SHARE:
+            return self._lasting_key(team)
+        return self.rng.choice([key for key in self.keys() if key.team == team])
+
+    def _lasting_key(self, team: str) -> TeamKey:
+        """Return the first key of the team; the others come and go."""
+        return next(key for key in self.keys() if key.team == team)
+
+
+def service_job(name: str, tasks: int) -> JobSpec:
+    """Return a service that runs until it is cancelled."""
+    return JobSpec(name, WORK_QUEUE, JobKind.SERVICE, tasks, SMALL, payload="forever")
 
 
 def plan_wave(team: str, prefix: str) -> list[tuple[JobSpec, bool]]:
@@ -247,7 +272,7 @@
         (spec("urgent", JobKind.BATCH, 2, "run:0.3", urgency=Urgency.URGENT), True),
         (spec("gang", JobKind.GANG, 6, "run:1"), True),
         (spec("wrong", JobKind.BATCH, 4, "run:3 usage:10", declared_seconds=0.3), True),
-        (spec("service", JobKind.SERVICE, 4, "forever", declared_seconds=0), False),
+        (service_job(f"{prefix}-service", 4), False),
         (spec("huge", JobKind.BATCH, 1, "run:1", size=TOO_LARGE), False),
-        (spec("failing", JobKind.BATCH, 2, "fail:0.2", attempts=2), True),
+        (spec("failing", JobKind.BATCH, 2, "fail:0.2", attempts=2), False),
     ]
