Let ctl revert a bundle: a revert names no digest

Typed against a cluster, every revert-to was refused as malformed: it sent the empty digest of a roll-out, whose pattern the server checks. A revert has a message of its own now, and the digest of a roll-out is required. The API test had sent {} and missed it; the command line is tested for each step of a bundle and of a key now.

--- a/cassiaweir/administration/_models.py
+++ b/cassiaweir/administration/_models.py
@@ -377,7 +377,13 @@
 class RolloutChange(_Change):
     """Puts a version in force; `confirm` accepts the findings of its check."""
 
-    digest: Digest = ""
+    digest: Digest
+    confirm: bool = False
+
+
+class RevertChange(_Change):
+    """Puts earlier content in force; `confirm` accepts the findings of its check."""
+
     confirm: bool = False
 
 
--- a/cassiaweir/api/_admin_bundles.py
+++ b/cassiaweir/api/_admin_bundles.py
@@ -7,6 +7,7 @@
 from cassiaweir.administration import (
     BundleDraft,
     ProposeChange,
+    RevertChange,
     ReviewChange,
     RolloutChange,
 )
@@ -125,7 +126,7 @@
     ) -> HTTPResponse:
         """Put the content of an earlier version in force as a new version."""
         number = read_number(version, "version")
-        change = read_body(request, RolloutChange)
+        change = read_body(request, RevertChange)
         row = await self.cell.bundles.revert_to(
             operator, number, confirm=change.confirm
         )
--- a/cassiaweir/api/_openapi_routes.py
+++ b/cassiaweir/api/_openapi_routes.py
@@ -28,6 +28,7 @@
     ProcessText,
     ProposeChange,
     QueueList,
+    RevertChange,
     ReviewChange,
     RolloutChange,
     ServiceList,
@@ -280,7 +281,7 @@
         "/bundles/{version}/revert",
         "Put the content of an earlier version in force as a new version.",
         BundleInfo,
-        RolloutChange,
+        RevertChange,
     ),
     _read(
         "/jobs",
--- a/cassiaweir/ctl/_bundle.py
+++ b/cassiaweir/ctl/_bundle.py
@@ -15,6 +15,7 @@
     BundleStatus,
     CheckReport,
     ProposeChange,
+    RevertChange,
     ReviewChange,
     RolloutChange,
 )
@@ -159,7 +160,7 @@
 
     Example: cassiaweir ctl bundle revert-to 3
     """
-    body = RolloutChange(confirm=confirm)
+    body = RevertChange(confirm=confirm)
     call = Call("POST", f"{PATH}/{version}/revert", body=body)
     ctl.ask(call, BundleInfo, _show_bundle, as_json=as_json)
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -133,6 +133,45 @@
     assert "anna has rolled out version 2" in line
 
 
+def test_a_revert_is_a_new_version_with_the_earlier_content(desk):
+    _, digest = desk.roll_out()
+    desk.roll_out(LOWER)
+    output = desk.done("bruno", "bundle", "revert-to", "1")
+    assert f"version 3 digest {digest} is rolled_out" in output
+    assert "reverts to 1" in desk.done("anna", "bundle", "history")
+    assert desk.done("anna", "bundle", "diff", "3", "--against", "1") == "no change\n"
+    assert "team customs" in desk.done("anna", "bundle", "diff", "2")
+
+
+def test_a_bundle_is_rejected(desk):
+    named = desk.draft()
+    words = ("--reject", "--comment", "too low")
+    assert "rejected" in desk.done("bruno", "bundle", "approve", *named, *words)
+    assert_one_line(desk.type("anna", "bundle", "rollout", *named), CONFLICT)
+
+
+def test_operators_are_added_and_removed(desk):
+    secret = desk.done("anna", "operator", "add", "eve", "--role", "author").strip()
+    assert desk.type("x", "operator", "list", secret=secret).exit_code == OK
+    assert "eve" not in desk.done("anna", "operator", "remove", "eve")
+    assert_one_line(desk.type("x", "operator", "list", secret=secret), FAILED)
+
+
+def test_a_key_is_withdrawn_and_awaited(desk):
+    desk.roll_out()
+    secret = desk.done("anna", "key", "grant", "customs").strip()
+    digest = hashlib.sha256(secret.encode()).hexdigest()
+    desk.thread.run(desk.admin.view.refresh())
+    desk.done("anna", "key", "grant", "customs")
+    desk.admin.probe.silent = ["milazzo-1"]
+    desk.thread.run(desk.admin.view.refresh())
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("cassiaweir.ctl._keys.LONGEST_WAIT_SECONDS", 0)
+        result = desk.type("bruno", "key", "withdraw", digest[:8], "--wait")
+    assert f"withdrawn {digest}" in result.stdout
+    assert "milazzo-1" in assert_one_line(result, UNAVAILABLE)
+
+
 def test_a_missing_role_exits_with_1(desk):
     desk.thread.run(desk.admin.add_operator("carla", ["author"]))
     line = assert_one_line(desk.type("carla", "key", "grant", "customs"), FAILED)
