--- a/cassiaweir/ctl/_bundle.py
+++ b/cassiaweir/ctl/_bundle.py
@@ -15,6 +15,7 @@
     BundleStatus,
     CheckReport,
     ProposeChange,
+    RevertChange,
     ReviewChange,
     RolloutChange,
 )
@@ -159,7 +160,7 @@
 
     Example: cassiaweir ctl bundle revert-to 3
     """
-    body = RolloutChange(confirm=confirm)
+    body = RevertChange(confirm=confirm)
     call = Call("POST", f"{PATH}/{version}/revert", body=body)
     ctl.ask(call, BundleInfo, _show_bundle, as_json=as_json)
 
@@ -201,13 +202,18 @@
 
 
 def _wait_complete(ctl: CtlContext, timeout: float) -> None:
-    """Ask until the status is complete or the time is over."""
+    """Ask until the status is complete or the time is over; say who is awaited."""
     client = ctl.client()
     until = time.monotonic() + timeout
+    shown = ""
     while time.monotonic() < until:
         found = client.call(Call("GET", f"{PATH}/status"), BundleStatus)
         if found.complete:
             return
+        awaited = ", ".join([*found.behind, *found.silent])
+        if awaited != shown:
+            click.echo(f"waiting for {awaited}", err=True)
+            shown = awaited
         time.sleep(WAIT_INTERVAL_SECONDS)
 
 
