Take a block of ports whose last run has just ended

Connections that linger after a run kept its control port from being bound by the probe, so after some twenty runs within a minute or two every block counted as in use.

--- a/prove/cluster.py
+++ b/prove/cluster.py
@@ -267,6 +267,8 @@
 def _require_free(port: int) -> None:
     """Raise `OSError` where somebody listens on `port`."""
     with socket.socket() as probe:
+        # Connections of an earlier run that linger do no harm.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         probe.bind(("127.0.0.1", port))
 
 
