Tell a caller behind the relay that its target was killed

Cause: a process that is killed with unread bytes leaves a reset, not an end of file. The relay took the error and left the caller's connection open, so the caller waited for its answer until its own timeout (five minutes by the default of the HTTP client). Found while looking for the cause of a run of make demo that stood still after the kill of an owner; that run was not reproduced (three runs passed), so this is a likely cause and not a proved one. Before: the new test waits 10 s for the end and fails; after: it passes.

--- a/standins/_relay.py
+++ b/standins/_relay.py
@@ -153,7 +153,10 @@
         *,
         forward: bool,
     ) -> None:
-        """Copy bytes one way until the sender ends; drop them while cut."""
+        """Copy bytes one way until the sender ends; drop them while cut.
+
+        A sender that was killed may end with a reset; the receiver learns of it too.
+        """
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 cut = self.control.cut_forward if forward else self.control.cut_back
@@ -161,6 +164,7 @@
                     continue
                 writer.write(data)
                 await writer.drain()
+        with contextlib.suppress(OSError):
             if writer.can_write_eof():
                 writer.write_eof()
 
--- a/tests/test_standins_http.py
+++ b/tests/test_standins_http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from datetime import timedelta
 
 import aiohttp
@@ -28,6 +30,7 @@
 
 ANY_PORT = "127.0.0.1:0"
 NEVER = 1e12
+HANG_SECONDS = 10
 LEASE = timedelta(seconds=60)
 DEPLOYMENT = """
 base_port = 7000
@@ -232,6 +235,27 @@
         await relay.close()
 
 
+async def test_a_caller_learns_that_the_target_was_killed():
+    async def reset(reader, writer):
+        await reader.read(1)
+        sock = writer.get_extra_info("socket")
+        # What a killed process leaves with unread bytes: a reset, no end of file.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    server = await asyncio.start_server(reset, "127.0.0.1", 0)
+    target = "{}:{}".format(*server.sockets[0].getsockname())
+    relay = Relay([target], check=False)
+    host, _, port = (await relay.relay(ANY_PORT)).rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET / HTTP/1.1\r\n\r\n")
+    async with asyncio.timeout(HANG_SECONDS):
+        assert await reader.read() == b""
+    writer.close()
+    await relay.close()
+    server.close()
+
+
 async def test_a_balancer_uses_ready_targets_only():
     relay = Relay(["127.0.0.1:1"])
     address = await relay.relay(ANY_PORT)
