--- a/prove/checkers.py
+++ b/prove/checkers.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from itertools import pairwise
 
@@ -65,7 +65,7 @@
     by_worker: dict[str, list[TaskRun]] = defaultdict(list)
     for run in history.runs:
         by_worker[run.worker].append(run)
-    return [
+    return _overloads("overcommit", history, history.capacities) + [
         Violation("overcommit", worker, at, f"{total} on {history.capacities[worker]}")
         for worker, runs in by_worker.items()
         for at, total in _running_sums(runs)
@@ -73,6 +73,17 @@
     ]
 
 
+def _overloads(
+    point: str, history: History, vms: Mapping[str, object]
+) -> list[Violation]:
+    """Return what the VMs in `vms` were asked for beyond what they can take."""
+    return [
+        Violation(point, item.vm, item.at, item.detail)
+        for item in history.overloads
+        if item.vm in vms
+    ]
+
+
 def check_single_place(history: History) -> list[Violation]:
     """Check that a task never runs in two places at once."""
     by_task: dict[str, list[TaskRun]] = defaultdict(list)
@@ -164,10 +175,7 @@
 
 def check_slots(history: History) -> list[Violation]:
     """Check that no backend server executes more requests at once than it has slots."""
-    found = [
-        Violation("slots", item.backend, item.at, item.detail)
-        for item in history.overloads
-    ]
+    found = _overloads("slots", history, history.slots)
     steps = [(item.began_at, 1, item.backend) for item in history.executions]
     steps += [(item.ended_at, -1, item.backend) for item in history.executions]
     used: dict[str, int] = defaultdict(int)
--- a/prove/history.py
+++ b/prove/history.py
@@ -64,9 +64,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Overload:
-    """A backend server got more than it can take; `detail` says of what."""
+    """A worker or a backend server was asked for more than it can take."""
 
-    backend: str
+    vm: str
     at: float
     detail: str
 
--- a/prove/recorder.py
+++ b/prove/recorder.py
@@ -229,7 +229,12 @@
 
 
 def take_ledger(history: History, ledger: LedgerAnswer) -> None:
-    """Add the attempts that the workers ran."""
+    """Add the attempts that the workers ran, and starts that did not fit."""
+    history.overloads += [
+        Overload(item.subject, item.at, item.detail)
+        for item in ledger.violations
+        if item.kind == "overcommitted"
+    ]
     history.runs += [
         TaskRun(
             task=run.task,
--- a/prove/without.py
+++ b/prove/without.py
@@ -18,13 +18,15 @@
 from cassiaweir.cmdline import main as cassiaweir
 from cassiaweir.configuration import TableView
 from cassiaweir.configuration._view_content import ViewContent
+from cassiaweir.fleet import _roster
 from cassiaweir.fleet._hold_back import HoldBack
 from cassiaweir.fleet._lease import ShardLease
+from cassiaweir.placement import VmOffer
 from cassiaweir.requests import Claims, ServiceAnswer, ServiceRequest, _backends
 from cassiaweir.requests._claims import Claim, ClaimRow, ClaimState
 from cassiaweir.requests._slot_book import _Server
 from cassiaweir.teams import ShardAllotments
-from cassiaweir.types import Resources, Row
+from cassiaweir.types import Resources, Row, Vm
 
 UNLIMITED = Resources(2**40, 2**40, 2**40)
 FOREVER = timedelta(days=30)
@@ -64,6 +66,15 @@
     _put(ShardAllotments, "apply", apply)
 
 
+def _drop_vm_capacity() -> None:
+    """Place tasks as if each VM were several times as large."""
+
+    def offer(vm: Vm) -> VmOffer:
+        return VmOffer(vm.name, vm.failure_domain, vm.rack, vm.capacity * 4)
+
+    _put(_roster, "_offer", offer)
+
+
 def _drop_claims() -> None:
     """Send non-idempotent requests without a claim in the table."""
 
@@ -153,6 +164,7 @@
     "lease-check": _drop_lease_check,
     "ownership": _drop_ownership,
     "team-caps": _drop_team_caps,
+    "vm-capacity": _drop_vm_capacity,
     "claims": _drop_claims,
     "view-age": _drop_view_age,
     "strict-reuse": _drop_strict_reuse,
--- a/tests/test_prove_checkers.py
+++ b/tests/test_prove_checkers.py
@@ -126,6 +126,12 @@
     assert [item.detail for item in CHECKERS["slots"](history)] == ["9 at once"]
 
 
+def test_a_start_that_did_not_fit_its_worker_is_found():
+    history = make_history(overloads=[Overload("w1", 3.0, "does not fit")])
+    assert [item.detail for item in CHECKERS["overcommit"](history)] == ["does not fit"]
+    assert not CHECKERS["slots"](history)
+
+
 def make_cut_call(**changes) -> Call:
     return make_call(outcome="broken", invoked_at=2.0, returned_at=2.5, **changes)
 
