Look at the gateways five times a second, not twenty

Cause: the slots' tick went through the rows of all members and the list of backend servers every 50 ms, which grows with the number of processes. Ruled out: a longer tick, which would hold wants back; the shards owned are still compared before each decision, as a paused process may have lost them.

--- a/cassiaweir/requests/_slot_service.py
+++ b/cassiaweir/requests/_slot_service.py
@@ -202,9 +202,11 @@
         """Let leases end, wants fall due and shards change hands."""
         for number in itertools.count(1):
             await self._clock.sleep(TICK)
-            self._refresh()
+            telling = number % TICKS_PER_LOAD == 0
+            if telling or self._owned_epochs() != self._epochs:
+                self._refresh()
             self._decide()
-            if number % TICKS_PER_LOAD == 0:
+            if telling:
                 self._tell_loads()
 
     def _tell_loads(self) -> None:
