Let a revert undo only the version that its operator has seen

Two operators who reverted at the same moment against a running cluster both succeeded: the later one put the head back without having seen the earlier one's version. A revert names the version in force (`--from`, `head`); another one is a conflict that names its operator. BundleRepository.revert_to takes it as an option, checked in the transaction.

Listing jobs scans the table once, no longer once per 500 jobs.

--- a/cassiaweir/administration/_bundles.py
+++ b/cassiaweir/administration/_bundles.py
@@ -103,12 +103,12 @@
         return await self.repository.roll_out(operator, version, digest)
 
     async def revert_to(
-        self, operator: Operator, version: int, *, confirm: bool
+        self, operator: Operator, version: int, *, head: int, confirm: bool
     ) -> BundleVersion:
-        """Put the content of an earlier version in force as a new version."""
+        """Put the content of an earlier version in force in place of `head`."""
         if not confirm:
             await self._require_no_findings(version)
-        return await self.repository.revert_to(operator, version)
+        return await self.repository.revert_to(operator, version, head=head)
 
     async def _require_no_findings(self, version: int) -> None:
         found = await self.repository.get(version)
--- a/cassiaweir/administration/_jobs.py
+++ b/cassiaweir/administration/_jobs.py
@@ -29,7 +29,8 @@
 )
 
 AUDIT_AREA = "jobs"
-PAGE = 500
+# Each page is one scan of all rows with the prefix, so that small pages cost more.
+PAGE = 100_000
 CANCELS_AT_ONCE = 16
 
 
--- a/cassiaweir/administration/_models.py
+++ b/cassiaweir/administration/_models.py
@@ -382,8 +382,12 @@
 
 
 class RevertChange(_Change):
-    """Puts earlier content in force; `confirm` accepts the findings of its check."""
+    """Puts earlier content in force in place of version `head`, and of no other.
 
+    `confirm` accepts the findings of its check.
+    """
+
+    head: Annotated[int, msgspec.Meta(ge=1)]
     confirm: bool = False
 
 
--- a/cassiaweir/api/_admin_bundles.py
+++ b/cassiaweir/api/_admin_bundles.py
@@ -128,7 +128,7 @@
         number = read_number(version, "version")
         change = read_body(request, RevertChange)
         row = await self.cell.bundles.revert_to(
-            operator, number, confirm=change.confirm
+            operator, number, head=change.head, confirm=change.confirm
         )
         return answer_json(describe_bundle(row, row.version))
 
--- a/cassiaweir/configuration/_repository.py
+++ b/cassiaweir/configuration/_repository.py
@@ -153,20 +153,29 @@
         await self._commit(operator, "roll_out", changed, checks, writes)
         return changed
 
-    async def revert_to(self, operator: Operator, version: int) -> BundleVersion:
+    async def revert_to(
+        self, operator: Operator, version: int, *, head: int | None = None
+    ) -> BundleVersion:
         """Put the content of an earlier version in force, as a new, higher version.
 
         The content was signed by two operators when it was first rolled out, so that
-        it needs no other approval.
+        it needs no other approval.  `head` is the version in force that the operator
+        has seen; another one is not undone.
         """
         operator.require(OperatorRole.ON_CALL)
         earlier = (await self._load(version)).content
         _require_state(earlier, (BundleState.ROLLED_OUT,))
         rows = await self._table.read([BUNDLE_HEAD, BUNDLE_LAST])
+        found = decode_head(rows.get(BUNDLE_HEAD))
+        if head not in (None, found.version):
+            raise ConflictError(
+                f"version {head} is no longer in force: {found.operator} has rolled "
+                f"out version {found.version} with digest {found.digest}"
+            )
         content = msgspec.structs.replace(
             earlier,
             version=decode_counter(rows.get(BUNDLE_LAST)).version + 1,
-            base=decode_head(rows.get(BUNDLE_HEAD)).version,
+            base=found.version,
             rolled_out_by=operator.name,
             reverts_to=version,
         )
--- a/cassiaweir/ctl/_bundle.py
+++ b/cassiaweir/ctl/_bundle.py
@@ -152,15 +152,24 @@
 
 @bundle.command("revert-to")
 @click.argument("version", type=int)
+@click.option(
+    "--from",
+    "head",
+    type=int,
+    required=True,
+    help="Version in force that you have seen; no other one is undone.",
+)
 @click.option("--confirm", is_flag=True, help="Accept the findings of the check.")
 @json_option
 @pass_ctl
-def revert_to(ctl: CtlContext, version: int, confirm: bool, as_json: bool) -> None:
+def revert_to(
+    ctl: CtlContext, version: int, head: int, confirm: bool, as_json: bool
+) -> None:
     """Put the content of the earlier VERSION in force, as a new version.
 
-    Example: cassiaweir ctl bundle revert-to 3
+    Example: cassiaweir ctl bundle revert-to 3 --from 5
     """
-    body = RevertChange(confirm=confirm)
+    body = RevertChange(head=head, confirm=confirm)
     call = Call("POST", f"{PATH}/{version}/revert", body=body)
     ctl.ask(call, BundleInfo, _show_bundle, as_json=as_json)
 
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -30,7 +30,7 @@
     ("POST", "/bundles/1/propose", {"digest": DIGEST}),
     ("POST", "/bundles/1/review", {"digest": DIGEST, "approve": True}),
     ("POST", "/bundles/1/rollout", {"digest": DIGEST, "confirm": True}),
-    ("POST", "/bundles/1/revert", {"confirm": True}),
+    ("POST", "/bundles/1/revert", {"head": 1, "confirm": True}),
 ]
 READS = [
     "/operators",
@@ -78,6 +78,8 @@
     ("POST", "/bundles", {"files": [FILES[0], FILES[0]]}),
     ("POST", "/bundles/1/propose", {"digest": "short"}),
     ("POST", "/bundles/1/review", {"digest": DIGEST}),
+    ("POST", "/bundles/1/rollout", {"confirm": True}),
+    ("POST", "/bundles/1/revert", {}),
 ]
 
 
--- a/tests/test_admin_bundles.py
+++ b/tests/test_admin_bundles.py
@@ -122,15 +122,26 @@
     detail = await race(
         cell,
         ("anna", "POST", f"{path}/rollout", {"digest": digest}),
-        ("bruno", "POST", "/bundles/1/revert", {}),
+        ("bruno", "POST", "/bundles/1/revert", {"head": 2}),
     )
     assert "anna has rolled out version 3" in detail
 
 
+async def test_a_revert_undoes_only_the_version_that_was_seen(cell):
+    await cell.roll_out()
+    await cell.roll_out(LOWER)
+    revert = ("POST", "/bundles/1/revert", {"head": 2})
+    detail = await race(cell, ("anna", *revert), ("bruno", *revert))
+    assert "anna has rolled out version 3" in detail
+    late = await cell.call("bruno", *revert)
+    assert (late.status, late.body["reason"]) == (409, "conflict")
+    assert "anna has rolled out version 3" in late.body["detail"]
+
+
 async def test_a_revert_is_a_new_higher_version(cell):
     await cell.roll_out()
     await cell.roll_out(LOWER)
-    answer = await cell.call("bruno", "POST", "/bundles/1/revert", {})
+    answer = await cell.call("bruno", "POST", "/bundles/1/revert", {"head": 2})
     assert (answer.body["version"], answer.body["reverts_to"]) == (3, 1)
     lines = (await cell.call("anna", "GET", "/bundles/3/diff?against=1")).body
     assert lines == []
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -136,9 +136,12 @@
 def test_a_revert_is_a_new_version_with_the_earlier_content(desk):
     _, digest = desk.roll_out()
     desk.roll_out(LOWER)
-    output = desk.done("bruno", "bundle", "revert-to", "1")
+    output = desk.done("bruno", "bundle", "revert-to", "1", "--from", "2")
     assert f"version 3 digest {digest} is rolled_out" in output
     assert "reverts to 1" in desk.done("anna", "bundle", "history")
+    words = ("bundle", "revert-to", "1", "--from", "2")
+    line = assert_one_line(desk.type("anna", *words), CONFLICT)
+    assert "bruno has rolled out version 3" in line
     assert desk.done("anna", "bundle", "diff", "3", "--against", "1") == "no change\n"
     assert "team customs" in desk.done("anna", "bundle", "diff", "2")
 
