--- a/prove/checkers.py
+++ b/prove/checkers.py
@@ -187,12 +187,17 @@
 
 
 def check_leaving(history: History) -> list[Violation]:
-    """Check that a leaving backend server receives no new work after a few seconds."""
-    left = {item.backend: item.at for item in history.leavings}
-    return [
+    """Check that a leaving backend server is sent nothing new after a few seconds."""
+    due = {item.backend: item.at + LEAVING_BOUND_SECONDS for item in history.leavings}
+    found = [
         Violation("leaving", item.backend, item.began_at, item.request)
         for item in history.executions
-        if item.began_at > left.get(item.backend, float("inf")) + LEAVING_BOUND_SECONDS
+        if item.began_at > due.get(item.backend, float("inf"))
+    ]
+    return found + [
+        Violation("leaving", item.backend, item.at, "was sent a request and refused it")
+        for item in history.late_requests
+        if item.at > due.get(item.backend, float("inf"))
     ]
 
 
--- a/prove/history.py
+++ b/prove/history.py
@@ -117,6 +117,14 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class LateRequest:
+    """A leaving backend server was sent a request at `at`, and refused it."""
+
+    backend: str
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class GracefulStop:
     """A planned stop of the gateway of an entry VM."""
@@ -164,6 +172,7 @@
     withdrawals: list[KeyWithdrawal] = field(default_factory=list)
     limits: list[LimitChange] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
+    late_requests: list[LateRequest] = field(default_factory=list)
     stops: list[GracefulStop] = field(default_factory=list)
     rollouts: list[Rollout] = field(default_factory=list)
     versions: list[VersionSeen] = field(default_factory=list)
--- a/prove/recorder.py
+++ b/prove/recorder.py
@@ -15,7 +15,15 @@
 import msgspec
 
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
-from prove.history import Call, Execution, History, Overload, TaskRun, VersionSeen
+from prove.history import (
+    Call,
+    Execution,
+    History,
+    LateRequest,
+    Overload,
+    TaskRun,
+    VersionSeen,
+)
 from standins._backend import BackendStats, Echo, Executed
 from standins._ledger import LedgerAnswer
 
@@ -217,9 +225,12 @@
     ]
 
 
-def take_overloads(history: History, stats: Sequence[BackendStats], at: float) -> None:
-    """Add the backend servers that got more than they can take."""
+def take_refusals(history: History, stats: Sequence[BackendStats], at: float) -> None:
+    """Add what the backend servers refused as too much or as too late."""
     for item in stats:
+        if item.last_after_leaving is not None:
+            late = LateRequest(item.backend, item.last_after_leaving)
+            history.late_requests.append(late)
         if item.over_slots:
             detail = f"{item.over_slots} requests came while all slots were in use"
             history.overloads.append(Overload(item.backend, at, detail))
--- a/prove/run.py
+++ b/prove/run.py
@@ -36,7 +36,7 @@
     Target,
     take_executions,
     take_ledger,
-    take_overloads,
+    take_refusals,
 )
 from prove.report import RECOVERY, Report, Window, show, show_table
 from prove.traffic import SubmittedJob, Traffic
@@ -193,7 +193,7 @@
         history = self.recorder.history
         take_executions(history, await self.control.executions())
         stats = await self.control.backend_stats()
-        take_overloads(history, stats, time.monotonic())
+        take_refusals(history, stats, time.monotonic())
         take_ledger(history, await self.control.ledger())
 
     def _report(self, admin: Administration, settle_seconds: float) -> Report:
--- a/prove/without.py
+++ b/prove/without.py
@@ -123,6 +123,11 @@
     _put(_Server, "free", property(lambda self: self.backend.slots))
 
 
+def _drop_leaving() -> None:
+    """Grant slots of backend servers that are leaving or have just refused."""
+    _put(_Server, "usable", lambda self, now: self.free > 0)
+
+
 def _drop_version_order() -> None:
     """Install whatever version a peer or the table tells of."""
 
@@ -169,6 +174,7 @@
     "view-age": _drop_view_age,
     "strict-reuse": _drop_strict_reuse,
     "drain": _drop_drain,
+    "leaving": _drop_leaving,
     "slot-grants": _drop_slot_grants,
     "version-order": _drop_version_order,
 }
--- a/standins/_backend.py
+++ b/standins/_backend.py
@@ -76,7 +76,8 @@
     """What a backend server has seen.
 
     `over_slots` counts requests that came while all slots were in use.
-    `after_leaving` counts requests that came after leaving began.  `executions`
+    `after_leaving` counts requests that came after leaving began; the last one came at
+    `last_after_leaving` of the machine's monotonic clock.  `executions`
     holds the idempotency keys that ran more than once.
     """
 
@@ -91,6 +92,7 @@
     over_connections: int = 0
     over_slots: int = 0
     after_leaving: int = 0
+    last_after_leaving: float | None = None
     executions: dict[str, int] = {}
 
 
@@ -142,6 +144,7 @@
         body = await req.read()
         if self.leaving:
             self.stats.after_leaving += 1
+            self.stats.last_after_leaving = time.monotonic()
         full = self.stats.running >= self._slots
         if full and not self.leaving:
             self.stats.over_slots += 1
--- a/tests/test_prove_checkers.py
+++ b/tests/test_prove_checkers.py
@@ -13,6 +13,7 @@
     GracefulStop,
     History,
     KeyWithdrawal,
+    LateRequest,
     Leaving,
     LimitChange,
     Overload,
@@ -132,6 +133,14 @@
     assert not CHECKERS["slots"](history)
 
 
+def test_a_late_request_to_a_leaving_backend_server_is_found():
+    leaving = [Leaving("b1", 1.0)]
+    soon = make_history(leavings=leaving, late_requests=[LateRequest("b1", 5.0)])
+    assert not CHECKERS["leaving"](soon)
+    late = make_history(leavings=leaving, late_requests=[LateRequest("b1", 7.0)])
+    assert CHECKERS["leaving"](late)
+
+
 def make_cut_call(**changes) -> Call:
     return make_call(outcome="broken", invoked_at=2.0, returned_at=2.5, **changes)
 
--- a/tests/test_prove_run.py
+++ b/tests/test_prove_run.py
@@ -23,7 +23,7 @@
     Target,
     take_executions,
     take_ledger,
-    take_overloads,
+    take_refusals,
 )
 from prove.run import note_capacities
 from prove.traffic import Traffic, plan_wave
@@ -93,7 +93,7 @@
         await wait_finished(traffic)
 
         take_executions(history, await control.executions())
-        take_overloads(history, await control.backend_stats(), 0.0)
+        take_refusals(history, await control.backend_stats(), 0.0)
         take_ledger(history, await control.ledger())
         assert await cluster.stop() == [0]
     violations = check_all(history)
