Measure full shards, and what a change of a key costs

Workers of a full shard are asked for ends at the full pace, so their slope is another than that of idle ones; a change of a key makes each process read all keys again.

--- a/lab/_parts.py
+++ b/lab/_parts.py
@@ -11,7 +11,7 @@
 from lab._readings import take_reading
 from lab._recovery import measure_roll_outs, measure_takeovers
 from lab._results import Point, point_of
-from lab._site import Site, open_site
+from lab._site import TEAM, Site, open_site
 from prove.callers import ANSWERED
 from prove.cluster import Layout
 
@@ -52,6 +52,17 @@
     return points
 
 
+async def measure_full() -> list[Point]:
+    """Vary the worker VMs of a shard that is full, with a task that waits."""
+    points = []
+    for count in WORKERS:
+        async with open_site(replace(ONE_SHARD, workers=count), "full") as site:
+            await site.fill(count)
+            await asyncio.sleep(5)
+            points.append(point_of(count, await take_reading(site.cluster, SECONDS)))
+    return points
+
+
 async def measure_running() -> list[Point]:
     """Vary the tasks that run on the workers of one shard."""
     points = []
@@ -120,7 +131,9 @@
     points = []
     for count in KEYS:
         async with open_site(ONE_SHARD, "keys", keys=count) as site:
-            points.append(point_of(count, await take_reading(site.cluster, SECONDS)))
+            point = point_of(count, await take_reading(site.cluster, SECONDS))
+            point.values["change_bytes"] = await _measure_key_change(site, point)
+            points.append(point)
     return points
 
 
@@ -156,6 +169,16 @@
     return points
 
 
+async def _measure_key_change(site: Site, quiet: Point) -> float:
+    """Return the bytes that a process exchanges with the table for one more key."""
+    desk = site.desk
+    granted = asyncio.create_task(desk.keys.grant(desk.author, TEAM))
+    reading = await take_reading(site.cluster, SECONDS)
+    await granted
+    more = reading.bytes_a_second["table"] - quiet.values["bytes_table"]
+    return more * reading.seconds
+
+
 async def _submit_steadily(
     site: Site, rate: float, *, tasks: int = TASKS_A_STARTED_JOB
 ) -> None:
@@ -215,6 +238,7 @@
 
 PARTS: dict[str, tuple[str, Measure]] = {
     "workers": ("idle worker VMs", measure_workers),
+    "full": ("worker VMs of a full shard", measure_full),
     "running": ("running tasks on 58 worker VMs", measure_running),
     "queued": ("waiting tasks", measure_queued),
     "starts": ("task starts a second", measure_starts),
--- a/lab/_site.py
+++ b/lab/_site.py
@@ -34,6 +34,8 @@
 READY_SECONDS = 60.0
 READY_INTERVAL_SECONDS = 0.5
 SMALL = TaskSize(cpu_millis=500, memory_mb=1024)
+HALF_WORKER = TaskSize(cpu_millis=8_000, memory_mb=16_384)
+HALVES = 2
 
 
 def make_bundle(teams: int, *, share: int = 1) -> Bundle:
@@ -46,16 +48,21 @@
 
 
 def make_job(
-    name: str, tasks: int, payload: str, *, kind: JobKind = JobKind.BATCH
+    name: str,
+    tasks: int,
+    payload: str,
+    *,
+    kind: JobKind = JobKind.BATCH,
+    size: TaskSize = SMALL,
 ) -> JobSpec:
-    """Return a job of small tasks."""
+    """Return a job, of small tasks unless `size` says otherwise."""
     seconds = 0 if kind is JobKind.SERVICE else 1
     return JobSpec(
         job=name,
         queue="work",
         kind=kind,
         tasks=tasks,
-        size=SMALL,
+        size=size,
         payload=payload,
         declared_seconds=seconds,
     )
@@ -71,15 +78,25 @@
     teams: int
     jobs: int = 0
 
-    async def submit(self, tasks: int, payload: str, kind: JobKind) -> str:
+    async def submit(
+        self, tasks: int, payload: str, kind: JobKind, *, size: TaskSize = SMALL
+    ) -> str:
         """Submit a job and return its name."""
         self.jobs += 1
         name = f"job{self.jobs}"
-        answer = await self.caller.submit(make_job(name, tasks, payload, kind=kind))
+        answer = await self.caller.submit(
+            make_job(name, tasks, payload, kind=kind, size=size)
+        )
         if answer.status != CREATED:
             raise RuntimeError(f"{name}: status {answer.status}: {answer.body!r}")
         return name
 
+    async def fill(self, workers: int) -> None:
+        """Fill all workers with services and let one more task wait."""
+        room = workers * HALVES
+        name = await self.submit(room + 1, "forever", JobKind.SERVICE, size=HALF_WORKER)
+        await self.caller.wait_running(name, room)
+
     async def run_services(self, tasks: int, *, tasks_a_job: int = 20) -> None:
         """Start `tasks` tasks that run for ever and wait until all of them run."""
         while tasks > 0:
--- a/lab/sizing.py
+++ b/lab/sizing.py
@@ -15,12 +15,9 @@
 WORKERS = 1_400
 RUNNING_TASKS = 19_000
 STARTS_A_SECOND = 140
-MOST_CPU_MS = 39.0
-MOST_BYTES = 16 * 1024.0
-MOST_PSS_MIB = 64.0
 MOST_NODES = 2_000
 SHOWN_NODES = (7, 24, 56, 112)
-VALUES = ("cpu_ms", "bytes", "pss_mib")
+LIMITS = {"cpu_ms": 39.0, "bytes": 16 * 1024.0, "pss_mib": 64.0}
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,15 +42,19 @@
         return self.fixed + work / nodes
 
 
-def slopes_of(results: dict[str, PartResult], value: str) -> Slopes:
-    """Return the slopes of `value`; what falls with a size counts as flat."""
-    lines = {
-        part: results[part].lines()[value] for part in ("workers", "running", "starts")
-    }
+def slopes_of(
+    results: dict[str, PartResult], value: str, *, worker_part: str = "full"
+) -> Slopes:
+    """Return the slopes of `value`; what falls with a size counts as flat.
+
+    `worker_part` is `full` for shards in which tasks wait, else `workers`.
+    """
+    parts = (worker_part, "running", "starts")
+    lines = {part: results[part].lines()[value] for part in parts}
     many = results["peers"].points[-1]
     return Slopes(
         fixed=many.values[value],
-        worker=max(lines["workers"].slope, 0),
+        worker=max(lines[worker_part].slope, 0),
         task=max(lines["running"].slope, 0),
         start=max(lines["starts"].slope, 0),
     )
@@ -71,13 +72,18 @@
 def main() -> None:
     """Print slopes, costs at several numbers of nodes, and the smallest that fits."""
     results = load_results()
-    limits = dict(zip(VALUES, (MOST_CPU_MS, MOST_BYTES, MOST_PSS_MIB), strict=True))
-    for value in VALUES:
-        slopes = slopes_of(results, value)
-        click.echo(f"{value}: {slopes}")
-        for nodes in SHOWN_NODES:
-            click.echo(f"  {nodes} nodes: {slopes.at(nodes):.1f}")
-        click.echo(f"  fits from {fewest_nodes(slopes, limits[value])} nodes")
+    for worker_part in ("full", "workers"):
+        click.echo(f"workers as in the part {worker_part}")
+        for value in LIMITS:
+            _print_value(slopes_of(results, value, worker_part=worker_part), value)
+
+
+def _print_value(slopes: Slopes, value: str) -> None:
+    """Print the cost of a node by number of nodes."""
+    click.echo(f"  {value}: {slopes}")
+    for nodes in SHOWN_NODES:
+        click.echo(f"    {nodes} nodes: {slopes.at(nodes):.1f}")
+    click.echo(f"    fits from {fewest_nodes(slopes, LIMITS[value])} nodes")
 
 
 if __name__ == "__main__":
--- a/tests/test_lab_sizing.py
+++ b/tests/test_lab_sizing.py
@@ -32,9 +32,13 @@
 def test_slopes_come_from_the_parts_and_falling_ones_are_flat() -> None:
     results = {
         "workers": part({1: 10, 2: 12}),
+        "full": part({1: 10, 2: 15}),
         "running": part({1: 10, 2: 9}),
         "starts": part({0: 1, 2: 7}),
         "peers": part({8: 4, 48: 5}),
     }
 
-    assert slopes_of(results, "bytes") == Slopes(fixed=5, worker=2, task=0, start=3)
+    calm = slopes_of(results, "bytes", worker_part="workers")
+
+    assert calm == Slopes(fixed=5, worker=2, task=0, start=3)
+    assert slopes_of(results, "bytes") == Slopes(fixed=5, worker=5, task=0, start=3)
