--- a/lab/sizing.py
+++ b/lab/sizing.py
@@ -9,6 +9,7 @@
 
 import click
 
+from cassiaweir.fleet._worker_driver import CALM_RENEWAL_FACTOR
 from lab._results import PartResult
 from lab.capacity import load_results
 
@@ -47,15 +48,17 @@
 ) -> Slopes:
     """Return the slopes of `value`; what falls with a size counts as flat.
 
-    `worker_part` is `full` for shards in which tasks wait, else `workers`.
+    `worker_part` is `full` for shards in which tasks wait, else `workers`.  Workers of
+    a full shard report their tasks more often than in the part `running`.
     """
+    pace = CALM_RENEWAL_FACTOR if worker_part == "full" else 1
     parts = (worker_part, "running", "starts")
     lines = {part: results[part].lines()[value] for part in parts}
     many = results["peers"].points[-1]
     return Slopes(
         fixed=many.values[value],
         worker=max(lines[worker_part].slope, 0),
-        task=max(lines["running"].slope, 0),
+        task=max(lines["running"].slope, 0) * pace,
         start=max(lines["starts"].slope, 0),
     )
 
--- a/tests/test_lab_sizing.py
+++ b/tests/test_lab_sizing.py
@@ -29,16 +29,23 @@
     assert fewest_nodes(Slopes(fixed=10, worker=0, task=0, start=0), 9) == 0
 
 
-def test_slopes_come_from_the_parts_and_falling_ones_are_flat() -> None:
+def test_a_value_that_falls_counts_as_flat() -> None:
+    results = dict.fromkeys(("full", "running", "starts"), part({1: 10, 2: 9}))
+    results["peers"] = part({8: 4, 48: 5})
+
+    assert slopes_of(results, "bytes") == Slopes(fixed=5, worker=0, task=0, start=0)
+
+
+def test_tasks_of_full_shards_are_reported_more_often() -> None:
     results = {
         "workers": part({1: 10, 2: 12}),
         "full": part({1: 10, 2: 15}),
-        "running": part({1: 10, 2: 9}),
+        "running": part({1: 10, 2: 11}),
         "starts": part({0: 1, 2: 7}),
         "peers": part({8: 4, 48: 5}),
     }
 
     calm = slopes_of(results, "bytes", worker_part="workers")
 
-    assert calm == Slopes(fixed=5, worker=2, task=0, start=3)
-    assert slopes_of(results, "bytes") == Slopes(fixed=5, worker=5, task=0, start=3)
+    assert calm == Slopes(fixed=5, worker=2, task=1, start=3)
+    assert slopes_of(results, "bytes") == Slopes(fixed=5, worker=5, task=2, start=3)
