--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -139,3 +139,18 @@
     """
     for key, value, source in load_settings(path, overrides).items():
         click.echo(f"{key} = {value}  # {source}")
+
+
+@debug.command("state")
+@settings_options
+def debug_state(path: Path | None, overrides: tuple[str, ...]) -> None:
+    """Print what the scheduler of this entry VM knows.
+
+    Example: cassiaweir debug state --settings entry-vm.toml
+    """
+    import asyncio
+
+    from cassiaweir.rpc._text import read_text
+
+    address = load_settings(path, overrides).scheduler_rpc
+    click.echo(asyncio.run(read_text(address, "state")), nl=False)
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -81,3 +81,10 @@
 def test_versions_are_shown():
     assert "python: " in run("debug", "sys").output
     assert run("--version").exit_code == 0
+
+
+def test_the_state_of_a_process_that_does_not_run_is_one_line():
+    result = run("debug", "state", *SET, "--set", "scheduler.rpc=127.0.0.1:1")
+    assert result.exit_code == 1
+    assert "no process answers at 127.0.0.1:1" in result.output
+    assert len(result.output.splitlines()) == 1
