Import the operators' commands only where they are asked for

Importing cassiaweir.ctl after all parts of an entry VM raised VmRSS by 1,336 kB, in one measurement; every role paid it. The group looks ctl up when it is named.

--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -10,19 +10,32 @@
 import click
 
 from cassiaweir import __version__
-from cassiaweir.ctl import ctl
-from cassiaweir.ctl._context import CREDENTIAL_VARIABLE, SERVER_VARIABLE
 from cassiaweir.exceptions import CassiaweirError
 from cassiaweir.roles import Role
 from cassiaweir.settings import Settings
+from cassiaweir.variables import CTL_VARIABLES
 
 EXIT_FAILURE = 1
-# An operator's shell may hold these; they are no settings of a process.
-CTL_VARIABLES = frozenset({CREDENTIAL_VARIABLE, SERVER_VARIABLE})
+CTL = "ctl"
 
 
-class _ErrorsOnOneLine(click.Group):
-    """Prints cassiaweir's own errors on one line in place of a stack trace."""
+class _MainGroup(click.Group):
+    """Prints cassiaweir's own errors on one line in place of a stack trace.
+
+    `ctl` is imported only where it is asked for, as memory of the roles is scarce.
+    """
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted([*super().list_commands(ctx), CTL])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Return the command called `cmd_name`, or None."""
+        if cmd_name != CTL:
+            return super().get_command(ctx, cmd_name)
+        from cassiaweir.ctl import ctl
+
+        return ctl
 
     def invoke(self, ctx: click.Context) -> object:
         """Run the command, or exit with status 1 after the error's line."""
@@ -54,7 +67,7 @@
     return Settings.load(path, environment=environment, overrides=overrides)
 
 
-@click.group(cls=_ErrorsOnOneLine)
+@click.group(cls=_MainGroup)
 @click.version_option(__version__)
 def main() -> None:
     """Schedule services, batch runs and jobs whose tasks start together.
@@ -110,9 +123,6 @@
     click.echo("settings are valid")
 
 
-main.add_command(ctl)
-
-
 @main.group()
 def debug() -> None:
     """Print what the program sees."""
--- a/cassiaweir/ctl/_commands.py
+++ b/cassiaweir/ctl/_commands.py
@@ -20,7 +20,6 @@
 from cassiaweir.ctl._client import Call
 from cassiaweir.ctl._context import (
     DEFAULT_SERVER,
-    SERVER_VARIABLE,
     CtlContext,
     OneLineErrors,
     json_option,
@@ -32,6 +31,7 @@
 from cassiaweir.ctl._output import short, show_table
 from cassiaweir.ctl._status import show_processes, show_shards, show_status, show_teams
 from cassiaweir.ctl._vms import vm
+from cassiaweir.variables import SERVER_VARIABLE
 
 EPILOG = (
     "Exit codes: 0 done, 1 refused or failed, 2 wrong command line, 3 another "
--- a/cassiaweir/ctl/_context.py
+++ b/cassiaweir/ctl/_context.py
@@ -15,9 +15,8 @@
 from cassiaweir.ctl._client import Call, Client, CtlError, ExitCode, decode
 from cassiaweir.ctl._output import show_json
 from cassiaweir.exceptions import CassiaweirError
+from cassiaweir.variables import CREDENTIAL_VARIABLE
 
-CREDENTIAL_VARIABLE = "CASSIAWEIR_CREDENTIAL"
-SERVER_VARIABLE = "CASSIAWEIR_SERVER"
 DEFAULT_SERVER = "http://127.0.0.1:7200"
 WATCH_INTERVAL_SECONDS = 2.0
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -1,6 +1,8 @@
 """Tests of `cassiaweir.cmdline`."""
 
 import re
+import subprocess
+import sys
 
 import click
 import pytest
@@ -23,7 +25,9 @@
 
 def commands(group, path=()):
     """Yield the path of every command below `group`."""
-    for name, command in group.commands.items():
+    ctx = click.Context(group)
+    for name in group.list_commands(ctx):
+        command = group.get_command(ctx, name)
         if isinstance(command, click.Group):
             yield from commands(command, (*path, name))
         else:
@@ -54,6 +58,18 @@
     return [text for param in command.params for text in param.opts]
 
 
+def test_a_role_does_not_import_the_commands_of_operators():
+    code = (
+        "import sys, cassiaweir.cmdline\n"
+        "import cassiaweir.composition._gateway, cassiaweir.composition._scheduler\n"
+        "print('cassiaweir.ctl' in sys.modules)"
+    )
+    output = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert output.stdout.strip() == "False"
+
+
 def test_settings_are_checked_without_listening():
     assert run("check-settings", *SET).output == "settings are valid\n"
 
