--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -10,11 +10,15 @@
 import click
 
 from cassiaweir import __version__
+from cassiaweir.ctl import ctl
+from cassiaweir.ctl._context import CREDENTIAL_VARIABLE, SERVER_VARIABLE
 from cassiaweir.exceptions import CassiaweirError
 from cassiaweir.roles import Role
 from cassiaweir.settings import Settings
 
 EXIT_FAILURE = 1
+# An operator's shell may hold these; they are no settings of a process.
+CTL_VARIABLES = frozenset({CREDENTIAL_VARIABLE, SERVER_VARIABLE})
 
 
 class _ErrorsOnOneLine(click.Group):
@@ -44,7 +48,10 @@
 
 def load_settings(path: Path | None, overrides: tuple[str, ...]) -> Settings:
     """Read the settings of this process from all sources."""
-    return Settings.load(path, environment=os.environ, overrides=overrides)
+    environment = {
+        name: value for name, value in os.environ.items() if name not in CTL_VARIABLES
+    }
+    return Settings.load(path, environment=environment, overrides=overrides)
 
 
 @click.group(cls=_ErrorsOnOneLine)
@@ -103,6 +110,9 @@
     click.echo("settings are valid")
 
 
+main.add_command(ctl)
+
+
 @main.group()
 def debug() -> None:
     """Print what the program sees."""
@@ -129,3 +139,18 @@
     """
     for key, value, source in load_settings(path, overrides).items():
         click.echo(f"{key} = {value}  # {source}")
+
+
+@debug.command("state")
+@settings_options
+def debug_state(path: Path | None, overrides: tuple[str, ...]) -> None:
+    """Print what the scheduler of this entry VM knows.
+
+    Example: cassiaweir debug state --settings entry-vm.toml
+    """
+    import asyncio
+
+    from cassiaweir.rpc._text import read_text
+
+    address = load_settings(path, overrides).scheduler_rpc
+    click.echo(asyncio.run(read_text(address, "state")), nl=False)
--- a/cassiaweir/composition/_foundation.py
+++ b/cassiaweir/composition/_foundation.py
@@ -4,6 +4,7 @@
 
 import secrets
 
+from cassiaweir.administration._vms import AdministeredVmList
 from cassiaweir.clock import SystemClock
 from cassiaweir.configuration import TableView
 from cassiaweir.fleet import shard_names, shard_of
@@ -44,11 +45,18 @@
         self.session = PlatformSession(settings.vm_name, settings.platform_timeout)
         self.table = HttpTable(self.session, settings.platform_table, self.clock)
         self.objects = HttpObjectStore(self.session, settings.platform_objects)
-        self.vm_list = SharedVmList(
+        self.platform_vm_list = SharedVmList(
             HttpVmList(self.session, settings.platform_vms),
             self.clock,
             longest_age=settings.platform_vm_poll,
         )
+        self.vm_list = AdministeredVmList(
+            self.platform_vm_list,
+            self.table,
+            self.events,
+            self.clock,
+            longest_age=settings.platform_vm_poll,
+        )
         self.commits = GroupCommit(self.table, self.clock, self.metrics)
         self.channels = Channels()
         self.view = TableView(
@@ -84,6 +92,7 @@
             heartbeat=self.settings.cell_heartbeat,
             members=self.rows.members,
             owned=owned,
+            seeds=lambda: self.settings.cell_seeds,
         )
         self.peer_service = PeerServicer(
             self.peers,
@@ -108,11 +117,13 @@
         ]
         return "\n".join(lines) + "\n"
 
-    def gateways(self) -> list[str]:
-        """Return the process ids of the other processes that are gateways."""
+    def gateways(self) -> list[str] | None:
+        """Return the process ids of all gateways, or None before the rows were read."""
+        if not self.rows.scanned:
+            return None
         return [
             member.process
-            for member in self.rows.members()
+            for member in (self.member, *self.rows.members())
             if Role.GATEWAY in member.role.parts
         ]
 
@@ -140,4 +151,4 @@
             self.rows,
             self.peers,
         ]
-        return Process(first + components, self.events)
+        return Process(first + components, self.events, on_stopping=self.peers.leave)
--- a/cassiaweir/composition/_gateway.py
+++ b/cassiaweir/composition/_gateway.py
@@ -4,7 +4,8 @@
 
 from datetime import timedelta
 
-from cassiaweir.api import HttpFront, JobApi, RequestApi
+from cassiaweir.api import HttpFront, JobApi, RequestApi, admin_blueprints
+from cassiaweir.composition._cell import build_cell
 from cassiaweir.composition._foundation import Foundation
 from cassiaweir.configuration import AuditedTable
 from cassiaweir.platform import WorkerSizes
@@ -13,6 +14,9 @@
 from cassiaweir.teams import KeyRegistry, KeyUseWriter
 from cassiaweir.work import SchedulerClient, Submission
 
+UNKNOWN_GATEWAYS = 16
+"""How many gateways are assumed to share connections before the rows were read."""
+
 WORKER_SIZES_POLL = timedelta(seconds=10)
 
 
@@ -27,7 +31,9 @@
         events=base.events,
     )
     backends = BackendCaller(
-        gateways=lambda: 1 + len(base.gateways()), clock=base.clock
+        gateways=lambda: len(base.gateways() or ()) or UNKNOWN_GATEWAYS,
+        clock=base.clock,
+        vm=settings.vm_name,
     )
     claims = Claims(
         base.table,
@@ -67,11 +73,16 @@
         events=base.events,
         shards=base.shard_names(),
     )
-    blueprints = [requests.blueprint(), JobApi(base.view, jobs).blueprint()]
+    cell = build_cell(base, jobs)
+    blueprints = [
+        requests.blueprint(),
+        JobApi(base.view, jobs).blueprint(),
+        *admin_blueprints(cell),
+    ]
     front = HttpFront(settings, blueprints, base.events, base.metrics)
     key_uses = KeyUseWriter(
         KeyRegistry(AuditedTable(base.table, base.clock), base.clock),
         base.clock,
         take_uses=base.view.take_uses,
     )
-    return [sizes, jobs, backends, slots, key_uses, front]
+    return [sizes, jobs, backends, slots, router, key_uses, cell.known_operators, front]
--- a/cassiaweir/fleet/_worker_driver.py
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
-from cassiaweir.exceptions import FencedError, UnavailableError
+from cassiaweir.exceptions import FencedError, NotFoundError, UnavailableError
 from cassiaweir.fleet._background import Background, wait_for_event
 from cassiaweir.fleet._driver_types import Authority, DriverTerms, ReportSink
 from cassiaweir.types import (
@@ -17,6 +17,7 @@
     TaskReport,
     TaskStart,
     Vm,
+    WatchableWorker,
     Worker,
     WorkerReport,
 )
@@ -68,6 +69,8 @@
         self._clock = clock
         self._terms = terms
         self._clock_offset: float | None = None
+        self._revision = 0
+        self._watchable = True
         self._renewed_at = float("-inf")
         self._hurried = True
         self._starts: list[TaskStart] = []
@@ -80,6 +83,8 @@
     async def start(self) -> None:
         """Begin to drive the worker."""
         self._background.start(self._run)
+        if isinstance(self._worker, WatchableWorker):
+            self._background.start(self._follow)
 
     async def stop(self) -> None:
         """Give up the call in flight; starts in it stay in doubt."""
@@ -156,6 +161,7 @@
         self.forget_tasks()
         self._clock_offset = None
         self.answered_at = None
+        self._revision = 0
         self._sink.worker_replaced(self)
 
     async def step(self) -> None:
@@ -171,6 +177,41 @@
             self._clock_offset = None
             self._renewed_at = float("-inf")
 
+    async def watch(self) -> bool:
+        """Wait for a change of the worker's list; return False where that failed.
+
+        A watch extends no lease, so it never counts as contact.
+        """
+        if not isinstance(self._worker, WatchableWorker) or not self._may_watch():
+            return False
+        try:
+            report = await self._worker.watch(self._revision, self._terms.task_renewal)
+        except NotFoundError:
+            self._watchable = False
+            return False
+        except UnavailableError:
+            self._call_soon()
+            return False
+        if report.incarnation != self.vm.incarnation:
+            self._call_soon()
+            return False
+        self._take(report)
+        return True
+
+    def _may_watch(self) -> bool:
+        counts = self._watchable and self._revision > 0
+        return counts and self.reachable and self._may_contact()
+
+    def _call_soon(self) -> None:
+        """Have the next call made now, as the worker may be gone or be another."""
+        self._renewed_at = float("-inf")
+        self._wake.set()
+
+    async def _follow(self) -> None:
+        while True:
+            if not await self.watch():
+                await self._clock.sleep(self._terms.task_renewal)
+
     async def _run(self) -> None:
         while True:
             await self.step()
@@ -190,6 +231,8 @@
             return
         if self._clock_offset is None:
             await self._read_clock()
+            if not self._may_contact():
+                return
         if self.answered_at is None or self._renewal_due():
             await self._renew()
         if self._stops:
@@ -210,8 +253,10 @@
         return age >= self._pause().total_seconds()
 
     async def _read_clock(self) -> None:
-        """Learn the worker's clock without extending any lease."""
+        """Learn the worker's clock and incarnation without extending any lease."""
         report = await self._worker.list()
+        if report.incarnation != self.vm.incarnation:
+            self.replaced(report.incarnation)
         self._note_clock(report)
 
     def _note_clock(self, report: WorkerReport) -> None:
@@ -222,7 +267,9 @@
         assert self._clock_offset is not None
         worker_clock = self._clock.monotonic() + self._clock_offset
         expires_at = worker_clock + self._terms.command_expiry.total_seconds()
-        return Command(self._shard, self._authority.epoch, expires_at)
+        return Command(
+            self._shard, self._authority.epoch, expires_at, self.vm.incarnation
+        )
 
     async def _renew(self) -> None:
         ended = list(self._acknowledged)
@@ -284,7 +331,10 @@
         self._note_clock(report)
         for task in report.tasks:
             self._sent.pop((task.task, task.attempt), None)
-        self._sink.worker_reported(self, report)
+        # A watch and a command may be answered out of order.
+        if report.revision >= self._revision:
+            self._revision = report.revision
+            self._sink.worker_reported(self, report)
         expired = [s.start for s in self._sent.values() if s.expires_at < report.clock]
         self._settle(expired)
         return True
--- a/cassiaweir/membership/_collector.py
+++ b/cassiaweir/membership/_collector.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 import grpc
 import msgspec
 
-from cassiaweir.membership._peers import Peers
 from cassiaweir.observe import Event, EventLog, merge_events
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
 from cassiaweir.rpc._server import Channels
@@ -28,25 +27,34 @@
 
 
 class Collector:
-    """Asks every known process for what it has recorded."""
+    """Asks every process for what it has recorded.
 
-    def __init__(self, peers: Peers, channels: Channels, events: EventLog) -> None:
-        self._peers = peers
+    `list_addresses` returns the gRPC address of each process of the cell.
+    """
+
+    def __init__(
+        self,
+        list_addresses: Callable[[], Awaitable[Mapping[str, str]]],
+        channels: Channels,
+        events: EventLog,
+    ) -> None:
+        self._list_addresses = list_addresses
         self._channels = channels
         self._events = events
 
     async def collect(self) -> Collected:
         """Return the kept events of all processes in one causal order."""
-        states = [known.state for known in self._peers.processes()]
+        others = dict(await self._list_addresses())
+        others.pop(self._events.process, None)
         answers = await asyncio.gather(
-            *(self._read_all(state.address) for state in states),
+            *(self._read_all(address) for address in others.values()),
             return_exceptions=True,
         )
         found = Collected()
         gathered = list(self._events.after(0, EVENTS_PER_CALL * EVENTS_PER_CALL))
-        for state, answer in zip(states, answers, strict=True):
+        for process, answer in zip(others, answers, strict=True):
             if isinstance(answer, BaseException):
-                found.silent.append(state.process)
+                found.silent.append(process)
             else:
                 gathered += answer
         found.events = merge_events(gathered)
--- a/cassiaweir/settings.py
+++ b/cassiaweir/settings.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import re
 import tomllib
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
@@ -14,83 +13,19 @@
 from pathlib import Path
 from typing import Any
 
+from cassiaweir._option_values import (
+    parse_address,
+    parse_addresses,
+    parse_count,
+    parse_digest,
+    parse_duration,
+    parse_flag,
+    parse_name,
+    parse_names,
+)
 from cassiaweir.exceptions import SettingsError
 
 ENVIRONMENT_PREFIX = "CASSIAWEIR_"
-DURATION_UNITS = {
-    "ms": timedelta(milliseconds=1),
-    "s": timedelta(seconds=1),
-    "m": timedelta(minutes=1),
-    "h": timedelta(hours=1),
-}
-DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
-ADDRESS_PATTERN = re.compile(r"[0-9.]+:\d{1,5}|\[[0-9a-fA-F:]+\]:\d{1,5}")
-DIGEST_PATTERN = re.compile(r"(?:[0-9a-f]{64})?")
-NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
-BOOLEANS = {"true": True, "false": False}
-HIGHEST_PORT = 65535
-
-
-def parse_duration(value: object) -> timedelta:
-    """Return the duration in text such as `1500ms`, `3s`, `5m` or `1h`."""
-    match = DURATION_PATTERN.fullmatch(value) if isinstance(value, str) else None
-    if match is None:
-        raise ValueError("expected a duration such as '1500ms', '3s' or '5m'")
-    return float(match[1]) * DURATION_UNITS[match[2]]
-
-
-def parse_address(value: object) -> str:
-    """Return `value` if it is an IP number and a port."""
-    if not isinstance(value, str) or not ADDRESS_PATTERN.fullmatch(value):
-        raise ValueError("expected an IP number and port such as '10.0.0.5:7200'")
-    if int(value.rpartition(":")[2]) > HIGHEST_PORT:
-        raise ValueError(f"the port is above {HIGHEST_PORT}")
-    return value
-
-
-def parse_name(value: object) -> str:
-    """Return `value` if it is a plain name."""
-    if not isinstance(value, str) or not NAME_PATTERN.fullmatch(value):
-        raise ValueError("expected lower-case letters, digits and hyphens")
-    return value
-
-
-def parse_digest(value: object) -> str:
-    """Return `value` if it is empty or a SHA-256 digest in hexadecimal."""
-    if not isinstance(value, str) or not DIGEST_PATTERN.fullmatch(value):
-        raise ValueError("expected 64 lower-case hexadecimal digits")
-    return value
-
-
-def parse_text(value: object) -> str:
-    """Return `value` if it is text."""
-    if not isinstance(value, str):
-        raise ValueError("expected a text")
-    return value
-
-
-def parse_names(value: object) -> tuple[str, ...]:
-    """Return the names in a list, or in text with commas."""
-    items = value.split(",") if isinstance(value, str) else value
-    if not isinstance(items, list):
-        raise ValueError("expected a list of names")
-    return tuple(parse_name(item) for item in items)
-
-
-def parse_count(value: object) -> int:
-    """Return a whole number from 1 up."""
-    number = int(value) if isinstance(value, str) and value.isdigit() else value
-    if not isinstance(number, int) or isinstance(number, bool) or number < 1:
-        raise ValueError("expected a whole number from 1 up")
-    return number
-
-
-def parse_flag(value: object) -> bool:
-    """Return true or false."""
-    flag = BOOLEANS.get(value) if isinstance(value, str) else value
-    if not isinstance(flag, bool):
-        raise ValueError("expected true or false")
-    return flag
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +66,7 @@
     Option("scheduler.shard_lease", parse_duration, "6s", "lease of a shard's owner"),
     Option("scheduler.shard_renewal", parse_duration, "2s", "between lease renewals"),
     Option("scheduler.task_lease", parse_duration, "20s", "lease of running tasks"),
-    Option("scheduler.task_renewal", parse_duration, "2s", "between task renewals"),
+    Option("scheduler.task_renewal", parse_duration, "5s", "between task renewals"),
     Option("scheduler.command_expiry", parse_duration, "2s", "life of a command"),
     Option("scheduler.clock_drift", parse_duration, "50ms", "drift within a lease"),
     Option("scheduler.autonomy", parse_duration, "30m", "work on without the table"),
@@ -143,9 +78,15 @@
     Option("platform.poll", parse_duration, "500ms", "between looks at the table"),
     Option("platform.vm_poll", parse_duration, "1s", "between looks at the VM list"),
     Option("cell.failure_domains", parse_names, None, "all failure domains"),
+    Option("cell.seeds", parse_addresses, [], "gRPC of some processes of the cell"),
     Option("cell.view_age_limit", parse_duration, "3s", "oldest view for keyed work"),
     Option("cell.heartbeat", parse_duration, "500ms", "between heartbeats of peers"),
     Option("cell.first_operator_digest", parse_digest, "", "first operator's digest"),
+    Option("retention.jobs", parse_duration, "7d", "finished jobs are kept"),
+    Option("retention.claims", parse_duration, "3d", "settled claims are kept"),
+    Option("retention.watch", parse_duration, "1h", "unchanged before a removal"),
+    Option("retention.bundles", parse_count, 100, "newest bundle versions kept"),
+    Option("retention.rows_per_second", parse_count, 3, "pace of a scheduler"),
     Option("log.level", parse_name, "info", "debug, info, warning or error"),
 )
 
@@ -184,9 +125,15 @@
     platform_poll: timedelta
     platform_vm_poll: timedelta
     cell_failure_domains: tuple[str, ...]
+    cell_seeds: tuple[str, ...]
     cell_view_age_limit: timedelta
     cell_heartbeat: timedelta
     cell_first_operator_digest: str
+    retention_jobs: timedelta
+    retention_claims: timedelta
+    retention_watch: timedelta
+    retention_bundles: int
+    retention_rows_per_second: int
     log_level: str
 
     def __init__(self) -> None:
@@ -275,6 +222,9 @@
         self._check_less("scheduler.shard_renewal", "scheduler.shard_lease")
         self._check_less("scheduler.task_renewal", "scheduler.task_lease")
         self._check_less("platform.poll", "cell.view_age_limit")
+        self._check_less("gateway.request_timeout", "retention.watch")
+        self._check_less("retention.watch", "retention.jobs")
+        self._check_less("retention.watch", "retention.claims")
         if self.vm_failure_domain not in self.cell_failure_domains:
             raise SettingsError(
                 f"vm.failure_domain: {self.vm_failure_domain} is not in "
--- a/prove/cluster.py
+++ b/prove/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -26,10 +27,15 @@
 VMS_OFFSET = 3
 BALANCER_OFFSET = 4
 
+_claimed_blocks: list[socket.socket] = []
+
 
 @dataclass(frozen=True, slots=True)
 class Layout:
-    """What a run consists of; `entry_vms` counts entry VMs a failure domain."""
+    """What a run consists of; `entry_vms` counts entry VMs a failure domain.
+
+    `without` names a mechanism that the entry VMs run without; see `prove.without`.
+    """
 
     deployment: str
     service: str
@@ -40,7 +46,9 @@
     backends: int = 24
     workers_fence: bool = True
     roles: Sequence[str] = ("entry",)
+    seeds: bool = True
     overrides: Sequence[str] = ()
+    without: str = ""
 
 
 SICILIA_EST = Layout(
@@ -195,7 +203,11 @@
             f"cell.failure_domains={','.join(layout.failure_domains)}",
             *layout.overrides,
         ]
+        if layout.seeds:
+            settings.append(f"cell.seeds={self.address(ENTRY_OFFSET + 2)}")
         arguments = ["cassiaweir", role]
+        if layout.without:
+            arguments = ["prove.without", layout.without, *arguments]
         for text in settings:
             arguments += ["--set", text]
         return ManagedProcess(
@@ -232,17 +244,34 @@
 
 
 def find_base_port() -> int:
-    """Return the first port of a block that no other run uses now."""
-    for base in range(FIRST_BASE_PORT, LAST_BASE_PORT, PORTS_PER_RUN):
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", base + CONTROL_OFFSET))
-            except OSError:
-                continue
-            return base
+    """Return the first port of a block that no other run uses now.
+
+    The last port of the block stays bound while this process lives, so that two runs
+    that start at once get different blocks.
+    """
+    bases = list(range(FIRST_BASE_PORT, LAST_BASE_PORT, PORTS_PER_RUN))
+    turn = os.getpid() % len(bases)
+    for base in (*bases[turn:], *bases[:turn]):
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", base + PORTS_PER_RUN - 1))
+            _require_free(base + CONTROL_OFFSET)
+        except OSError:
+            claim.close()
+            continue
+        _claimed_blocks.append(claim)
+        return base
     raise RuntimeError("every block of ports is in use")
 
 
+def _require_free(port: int) -> None:
+    """Raise `OSError` where somebody listens on `port`."""
+    with socket.socket() as probe:
+        # Connections of an earlier run that linger do no harm.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind(("127.0.0.1", port))
+
+
 async def wait_for_listener(address: str) -> None:
     """Wait until `address` accepts connections, or raise `TimeoutError`."""
     host, _, port = address.rpartition(":")
--- a/prove/history.py
+++ b/prove/history.py
@@ -14,9 +14,10 @@
 class Call:
     """One call of a caller.
 
-    `outcome` is `answered`, `refused` or `broken` (the connection ended first).
+    `outcome` is `answered`, `refused`, `broken` (the connection ended first),
+    `timed_out` or `unreached` (no connection was made).
     `verdict` is what a refusal said.  `expected` and `body` are compared for answered
-    requests.  `gateway` is the entry VM that was called.
+    requests.  `gateway` is the entry VM that was called, empty for the balancer.
     """
 
     name: str
@@ -61,6 +62,36 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Overload:
+    """A worker or a backend server was asked for more than it can take."""
+
+    vm: str
+    at: float
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """From `began_at` to `ended_at` an entry VM was killed, frozen or cut off."""
+
+    vm: str
+    began_at: float
+    ended_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Takeover:
+    """The owner of a shard was killed at `killed_at`; a successor's first task start.
+
+    `started_at` is infinite where none came in time.
+    """
+
+    vm: str
+    killed_at: float
+    started_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class KeyWithdrawal:
     """A withdrawal of a key that was confirmed to the operator at `at`."""
@@ -86,6 +117,14 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class LateRequest:
+    """A leaving backend server was sent a request at `at`, and refused it."""
+
+    backend: str
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class GracefulStop:
     """A planned stop of the gateway of an entry VM."""
@@ -106,11 +145,15 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionSeen:
-    """The version that an entry VM's process had in force at `at`."""
+    """The version that an entry VM's process had in force at `at` or later.
+
+    `view_age` is how long before the process last knew it to be the newest.
+    """
 
     vm: str
     version: int
     at: float
+    view_age: float = 0.0
 
 
 @dataclass(slots=True)
@@ -123,9 +166,13 @@
     calls: list[Call] = field(default_factory=list)
     runs: list[TaskRun] = field(default_factory=list)
     executions: list[Execution] = field(default_factory=list)
+    overloads: list[Overload] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    takeovers: list[Takeover] = field(default_factory=list)
     withdrawals: list[KeyWithdrawal] = field(default_factory=list)
     limits: list[LimitChange] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
+    late_requests: list[LateRequest] = field(default_factory=list)
     stops: list[GracefulStop] = field(default_factory=list)
     rollouts: list[Rollout] = field(default_factory=list)
     versions: list[VersionSeen] = field(default_factory=list)
--- a/standins/_backend.py
+++ b/standins/_backend.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
+from collections.abc import Mapping
+from typing import cast
 
 import msgspec
 from aiohttp import web
+from aiohttp.helpers import parse_mimetype
 
 from standins._http import Service, answer, read_body
 
 DEFAULT_SLOTS = 8
 DEFAULT_CONNECTIONS = 64
 DEFAULT_WORK_SECONDS = 0.005
+AGAIN_SECONDS = 0.01
 REQUEST_ID_HEADER = "Cassiaweir-Request-Id"
 IDEMPOTENCY_KEY_HEADER = "Cassiaweir-Idempotency-Key"
 WORK_HEADER = "Cassiaweir-Work-Ms"
@@ -23,14 +28,16 @@
     """How many of the next answers go wrong in which way.
 
     `late` answers come `late_ms` later, `cut` ones end in the middle of the body,
-    `twice` ones are sent twice, and `closed` ones are missing: the connection
-    closes after the work was done.
+    `twice` ones are sent twice, `again` ones once more a little later, when the
+    connection may be idle or in use for another request, and `closed` ones are
+    missing: the connection closes after the work was done.
     """
 
     late: int = 0
     late_ms: int = 1000
     cut: int = 0
     twice: int = 0
+    again: int = 0
     closed: int = 0
 
 
@@ -50,10 +57,27 @@
     body: str
 
 
+class Executed(msgspec.Struct):
+    """One execution; times are of the machine's monotonic clock.
+
+    `call` and `key` are parameters of the request's content type.  `ended_at` is
+    None while it runs.
+    """
+
+    backend: str
+    request_id: str
+    call: str
+    key: str
+    began_at: float
+    ended_at: float | None = None
+
+
 class BackendStats(msgspec.Struct):
     """What a backend server has seen.
 
-    `after_leaving` counts requests that came after leaving began.  `executions`
+    `over_slots` counts requests that came while all slots were in use.
+    `after_leaving` counts requests that came after leaving began; the last one came at
+    `last_after_leaving` of the machine's monotonic clock.  `executions`
     holds the idempotency keys that ran more than once.
     """
 
@@ -66,7 +90,9 @@
     connections: int = 0
     most_connections: int = 0
     over_connections: int = 0
+    over_slots: int = 0
     after_leaving: int = 0
+    last_after_leaving: float | None = None
     executions: dict[str, int] = {}
 
 
@@ -89,6 +115,7 @@
         self._connections = connections
         self._open: set[asyncio.BaseTransport] = set()
         self._executions: Counter[str] = Counter()
+        self.executed: list[Executed] = []
         self.app.router.add_get("/v1/stats", self._get_stats)
         self.app.router.add_post("/v1/control", self._control)
         self.app.router.add_post("/{path:.*}", self._serve)
@@ -117,7 +144,11 @@
         body = await req.read()
         if self.leaving:
             self.stats.after_leaving += 1
-        if self.leaving or self.stats.running >= self._slots:
+            self.stats.last_after_leaving = time.monotonic()
+        full = self.stats.running >= self._slots
+        if full and not self.leaving:
+            self.stats.over_slots += 1
+        if self.leaving or full:
             self.stats.refused += 1
             return web.Response(status=503, headers={NOT_RUN_HEADER: "true"})
         await self._work(req)
@@ -132,7 +163,8 @@
     async def _work(self, req: web.Request) -> None:
         """Hold a slot for the time that the request asks for."""
         stats = self.stats
-        millis = req.headers.get(WORK_HEADER, "")
+        asked = parse_mimetype(req.headers.get("Content-Type", "")).parameters
+        millis = req.headers.get(WORK_HEADER, "") or asked.get("work", "")
         seconds = float(millis) / 1000 if millis else DEFAULT_WORK_SECONDS
         stats.running += 1
         stats.most_running = max(stats.most_running, stats.running)
@@ -140,11 +172,24 @@
         key = req.headers.get(IDEMPOTENCY_KEY_HEADER)
         if key:
             self._executions[key] += 1
+        execution = self._note_execution(req, asked)
         try:
             await asyncio.sleep(seconds)
         finally:
+            execution.ended_at = time.monotonic()
             stats.running -= 1
 
+    def _note_execution(self, req: web.Request, asked: Mapping[str, str]) -> Executed:
+        execution = Executed(
+            backend=self.name,
+            request_id=req.headers.get(REQUEST_ID_HEADER, ""),
+            call=asked.get("call", ""),
+            key=asked.get("key", ""),
+            began_at=time.monotonic(),
+        )
+        self.executed.append(execution)
+        return execution
+
     async def _answer(
         self, req: web.Request, body: bytes, request_id: str
     ) -> web.StreamResponse:
@@ -162,7 +207,11 @@
             return await _answer_half(req, body, headers)
         if faults.twice:
             faults.twice -= 1
-            await _answer_early(req, body, headers)
+            _write_answer(req.transport, body, headers)
+        if faults.again:
+            faults.again -= 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(AGAIN_SECONDS, _write_answer, req.transport, body, headers)
         self.stats.answered += 1
         return web.Response(body=body, headers=headers, content_type="application/json")
 
@@ -199,11 +248,14 @@
     return resp
 
 
-async def _answer_early(req: web.Request, body: bytes, headers: dict[str, str]) -> None:
-    """Send one more whole answer on the connection before the real one."""
+def _write_answer(
+    transport: asyncio.BaseTransport | None, body: bytes, headers: dict[str, str]
+) -> None:
+    """Send one more whole answer on the connection."""
     lines = ["HTTP/1.1 200 OK", "Content-Type: application/json"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines += [f"Content-Length: {len(body)}", "", ""]
-    transport = req.transport
-    if isinstance(transport, asyncio.WriteTransport):
-        transport.write("\r\n".join(lines).encode() + body)
+    if transport is not None and not transport.is_closing():
+        # Transports of uvloop are of no common class with those of asyncio.
+        writable = cast(asyncio.WriteTransport, transport)
+        writable.write("\r\n".join(lines).encode() + body)
