--- a/prove/without.py
+++ b/prove/without.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -22,9 +23,15 @@
 from cassiaweir.fleet._hold_back import HoldBack
 from cassiaweir.fleet._lease import ShardLease
 from cassiaweir.placement import VmOffer
-from cassiaweir.requests import Claims, ServiceAnswer, ServiceRequest, _backends
+from cassiaweir.requests import (
+    Claims,
+    ServiceAnswer,
+    ServiceRequest,
+    _backends,
+    _slot_service,
+)
 from cassiaweir.requests._claims import Claim, ClaimRow, ClaimState
-from cassiaweir.requests._slot_book import Backend, SlotBook, _Server
+from cassiaweir.requests._slot_book import Backend, _Server
 from cassiaweir.teams import ShardAllotments
 from cassiaweir.types import Resources, Row, Vm
 
@@ -125,23 +132,15 @@
 
 def _drop_leaving() -> None:
     """Grant slots of backend servers that are leaving or have just refused."""
-    set_backends = SlotBook.set_backends
+    backend_of = _slot_service._backend_of
 
-    def keep_backends(
-        self: SlotBook, backends: Iterable[Backend], owned: Mapping[str, int]
-    ) -> None:
-        known = {server.backend.name: server.backend for server in _servers(self)}
-        known.update({item.name: item for item in backends})
-        set_backends(self, known.values(), owned)
+    def live_backend(vm: Vm, shard: str) -> Backend:
+        return replace(backend_of(vm, shard), leaving=False)
 
-    _put(SlotBook, "set_backends", keep_backends)
+    _put(_slot_service, "_backend_of", live_backend)
     _put(_Server, "usable", lambda self, now: self.free > 0)
 
 
-def _servers(book: SlotBook) -> list[_Server]:
-    return list(book._servers.values())
-
-
 def _drop_version_order() -> None:
     """Install whatever version a peer or the table tells of."""
 
