Answer requests that are on their way when a gateway stops listening

Cause: at a planned stop the gateway closed its listening socket and, in the same step, every connection without a request, also those that had just been accepted and whose request was not read yet. Ruled out: answers cut in the drain (no call that began earlier was cut) and the limit of the drain (it ended within 4 s). Before: the new test gets a reset; after: it is answered. What still waits in the kernel's queue at that moment is not covered.

--- a/cassiaweir/api/_app.py
+++ b/cassiaweir/api/_app.py
@@ -24,6 +24,7 @@
 ANSWER_GRACE = timedelta(seconds=5)
 LISTEN_BACKLOG = 1024
 DRAIN_POLL_SECONDS = 0.05
+FIRST_READ_SECONDS = 0.5
 
 _serials = itertools.count(1)
 
@@ -122,6 +123,8 @@
         self._closing = True
         server.close()
         loop = asyncio.get_running_loop()
+        # Requests on connections that were made last may be on their way still.
+        await asyncio.sleep(FIRST_READ_SECONDS)
         limit = loop.time() + self._settings.gateway_drain_limit.total_seconds()
         while loop.time() < limit:
             for conn in list(server.connections):
--- a/tests/test_api_requests.py
+++ b/tests/test_api_requests.py
@@ -230,3 +230,21 @@
         go_on.set()
         assert (await asked)[:2] == (200, b"whole")
         await stop
+
+
+async def test_a_request_on_its_way_when_listening_ends_is_answered():
+    async def whole(request: web.Request) -> web.Response:
+        return web.Response(body=b"whole")
+
+    async with serving(BackendServer(whole)) as front:
+        host, _, port = front.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await get(front, "/ready")
+        stop = asyncio.create_task(front.stop())
+        while front.accepting:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: g\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        await stop
+    assert line.startswith(b"HTTP/1.1 200")
