Print the step of one task beside the distance from the share

Cause: the distance of the furthest team did not say how much of it comes from the size of its tasks. The bench now prints the largest task of a team as a part of its share, and what is left of the distance after one such task. That the distance is within one step does not prove that no policy does better over a minute.

Ruled out: reservations for lack of room after half of the bound.

--- a/bench/_drive.py
+++ b/bench/_drive.py
@@ -11,7 +11,7 @@
 
 from bench._load import BenchJob, Scenario
 from cassiaweir.placement import Plan, Planner, VmCondition
-from cassiaweir.types import Resources, TaskId, TaskState, Urgency
+from cassiaweir.types import Resources, TaskId, TaskState, Team, Urgency
 
 TICK_SECONDS = 0.25
 SAMPLE_TICKS = 4
@@ -54,6 +54,20 @@
     hungry: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class ShareDistance:
+    """How far the furthest team was from its share, as parts of that share.
+
+    `one_task` is the largest task of a team with the least share for its tasks: the
+    step in which such a team can hold more or less.  `beyond` is the distance of the
+    team furthest from its share after one task of its own was taken off.
+    """
+
+    furthest: float
+    one_task: float
+    beyond: float
+
+
 @dataclass(slots=True)
 class Outcome:
     """What a run of one planner through one scenario gave."""
@@ -61,7 +75,7 @@
     waits: dict[str, HdrHistogram]
     packing: list[PackingSample] = field(default_factory=list)
     use: list[float] = field(default_factory=list)
-    distances: list[float] = field(default_factory=list)
+    distances: list[ShareDistance] = field(default_factory=list)
     started: int = 0
     preempted: int = 0
     never_started: int = 0
@@ -87,6 +101,7 @@
         self._total = sum(self._capacity.values(), Resources())
         self._hunger = dict.fromkeys(self._teams, 0)
         self._window: list[ShareSample] = []
+        self._largest_task = _largest_tasks(scenario, self._total)
         self._outcome = Outcome(
             {
                 name: HdrHistogram(1, HIGHEST_MILLISECONDS, SIGNIFICANT_DIGITS)
@@ -237,12 +252,29 @@
         ]
         level = sum(means) / max(1, sum(team.share for team in hungry))
         if level and len(hungry) > 1:
-            self._outcome.distances.append(
-                max(
-                    abs(mean / (team.share * level) - 1)
-                    for mean, team in zip(means, hungry, strict=True)
-                )
-            )
+            self._outcome.distances.append(self._distance(hungry, means, level))
+
+    def _distance(
+        self, hungry: list[Team], means: list[float], level: float
+    ) -> ShareDistance:
+        """Compare what teams held with their shares and with their largest tasks."""
+        due = [team.share * level for team in hungry]
+        far = [abs(mean / part - 1) for mean, part in zip(means, due, strict=True)]
+        steps = [
+            self._largest_task[team.name] / part
+            for team, part in zip(hungry, due, strict=True)
+        ]
+        beyond = [max(0.0, a - step) for a, step in zip(far, steps, strict=True)]
+        return ShareDistance(max(far), max(steps), max(beyond))
+
+
+def _largest_tasks(scenario: Scenario, total: Resources) -> dict[str, float]:
+    """Return the dominant part of the fleet that the largest task of a team takes."""
+    largest = dict.fromkeys((team.name for team in scenario.teams), 0.0)
+    for job in scenario.jobs:
+        group = job.group
+        largest[group.team] = max(largest[group.team], _dominant(group.size, total))
+    return largest
 
 
 def _dominant(used: Resources, total: Resources) -> float:
--- a/bench/_results.py
+++ b/bench/_results.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import statistics
+from collections.abc import Iterable
 
 import msgspec
 from hdrh.histogram import HdrHistogram
@@ -30,7 +31,9 @@
 
     `packing_excess` is the VM time in use above its lower bound by volume, as a part
     of that bound; the 95th percentile is over seconds.  Distances are parts of a
-    team's share, over a minute.
+    team's share, over a minute: `share_one_task` is the mean of the largest step in
+    which a team can come to its share, `share_beyond_one_task` the mean of what is
+    left of the distance after one task.
     """
 
     scenario: str
@@ -42,6 +45,8 @@
     use_p95: float
     share_distance_mean: float
     share_distance_largest: float
+    share_one_task: float
+    share_beyond_one_task: float
     started: int
     never_started: int
     preempted: int
@@ -87,8 +92,12 @@
         packing_excess_p95=_high(excess),
         use=statistics.fmean(outcome.use),
         use_p95=_high(outcome.use),
-        share_distance_mean=statistics.fmean(outcome.distances or [0.0]),
-        share_distance_largest=max(outcome.distances, default=0.0),
+        share_distance_mean=_mean(sample.furthest for sample in outcome.distances),
+        share_distance_largest=max(
+            (sample.furthest for sample in outcome.distances), default=0.0
+        ),
+        share_one_task=_mean(sample.one_task for sample in outcome.distances),
+        share_beyond_one_task=_mean(sample.beyond for sample in outcome.distances),
         started=outcome.started,
         never_started=outcome.never_started,
         preempted=outcome.preempted,
@@ -123,6 +132,10 @@
     return float(nanos / NANOSECONDS_IN_MICROSECOND)
 
 
+def _mean(values: Iterable[float]) -> float:
+    return statistics.fmean(list(values) or [0.0])
+
+
 def _high(values: list[float]) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(len(ordered) * MOST_FRACTION))]
--- a/bench/_table.py
+++ b/bench/_table.py
@@ -40,8 +40,9 @@
         f"{run.planner:<12}use {run.use:.1%} (p95 {run.use_p95:.1%}); VMs above the "
         f"bound {run.packing_excess:.1%} (p95 {run.packing_excess_p95:.1%}); furthest "
         f"team {run.share_distance_mean:.1%} (largest {run.share_distance_largest:.1%})"
-        f"; started {run.started}, not {run.never_started}, "
-        f"checkpoints {run.preempted}"
+        f", one task {run.share_one_task:.1%}, beyond it "
+        f"{run.share_beyond_one_task:.1%}; started {run.started}, "
+        f"not {run.never_started}, checkpoints {run.preempted}"
     )
 
 
--- a/tests/test_placement_bench.py
+++ b/tests/test_placement_bench.py
@@ -4,8 +4,18 @@
 
 from bench.__main__ import PLANNERS
 from bench._drive import Driver
-from bench._load import PACIFICO_NORTE, SICILIA_EST, mixed
+from bench._load import (
+    PACIFICO_NORTE,
+    SICILIA_EST,
+    VM_CAPACITY,
+    BenchJob,
+    Scenario,
+    mixed,
+)
 from bench._results import RunResult, run_result
+from cassiaweir.placement import VmOffer
+from cassiaweir.types import Resources, Team
+from tests.placement_helpers import group
 
 HORIZON_SECONDS = 120.0
 
@@ -44,3 +54,25 @@
         for name in ("fair", "fcfs")
     }
     assert waits["fair"] * 5 < waits["fcfs"]
+
+
+@pytest.mark.parametrize(
+    ("shares", "distance", "one_task"), [((1, 1), 0.0, 1.0), ((3, 1), 1.0, 2.0)]
+)
+def test_the_distance_from_the_share_stands_beside_the_step_of_one_task(
+    shares, distance, one_task
+):
+    half = Resources(VM_CAPACITY.cpu_millis // 2, 1024)
+    teams = tuple(
+        Team(name, share, VM_CAPACITY) for name, share in zip("ab", shares, strict=True)
+    )
+    jobs = tuple(
+        BenchJob(group(f"job-{team.name}", team.name, 4, size=half), (1e6,) * 4)
+        for team in teams
+    )
+    vms = (VmOffer("vm0", "augusta", "rack0", VM_CAPACITY),)
+    scenario = Scenario("halves", vms, teams, jobs, HORIZON_SECONDS)
+    result = run_result("", "", Driver(PLANNERS["fair"], scenario).run())
+    assert result.share_distance_mean == pytest.approx(distance)
+    assert result.share_one_task == pytest.approx(one_task)
+    assert result.share_beyond_one_task == 0
