--- a/lab/urgent.py
+++ b/lab/urgent.py
@@ -32,6 +32,8 @@
 MICROSECONDS = 1_000_000
 HIGHEST_MICROSECONDS = 600 * MICROSECONDS
 POLL_SECONDS = 0.1
+KEY_SECONDS = 3
+UNAUTHORIZED = 401
 
 
 class StartedRun(msgspec.Struct):
@@ -76,6 +78,7 @@
         key = await site.desk.keys.grant(site.desk.author, "team1")
         async with aiohttp.ClientSession() as session:
             caller = Caller(session, site.cluster.balancer, "team1", key.secret)
+            await _wait_for_key(caller)
             submitted = await _submit_all(caller, tasks)
             started = await _read_starts(session, site.cluster.control)
     click.echo(f"{deployment}: {_compare(submitted, started).line()}")
@@ -89,6 +92,13 @@
     await site.caller.wait_running(name, min(room, FILL_TASKS) // 2)
 
 
+async def _wait_for_key(caller: Caller) -> None:
+    """Wait until the key that was just granted is in force everywhere."""
+    while (await caller.cancel("none")).status == UNAUTHORIZED:
+        await asyncio.sleep(POLL_SECONDS)
+    await asyncio.sleep(KEY_SECONDS)
+
+
 async def _submit_all(caller: Caller, tasks: int) -> dict[str, float]:
     """Submit urgent tasks one by one; return when each submission began."""
     submitted = {}
