Do not give a shard up to a scheduler that cannot reach the table

Ruled out: never giving a shard back, as owners belong into its failure domain. A process now states whether it reaches the table.

--- a/cassiaweir/membership/_schedulers.py
+++ b/cassiaweir/membership/_schedulers.py
@@ -27,7 +27,11 @@
         self._asked_at: dict[str, float] = {}
 
     def schedulers(self, failure_domain: str) -> Sequence[str]:
-        """Return the live schedulers of a failure domain, this one included."""
+        """Return the live schedulers of a failure domain, this one included.
+
+        One that cannot reach the table cannot take a shard over, so it is left out:
+        a shard given up for its sake would have no owner at all.
+        """
         live = [
             known.state.process
             for known in self._known_schedulers()
@@ -73,7 +77,9 @@
         ]
 
     def _usable(self, known: KnownProcess) -> bool:
-        return not known.state.leaving and self._heard(known)
+        state = known.state
+        able = not state.leaving and not state.table_unreachable
+        return able and self._heard(known)
 
     def _heard(self, known: KnownProcess) -> bool:
         return self._peers.heard_within(known.state.process, LIVE_WITHIN)
--- a/cassiaweir/membership/_statements.py
+++ b/cassiaweir/membership/_statements.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Sequence
 
+from cassiaweir.configuration import TableView
 from cassiaweir.membership._known import KnownProcess, encode_owner
 from cassiaweir.membership._models import Member
 from cassiaweir.rpc import cell_pb2
 from cassiaweir.rpc._peer import age_to_ms, seconds_to_ms
-from cassiaweir.types import CellView, Clock, OwnedShards, ShardOwner
+from cassiaweir.types import Clock, OwnedShards, ShardOwner
 
 
 class NoShards:
@@ -23,7 +24,7 @@
     """Makes the statements of one process; each has a higher sequence number."""
 
     def __init__(
-        self, member: Member, view: CellView, owned: OwnedShards, clock: Clock
+        self, member: Member, view: TableView, owned: OwnedShards, clock: Clock
     ) -> None:
         self._member = member
         self._view = view
@@ -47,6 +48,7 @@
             view_age_ms=age_to_ms(self._view.age()),
             shards=[encode_owner(owner) for owner in self._owned.owned()],
             sequence=self._sequence,
+            table_unreachable=not self._view.table_reachable,
         )
 
     def retell(self, known: KnownProcess) -> cell_pb2.ProcessState:
--- a/tests/test_membership_peers.py
+++ b/tests/test_membership_peers.py
@@ -412,6 +412,28 @@
         decode_view(answer, 0.0)
 
 
+async def test_a_scheduler_without_the_table_is_not_waited_for():
+    async with cell("augusta-1") as (one,):
+        schedulers = SchedulerPeers(one.peers._member, one.peers, one.clock)
+
+        def hear(sequence: int, *, table_unreachable: bool) -> None:
+            state = cell_pb2.ProcessState(
+                process="priolo-1",
+                role="scheduler",
+                address="10.0.0.2:7202",
+                failure_domain="priolo",
+                protocol_version=PROTOCOL_VERSION,
+                sequence=sequence,
+                table_unreachable=table_unreachable,
+            )
+            one.peers.heard(cell_pb2.Heartbeat(sender=state), one.clock.monotonic())
+
+        hear(1, table_unreachable=True)
+        assert list(schedulers.schedulers("priolo")) == []
+        hear(2, table_unreachable=False)
+        assert list(schedulers.schedulers("priolo")) == ["priolo-1"]
+
+
 async def test_an_earlier_process_at_an_address_does_not_prove_a_later_one_gone():
     async with cell("augusta-1") as (one,):
         schedulers = SchedulerPeers(one.peers._member, one.peers, one.clock)
