--- a/cassiaweir/placement/_estimates.py
+++ b/cassiaweir/placement/_estimates.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections import deque
-from statistics import median
 
 from cassiaweir.placement._records import RunningTask
 from cassiaweir.placement._types import TaskGroup
@@ -19,23 +19,25 @@
 class RatioWindow:
     """The median of the last ratios of observed to declared, within bounds."""
 
-    __slots__ = ("_factor", "_ratios")
+    __slots__ = ("_ordered", "_ratios", "factor")
 
     def __init__(self) -> None:
-        self._ratios: deque[float] = deque(maxlen=WINDOW_SAMPLES)
-        self._factor: float | None = None
+        self._ratios: deque[float] = deque()
+        self._ordered: list[float] = []
+        self.factor = 1.0
+        """The median, or 1 while the samples are too few."""
 
     def add(self, ratio: float) -> None:
-        """Note one ratio."""
-        self._ratios.append(min(max(ratio, LOWEST_FACTOR), HIGHEST_FACTOR))
-        self._factor = None
-
-    def factor(self) -> float:
-        """Return the median, or 1 while the samples are too few."""
-        if self._factor is None:
-            enough = len(self._ratios) >= FEWEST_SAMPLES
-            self._factor = median(self._ratios) if enough else 1.0
-        return self._factor
+        """Note one ratio; the oldest one leaves a full window."""
+        ratios, ordered = self._ratios, self._ordered
+        ratio = min(max(ratio, LOWEST_FACTOR), HIGHEST_FACTOR)
+        if len(ratios) == WINDOW_SAMPLES:
+            del ordered[bisect_left(ordered, ratios.popleft())]
+        ratios.append(ratio)
+        insort(ordered, ratio)
+        count = len(ordered)
+        if count >= FEWEST_SAMPLES:
+            self.factor = (ordered[count // 2] + ordered[~(count // 2)]) / 2
 
 
 class KindEstimates:
@@ -63,13 +65,13 @@
 
     def expected_cpu(self, group: TaskGroup) -> int:
         """Return the processor use to expect of a task, in millis."""
-        return int(group.size.cpu_millis * self._usage.factor())
+        return int(group.size.cpu_millis * self._usage.factor)
 
     def expected_seconds(self, group: TaskGroup) -> float:
         """Return the run time to expect of a task; services never end."""
         if group.kind is JobKind.SERVICE or not group.declared_seconds:
             return NEVER
-        return group.declared_seconds * self._duration.factor()
+        return group.declared_seconds * self._duration.factor
 
     def longest_seconds(self, group: TaskGroup) -> float:
         """Return the longer one of the declared and the expected run time."""
--- a/cassiaweir/placement/_fleet.py
+++ b/cassiaweir/placement/_fleet.py
@@ -89,7 +89,8 @@
         vm, size = task.vm, task.job.group.size
         vm.tasks[task.task] = task
         vm.expected_cpu += task.expected_cpu
-        vm.busy_until = max(vm.busy_until, task.ends_at)
+        if task.ends_at > vm.busy_until:
+            vm.busy_until = task.ends_at
         vm.free.add(size, -1)
         if task.preemptible and vm.indexed and vm.condition is VmCondition.OPEN:
             self._room_changed(vm)
--- a/cassiaweir/placement/_ledger.py
+++ b/cassiaweir/placement/_ledger.py
@@ -105,16 +105,16 @@
             team.wanted.add(size)
         estimates, group = job.estimates, job.group
         task = RunningTask(
-            task=TaskId(group.job, index),
-            job=job,
-            vm=vm,
-            rack=vm.rack.name,
-            started_at=now,
-            ends_at=now + estimates.expected_seconds(group),
-            expected_cpu=estimates.expected_cpu(group),
+            TaskId(group.job, index),
+            job,
+            vm,
+            vm.rack.name,
+            now,
+            now + estimates.expected_seconds(group),
+            estimates.expected_cpu(group),
         )
         job.running[index] = self.running[task.task] = task
-        if job.group.kind is JobKind.SERVICE:
+        if group.kind is JobKind.SERVICE:
             job.racks[vm.rack.name] = job.racks.get(vm.rack.name, 0) + 1
             job.vms[vm.name] = job.vms.get(vm.name, 0) + 1
         self._fleet.start(task)
--- a/cassiaweir/placement/_queue.py
+++ b/cassiaweir/placement/_queue.py
@@ -209,6 +209,11 @@
                 del self._blocked[demand.key.size]
             self._enter(demand)
 
+    @property
+    def any_entered(self) -> bool:
+        """Whether a class may have work to serve."""
+        return bool(self._heap)
+
     @property
     def any_blocked(self) -> bool:
         """Whether a class is blocked."""
--- a/cassiaweir/placement/_reservation.py
+++ b/cassiaweir/placement/_reservation.py
@@ -89,6 +89,11 @@
             volume = _volume(lane.demand.key.size, self._fleet.total) * count
             self._credit = min(0.0, self._credit + CREDIT_OF_STARTED_WORK * volume)
 
+    def is_needed(self, now: float) -> bool:
+        """Tell whether VMs are kept, or a lane may have become overdue."""
+        watched = self._watched
+        return bool(self._by_vm) or (bool(watched) and watched[0][0] <= now)
+
     def due(self, now: float, grown: Collection[VmRecord]) -> list[Reservation]:
         """Return the reservations to try now, those of `grown` VMs above all."""
         if not self._by_vm:
--- a/cassiaweir/placement/_round.py
+++ b/cassiaweir/placement/_round.py
@@ -84,15 +84,19 @@
         grown = list(self._fleet.grown.values())
         self._unblock(now)
         plan = Plan([], [])
+        urgent, normal = self._urgent, self._normal
         if self.preemptor.claims:
             self._serve_claims(plan, now, most)
         # Urgent work gets a reservation only where checkpoints made no room for it.
-        self._serve(self._urgent, plan, now, most)
-        self._serve_overdue(self._urgent, plan, now, most, grown)
-        self._serve_overdue(self._normal, plan, now, most, grown)
-        # A reservation that was given up has listed its VMs again.
-        self._unblock(now)
-        self._serve(self._normal, plan, now, most)
+        if urgent.queue.any_entered:
+            self._serve(urgent, plan, now, most)
+        if urgent.reserver.is_needed(now):
+            self._serve_overdue(urgent, plan, now, most, grown)
+        if normal.reserver.is_needed(now):
+            self._serve_overdue(normal, plan, now, most, grown)
+            # A reservation that was given up has listed its VMs again.
+            self._unblock(now)
+        self._serve(normal, plan, now, most)
         return plan
 
     def _tier(self, job: JobRecord) -> Tier:
