--- a/lab/urgent.py
+++ b/lab/urgent.py
@@ -16,7 +16,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from cassiaweir.types import JobKind, TaskId, Urgency
+from cassiaweir.types import JobKind, Urgency
 from cassiaweir.work import JobSpec, TaskSize
 from lab._site import Site, open_site
 from prove.callers import Caller
@@ -40,9 +40,14 @@
 class StartedRun(msgspec.Struct):
     """The part of a run in the ledger that tells when a task started."""
 
-    task: TaskId
+    task: str
     started_at: float
 
+    @property
+    def job(self) -> str:
+        """The job of the task."""
+        return self.task.rpartition("/")[0]
+
 
 class RunsOfLedger(msgspec.Struct):
     """The part of the ledger that tells of starts."""
@@ -134,7 +139,7 @@
         ledger = msgspec.json.decode(await resp.read(), type=RunsOfLedger)
     starts: dict[str, float] = {}
     for run in ledger.runs:
-        starts.setdefault(run.task.job, run.started_at)
+        starts.setdefault(run.job, run.started_at)
     return starts
 
 
