Close a backend server for long when it refuses for long

Ruled out: closing every refusing server for long, as a full one is free again at once. A refusal with Retry-After of 10 s or more now closes the server for 60 s, then the list decides.

--- a/cassiaweir/requests/_backends.py
+++ b/cassiaweir/requests/_backends.py
@@ -35,6 +35,8 @@
 LARGEST_ANSWER_BYTES = 16 * 1_048_576
 FORWARDED_HEADERS = ("Content-Type", "Content-Encoding", "Content-Language")
 BACKEND_REFUSED = "backend_refused"
+BACKEND_LEAVING = "backend_leaving"
+LEAVING_RETRY_SECONDS = 10
 HTTP_NO_CONTENT = 204
 HTTP_UNAVAILABLE = 503
 BACKEND_RETRY = timedelta(milliseconds=500)
@@ -194,12 +196,21 @@
         raise _unavailable("the answer is too large", sent=True)
     if response.status == HTTP_UNAVAILABLE and response.headers.get(NOT_RUN_HEADER):
         raise RefusedError(
-            BACKEND_REFUSED,
+            BACKEND_LEAVING if _refuses_for_long(response) else BACKEND_REFUSED,
             "the backend server refused the request",
             retry_after=BACKEND_RETRY,
         )
 
 
+def _refuses_for_long(response: aiohttp.ClientResponse) -> bool:
+    """Tell whether a refusal says, by Retry-After, that the server is leaving.
+
+    Only whole seconds are read; a date or anything else says nothing.
+    """
+    value = response.headers.get("Retry-After", "")
+    return value.isdecimal() and int(value) >= LEAVING_RETRY_SECONDS
+
+
 def _ends_visibly(response: aiohttp.ClientResponse) -> bool:
     """Tell whether a cut body would have been noticed."""
     if response.status == HTTP_NO_CONTENT or "Content-Length" in response.headers:
--- a/cassiaweir/requests/_models.py
+++ b/cassiaweir/requests/_models.py
@@ -101,7 +101,10 @@
     """The backend server answered in full, or was never asked."""
 
     REFUSED = "refused"
-    """The backend server refused because it is leaving or full."""
+    """The backend server refused, as one that is full does."""
+
+    LEAVING = "leaving"
+    """The backend server refused for long, as one that is leaving does."""
 
     SUSPECT = "suspect"
     """The connection broke or timed out; the request may still occupy the slot."""
--- a/cassiaweir/requests/_owner_link.py
+++ b/cassiaweir/requests/_owner_link.py
@@ -77,6 +77,7 @@
         done = cell_pb2.SlotDone(
             ticket=ticket,
             refused_by_backend=outcome is SlotOutcome.REFUSED,
+            leaving=outcome is SlotOutcome.LEAVING,
             suspect=outcome is SlotOutcome.SUSPECT,
         )
         self._outgoing.put_nowait(self._message(done=[done]))
--- a/cassiaweir/requests/_router.py
+++ b/cassiaweir/requests/_router.py
@@ -8,7 +8,7 @@
 
 from cassiaweir.exceptions import RefusedError, UnavailableError
 from cassiaweir.observe import EventLog, Metrics
-from cassiaweir.requests._backends import BACKEND_REFUSED
+from cassiaweir.requests._backends import BACKEND_LEAVING, BACKEND_REFUSED
 from cassiaweir.requests._budget import RetryBudget
 from cassiaweir.requests._claims import Claim, Claims
 from cassiaweir.requests._models import (
@@ -21,6 +21,10 @@
 from cassiaweir.types import Clock
 from cassiaweir.verdict import Verdict
 
+OUTCOME_BY_REASON = {
+    BACKEND_REFUSED: SlotOutcome.REFUSED,
+    BACKEND_LEAVING: SlotOutcome.LEAVING,
+}
 MOST_ATTEMPTS = 4
 RETRY_BACKEND = timedelta(seconds=1)
 
@@ -178,8 +182,7 @@
         try:
             return await self._backends.call(slot.address, self.req), SlotOutcome.FREE
         except RefusedError as exc:
-            refused = exc.reason == BACKEND_REFUSED
-            return exc, SlotOutcome.REFUSED if refused else SlotOutcome.FREE
+            return exc, OUTCOME_BY_REASON.get(exc.reason, SlotOutcome.FREE)
         except UnavailableError as exc:
             refusal = RefusedError(
                 "backend_failed",
--- a/cassiaweir/requests/_slot_book.py
+++ b/cassiaweir/requests/_slot_book.py
@@ -11,6 +11,13 @@
 
 SUSPECT_SECONDS = 5.0
 REFUSED_SECONDS = 5.0
+LEAVING_SECONDS = 60.0
+"""Longer than the list of VMs lags; from then on the list decides."""
+
+CLOSED_SECONDS = {
+    SlotOutcome.REFUSED: REFUSED_SECONDS,
+    SlotOutcome.LEAVING: LEAVING_SECONDS,
+}
 
 GrantKey = tuple[str, int]
 """The gateway and its ticket."""
@@ -155,8 +162,9 @@
             server.suspect_until = now + SUSPECT_SECONDS
             return None
         self._free(key)
-        if outcome is SlotOutcome.REFUSED:
-            server.closed_until = now + REFUSED_SECONDS
+        if outcome in CLOSED_SECONDS:
+            until = now + CLOSED_SECONDS[outcome]
+            server.closed_until = max(server.closed_until, until)
             return None
         return SlotUse(server.backend.service, now - held.granted_at)
 
--- a/cassiaweir/requests/_slot_service.py
+++ b/cassiaweir/requests/_slot_service.py
@@ -269,4 +269,6 @@
 def _read_outcome(done: cell_pb2.SlotDone) -> SlotOutcome:
     if done.suspect:
         return SlotOutcome.SUSPECT
+    if done.leaving:
+        return SlotOutcome.LEAVING
     return SlotOutcome.REFUSED if done.refused_by_backend else SlotOutcome.FREE
--- a/standins/_backend.py
+++ b/standins/_backend.py
@@ -14,6 +14,7 @@
 
 from standins._http import Service, answer, read_body
 
+LEAVING_RETRY_AFTER = "60"
 DEFAULT_SLOTS = 8
 DEFAULT_CONNECTIONS = 64
 DEFAULT_WORK_SECONDS = 0.005
@@ -150,7 +151,10 @@
             self.stats.over_slots += 1
         if self.leaving or full:
             self.stats.refused += 1
-            return web.Response(status=503, headers={NOT_RUN_HEADER: "true"})
+            headers = {NOT_RUN_HEADER: "true"}
+            if self.leaving:
+                headers["Retry-After"] = LEAVING_RETRY_AFTER
+            return web.Response(status=503, headers=headers)
         await self._work(req)
         echo = Echo(
             request_id=req.headers.get(REQUEST_ID_HEADER, ""),
--- a/tests/test_requests_backends.py
+++ b/tests/test_requests_backends.py
@@ -69,6 +69,29 @@
     assert caught.value.verdict is Verdict.NOT_RUN
 
 
+@pytest.mark.parametrize(
+    ("retry_after", "reason"),
+    [
+        ("60", "backend_leaving"),
+        ("1", "backend_refused"),
+        ("0", "backend_refused"),
+        ("-60", "backend_refused"),
+        ("Fri, 04 Dec 2026 00:00:00 GMT", "backend_refused"),
+    ],
+)
+async def test_a_refusal_for_long_tells_that_a_server_is_leaving(retry_after, reason):
+    async def refuse(request: web.Request) -> web.Response:
+        headers = {"Cassiaweir-Not-Run": "true", "Retry-After": retry_after}
+        return web.Response(status=503, headers=headers)
+
+    caller = make_caller()
+    async with BackendServer(refuse).running() as address:
+        with pytest.raises(RefusedError) as caught:
+            await caller.call(address, make_request())
+        await caller.stop()
+    assert (caught.value.reason, caught.value.verdict) == (reason, Verdict.NOT_RUN)
+
+
 async def test_a_plain_503_is_an_answer():
     async def fail(request: web.Request) -> web.Response:
         return web.Response(status=503, body=b"broken")
--- a/tests/test_requests_broker.py
+++ b/tests/test_requests_broker.py
@@ -83,6 +83,20 @@
     assert len(grants(broker.decide())) == 1
 
 
+def test_a_server_that_is_leaving_stays_closed_although_the_list_lags():
+    clock = ManualClock()
+    broker = settled(clock, "a")
+    for ticket in (1, 2):
+        broker.want(make_want(clock, ticket))
+    broker.decide()
+    broker.done("g", 1, SlotOutcome.LEAVING)
+    broker.done("g", 2, SlotOutcome.REFUSED)
+    clock.advance(LONGEST)
+    broker.set_backends([backend("a")], FIRST)
+    broker.want(make_want(clock, 3))
+    assert grants(broker.decide()) == []
+
+
 def test_a_suspect_slot_is_in_use_until_its_lease_ends():
     clock = ManualClock()
     broker = settled(clock, "a")
