--- a/cassiaweir/fleet/_worker_driver.py
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -24,6 +24,7 @@
 from cassiaweir.verdict import Verdict
 
 CALM_RENEWAL_FACTOR = 2
+RENEWALS_PER_WATCH = 3
 RENEWALS_PER_LEASE = 4
 
 
@@ -185,7 +186,8 @@
         if not isinstance(self._worker, WatchableWorker) or not self._may_watch():
             return False
         try:
-            report = await self._worker.watch(self._revision, self._terms.task_renewal)
+            wait = self._terms.task_renewal * RENEWALS_PER_WATCH
+            report = await self._worker.watch(self._revision, wait)
         except NotFoundError:
             self._watchable = False
             return False
--- a/cassiaweir/process.py
+++ b/cassiaweir/process.py
@@ -16,7 +16,7 @@
 
 from cassiaweir.observe import EventLog
 
-COLLECTOR_THRESHOLDS = (20_000, 50, 100)
+COLLECTOR_THRESHOLDS = (2_000, 20, 1_000)
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
--- /dev/null
+++ b/cassiaweir/types/__init__.py
@@ -0,0 +1,71 @@
+"""Shared value types and the Protocols of everything outside the process."""
+
+from cassiaweir.types._cell import (
+    CellView,
+    OwnedShards,
+    Queue,
+    ShardDirectory,
+    ShardOwner,
+    Team,
+)
+from cassiaweir.types._store import (
+    Check,
+    ObjectStore,
+    Row,
+    Table,
+    Write,
+)
+from cassiaweir.types._values import (
+    Clock,
+    JobKind,
+    Resources,
+    Urgency,
+)
+from cassiaweir.types._vms import (
+    Vm,
+    VmList,
+    VmRole,
+    VmState,
+)
+from cassiaweir.types._workers import (
+    Command,
+    TaskId,
+    TaskReport,
+    TaskStart,
+    TaskState,
+    WatchableWorker,
+    Worker,
+    WorkerReport,
+    Workers,
+)
+
+__all__ = [
+    "CellView",
+    "Check",
+    "Clock",
+    "Command",
+    "JobKind",
+    "ObjectStore",
+    "OwnedShards",
+    "Queue",
+    "Resources",
+    "Row",
+    "ShardDirectory",
+    "ShardOwner",
+    "Table",
+    "TaskId",
+    "TaskReport",
+    "TaskStart",
+    "TaskState",
+    "Team",
+    "Urgency",
+    "Vm",
+    "VmList",
+    "VmRole",
+    "VmState",
+    "WatchableWorker",
+    "Worker",
+    "WorkerReport",
+    "Workers",
+    "Write",
+]
--- /dev/null
+++ b/cassiaweir/types/_values.py
@@ -0,0 +1,78 @@
+"""Values that all parts of the program share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from enum import StrEnum
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Tells the time; passed in wherever time matters."""
+
+    def now(self) -> datetime:
+        """Return the time of day in UTC, for display only."""
+
+    def monotonic(self) -> float:
+        """Return seconds that never go back and count while the process is stopped."""
+
+    async def sleep(self, duration: timedelta) -> None:
+        """Suspend the calling task for `duration`."""
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Resources:
+    """An amount of processors, memory and accelerators."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def __mul__(self, count: int) -> Resources:
+        return Resources(
+            self.cpu_millis * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+        )
+
+    def fits(self, room: Resources) -> bool:
+        """Tell whether this amount fits into `room` in every dimension."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+
+NOTHING = Resources()
+"""No amount of anything."""
+
+
+class JobKind(StrEnum):
+    """The kinds of workload."""
+
+    SERVICE = "service"
+    BATCH = "batch"
+    GANG = "gang"
+
+
+class Urgency(StrEnum):
+    """How soon a job or a request has to start."""
+
+    URGENT = "urgent"
+    NORMAL = "normal"
