--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -449,3 +449,33 @@
     assert new.runner._store.parts["j1"].records[0].failures == 1
     assert workers[0].entries[TASK].attempt == 2
     assert workers[0].running() == {TASK}
+
+
+async def test_held_back_tasks_count_against_their_team(table, clock, workers):
+    old = await owner(table, clock, workers)
+    await add_part(table, make_spec(tasks=3))
+    await old.turn()
+    workers[0].cut_from.add("new")
+    new = Rig("new", table, clock, workers)
+    await take_over(new, clock)
+    await new.turn()
+    assert new.runner._held_by_team()["t1"] == make_spec().size.resources() * 3
+    workers[0].cut_from.clear()
+    clock.advance(2)
+    await new.turn()
+    assert new.runner._held_by_team()["t1"].cpu_millis == 0
+
+
+async def test_an_owner_without_its_lease_adds_no_vm(table, clock, workers):
+    rig = await owner(table, clock, workers)
+    rig.vms.hidden.add("w2")
+    await rig.turn()
+    table.down = True
+    clock.advance(6)
+    rig.vms.hidden.clear()
+    await rig.turn()
+    assert list(rig.runner._roster.drivers) == ["w1"]
+    table.down = False
+    await rig.lease.renew()
+    await rig.turn()
+    assert list(rig.runner._roster.drivers) == ["w1", "w2"]
