Keep one list of the administration messages and one empty amount

The split of the messages had left a module that only re-exported what the package re-exports again; its users now import from the modules themselves. The amount of nothing was defined three times. Behaviour is unchanged.

--- a/cassiaweir/administration/__init__.py
+++ b/cassiaweir/administration/__init__.py
@@ -3,54 +3,64 @@
 Only messages are re-exported, so that the command line imports nothing heavy.
 """
 
-from cassiaweir.administration._models import (
-    Amount,
-    AuditInfo,
-    AuditList,
-    BundleDraft,
-    BundleFile,
-    BundleInfo,
-    BundleList,
-    BundleStatus,
-    CancelledJobs,
-    CancelSelector,
-    CheckReport,
-    ConditionChange,
-    Finding,
-    FindingKind,
+from cassiaweir.administration._access_messages import (
     IssuedCredential,
     IssuedKey,
-    JobDetail,
-    JobInfo,
-    JobList,
-    JobPart,
     KeyGrant,
     KeyInfo,
     KeyList,
     NewOperator,
     OperatorInfo,
     OperatorList,
-    ProcessInfo,
-    ProcessList,
-    ProcessText,
-    ProposeChange,
     QueueInfo,
     QueueList,
+    ServiceInfo,
+    ServiceList,
+    TeamInfo,
+    TeamList,
+    WithdrawnKey,
+)
+from cassiaweir.administration._bundle_messages import (
+    BundleDraft,
+    BundleFile,
+    BundleInfo,
+    BundleList,
+    BundleStatus,
+    CheckReport,
+    Finding,
+    FindingKind,
+    ProposeChange,
     RevertChange,
     ReviewChange,
     RolloutChange,
-    ServiceInfo,
-    ServiceList,
+)
+from cassiaweir.administration._fleet_messages import (
+    ConditionChange,
+    ProcessInfo,
+    ProcessList,
+    ProcessText,
     ShardInfo,
     ShardList,
-    StatusReport,
-    TeamInfo,
-    TeamList,
-    TimelineReport,
     VmConditionName,
     VmInfo,
     VmsReport,
-    WithdrawnKey,
+)
+from cassiaweir.administration._job_messages import (
+    CancelledJobs,
+    CancelSelector,
+    JobDetail,
+    JobInfo,
+    JobList,
+    JobPart,
+)
+from cassiaweir.administration._messages import (
+    Amount,
+)
+from cassiaweir.administration._report_messages import (
+    AuditInfo,
+    AuditList,
+    StatusReport,
+    TimelineReport,
 )
 
 __all__ = [
--- a/cassiaweir/administration/_bundles.py
+++ b/cassiaweir/administration/_bundles.py
@@ -6,8 +6,7 @@
 
 import msgspec
 
-from cassiaweir.administration._jobs import JobAdministration
-from cassiaweir.administration._models import (
+from cassiaweir.administration._bundle_messages import (
     BundleInfo,
     BundleList,
     BundleStatus,
@@ -15,6 +14,7 @@
     Finding,
     FindingKind,
 )
+from cassiaweir.administration._jobs import JobAdministration
 from cassiaweir.administration._processes import ProcessProbe
 from cassiaweir.configuration import (
     Bundle,
--- a/cassiaweir/administration/_jobs.py
+++ b/cassiaweir/administration/_jobs.py
@@ -7,8 +7,7 @@
 from datetime import UTC, datetime
 from typing import Protocol
 
-from cassiaweir.administration._models import (
-    Amount,
+from cassiaweir.administration._job_messages import (
     CancelledJobs,
     CancelSelector,
     JobDetail,
@@ -16,6 +15,9 @@
     JobList,
     JobPart,
 )
+from cassiaweir.administration._messages import (
+    Amount,
+)
 from cassiaweir.configuration import AuditedTable, Operator, OperatorRole
 from cassiaweir.exceptions import InvalidInputError, RefusedError
 from cassiaweir.types import CellView, JobKind
--- a/cassiaweir/administration/_processes.py
+++ b/cassiaweir/administration/_processes.py
@@ -9,7 +9,10 @@
 
 import grpc
 
-from cassiaweir.administration._models import ProcessInfo, ProcessText
+from cassiaweir.administration._fleet_messages import (
+    ProcessInfo,
+    ProcessText,
+)
 from cassiaweir.exceptions import NotFoundError
 from cassiaweir.rpc import cell_pb2, cell_pb2_grpc
 from cassiaweir.rpc._peer import UNKNOWN_AGE_MS
--- a/cassiaweir/administration/_teams.py
+++ b/cassiaweir/administration/_teams.py
@@ -7,19 +7,23 @@
 
 import msgspec
 
-from cassiaweir.administration._models import (
-    Amount,
+from cassiaweir.administration._access_messages import (
     QueueInfo,
     QueueList,
     ServiceInfo,
     ServiceList,
-    ShardInfo,
     TeamInfo,
     TeamList,
+)
+from cassiaweir.administration._fleet_messages import (
+    ShardInfo,
     VmConditionName,
     VmInfo,
     VmsReport,
 )
+from cassiaweir.administration._messages import (
+    Amount,
+)
 from cassiaweir.administration._vms import VmConditionRow
 from cassiaweir.configuration import Bundle
 from cassiaweir.teams import AllotmentRow, ListedKey
--- a/cassiaweir/administration/_vms.py
+++ b/cassiaweir/administration/_vms.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
-from cassiaweir.administration._models import VmConditionName
+from cassiaweir.administration._fleet_messages import (
+    VmConditionName,
+)
 from cassiaweir.configuration import AuditedTable, Operator, OperatorRole
 from cassiaweir.configuration._rows import Counter, decode_counter, unchanged
 from cassiaweir.exceptions import ConflictError, UnavailableError
--- a/cassiaweir/placement/_records.py
+++ b/cassiaweir/placement/_records.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cassiaweir.placement._types import TaskGroup, VmCondition, VmOffer
-from cassiaweir.types import JobKind, Resources, TaskId, Urgency
+from cassiaweir.types import NOTHING, JobKind, Resources, TaskId, Urgency
 
 if TYPE_CHECKING:
     from cassiaweir.placement._estimates import KindEstimates
@@ -16,7 +16,6 @@
 
 SMALLEST_SHARE = 1e-6
 MOST_SLOTS = 1 << 30
-NOTHING = Resources()
 NEVER_BUSY = -math.inf
 
 
--- a/cassiaweir/teams/_allotments.py
+++ b/cassiaweir/teams/_allotments.py
@@ -28,12 +28,21 @@
     round_up,
     total,
 )
-from cassiaweir.types import CellView, Check, Clock, Resources, Row, Table, Team, Write
+from cassiaweir.types import (
+    NOTHING,
+    CellView,
+    Check,
+    Clock,
+    Resources,
+    Row,
+    Table,
+    Team,
+    Write,
+)
 
 CHUNKS_PER_LIMIT = 16
 GIVE_BACK_AFTER = timedelta(seconds=10)
 LOWERING_GRACE = timedelta(seconds=10)
-NOTHING = Resources()
 
 
 class Tenure(Protocol):
--- a/cassiaweir/types/__init__.py
+++ b/cassiaweir/types/__init__.py
@@ -16,6 +16,7 @@
     Write,
 )
 from cassiaweir.types._values import (
+    NOTHING,
     Clock,
     JobKind,
     Resources,
@@ -40,6 +41,7 @@
 )
 
 __all__ = [
+    "NOTHING",
     "CellView",
     "Check",
     "Clock",
