--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(PYTHON) -m pytest -n 4
 
 proto: setup ## Generate the gRPC code again.
-	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --pyi_out=. --grpc_python_out=. cassiaweir/rpc/cell.proto
+	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --pyi_out=. --grpc_python_out=. cassiaweir/rpc/cell.proto cassiaweir/rpc/node.proto
 
 binary: setup ## Build dist/cassiaweir, one file that runs as one process.
 	rm -rf build/site
--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -106,6 +106,23 @@
     _run(Role.SCHEDULER, path, overrides)
 
 
+@main.command()
+@click.option(
+    "--file",
+    "path",
+    type=click.Path(path_type=Path),
+    help="The platform's settings file, in place of the one it names.",
+)
+def front(path: Path | None) -> None:
+    """Run an entry VM on the users' platform.
+
+    Example: cassiaweir front
+    """
+    from cassiaweir.composition._front_vm import run_front_vm
+
+    run_front_vm(path)
+
+
 def _run(role: Role, path: Path | None, overrides: tuple[str, ...]) -> None:
     from cassiaweir.composition import run_role
 
--- /dev/null
+++ b/cassiaweir/composition/_front_vm.py
@@ -0,0 +1,210 @@
+"""Wires an entry VM on the users' platform: front, peers, election and dispatcher."""
+
+from __future__ import annotations
+
+import random
+import sys
+import uuid
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+from loguru import logger
+
+from cassiaweir.clock import SystemClock
+from cassiaweir.dispatch import Advice, AdviceDesk, LeaderTerm
+from cassiaweir.exceptions import UnavailableError
+from cassiaweir.feeds import TableWatch
+from cassiaweir.front import AccessDesk, FrontServer, StateDesk, SubmissionDesk
+from cassiaweir.leadership import LEAD_PREFIX, Election, Owner
+from cassiaweir.observe import EventLog, configure_logs
+from cassiaweir.peers import (
+    MEMBERS_PREFIX,
+    Members,
+    NodeServicer,
+    PeerClient,
+    StoreRoute,
+)
+from cassiaweir.platform import (
+    MANIFEST_KEY,
+    MANIFEST_PREFIX,
+    SERVERS_PREFIX,
+    AdviceCalls,
+    DirectTransport,
+    HttpSession,
+    PlatformJobForms,
+    PlatformStore,
+    ProcessFile,
+    ServerCalls,
+    decode_manifest,
+    decode_server_entry,
+    load_process_file,
+    process_file_path,
+)
+from cassiaweir.process import Component, Process, run_process
+from cassiaweir.queues import ConfigurationView
+from cassiaweir.rpc._server import Channels, RpcServer
+from cassiaweir.types import Clock
+from cassiaweir.verdict import Verdict
+
+CONFIGURATION_WAIT = timedelta(milliseconds=800)
+LEAD_WAIT = timedelta(milliseconds=600)
+MEMBERS_WAIT = timedelta(seconds=10)
+LONGEST_UNREADY_AGE = timedelta(seconds=3)
+CONNECTIONS_PER_SERVER = 4
+
+
+class _NoAdvice:
+    """Stands in where no advice service is offered."""
+
+    async def advise(
+        self, step: str, server_ids: Sequence[str], timeout_s: float
+    ) -> Advice:
+        """Raise `UnavailableError`."""
+        raise UnavailableError("no advice service", verdict=Verdict.NOT_RUN)
+
+
+class _PeerAdvisors:
+    """Asks the advice service through the other entry VMs."""
+
+    def __init__(self, members: Members, calls: PeerClient) -> None:
+        self._members = members
+        self._calls = calls
+
+    def addresses(self) -> Sequence[str]:
+        """Return the addresses of the other entry VMs."""
+        return self._members.addresses()
+
+    async def advise(
+        self, address: str, step: str, server_ids: Sequence[str], timeout_s: float
+    ) -> Advice:
+        """Return the advice that the machine at `address` gets."""
+        return await self._calls.advise(address, step, server_ids, timeout_s)
+
+
+class _Drain:
+    """Keeps the front open while the balancer still sends connections."""
+
+    def __init__(self, front: FrontServer) -> None:
+        self._front = front
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Wait until the balancer has noticed."""
+        await self._front.drain()
+
+
+class _FormerLeader:
+    """Tells from the members whether a former leader's process was replaced."""
+
+    def __init__(self, watch: TableWatch) -> None:
+        self._watch = watch
+
+    def gone(self, owner: Owner) -> bool:
+        """Tell whether another process runs on the VM that `owner` led from."""
+        row = self._watch.rows.get(f"{MEMBERS_PREFIX}{owner.node}")
+        if row is None:
+            return False
+        member = msgspec.json.decode(row.value)
+        return bool(member.get("instance") != owner.instance)
+
+
+def build_front_vm(file: ProcessFile, clock: Clock) -> Process:
+    """Return the process of an entry VM as `file` describes it."""
+    instance = uuid.uuid4().hex[:12]
+    events = EventLog(file.node, clock)
+    platform_http = HttpSession({})
+    servers_http = HttpSession({}, per_address=CONNECTIONS_PER_SERVER)
+    channels = Channels()
+    peer_calls = PeerClient(channels)
+    route = StoreRoute(
+        DirectTransport(platform_http, file.store_address), peer_calls, clock
+    )
+    store = PlatformStore(route)
+    view = ConfigurationView(MANIFEST_KEY, decode_manifest)
+    configuration = TableWatch(
+        store, MANIFEST_PREFIX, clock, wait=CONFIGURATION_WAIT, listener=view
+    )
+    lead_rows = TableWatch(store, LEAD_PREFIX, clock, wait=LEAD_WAIT)
+    member_rows = TableWatch(store, MEMBERS_PREFIX, clock, wait=MEMBERS_WAIT)
+    members = Members(
+        store,
+        member_rows,
+        clock,
+        node=file.node,
+        instance=instance,
+        address=file.peer_address,
+        seeds=file.seed_addresses,
+    )
+    route.use_peers(members)
+    advisor = (
+        AdviceCalls(platform_http, file.advice_address)
+        if file.advice_address
+        else _NoAdvice()
+    )
+    advisors = _PeerAdvisors(members, peer_calls)
+
+    def open_advice(on_answer: Callable[[], None]) -> AdviceDesk:
+        return AdviceDesk(clock, advisor, advisors, on_answer)
+
+    term = LeaderTerm(
+        table=store,
+        feed=store,
+        clock=clock,
+        configuration=view,
+        calls=ServerCalls(servers_http),
+        servers_prefix=SERVERS_PREFIX,
+        decode_entry=decode_server_entry,
+        open_advice=open_advice,
+        former_gone=_FormerLeader(member_rows).gone,
+    )
+    election = Election(
+        store,
+        lead_rows,
+        clock,
+        peer_calls,
+        term,
+        node=file.node,
+        instance=instance,
+        address=file.peer_address,
+        rng=random.Random(instance),
+    )
+    states = StateDesk(term, peer_calls, election, store)
+    front = FrontServer(
+        front_address=file.front_address,
+        ready_address=file.ready_address,
+        access=AccessDesk(
+            view, configuration, timedelta(seconds=file.key_withdrawal_s)
+        ),
+        submissions=SubmissionDesk(store, clock, states),
+        states=states,
+        forms=PlatformJobForms(),
+        clock=clock,
+        is_ready=lambda: configuration.age() < LONGEST_UNREADY_AGE,
+    )
+    servicer = NodeServicer(term, advisor, route)
+    parts: list[Component] = [
+        platform_http,
+        servers_http,
+        channels,
+        RpcServer(file.peer_address, [servicer.register], events),
+        configuration,
+        lead_rows,
+        member_rows,
+        front,
+        members,
+        election,
+        _Drain(front),
+    ]
+    return Process(parts, events)
+
+
+def run_front_vm(path: Path | None) -> None:
+    """Run an entry VM with the platform's settings file until a signal stops it."""
+    file = load_process_file(path or process_file_path())
+    configure_logs(file.node, "INFO", sys.stdout)
+    logger.info("process_starting", node=file.node, store=file.store_address)
+    run_process(lambda: build_front_vm(file, SystemClock()))
--- /dev/null
+++ b/cassiaweir/dispatch/__init__.py
@@ -0,0 +1,32 @@
+"""Runs jobs on backend servers: order, placement, leases and ends."""
+
+from cassiaweir.dispatch._advice import Advice, Advisor
+from cassiaweir.dispatch._advice_desk import AdviceDesk
+from cassiaweir.dispatch._job_book import PROGRESS_PREFIX, cancel_key, job_key
+from cassiaweir.dispatch._server_entry import (
+    EndKind,
+    OrderOutcome,
+    RunningTask,
+    ServerEntry,
+    ServerReport,
+    StartOrder,
+    TaskEnd,
+)
+from cassiaweir.dispatch._term import LeaderTerm
+
+__all__ = [
+    "PROGRESS_PREFIX",
+    "Advice",
+    "AdviceDesk",
+    "Advisor",
+    "EndKind",
+    "LeaderTerm",
+    "OrderOutcome",
+    "RunningTask",
+    "ServerEntry",
+    "ServerReport",
+    "StartOrder",
+    "TaskEnd",
+    "cancel_key",
+    "job_key",
+]
--- /dev/null
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -0,0 +1,310 @@
+"""What a leader does: takes jobs, drives servers, starts tasks, stores what ended."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from datetime import timedelta
+from typing import Any
+
+from loguru import logger
+
+from cassiaweir.dispatch._advice_desk import AdviceDesk
+from cassiaweir.dispatch._gate import TakeoverGate
+from cassiaweir.dispatch._job_book import (
+    CANCEL_SUFFIX,
+    JOBS_PREFIX,
+    JobBook,
+)
+from cassiaweir.dispatch._link import ServerLink
+from cassiaweir.dispatch._orders import OrderDesk, ServerOrders, StartResult
+from cassiaweir.dispatch._placer import Placer
+from cassiaweir.dispatch._reports import ReportBook
+from cassiaweir.dispatch._run_book import RunBook
+from cassiaweir.dispatch._runs import Run, RunState
+from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._server_entry import OrderOutcome, ServerEntry, ServerReport
+from cassiaweir.dispatch._server_records import ServerRecords
+from cassiaweir.dispatch._usage import Usage
+from cassiaweir.exceptions import LeadershipLostError
+from cassiaweir.jobs import JobState
+from cassiaweir.leadership import CommitStream, Lead
+from cassiaweir.types import Clock, Row
+
+PLACE_DELAY = timedelta(milliseconds=2)
+"""What happens within this time is placed in one go."""
+
+SWEEP_EVERY = timedelta(milliseconds=100)
+FORGET_AFTER_S = 8.0
+"""A server whose entry is missing for so long and that runs nothing is dropped."""
+
+REFUSED_BY_SERVER = (
+    OrderOutcome.UNHEALTHY,
+    OrderOutcome.INVALID,
+    OrderOutcome.NO_ROOM,
+)
+
+AdviceDeskFactory = Callable[[Callable[[], None]], AdviceDesk]
+
+
+class Dispatcher:
+    """One term's work.  Rows and entries are fed in; `run` works until cancelled."""
+
+    def __init__(
+        self,
+        *,
+        lead: Lead,
+        commits: CommitStream,
+        calls: ServerOrders,
+        clock: Clock,
+        jobs: JobBook,
+        records: ServerRecords,
+        gate: TakeoverGate,
+        open_advice: AdviceDeskFactory,
+    ) -> None:
+        self._lead = lead
+        self._commits = commits
+        self._calls = calls
+        self._clock = clock
+        self._jobs = jobs
+        self._records = records
+        self._gate = gate
+        self._usage = Usage()
+        self._runs = RunBook(jobs, self._usage, clock, lead.epoch)
+        self._orders = OrderDesk(calls, clock, lead, self.superseded)
+        self._reports = ReportBook(
+            jobs, self._runs, clock, stop=self._stop, stop_stray=self._stop_stray
+        )
+        self._advice = open_advice(self.wake)
+        self.servers: dict[str, Server] = {}
+        self._links: dict[str, asyncio.Task[None]] = {}
+        self._placer = Placer(
+            jobs,
+            self._runs,
+            self._usage,
+            self._advice,
+            clock,
+            self.servers,
+            launch=self._launch,
+        )
+        self._work = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # What others ask.
+
+    def job_state(self, job_id: str) -> JobState | None:
+        """Return what may be shown of a job, None where it is not known."""
+        return self._jobs.state(job_id)
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many jobs of `queue` have not begun."""
+        return self._jobs.count_pending(queue)
+
+    # What is fed in.
+
+    def take_job_row(self, row: Row) -> None:
+        """Take a job or a request to cancel one."""
+        own = row.key.removeprefix(JOBS_PREFIX)
+        if own.endswith(CANCEL_SUFFIX):
+            self._cancel(own.removesuffix(CANCEL_SUFFIX))
+            return
+        held = not self._gate.is_open and row.version <= self._lead.owner_version
+        entry = self._jobs.take_row(row, held=held)
+        if entry is not None:
+            logger.info(
+                "job_taken", job=own, queue=entry.job.spec.queue.name, held=held
+            )
+            self.wake()
+
+    def take_server(self, entry: ServerEntry) -> None:
+        """Take a new or changed entry of a server."""
+        server = self.servers.get(entry.server_id)
+        if server is None:
+            self._meet(entry)
+            return
+        if entry.born and server.born and entry.born != server.born:
+            self._reports.lose_runs(server, "the server registered another lifetime")
+            server.begin_life(entry.born)
+        if entry.draining and not server.entry.draining:
+            logger.info("server_draining", server=entry.server_id)
+        server.entry = entry
+        server.missing_since = None
+        self.wake()
+
+    def miss_server(self, server_id: str) -> None:
+        """Take note of an entry that was removed."""
+        server = self.servers.get(server_id)
+        if server is not None and server.missing_since is None:
+            server.missing_since = self._clock.monotonic()
+            logger.info("server_missing", server=server_id)
+
+    def note_former_gone(self) -> None:
+        """Take note that the process of the former leader no longer exists."""
+        self._gate.note_former_gone(self._clock.monotonic())
+
+    # What servers report.
+
+    def take_report(self, server: Server, report: ServerReport, asked_at: float) -> int:
+        """Apply a report; return the place of the last write that it led to."""
+        place = self._reports.apply(server, report, asked_at)
+        if not server.fenced:
+            server.fenced = True
+            self._gate.settle(server.server_id)
+            logger.info("server_reached", server=server.server_id)
+        if not server.recorded and not self._records.holds(server.server_id):
+            self._spawn(self._record(server))
+        self.wake()
+        return place
+
+    def note_silent(self, server: Server) -> None:
+        """Give up what ran on a silent server once its lease has lapsed."""
+        if server.runs and server.lapsed(self._clock.monotonic()):
+            logger.warning(
+                "lease_lapsed", server=server.server_id, runs=len(server.runs)
+            )
+            self._reports.lose_runs(server, "the lease has lapsed")
+            self.wake()
+
+    def superseded(self) -> None:
+        """Stop acting: a server follows a later leader."""
+        if not self._lead.lost:
+            logger.warning("lead_superseded", epoch=self._lead.epoch)
+        self._lead.lost = True
+
+    # The work itself.
+
+    def wake(self) -> None:
+        """Look soon for tasks that can start."""
+        self._work.set()
+
+    async def run(self) -> None:
+        """Start tasks until cancelled, or until the lead is lost."""
+        sweep = asyncio.create_task(self._sweep_until_lost())
+        try:
+            while not self._lead.lost:
+                await self._work.wait()
+                await self._clock.sleep(PLACE_DELAY)
+                self._work.clear()
+                if self._lead.may_act(self._clock.monotonic()):
+                    self._placer.place()
+        finally:
+            sweep.cancel()
+            await self._close()
+
+    async def _sweep_until_lost(self) -> None:
+        while not self._lead.lost:
+            await self._clock.sleep(SWEEP_EVERY)
+            self._sweep()
+        self.wake()
+
+    def _sweep(self) -> None:
+        """Do what time alone brings about."""
+        now = self._clock.monotonic()
+        if self._gate.look(now):
+            logger.info("gate_opened", unsettled=",".join(self._gate.waiting))
+            for entry in self._jobs.open_jobs():
+                entry.held = False
+        self._open_due()
+        self._jobs.drop_settled()
+        self._drop_gone(now)
+        self.wake()
+
+    def _open_due(self) -> None:
+        wall = self._clock.now().timestamp()
+        for entry in self._jobs.open_jobs():
+            job = entry.job
+            while job.occurrences_left and job.next_due_at <= wall:
+                job.open_occurrence()
+
+    def _drop_gone(self, now: float) -> None:
+        for server_id, server in list(self.servers.items()):
+            missing = server.missing_since
+            if missing is None or server.runs or now - missing < FORGET_AFTER_S:
+                continue
+            if server.reachable or not server.lapsed(now):
+                continue
+            self._links.pop(server_id).cancel()
+            del self.servers[server_id]
+            self._records.remove(server_id)
+            logger.info("server_dropped", server=server_id)
+
+    def _meet(self, entry: ServerEntry) -> None:
+        server = Server(entry)
+        self.servers[entry.server_id] = server
+        self._jobs.capacity_millis = sum(
+            each.entry.capacity.cpu_millis for each in self.servers.values()
+        )
+        server.recorded = self._records.holds(entry.server_id)
+        link = ServerLink(
+            server, self._calls, self._clock, self._lead, self, self._commits
+        )
+        self._links[entry.server_id] = asyncio.create_task(link.run())
+
+    async def _record(self, server: Server) -> None:
+        """Store that this server may run tasks, before any is started there."""
+        place = self._records.add(server.entry)
+        try:
+            await self._commits.settle(place)
+        except LeadershipLostError:
+            return
+        server.recorded = True
+        self.wake()
+
+    def _cancel(self, job_id: str) -> None:
+        entry = self._jobs.cancel(job_id)
+        if entry is None:
+            return
+        logger.info("job_cancelled", job=job_id, runs=len(entry.runs))
+        for run in list(entry.runs):
+            self._stop(run)
+
+    def _launch(self, runs: Sequence[Run]) -> None:
+        for run in runs:
+            self._spawn(self._start(run))
+
+    async def _start(self, run: Run) -> None:
+        result, outcome = await self._orders.start(run)
+        if result is not StartResult.NOT_STARTED:
+            return
+        logger.info(
+            "run_not_started",
+            task=run.task.name,
+            run=run.number,
+            server=run.server.server_id,
+            outcome="unreachable" if outcome is None else outcome.value,
+        )
+        if outcome is OrderOutcome.NO_TICKET:
+            self._advice.invalidate(run.task.step)
+        elif outcome in REFUSED_BY_SERVER:
+            run.server.health.note_refusal(self._clock.monotonic())
+        self._reports.lose(run, "the start was refused")
+        self.wake()
+
+    def _stop(self, run: Run) -> None:
+        if run.state is not RunState.STOPPING:
+            run.state = RunState.STOPPING
+            self._spawn(self._orders.stop(run))
+
+    def _stop_stray(self, server: Server, task: str, run: int) -> None:
+        self._spawn(self._orders.stop_unknown(server.entry, task, run))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error("order_failed")
+
+    async def _close(self) -> None:
+        await self._advice.close()
+        await _cancel_all([*self._links.values(), *self._tasks])
+
+
+async def _cancel_all(tasks: Iterable[asyncio.Task[None]]) -> None:
+    found = list(tasks)
+    for task in found:
+        task.cancel()
+    await asyncio.gather(*found, return_exceptions=True)
--- /dev/null
+++ b/cassiaweir/dispatch/_gate.py
@@ -0,0 +1,50 @@
+"""Holds tasks back that a former leader may have started where we cannot look yet."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from cassiaweir.dispatch._server import LAPSE_MARGIN_S, LEASE_S, SLOWEST_CLOCK
+
+LONGEST_FORMER_LEASE_S = LEASE_S / SLOWEST_CLOCK + LAPSE_MARGIN_S
+
+
+class TakeoverGate:
+    """Opens when no server can still start or run tasks for a former leader.
+
+    Each server is settled when it has answered in the new epoch, or has begun another
+    lifetime.  Servers that stay unreachable are settled when the former leader may no
+    longer act and the last lease it gave has lapsed: `former_acts_until` is the end of
+    its authority, which moves to now when its process is known to be gone.
+    """
+
+    def __init__(self, server_ids: Iterable[str], *, former_acts_until: float) -> None:
+        self._waiting = set(server_ids)
+        self._former_acts_until = former_acts_until
+        self._open = not self._waiting
+
+    @property
+    def is_open(self) -> bool:
+        """Whether tasks of the former leader's time may be started."""
+        return self._open
+
+    @property
+    def waiting(self) -> frozenset[str]:
+        """The servers that are not settled."""
+        return frozenset(self._waiting)
+
+    def settle(self, server_id: str) -> None:
+        """Note that nothing of the former leader can start on a server any more."""
+        self._waiting.discard(server_id)
+
+    def note_former_gone(self, now: float) -> None:
+        """Note that the process of the former leader no longer exists."""
+        self._former_acts_until = min(self._former_acts_until, now)
+
+    def look(self, now: float) -> bool:
+        """Open the gate where nothing is left to wait for; tell whether it opened."""
+        if self._open:
+            return False
+        expired = now >= self._former_acts_until + LONGEST_FORMER_LEASE_S
+        self._open = not self._waiting or expired
+        return self._open
--- /dev/null
+++ b/cassiaweir/dispatch/_job_book.py
@@ -0,0 +1,213 @@
+"""All jobs that the leader knows, and what is stored of them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from loguru import logger
+
+from cassiaweir.dispatch._objective import Objective, objective_of
+from cassiaweir.dispatch._runs import Run
+from cassiaweir.dispatch._shares import ShareMeter
+from cassiaweir.exceptions import InvalidInputError
+from cassiaweir.jobs import (
+    Job,
+    JobSpec,
+    JobState,
+    Task,
+    apply_progress,
+    decode_outcome,
+    encode_outcome,
+    encode_progress,
+)
+from cassiaweir.queues import Customer, Queue, QueueConfiguration
+from cassiaweir.types import Clock, Row, Write
+
+JOBS_PREFIX = "jobs/main/"
+CANCEL_SUFFIX = ".cancel"
+PROGRESS_PREFIX = "progress/main/"
+
+
+def job_key(job_id: str) -> str:
+    """Return the key of the row that holds a job, and later its outcome."""
+    return f"{JOBS_PREFIX}{job_id}"
+
+
+def cancel_key(job_id: str) -> str:
+    """Return the key of the row that asks for a job's cancelling."""
+    return f"{JOBS_PREFIX}{job_id}{CANCEL_SUFFIX}"
+
+
+class RowWriter(Protocol):
+    """Stores rows in the order in which they are put."""
+
+    def put(self, write: Write) -> int:
+        """Queue a write and return its place in the order."""
+
+    def stored(self, place: int) -> bool:
+        """Tell whether everything up to `place` is stored."""
+
+
+class ConfigurationSource(Protocol):
+    """Tells the configuration in force."""
+
+    def current(self) -> QueueConfiguration:
+        """Return the newest configuration that is known."""
+
+
+@dataclass(slots=True, eq=False)
+class JobEntry:
+    """A job that has not ended, or still has runs.
+
+    `held` keeps its tasks from starting while a former leader may have started them.
+    """
+
+    job: Job
+    objective: Objective
+    over_share: bool
+    held: bool = False
+    runs: set[Run] = field(default_factory=set)
+    place: int = 0
+    progress_stored: bool = False
+    cancel_stored: bool = False
+
+
+class JobBook:
+    """Takes jobs and cancellations from rows and writes progress and outcomes back."""
+
+    def __init__(
+        self,
+        writer: RowWriter,
+        clock: Clock,
+        configuration: ConfigurationSource,
+        progress: Mapping[str, bytes],
+    ) -> None:
+        self.entries: dict[str, JobEntry] = {}
+        self.capacity_millis = 0
+        self._writer = writer
+        self._clock = clock
+        self._configuration = configuration
+        self._progress = dict(progress)
+        self._outcomes: dict[str, JobState] = {}
+        self._shares = ShareMeter()
+
+    def queue_of(self, job: Job) -> Queue:
+        """Return the job's queue as configured now, or as it was at submission."""
+        kept = job.spec.queue
+        return self._configuration.current().queue_named(kept.name) or kept
+
+    def customer_of(self, job: Job) -> Customer | None:
+        """Return the job's customer as configured now."""
+        return self._configuration.current().customers.get(job.spec.customer)
+
+    def take_row(self, row: Row, *, held: bool) -> JobEntry | None:
+        """Take a job, an outcome or a request to cancel; return a new job."""
+        own = row.key.removeprefix(JOBS_PREFIX)
+        if own.endswith(CANCEL_SUFFIX):
+            return None
+        if own in self.entries or own in self._outcomes:
+            return None
+        outcome = decode_outcome(row.value)
+        if outcome is not None:
+            self._outcomes[own] = outcome
+            return None
+        try:
+            spec = JobSpec.decode(row.value)
+        except InvalidInputError as exc:
+            logger.error("job_unreadable", job=own, cause=str(exc))
+            return None
+        return self._open(spec, row.version, held=held)
+
+    def find_task(self, name: str) -> Task | None:
+        """Return the task called `name`, None where no open job has it."""
+        entry = self.entries.get(name.partition(".")[0])
+        return entry.job.find_task(name) if entry is not None else None
+
+    def ended(self, job_id: str) -> bool:
+        """Tell whether the job is known to have ended."""
+        entry = self.entries.get(job_id)
+        return job_id in self._outcomes if entry is None else entry.job.ended
+
+    def state(self, job_id: str) -> JobState | None:
+        """Return what may be shown of a job; an end only once it is stored."""
+        entry = self.entries.get(job_id)
+        if entry is None:
+            return self._outcomes.get(job_id)
+        state = entry.job.state
+        if not state.final or self._writer.stored(entry.place):
+            return state
+        return JobState.RUNNING if entry.job.begun else JobState.QUEUED
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many jobs of `queue` have not begun."""
+        return sum(
+            entry.job.spec.queue.name == queue and not entry.job.begun
+            for entry in self.entries.values()
+            if not entry.job.ended
+        )
+
+    def open_jobs(self) -> Iterator[JobEntry]:
+        """Yield the jobs that have not ended."""
+        return (each for each in self.entries.values() if not each.job.ended)
+
+    def cancel(self, job_id: str) -> JobEntry | None:
+        """End a job because its caller asked for that; return it if it was open."""
+        entry = self.entries.get(job_id)
+        if entry is None or entry.job.ended:
+            if entry is None and job_id in self._outcomes:
+                self._writer.put(Write(cancel_key(job_id), None))
+            return None
+        entry.job.state = JobState.CANCELLED
+        entry.cancel_stored = True
+        self.save(entry)
+        return entry
+
+    def save(self, entry: JobEntry) -> int:
+        """Queue what has changed of a job to be stored; return the write's place."""
+        job = entry.job
+        key = f"{PROGRESS_PREFIX}{job.job_id}"
+        if not job.ended:
+            entry.progress_stored = True
+            entry.place = self._writer.put(Write(key, encode_progress(job)))
+            return entry.place
+        # The outcome comes first, as a job without progress would be run again.
+        entry.place = self._writer.put(Write(job_key(job.job_id), encode_outcome(job)))
+        if entry.progress_stored:
+            self._writer.put(Write(key, None))
+        if entry.cancel_stored:
+            self._writer.put(Write(cancel_key(job.job_id), None))
+        return entry.place
+
+    def drop_settled(self) -> None:
+        """Forget all but the outcome of jobs that have ended and have no runs."""
+        for job_id, entry in list(self.entries.items()):
+            settled = entry.job.ended and not entry.runs
+            if settled and self._writer.stored(entry.place):
+                self._outcomes[job_id] = entry.job.state
+                del self.entries[job_id]
+
+    def _open(self, spec: JobSpec, version: int, *, held: bool) -> JobEntry:
+        job = Job(spec, version, spec.queue.most_failures)
+        progress = self._progress.pop(spec.job_id, None)
+        if progress is not None:
+            self._apply(job, progress)
+        now = self._clock.monotonic()
+        age_s = self._clock.now().timestamp() - spec.submitted_at
+        objective = objective_of(
+            spec, self.queue_of(job), self.capacity_millis, now - age_s
+        )
+        customer = self.customer_of(job)
+        weight = customer.weight if customer is not None else 1.0
+        over = self._shares.over_share(spec.customer, weight, spec.submitted_at)
+        entry = JobEntry(job, objective, over, held)
+        entry.progress_stored = progress is not None
+        self.entries[spec.job_id] = entry
+        return entry
+
+    def _apply(self, job: Job, progress: bytes) -> None:
+        try:
+            apply_progress(job, progress)
+        except InvalidInputError as exc:
+            logger.error("progress_unreadable", job=job.job_id, cause=str(exc))
--- /dev/null
+++ b/cassiaweir/dispatch/_placement.py
@@ -0,0 +1,99 @@
+"""Chooses servers for the tasks of one step."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from cassiaweir.dispatch._server import Server
+from cassiaweir.jobs import Step
+from cassiaweir.types import Resources
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A server and how many tasks of a step fit there now."""
+
+    server: Server
+    slots: int
+
+
+def fitting_tasks(free: Resources, demand: Resources, most: int) -> int:
+    """Return how many tasks of `demand` fit into `free`, at most `most`."""
+    count = most
+    if demand.cpu_millis:
+        count = min(count, free.cpu_millis // demand.cpu_millis)
+    if demand.memory_mb:
+        count = min(count, free.memory_mb // demand.memory_mb)
+    if demand.accelerators:
+        count = min(count, free.accelerators // demand.accelerators)
+    if min(free.cpu_millis, free.memory_mb, free.accelerators) < 0:
+        return 0
+    return max(count, 0)
+
+
+def find_candidates(
+    step: Step,
+    servers: Iterable[Server],
+    tickets: Mapping[str, str] | None,
+    most: int,
+) -> list[Candidate]:
+    """Return the servers that can take tasks of `step`.
+
+    `servers` are those where anything may be started; `tickets` names the ones that
+    the advice service allows, None where no advice is needed.
+    """
+    spec = step.spec
+    demand = spec.demand
+    found = []
+    for server in servers:
+        if tickets is not None and server.server_id not in tickets:
+            continue
+        if spec.label and spec.label not in server.entry.labels:
+            continue
+        room = most
+        if spec.most_per_server:
+            present = server.count_of_step(step.name)
+            room = min(room, spec.most_per_server - present)
+        slots = fitting_tasks(server.free, demand, room)
+        if slots > 0:
+            found.append(Candidate(server, slots))
+    return found
+
+
+def choose_servers(
+    step: Step, candidates: Sequence[Candidate], count: int
+) -> list[Server]:
+    """Return a server for each of up to `count` tasks, the best ones first.
+
+    Small tasks go where least is left over, so that room for large ones stays whole.
+    """
+    ordered = sorted(candidates, key=lambda each: _preference(step, each))
+    if step.spec.same_rack:
+        ordered = _one_rack(ordered, count) or ordered
+    chosen: list[Server] = []
+    for candidate in ordered:
+        take = min(candidate.slots, count - len(chosen))
+        chosen += [candidate.server] * take
+        if len(chosen) == count:
+            break
+    return chosen
+
+
+def _preference(step: Step, candidate: Candidate) -> tuple[int, int, int]:
+    server = candidate.server
+    rack = step.spec.rack
+    far = int(bool(rack) and server.entry.rack != rack)
+    left = server.free.cpu_millis - step.spec.demand.cpu_millis * candidate.slots
+    return (server.health.strikes, far, left)
+
+
+def _one_rack(ordered: Sequence[Candidate], count: int) -> list[Candidate]:
+    """Return the candidates of one rack that has room for all, or nothing."""
+    by_rack: dict[str, list[Candidate]] = {}
+    for candidate in ordered:
+        by_rack.setdefault(candidate.server.entry.rack, []).append(candidate)
+    for group in by_rack.values():
+        if sum(each.slots for each in group) >= count:
+            return group
+    return []
--- /dev/null
+++ b/cassiaweir/dispatch/_placer.py
@@ -0,0 +1,178 @@
+"""Starts waiting tasks: in which order, and where."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+
+from loguru import logger
+
+from cassiaweir.dispatch._advice_desk import AdviceDesk
+from cassiaweir.dispatch._job_book import JobBook, JobEntry
+from cassiaweir.dispatch._objective import Standing, remaining_chain_s, standing
+from cassiaweir.dispatch._placement import choose_servers, find_candidates
+from cassiaweir.dispatch._run_book import RunBook
+from cassiaweir.dispatch._runs import Run
+from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._usage import Usage
+from cassiaweir.jobs import Step, Task
+from cassiaweir.queues import Queue
+from cassiaweir.types import Clock
+
+URGENT_PRIORITY = 0
+Rank = tuple[int, int, int, float]
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A step with tasks that could start, and its place in the order."""
+
+    rank: Rank
+    entry: JobEntry
+    step: Step
+    queue: Queue
+
+
+class Placer:
+    """Places waiting tasks; `launch` is called with the runs to be ordered."""
+
+    def __init__(
+        self,
+        jobs: JobBook,
+        runs: RunBook,
+        usage: Usage,
+        advice: AdviceDesk,
+        clock: Clock,
+        servers: Mapping[str, Server],
+        *,
+        launch: Callable[[Sequence[Run]], None],
+    ) -> None:
+        self._jobs = jobs
+        self._runs = runs
+        self._usage = usage
+        self._advice = advice
+        self._clock = clock
+        self._servers = servers
+        self._launch = launch
+
+    def place(self) -> None:
+        """Start what fits now, in order."""
+        now = self._clock.monotonic()
+        usable = [
+            server
+            for server in self._servers.values()
+            if server.may_place(now) and not server.health.suspended(now)
+        ]
+        reserved: set[str] = set()
+        for waiting in sorted(self._waiting(now), key=lambda each: each.rank):
+            self._place_step(waiting, usable, reserved)
+
+    def _waiting(self, now: float) -> list[_Waiting]:
+        wall = self._clock.now().timestamp()
+        found = []
+        for entry in self._jobs.open_jobs():
+            if entry.held:
+                continue
+            queue = self._jobs.queue_of(entry.job)
+            for step in entry.job.startable():
+                if not _due(step, wall) or not _has_waiting(step):
+                    continue
+                found.append(
+                    _Waiting(_rank(entry, step, queue, now), entry, step, queue)
+                )
+        return found
+
+    def _place_step(
+        self, waiting: _Waiting, usable: Sequence[Server], reserved: set[str]
+    ) -> None:
+        step, queue = waiting.step, waiting.queue
+        tasks = step.waiting()
+        if step.spec.gang and len(tasks) < len(step.tasks):
+            return
+        customer = self._jobs.customer_of(waiting.entry.job)
+        allowed = self._usage.room_for(customer, step.spec.demand, len(tasks))
+        if allowed == 0 or (step.spec.gang and allowed < len(tasks)):
+            return
+        of_service = [each for each in usable if each.entry.service == queue.service]
+        tickets = self._tickets(waiting, of_service)
+        if queue.advice is not None and tickets is None:
+            return
+        free = [each for each in of_service if each.server_id not in reserved]
+        candidates = find_candidates(step, free, tickets, allowed)
+        chosen = choose_servers(step, candidates, allowed)
+        if step.spec.gang and len(chosen) < len(tasks):
+            if queue.priority > URGENT_PRIORITY and not reserved:
+                reserved.update(_reservation(of_service, tickets))
+            return
+        self._start(step, tasks, chosen, tickets or {})
+
+    def _tickets(
+        self, waiting: _Waiting, servers: Sequence[Server]
+    ) -> Mapping[str, str] | None:
+        """Return the tickets of a step, asking for them where there are none."""
+        policy = waiting.queue.advice
+        if policy is None:
+            return None
+        tickets = self._advice.tickets(waiting.step)
+        if tickets is None:
+            ids = [server.server_id for server in servers]
+            urgency = waiting.rank[1] * 1e9 + waiting.rank[3]
+            self._advice.ask(waiting.step, policy, ids, urgency)
+        return tickets
+
+    def _start(
+        self,
+        step: Step,
+        tasks: Sequence[Task],
+        chosen: Sequence[Server],
+        tickets: Mapping[str, str],
+    ) -> None:
+        runs: list[Run] = []
+        for task, server in zip(tasks, chosen, strict=False):
+            number = self._runs.next_number(step, task)
+            if step.spec.gang and runs:
+                number = runs[0].number
+            ticket = tickets.get(server.server_id, "")
+            runs.append(self._runs.place(task, server, number, ticket))
+        if runs:
+            logger.info(
+                "tasks_placed",
+                step=step.name,
+                tasks=len(runs),
+                run=runs[0].number,
+                servers=",".join(sorted({run.server.server_id for run in runs})),
+            )
+            self._launch(runs)
+
+
+def _reservation(
+    servers: Sequence[Server], tickets: Mapping[str, str] | None
+) -> set[str]:
+    """Return the servers that a gang waits for, which smaller work leaves alone."""
+    return {
+        server.server_id
+        for server in servers
+        if tickets is None or server.server_id in tickets
+    }
+
+
+def _due(step: Step, wall: float) -> bool:
+    spec = step.job.spec
+    if not spec.times:
+        return True
+    return wall >= spec.first_at + step.occurrence * spec.interval_s
+
+
+def _has_waiting(step: Step) -> bool:
+    return len(step.placed()) + step.done < len(step.tasks)
+
+
+def _rank(entry: JobEntry, step: Step, queue: Queue, now: float) -> Rank:
+    """Return what orders a step: what it can reach, urgency, share, latest start."""
+    remaining = remaining_chain_s(entry.job, step)
+    reach = standing(entry.objective, remaining, now)
+    urgent = queue.priority == URGENT_PRIORITY
+    latest_start = entry.objective.due_at - remaining
+    if reach is not Standing.ON_TIME:
+        urgent = False
+    return (int(reach), int(not urgent), int(entry.over_share), latest_start)
--- /dev/null
+++ b/cassiaweir/dispatch/_reports.py
@@ -0,0 +1,173 @@
+"""Turns the reports of servers into what is known of runs, tasks and jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from cassiaweir.dispatch._job_book import JobBook, JobEntry
+from cassiaweir.dispatch._run_book import RunBook
+from cassiaweir.dispatch._runs import Run, RunState
+from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._server_entry import (
+    EndKind,
+    RunningTask,
+    ServerReport,
+    TaskEnd,
+)
+from cassiaweir.jobs import Task, TaskState
+from cassiaweir.types import Clock
+
+
+class ReportBook:
+    """Applies reports.  `stop` is called for runs that must not go on.
+
+    `stop_stray` is called for a listed run that belongs to no open task.
+    """
+
+    def __init__(
+        self,
+        jobs: JobBook,
+        runs: RunBook,
+        clock: Clock,
+        *,
+        stop: Callable[[Run], None],
+        stop_stray: Callable[[Server, str, int], None],
+    ) -> None:
+        self._jobs = jobs
+        self._runs = runs
+        self._clock = clock
+        self._stop = stop
+        self._stop_stray = stop_stray
+
+    def apply(self, server: Server, report: ServerReport, asked_at: float) -> int:
+        """Apply a report; return the place of the last write that it led to."""
+        if report.born and server.born and report.born != server.born:
+            self.lose_runs(server, "the server began another lifetime")
+            server.begin_life(report.born)
+        elif report.born:
+            server.born = report.born
+        server.note_report(report, self._clock.monotonic())
+        place = 0
+        for end in report.ended:
+            if end.number > server.acknowledged:
+                place = max(place, self._apply_end(server, end))
+        listed = {(running.task, running.run) for running in report.running}
+        server.strays = frozenset(
+            (running.task, running.run)
+            for running in report.running
+            if not self._apply_running(server, running)
+        )
+        self._remove_unlisted(server, listed, asked_at)
+        return place
+
+    def lose_runs(self, server: Server, cause: str) -> None:
+        """Note that nothing of what was counted on `server` runs any more."""
+        for key in list(server.runs):
+            run = self._runs.remove(server, key)
+            if run is not None:
+                self._lose(run, cause)
+
+    def lose(self, run: Run, cause: str) -> None:
+        """Note that `run` does not exist and never will."""
+        if self._runs.remove(run.server, run.key) is not None:
+            self._lose(run, cause)
+
+    def _lose(self, run: Run, cause: str) -> None:
+        self._runs.requeue(run, cause)
+        if run.task.step.spec.gang and not run.task.step.complete:
+            self._stop_gang(run)
+
+    def _stop_gang(self, lost: Run) -> None:
+        """Stop the members that wait in vain for a lost one."""
+        for run in self._runs.gang_runs(lost.task.step):
+            if run.number == lost.number and run.state is not RunState.STOPPING:
+                self._stop(run)
+
+    def _apply_running(self, server: Server, running: RunningTask) -> bool:
+        """Apply a listed run; tell whether it belongs to a job that is known."""
+        run = server.runs.get((running.task, running.run))
+        if run is not None:
+            run.task.step.keep_checkpoint(run.task, running.checkpoint)
+            return True
+        task = self._jobs.find_task(running.task)
+        if task is None:
+            self._stop_stray(server, running.task, running.run)
+            return False
+        adopted = self._runs.adopt(task, server, running.run)
+        adopted.state = RunState.RUNNING
+        adopted.answered_at = self._clock.monotonic()
+        task.step.keep_checkpoint(task, running.checkpoint)
+        wanted = adopted.current and task.state is TaskState.PLACED
+        if wanted and not task.step.job.ended:
+            logger.info(
+                "run_adopted",
+                task=running.task,
+                run=running.run,
+                server=server.server_id,
+            )
+            return True
+        self._stop(adopted)
+        return True
+
+    def _remove_unlisted(
+        self, server: Server, listed: set[tuple[str, int]], asked_at: float
+    ) -> None:
+        """Remove runs that were known before the report was asked for and are gone."""
+        for key, run in list(server.runs.items()):
+            settled = run.answered_at is not None and run.answered_at < asked_at
+            if key not in listed and settled:
+                self.lose(run, "the server no longer lists the run")
+
+    def _apply_end(self, server: Server, end: TaskEnd) -> int:
+        """Apply an end; return the place of the write that it led to, or 0."""
+        run = self._runs.remove(server, (end.task, end.run))
+        task = self._jobs.find_task(end.task)
+        if task is None:
+            return 0
+        entry = self._jobs.entries[task.step.job.job_id]
+        logger.info(
+            "run_ended",
+            task=end.task,
+            run=end.run,
+            server=server.server_id,
+            how=end.kind.value,
+            seconds=_seconds_since(run, self._clock.monotonic()),
+        )
+        if end.kind is EndKind.DONE:
+            return self._finish(server, entry, task)
+        task.step.keep_checkpoint(task, end.checkpoint)
+        place = 0
+        if end.kind is EndKind.FAILED:
+            place = self._fail(server, entry, task, end)
+        if run is not None:
+            self._runs.requeue(run, end.kind.value)
+        return place
+
+    def _finish(self, server: Server, entry: JobEntry, task: Task) -> int:
+        server.health.note_success()
+        if not entry.job.finish_task(task):
+            return entry.place
+        for run in list(entry.runs):
+            if run.task is task:
+                self._stop(run)
+        if entry.job.ended:
+            logger.info("job_ended", job=entry.job.job_id, state=entry.job.state.value)
+        return self._jobs.save(entry)
+
+    def _fail(self, server: Server, entry: JobEntry, task: Task, end: TaskEnd) -> int:
+        if not entry.job.fail_run(task, end.run, server.server_id):
+            return entry.place
+        now = self._clock.monotonic()
+        if server.health.note_failure(entry.job.job_id, now):
+            logger.warning("server_suspended", server=server.server_id)
+        if entry.job.ended:
+            logger.info("job_ended", job=entry.job.job_id, state=entry.job.state.value)
+            for run in list(entry.runs):
+                self._stop(run)
+        return self._jobs.save(entry)
+
+
+def _seconds_since(run: Run | None, now: float) -> float:
+    return -1.0 if run is None else round(now - run.placed_at, 3)
--- /dev/null
+++ b/cassiaweir/dispatch/_run_book.py
@@ -0,0 +1,101 @@
+"""All runs of the leader's term: where they are and what they take."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from cassiaweir.dispatch._job_book import JobBook, JobEntry
+from cassiaweir.dispatch._runs import Run, RunKey
+from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._usage import Usage
+from cassiaweir.jobs import Step, Task, TaskState
+from cassiaweir.types import Clock
+
+RUNS_PER_EPOCH = 64
+"""Run numbers of an epoch start above those that earlier leaders can have used."""
+
+
+class RunBook:
+    """Creates and removes runs, counting them by server, customer and job."""
+
+    def __init__(self, jobs: JobBook, usage: Usage, clock: Clock, epoch: int) -> None:
+        self._jobs = jobs
+        self._usage = usage
+        self._clock = clock
+        self._lowest_run = (epoch - 1) * RUNS_PER_EPOCH
+
+    def next_number(self, step: Step, task: Task) -> int:
+        """Return the number of the next run; the members of a gang share it."""
+        members = step.tasks if step.spec.gang else [task]
+        return max(self._lowest_run, *(member.run for member in members)) + 1
+
+    def place(self, task: Task, server: Server, number: int, ticket: str = "") -> Run:
+        """Count a run that is about to be ordered."""
+        entry = self._jobs.entries[task.step.job.job_id]
+        run = Run(
+            task=task,
+            number=number,
+            server=server,
+            demand=task.step.spec.demand,
+            customer=entry.job.spec.customer,
+            placed_at=self._clock.monotonic(),
+            ticket=ticket,
+        )
+        task.run = number
+        task.state = TaskState.PLACED
+        entry.job.mark_begun()
+        self._count(entry, run)
+        return run
+
+    def adopt(self, task: Task, server: Server, number: int) -> Run:
+        """Count a run that a server lists, started by a former leader."""
+        entry = self._jobs.entries[task.step.job.job_id]
+        run = Run(
+            task=task,
+            number=number,
+            server=server,
+            demand=task.step.spec.demand,
+            customer=entry.job.spec.customer,
+            placed_at=self._clock.monotonic(),
+        )
+        if task.state is TaskState.WAITING:
+            task.run = max(task.run, number)
+            task.state = TaskState.PLACED
+            entry.job.mark_begun()
+        self._count(entry, run)
+        return run
+
+    def remove(self, server: Server, key: RunKey) -> Run | None:
+        """Stop counting a run; return it, or None where it was not counted."""
+        run = server.remove(key)
+        if run is None:
+            return None
+        self._usage.remove(run.customer, run.demand)
+        entry = self._jobs.entries.get(run.task.step.job.job_id)
+        if entry is not None:
+            entry.runs.discard(run)
+        return run
+
+    def requeue(self, run: Run, cause: str) -> None:
+        """Let the task of a removed run wait again, unless a newer run exists."""
+        if run.current and run.task.state is TaskState.PLACED:
+            run.task.step.job.release(run.task)
+            logger.info(
+                "task_waits_again",
+                task=run.task.name,
+                run=run.number,
+                server=run.server.server_id,
+                cause=cause,
+            )
+
+    def gang_runs(self, step: Step) -> list[Run]:
+        """Return the counted runs of `step`."""
+        entry = self._jobs.entries.get(step.job.job_id)
+        if entry is None:
+            return []
+        return [run for run in entry.runs if run.task.step is step]
+
+    def _count(self, entry: JobEntry, run: Run) -> None:
+        run.server.add(run)
+        self._usage.add(run.customer, run.demand)
+        entry.runs.add(run)
--- /dev/null
+++ b/cassiaweir/dispatch/_server.py
@@ -0,0 +1,120 @@
+"""The leader's book on one backend server: capacity, lease and soundness."""
+
+from __future__ import annotations
+
+from cassiaweir.dispatch._health import ServerHealth
+from cassiaweir.dispatch._runs import Run, RunKey
+from cassiaweir.dispatch._server_entry import ServerEntry, ServerReport
+from cassiaweir.types import NOTHING, Resources
+
+LEASE_S = 4.0
+"""Seconds that runs go on without hearing from a leader."""
+
+SLOWEST_CLOCK = 0.98
+"""A server's clock may run slower than ours by this factor."""
+
+LAPSE_MARGIN_S = 0.1
+MISSING_GRACE_S = 2.2
+"""An entry that vanished with an outage of the store is back within this time."""
+
+LONGEST_REPORT_AGE_S = 3.0
+MILLISECONDS = 1_000
+
+
+class Server:
+    """A backend server as the leader knows it.
+
+    All times are seconds on the leader's clock.  What a run takes is counted from
+    before its order is sent until its end is listed.  `strays` are listed runs of jobs
+    that are not known, whose share of the capacity cannot be told.
+    """
+
+    def __init__(self, entry: ServerEntry) -> None:
+        self.entry = entry
+        self.runs: dict[RunKey, Run] = {}
+        self.used = NOTHING
+        self.health = ServerHealth()
+        self.fenced = False
+        self.recorded = False
+        self.reachable = True
+        self.missing_since: float | None = None
+        self.acknowledged = 0
+        self.strays: frozenset[RunKey] = frozenset()
+        self.born = entry.born
+        self._clock_ms: int | None = None
+        self._clock_read_at = 0.0
+        self._longest_until_ms = 0
+
+    @property
+    def server_id(self) -> str:
+        """The id under which the server registered."""
+        return self.entry.server_id
+
+    @property
+    def free(self) -> Resources:
+        """What can still be placed; negative where the capacity shrank."""
+        return self.entry.capacity - self.used
+
+    def add(self, run: Run) -> None:
+        """Count `run` against the capacity."""
+        self.runs[run.key] = run
+        self.used = self.used + run.demand
+
+    def remove(self, key: RunKey) -> Run | None:
+        """Stop counting a run; return it, or None where it was not counted."""
+        run = self.runs.pop(key, None)
+        if run is not None:
+            self.used = self.used - run.demand
+        return run
+
+    def count_of_step(self, step_name: str) -> int:
+        """Return how many runs belong to the step called `step_name`."""
+        return sum(run.task.step.name == step_name for run in self.runs.values())
+
+    def may_place(self, now: float) -> bool:
+        """Tell whether new runs may be started here."""
+        if not (self.fenced and self.recorded and self.reachable):
+            return False
+        if self.entry.draining or self._clock_ms is None:
+            return False
+        if self.strays:
+            return False
+        missing = self.missing_since
+        if missing is not None and now - missing > MISSING_GRACE_S:
+            return False
+        return now - self._clock_read_at < LONGEST_REPORT_AGE_S
+
+    def note_report(self, report: ServerReport, now: float) -> None:
+        """Take the server's clock from a report."""
+        self._clock_ms = report.clock_ms
+        self._clock_read_at = now
+        self.reachable = True
+
+    def begin_life(self, born: int) -> None:
+        """Forget what belongs to an earlier lifetime of the server."""
+        self.born = born
+        self.acknowledged = 0
+        self.strays = frozenset()
+        self._clock_ms = None
+        self._longest_until_ms = 0
+        self.health = ServerHealth()
+
+    def next_until_ms(self, now: float) -> int | None:
+        """Return until when a lease given now lasts on the server's clock.
+
+        None until the server's clock is known.
+        """
+        if self._clock_ms is None:
+            return None
+        elapsed_s = now - self._clock_read_at
+        until = self._clock_ms + round((elapsed_s + LEASE_S) * MILLISECONDS)
+        self._longest_until_ms = max(self._longest_until_ms, until)
+        return until
+
+    def lapsed(self, now: float) -> bool:
+        """Tell whether every lease that was ever given has certainly run out."""
+        if self._clock_ms is None:
+            return True
+        left_ms = self._longest_until_ms - self._clock_ms
+        left_s = left_ms / MILLISECONDS / SLOWEST_CLOCK + LAPSE_MARGIN_S
+        return now > self._clock_read_at + left_s
--- /dev/null
+++ b/cassiaweir/dispatch/_term.py
@@ -0,0 +1,234 @@
+"""A leader's term: loads what is stored, then dispatches until the lead is lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from loguru import logger
+
+from cassiaweir.dispatch._dispatcher import AdviceDeskFactory, Dispatcher
+from cassiaweir.dispatch._gate import TakeoverGate
+from cassiaweir.dispatch._job_book import (
+    JOBS_PREFIX,
+    PROGRESS_PREFIX,
+    ConfigurationSource,
+    JobBook,
+)
+from cassiaweir.dispatch._orders import ServerOrders
+from cassiaweir.dispatch._server_entry import ServerEntry
+from cassiaweir.dispatch._server_records import RECORDS_PREFIX, ServerRecords
+from cassiaweir.exceptions import InvalidInputError, UnavailableError
+from cassiaweir.feeds import TableWatch
+from cassiaweir.jobs import JobState
+from cassiaweir.leadership import AUTHORITY, CommitStream, Lead, Owner
+from cassiaweir.types import Clock, Feed, Row, Table
+
+FEED_WAIT = timedelta(seconds=1)
+RETRY_DELAY = timedelta(milliseconds=50)
+LISTING_DELAY = timedelta(milliseconds=2)
+LOOK_EVERY = timedelta(milliseconds=100)
+UNREACHED_SHARE = 0.5
+UNREACHED_PATIENCE_S = 2.0
+"""A leader that reaches fewer servers than this share for so long lets others try."""
+
+
+class _JobListener:
+    """Feeds rows of jobs to the dispatcher."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+
+    def on_row(self, key: str, row: Row | None) -> None:
+        """Take a new row; removed ones say nothing."""
+        if row is not None:
+            self._dispatcher.take_job_row(row)
+
+
+class _ServerListener:
+    """Feeds the entries of servers to the dispatcher."""
+
+    def __init__(
+        self, prefix: str, decode: Callable[[str, bytes], ServerEntry]
+    ) -> None:
+        self._prefix = prefix
+        self._decode = decode
+        self.dispatcher: Dispatcher | None = None
+
+    def on_row(self, key: str, row: Row | None) -> None:
+        """Take an entry; one that cannot be read names no server to use."""
+        if self.dispatcher is None:
+            return
+        server_id = key.removeprefix(self._prefix)
+        if row is None:
+            self.dispatcher.miss_server(server_id)
+            return
+        try:
+            entry = self._decode(server_id, row.value)
+        except InvalidInputError as exc:
+            logger.warning("server_entry_unreadable", server=server_id, cause=str(exc))
+            self.dispatcher.miss_server(server_id)
+            return
+        self.dispatcher.take_server(entry)
+
+
+class LeaderTerm:
+    """Serves the terms of this process, one at a time; between them it knows nothing.
+
+    `former_gone` tells whether the process of a former leader has been replaced.
+    `servers_prefix` and `decode_entry` say where servers register and in what form.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: Table,
+        feed: Feed,
+        clock: Clock,
+        configuration: ConfigurationSource,
+        calls: ServerOrders,
+        servers_prefix: str,
+        decode_entry: Callable[[str, bytes], ServerEntry],
+        open_advice: AdviceDeskFactory,
+        former_gone: Callable[[Owner], bool],
+    ) -> None:
+        self._table = table
+        self._feed = feed
+        self._clock = clock
+        self._configuration = configuration
+        self._calls = calls
+        self._servers_prefix = servers_prefix
+        self._decode_entry = decode_entry
+        self._open_advice = open_advice
+        self._former_gone = former_gone
+        self._dispatcher: Dispatcher | None = None
+        self._lead: Lead | None = None
+
+    @property
+    def leads_in_epoch(self) -> int:
+        """The epoch that this process leads in, 0 where it does not lead."""
+        if self._dispatcher is None or self._lead is None or self._lead.lost:
+            return 0
+        return self._lead.epoch
+
+    def take_rows(self, rows: Sequence[Row]) -> None:
+        """Take rows that were just stored, which the feed will bring again."""
+        if self._dispatcher is not None:
+            for row in rows:
+                self._dispatcher.take_job_row(row)
+
+    def job_state(self, job_id: str) -> JobState | None:
+        """Return the state of a job, None where it is not known."""
+        if not self.leads_in_epoch or self._dispatcher is None:
+            return None
+        return self._dispatcher.job_state(job_id)
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many jobs of `queue` have not begun."""
+        return 0 if self._dispatcher is None else self._dispatcher.count_pending(queue)
+
+    async def serve(self, lead: Lead, commits: CommitStream) -> None:
+        """Lead until cancelled, or return where others may reach more servers."""
+        listener = _ServerListener(self._servers_prefix, self._decode_entry)
+        servers = TableWatch(
+            self._feed,
+            self._servers_prefix,
+            self._clock,
+            wait=FEED_WAIT,
+            listener=listener,
+        )
+        progress = await self._scan(PROGRESS_PREFIX)
+        records = await self._scan(RECORDS_PREFIX)
+        dispatcher = self._build(lead, commits, progress, records)
+        jobs = TableWatch(
+            self._feed,
+            JOBS_PREFIX,
+            self._clock,
+            wait=FEED_WAIT,
+            listener=_JobListener(dispatcher),
+        )
+        listener.dispatcher = dispatcher
+        self._lead = lead
+        jobs_task = asyncio.create_task(jobs.run())
+        tasks = [jobs_task]
+        try:
+            # A server's report means nothing before the jobs are known.
+            while not jobs.listed:
+                await self._clock.sleep(LISTING_DELAY)
+            self._dispatcher = dispatcher
+            work = asyncio.create_task(dispatcher.run())
+            watch = asyncio.create_task(self._watch_servers(lead, dispatcher))
+            tasks += [asyncio.create_task(servers.run()), work, watch]
+            done, _ = await asyncio.wait(
+                (work, watch), return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            self._dispatcher = None
+            self._lead = None
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _build(
+        self,
+        lead: Lead,
+        commits: CommitStream,
+        progress: Sequence[Row],
+        records: Sequence[Row],
+    ) -> Dispatcher:
+        book = JobBook(
+            commits,
+            self._clock,
+            self._configuration,
+            {row.key.removeprefix(PROGRESS_PREFIX): row.value for row in progress},
+        )
+        server_records = ServerRecords(commits, records)
+        acts_until = self._clock.monotonic() + AUTHORITY.total_seconds()
+        gate = TakeoverGate(server_records.server_ids, former_acts_until=acts_until)
+        return Dispatcher(
+            lead=lead,
+            commits=commits,
+            calls=self._calls,
+            clock=self._clock,
+            jobs=book,
+            records=server_records,
+            gate=gate,
+            open_advice=self._open_advice,
+        )
+
+    async def _scan(self, prefix: str) -> list[Row]:
+        while True:
+            try:
+                return await self._table.scan(prefix)
+            except UnavailableError as exc:
+                logger.warning("takeover_waits", prefix=prefix, cause=str(exc))
+                await self._clock.sleep(RETRY_DELAY)
+
+    async def _watch_servers(self, lead: Lead, dispatcher: Dispatcher) -> None:
+        """Return when most servers have been out of reach for long."""
+        unreached_since: float | None = None
+        while True:
+            await self._clock.sleep(LOOK_EVERY)
+            former = lead.former
+            if former is not None and self._former_gone(former):
+                dispatcher.note_former_gone()
+            now = self._clock.monotonic()
+            if not _mostly_unreached(dispatcher):
+                unreached_since = None
+                continue
+            if unreached_since is None:
+                unreached_since = now
+            if now - unreached_since > UNREACHED_PATIENCE_S:
+                logger.warning("servers_out_of_reach", epoch=lead.epoch)
+                return
+
+
+def _mostly_unreached(dispatcher: Dispatcher) -> bool:
+    present = [
+        server for server in dispatcher.servers.values() if server.missing_since is None
+    ]
+    unreached = sum(not server.reachable for server in present)
+    return unreached > len(present) * UNREACHED_SHARE
--- a/cassiaweir/exceptions.py
+++ b/cassiaweir/exceptions.py
@@ -66,3 +66,11 @@
 
 class LeaseLostError(CassiaweirError):
     """The caller no longer owns the shard that it acts for."""
+
+
+class HistoryLostError(CassiaweirError):
+    """The store no longer holds the changes asked for; list the rows again."""
+
+
+class LeadershipLostError(CassiaweirError):
+    """Another process has taken over, or this one may no longer act as the leader."""
--- /dev/null
+++ b/cassiaweir/feeds/_table_watch.py
@@ -0,0 +1,138 @@
+"""Keeps the rows under one prefix in memory and tells a listener what changes."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+from typing import Protocol
+
+from loguru import logger
+
+from cassiaweir.exceptions import HistoryLostError, UnavailableError
+from cassiaweir.types import Clock, Feed, Row
+
+RETRY_DELAY = timedelta(milliseconds=100)
+
+
+class RowListener(Protocol):
+    """Is told of every change of a watched row."""
+
+    def on_row(self, key: str, row: Row | None) -> None:
+        """Take note of the newest row at `key`, None where it was removed."""
+
+
+class TableWatch:
+    """Follows the rows whose key starts with `prefix`.
+
+    `wait` bounds how long the store may hold an answer back for want of changes, and
+    so how old the view gets while the store works.
+    """
+
+    def __init__(
+        self,
+        feed: Feed,
+        prefix: str,
+        clock: Clock,
+        *,
+        wait: timedelta,
+        listener: RowListener | None = None,
+    ) -> None:
+        self.rows: dict[str, Row] = {}
+        self._feed = feed
+        self._prefix = prefix
+        self._table = prefix.partition("/")[0]
+        self._clock = clock
+        self._wait = wait
+        self._listener = listener
+        self._version: int | None = None
+        self._fresh_at: float | None = None
+        self._changed_at: float | None = None
+        self._reachable = True
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to follow the rows."""
+        self._task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    @property
+    def listed(self) -> bool:
+        """Whether the rows have been read at least once."""
+        return self._fresh_at is not None
+
+    def age(self) -> timedelta:
+        """Return how old the view is at most; very long before the first answer."""
+        if self._fresh_at is None:
+            return timedelta.max
+        return timedelta(seconds=self._clock.monotonic() - self._fresh_at)
+
+    def unchanged_for(self) -> timedelta:
+        """Return how long the store has shown no change, as far as it was asked."""
+        if self._fresh_at is None or self._changed_at is None:
+            return timedelta(0)
+        return timedelta(seconds=self._fresh_at - self._changed_at)
+
+    async def run(self) -> None:
+        """Follow the rows until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError as exc:
+                logger.info("feed_restarted", prefix=self._prefix, cause=str(exc))
+                self._version = None
+            except UnavailableError as exc:
+                self._note_lost(exc)
+                await self._clock.sleep(RETRY_DELAY)
+
+    async def _step(self) -> None:
+        sent_at = self._clock.monotonic()
+        if self._version is None:
+            await self._list_rows()
+        else:
+            await self._read_changes(self._version)
+        self._fresh_at = sent_at
+        if self._changed_at is None:
+            self._changed_at = sent_at
+        if not self._reachable:
+            self._reachable = True
+            logger.info("feed_regained", prefix=self._prefix)
+
+    async def _list_rows(self) -> None:
+        snapshot = await self._feed.snapshot(self._prefix)
+        found = {row.key: row for row in snapshot.rows}
+        for key in self.rows.keys() - found.keys():
+            self._apply(key, None)
+        for key, row in found.items():
+            known = self.rows.get(key)
+            if known is None or known.version != row.version:
+                self._apply(key, row)
+        self._version = snapshot.version
+
+    async def _read_changes(self, version: int) -> None:
+        changes = await self._feed.changes(self._table, version, self._wait)
+        for key in changes.removed:
+            if key.startswith(self._prefix):
+                self._apply(key, None)
+        for row in changes.written:
+            if row.key.startswith(self._prefix):
+                self._apply(row.key, row)
+        self._version = changes.version
+
+    def _apply(self, key: str, row: Row | None) -> None:
+        self._changed_at = self._clock.monotonic()
+        if row is None:
+            self.rows.pop(key, None)
+        else:
+            self.rows[key] = row
+        if self._listener is not None:
+            self._listener.on_row(key, row)
+
+    def _note_lost(self, exc: UnavailableError) -> None:
+        if self._reachable:
+            self._reachable = False
+            logger.warning("feed_lost", prefix=self._prefix, cause=str(exc))
--- /dev/null
+++ b/cassiaweir/jobs/__init__.py
@@ -0,0 +1,31 @@
+"""Jobs: what callers ask for, the rules of their tasks, and what is stored of them."""
+
+from cassiaweir.jobs._job import Job, JobState, Step, Task, TaskState
+from cassiaweir.jobs._progress import (
+    apply_progress,
+    decode_outcome,
+    encode_outcome,
+    encode_progress,
+)
+from cassiaweir.jobs._specs import (
+    LONGEST_TASK_SPEC,
+    JobSpec,
+    StepSpec,
+    check_steps,
+)
+
+__all__ = [
+    "LONGEST_TASK_SPEC",
+    "Job",
+    "JobSpec",
+    "JobState",
+    "Step",
+    "StepSpec",
+    "Task",
+    "TaskState",
+    "apply_progress",
+    "check_steps",
+    "decode_outcome",
+    "encode_outcome",
+    "encode_progress",
+]
--- /dev/null
+++ b/cassiaweir/leadership/__init__.py
@@ -0,0 +1,25 @@
+"""Who leads a deployment, and the writes that only the leader may make."""
+
+from cassiaweir.leadership._commits import CommitStream
+from cassiaweir.leadership._election import Election, Probe, ProbeResult, Term
+from cassiaweir.leadership._rows import (
+    LEAD_PREFIX,
+    Guard,
+    Owner,
+    decode_owner,
+)
+from cassiaweir.leadership._terms import AUTHORITY, Lead
+
+__all__ = [
+    "AUTHORITY",
+    "LEAD_PREFIX",
+    "CommitStream",
+    "Election",
+    "Guard",
+    "Lead",
+    "Owner",
+    "Probe",
+    "ProbeResult",
+    "Term",
+    "decode_owner",
+]
--- /dev/null
+++ b/cassiaweir/leadership/_election.py
@@ -0,0 +1,240 @@
+"""Decides when this process takes the lead, and runs its term."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import uuid
+from datetime import timedelta
+from enum import StrEnum
+from typing import Protocol
+
+import msgspec
+from loguru import logger
+
+from cassiaweir.exceptions import (
+    ConflictError,
+    LeadershipLostError,
+    UnavailableError,
+)
+from cassiaweir.feeds import TableWatch
+from cassiaweir.leadership._commits import CommitStream
+from cassiaweir.leadership._rows import (
+    GUARD_KEY,
+    OWNER_KEY,
+    Guard,
+    Owner,
+    decode_guard,
+    decode_owner,
+)
+from cassiaweir.leadership._terms import Lead
+from cassiaweir.types import Check, Clock, Row, Table, Write
+
+LOOK_EVERY = timedelta(milliseconds=100)
+SUSPECT_AFTER = timedelta(milliseconds=1_600)
+SUSPECT_GONE_AFTER = timedelta(milliseconds=650)
+"""Less silence is enough where the leader's address refuses connections."""
+
+LONGEST_JITTER_S = 0.08
+PAUSE_AFTER_RELEASE = timedelta(seconds=3)
+"""A process that gave up the lead leaves it to others for so long."""
+
+
+class ProbeResult(StrEnum):
+    """What a call to the leader shows."""
+
+    LEADS = "leads"
+    LEADS_NOT = "leads_not"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+class Probe(Protocol):
+    """Asks another process whether it leads."""
+
+    async def probe(self, address: str) -> ProbeResult:
+        """Return what the process at `address` answers."""
+
+
+class Term(Protocol):
+    """What a process does while it leads."""
+
+    async def serve(self, lead: Lead, commits: CommitStream) -> None:
+        """Lead until cancelled, or return to give up the lead."""
+
+
+class Election:
+    """Follows the owner row; takes over from a leader that is gone, and leads.
+
+    `node`, `instance` and `address` identify this process to the others.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        watch: TableWatch,
+        clock: Clock,
+        probe: Probe,
+        term: Term,
+        *,
+        node: str,
+        instance: str,
+        address: str,
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self._watch = watch
+        self._clock = clock
+        self._probe = probe
+        self._term = term
+        self._identity = (node, instance, address)
+        self._rng = rng
+        self._paused_until = 0.0
+        self._stopping = False
+        self._commits: CommitStream | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.lead: Lead | None = None
+
+    async def start(self) -> None:
+        """Begin to follow, and to lead where nobody does."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Give up the lead, if held, and stop."""
+        self._stopping = True
+        if self._commits is not None:
+            await self._commits.release()
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    @property
+    def leading(self) -> bool:
+        """Whether this process leads."""
+        return self.lead is not None and not self.lead.lost
+
+    def owner(self) -> Owner | None:
+        """Return who leads as far as this process knows."""
+        return decode_owner(self._watch.rows.get(OWNER_KEY))
+
+    async def _run(self) -> None:
+        while not self._stopping:
+            lead = await self._try_to_lead()
+            if lead is not None:
+                await self._serve(lead)
+            else:
+                await self._clock.sleep(LOOK_EVERY)
+
+    async def _try_to_lead(self) -> Lead | None:
+        """Return the lead where the leader is gone and this process took over."""
+        if not self._watch.listed or self._clock.monotonic() < self._paused_until:
+            return None
+        owner = self.owner()
+        reason = await self._reason_to_take_over(owner)
+        if not reason:
+            return None
+        await self._clock.sleep(
+            timedelta(seconds=self._rng.random() * LONGEST_JITTER_S)
+        )
+        if self.owner() != owner:
+            return None
+        try:
+            return await self._take_over(owner, reason)
+        except ConflictError:
+            logger.info("lead_not_taken", cause="another process was faster")
+        except UnavailableError as exc:
+            logger.info("lead_not_taken", cause=str(exc))
+        return None
+
+    async def _reason_to_take_over(self, owner: Owner | None) -> str:
+        """Return why the lead should be taken now, or an empty text."""
+        if owner is None:
+            return "nobody has led yet"
+        if owner.released:
+            return "the lead was given up"
+        node, instance, _ = self._identity
+        if owner.node == node and owner.instance != instance:
+            return "an earlier process of this VM led"
+        silence = self._watch.unchanged_for()
+        if silence >= SUSPECT_AFTER:
+            return f"no sign of life for {silence.total_seconds():.1f} s"
+        if silence < SUSPECT_GONE_AFTER:
+            return ""
+        if await self._probe.probe(owner.address) is ProbeResult.REFUSED:
+            return "its address refuses connections"
+        return ""
+
+    async def _take_over(self, judged: Owner | None, reason: str) -> Lead:
+        """Take the lead from the owner that `reason` was found for, and no other."""
+        rows = await self._table.read([OWNER_KEY, GUARD_KEY])
+        former = decode_owner(rows.get(OWNER_KEY))
+        if former != judged:
+            raise ConflictError("another process has taken the lead meanwhile")
+        guard = decode_guard(rows.get(GUARD_KEY))
+        epoch = max(former.epoch if former else 0, guard.epoch if guard else 0) + 1
+        node, instance, address = self._identity
+        owner = Owner(epoch, node, instance, address)
+        sent_at = self._clock.monotonic()
+        version = await self._store_takeover(owner, rows)
+        logger.info(
+            "lead_taken",
+            epoch=epoch,
+            former=former.node if former else "",
+            cause=reason,
+        )
+        return Lead(owner, version, version, sent_at, former)
+
+    async def _store_takeover(self, owner: Owner, rows: dict[str, Row]) -> int:
+        """Write both rows under the condition that neither has changed."""
+        token = uuid.uuid4().int >> 66
+        guard = Guard(owner.epoch, -token)
+        checks = [
+            Check(key, rows[key].version if key in rows else 0)
+            for key in (OWNER_KEY, GUARD_KEY)
+        ]
+        writes = [
+            Write(OWNER_KEY, msgspec.json.encode(owner)),
+            Write(GUARD_KEY, msgspec.json.encode(guard)),
+        ]
+        try:
+            return (await self._table.commit(checks, writes))[GUARD_KEY]
+        except UnavailableError:
+            return await self._find_takeover(guard)
+
+    async def _find_takeover(self, guard: Guard) -> int:
+        """Return the version of a takeover that got no answer but was stored."""
+        row = (await self._table.read([GUARD_KEY])).get(GUARD_KEY)
+        if row is None or decode_guard(row) != guard:
+            raise ConflictError("the takeover was not stored")
+        return row.version
+
+    async def _serve(self, lead: Lead) -> None:
+        self.lead = lead
+        commits = CommitStream(self._table, self._clock, lead)
+        self._commits = commits
+        term = asyncio.create_task(self._term.serve(lead, commits))
+        stream = asyncio.create_task(commits.run())
+        try:
+            await asyncio.wait((term, stream), return_when=asyncio.FIRST_COMPLETED)
+            if term.done() and not lead.lost:
+                await self._give_up(term, commits)
+        finally:
+            lead.lost = True
+            self.lead = None
+            self._commits = None
+            for task in (term, stream):
+                task.cancel()
+            await self._collect(term, stream)
+
+    async def _give_up(self, term: asyncio.Task[None], commits: CommitStream) -> None:
+        pause = PAUSE_AFTER_RELEASE.total_seconds()
+        self._paused_until = self._clock.monotonic() + pause
+        logger.warning("lead_given_up", failed=term.exception() is not None)
+        await commits.release()
+
+    async def _collect(self, *tasks: asyncio.Task[None]) -> None:
+        """Log what ended the tasks of a term, but for the usual causes."""
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            expected = (asyncio.CancelledError, LeadershipLostError, type(None))
+            if not isinstance(result, expected):
+                logger.opt(exception=result).error("term_failed")
--- /dev/null
+++ b/cassiaweir/peers/__init__.py
@@ -0,0 +1,16 @@
+"""The other entry VMs of a deployment: who they are, and calls to them."""
+
+from cassiaweir.peers._client import PeerClient
+from cassiaweir.peers._members import MEMBERS_PREFIX, Members
+from cassiaweir.peers._servicer import JobDirectory, NodeServicer, RelayCalls
+from cassiaweir.peers._store_route import StoreRoute
+
+__all__ = [
+    "MEMBERS_PREFIX",
+    "JobDirectory",
+    "Members",
+    "NodeServicer",
+    "PeerClient",
+    "RelayCalls",
+    "StoreRoute",
+]
--- /dev/null
+++ b/cassiaweir/peers/_client.py
@@ -0,0 +1,126 @@
+"""Calls to the other entry VMs."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import grpc
+
+from cassiaweir.dispatch import Advice
+from cassiaweir.exceptions import UnavailableError
+from cassiaweir.jobs import JobState
+from cassiaweir.leadership import ProbeResult
+from cassiaweir.rpc import node_pb2, node_pb2_grpc
+from cassiaweir.rpc._server import Channels
+from cassiaweir.types import Row
+from cassiaweir.verdict import Verdict
+
+PROBE_TIMEOUT_S = 0.25
+OFFER_TIMEOUT_S = 1.0
+QUERY_TIMEOUT_S = 0.4
+ADVICE_MARGIN_S = 0.2
+
+
+class PeerClient:
+    """Calls peers by address; failures are `UnavailableError` with a verdict."""
+
+    def __init__(self, channels: Channels) -> None:
+        self._channels = channels
+
+    async def probe(self, address: str) -> ProbeResult:
+        """Ask whether the process at `address` leads."""
+        try:
+            answer = await self._stub(address).Probe(
+                node_pb2.ProbeRequest(), timeout=PROBE_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError as exc:
+            gone = exc.code() is grpc.StatusCode.UNAVAILABLE
+            return ProbeResult.REFUSED if gone else ProbeResult.SILENT
+        return ProbeResult.LEADS if answer.leads_in_epoch else ProbeResult.LEADS_NOT
+
+    async def offer(self, address: str, rows: Sequence[Row]) -> None:
+        """Hand rows that were just stored to the leader at `address`."""
+        request = node_pb2.OfferRequest(
+            rows=[
+                node_pb2.OfferedRow(key=row.key, version=row.version, value=row.value)
+                for row in rows
+            ]
+        )
+        try:
+            await self._stub(address).Offer(request, timeout=OFFER_TIMEOUT_S)
+        except grpc.aio.AioRpcError as exc:
+            raise _unavailable(address, exc) from exc
+
+    async def job_state(self, address: str, job_id: str) -> JobState | None:
+        """Return the state of a job, None where the leader does not know it."""
+        request = node_pb2.JobStateRequest(job_id=job_id)
+        try:
+            answer = await self._stub(address).JobState(
+                request, timeout=QUERY_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError as exc:
+            raise _unavailable(address, exc) from exc
+        if not answer.leads:
+            raise UnavailableError(f"{address} does not lead", verdict=Verdict.NOT_RUN)
+        return JobState(answer.state) if answer.state else None
+
+    async def pending(self, address: str, queue: str) -> int:
+        """Return how many jobs of `queue` have not begun."""
+        request = node_pb2.PendingRequest(queue=queue)
+        try:
+            answer = await self._stub(address).Pending(request, timeout=QUERY_TIMEOUT_S)
+        except grpc.aio.AioRpcError as exc:
+            raise _unavailable(address, exc) from exc
+        if not answer.leads:
+            raise UnavailableError(f"{address} does not lead", verdict=Verdict.NOT_RUN)
+        return answer.count
+
+    async def advise(
+        self, address: str, step: str, server_ids: Sequence[str], timeout_s: float
+    ) -> Advice:
+        """Ask the advice service from the machine at `address`."""
+        request = node_pb2.AdviseRequest(
+            step=step, server_ids=server_ids, timeout_ms=round(timeout_s * 1_000)
+        )
+        try:
+            answer = await self._stub(address).Advise(
+                request, timeout=timeout_s + ADVICE_MARGIN_S
+            )
+        except grpc.aio.AioRpcError as exc:
+            raise _unavailable(address, exc) from exc
+        if answer.failure:
+            raise UnavailableError(answer.failure, verdict=Verdict.NOT_RUN)
+        return Advice(dict(answer.tickets), answer.valid_ms / 1_000)
+
+    async def relay(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        data: bytes | None,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        """Call the store through the machine at `address`; return status and body."""
+        request = node_pb2.RelayRequest(
+            method=method,
+            path=path,
+            body=data or b"",
+            has_body=data is not None,
+            timeout_ms=round(timeout_s * 1_000),
+        )
+        try:
+            answer = await self._stub(address).Relay(request, timeout=timeout_s)
+        except grpc.aio.AioRpcError as exc:
+            raise _unavailable(address, exc) from exc
+        if not answer.status:
+            doubt = Verdict.MAY_HAVE_RUN if answer.may_have_run else Verdict.NOT_RUN
+            raise UnavailableError(answer.failure, verdict=doubt)
+        return answer.status, answer.body
+
+    def _stub(self, address: str) -> node_pb2_grpc.NodeStub:
+        return node_pb2_grpc.NodeStub(self._channels.get(address))
+
+
+def _unavailable(address: str, exc: grpc.aio.AioRpcError) -> UnavailableError:
+    message = f"{address}: {exc.code().name.lower()} {exc.details()}"
+    return UnavailableError(message, verdict=Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/cassiaweir/platform/_advice.py
@@ -0,0 +1,53 @@
+"""Calls the advice service of the platform, which its pages call a hint."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+import msgspec
+
+from cassiaweir.dispatch import Advice
+from cassiaweir.exceptions import UnavailableError
+from cassiaweir.platform._http import HttpSession
+from cassiaweir.verdict import Verdict
+
+STATUS_OK = 200
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class _Answer(msgspec.Struct):
+    # Rows of server id and ticket.
+    allowed: list[tuple[str, str]] = []
+    valid_ms: float = 0
+
+
+class AdviceCalls:
+    """Asks the advice service at `address` on behalf of this VM."""
+
+    def __init__(self, session: HttpSession, address: str) -> None:
+        self._session = session
+        self._address = address
+
+    async def advise(
+        self, step: str, server_ids: Sequence[str], timeout_s: float
+    ) -> Advice:
+        """Return the servers among `server_ids` that may run `step`."""
+        body = msgspec.json.encode({"step": step, "workers": list(server_ids)})
+        resp = await self._session.send(
+            "POST",
+            self._address,
+            "/advise",
+            body,
+            timedelta(seconds=timeout_s),
+            JSON_HEADERS,
+        )
+        if resp.status != STATUS_OK:
+            message = f"advice service answered {resp.status}"
+            raise UnavailableError(message, verdict=Verdict.NOT_RUN)
+        try:
+            found = msgspec.json.decode(resp.body, type=_Answer)
+        except msgspec.DecodeError as exc:
+            message = f"unreadable advice: {exc}"
+            raise UnavailableError(message, verdict=Verdict.RAN) from exc
+        return Advice(dict(found.allowed), found.valid_ms / 1_000)
--- /dev/null
+++ b/cassiaweir/platform/_process_file.py
@@ -0,0 +1,112 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from cassiaweir.exceptions import SettingsError
+
+PATH_VARIABLE = "CASSIAWEIR_CONFIG"
+DEFAULT_PATH = Path("/etc/cassiaweir/local.toml")
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+    control: str
+
+
+class _Bounds(msgspec.Struct):
+    drain_ms: float = 2_000
+    grace_s: float = 6
+    config_ms: float = 2_000
+    revoke_ms: float = 5_000
+    hold_max_ms: float = 6_000
+    stop_ms: float = 200
+    gang_ms: float = 3_000
+    cancel_ms: float = 3_000
+    visible_ms: float = 3_000
+    early_ms: float = 250
+    far_factor: float = 1
+    restore_ms: float = 0
+
+
+class _Platform(msgspec.Struct):
+    addr: str
+    part_wr_s: float = 200
+
+
+class _File(msgspec.Struct):
+    node: str
+    zone: str
+    listen: _Listen
+    platform: _Platform
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    seeds: list[str] = []
+    hint: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessFile:
+    """What the platform tells a process about itself.
+
+    Addresses are host:port.  `advice_address` is empty where no advice is offered.
+    Durations are in seconds.
+    """
+
+    node: str
+    failure_domain: str
+    front_address: str
+    ready_address: str
+    peer_address: str
+    seed_addresses: tuple[str, ...]
+    store_address: str
+    advice_address: str
+    stop_grace_s: float
+    key_withdrawal_s: float
+    longest_lease_s: float
+    gang_assembly_s: float
+    far_factor: float
+    restore_s: float
+    early_start_s: float
+
+
+def process_file_path() -> Path:
+    """Return where the platform puts the settings file of this process."""
+    return Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def load_process_file(path: Path) -> ProcessFile:
+    """Read the file at `path`; fields that are not known here are ignored.
+
+    Raises `SettingsError` naming the file and the field at fault.
+    """
+    try:
+        fields: dict[str, Any] = tomllib.loads(path.read_text())
+        found = msgspec.convert(fields, _File)
+    except (OSError, ValueError) as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
+    bounds = found.bounds
+    return ProcessFile(
+        node=found.node,
+        failure_domain=found.zone,
+        front_address=found.listen.front,
+        ready_address=found.listen.ready,
+        peer_address=found.listen.control,
+        seed_addresses=tuple(found.seeds),
+        store_address=found.platform.addr,
+        advice_address=found.hint,
+        stop_grace_s=bounds.grace_s,
+        key_withdrawal_s=bounds.revoke_ms / 1_000,
+        longest_lease_s=bounds.hold_max_ms / 1_000,
+        gang_assembly_s=bounds.gang_ms / 1_000,
+        far_factor=bounds.far_factor,
+        restore_s=bounds.restore_ms / 1_000,
+        early_start_s=bounds.early_ms / 1_000,
+    )
--- /dev/null
+++ b/cassiaweir/platform/_servers.py
@@ -0,0 +1,212 @@
+"""Backend servers: decodes their entries in the store, and calls them."""
+
+from __future__ import annotations
+
+import re
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from cassiaweir.dispatch import (
+    EndKind,
+    OrderOutcome,
+    RunningTask,
+    ServerEntry,
+    ServerReport,
+    StartOrder,
+    TaskEnd,
+)
+from cassiaweir.exceptions import FencedError, InvalidInputError, UnavailableError
+from cassiaweir.platform._http import HttpResponse, HttpSession
+from cassiaweir.types import Resources
+from cassiaweir.verdict import Verdict
+
+SERVERS_PREFIX = "servers//"
+CONNECTIONS_PER_SERVER = 3
+RACK_LABEL = re.compile(r"r\d+-\d+")
+
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_OTHER_LIFETIME = 421
+STATUSES_UNHEALTHY = (429, 503)
+
+REFUSALS = {
+    "fence": OrderOutcome.FENCED,
+    "old": OrderOutcome.OLD_RUN,
+    "late": OrderOutcome.TOO_LATE,
+    "room": OrderOutcome.NO_ROOM,
+    "ticket": OrderOutcome.NO_TICKET,
+}
+
+
+class _Room(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    addr: str
+    zone: str
+    state: str
+    room: _Room
+    labels: list[str] = []
+    remaining_ms: float | None = None
+    born: int = 0
+
+
+class _HoldAnswer(msgspec.Struct):
+    clock_ms: int
+    born: int = 0
+    # Rows of task, run, checkpoint, percent and load; older servers omit the load.
+    running: list[list[Any]] = []
+    # Rows of number, task, run, how it ended and checkpoint.
+    ended: list[list[Any]] = []
+
+
+class _Refusal(msgspec.Struct):
+    reason: str = ""
+
+
+def decode_server_entry(server_id: str, raw: bytes) -> ServerEntry:
+    """Return the entry of a backend server, or raise `InvalidInputError`."""
+    try:
+        found = msgspec.json.decode(raw, type=_Entry)
+    except msgspec.DecodeError as exc:
+        raise InvalidInputError(f"entry of {server_id}: {exc}") from exc
+    if found.state not in ("ready", "draining"):
+        raise InvalidInputError(f"entry of {server_id}: unknown state {found.state}")
+    racks = [label for label in found.labels if RACK_LABEL.fullmatch(label)]
+    remaining = found.remaining_ms
+    return ServerEntry(
+        server_id=server_id,
+        address=found.addr,
+        service=found.service,
+        failure_domain=found.zone,
+        capacity=Resources(found.room.cpu, found.room.mem_mb, found.room.gpu),
+        labels=frozenset(found.labels),
+        rack=racks[0] if racks else "",
+        draining=found.state == "draining",
+        leaves_in_s=None if remaining is None else remaining / 1_000,
+        born=found.born,
+    )
+
+
+class ServerCalls:
+    """Calls backend servers; every call names the lifetime that it is meant for."""
+
+    def __init__(self, session: HttpSession) -> None:
+        self._session = session
+
+    async def hold(
+        self,
+        entry: ServerEntry,
+        *,
+        epoch: int,
+        until_ms: int | None,
+        acknowledged: int,
+        wait: timedelta,
+        timeout: timedelta,
+    ) -> ServerReport:
+        """Extend the lease of all runs and return the server's report.
+
+        Raises `FencedError` where the server follows a higher epoch, and
+        `UnavailableError` where no report came.
+        """
+        body: dict[str, int] = {
+            "fence": epoch,
+            "acked_upto": acknowledged,
+            "wait_ms": round(wait.total_seconds() * 1_000),
+        }
+        if until_ms is not None:
+            body["until_ms"] = until_ms
+        resp = await self._post(entry, "/hold", body, timeout + wait)
+        if resp.status == STATUS_CONFLICT:
+            raise FencedError(f"{entry.server_id} follows a higher epoch than {epoch}")
+        if resp.status != STATUS_OK:
+            message = f"{entry.server_id} answered {resp.status} to hold"
+            raise UnavailableError(message, verdict=Verdict.NOT_RUN)
+        return _decode_report(entry.server_id, resp.body)
+
+    async def start(
+        self, entry: ServerEntry, order: StartOrder, timeout: timedelta
+    ) -> OrderOutcome:
+        """Start a run; repeating the same order is harmless."""
+        body: dict[str, Any] = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.spec,
+            "until_ms": order.until_ms,
+            "fence": order.epoch,
+        }
+        if order.checkpoint:
+            body["checkpointed"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return _outcome(await self._post(entry, "/run-start", body, timeout))
+
+    async def stop_run(
+        self, entry: ServerEntry, task: str, run: int, epoch: int, timeout: timedelta
+    ) -> OrderOutcome:
+        """Stop a run, or keep it from starting later."""
+        body = {"task": task, "run": run, "fence": epoch}
+        return _outcome(await self._post(entry, "/run-stop", body, timeout))
+
+    async def _post(
+        self, entry: ServerEntry, path: str, body: dict[str, Any], timeout: timedelta
+    ) -> HttpResponse:
+        headers = {
+            "Content-Type": "application/json",
+            "X-Expect-Instance": entry.server_id,
+        }
+        data = msgspec.json.encode(body)
+        return await self._session.send(
+            "POST", entry.address, path, data, timeout, headers
+        )
+
+
+def _outcome(resp: HttpResponse) -> OrderOutcome:
+    if resp.status == STATUS_OK:
+        return OrderOutcome.ACCEPTED
+    if resp.status == STATUS_OTHER_LIFETIME:
+        return OrderOutcome.OTHER_LIFETIME
+    if resp.status in STATUSES_UNHEALTHY:
+        return OrderOutcome.UNHEALTHY
+    if resp.status == STATUS_CONFLICT:
+        return _refusal(resp.body)
+    return OrderOutcome.INVALID
+
+
+def _refusal(raw: bytes) -> OrderOutcome:
+    """Return what a 409 means; one that gives no known reason did nothing either."""
+    try:
+        reason = msgspec.json.decode(raw, type=_Refusal).reason
+    except msgspec.DecodeError:
+        reason = ""
+    return REFUSALS.get(reason, OrderOutcome.INVALID)
+
+
+def _decode_report(server_id: str, raw: bytes) -> ServerReport:
+    try:
+        found = msgspec.json.decode(raw, type=_HoldAnswer)
+        return ServerReport(
+            found.clock_ms,
+            found.born,
+            [_running_task(row) for row in found.running],
+            [_task_end(row) for row in found.ended],
+        )
+    except (msgspec.DecodeError, ValueError, IndexError, TypeError) as exc:
+        message = f"unreadable report of {server_id}: {exc}"
+        raise UnavailableError(message, verdict=Verdict.MAY_HAVE_RUN) from exc
+
+
+def _running_task(row: list[Any]) -> RunningTask:
+    task, run, checkpoint, percent, *rest = row
+    return RunningTask(task, run, checkpoint or "", percent, rest[0] if rest else None)
+
+
+def _task_end(row: list[Any]) -> TaskEnd:
+    number, task, run, kind, checkpoint, *_ = row
+    return TaskEnd(number, task, run, EndKind(kind), checkpoint or "")
--- a/cassiaweir/platform/_session.py
+++ b/cassiaweir/platform/_session.py
@@ -1,15 +1,13 @@
-"""The HTTP session that all platform clients of a process share."""
+"""Calls of the platform's services that answer with typed bodies or problems."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import TypeVar
 
-import aiohttp
 import msgspec
-from aiohttp.hdrs import ACCEPT, ACCEPT_ENCODING, USER_AGENT
+from aiohttp.hdrs import ACCEPT_ENCODING
 
 from cassiaweir.exceptions import (
     ConflictError,
@@ -18,10 +16,9 @@
     NotFoundError,
     UnavailableError,
 )
+from cassiaweir.platform._http import HttpSession, doubtful_error
 from cassiaweir.platform.wire import CALLER_HEADER, Problem, ProblemKind
-from cassiaweir.verdict import Verdict
 
-MOST_CONNECTIONS = 1024
 COMPRESSION = "gzip"
 STATUS_OK = 200
 STATUS_NOT_MODIFIED = 304
@@ -37,15 +34,6 @@
     tag: str
 
 
-@dataclass(frozen=True, slots=True)
-class _Response:
-    """A whole HTTP response."""
-
-    status: int
-    body: bytes
-    tag: str
-
-
 class PlatformSession:
     """Sends requests to the platform's services on behalf of one VM.
 
@@ -55,23 +43,16 @@
 
     def __init__(self, caller: str, timeout: timedelta) -> None:
         self.timeout = timeout
-        self._caller = caller
-        self._client: aiohttp.ClientSession | None = None
+        headers = {CALLER_HEADER: caller, ACCEPT_ENCODING: COMPRESSION}
+        self._http = HttpSession(headers)
 
     async def start(self) -> None:
         """Open the session; connections are made on demand."""
-        self._client = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=MOST_CONNECTIONS),
-            headers={CALLER_HEADER: self._caller, ACCEPT_ENCODING: COMPRESSION},
-            skip_auto_headers=(ACCEPT, USER_AGENT),
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        await self._http.start()
 
     async def stop(self) -> None:
         """Close the session and its connections."""
-        client, self._client = self._client, None
-        if client is not None:
-            await client.close()
+        await self._http.stop()
 
     async def call(
         self,
@@ -94,7 +75,7 @@
         try:
             return msgspec.json.decode(raw, type=answer)
         except msgspec.DecodeError as exc:
-            raise _doubtful(address, path, exc) from exc
+            raise doubtful_error(address, path, exc) from exc
 
     async def exchange(
         self,
@@ -106,7 +87,9 @@
         timeout: timedelta | None = None,
     ) -> bytes:
         """Send one request and return the whole body of a good answer."""
-        resp = await self._send(method, address, path, data, {}, timeout)
+        resp = await self._http.send(
+            method, address, path, data, timeout or self.timeout
+        )
         if resp.status == STATUS_OK:
             return resp.body
         raise _problem_error(address, path, resp.body)
@@ -114,55 +97,20 @@
     async def fetch_changed(self, address: str, path: str, tag: str) -> Tagged | None:
         """Get a resource, or return None where it still has the entity tag `tag`."""
         headers = {"If-None-Match": tag} if tag else {}
-        resp = await self._send("GET", address, path, None, headers, None)
+        resp = await self._http.send("GET", address, path, None, self.timeout, headers)
         if resp.status == STATUS_NOT_MODIFIED:
             return None
         if resp.status == STATUS_OK:
             return Tagged(resp.body, resp.tag)
         raise _problem_error(address, path, resp.body)
 
-    async def _send(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        data: bytes | None,
-        headers: Mapping[str, str],
-        timeout: timedelta | None,
-    ) -> _Response:
-        if self._client is None:
-            raise UnavailableError("session is closed", verdict=Verdict.NOT_RUN)
-        seconds = (timeout or self.timeout).total_seconds()
-        try:
-            async with self._client.request(
-                method,
-                f"http://{address}{path}",
-                data=data,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=seconds, connect=seconds / 2),
-                allow_redirects=False,
-            ) as resp:
-                body = await resp.read()
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
-            message = f"{address}{path}: cannot connect: {exc}"
-            raise UnavailableError(message, verdict=Verdict.NOT_RUN) from exc
-        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            raise _doubtful(address, path, exc) from exc
-        return _Response(resp.status, body, resp.headers.get("ETag", ""))
-
-
-def _doubtful(address: str, path: str, exc: Exception) -> UnavailableError:
-    """Return the error for a request that was sent and got no usable answer."""
-    message = f"{address}{path}: no answer: {type(exc).__name__} {exc}"
-    return UnavailableError(message, verdict=Verdict.MAY_HAVE_RUN)
-
 
 def _problem_error(address: str, path: str, raw: bytes) -> Exception:
     """Return the exception that the body of a refusal stands for."""
     try:
         problem = msgspec.json.decode(raw, type=Problem)
     except msgspec.DecodeError as exc:
-        return _doubtful(address, path, exc)
+        return doubtful_error(address, path, exc)
     message = f"{address}{path}: {problem.message}"
     match problem.kind:
         case ProblemKind.CONFLICT:
--- a/cassiaweir/process.py
+++ b/cassiaweir/process.py
@@ -36,7 +36,8 @@
 class Process:
     """Starts components in order and stops them in reverse on a signal.
 
-    `on_stopping` is called before the first component is stopped.
+    `on_stopping` is called before the first component is stopped, `on_reload` when
+    SIGHUP says that the settings have changed.
     """
 
     def __init__(
@@ -45,7 +46,9 @@
         events: EventLog,
         *,
         on_stopping: Callable[[], None] = lambda: None,
+        on_reload: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_reload_hook = on_reload
         self._components = components
         self._events = events
         self._on_stopping = on_stopping
@@ -58,6 +61,7 @@
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._on_signal)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         for component in self._components:
             await component.start()
         _collect_rarely()
@@ -74,6 +78,10 @@
         if self._signals > 1:
             self._hurried.set()
 
+    def _on_reload(self) -> None:
+        self._events.record("process_reloading")
+        self._on_reload_hook()
+
     async def _stop_or_hurry(self) -> None:
         stop = asyncio.create_task(self._stop_all())
         hurry = asyncio.create_task(self._hurried.wait())
--- /dev/null
+++ b/cassiaweir/queues/__init__.py
@@ -0,0 +1,21 @@
+"""The queues, services and customers that the operators' configuration sets up."""
+
+from cassiaweir.queues._models import (
+    NO_CONFIGURATION,
+    AdvicePolicy,
+    BackendService,
+    Customer,
+    Queue,
+    QueueConfiguration,
+)
+from cassiaweir.queues._view import ConfigurationView
+
+__all__ = [
+    "NO_CONFIGURATION",
+    "AdvicePolicy",
+    "BackendService",
+    "ConfigurationView",
+    "Customer",
+    "Queue",
+    "QueueConfiguration",
+]
--- /dev/null
+++ b/cassiaweir/queues/_view.py
@@ -0,0 +1,52 @@
+"""The configuration in force, as this process knows it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from cassiaweir.exceptions import InvalidInputError
+from cassiaweir.queues._models import NO_CONFIGURATION, QueueConfiguration
+from cassiaweir.types import Row
+
+
+class ConfigurationView:
+    """Takes versions of the configuration from its row; never goes back to a lower one.
+
+    `decode` turns the row's value into a configuration.
+    """
+
+    def __init__(self, key: str, decode: Callable[[bytes], QueueConfiguration]) -> None:
+        self._key = key
+        self._decode = decode
+        self._current = NO_CONFIGURATION
+
+    def current(self) -> QueueConfiguration:
+        """Return the newest configuration that is known."""
+        return self._current
+
+    @property
+    def known(self) -> bool:
+        """Whether any configuration has been read."""
+        return self._current is not NO_CONFIGURATION
+
+    def on_row(self, key: str, row: Row | None) -> None:
+        """Take the configuration in `row`, if it is one and newer."""
+        if key != self._key or row is None:
+            return
+        try:
+            found = self._decode(row.value)
+        except InvalidInputError as exc:
+            logger.error("configuration_unreadable", cause=str(exc))
+            return
+        if found.version <= self._current.version:
+            return
+        logger.info(
+            "configuration_in_force",
+            version=found.version,
+            former=self._current.version,
+            queues=len(found.queues),
+            customers=len(found.customers),
+        )
+        self._current = found
--- a/cassiaweir/types/__init__.py
+++ b/cassiaweir/types/__init__.py
@@ -8,6 +8,7 @@
     ShardOwner,
     Team,
 )
+from cassiaweir.types._feed import Changes, Feed, Snapshot
 from cassiaweir.types._store import (
     Check,
     ObjectStore,
@@ -43,9 +44,11 @@
 __all__ = [
     "NOTHING",
     "CellView",
+    "Changes",
     "Check",
     "Clock",
     "Command",
+    "Feed",
     "JobKind",
     "ObjectStore",
     "OwnedShards",
@@ -54,6 +57,7 @@
     "Row",
     "ShardDirectory",
     "ShardOwner",
+    "Snapshot",
     "Table",
     "TaskId",
     "TaskReport",
