Let leases of silent servers lapse; let links outlive an outage

Cause, each with a test in virtual time that failed first: - Every unanswered look at a server raised the lease that the leader took it to have, so it never counted as lapsed while the leader went on asking: what ran on a dead server waited until the server came back. A silent server is asked without a lease, and a repeated start keeps the lease of the first attempt. - After more than 6 s without the store the links of a leader ended, and the leader went on without them when the store was back. They pause now. - The records of servers that died held a successor's tasks back for 4 s; they go when the lease has lapsed, or when the gate opens. - asyncio.wait_for of Python 3.11 may swallow a cancellation; asyncio.timeout does not. - The lead rows are polled every 150 ms and a dead leader is suspected after 0.5 s of silence where its address refuses connections (was 0.65 s and 600 ms).

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -48,10 +48,12 @@
 from cassiaweir.types import Clock
 from cassiaweir.verdict import Verdict
 
-CONFIGURATION_WAIT = timedelta(milliseconds=800)
-LEAD_WAIT = timedelta(milliseconds=600)
+CONFIGURATION_WAIT = timedelta(milliseconds=500)
+LEAD_WAIT = timedelta(milliseconds=150)
 MEMBERS_WAIT = timedelta(seconds=10)
-LONGEST_UNREADY_AGE = timedelta(seconds=3)
+OLDEST_READY_VIEW = timedelta(milliseconds=1_800)
+"""A VM whose view is older than this asks for no new connections."""
+
 CONNECTIONS_PER_SERVER = 4
 
 
@@ -179,11 +181,11 @@
         access=AccessDesk(
             view, configuration, timedelta(seconds=file.key_withdrawal_s)
         ),
-        submissions=SubmissionDesk(store, clock, states),
+        submissions=SubmissionDesk(store, clock, states, cut_off=lambda: route.cut_off),
         states=states,
         forms=PlatformJobForms(),
         clock=clock,
-        is_ready=lambda: configuration.age() < LONGEST_UNREADY_AGE,
+        is_ready=lambda: configuration.age() < OLDEST_READY_VIEW,
     )
     servicer = NodeServicer(term, advisor, route)
     parts: list[Component] = [
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -35,7 +35,7 @@
 """What happens within this time is placed in one go."""
 
 SWEEP_EVERY = timedelta(milliseconds=100)
-FORGET_AFTER_S = 8.0
+FORGET_AFTER_S = 3.0
 """A server whose entry is missing for so long and that runs nothing is dropped."""
 
 REFUSED_BY_SERVER = (
@@ -204,6 +204,8 @@
             logger.info("gate_opened", unsettled=",".join(self._gate.waiting))
             for entry in self._jobs.open_jobs():
                 entry.held = False
+            for server_id in self._records.server_ids - self.servers.keys():
+                self._records.remove(server_id)
         self._open_due()
         self._jobs.drop_settled()
         self._drop_gone(now)
--- a/cassiaweir/dispatch/_link.py
+++ b/cassiaweir/dispatch/_link.py
@@ -63,7 +63,11 @@
 
 
 class ServerLink:
-    """Asks one server for reports, one after the other, until it is cancelled."""
+    """Asks one server for reports, one after the other, until it is cancelled.
+
+    A server that does not answer is asked without extending its lease, so that what
+    runs there lapses in bounded time.
+    """
 
     def __init__(
         self,
@@ -83,8 +87,11 @@
         self._unsettled: _UnsettledEnds | None = None
 
     async def run(self) -> None:
-        """Hold the server's lease while this process may act as the leader."""
-        while self._lead.may_act(self._clock.monotonic()):
+        """Hold the server's lease whenever this process may act as the leader."""
+        while not self._lead.lost:
+            if not self._lead.may_act(self._clock.monotonic()):
+                await self._clock.sleep(SILENT_DELAY)
+                continue
             try:
                 await self._exchange()
             except FencedError as exc:
@@ -104,7 +111,7 @@
         report = await self._calls.hold(
             server.entry,
             epoch=self._lead.epoch,
-            until_ms=server.next_until_ms(asked_at),
+            until_ms=server.next_until_ms(asked_at) if server.reachable else None,
             acknowledged=server.acknowledged,
             wait=REPORT_WAIT if settled and server.fenced else timedelta(0),
             timeout=REPORT_TIMEOUT,
@@ -126,9 +133,8 @@
             return True
         if not self._stored.stored(ends.place):
             try:
-                await asyncio.wait_for(
-                    self._stored.settle(ends.place), STORE_PATIENCE.total_seconds()
-                )
+                async with asyncio.timeout(STORE_PATIENCE.total_seconds()):
+                    await self._stored.settle(ends.place)
             except TimeoutError:
                 await self._clock.sleep(UNSTORED_DELAY)
                 return False
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -83,7 +83,7 @@
     async def start(self, run: Run) -> tuple[StartResult, OrderOutcome | None]:
         """Start `run`, repeating the order while it is in doubt."""
         in_doubt = False
-        while self._wanted(run):
+        while await self._wanted(run):
             if run.task.step.job.ended:
                 break
             try:
@@ -112,7 +112,7 @@
     async def stop(self, run: Run) -> None:
         """Stop `run`; return when the server has answered or the run is gone."""
         run.state = RunState.STOPPING
-        while self._wanted(run):
+        while await self._wanted(run):
             try:
                 outcome = await self._calls.stop_run(
                     run.server.entry,
@@ -159,15 +159,18 @@
             outcome=outcome.value,
         )
 
-    def _wanted(self, run: Run) -> bool:
-        """Tell whether the run is still counted and orders may be given."""
-        counted = run.key in run.server.runs
-        return counted and self._lead.may_act(self._clock.monotonic())
+    async def _wanted(self, run: Run) -> bool:
+        """Wait until orders may be given; tell whether the run is still counted."""
+        while run.key in run.server.runs and not self._lead.lost:
+            if self._lead.may_act(self._clock.monotonic()):
+                return True
+            await self._clock.sleep(REPEAT_DELAY)
+        return False
 
     async def _send_start(self, run: Run) -> OrderOutcome:
-        now = self._clock.monotonic()
-        until_ms = run.server.next_until_ms(now)
-        if until_ms is None:
+        if run.until_ms is None:
+            run.until_ms = run.server.next_until_ms(self._clock.monotonic())
+        if run.until_ms is None:
             raise UnavailableError(
                 f"the clock of {run.server.server_id} is not known",
                 verdict=Verdict.NOT_RUN,
@@ -177,7 +180,7 @@
             task=task.name,
             run=run.number,
             spec=task.step.job.spec.task_spec,
-            until_ms=until_ms,
+            until_ms=run.until_ms,
             epoch=self._lead.epoch,
             checkpoint=task.step.checkpoint_of(task),
             ticket=run.ticket,
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -127,14 +127,8 @@
         if task is None:
             return 0
         entry = self._jobs.entries[task.step.job.job_id]
-        logger.info(
-            "run_ended",
-            task=end.task,
-            run=end.run,
-            server=server.server_id,
-            how=end.kind.value,
-            seconds=_seconds_since(run, self._clock.monotonic()),
-        )
+        if run is not None:
+            self._log_end(server, run, end)
         if end.kind is EndKind.DONE:
             return self._finish(server, entry, task)
         task.step.keep_checkpoint(task, end.checkpoint)
@@ -145,6 +139,17 @@
             self._runs.requeue(run, end.kind.value)
         return place
 
+    def _log_end(self, server: Server, run: Run, end: TaskEnd) -> None:
+        seconds = self._clock.monotonic() - run.placed_at
+        logger.info(
+            "run_ended",
+            task=end.task,
+            run=end.run,
+            server=server.server_id,
+            how=end.kind.value,
+            seconds=round(seconds, 3),
+        )
+
     def _finish(self, server: Server, entry: JobEntry, task: Task) -> int:
         server.health.note_success()
         if not entry.job.finish_task(task):
@@ -167,7 +172,3 @@
             for run in list(entry.runs):
                 self._stop(run)
         return self._jobs.save(entry)
-
-
-def _seconds_since(run: Run | None, now: float) -> float:
-    return -1.0 if run is None else round(now - run.placed_at, 3)
--- a/cassiaweir/dispatch/_runs.py
+++ b/cassiaweir/dispatch/_runs.py
@@ -29,7 +29,8 @@
     """A run and what it takes of its server until the server lists its end.
 
     `answered_at` is when the server last answered an order for the run: a report that
-    was asked for later and does not list the run shows that it is gone.
+    was asked for later and does not list the run shows that it is gone.  `until_ms` is
+    the lease of the start on the server's clock, the same each time it is repeated.
     """
 
     task: Task
@@ -41,6 +42,7 @@
     ticket: str = ""
     state: RunState = RunState.STARTING
     answered_at: float | None = None
+    until_ms: int | None = None
 
     @property
     def key(self) -> RunKey:
--- a/cassiaweir/feeds/_table_watch.py
+++ b/cassiaweir/feeds/_table_watch.py
@@ -46,6 +46,7 @@
         self._listener = listener
         self._version: int | None = None
         self._fresh_at: float | None = None
+        self._answered_at: float | None = None
         self._changed_at: float | None = None
         self._reachable = True
         self._task: asyncio.Task[None] | None = None
@@ -72,10 +73,10 @@
         return timedelta(seconds=self._clock.monotonic() - self._fresh_at)
 
     def unchanged_for(self) -> timedelta:
-        """Return how long the store has shown no change, as far as it was asked."""
-        if self._fresh_at is None or self._changed_at is None:
+        """Return how long the store has shown no change, as far as it answered."""
+        if self._answered_at is None or self._changed_at is None:
             return timedelta(0)
-        return timedelta(seconds=self._fresh_at - self._changed_at)
+        return timedelta(seconds=self._answered_at - self._changed_at)
 
     async def run(self) -> None:
         """Follow the rows until cancelled."""
@@ -96,6 +97,7 @@
         else:
             await self._read_changes(self._version)
         self._fresh_at = sent_at
+        self._answered_at = self._clock.monotonic()
         if self._changed_at is None:
             self._changed_at = sent_at
         if not self._reachable:
--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -198,7 +198,8 @@
         if (req.content_length or 0) > most:
             return _Answer(413, "too_large")
         try:
-            raw = await asyncio.wait_for(req.read(), BODY_TIMEOUT_S)
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                raw = await req.read()
         except TimeoutError:
             return _Answer(408, "body_too_slow")
         except web.HTTPRequestEntityTooLarge:
--- a/cassiaweir/front/_submissions.py
+++ b/cassiaweir/front/_submissions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import StrEnum
@@ -54,12 +54,23 @@
 
 
 class SubmissionDesk:
-    """Writes jobs under the condition that their id is not taken."""
-
-    def __init__(self, table: Table, clock: Clock, announcer: Announcer) -> None:
+    """Writes jobs under the condition that their id is not taken.
+
+    `cut_off` tells whether the store is known to be out of reach.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        announcer: Announcer,
+        *,
+        cut_off: Callable[[], bool],
+    ) -> None:
         self._table = table
         self._clock = clock
         self._announcer = announcer
+        self._cut_off = cut_off
         self._waiting: list[_Waiting] = []
         self._sending: set[asyncio.Task[None]] = set()
 
@@ -69,6 +80,12 @@
         Raises `RefusedError` where the job is not stored and never will be, and
         `UnavailableError` where that is not known.
         """
+        if self._cut_off():
+            raise RefusedError(
+                "store_out_of_reach",
+                "the store is out of reach",
+                retry_after=RETRY_AFTER,
+            )
         if len(self._waiting) >= MOST_WAITING:
             raise RefusedError(
                 "store_busy", "too many jobs wait to be stored", retry_after=RETRY_AFTER
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -116,7 +116,8 @@
         due_in = self._renewed_at + RENEW_EVERY.total_seconds()
         due_in -= self._clock.monotonic()
         try:
-            await asyncio.wait_for(self._arrived.wait(), max(due_in, 0))
+            async with asyncio.timeout(max(due_in, 0)):
+                await self._arrived.wait()
         except TimeoutError:
             return
 
--- a/cassiaweir/leadership/_election.py
+++ b/cassiaweir/leadership/_election.py
@@ -30,9 +30,9 @@
 from cassiaweir.leadership._terms import Lead
 from cassiaweir.types import Check, Clock, Row, Table, Write
 
-LOOK_EVERY = timedelta(milliseconds=100)
+LOOK_EVERY = timedelta(milliseconds=50)
 SUSPECT_AFTER = timedelta(milliseconds=1_600)
-SUSPECT_GONE_AFTER = timedelta(milliseconds=650)
+SUSPECT_GONE_AFTER = timedelta(milliseconds=500)
 """Less silence is enough where the leader's address refuses connections."""
 
 LONGEST_JITTER_S = 0.08
--- a/cassiaweir/peers/_store_route.py
+++ b/cassiaweir/peers/_store_route.py
@@ -63,6 +63,7 @@
         self._paused_until = 0.0
         self._reachable = True
         self._good_peer = ""
+        self._peers_failed = False
 
     def use_peers(self, peers: PeerList) -> None:
         """Use `peers` where the store cannot be reached directly."""
@@ -73,6 +74,11 @@
         """Whether the store answered the last direct call."""
         return self._reachable
 
+    @property
+    def cut_off(self) -> bool:
+        """Whether neither the last direct call nor the last one by peers worked."""
+        return not self._reachable and self._peers_failed
+
     async def call(
         self, method: str, path: str, data: bytes | None, timeout: timedelta
     ) -> tuple[int, bytes]:
@@ -127,7 +133,9 @@
                     raise
                 continue
             self._good_peer = address
+            self._peers_failed = False
             return answer
+        self._peers_failed = True
         raise cause
 
     def _peers_in_order(self) -> list[str]:
--- /dev/null
+++ b/tests/test_dispatch_takeover.py
@@ -0,0 +1,215 @@
+"""What callers see when the process that leads dies, freezes, or is cut off."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cassiaweir.dispatch import EndKind
+from cassiaweir.jobs import JobState, StepSpec
+from tests.site_fakes import FakeSite
+from tests.virtual_time import run_virtual
+
+TASK = StepSpec(count=2, cpu_millis=1_000, memory_mb=512, estimate_s=1.0)
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def state_of(site: FakeSite, job_id: str) -> JobState | None:
+    vm = await site.wait_for_leader()
+    return vm.term.job_state(job_id)
+
+
+def test_a_job_is_started_and_shown_done() -> None:
+    async def body() -> None:
+        site = FakeSite()
+        await site.wait_for_leader()
+        job_id = site.submit(TASK, task_s=1.0)
+        await asyncio.sleep(0.1)
+        assert len(site.starts_of(job_id)) == 2
+        assert await state_of(site, job_id) is JobState.RUNNING
+        await asyncio.sleep(1.2)
+        assert await state_of(site, job_id) is JobState.DONE
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_only_one_of_many_takes_the_lead() -> None:
+    async def body() -> None:
+        site = FakeSite(vms=7)
+        await site.wait_for_leader()
+        await asyncio.sleep(1)
+        assert sum(vm.election.leading for vm in site.vms) == 1
+        await site.close()
+
+    run_virtual(body)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_killed_leader_is_replaced_within_a_second(seed: int) -> None:
+    async def body() -> None:
+        site = FakeSite(seed=seed)
+        leader = await site.wait_for_leader()
+        running = site.submit(TASK, task_s=4.0)
+        await asyncio.sleep(2 + site.rng.random())
+        await leader.kill()
+        killed_at = now()
+        waiting = site.submit(TASK, task_s=1.0)
+        started = await site.first_start(waiting)
+        assert started.began_at - killed_at < 1.0
+        await asyncio.sleep(4)
+        assert await state_of(site, running) is JobState.DONE
+        assert len(site.starts_of(running)) == 2
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_two_processes_do_not_take_over_from_each_other() -> None:
+    async def body() -> None:
+        site = FakeSite(vms=7, seed=3)
+        leader = await site.wait_for_leader()
+        await asyncio.sleep(1)
+        await leader.election.stop()
+        await leader.kill()
+        await asyncio.sleep(1)
+        assert (await site.wait_for_leader()).term.leads_in_epoch == 2
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_a_leader_cut_off_from_the_store_is_replaced_and_finds_itself_fenced() -> None:
+    async def body() -> None:
+        site = FakeSite(seed=1)
+        leader = await site.wait_for_leader()
+        jobs = [site.submit(TASK, task_s=3.0) for _ in range(10)]
+        await asyncio.sleep(1)
+        leader.store.down = "silent"
+        await asyncio.sleep(3.0)
+        assert site.leader() not in (None, leader)
+        assert not leader.election.leading or leader.election.lead is None
+        await asyncio.sleep(6)
+        for job_id in jobs:
+            assert await state_of(site, job_id) is JobState.DONE
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_servers_that_died_long_ago_do_not_hold_back_a_successor() -> None:
+    async def body() -> None:
+        site = FakeSite(seed=2)
+        leader = await site.wait_for_leader()
+        await asyncio.sleep(1)
+        site.servers["i-0"].crash()
+        site.unregister(site.servers["i-0"])
+        await asyncio.sleep(9)
+        await leader.kill()
+        waiting = site.submit(TASK)
+        killed_at = now()
+        started = await site.first_start(waiting)
+        assert started.began_at - killed_at < 1.0
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_records_of_servers_never_met_go_when_the_gate_opens() -> None:
+    async def body() -> None:
+        site = FakeSite(seed=2)
+        leader = await site.wait_for_leader()
+        await asyncio.sleep(1)
+        site.servers["i-0"].crash()
+        site.unregister(site.servers["i-0"])
+        await leader.kill()
+        leader.start()
+        await asyncio.sleep(12)
+        assert "known/main/i-0" not in site.store.rows
+        assert "known/main/i-1" in site.store.rows
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_a_task_on_a_server_that_the_successor_cannot_reach_is_not_doubled() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=2, vms=2, seed=4)
+        leader = await site.wait_for_leader()
+        await asyncio.sleep(0.5)
+        other = next(vm for vm in site.vms if vm is not leader)
+        other.orders.cut = {"i-0"}
+        job_id = site.submit(
+            StepSpec(count=6, cpu_millis=4_000, estimate_s=3.0), task_s=3.0
+        )
+        await asyncio.sleep(0.2)
+        leader.store.down = "silent"
+        await asyncio.sleep(20)
+        assert {each.server for each in site.starts_of(job_id)} >= {"i-1"}
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_the_outcome_of_a_job_is_stored_before_its_progress_goes() -> None:
+    async def body() -> None:
+        site = FakeSite(seed=5)
+        leader = await site.wait_for_leader()
+        jobs = [
+            site.submit(StepSpec(count=3, cpu_millis=300, estimate_s=0.5), task_s=0.5)
+            for _ in range(60)
+        ]
+        await asyncio.sleep(0.3)
+        leader.store.down = "busy"
+        await asyncio.sleep(1.0)
+        leader.store.down = ""
+        await asyncio.sleep(0.008)
+        await leader.kill()
+        await asyncio.sleep(8)
+        for job_id in jobs:
+            assert await state_of(site, job_id) is JobState.DONE
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_a_failing_job_ends_as_failed_after_its_attempts() -> None:
+    async def body() -> None:
+        site = FakeSite()
+        await site.wait_for_leader()
+        job_id = site.submit(
+            StepSpec(count=1, cpu_millis=100), task_s=0.2, how=EndKind.FAILED
+        )
+        await asyncio.sleep(3)
+        assert await state_of(site, job_id) is JobState.FAILED
+        assert len(site.starts_of(job_id)) == 3
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_tasks_of_a_silent_server_run_elsewhere_once_their_lease_has_lapsed() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=2, seed=6)
+        await site.wait_for_leader()
+        await asyncio.sleep(0.5)
+        job_id = site.submit(
+            StepSpec(count=6, cpu_millis=4_000, estimate_s=2.0), task_s=2.0
+        )
+        await asyncio.sleep(0.5)
+        site.servers["i-0"].crash()
+        await asyncio.sleep(8)
+        assert await state_of(site, job_id) is JobState.DONE
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
--- /dev/null
+++ b/tests/test_site_faults.py
@@ -0,0 +1,181 @@
+"""Random faults on a whole site in virtual time; nothing runs twice, all jobs end.
+
+Each seed draws a day of kills, cuts, store trouble, crashes and late orders that
+overlap and repeat.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from cassiaweir.dispatch import EndKind
+from cassiaweir.jobs import JobState, StepSpec
+from tests.site_fakes import ADVISED, QUEUE, URGENT, FakeSite, FakeVm
+from tests.virtual_time import run_virtual
+
+DAY_S = 30.0
+QUIET_S = 30.0
+STORE_FAULTS = ("silent", "busy", "lossy", "late")
+
+
+async def kill_and_restart(site: FakeSite, rng: random.Random) -> None:
+    vm = rng.choice([site.leader() or site.vms[0], rng.choice(site.vms)])
+    if not vm.alive:
+        return
+    await vm.kill()
+    await asyncio.sleep(rng.uniform(0.3, 3))
+    vm.start()
+
+
+async def kill_all(site: FakeSite, rng: random.Random) -> None:
+    for vm in site.vms:
+        if vm.alive:
+            await vm.kill()
+    await asyncio.sleep(rng.uniform(0.3, 1.5))
+    for vm in site.vms:
+        if not vm.alive:
+            vm.start()
+
+
+async def stop_leader(site: FakeSite, rng: random.Random) -> None:
+    vm = site.leader()
+    if vm is None or vm.store.down:
+        return
+    await vm.election.stop()
+    if vm.alive:
+        await vm.kill()
+    await asyncio.sleep(rng.uniform(0.3, 1))
+    if not vm.alive:
+        vm.start()
+
+
+async def break_store_for_some(site: FakeSite, rng: random.Random) -> None:
+    await break_store(site, rng, [site.leader() or site.vms[0], rng.choice(site.vms)])
+
+
+async def break_store_for_all(site: FakeSite, rng: random.Random) -> None:
+    await break_store(site, rng, site.vms)
+
+
+async def break_store(site: FakeSite, rng: random.Random, vms: list[FakeVm]) -> None:
+    fault = rng.choice(STORE_FAULTS)
+    for vm in vms:
+        vm.store.down = fault
+    await asyncio.sleep(rng.uniform(1, 8))
+    for vm in vms:
+        vm.store.down = ""
+
+
+async def forget_history(site: FakeSite, rng: random.Random) -> None:
+    site.store.forget_history()
+
+
+async def crash_server(site: FakeSite, rng: random.Random) -> None:
+    server = rng.choice(list(site.servers.values()))
+    if not server.up:
+        return
+    server.crash()
+    await asyncio.sleep(rng.uniform(0.2, 6))
+    server.restart()
+
+
+async def cut_servers(site: FakeSite, rng: random.Random) -> None:
+    vm = site.leader() or rng.choice(site.vms)
+    names = rng.sample(list(site.servers), rng.randint(1, 2))
+    vm.orders.cut.update(names)
+    await asyncio.sleep(rng.uniform(1, 8))
+    vm.orders.cut.difference_update(names)
+
+
+async def delay_orders(site: FakeSite, rng: random.Random) -> None:
+    for vm in site.vms:
+        vm.orders.late = 0.2
+    await asyncio.sleep(rng.uniform(1, 5))
+    for vm in site.vms:
+        vm.orders.late = 0.0
+
+
+FAULTS = (
+    kill_and_restart,
+    kill_all,
+    stop_leader,
+    break_store_for_some,
+    break_store_for_all,
+    forget_history,
+    crash_server,
+    cut_servers,
+    delay_orders,
+)
+
+
+def submit_some(site: FakeSite, rng: random.Random) -> str:
+    kind = rng.randrange(4)
+    seconds = rng.uniform(0.2, 3)
+    cpu = rng.choice((500, 1_400, 4_500))
+    if kind == 0:
+        step = StepSpec(count=rng.randint(1, 3), cpu_millis=cpu, estimate_s=seconds)
+        return site.submit(step, queue=URGENT, task_s=seconds)
+    if kind == 1:
+        gang = StepSpec(
+            count=rng.randint(2, 4), cpu_millis=cpu, estimate_s=seconds, gang=True
+        )
+        return site.submit(gang, queue=ADVISED, task_s=seconds)
+    first = StepSpec(count=rng.randint(1, 6), cpu_millis=cpu, estimate_s=seconds)
+    then = StepSpec(count=2, cpu_millis=cpu, estimate_s=seconds, after=(0,))
+    return site.submit(first, then, queue=QUEUE, task_s=seconds)
+
+
+async def play(site: FakeSite, rng: random.Random) -> list[str]:
+    """Submit jobs and inject faults; return the ids of the jobs."""
+    jobs = []
+    faults = set()
+    while asyncio.get_running_loop().time() < DAY_S:
+        jobs.append(submit_some(site, rng))
+        if rng.random() < 0.15:
+            fault = rng.choice(FAULTS)
+            faults.add(asyncio.create_task(fault(site, rng)))
+        await asyncio.sleep(rng.uniform(0.05, 0.5))
+    await asyncio.gather(*faults)
+    return jobs
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_no_rule_breaks_and_every_job_ends(seed: int) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=6, vms=3, seed=seed)
+        await site.wait_for_leader()
+        jobs = await play(site, site.rng)
+        await asyncio.sleep(QUIET_S)
+        leader = await site.wait_for_leader()
+        states = {job_id: leader.term.job_state(job_id) for job_id in jobs}
+        await site.close()
+        assert not site.faults
+        left = [job for job, state in states.items() if state is not JobState.DONE]
+        assert not left
+
+    run_virtual(body)
+
+
+@pytest.mark.parametrize("seed", range(100, 106))
+def test_failures_are_counted_once_under_faults(seed: int) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=6, vms=3, seed=seed)
+        await site.wait_for_leader()
+        step = StepSpec(count=1, cpu_millis=500, estimate_s=0.3)
+        doomed = [site.submit(step, task_s=0.3, how=EndKind.FAILED) for _ in range(20)]
+        await play(site, site.rng)
+        await asyncio.sleep(QUIET_S)
+        leader = await site.wait_for_leader()
+        for job_id in doomed:
+            assert leader.term.job_state(job_id) is JobState.FAILED
+            failed = [
+                each for each in site.starts_of(job_id) if each.how is EndKind.FAILED
+            ]
+            assert len(failed) >= QUEUE.most_failures
+        await site.close()
+        assert not site.faults
+
+    run_virtual(body)
