Lease for 3 s; probe the leader; let the first report of a new lifetime decide

- The lease is 3 s, renewed each 0.7 s at the latest.
- Followers probe the leader's address each 120 ms: refused, 0.3 s without a change of the owner row are enough; silent, 1.1 s; answering, 2.5 s.
- The leader's writes are gathered for 6 ms; new jobs are announced by those who store them, and the feed of jobs is read every 150 ms.
Nothing is given up on an entry's word now; the first report of the new lifetime lists what runs.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -49,7 +49,7 @@
 from cassiaweir.verdict import Verdict
 
 CONFIGURATION_WAIT = timedelta(milliseconds=500)
-LEAD_WAIT = timedelta(milliseconds=150)
+LEAD_WAIT = timedelta(milliseconds=500)
 MEMBERS_WAIT = timedelta(seconds=10)
 OLDEST_READY_VIEW = timedelta(milliseconds=1_800)
 """A VM whose view is older than this asks for no new connections."""
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -119,9 +119,6 @@
         if server is None:
             self._meet(entry)
             return
-        if entry.born and server.born and entry.born != server.born:
-            self._reports.lose_runs(server, "the server registered another lifetime")
-            server.begin_life(entry.born)
         if entry.draining and not server.entry.draining:
             logger.info("server_draining", server=entry.server_id)
         server.entry = entry
@@ -282,7 +279,12 @@
     def _stop(self, run: Run) -> None:
         if run.state is not RunState.STOPPING:
             run.state = RunState.STOPPING
-            self._spawn(self._orders.stop(run))
+            self._spawn(self._stop_run(run))
+
+    async def _stop_run(self, run: Run) -> None:
+        if await self._orders.stop(run):
+            self._reports.lose(run, "the lease has lapsed")
+            self.wake()
 
     def _stop_stray(self, server: Server, task: str, run: int) -> None:
         self._spawn(self._orders.stop_unknown(server.entry, task, run))
--- a/cassiaweir/dispatch/_link.py
+++ b/cassiaweir/dispatch/_link.py
@@ -16,7 +16,7 @@
 from cassiaweir.leadership import Lead
 from cassiaweir.types import Clock
 
-REPORT_WAIT = timedelta(milliseconds=1_000)
+REPORT_WAIT = timedelta(milliseconds=700)
 REPORT_TIMEOUT = timedelta(milliseconds=500)
 SILENT_DELAY = timedelta(milliseconds=150)
 UNSTORED_DELAY = timedelta(milliseconds=250)
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -99,18 +99,17 @@
                     in_doubt=in_doubt,
                     cause=str(exc),
                 )
-                if not in_doubt:
+                if not in_doubt or self._lapsed(run):
                     return StartResult.NOT_STARTED, None
                 await self._clock.sleep(REPEAT_DELAY)
                 continue
             return await self._judge(run, outcome, in_doubt), outcome
         if not in_doubt:
             return StartResult.NOT_STARTED, None
-        await self.stop(run)
-        return StartResult.UNKNOWN, None
+        return await self._stop_doubtful(run), None
 
-    async def stop(self, run: Run) -> None:
-        """Stop `run`; return when the server has answered or the run is gone."""
+    async def stop(self, run: Run) -> bool:
+        """Stop `run`; tell whether it is certainly gone, else reports will tell."""
         run.state = RunState.STOPPING
         while await self._wanted(run):
             try:
@@ -122,6 +121,8 @@
                     ORDER_TIMEOUT,
                 )
             except UnavailableError:
+                if self._lapsed(run):
+                    return True
                 await self._clock.sleep(REPEAT_DELAY)
                 continue
             if outcome is OrderOutcome.FENCED:
@@ -134,7 +135,8 @@
                 server=run.server.server_id,
                 outcome=outcome.value,
             )
-            return
+            return False
+        return False
 
     async def stop_unknown(self, entry: ServerEntry, task: str, run: int) -> None:
         """Stop a run that should not be there; reports show whether it went."""
@@ -201,6 +203,14 @@
             return StartResult.UNKNOWN
         if in_doubt:
             # An attempt that got no answer may still be carried out.
-            await self.stop(run)
-            return StartResult.UNKNOWN
+            return await self._stop_doubtful(run)
         return StartResult.NOT_STARTED
+
+    async def _stop_doubtful(self, run: Run) -> StartResult:
+        run.answered_at = None
+        gone = await self.stop(run)
+        return StartResult.NOT_STARTED if gone else StartResult.UNKNOWN
+
+    def _lapsed(self, run: Run) -> bool:
+        """Tell whether no attempt for `run` can be carried out any more."""
+        return run.server.lapsed(self._clock.monotonic())
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -44,7 +44,9 @@
     def apply(self, server: Server, report: ServerReport, asked_at: float) -> int:
         """Apply a report; return the place of the last write that it led to."""
         if report.born and server.born and report.born != server.born:
-            self.lose_runs(server, "the server began another lifetime")
+            # What went with the former lifetime is not listed and is lost below; an
+            # order that was on its way may run in the new one.
+            logger.warning("server_reborn", server=server.server_id)
             server.begin_life(report.born)
         elif report.born:
             server.born = report.born
@@ -63,11 +65,14 @@
         return place
 
     def lose_runs(self, server: Server, cause: str) -> None:
-        """Note that nothing of what was counted on `server` runs any more."""
-        for key in list(server.runs):
-            run = self._runs.remove(server, key)
-            if run is not None:
-                self._lose(run, cause)
+        """Note that nothing of what `server` was known to run goes on.
+
+        Runs with an unanswered order stay, as it may yet be carried out; the order is
+        repeated until that is known.
+        """
+        for run in list(server.runs.values()):
+            if run.answered_at is not None:
+                self.lose(run, cause)
 
     def lose(self, run: Run, cause: str) -> None:
         """Note that `run` does not exist and never will."""
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -7,7 +7,7 @@
 from cassiaweir.dispatch._server_entry import ServerEntry, ServerReport
 from cassiaweir.types import NOTHING, Resources
 
-LEASE_S = 4.0
+LEASE_S = 3.0
 """Seconds that runs go on without hearing from a leader."""
 
 SLOWEST_CLOCK = 0.98
@@ -98,6 +98,8 @@
         self._clock_ms = None
         self._longest_until_ms = 0
         self.health = ServerHealth()
+        for run in self.runs.values():
+            run.until_ms = None
 
     def next_until_ms(self, now: float) -> int | None:
         """Return until when a lease given now lasts on the server's clock.
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -31,6 +31,10 @@
 from cassiaweir.types import Clock, Feed, Row, Table
 
 FEED_WAIT = timedelta(seconds=1)
+JOBS_PAUSE = timedelta(milliseconds=150)
+"""New jobs are announced by those who store them; the feed brings what got lost."""
+
+SERVERS_PAUSE = timedelta(milliseconds=100)
 RETRY_DELAY = timedelta(milliseconds=50)
 LISTING_DELAY = timedelta(milliseconds=2)
 LOOK_EVERY = timedelta(milliseconds=100)
@@ -161,6 +165,7 @@
             [self._servers_prefix],
             self._clock,
             wait=FEED_WAIT,
+            pause=SERVERS_PAUSE,
             listener=listener,
         )
         stored = _Stored(
@@ -176,6 +181,7 @@
             JOB_PREFIXES,
             self._clock,
             wait=FEED_WAIT,
+            pause=JOBS_PAUSE,
             listener=_JobListener(dispatcher),
         )
         listener.dispatcher = dispatcher
--- a/cassiaweir/feeds/_table_watch.py
+++ b/cassiaweir/feeds/_table_watch.py
@@ -26,7 +26,8 @@
     """Follows the rows of one table whose key starts with one of `prefixes`.
 
     `wait` bounds how long the store may hold an answer back for want of changes, and
-    so how old the view gets while the store works.
+    so how old the view gets while the store works.  `pause` is left between two
+    answers, so that several changes come in one.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         clock: Clock,
         *,
         wait: timedelta,
+        pause: timedelta = timedelta(0),
         listener: RowListener | None = None,
     ) -> None:
         self.rows: dict[str, Row] = {}
@@ -44,6 +46,7 @@
         self._table = prefixes[0].partition("/")[0]
         self._clock = clock
         self._wait = wait
+        self._pause = pause
         self._listener = listener
         self._version: int | None = None
         self._fresh_at: float | None = None
@@ -79,11 +82,18 @@
             return timedelta(0)
         return timedelta(seconds=self._answered_at - self._changed_at)
 
+    def silent_for(self) -> timedelta:
+        """Return how long ago the last change was seen, whatever the store shows."""
+        if self._changed_at is None:
+            return timedelta(0)
+        return timedelta(seconds=self._clock.monotonic() - self._changed_at)
+
     async def run(self) -> None:
         """Follow the rows until cancelled."""
         while True:
             try:
                 await self._step()
+                await self._clock.sleep(self._pause)
             except HistoryLostError as exc:
                 logger.info("feed_restarted", table=self._table, cause=str(exc))
                 self._version = None
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -20,6 +20,9 @@
 
 RENEW_EVERY = timedelta(milliseconds=400)
 RETRY_DELAY = timedelta(milliseconds=50)
+GATHER_DELAY = timedelta(milliseconds=6)
+"""Writes that come within this time share a transaction."""
+
 MOST_ROWS_PER_TRANSACTION = 90
 MOST_BYTES_PER_TRANSACTION = 400_000
 
@@ -104,6 +107,7 @@
         try:
             while not self._lead.lost:
                 await self._wait_for_work()
+                await self._clock.sleep(GATHER_DELAY)
                 await self._send(self._take())
         finally:
             self._lead.lost = True
--- a/cassiaweir/leadership/_election.py
+++ b/cassiaweir/leadership/_election.py
@@ -30,10 +30,9 @@
 from cassiaweir.leadership._terms import Lead
 from cassiaweir.types import Check, Clock, Row, Table, Write
 
-LOOK_EVERY = timedelta(milliseconds=50)
-SUSPECT_AFTER = timedelta(milliseconds=1_600)
-SUSPECT_GONE_AFTER = timedelta(milliseconds=500)
-"""Less silence is enough where the leader's address refuses connections."""
+LOOK_EVERY = timedelta(milliseconds=120)
+OLDEST_VIEW = timedelta(milliseconds=1_200)
+"""A process whose view of the owner row is older does not judge the leader."""
 
 LONGEST_JITTER_S = 0.08
 PAUSE_AFTER_RELEASE = timedelta(seconds=3)
@@ -49,6 +48,15 @@
     SILENT = "silent"
 
 
+SUSPECT_AFTER = {
+    ProbeResult.REFUSED: timedelta(milliseconds=300),
+    ProbeResult.LEADS_NOT: timedelta(milliseconds=300),
+    ProbeResult.SILENT: timedelta(milliseconds=1_100),
+    ProbeResult.LEADS: timedelta(milliseconds=2_500),
+}
+"""How long the owner row may stay the same, by what the leader's address answers."""
+
+
 class Probe(Protocol):
     """Asks another process whether it leads."""
 
@@ -155,14 +163,14 @@
         node, instance, _ = self._identity
         if owner.node == node and owner.instance != instance:
             return "an earlier process of this VM led"
-        silence = self._watch.unchanged_for()
-        if silence >= SUSPECT_AFTER:
-            return f"no sign of life for {silence.total_seconds():.1f} s"
-        if silence < SUSPECT_GONE_AFTER:
+        if self._watch.age() > OLDEST_VIEW:
+            return ""
+        result = await self._probe.probe(owner.address)
+        limit = SUSPECT_AFTER[result]
+        if self._watch.silent_for() < limit or self._watch.unchanged_for() < limit / 2:
             return ""
-        if await self._probe.probe(owner.address) is ProbeResult.REFUSED:
-            return "its address refuses connections"
-        return ""
+        silence = self._watch.silent_for().total_seconds()
+        return f"no sign of life for {silence:.1f} s, probe {result.value}"
 
     async def _take_over(self, judged: Owner | None, reason: str) -> Lead:
         """Take the lead from the owner that `reason` was found for, and no other."""
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -488,7 +488,7 @@
         clock = VirtualClock()
         advisor = FakeAdvisor()
         self.watch = TableWatch(
-            self.store, [LEAD_PREFIX], clock, wait=timedelta(milliseconds=150)
+            self.store, [LEAD_PREFIX], clock, wait=timedelta(milliseconds=500)
         )
         self.term = LeaderTerm(
             table=self.store,
@@ -605,9 +605,12 @@
             submitted_at=VirtualClock().now().timestamp(),
         )
         self.specs[job_id] = spec
-        self.store.apply(
-            [Check(job_key(job_id), 0)], [Write(job_key(job_id), spec.encode())]
-        )
+        key = job_key(job_id)
+        value = spec.encode()
+        versions = self.store.apply([Check(key, 0)], [Write(key, value)])
+        leader = self.leader()
+        if leader is not None:
+            leader.term.take_rows([Row(key, versions[key], value)])
         return job_id
 
     async def first_start(self, job_id: str, limit_s: float = 30.0) -> Started:
