Start a job only where the lead was confirmed after it was stored; move stalled runs

A front announced a job to the former leader, which had not noticed yet that it was replaced and started it, while its successor took every job newer than its own lead as free. A leader now starts a job only after a transaction of its own has succeeded at a later version; the advice is asked for meanwhile. tests/test_dispatch_takeover.py shows it failing first. - Tasks on servers that hang stood still for the whole trouble.

Gangs are moved after 2 s, early in their work or from a checkpoint.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -82,9 +82,11 @@
             self._advice,
             clock,
             self.servers,
+            confirm=commits.confirm,
             launch=self._launch,
         )
         self._work = asyncio.Event()
+        commits.on_stored = self.wake
         self._tasks: set[asyncio.Task[None]] = set()
 
     # What others ask.
@@ -111,6 +113,7 @@
             logger.info(
                 "job_taken", job=own, queue=entry.job.spec.queue.name, held=held
             )
+            self._commits.confirm(row.version)
             self.wake()
 
     def take_server(self, entry: ServerEntry) -> None:
--- a/cassiaweir/dispatch/_health.py
+++ b/cassiaweir/dispatch/_health.py
@@ -6,6 +6,9 @@
 JOBS_TO_SUSPEND = 2
 FIRST_SUSPENSION_S = 3.0
 LONGEST_SUSPENSION_S = 24.0
+STALL_PAUSE_S = 2.0
+"""A server on which work stands still gets nothing new for so long."""
+
 REFUSAL_PAUSE_S = 0.5
 """A server that refused a start is left alone for so long."""
 
@@ -56,3 +59,7 @@
     def note_refusal(self, now: float) -> None:
         """Take note of a start that the server refused."""
         self._suspended_until = max(self._suspended_until, now + REFUSAL_PAUSE_S)
+
+    def note_stall(self, now: float) -> None:
+        """Take note of work that stands still on the server."""
+        self._suspended_until = max(self._suspended_until, now + STALL_PAUSE_S)
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -80,12 +80,16 @@
     return chosen
 
 
-def _preference(step: Step, candidate: Candidate) -> tuple[int, int, int]:
+def _preference(step: Step, candidate: Candidate) -> tuple[int, int, int, int]:
+    """Return what orders servers; lower values are taken first."""
     server = candidate.server
+    suspect = server.health.strikes + 2 * server.pace.slow
+    suspect += server.server_id in step.avoid
     rack = step.spec.rack
     far = int(bool(rack) and server.entry.rack != rack)
+    slower = int(step.job.spec.queue.priority == 0 and not server.pace.fast)
     left = server.free.cpu_millis - step.spec.demand.cpu_millis * candidate.slots
-    return (server.health.strikes, far, left)
+    return (suspect, far, slower, left)
 
 
 def _one_rack(ordered: Sequence[Candidate], count: int) -> list[Candidate]:
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -34,7 +34,12 @@
 
 
 class Placer:
-    """Places waiting tasks; `launch` is called with the runs to be ordered."""
+    """Places waiting tasks; `launch` is called with the runs to be ordered.
+
+    `confirm` tells whether this process still led after a job was stored.  A successor
+    may start jobs that are newer than its own lead at once, so a leader that was
+    replaced without knowing must not start them.
+    """
 
     def __init__(
         self,
@@ -45,6 +50,7 @@
         clock: Clock,
         servers: Mapping[str, Server],
         *,
+        confirm: Callable[[int], bool],
         launch: Callable[[Sequence[Run]], None],
     ) -> None:
         self._jobs = jobs
@@ -53,6 +59,7 @@
         self._advice = advice
         self._clock = clock
         self._servers = servers
+        self._confirm = confirm
         self._launch = launch
 
     def place(self) -> None:
@@ -97,6 +104,8 @@
         tickets = self._tickets(waiting, of_service)
         if queue.advice is not None and tickets is None:
             return
+        if not self._confirm(waiting.entry.job.version):
+            return
         free = [each for each in of_service if each.server_id not in reserved]
         candidates = find_candidates(step, free, tickets, allowed)
         chosen = choose_servers(step, candidates, allowed)
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._job_book import JobBook, JobEntry
+from cassiaweir.dispatch._pace import GANG_LATE_PERCENT, GANG_STALL_S
 from cassiaweir.dispatch._run_book import RunBook
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
@@ -62,6 +63,7 @@
             if not self._apply_running(server, running)
         )
         self._remove_unlisted(server, listed, asked_at)
+        self._look_for_stalls(server)
         return place
 
     def lose_runs(self, server: Server, cause: str) -> None:
@@ -95,6 +97,7 @@
         run = server.runs.get((running.task, running.run))
         if run is not None:
             run.task.step.keep_checkpoint(run.task, running.checkpoint)
+            self._note_progress(run, running.percent)
             return True
         task = self._jobs.find_task(running.task)
         if task is None:
@@ -116,6 +119,45 @@
         self._stop(adopted)
         return True
 
+    def _note_progress(self, run: Run, percent: float) -> None:
+        spec = run.task.step.spec
+        if spec.long_running:
+            return
+        now = self._clock.monotonic()
+        run.progress.note(percent, now)
+        sample = run.progress.sample(now, spec.duration_s)
+        # The members of a gang work at the pace of the slowest.
+        if sample is not None and not spec.gang:
+            run.server.pace.note(sample)
+
+    def _look_for_stalls(self, server: Server) -> None:
+        """Stop runs that stand still or crawl, to start them elsewhere."""
+        now = self._clock.monotonic()
+        for run in list(server.runs.values()):
+            step = run.task.step
+            if run.state is not RunState.RUNNING or step.spec.long_running:
+                continue
+            stalled = _stands_still(run, now)
+            crawls = not step.spec.gang and run.progress.better_moved(
+                step.spec.duration_s
+            )
+            if not stalled and not crawls:
+                continue
+            logger.warning(
+                "run_stalled" if stalled else "run_crawls",
+                task=run.task.name,
+                run=run.number,
+                server=server.server_id,
+                percent=run.progress.percent,
+            )
+            step.avoid.add(server.server_id)
+            if step.spec.gang:
+                self._stop_gang(run)
+                continue
+            if stalled:
+                server.health.note_stall(now)
+            self._stop(run)
+
     def _remove_unlisted(
         self, server: Server, listed: set[tuple[str, int]], asked_at: float
     ) -> None:
@@ -167,7 +209,8 @@
         return self._jobs.save(entry)
 
     def _fail(self, server: Server, entry: JobEntry, task: Task, end: TaskEnd) -> int:
-        if not entry.job.fail_run(task, end.run, server.server_id):
+        task.step.avoid.add(server.server_id)
+        if not entry.job.fail_run(task, end.run):
             return entry.place
         now = self._clock.monotonic()
         if server.health.note_failure(entry.job.job_id, now):
@@ -177,3 +220,12 @@
             for run in list(entry.runs):
                 self._stop(run)
         return self._jobs.save(entry)
+
+
+def _stands_still(run: Run, now: float) -> bool:
+    """Tell whether a run stands still and is better started again."""
+    step = run.task.step
+    if not step.spec.gang:
+        return run.progress.stalled(now, step.spec.duration_s)
+    far = run.progress.percent >= GANG_LATE_PERCENT and not step.checkpoint
+    return not far and run.progress.stalled(now, step.spec.duration_s, GANG_STALL_S)
--- a/cassiaweir/dispatch/_runs.py
+++ b/cassiaweir/dispatch/_runs.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from cassiaweir.dispatch._pace import RunProgress
 from cassiaweir.jobs import Task
 from cassiaweir.types import Resources
 
@@ -43,6 +44,7 @@
     state: RunState = RunState.STARTING
     answered_at: float | None = None
     until_ms: int | None = None
+    progress: RunProgress = field(default_factory=RunProgress)
 
     @property
     def key(self) -> RunKey:
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cassiaweir.dispatch._health import ServerHealth
+from cassiaweir.dispatch._pace import ServerPace
 from cassiaweir.dispatch._runs import Run, RunKey
 from cassiaweir.dispatch._server_entry import ServerEntry, ServerReport
 from cassiaweir.types import NOTHING, Resources
@@ -34,6 +35,7 @@
         self.runs: dict[RunKey, Run] = {}
         self.used = NOTHING
         self.health = ServerHealth()
+        self.pace = ServerPace()
         self.fenced = False
         self.recorded = False
         self.reachable = True
@@ -98,6 +100,7 @@
         self._clock_ms = None
         self._longest_until_ms = 0
         self.health = ServerHealth()
+        self.pace = ServerPace()
         for run in self.runs.values():
             run.until_ms = None
 
--- a/cassiaweir/jobs/_job.py
+++ b/cassiaweir/jobs/_job.py
@@ -42,7 +42,6 @@
     run: int = 0
     failed_runs: set[int] = field(default_factory=set)
     checkpoint: str = ""
-    failed_on: set[str] = field(default_factory=set)
 
     @property
     def name(self) -> str:
@@ -55,6 +54,7 @@
     """A step of one occurrence of a job.
 
     For a gang, failures and the checkpoint are kept here, as its tasks share them.
+    `avoid` names servers where tasks of the step failed or stood still.
     """
 
     job: Job
@@ -65,7 +65,7 @@
     done: int = 0
     failed_runs: set[int] = field(default_factory=set)
     checkpoint: str = ""
-    ready_at: float | None = None
+    avoid: set[str] = field(default_factory=set)
 
     @property
     def name(self) -> str:
@@ -197,7 +197,7 @@
             self.state = JobState.DONE
         return bool(news)
 
-    def fail_run(self, task: Task, run: int, server_id: str) -> bool:
+    def fail_run(self, task: Task, run: int) -> bool:
         """Note that `run` of `task` failed; tell whether that is news.
 
         The same failure may be reported again, also by each member of a gang, and
@@ -205,7 +205,6 @@
         """
         step = task.step
         holder: Step | Task = step if step.spec.gang else task
-        task.failed_on.add(server_id)
         if run in holder.failed_runs:
             return False
         holder.failed_runs.add(run)
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -49,7 +50,8 @@
     """Stores the leader's rows in batches and keeps its lead alive.
 
     A later write of a row replaces one that still waits.  `run` ends by raising
-    `LeadershipLostError` when another process has taken over.
+    `LeadershipLostError` when another process has taken over.  `on_stored` is called
+    after each transaction.
     """
 
     def __init__(self, table: Table, clock: Clock, lead: Lead) -> None:
@@ -63,7 +65,9 @@
         self._arrived = asyncio.Event()
         self._settled = asyncio.Condition()
         self._releasing = False
+        self._confirming = False
         self._healthy = True
+        self.on_stored: Callable[[], None] = lambda: None
 
     @property
     def healthy(self) -> bool:
@@ -79,6 +83,17 @@
         self._arrived.set()
         return self._puts
 
+    def confirm(self, version: int) -> bool:
+        """Tell whether this process still led when the store was at `version`.
+
+        Where that is not known yet, a transaction is sent to find out.
+        """
+        if self._lead.guard_version >= version:
+            return True
+        self._confirming = True
+        self._arrived.set()
+        return False
+
     def stored(self, place: int) -> bool:
         """Tell whether everything up to `place` is stored."""
         return self._stored >= place
@@ -115,7 +130,7 @@
                 self._settled.notify_all()
 
     async def _wait_for_work(self) -> None:
-        if self._pending or self._releasing:
+        if self._pending or self._releasing or self._confirming:
             return
         self._arrived.clear()
         due_in = self._renewed_at + RENEW_EVERY.total_seconds()
@@ -137,6 +152,7 @@
                 break
             writes.append(pending.write)
             del self._pending[key]
+        self._confirming = False
         self._lead.sequence += 1
         guard = Guard(self._lead.epoch, self._lead.sequence)
         left = [pending.oldest_place for pending in self._pending.values()]
@@ -210,6 +226,7 @@
         async with self._settled:
             self._stored = max(self._stored, transaction.last_put)
             self._settled.notify_all()
+        self.on_stored()
 
     def _note_health(self, healthy: bool, cause: str) -> None:
         if healthy == self._healthy:
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -517,6 +517,15 @@
             asyncio.create_task(self.election._run()),
         ]
 
+    async def wait_to_lead(self, limit_s: float = 10.0) -> None:
+        """Wait until this VM leads."""
+        ends_at = asyncio.get_running_loop().time() + limit_s
+        while asyncio.get_running_loop().time() < ends_at:
+            if self.term.leads_in_epoch:
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"{self.name} does not lead")
+
     async def kill(self) -> None:
         """End the process at once, as SIGKILL does."""
         self.alive = False
@@ -593,8 +602,12 @@
         customer: str = "agency",
         task_s: float = 1.0,
         how: EndKind = EndKind.DONE,
+        announce_to: FakeVm | None = None,
     ) -> str:
-        """Store a job whose tasks take `task_s` and end as `how`; return its id."""
+        """Store a job whose tasks take `task_s` and end as `how`; return its id.
+
+        It is announced to the leader, or to the VM that is given.
+        """
         job_id = f"{next(self._ids):016x}"
         spec = JobSpec(
             job_id=job_id,
@@ -608,7 +621,7 @@
         key = job_key(job_id)
         value = spec.encode()
         versions = self.store.apply([Check(key, 0)], [Write(key, value)])
-        leader = self.leader()
+        leader = announce_to or self.leader()
         if leader is not None:
             leader.term.take_rows([Row(key, versions[key], value)])
         return job_id
--- a/tests/test_dispatch_takeover.py
+++ b/tests/test_dispatch_takeover.py
@@ -213,3 +213,22 @@
         await site.close()
 
     run_virtual(body)
+
+
+def test_a_superseded_leader_does_not_start_jobs_that_were_stored_since() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=2, vms=2, seed=7)
+        former = await site.wait_for_leader()
+        await asyncio.sleep(0.5)
+        other = next(vm for vm in site.vms if vm is not former)
+        other.orders.cut = {"i-0"}
+        former.store.down = "silent"
+        while not other.term.leads_in_epoch:
+            await asyncio.sleep(0.01)
+        job_id = site.submit(TASK, announce_to=former, task_s=3.0)
+        await asyncio.sleep(3)
+        assert {each.server for each in site.starts_of(job_id)} == {"i-1"}
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
