Test the adapter, the front, the parts of the dispatcher; logs that never block

Cause: the new packages stood without unit tests, log lines went to a blocking pipe and dropped values that are 0 or empty, a 0 that decided among them, and no process served metrics. What decides moved out of the adapter: gathering of commits and paging to cassiaweir/store, the shared VM list to membership.

- Log lines go through a bounded buffer over a non-blocking descriptor; lines that were dropped are counted and told.
`cassiaweir debug timeline --id ID` merges the log files of any processes into what happened to one id.

--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -113,14 +113,26 @@
     type=click.Path(path_type=Path),
     help="The platform's settings file, in place of the one it names.",
 )
-def front(path: Path | None) -> None:
+@click.option(
+    "--metrics-port",
+    type=click.IntRange(1, 65_535),
+    help="Serve /metrics on this port of the VM's address.",
+)
+@click.option(
+    "--check", is_flag=True, help="Check the settings file without listening."
+)
+def front(path: Path | None, metrics_port: int | None, check: bool) -> None:
     """Run an entry VM on the users' platform.
 
-    Example: cassiaweir front
+    Example: cassiaweir front --metrics-port 9464
     """
-    from cassiaweir.composition._front_vm import run_front_vm
+    from cassiaweir.composition._front_vm import check_front_file, run_front_vm
 
-    run_front_vm(path)
+    if check:
+        check_front_file(path)
+        click.echo("settings are valid")
+        return
+    run_front_vm(path, metrics_port)
 
 
 def _run(role: Role, path: Path | None, overrides: tuple[str, ...]) -> None:
@@ -157,6 +169,24 @@
     click.echo(f"platform: {platform.platform()}")
 
 
+@debug.command("timeline")
+@click.option("--id", "subject", required=True, help="Id of a job, task or request.")
+@click.argument(
+    "files", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path)
+)
+def debug_timeline(subject: str, files: tuple[Path, ...]) -> None:
+    """Merge log FILES of any number of processes into what happened to one id.
+
+    Example: cassiaweir debug timeline --id 5c0e7a21d94b36f8 vm-1.log vm-2.log
+    """
+    from cassiaweir.observe import merge_lines, render_lines
+
+    texts = [
+        text for file in files for text in file.read_text(errors="replace").splitlines()
+    ]
+    click.echo(render_lines(merge_lines(texts, subject)), nl=False)
+
+
 @debug.command("settings")
 @settings_options
 def debug_settings(path: Path | None, overrides: tuple[str, ...]) -> None:
--- a/cassiaweir/composition/_foundation.py
+++ b/cassiaweir/composition/_foundation.py
@@ -8,20 +8,19 @@
 from cassiaweir.clock import SystemClock
 from cassiaweir.configuration import TableView
 from cassiaweir.fleet import shard_names, shard_of
-from cassiaweir.membership import Member, MemberRows, Peers, Role
+from cassiaweir.membership import Member, MemberRows, Peers, Role, SharedVmList
 from cassiaweir.observe import EventLog, Metrics, configure_logs
 from cassiaweir.platform import (
-    GroupCommit,
     HttpObjectStore,
     HttpTable,
     HttpVmList,
     PlatformSession,
-    SharedVmList,
 )
 from cassiaweir.process import Component, Process
 from cassiaweir.rpc._peer import PeerServicer
 from cassiaweir.rpc._server import Channels, Registration, RpcServer
 from cassiaweir.settings import Settings
+from cassiaweir.store import GroupCommit
 from cassiaweir.types import OwnedShards, Vm
 
 PROCESS_SUFFIX_BYTES = 4
--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -18,7 +18,13 @@
 from cassiaweir.feeds import TableWatch
 from cassiaweir.front import AccessDesk, FrontServer, StateDesk, SubmissionDesk
 from cassiaweir.leadership import LEAD_PREFIX, Election, Owner
-from cassiaweir.observe import EventLog, configure_logs
+from cassiaweir.observe import (
+    EventLog,
+    Metrics,
+    NonBlockingWriter,
+    configure_logs,
+)
+from cassiaweir.observe._metrics_server import MetricsServer
 from cassiaweir.peers import (
     MEMBERS_PREFIX,
     Members,
@@ -114,8 +120,11 @@
         return bool(member.get("instance") != owner.instance)
 
 
-def build_front_vm(file: ProcessFile, clock: Clock) -> Process:
+def build_front_vm(
+    file: ProcessFile, clock: Clock, metrics_port: int | None = None
+) -> Process:
     """Return the process of an entry VM as `file` describes it."""
+    metrics = Metrics()
     instance = uuid.uuid4().hex[:12]
     events = EventLog(file.node, clock)
     platform_http = HttpSession({})
@@ -123,7 +132,7 @@
     channels = Channels()
     peer_calls = PeerClient(channels)
     route = StoreRoute(
-        DirectTransport(platform_http, file.store_address), peer_calls, clock
+        DirectTransport(platform_http, file.store_address), peer_calls, clock, metrics
     )
     store = PlatformStore(route)
     view = ConfigurationView(MANIFEST_KEY, decode_manifest)
@@ -162,6 +171,7 @@
         decode_entry=decode_server_entry,
         open_advice=open_advice,
         former_gone=_FormerLeader(member_rows).gone,
+        metrics=metrics,
     )
     election = Election(
         store,
@@ -185,6 +195,7 @@
         states=states,
         forms=PlatformJobForms(),
         clock=clock,
+        metrics=metrics,
         is_ready=lambda: configuration.age() < OLDEST_READY_VIEW,
     )
     servicer = NodeServicer(term, advisor, route)
@@ -201,12 +212,20 @@
         election,
         _Drain(front),
     ]
-    return Process(parts, events)
+    if metrics_port is not None:
+        host = file.front_address.rpartition(":")[0]
+        parts.insert(0, MetricsServer(f"{host}:{metrics_port}", metrics))
+    return Process(parts, events, on_reload=lambda: logger.info("process_reloaded"))
+
+
+def check_front_file(path: Path | None) -> None:
+    """Raise `SettingsError` where the platform's settings file cannot be used."""
+    load_process_file(path or process_file_path())
 
 
-def run_front_vm(path: Path | None) -> None:
+def run_front_vm(path: Path | None, metrics_port: int | None = None) -> None:
     """Run an entry VM with the platform's settings file until a signal stops it."""
     file = load_process_file(path or process_file_path())
-    configure_logs(file.node, "INFO", sys.stdout)
+    configure_logs(file.node, "INFO", NonBlockingWriter(sys.stdout.fileno()))
     logger.info("process_starting", node=file.node, store=file.store_address)
-    run_process(lambda: build_front_vm(file, SystemClock()))
+    run_process(lambda: build_front_vm(file, SystemClock(), metrics_port))
--- a/cassiaweir/composition/_gateway.py
+++ b/cassiaweir/composition/_gateway.py
@@ -8,7 +8,7 @@
 from cassiaweir.composition._cell import build_cell
 from cassiaweir.composition._foundation import Foundation
 from cassiaweir.configuration import AuditedTable
-from cassiaweir.platform import WorkerSizes
+from cassiaweir.membership import WorkerSizes
 from cassiaweir.process import Component
 from cassiaweir.requests import BackendCaller, Claims, Router, SlotClient
 from cassiaweir.teams import KeyRegistry, KeyUseWriter
--- a/cassiaweir/configuration/_audit.py
+++ b/cassiaweir/configuration/_audit.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from cassiaweir.exceptions import ConflictError, UnavailableError
-from cassiaweir.platform import scan_in_pages
+from cassiaweir.store import scan_in_pages
 from cassiaweir.types import Check, Clock, Table, Write
 from cassiaweir.verdict import Verdict
 
--- a/cassiaweir/configuration/_repository.py
+++ b/cassiaweir/configuration/_repository.py
@@ -24,7 +24,7 @@
     version_key,
 )
 from cassiaweir.exceptions import ConflictError, InvalidInputError, NotFoundError
-from cassiaweir.platform import scan_in_pages
+from cassiaweir.store import scan_in_pages
 from cassiaweir.types import Check, Row, Write
 
 AUDIT_AREA = "bundle"
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -26,6 +26,7 @@
 from cassiaweir.exceptions import LeadershipLostError
 from cassiaweir.jobs import JobState
 from cassiaweir.leadership import CommitStream, Lead
+from cassiaweir.observe import Metrics
 from cassiaweir.types import Clock, Row
 
 PLACE_DELAY = timedelta(milliseconds=2)
@@ -58,6 +59,7 @@
         records: ServerRecords,
         gate: TakeoverGate,
         open_advice: AdviceDeskFactory,
+        metrics: Metrics,
     ) -> None:
         self._lead = lead
         self._commits = commits
@@ -66,11 +68,17 @@
         self._jobs = jobs
         self._records = records
         self._gate = gate
+        self._metrics = metrics
         self._usage = Usage()
         self._runs = RunBook(jobs, self._usage, clock, lead.epoch)
         self._orders = OrderDesk(calls, clock, lead, self.superseded)
         self._reports = ReportBook(
-            jobs, self._runs, clock, stop=self._stop, stop_stray=self._stop_stray
+            jobs,
+            self._runs,
+            clock,
+            metrics,
+            stop=self._stop,
+            stop_stray=self._stop_stray,
         )
         self._advice = open_advice(self.wake)
         self.servers: dict[str, Server] = {}
@@ -206,6 +214,10 @@
         self._open_due()
         self._jobs.drop_settled()
         self._drop_gone(now)
+        self._metrics.set("jobs_open", sum(1 for _ in self._jobs.open_jobs()))
+        self._metrics.set(
+            "runs", sum(len(server.runs) for server in self.servers.values())
+        )
         self.wake()
 
     def _open_due(self) -> None:
@@ -262,7 +274,10 @@
             self._spawn(self._start(run))
 
     async def _start(self, run: Run) -> None:
+        began = self._clock.monotonic()
         result, outcome = await self._orders.start(run)
+        self._metrics.observe("start_order", self._clock.monotonic() - began)
+        self._metrics.count("start_orders", result=result.value)
         if result is not StartResult.NOT_STARTED:
             return
         logger.info(
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -18,6 +18,7 @@
     TaskEnd,
 )
 from cassiaweir.jobs import Task, TaskState
+from cassiaweir.observe import Metrics
 from cassiaweir.types import Clock
 
 
@@ -32,6 +33,7 @@
         jobs: JobBook,
         runs: RunBook,
         clock: Clock,
+        metrics: Metrics,
         *,
         stop: Callable[[Run], None],
         stop_stray: Callable[[Server, str, int], None],
@@ -39,6 +41,7 @@
         self._jobs = jobs
         self._runs = runs
         self._clock = clock
+        self._metrics = metrics
         self._stop = stop
         self._stop_stray = stop_stray
 
@@ -188,6 +191,8 @@
 
     def _log_end(self, server: Server, run: Run, end: TaskEnd) -> None:
         seconds = self._clock.monotonic() - run.placed_at
+        self._metrics.count("runs_ended", how=end.kind.value)
+        self._metrics.observe("run", seconds)
         logger.info(
             "run_ended",
             task=end.task,
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -28,6 +28,7 @@
 from cassiaweir.feeds import TableWatch
 from cassiaweir.jobs import JobState, decode_outcome
 from cassiaweir.leadership import AUTHORITY, CommitStream, Lead, Owner
+from cassiaweir.observe import Metrics
 from cassiaweir.types import Clock, Feed, Row, Table
 
 FEED_WAIT = timedelta(seconds=1)
@@ -121,6 +122,7 @@
         decode_entry: Callable[[str, bytes], ServerEntry],
         open_advice: AdviceDeskFactory,
         former_gone: Callable[[Owner], bool],
+        metrics: Metrics,
     ) -> None:
         self._table = table
         self._feed = feed
@@ -131,6 +133,7 @@
         self._decode_entry = decode_entry
         self._open_advice = open_advice
         self._former_gone = former_gone
+        self._metrics = metrics
         self._dispatcher: Dispatcher | None = None
         self._lead: Lead | None = None
 
@@ -186,6 +189,7 @@
         )
         listener.dispatcher = dispatcher
         self._lead = lead
+        self._metrics.count("terms")
         jobs_task = asyncio.create_task(jobs.run())
         tasks = [jobs_task]
         try:
@@ -233,6 +237,7 @@
             records=server_records,
             gate=gate,
             open_advice=self._open_advice,
+            metrics=self._metrics,
         )
 
     async def _scan(self, prefix: str) -> list[Row]:
--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -17,6 +17,7 @@
 from cassiaweir.front._states import StateDesk
 from cassiaweir.front._submissions import CancelResult, SubmissionDesk
 from cassiaweir.jobs import JobSpec, JobState
+from cassiaweir.observe import Metrics
 from cassiaweir.queues import Queue
 from cassiaweir.types import Clock
 from cassiaweir.verdict import Verdict
@@ -94,6 +95,7 @@
         states: StateDesk,
         forms: JobForms,
         clock: Clock,
+        metrics: Metrics,
         is_ready: Callable[[], bool],
     ) -> None:
         self._front_address = front_address
@@ -103,6 +105,7 @@
         self._states = states
         self._forms = forms
         self._clock = clock
+        self._metrics = metrics
         self._is_ready = is_ready
         self._stopping = False
         self._requests = 0
@@ -150,6 +153,9 @@
             resp.headers["Retry-After"] = str(answer.retry_after_s)
         if self._stopping:
             resp.force_close()
+        seconds = self._clock.monotonic() - began
+        self._metrics.count("front_requests", method=req.method, reason=answer.reason)
+        self._metrics.observe("front_request", seconds, method=req.method)
         logger.info(
             "request_answered",
             request=number,
@@ -157,7 +163,7 @@
             path=req.path,
             status=answer.status,
             reason=answer.reason,
-            ms=round((self._clock.monotonic() - began) * 1_000, 1),
+            ms=round(seconds * 1_000, 1),
             view_age_ms=_milliseconds(self._access.view_age()),
         )
         return resp
--- a/cassiaweir/membership/__init__.py
+++ b/cassiaweir/membership/__init__.py
@@ -6,6 +6,7 @@
 from cassiaweir.membership._peers import Peers
 from cassiaweir.membership._rows import MemberRows
 from cassiaweir.membership._schedulers import SchedulerPeers
+from cassiaweir.membership._shared_list import SharedVmList, WorkerSizes
 
 __all__ = [
     "PROTOCOL_VERSION",
@@ -18,5 +19,7 @@
     "Peers",
     "Role",
     "SchedulerPeers",
+    "SharedVmList",
+    "WorkerSizes",
     "compatible",
 ]
--- a/cassiaweir/observe/_logs.py
+++ b/cassiaweir/observe/_logs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import TYPE_CHECKING, TextIO
+from typing import TYPE_CHECKING, Protocol, TextIO
 
 import msgspec
 from loguru import logger
@@ -12,6 +12,13 @@
     from loguru import Record
 
 
+class Sink(Protocol):
+    """Where log lines go."""
+
+    def write(self, message: str) -> None:
+        """Take one line."""
+
+
 def _quote(value: object) -> str:
     """Return `value` as text, quoted where it holds anything but plain characters."""
     text = str(value)
@@ -32,16 +39,16 @@
     ]
     hidden = ("line",)
     pairs += [
-        (key, value)
-        for key, value in record["extra"].items()
-        if key not in hidden and value not in ("", 0)
+        (key, value) for key, value in record["extra"].items() if key not in hidden
     ]
     record["extra"]["line"] = " ".join(f"{key}={_quote(value)}" for key, value in pairs)
     return "{extra[line]}\n"
 
 
-def configure_logs(process: str, level: str, sink: TextIO | None = None) -> None:
+def configure_logs(process: str, level: str, sink: TextIO | Sink | None = None) -> None:
     """Send log lines of `level` and above to `sink`, standard error by default."""
     logger.remove()
     logger.configure(extra={"process": process})
-    logger.add(sink or sys.stderr, level=level.upper(), format=format_record)
+    logger.add(
+        sys.stderr if sink is None else sink, level=level.upper(), format=format_record
+    )
--- a/cassiaweir/peers/_store_route.py
+++ b/cassiaweir/peers/_store_route.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from cassiaweir.exceptions import UnavailableError
+from cassiaweir.observe import Metrics
 from cassiaweir.peers._patience import Patience
 from cassiaweir.types import Clock
 from cassiaweir.verdict import Verdict
@@ -61,7 +62,10 @@
     `wait` is how long the store itself may hold an answer back.
     """
 
-    def __init__(self, direct: DirectCalls, peers: PeerCalls, clock: Clock) -> None:
+    def __init__(
+        self, direct: DirectCalls, peers: PeerCalls, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._metrics = metrics
         self._direct = direct
         self._peers = peers
         self._clock = clock
@@ -112,11 +116,14 @@
         try:
             status, body = await self._direct.call(method, path, data, timeout)
         except UnavailableError as exc:
+            self._metrics.count("store_calls", result="silent")
             self._patience.note_silence()
             self._note(False, str(exc))
             raise
+        self._metrics.count("store_calls", result=str(status))
         if wait == timedelta(0):
             delay = self._clock.monotonic() - now
+            self._metrics.observe("store_call", delay)
             self._patience.note_answer(timedelta(seconds=delay))
         self._judge(status, writes=data is not None)
         return status, body
--- a/cassiaweir/platform/__init__.py
+++ b/cassiaweir/platform/__init__.py
@@ -1,7 +1,9 @@
-"""Clients of the platform's services, behind the Protocols of `cassiaweir.types`."""
+"""Names, formats and calls of the platforms that cassiaweir runs on.
+
+Nothing here decides: it translates between the platform and the project's own types.
+"""
 
 from cassiaweir.platform._advice import AdviceCalls
-from cassiaweir.platform._group_commit import GroupCommit
 from cassiaweir.platform._http import HttpSession
 from cassiaweir.platform._job_form import PlatformJobForms
 from cassiaweir.platform._manifest import (
@@ -9,7 +11,6 @@
     MANIFEST_PREFIX,
     decode_manifest,
 )
-from cassiaweir.platform._pages import scan_in_pages
 from cassiaweir.platform._process_file import (
     ProcessFile,
     load_process_file,
@@ -22,7 +23,6 @@
 )
 from cassiaweir.platform._services import HttpObjectStore, HttpVmList, HttpWorkers
 from cassiaweir.platform._session import PlatformSession
-from cassiaweir.platform._shared_list import SharedVmList, WorkerSizes
 from cassiaweir.platform._store import DirectTransport, PlatformStore
 from cassiaweir.platform._table import HttpTable
 
@@ -32,7 +32,6 @@
     "SERVERS_PREFIX",
     "AdviceCalls",
     "DirectTransport",
-    "GroupCommit",
     "HttpObjectStore",
     "HttpSession",
     "HttpTable",
@@ -43,11 +42,8 @@
     "PlatformStore",
     "ProcessFile",
     "ServerCalls",
-    "SharedVmList",
-    "WorkerSizes",
     "decode_manifest",
     "decode_server_entry",
     "load_process_file",
     "process_file_path",
-    "scan_in_pages",
 ]
--- /dev/null
+++ b/cassiaweir/store/__init__.py
@@ -0,0 +1,6 @@
+"""How the table is used: small commits gathered into few, long lists read in pages."""
+
+from cassiaweir.store._group_commit import GroupCommit
+from cassiaweir.store._pages import scan_in_pages
+
+__all__ = ["GroupCommit", "scan_in_pages"]
--- a/cassiaweir/platform/_group_commit.py
+++ b/cassiaweir/store/_group_commit.py
@@ -8,7 +8,7 @@
 
 from cassiaweir.exceptions import ConflictError, RefusedError, UnavailableError
 from cassiaweir.observe import Metrics
-from cassiaweir.platform._member import Member
+from cassiaweir.store._member import Member
 from cassiaweir.types import Check, Clock, Table, Write
 from cassiaweir.verdict import Verdict
 
--- a/cassiaweir/teams/_keys.py
+++ b/cassiaweir/teams/_keys.py
@@ -30,7 +30,7 @@
     NotFoundError,
     UnavailableError,
 )
-from cassiaweir.platform import scan_in_pages
+from cassiaweir.store import scan_in_pages
 from cassiaweir.types import Check, Clock, Row, Write
 
 KEY_BYTES = 32
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -25,6 +25,7 @@
     ServerReport,
     StartOrder,
     TaskEnd,
+    cancel_key,
     job_key,
 )
 from cassiaweir.exceptions import (
@@ -36,6 +37,7 @@
 from cassiaweir.feeds import TableWatch
 from cassiaweir.jobs import JobSpec, StepSpec
 from cassiaweir.leadership import LEAD_PREFIX, Election, Owner, ProbeResult
+from cassiaweir.observe import Metrics
 from cassiaweir.queues import (
     AdvicePolicy,
     BackendService,
@@ -500,6 +502,7 @@
             decode_entry=lambda server_id, _: self.site.servers[server_id].entry,
             open_advice=lambda wake: AdviceDesk(clock, advisor, advisor, wake),
             former_gone=self.site.replaced,
+            metrics=Metrics(),
         )
         self.election = Election(
             self.store,
@@ -626,6 +629,14 @@
             leader.term.take_rows([Row(key, versions[key], value)])
         return job_id
 
+    def cancel(self, job_id: str) -> None:
+        """Store the request to cancel a job."""
+        key = cancel_key(job_id)
+        version = self.store.apply([], [Write(key, b"{}")])[key]
+        leader = self.leader()
+        if leader is not None:
+            leader.term.take_rows([Row(key, version, b"{}")])
+
     async def first_start(self, job_id: str, limit_s: float = 30.0) -> Started:
         """Return the first start of a job, waiting for it."""
         ends_at = asyncio.get_running_loop().time() + limit_s
--- a/tests/test_dispatch_takeover.py
+++ b/tests/test_dispatch_takeover.py
@@ -223,8 +223,7 @@
         other = next(vm for vm in site.vms if vm is not former)
         other.orders.cut = {"i-0"}
         former.store.down = "silent"
-        while not other.term.leads_in_epoch:
-            await asyncio.sleep(0.01)
+        await other.wait_to_lead()
         job_id = site.submit(TASK, announce_to=former, task_s=3.0)
         await asyncio.sleep(3)
         assert {each.server for each in site.starts_of(job_id)} == {"i-1"}
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,352 @@
+"""Tests of `cassiaweir.front`: who is let in, what is stored, what callers are told."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from datetime import timedelta
+
+import aiohttp
+import msgspec
+import pytest
+
+from cassiaweir.clock import SystemClock
+from cassiaweir.dispatch import cancel_key, job_key, outcome_key
+from cassiaweir.exceptions import RefusedError, UnavailableError
+from cassiaweir.feeds import TableWatch
+from cassiaweir.front import AccessDesk, FrontServer, StateDesk, SubmissionDesk
+from cassiaweir.front._access import Access, Denial
+from cassiaweir.front._submissions import CancelResult
+from cassiaweir.jobs import JobSpec, JobState, StepSpec
+from cassiaweir.leadership import Owner
+from cassiaweir.observe import Metrics
+from cassiaweir.platform import PlatformJobForms
+from cassiaweir.queues import ConfigurationView, Queue, QueueConfiguration
+from cassiaweir.types import Row, Write
+from cassiaweir.verdict import Verdict
+from tests.site_fakes import (
+    CUSTOMER,
+    QUEUE,
+    MemoryStore,
+    NodeStore,
+    configuration,
+)
+from tests.virtual_time import VirtualClock, run_virtual
+from tests.waiting import until
+
+PUBLIC = Queue(name="open", host="h", prefix="/p/", service="s", public=True)
+JOB_ID = "00000000000000aa"
+WITHDRAWAL = timedelta(seconds=5)
+CONFIG_KEY = "op//config"
+
+
+def spec_of(job_id: str) -> JobSpec:
+    return JobSpec(job_id, QUEUE, "c", "x", (StepSpec(count=1),), 0.0)
+
+
+class FakeLeader:
+    """Stands in for the leader, local or remote, and for who it is."""
+
+    def __init__(self) -> None:
+        self.leads_in_epoch = 0
+        self.states: dict[str, JobState] = {}
+        self.taken: list[Row] = []
+        self.reachable = True
+
+    def owner(self) -> Owner | None:
+        return Owner(1, "n", "i", "address")
+
+    def take_rows(self, rows: Sequence[Row]) -> None:
+        self.taken += rows
+
+    def job_state(self, *args: str):
+        """Answer the local call of one argument and the remote one of two."""
+        if len(args) == 1:
+            return self.states.get(args[0]) if self.leads_in_epoch else None
+        return self._remote_state(args[1])
+
+    async def _remote_state(self, job_id: str) -> JobState | None:
+        if not self.reachable:
+            raise UnavailableError("cut", verdict=Verdict.NOT_RUN)
+        return self.states.get(job_id)
+
+    def count_pending(self, queue: str) -> int:
+        return 3
+
+    async def pending(self, address: str, queue: str) -> int:
+        return 4
+
+    async def offer(self, address: str, rows: Sequence[Row]) -> None:
+        self.taken += rows
+
+
+class Rig:
+    """The desks of a front over a store in memory."""
+
+    def __init__(self, clock=None) -> None:
+        self.clock = clock or VirtualClock()
+        self.store = MemoryStore()
+        self.node = NodeStore(self.store, random.Random(1))
+        self.leader = FakeLeader()
+        self.cut_off = False
+        self.states = StateDesk(self.leader, self.leader, self.leader, self.node)
+        self.submissions = SubmissionDesk(
+            self.node, self.clock, self.states, cut_off=lambda: self.cut_off
+        )
+        self.view = ConfigurationView(CONFIG_KEY, self._decode)
+        self.watch = TableWatch(
+            self.node,
+            ["op//"],
+            self.clock,
+            wait=timedelta(milliseconds=500),
+            listener=self.view,
+        )
+        self.access = AccessDesk(self.view, self.watch, WITHDRAWAL)
+
+    def _decode(self, raw: bytes) -> QueueConfiguration:
+        version, with_key = msgspec.json.decode(raw)
+        customers = (CUSTOMER,) if with_key else ()
+        found = configuration(*customers, queues=(QUEUE, PUBLIC))
+        keys = () if with_key else ("none",)
+        return QueueConfiguration.build(
+            version,
+            found.queues,
+            list(found.services.values()),
+            [] if keys else list(found.customers.values()),
+            1_000,
+        )
+
+    def configure(self, version: int, *, with_key: bool) -> None:
+        """Put a version of the configuration into force."""
+        value = msgspec.json.encode([version, with_key])
+        self.store.apply([], [Write(CONFIG_KEY, value)])
+
+
+def test_keys_and_prefixes_decide_who_is_let_in() -> None:
+    async def body() -> None:
+        rig = Rig()
+        assert rig.access.find("h", "/r/1", "key") is Denial.NO_CONFIGURATION
+        rig.configure(1, with_key=True)
+        await rig.watch.start()
+        await asyncio.sleep(0.1)
+        found = rig.access.find("h", "/r/1", "key")
+        assert isinstance(found, Access)
+        assert found.customer is not None
+        assert rig.access.find("h", "/r/1", "other") is Denial.UNKNOWN_KEY
+        assert rig.access.find("h", "/r/1", "") is Denial.UNKNOWN_KEY
+        assert rig.access.find("h", "/none/1", "key") is Denial.NO_QUEUE
+        assert isinstance(rig.access.find("h", "/p/1", ""), Access)
+        await rig.watch.stop()
+
+    run_virtual(body)
+
+
+def test_a_withdrawn_key_stops_working_even_with_the_store_cut_off() -> None:
+    async def body() -> None:
+        rig = Rig()
+        rig.configure(1, with_key=True)
+        await rig.watch.start()
+        await asyncio.sleep(0.1)
+        rig.node.down = "silent"
+        rig.configure(2, with_key=False)
+        withdrawn_at = asyncio.get_running_loop().time()
+        await until(lambda: not isinstance(rig.access.find("h", "/r/1", "key"), Access))
+        assert asyncio.get_running_loop().time() - withdrawn_at < 5
+        assert rig.access.find("h", "/r/1", "key") is Denial.STALE_KEYS
+        assert isinstance(rig.access.find("h", "/p/1", ""), Access)
+        rig.node.down = ""
+        await asyncio.sleep(3)
+        assert rig.access.find("h", "/r/1", "key") is Denial.UNKNOWN_KEY
+        await rig.watch.stop()
+
+    run_virtual(body)
+
+
+def test_an_older_configuration_never_comes_back() -> None:
+    async def body() -> None:
+        rig = Rig()
+        for version in (5, 3):
+            value = msgspec.json.encode([version, True])
+            rig.view.on_row(CONFIG_KEY, Row(CONFIG_KEY, version, value))
+        assert rig.view.current().version == 5
+
+    run_virtual(body)
+
+
+def test_jobs_are_stored_once_and_announced() -> None:
+    async def body() -> None:
+        rig = Rig()
+        specs = [spec_of(f"{number:016x}") for number in range(40)]
+        await asyncio.gather(*(rig.submissions.submit(spec) for spec in specs))
+        await asyncio.gather(*(rig.submissions.submit(spec) for spec in specs[:5]))
+        await asyncio.sleep(0.1)
+        assert sum(key.startswith("jobs/") for key in rig.store.rows) == 40
+        assert len(rig.leader.taken) == 40
+
+    run_virtual(body)
+
+
+@pytest.mark.parametrize("fault", ["lossy", "late"])
+def test_a_job_whose_answer_was_lost_is_accepted_once(fault: str) -> None:
+    async def body() -> None:
+        rig = Rig()
+        rig.node.down = fault
+        results = await asyncio.gather(
+            *(rig.submissions.submit(spec_of(f"{n:016x}")) for n in range(16)),
+            return_exceptions=True,
+        )
+        rig.node.down = ""
+        await asyncio.sleep(8)
+        for number, result in enumerate(results):
+            stored = job_key(f"{number:016x}") in rig.store.rows
+            assert result is not None or stored
+            assert not isinstance(result, RefusedError) or not stored
+
+    run_virtual(body)
+
+
+def test_not_run_is_only_said_of_jobs_that_are_never_stored() -> None:
+    async def body() -> None:
+        rig = Rig()
+        rig.node.down = "busy"
+        with pytest.raises(RefusedError):
+            await rig.submissions.submit(spec_of(JOB_ID))
+        rig.node.down = "silent"
+        with pytest.raises(UnavailableError) as caught:
+            await rig.submissions.submit(spec_of(JOB_ID))
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+    run_virtual(body)
+
+
+def test_a_front_that_is_cut_off_refuses_at_once() -> None:
+    async def body() -> None:
+        rig = Rig()
+        rig.cut_off = True
+        began = asyncio.get_running_loop().time()
+        with pytest.raises(RefusedError):
+            await rig.submissions.submit(spec_of(JOB_ID))
+        assert asyncio.get_running_loop().time() == began
+
+    run_virtual(body)
+
+
+def test_cancelling_follows_what_is_stored() -> None:
+    async def body() -> None:
+        rig = Rig()
+        cancel = rig.submissions.cancel
+        assert await cancel(JOB_ID) is CancelResult.UNKNOWN_JOB
+        await rig.submissions.submit(spec_of(JOB_ID))
+        assert await cancel(JOB_ID) is CancelResult.CANCELLED
+        assert cancel_key(JOB_ID) in rig.store.rows
+        value = b'{"outcome":"done"}'
+        rig.store.apply([], [Write(outcome_key(JOB_ID), value)])
+        assert await cancel(JOB_ID) is CancelResult.ENDED
+
+    run_virtual(body)
+
+
+def test_states_come_from_the_leader_or_else_from_the_store() -> None:
+    async def body() -> None:
+        rig = Rig()
+        rig.leader.states[JOB_ID] = JobState.RUNNING
+        assert await rig.states.job_state(JOB_ID) is JobState.RUNNING
+        rig.leader.reachable = False
+        assert await rig.states.job_state(JOB_ID) is None
+        await rig.submissions.submit(spec_of(JOB_ID))
+        assert await rig.states.job_state(JOB_ID) is JobState.QUEUED
+        rig.store.apply([], [Write(outcome_key(JOB_ID), b'{"outcome":"failed"}')])
+        assert await rig.states.job_state(JOB_ID) is JobState.FAILED
+        rig.node.down = "busy"
+        with pytest.raises(UnavailableError):
+            await rig.states.job_state(JOB_ID)
+
+    run_virtual(body)
+
+
+class HttpRig(Rig):
+    """A front that listens on loopback."""
+
+    def __init__(self) -> None:
+        super().__init__(SystemClock())
+        self.ready = True
+        self.front = FrontServer(
+            front_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            access=self.access,
+            submissions=self.submissions,
+            states=self.states,
+            forms=PlatformJobForms(),
+            clock=self.clock,
+            metrics=Metrics(),
+            is_ready=lambda: self.ready,
+        )
+
+    async def __aenter__(self) -> HttpRig:
+        self.configure(1, with_key=True)
+        await self.watch.start()
+        await self.front.start()
+        self.session = aiohttp.ClientSession(headers={"Host": "h:80"})
+        await until(lambda: self.view.known)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.session.close()
+        await self.front.stop()
+        await self.watch.stop()
+
+    async def call(self, method: str, path: str, data=None, key="key", listener=0):
+        """Return status, headers and body."""
+        runner = self.front._runners[listener]
+        host, port = runner.addresses[0]
+        headers = {"X-Credential": key, "Content-Type": "application/json"}
+        url = f"http://{host}:{port}{path}"
+        async with self.session.request(
+            method, url, data=data, headers=headers
+        ) as resp:
+            return resp.status, resp.headers, await resp.read()
+
+
+BODY = b'{"spec":"x","steps":[{"count":1,"cpu":500}]}'
+
+
+async def test_a_job_is_taken_and_its_state_told_over_http():
+    async with HttpRig() as rig:
+        assert (await rig.call("POST", f"/r/{JOB_ID}", BODY))[0] == 200
+        status, _, body = await rig.call("GET", f"/r/{JOB_ID}")
+        assert (status, body) == (200, b'{"state":"queued"}')
+        assert (await rig.call("GET", "/r/"))[2] == b'{"pending":4}'
+        assert (await rig.call("DELETE", f"/r/{JOB_ID}"))[0] == 200
+        assert (await rig.call("GET", "/r/00000000000000bb"))[0] == 410
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "data", "key", "status"),
+    [
+        ("POST", f"/r/{JOB_ID}", b"{", "key", 400),
+        ("POST", f"/r/{JOB_ID}", b"x" * 2_000, "key", 413),
+        ("POST", "/r/short", BODY, "key", 400),
+        ("PUT", f"/r/{JOB_ID}", BODY, "key", 405),
+        ("POST", f"/r/{JOB_ID}", BODY, "bad", 401),
+        ("POST", f"/none/{JOB_ID}", BODY, "key", 404),
+        ("GET", f"/p/{JOB_ID}", None, "", 410),
+    ],
+)
+async def test_bad_requests_get_a_clear_status(method, path, data, key, status):
+    async with HttpRig() as rig:
+        assert (await rig.call(method, path, data, key))[0] == status
+
+
+async def test_refusals_tell_when_to_come_back():
+    async with HttpRig() as rig:
+        rig.cut_off = True
+        status, headers, _ = await rig.call("POST", f"/r/{JOB_ID}", BODY)
+        assert (status, headers["Retry-After"]) == (503, "1")
+
+
+async def test_readiness_follows_the_view():
+    async with HttpRig() as rig:
+        assert (await rig.call("GET", "/ready", listener=1))[0] == 200
+        rig.ready = False
+        assert (await rig.call("GET", "/ready", listener=1))[0] == 503
--- /dev/null
+++ b/tests/test_jobs_job.py
@@ -0,0 +1,176 @@
+"""Tests of `cassiaweir.jobs`: what the ends of runs mean, and what is stored."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from cassiaweir.exceptions import InvalidInputError
+from cassiaweir.jobs import (
+    Job,
+    JobSpec,
+    JobState,
+    StepSpec,
+    TaskState,
+    apply_progress,
+    check_steps,
+    encode_progress,
+)
+from tests.site_fakes import QUEUE
+
+
+def spec_of(*steps: StepSpec, times: int = 0) -> JobSpec:
+    return JobSpec(
+        job_id="00000000000000aa",
+        queue=QUEUE,
+        customer="agency",
+        task_spec="x",
+        steps=steps,
+        submitted_at=0.0,
+        times=times,
+        interval_s=10.0,
+    )
+
+
+def job_of(*steps: StepSpec, times: int = 0) -> Job:
+    return Job(spec_of(*steps, times=times), 1, 3)
+
+
+def test_a_stored_job_reads_back_the_same():
+    spec = spec_of(StepSpec(count=2, after=(), gang=True, label="a"))
+    assert JobSpec.decode(spec.encode()) == spec
+
+
+def test_a_step_waits_for_all_tasks_of_the_steps_before():
+    job = job_of(StepSpec(count=2), StepSpec(count=1, after=(0,)))
+    first, second = job.steps[0, 0], job.steps[0, 1]
+    assert list(job.startable()) == [first]
+    job.finish_task(first.tasks[0])
+    assert second not in list(job.startable())
+    job.finish_task(first.tasks[1])
+    assert list(job.startable()) == [second]
+
+
+def test_one_done_member_stands_for_the_whole_gang():
+    job = job_of(StepSpec(count=3, gang=True))
+    assert job.finish_task(job.steps[0, 0].tasks[1])
+    assert job.state is JobState.DONE
+
+
+def test_a_failure_of_a_gang_counts_once_however_many_members_report_it():
+    job = job_of(StepSpec(count=3, gang=True))
+    tasks = job.steps[0, 0].tasks
+    assert job.fail_run(tasks[0], 1)
+    assert not job.fail_run(tasks[1], 1)
+    assert job.state is JobState.QUEUED
+
+
+def test_a_failure_of_an_earlier_run_counts_when_it_is_reported_late():
+    """The order of reports is that of reaching servers, not that of runs."""
+    job = job_of(StepSpec(count=1))
+    task = job.steps[0, 0].tasks[0]
+    assert job.fail_run(task, 2)
+    assert job.fail_run(task, 1)
+    assert job.fail_run(task, 3)
+    assert job.state is JobState.FAILED
+
+
+def test_tasks_that_last_are_never_done_and_never_fail_their_job():
+    job = job_of(StepSpec(count=1, long_running=True))
+    task = job.steps[0, 0].tasks[0]
+    for run in range(1, 6):
+        task.state = TaskState.PLACED
+        job.fail_run(task, run)
+        job.finish_task(task)
+        assert task.state is TaskState.WAITING
+    assert not job.ended
+
+
+def test_a_job_with_times_ends_with_its_last_occurrence():
+    job = job_of(StepSpec(count=1), times=2)
+    assert not job.steps
+    job.finish_task(job.open_occurrence()[0].tasks[0])
+    assert not job.ended
+    job.finish_task(job.open_occurrence()[0].tasks[0])
+    assert job.state is JobState.DONE
+
+
+@pytest.mark.parametrize("name", ["00000000000000aa.0.0.9", "x", "a.b.c.d", "a.0.7.0"])
+def test_names_of_no_task_are_not_found(name: str):
+    assert job_of(StepSpec(count=1)).find_task(name) is None
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        (),
+        (StepSpec(count=0),),
+        (StepSpec(count=1, after=(0,)),),
+        (StepSpec(count=1, cpu_millis=-1),),
+    ],
+)
+def test_impossible_steps_are_refused(steps: tuple[StepSpec, ...]):
+    with pytest.raises(InvalidInputError):
+        check_steps(steps)
+
+
+class ProgressMachine(RuleBasedStateMachine):
+    """Whatever ends, a job rebuilt from its progress knows the same."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.steps = (
+            StepSpec(count=3),
+            StepSpec(count=2, gang=True, after=(0,)),
+            StepSpec(count=1, after=(1,)),
+        )
+        self.job = Job(spec_of(*self.steps), 1, 3)
+
+    def pick(self, number: int, index: int):
+        step = self.job.steps[0, number]
+        return step.tasks[index % len(step.tasks)]
+
+    @precondition(lambda self: not self.job.ended)
+    @rule(number=st.integers(0, 2), index=st.integers(0, 2))
+    def finish(self, number: int, index: int) -> None:
+        task = self.pick(number, index)
+        if self.job.may_start(task.step):
+            self.job.finish_task(task)
+
+    @precondition(lambda self: not self.job.ended)
+    @rule(number=st.integers(0, 2), index=st.integers(0, 2), run=st.integers(1, 3))
+    def fail(self, number: int, index: int, run: int) -> None:
+        task = self.pick(number, index)
+        if self.job.may_start(task.step) and task.state is not TaskState.DONE:
+            self.job.fail_run(task, run)
+
+    @rule(number=st.integers(0, 2), index=st.integers(0, 2), text=st.text(max_size=4))
+    def checkpoint(self, number: int, index: int, text: str) -> None:
+        task = self.pick(number, index)
+        if task.state is not TaskState.DONE:
+            task.step.keep_checkpoint(task, text)
+
+    @invariant()
+    def rebuilt_job_is_the_same(self) -> None:
+        if self.job.ended:
+            return
+        other = Job(spec_of(*self.steps), 1, 3)
+        apply_progress(other, encode_progress(self.job))
+        for key, step in self.job.steps.items():
+            rebuilt = other.steps[key]
+            assert rebuilt.done == step.done
+            assert rebuilt.failed_runs == (set() if step.complete else step.failed_runs)
+            for task, again in zip(step.tasks, rebuilt.tasks, strict=True):
+                if task.state is TaskState.DONE:
+                    continue
+                assert again.failed_runs == task.failed_runs
+
+    @invariant()
+    def steps_are_done_in_order(self) -> None:
+        for step in self.job.steps.values():
+            if step.done:
+                assert self.job.may_start(step)
+
+
+TestProgressMachine = ProgressMachine.TestCase
--- /dev/null
+++ b/tests/test_leadership_commits.py
@@ -0,0 +1,141 @@
+"""Tests of `cassiaweir.leadership`: the leader's transactions under its guard row."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from cassiaweir.exceptions import LeadershipLostError
+from cassiaweir.leadership import CommitStream, Lead, Owner
+from cassiaweir.leadership._rows import GUARD_KEY, OWNER_KEY, decode_owner
+from cassiaweir.types import Check, Write
+from tests.site_fakes import MemoryStore, NodeStore
+from tests.virtual_time import VirtualClock, run_virtual
+
+
+class Rig:
+    """A commit stream over a store in memory."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        versions = self.store.apply(
+            [], [Write(OWNER_KEY, b"{}"), Write(GUARD_KEY, b"{}")]
+        )
+        version = versions[GUARD_KEY]
+        self.node = NodeStore(self.store, random.Random(1))
+        self.lead = Lead(Owner(1, "n", "i", "a"), version, version, 0.0)
+        self.commits = CommitStream(self.node, VirtualClock(), self.lead)
+        self.task = asyncio.create_task(self.commits.run())
+
+    async def close(self) -> None:
+        """End the stream."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+def test_writes_that_come_together_share_a_transaction() -> None:
+    async def body() -> None:
+        rig = Rig()
+        before = rig.store.commits
+        places = [rig.commits.put(Write(f"t/main/{n}", b"x")) for n in range(50)]
+        await rig.commits.settle(places[-1])
+        assert rig.store.commits == before + 1
+        assert all(rig.commits.stored(place) for place in places)
+        await rig.close()
+
+    run_virtual(body)
+
+
+def test_a_replaced_write_counts_as_stored_only_with_its_successor() -> None:
+    """A backlog is split; the row of the early place goes with the late batch."""
+
+    async def body() -> None:
+        rig = Rig()
+        rig.node.down = "busy"
+        await asyncio.sleep(0.1)
+        early = rig.commits.put(Write("t/main/row", b"old"))
+        for number in range(200):
+            rig.commits.put(Write(f"t/main/{number}", b"x"))
+        rig.commits.put(Write("t/main/row", b"new"))
+        rig.node.down = ""
+        await rig.commits.settle(early)
+        assert rig.store.rows["t/main/row"].value == b"new"
+        await rig.close()
+
+    run_virtual(body)
+
+
+@pytest.mark.parametrize("fault", ["lossy", "late"])
+def test_lost_and_late_answers_neither_lose_nor_revert_a_row(fault: str) -> None:
+    async def body() -> None:
+        rig = Rig()
+        rig.node.down = fault
+        for number in range(60):
+            value = str(number).encode()
+            await rig.commits.settle(rig.commits.put(Write("t/main/row", value)))
+            assert rig.store.rows["t/main/row"].value == value
+        rig.node.down = ""
+        await asyncio.sleep(10)
+        assert rig.store.rows["t/main/row"].value == b"59"
+        assert not rig.lead.lost
+        await rig.close()
+
+    run_virtual(body)
+
+
+def test_another_leader_ends_the_stream_and_its_waiters() -> None:
+    async def body() -> None:
+        rig = Rig()
+        guard = rig.store.rows[GUARD_KEY]
+        rig.store.apply([Check(GUARD_KEY, guard.version)], [Write(GUARD_KEY, b"{}")])
+        place = rig.commits.put(Write("t/main/row", b"x"))
+        with pytest.raises(LeadershipLostError):
+            await rig.commits.settle(place)
+        assert rig.lead.lost
+        assert "t/main/row" not in rig.store.rows
+        await rig.close()
+
+    run_virtual(body)
+
+
+def test_the_lead_is_renewed_while_nothing_is_written() -> None:
+    async def body() -> None:
+        rig = Rig()
+        await asyncio.sleep(3)
+        assert rig.lead.may_act(VirtualClock().monotonic())
+        renewals = rig.store.commits
+        assert renewals >= 5
+        rig.node.down = "silent"
+        await asyncio.sleep(8)
+        assert not rig.lead.may_act(VirtualClock().monotonic())
+        await rig.close()
+
+    run_virtual(body)
+
+
+def test_a_released_lead_says_so_after_the_last_write() -> None:
+    async def body() -> None:
+        rig = Rig()
+        rig.commits.put(Write("t/main/row", b"x"))
+        await rig.commits.release()
+        assert rig.store.rows["t/main/row"].value == b"x"
+        owner = decode_owner(rig.store.rows[OWNER_KEY])
+        assert owner is not None
+        assert owner.released
+        await rig.close()
+
+    run_virtual(body)
+
+
+def test_a_version_is_confirmed_by_a_later_transaction_only() -> None:
+    async def body() -> None:
+        rig = Rig()
+        version = rig.store.apply([], [Write("jobs/0/j", b"x")])["jobs/0/j"]
+        assert not rig.commits.confirm(version)
+        await asyncio.sleep(0.05)
+        assert rig.commits.confirm(version)
+        await rig.close()
+
+    run_virtual(body)
--- a/tests/test_platform_session.py
+++ b/tests/test_platform_session.py
@@ -13,8 +13,8 @@
     HttpVmList,
     HttpWorkers,
     PlatformSession,
-    scan_in_pages,
 )
+from cassiaweir.store import scan_in_pages
 from cassiaweir.types import (
     Check,
     Command,
--- a/tests/test_platform_group_commit.py
+++ b/tests/test_store_group_commit.py
@@ -11,7 +11,7 @@
 from cassiaweir.clock import ManualClock
 from cassiaweir.exceptions import ConflictError, RefusedError, UnavailableError
 from cassiaweir.observe import Metrics
-from cassiaweir.platform import GroupCommit
+from cassiaweir.store import GroupCommit
 from cassiaweir.types import Check, Write
 from cassiaweir.verdict import Verdict
 from standins.memory import MemoryTable
