--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -24,7 +24,7 @@
 from cassiaweir.dispatch._server_records import ServerRecords
 from cassiaweir.dispatch._usage import Usage
 from cassiaweir.exceptions import LeadershipLostError
-from cassiaweir.jobs import JobState
+from cassiaweir.jobs import JobState, Step
 from cassiaweir.leadership import CommitStream, Lead
 from cassiaweir.observe import Metrics
 from cassiaweir.types import Clock, Row
@@ -91,6 +91,7 @@
             clock,
             self.servers,
             confirm=commits.confirm,
+            preempt=self._preempt,
             launch=self._launch,
         )
         self._work = asyncio.Event()
@@ -211,6 +212,9 @@
                 entry.held = False
             for server_id in self._records.server_ids - self.servers.keys():
                 self._records.remove(server_id)
+        for server in self.servers.values():
+            if not server.reachable:
+                self.note_silent(server)
         self._open_due()
         self._jobs.drop_settled()
         self._drop_gone(now)
@@ -294,6 +298,17 @@
         self._reports.lose(run, "the start was refused")
         self.wake()
 
+    def _preempt(self, run: Run, step: Step) -> None:
+        logger.info(
+            "run_preempted",
+            task=run.task.name,
+            run=run.number,
+            server=run.server.server_id,
+            urgent=step.name,
+        )
+        self._metrics.count("preemptions")
+        self._stop(run)
+
     def _stop(self, run: Run) -> None:
         if run.state is not RunState.STOPPING:
             run.state = RunState.STOPPING
--- a/cassiaweir/dispatch/_link.py
+++ b/cassiaweir/dispatch/_link.py
@@ -17,7 +17,7 @@
 from cassiaweir.types import Clock
 
 REPORT_WAIT = timedelta(milliseconds=700)
-REPORT_TIMEOUT = timedelta(milliseconds=500)
+REPORT_TIMEOUT = timedelta(milliseconds=350)
 SILENT_DELAY = timedelta(milliseconds=150)
 UNSTORED_DELAY = timedelta(milliseconds=250)
 STORE_PATIENCE = timedelta(milliseconds=300)
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -171,7 +171,7 @@
 
     async def _send_start(self, run: Run) -> OrderOutcome:
         if run.until_ms is None:
-            run.until_ms = run.server.next_until_ms(self._clock.monotonic())
+            run.until_ms = run.server.start_until_ms(self._clock.monotonic())
         if run.until_ms is None:
             raise UnavailableError(
                 f"the clock of {run.server.server_id} is not known",
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -11,6 +11,7 @@
 from cassiaweir.dispatch._job_book import JobBook, JobEntry
 from cassiaweir.dispatch._objective import Standing, remaining_chain_s, standing
 from cassiaweir.dispatch._placement import choose_servers, find_candidates
+from cassiaweir.dispatch._preemption import choose_victims
 from cassiaweir.dispatch._run_book import RunBook
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server
@@ -51,6 +52,7 @@
         servers: Mapping[str, Server],
         *,
         confirm: Callable[[int], bool],
+        preempt: Callable[[Run, Step], None],
         launch: Callable[[Sequence[Run]], None],
     ) -> None:
         self._jobs = jobs
@@ -60,6 +62,7 @@
         self._clock = clock
         self._servers = servers
         self._confirm = confirm
+        self._preempt = preempt
         self._launch = launch
 
     def place(self) -> None:
@@ -112,8 +115,25 @@
         if step.spec.gang and len(chosen) < len(tasks):
             if queue.priority > URGENT_PRIORITY and not reserved:
                 reserved.update(_reservation(of_service, tickets))
+            self._make_room(waiting, free, tickets, len(tasks) - len(chosen))
             return
         self._start(step, tasks, chosen, tickets or {})
+        self._make_room(waiting, free, tickets, allowed - len(chosen))
+
+    def _make_room(
+        self,
+        waiting: _Waiting,
+        servers: Sequence[Server],
+        tickets: Mapping[str, str] | None,
+        missing: int,
+    ) -> None:
+        """Preempt other work for `missing` tasks of an urgent step that is on time."""
+        on_time = waiting.rank[0] == int(Standing.ON_TIME)
+        urgent = waiting.queue.priority == URGENT_PRIORITY
+        if missing <= 0 or not urgent or not on_time or waiting.entry.over_share:
+            return
+        now = self._clock.monotonic()
+        choose_victims(waiting.step, servers, tickets, missing, now, self._preempt)
 
     def _tickets(
         self, waiting: _Waiting, servers: Sequence[Server]
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -11,6 +11,9 @@
 LEASE_S = 3.0
 """Seconds that runs go on without hearing from a leader."""
 
+SHORTEST_START_LEASE_S = 1.5
+"""A start gets at least this lease; the next report extends it."""
+
 SLOWEST_CLOCK = 0.98
 """A server's clock may run slower than ours by this factor."""
 
@@ -116,6 +119,20 @@
         self._longest_until_ms = max(self._longest_until_ms, until)
         return until
 
+    def start_until_ms(self, now: float) -> int | None:
+        """Return the lease of a start given now.
+
+        It is the lease given last, where enough of that is left, so that starts alone
+        do not prolong what runs on a server that no longer answers.
+        """
+        if self._clock_ms is None:
+            return None
+        elapsed_s = now - self._clock_read_at
+        least = self._clock_ms + round((elapsed_s + SHORTEST_START_LEASE_S) * 1_000)
+        if self._longest_until_ms >= least:
+            return self._longest_until_ms
+        return self.next_until_ms(now)
+
     def lapsed(self, now: float) -> bool:
         """Tell whether every lease that was ever given has certainly run out."""
         if self._clock_ms is None:
--- a/cassiaweir/jobs/_job.py
+++ b/cassiaweir/jobs/_job.py
@@ -34,7 +34,10 @@
 
 @dataclass(slots=True, eq=False)
 class Task:
-    """A task of a step and the number of its newest run."""
+    """A task of a step and the number of its newest run.
+
+    `preempted` tells that a run of it was stopped for urgent work.
+    """
 
     step: Step
     index: int
@@ -42,6 +45,7 @@
     run: int = 0
     failed_runs: set[int] = field(default_factory=set)
     checkpoint: str = ""
+    preempted: bool = False
 
     @property
     def name(self) -> str:
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -338,11 +338,15 @@
             await asyncio.sleep(min(left, 0.01))
             self.settle()
         running = [
-            RunningTask(run.task, run.number, "", 100, 0.0)
+            RunningTask(run.task, run.number, "", self._percent(run), 0.0)
             for run in self.runs.values()
         ]
         return ServerReport(self.clock_ms(), self.entry.born, running, list(self.ends))
 
+    def _percent(self, run: FakeRun) -> int:
+        now = asyncio.get_running_loop().time()
+        return min(int((now - run.began_at) / (run.ends_at - run.began_at) * 100), 100)
+
     def _extend(self, until_ms: int) -> None:
         longest = self.clock_ms() + LONGEST_LEASE_MS
         self.until_ms = max(self.until_ms, min(until_ms, longest))
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -136,3 +136,25 @@
         await site.close()
 
     run_virtual(body)
+
+
+def test_urgent_checks_preempt_checkpointed_work_on_a_full_site() -> None:
+    """Long checkpointed tasks fill every server; a spot check starts within 0.5 s."""
+
+    async def body() -> None:
+        site = FakeSite(servers=4)
+        await site.wait_for_leader()
+        long = StepSpec(count=16, cpu_millis=4_000, estimate_s=8.0, checkpoints=True)
+        job_id = site.submit(long, task_s=8.0)
+        await asyncio.sleep(1.5)
+        spot = site.submit(SPOT, queue=URGENT, task_s=1.0)
+        submitted_at = asyncio.get_running_loop().time()
+        started = await site.first_start(spot)
+        assert started.began_at - submitted_at < 0.5
+        await asyncio.sleep(20)
+        leader = await site.wait_for_leader()
+        assert leader.term.job_state(job_id) is JobState.DONE
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
