--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -164,10 +164,9 @@
 
     def note_silent(self, server: Server) -> None:
         """Give up what ran on a silent server once its lease has lapsed."""
-        if server.runs and server.lapsed(self._clock.monotonic()):
-            logger.warning(
-                "lease_lapsed", server=server.server_id, runs=len(server.runs)
-            )
+        known = sum(run.answered_at is not None for run in server.runs.values())
+        if known and server.lapsed(self._clock.monotonic()):
+            logger.warning("lease_lapsed", server=server.server_id, runs=known)
             self._reports.lose_runs(server, "the lease has lapsed")
             self.wake()
 
