--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -104,3 +104,11 @@
     assert result.exit_code == 1
     assert "no process answers at 127.0.0.1:1" in result.output
     assert len(result.output.splitlines()) == 1
+
+
+def test_front_checks_the_platforms_settings_file(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text("node = 3")
+    result = CliRunner().invoke(main, ["front", "--check", "--file", str(path)])
+    assert result.exit_code == 1
+    assert "local.toml" in result.output
