Reuse the background tasks of a component; drop what nothing calls

Cause, from reading the change once more: - The followed tables, the members and the election each wrote again how fleet's Background starts and cancels tasks; it moved to cassiaweir/background.py and serves them too.

Left: hold of ServerOrders wants the name of the lease it renews; the steps of a job stand in the adapter and in jobs on purpose, as the wire's names end there.

--- a/cassiaweir/dispatch/_advice_desk.py
+++ b/cassiaweir/dispatch/_advice_desk.py
@@ -102,11 +102,6 @@
             return None
         return known.tickets
 
-    def allowed(self, step: Step) -> set[str] | None:
-        """Return the servers that may run `step`, None before the first answer."""
-        known = self._known.get(step.name)
-        return known.allowed if known is not None and known.asked else None
-
     def ask(
         self, step: Step, policy: AdvicePolicy, server_ids: Sequence[str], rank: float
     ) -> None:
@@ -135,10 +130,6 @@
         if known is not None:
             known.expires_at = 0.0
 
-    def forget(self, step: Step) -> None:
-        """Drop all that is known of a step that needs no more starts."""
-        self._known.pop(step.name, None)
-
     async def close(self) -> None:
         """End the questions under way."""
         tasks = list(self._busy.values())
--- a/cassiaweir/dispatch/_job_book.py
+++ b/cassiaweir/dispatch/_job_book.py
@@ -105,11 +105,6 @@
         entry = self.entries.get(name.partition(".")[0])
         return entry.job.find_task(name) if entry is not None else None
 
-    def ended(self, job_id: str) -> bool:
-        """Tell whether the job is known to have ended."""
-        entry = self.entries.get(job_id)
-        return job_id in self._outcomes if entry is None else entry.job.ended
-
     def state(self, job_id: str) -> JobState | None:
         """Return what may be shown of a job; an end only once it is stored."""
         entry = self.entries.get(job_id)
--- a/cassiaweir/dispatch/_run_book.py
+++ b/cassiaweir/dispatch/_run_book.py
@@ -31,16 +31,7 @@
 
     def place(self, task: Task, server: Server, number: int, ticket: str = "") -> Run:
         """Count a run that is about to be ordered."""
-        entry = self._jobs.entries[task.step.job.job_id]
-        run = Run(
-            task=task,
-            number=number,
-            server=server,
-            demand=task.step.spec.demand,
-            customer=entry.job.spec.customer,
-            placed_at=self._clock.monotonic(),
-            ticket=ticket,
-        )
+        entry, run = self._new_run(task, server, number, ticket)
         task.run = number
         task.state = TaskState.PLACED
         entry.job.mark_begun()
@@ -49,15 +40,7 @@
 
     def adopt(self, task: Task, server: Server, number: int) -> Run:
         """Count a run that a server lists, started by a former leader."""
-        entry = self._jobs.entries[task.step.job.job_id]
-        run = Run(
-            task=task,
-            number=number,
-            server=server,
-            demand=task.step.spec.demand,
-            customer=entry.job.spec.customer,
-            placed_at=self._clock.monotonic(),
-        )
+        entry, run = self._new_run(task, server, number)
         if task.state is TaskState.WAITING:
             task.run = max(task.run, number)
             task.state = TaskState.PLACED
@@ -95,6 +78,22 @@
             return []
         return [run for run in entry.runs if run.task.step is step]
 
+    def _new_run(
+        self, task: Task, server: Server, number: int, ticket: str = ""
+    ) -> tuple[JobEntry, Run]:
+        """Return the entry of the task's job and a run that is not counted yet."""
+        entry = self._jobs.entries[task.step.job.job_id]
+        run = Run(
+            task=task,
+            number=number,
+            server=server,
+            demand=task.step.spec.demand,
+            customer=entry.job.spec.customer,
+            placed_at=self._clock.monotonic(),
+            ticket=ticket,
+        )
+        return entry, run
+
     def _count(self, entry: JobEntry, run: Run) -> None:
         run.server.add(run)
         self._usage.add(run.customer, run.demand)
--- a/cassiaweir/feeds/_table_watch.py
+++ b/cassiaweir/feeds/_table_watch.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from cassiaweir.background import Background
 from cassiaweir.exceptions import HistoryLostError, UnavailableError
 from cassiaweir.types import Clock, Feed, Row
 
@@ -53,17 +54,15 @@
         self._answered_at: float | None = None
         self._changed_at: float | None = None
         self._reachable = True
-        self._task: asyncio.Task[None] | None = None
+        self._background = Background()
 
     async def start(self) -> None:
         """Begin to follow the rows."""
-        self._task = asyncio.create_task(self.run())
+        self._background.start(self.run)
 
     async def stop(self) -> None:
         """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     @property
     def listed(self) -> bool:
--- a/cassiaweir/fleet/__init__.py
+++ b/cassiaweir/fleet/__init__.py
@@ -1,6 +1,6 @@
 """Shards of VMs, their owners, and the workers that they drive."""
 
-from cassiaweir.fleet._background import Background
+from cassiaweir.background import Background
 from cassiaweir.fleet._driver_types import DriverTerms
 from cassiaweir.fleet._lease import LeaseTerms, Predecessor, ShardLease, ShardRow
 from cassiaweir.fleet._ownership import Peers, ShardKeeper
--- a/cassiaweir/fleet/_ownership.py
+++ b/cassiaweir/fleet/_ownership.py
@@ -10,8 +10,8 @@
 from functools import partial
 from typing import Protocol
 
+from cassiaweir.background import Background
 from cassiaweir.exceptions import LeaseLostError, UnavailableError
-from cassiaweir.fleet._background import Background
 from cassiaweir.fleet._lease import LeaseTerms, ShardLease
 from cassiaweir.fleet._runner import ShardRunner
 from cassiaweir.fleet._shards import due_owners, shard_domain
--- a/cassiaweir/fleet/_runner.py
+++ b/cassiaweir/fleet/_runner.py
@@ -6,8 +6,8 @@
 import contextlib
 from datetime import timedelta
 
+from cassiaweir.background import Background, wait_for_event
 from cassiaweir.exceptions import LeaseLostError, UnavailableError
-from cassiaweir.fleet._background import Background, wait_for_event
 from cassiaweir.fleet._hold_back import HoldBack
 from cassiaweir.fleet._lease import ShardLease
 from cassiaweir.fleet._part_store import Committer, PartStore
--- a/cassiaweir/fleet/_worker_driver.py
+++ b/cassiaweir/fleet/_worker_driver.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
+from cassiaweir.background import Background, wait_for_event
 from cassiaweir.exceptions import FencedError, NotFoundError, UnavailableError
-from cassiaweir.fleet._background import Background, wait_for_event
 from cassiaweir.fleet._driver_types import Authority, DriverTerms, ReportSink
 from cassiaweir.types import (
     Clock,
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -69,11 +69,6 @@
         self._healthy = True
         self.on_stored: Callable[[], None] = lambda: None
 
-    @property
-    def healthy(self) -> bool:
-        """Whether the last transaction got a plain answer."""
-        return self._healthy
-
     def put(self, write: Write) -> int:
         """Queue `write` and return its place, which `settle` takes."""
         self._puts += 1
--- a/cassiaweir/leadership/_election.py
+++ b/cassiaweir/leadership/_election.py
@@ -12,6 +12,7 @@
 import msgspec
 from loguru import logger
 
+from cassiaweir.background import Background
 from cassiaweir.exceptions import (
     ConflictError,
     LeadershipLostError,
@@ -100,21 +101,19 @@
         self._paused_until = 0.0
         self._stopping = False
         self._commits: CommitStream | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._background = Background()
         self.lead: Lead | None = None
 
     async def start(self) -> None:
         """Begin to follow, and to lead where nobody does."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start(self._run)
 
     async def stop(self) -> None:
         """Give up the lead, if held, and stop."""
         self._stopping = True
         if self._commits is not None:
             await self._commits.release()
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     @property
     def leading(self) -> bool:
--- a/cassiaweir/peers/_members.py
+++ b/cassiaweir/peers/_members.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Sequence
 from datetime import timedelta
 
 import msgspec
 from loguru import logger
 
+from cassiaweir.background import Background
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.feeds import TableWatch
 from cassiaweir.types import Clock, Row, Table, Write
@@ -45,17 +45,15 @@
         self._key = f"{MEMBERS_PREFIX}{node}"
         self._self = _Member(instance, address)
         self._seeds = [seed for seed in seeds if seed != address]
-        self._task: asyncio.Task[None] | None = None
+        self._background = Background()
 
     async def start(self) -> None:
         """Register this process; goes on in the background until it works."""
-        self._task = asyncio.create_task(self._register())
+        self._background.start(self._register)
 
     async def stop(self) -> None:
         """Remove the registration."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
         try:
             await self._table.commit([], [Write(self._key, None)])
         except UnavailableError as exc:
--- a/cassiaweir/platform/_http.py
+++ b/cassiaweir/platform/_http.py
@@ -13,8 +13,6 @@
 from cassiaweir.verdict import Verdict
 
 MOST_CONNECTIONS = 1024
-MOST_CONNECTIONS_PER_ADDRESS = 16
-JSON_TYPE = "application/json"
 
 
 @dataclass(frozen=True, slots=True)
--- a/cassiaweir/platform/_process_file.py
+++ b/cassiaweir/platform/_process_file.py
@@ -23,23 +23,11 @@
 
 
 class _Bounds(msgspec.Struct):
-    drain_ms: float = 2_000
-    grace_s: float = 6
-    config_ms: float = 2_000
     revoke_ms: float = 5_000
-    hold_max_ms: float = 6_000
-    stop_ms: float = 200
-    gang_ms: float = 3_000
-    cancel_ms: float = 3_000
-    visible_ms: float = 3_000
-    early_ms: float = 250
-    far_factor: float = 1
-    restore_ms: float = 0
 
 
 class _Platform(msgspec.Struct):
     addr: str
-    part_wr_s: float = 200
 
 
 class _File(msgspec.Struct):
@@ -68,13 +56,7 @@
     seed_addresses: tuple[str, ...]
     store_address: str
     advice_address: str
-    stop_grace_s: float
     key_withdrawal_s: float
-    longest_lease_s: float
-    gang_assembly_s: float
-    far_factor: float
-    restore_s: float
-    early_start_s: float
 
 
 def process_file_path() -> Path:
@@ -102,11 +84,5 @@
         seed_addresses=tuple(found.seeds),
         store_address=found.platform.addr,
         advice_address=found.hint,
-        stop_grace_s=bounds.grace_s,
         key_withdrawal_s=bounds.revoke_ms / 1_000,
-        longest_lease_s=bounds.hold_max_ms / 1_000,
-        gang_assembly_s=bounds.gang_ms / 1_000,
-        far_factor=bounds.far_factor,
-        restore_s=bounds.restore_ms / 1_000,
-        early_start_s=bounds.early_ms / 1_000,
     )
--- a/cassiaweir/platform/_servers.py
+++ b/cassiaweir/platform/_servers.py
@@ -23,7 +23,6 @@
 from cassiaweir.verdict import Verdict
 
 SERVERS_PREFIX = "servers//"
-CONNECTIONS_PER_SERVER = 3
 RACK_LABEL = re.compile(r"r\d+-\d+")
 
 STATUS_OK = 200
--- a/tests/test_front_vm.py
+++ b/tests/test_front_vm.py
@@ -195,13 +195,7 @@
         seed_addresses=(),
         store_address=store_address,
         advice_address="",
-        stop_grace_s=6,
         key_withdrawal_s=5,
-        longest_lease_s=6,
-        gang_assembly_s=3,
-        far_factor=2,
-        restore_s=0,
-        early_start_s=0.25,
     )
 
 
