Settle commits in doubt before later ones write the same rows

Cause: GroupCommit kept the order of conflicting commits only while the table answered. A commit without an answer, which checks k0 and writes k0 and k1, left the queue as "may have run"; a later commit that checks k1 succeeded; then the table applied the first one, because k0 still had the version that it checks, and undid the later write of k1.

Change: transactions without an answer are remembered (store/_doubts.py). Before a commit writes a row that one of them writes too, without touching a row that it checks, the one in doubt is sent again with its own checks: it takes effect now or never. If that stays unknown, the later commit fails as not run.

Ruled out: rewriting the checked row to void the late commit, which would give other holders of that version (shard leases) conflicts that nobody caused; reading the rows back, which says nothing about a commit that is still on its way.

Not covered, as before: a commit that checks none of the rows it writes, as sending it again might apply it twice.

test_front_vm asked for the job's state as soon as the outcome stood in the store, and the leader shows an end only once the store's answer has reached it. It now asks until the state is done and fails on any other final state; its parts are stopped also when it fails, so that no gRPC server is left running.

--- a/cassiaweir/store/_group_commit.py
+++ b/cassiaweir/store/_group_commit.py
@@ -8,6 +8,7 @@
 
 from cassiaweir.exceptions import ConflictError, RefusedError, UnavailableError
 from cassiaweir.observe import Metrics
+from cassiaweir.store._doubts import DoubtfulTransactions
 from cassiaweir.store._pending_commit import PendingCommit
 from cassiaweir.types import Check, Clock, Table, Write
 from cassiaweir.verdict import Verdict
@@ -30,7 +31,9 @@
     """Commits for many callers in batches, one batch at a time.
 
     Two commits conflict if one writes a key that the other writes or checks.  They
-    never share a batch and are applied in the order of the calls.
+    never share a batch and are applied in the order of the calls.  That holds too if
+    the table gives no answer and applies a transaction later: before a later commit
+    writes the same rows, the one in doubt is settled.
 
     The queue is bounded in rows, and in the expected time until it is empty.  A commit
     that finds it full is refused at once.
@@ -50,6 +53,7 @@
         self._table = table
         self._clock = clock
         self._metrics = metrics
+        self._doubts = DoubtfulTransactions(table, clock)
         self._max_batch_rows = max_batch_rows
         self._max_queued_rows = max_queued_rows
         self._batch_delay = batch_delay
@@ -208,14 +212,21 @@
         """Send one transaction with all commits of `batch`."""
         checks = [check for pending in batch for check in pending.checks]
         writes = [write for pending in batch for write in pending.writes]
+        await self._doubts.settle_before(writes)
         self._metrics.count("table_transactions")
         self._metrics.count("table_members", len(batch))
         self._metrics.count("table_rows_written", len(writes))
         started_at = self._clock.monotonic()
         try:
-            return await self._table.commit(checks, writes)
+            versions = await self._table.commit(checks, writes)
+        except UnavailableError as exc:
+            if exc.verdict is not Verdict.NOT_RUN:
+                self._doubts.add(checks, writes)
+            raise
         finally:
             self._metrics.observe("table_commit", self._clock.monotonic() - started_at)
+        self._doubts.note_applied(writes)
+        return versions
 
     async def _reject_conflicting(
         self, batch: list[PendingCommit]
--- a/tests/test_front_vm.py
+++ b/tests/test_front_vm.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import AsyncExitStack
 
 import aiohttp
@@ -16,7 +17,7 @@
 from cassiaweir.types import Write
 from standins.users import ServerService, StoreService, listening
 from tests.site_fakes import QUEUE, FakeSite
-from tests.waiting import until
+from tests.waiting import MAX_POLLS, POLL_INTERVAL_S, until
 
 MANIFEST = {
     "version": 7,
@@ -81,6 +82,29 @@
         site.store.apply([], [Write(key, msgspec.json.encode(entry))])
 
 
+async def until_shown_done(session: aiohttp.ClientSession, url: str) -> None:
+    """Ask for the job's state until it is done; fail on any other final state.
+
+    Its end is shown once the store's answer has reached the leader, which may be later
+    than the store shows the outcome.
+    """
+    for _ in range(MAX_POLLS):
+        async with session.get(url, headers=HEADERS) as resp:
+            assert resp.status == 200
+            state = (await resp.json())["state"]
+        if state == "done":
+            return
+        assert state == "running"
+        await asyncio.sleep(POLL_INTERVAL_S)
+    raise AssertionError(f"the job is still not shown as done after {MAX_POLLS} polls")
+
+
+async def stop_all(components) -> None:
+    for component in reversed(components):
+        if not isinstance(component, _DrainOnStop):
+            await component.stop()
+
+
 async def test_a_submitted_job_runs_on_the_servers_and_is_reported_done():
     async with AsyncExitStack() as stack:
         site = FakeSite(servers=2, vms=0)
@@ -94,6 +118,7 @@
         parts = process._components
         for part in parts:
             await part.start()
+        stack.push_async_callback(stop_all, parts)
         front = next(part for part in parts if isinstance(part, FrontServer))
         host, port = front._runners[0].addresses[0]
         url = f"http://{host}:{port}/jobs/{JOB_ID}"
@@ -103,12 +128,8 @@
         async with session.post(url, json=BODY, headers=HEADERS) as resp:
             assert resp.status == 200
         await until(lambda: outcome_key(JOB_ID) in site.store.rows)
-        async with session.get(url, headers=HEADERS) as resp:
-            assert await resp.json() == {"state": "done"}
+        await until_shown_done(session, url)
         async with session.get(url, headers={"Host": "h"}) as resp:
             assert resp.status == 401
         assert len(site.starts_of(JOB_ID)) == 2
         assert not site.faults
-        for part in reversed(parts):
-            if not isinstance(part, _DrainOnStop):
-                await part.stop()
--- a/tests/test_store_group_commit.py
+++ b/tests/test_store_group_commit.py
@@ -244,6 +244,38 @@
     assert verdicts(results)[:2] == [Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN]
 
 
+async def test_a_commit_in_doubt_does_not_undo_a_later_one(table, group):
+    """Issue 2: the late commit checks another row than the later one writes."""
+    table.hold_commits = 1
+    writes = [Write("k0", b"1"), Write("k1", b"1")]
+    first, second = await gather(
+        group.commit([Check("k0", 0)], writes),
+        group.commit([Check("k1", 0)], [Write("k1", b"2")]),
+    )
+    assert first.verdict is Verdict.MAY_HAVE_RUN
+    # The commit in doubt was settled first, so the row is not as the later one expects.
+    assert isinstance(second, ConflictError)
+    table.apply_held()
+    assert [(key, value) for key, value, _ in table.applied] == [
+        ("k0", b"1"),
+        ("k1", b"1"),
+    ]
+
+
+async def test_a_write_is_refused_while_an_earlier_one_stays_in_doubt(table, group):
+    table.hold_commits = 2
+    writes = [Write("k0", b"1"), Write("k1", b"1")]
+    first, second = await gather(
+        group.commit([Check("k0", 0)], writes),
+        group.commit([], [Write("k1", b"2")]),
+    )
+    assert verdicts([first, second]) == [Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN]
+    assert await create(group, "k2") == {"k2": 1}
+    assert isinstance(await group.commit([], [Write("k1", b"3")]), dict)
+    table.apply_held()
+    assert table._rows["k1"].value == b"3"
+
+
 class GroupCommitMachine(RuleBasedStateMachine):
     """Checks each result against what was applied, under random commits and faults."""
 
