Hold back after a takeover only tasks that may run on servers out of reach

Cause: a successor held back every task of every earlier job until all servers of the former leader had answered, or until its authority (6 s) and its last lease (3.2 s) had run out.

Change: * The row of a server is open (any task may run there) or names all tasks that may. Rows of servers in the leader's own failure domain name each task before its start is sent, in the transactions that are sent anyway, because a cut takes such a leader along with them. Rows of servers out of reach are narrowed to their runs, and removed once their leases have run out and nothing is counted there. * The gate holds a task only while a server that may run it is not settled. * A server that refuses the connection runs nothing and is settled, from 1 s after the takeover on. For that, starts in doubt are repeated only while the leadership is recently confirmed, and a server's next lifetime gets starts only after its row was stored again. * A start is not sent if the server's last report is over 1.5 s old, as after a pause. * The leadership is not handed over before the leader is settled. * Rows are relied on only if every leader since they were written keeps them (`task_records_since` in the owner row), so old and new builds may lead in turn.

Ruled out: storing every placement before its start, which leaves a leader without the store unable to start anything; here it goes on in all domains but its own. A shorter authority: an outage of the store would end all running work. Domains a job may use instead of tasks: one lost server of a domain would hold all of its jobs.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -208,6 +208,7 @@
         ),
         former_leader_gone=_FormerLeaderCheck(views.member_rows).was_replaced,
         metrics=metrics,
+        failure_domain=settings.failure_domain,
     )
     election = Election(
         access.store,
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -26,7 +26,7 @@
 from cassiaweir.dispatch._usage import CustomerUsage
 from cassiaweir.exceptions import LeadershipLostError
 from cassiaweir.jobs import JobState, Step
-from cassiaweir.leadership import CommitStream, Leadership
+from cassiaweir.leadership import RECENT_CONFIRMATION, CommitStream, Leadership
 from cassiaweir.observe import Metrics
 from cassiaweir.types import Clock, Row
 
@@ -41,6 +41,9 @@
 MISSING_SERVER_TIMEOUT_S = 3.0
 """An unreachable server without runs is removed if its entry is missing this long."""
 
+RECORD_TIMEOUT = timedelta(milliseconds=400)
+"""Time for the store to take the row that a start needs; else the task waits again."""
+
 SERVER_REFUSALS = (
     OrderOutcome.UNHEALTHY,
     OrderOutcome.INVALID,
@@ -72,7 +75,10 @@
         advice_cache_factory: AdviceCacheFactory,
         shrinker: RowShrinker,
         metrics: Metrics,
+        failure_domain: str,
     ) -> None:
+        self._failure_domain = failure_domain
+        self._began_at = clock.monotonic()
         self._leadership = leadership
         self._commits = commits
         self._calls = calls
@@ -103,7 +109,9 @@
             self._advice,
             clock,
             self.servers,
+            gate=gate,
             confirm_leadership=commits.confirm_leadership,
+            store_reachable=lambda: commits.store_reachable,
             preempt=self._preempt,
             launch=self._launch,
         )
@@ -175,13 +183,21 @@
             server.fenced = True
             self._gate.mark_settled(server.server_id)
             logger.info("server_first_report", server=server.server_id)
-        if not server.recorded and not self._records.has_row(server.server_id):
+        if not server.recorded and not server.recording:
             self._run_in_background(self._store_record(server))
         self.wake()
         return position
 
-    def handle_unreachable(self, server: Server) -> None:
-        """Mark an unreachable server's runs as lost once its leases have expired."""
+    def handle_unreachable(self, server: Server, *, refused: bool = False) -> None:
+        """Mark an unreachable server's runs as lost once its leases have expired.
+
+        Meanwhile the server's row names these runs for a successor.
+        """
+        if not server.fenced:
+            if refused and self._former_repeats_ended():
+                self._gate.mark_settled(server.server_id)
+            return
+        self._narrow_record(server)
         answered = sum(run.answered_at is not None for run in server.runs.values())
         if answered and server.leases_expired(self._clock.monotonic()):
             logger.warning(
@@ -190,6 +206,24 @@
             self._reports.mark_runs_lost(server, "the lease has expired")
             self.wake()
 
+    def _former_repeats_ended(self) -> bool:
+        """Return whether a former leader no longer repeats its orders.
+
+        It repeats them only while its leadership is recently confirmed, and the last
+        confirmation was sent before this leader's takeover was stored.
+        """
+        elapsed = self._clock.monotonic() - self._began_at
+        return elapsed > RECENT_CONFIRMATION.total_seconds()
+
+    def _narrow_record(self, server: Server) -> None:
+        """Let the row of an unreachable server name its runs, or remove it if none."""
+        if server.runs and self._records.is_open(server.server_id):
+            server.recorded = False
+            self._records.restrict(server.entry, _task_names(server))
+        elif not server.runs and server.leases_expired(self._clock.monotonic()):
+            server.recorded = False
+            self._records.remove(server.server_id)
+
     def handle_superseded(self) -> None:
         """Stop giving orders, as a server follows a later leader."""
         if not self._leadership.lost:
@@ -234,8 +268,6 @@
             logger.info(
                 "takeover_gate_opened", unsettled=",".join(self._gate.unsettled_servers)
             )
-            for entry in self._jobs.open_jobs():
-                entry.held = False
             for server_id in self._records.server_ids - self.servers.keys():
                 self._records.remove(server_id)
         for server in self.servers.values():
@@ -274,25 +306,35 @@
 
     def _add_server(self, entry: ServerEntry) -> None:
         """Add a server and begin to poll it."""
-        server = Server(entry)
+        restricted = entry.failure_domain == self._failure_domain
+        server = Server(entry, restricted=restricted)
         self.servers[entry.server_id] = server
         self._jobs.fleet_cpu_millis = sum(
             each.entry.capacity.cpu_millis for each in self.servers.values()
         )
-        server.recorded = self._records.has_row(entry.server_id)
+        server.recorded = not restricted and self._records.is_open(entry.server_id)
         poller = ServerPoller(
             server, self._calls, self._clock, self._leadership, self, self._commits
         )
         self._pollers[entry.server_id] = asyncio.create_task(poller.run())
 
     async def _store_record(self, server: Server) -> None:
-        """Store that this server may run tasks; none is started there before."""
-        position = self._records.add(server.entry)
+        """Store the row that new runs on a server need; none is started before."""
+        server.recording = True
+        if server.restricted:
+            position = self._records.restrict(server.entry, _task_names(server))
+        else:
+            position = self._records.open(server.entry)
         try:
             await self._commits.wait_until_stored(position)
         except LeadershipLostError:
             return
-        server.recorded = True
+        finally:
+            server.recording = False
+        # The row may have been narrowed or removed meanwhile.
+        has_row = self._records.has_row(server.server_id)
+        is_open = self._records.is_open(server.server_id)
+        server.recorded = has_row if server.restricted else is_open
         self.wake()
 
     def _cancel(self, job_id: str) -> None:
@@ -306,6 +348,31 @@
 
     def _launch(self, runs: Sequence[Run]) -> None:
         """Send the start orders of `runs` in the background."""
+        restricted = [run for run in runs if run.server.restricted]
+        if restricted:
+            self._run_in_background(self._start_recorded(restricted))
+        for run in runs:
+            if not run.server.restricted:
+                self._run_in_background(self._start(run))
+
+    async def _start_recorded(self, runs: Sequence[Run]) -> None:
+        """Start `runs` once the rows of their servers name them."""
+        servers = {run.server.server_id: run.server for run in runs}
+        position = max(
+            self._records.restrict(server.entry, _task_names(server))
+            for server in servers.values()
+        )
+        try:
+            async with asyncio.timeout(RECORD_TIMEOUT.total_seconds()):
+                await self._commits.wait_until_stored(position)
+        except LeadershipLostError:
+            return
+        except TimeoutError:
+            logger.info("runs_not_recorded", runs=len(runs), first=runs[0].task.name)
+            for run in runs:
+                self._reports.mark_lost(run, "the start could not be recorded")
+            self.wake()
+            return
         for run in runs:
             self._run_in_background(self._start(run))
 
@@ -372,6 +439,11 @@
         await _cancel_all([*self._pollers.values(), *self._tasks])
 
 
+def _task_names(server: Server) -> list[str]:
+    """Return the names of the tasks that may run on `server`."""
+    return [run.task.name for run in server.runs.values()]
+
+
 async def _cancel_all(tasks: Iterable[asyncio.Task[None]]) -> None:
     found = list(tasks)
     for task in found:
--- a/cassiaweir/dispatch/_gate.py
+++ b/cassiaweir/dispatch/_gate.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from cassiaweir.dispatch._server import (
     LEASE_EXPIRY_MARGIN_S,
     LEASE_S,
     MIN_CLOCK_RATE,
 )
+from cassiaweir.dispatch._server_records import FormerTasks
 from cassiaweir.leadership import LEADERSHIP_VALIDITY, Owner
 
 MAX_FORMER_LEASE_S = LEASE_S / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
@@ -30,19 +31,26 @@
 class TakeoverGate:
     """Opens once no server can still start or run tasks for a former leader.
 
-    A server is settled once it has answered in the new epoch or has begun another
-    lifetime.  The gate opens when all servers are settled, or when the last lease that
-    a former leader can have given to an unreachable server has expired.  That lease is
-    counted from `former_authority_end`, the end of the former leader's authority, which
-    is brought forward to now when its process is known to be gone.
+    `former_tasks` are those that may have been started, by server id.  While the gate
+    is closed, it holds back the tasks that may be on a server that is not settled.
+
+    A server is settled once it has answered in the new epoch, or has refused the
+    connection so that it runs nothing.  The gate opens when all servers are settled, or
+    when the last lease that a former leader can have given to an unreachable server has
+    expired.  That lease is counted from `former_authority_end`, the end of the former
+    leader's authority, which is brought forward to now when its process is known to be
+    gone.
     """
 
     def __init__(
-        self, server_ids: Iterable[str], *, former_authority_end: float
+        self, former_tasks: Mapping[str, FormerTasks], *, former_authority_end: float
     ) -> None:
-        self._unsettled = set(server_ids)
+        self._unsettled = dict(former_tasks)
         self._former_authority_end = former_authority_end
         self._open = not self._unsettled
+        self._holds_all = False
+        self._held_tasks: frozenset[str] = frozenset()
+        self._update_held()
 
     @property
     def is_open(self) -> bool:
@@ -56,7 +64,14 @@
 
     def mark_settled(self, server_id: str) -> None:
         """Record that a server starts nothing more for a former leader."""
-        self._unsettled.discard(server_id)
+        if self._unsettled.pop(server_id, None) is not None:
+            self._update_held()
+
+    def holds(self, task: str) -> bool:
+        """Return whether a former leader may have started this task somewhere."""
+        if self._open:
+            return False
+        return self._holds_all or task in self._held_tasks
 
     def handle_former_leader_exit(self, now: float) -> None:
         """End the former leader's authority, as its process no longer exists."""
@@ -72,3 +87,8 @@
         expired = now >= self._former_authority_end + MAX_FORMER_LEASE_S
         self._open = not self._unsettled or expired
         return self._open
+
+    def _update_held(self) -> None:
+        named = [each.names for each in self._unsettled.values() if each.names]
+        self._holds_all = any(each.names is None for each in self._unsettled.values())
+        self._held_tasks = frozenset().union(*named)
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -47,8 +47,8 @@
 class JobEntry:
     """A job that is not finished: it is open, has runs, or its end is not yet stored.
 
-    `over_share` means that it was submitted beyond its customer's share.  While `held`,
-    no task of it is started, as a former leader may have started some.
+    `over_share` means that it was submitted beyond its customer's share.  If `held`, it
+    was stored before the takeover, so that a former leader may have started its tasks.
     `write_position` is the position of its newest write; `progress_stored` means that
     a progress row of it is stored or queued.
     """
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -10,6 +10,7 @@
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
+from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._objective import (
     DeadlineStatus,
@@ -69,7 +70,8 @@
     `confirm_leadership` returns whether this process was still the leader when the
     store had a given version.  A new leader starts jobs that were stored after its
     election at once, so a leader that was replaced without noticing must not start
-    them.
+    them.  While `store_reachable` returns False, servers whose row must name each
+    task before its start get no new runs.
     """
 
     def __init__(
@@ -81,7 +83,9 @@
         clock: Clock,
         servers: Mapping[str, Server],
         *,
+        gate: TakeoverGate,
         confirm_leadership: Callable[[int], bool],
+        store_reachable: Callable[[], bool],
         preempt: Callable[[Run, Step], None],
         launch: Callable[[Sequence[Run]], None],
     ) -> None:
@@ -91,7 +95,9 @@
         self._advice = advice
         self._clock = clock
         self._servers = servers
+        self._gate = gate
         self._confirm_leadership = confirm_leadership
+        self._store_reachable = store_reachable
         self._preempt = preempt
         self._launch = launch
         self._reservations = Reservations()
@@ -100,10 +106,13 @@
     def place(self) -> None:
         """Start the waiting tasks for which there is room now, in the order of rank."""
         now = self._clock.monotonic()
+        may_record = self._store_reachable()
         usable = [
             server
             for server in self._servers.values()
-            if server.accepts_new_runs(now) and not server.health.suspended(now)
+            if server.accepts_new_runs(now)
+            and not server.health.suspended(now)
+            and (may_record or not server.restricted)
         ]
         found = sorted(self._waiting_steps(now), key=lambda each: each.rank)
         self._discard_others({each.step.name for each in found})
@@ -123,17 +132,27 @@
         wall = self._clock.now().timestamp()
         found = []
         for entry in self._jobs.open_jobs():
-            if entry.held:
-                continue
             queue = self._jobs.queue_of(entry.job)
             for step in entry.job.startable_steps():
-                if not _due(step, wall) or not _has_waiting(step):
+                if not _due(step, wall) or not self._has_startable(entry, step):
                     continue
                 found.append(
                     _WaitingStep(_rank(entry, step, queue, now), entry, step, queue)
                 )
         return found
 
+    def _has_startable(self, entry: JobEntry, step: Step) -> bool:
+        if not _has_waiting(step):
+            return False
+        return not entry.held or bool(self._startable_tasks(entry, step))
+
+    def _startable_tasks(self, entry: JobEntry, step: Step) -> list[Task]:
+        """Return the waiting tasks that no former leader may have started."""
+        tasks = step.waiting()
+        if not entry.held or self._gate.is_open:
+            return tasks
+        return [task for task in tasks if not self._gate.holds(task.name)]
+
     def _place_step(
         self,
         waiting: _WaitingStep,
@@ -146,7 +165,7 @@
         with room for a task of the smallest waiting step.
         """
         step, queue = waiting.step, waiting.queue
-        tasks = step.waiting()
+        tasks = self._startable_tasks(waiting.entry, step)
         if step.spec.gang and len(tasks) < len(step.tasks):
             return
         customer = self._jobs.customer_of(waiting.entry.job)
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -27,6 +27,12 @@
 MAX_REPORT_AGE_S = 3.0
 """A server gets new runs only if its last report is newer than this."""
 
+MAX_REPORT_AGE_AT_START_S = 1.5
+"""A start is not sent if the server's last report is older than this by then.
+
+Reports arrive more often while the server answers and this process is not paused.
+"""
+
 MS_PER_SECOND = 1_000
 
 
@@ -40,16 +46,19 @@
     `free` is the capacity that is left for new runs, negative after the capacity
     shrank.  It is stored because it is read far more often than it changes.  `fenced`
     means that the server has answered in this leader's epoch, so that it refuses orders
-    of earlier leaders; `recorded` that its row for a successor is stored; `reachable`
-    that no poll or start has gone unanswered since its last report.  `missing_since` is
-    the time at which its entry vanished, None while the entry exists.  `acknowledged`
-    is the number of the last end that the server may forget.  `orphan_runs` are runs
+    of earlier leaders; `recorded` that its row for a successor is stored as it must be
+    for new runs, `recording` that it is being stored; `restricted` that this row must
+    name each task before its start; `reachable` that no poll or start has gone
+    unanswered since its last report.  `missing_since` is the time at which its entry
+    vanished, None while the entry exists.  `acknowledged` is the number of the last end
+    that the server may forget.  `orphan_runs` are runs
     that the server lists although their tasks belong to no known job; how much of the
     capacity they take is unknown.  `born` distinguishes the lifetimes of the server.
     """
 
-    def __init__(self, entry: ServerEntry) -> None:
+    def __init__(self, entry: ServerEntry, *, restricted: bool = False) -> None:
         self._entry = entry
+        self.restricted = restricted
         self._used = NO_RESOURCES
         self.free = entry.capacity
         self.runs: dict[RunKey, Run] = {}
@@ -57,6 +66,7 @@
         self.speed = ServerSpeed()
         self.fenced = False
         self.recorded = False
+        self.recording = False
         self.reachable = True
         self.missing_since: float | None = None
         self.acknowledged = 0
@@ -125,6 +135,10 @@
             return False
         return now - self._clock_read_at < MAX_REPORT_AGE_S
 
+    def reported_recently(self, now: float) -> bool:
+        """Return whether the last report is new enough to send a start."""
+        return now - self._clock_read_at < MAX_REPORT_AGE_AT_START_S
+
     def update_from_report(self, report: ServerReport, now: float) -> None:
         """Read the server's clock from a report and mark the server as reachable."""
         self._clock_ms = report.clock_ms
@@ -140,7 +154,11 @@
         A start that was in transit may have reached the new lifetime.  The server's
         clock has begun anew, so that the lease end in that order lies far ahead and the
         run gets the longest lease that the server allows.
+
+        The server's row must be stored again: a successor may have been refused by the
+        former lifetime and rely on it that nothing is started in the new one.
         """
+        self.recorded = False
         self._may_inherit_runs = bool(self.runs)
         self._inherited_lease_end_ms = 0
         self.born = born
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -24,7 +24,11 @@
 )
 from cassiaweir.dispatch._orders import ServerClient
 from cassiaweir.dispatch._server_entry import ServerEntry
-from cassiaweir.dispatch._server_records import RECORDS_PREFIX, ServerRecords
+from cassiaweir.dispatch._server_records import (
+    RECORDS_PREFIX,
+    ServerRecords,
+    decode_former_tasks,
+)
 from cassiaweir.exceptions import InvalidInputError, UnavailableError
 from cassiaweir.feeds import TableWatch
 from cassiaweir.jobs import JobState, decode_outcome
@@ -126,7 +130,7 @@
     Nothing is kept from one term to the next.  Servers register under `servers_prefix`,
     and `decode_entry` decodes such a row, given the server's id and the value.
     `former_leader_gone` returns whether the process of a former leader has been
-    replaced.
+    replaced.  `failure_domain` is that of this VM.
     """
 
     def __init__(
@@ -142,7 +146,9 @@
         advice_cache_factory: AdviceCacheFactory,
         former_leader_gone: Callable[[Owner], bool],
         metrics: Metrics,
+        failure_domain: str = "",
     ) -> None:
+        self._failure_domain = failure_domain
         self._table = table
         self._feed = feed
         self._clock = clock
@@ -262,9 +268,9 @@
             {row_name(row.key): row.value for row in stored.progress},
             stored.decode_outcomes(),
         )
-        server_records = ServerRecords(commits, stored.records)
+        former_tasks = decode_former_tasks(stored.records, leadership.former)
         gate = TakeoverGate(
-            server_records.server_ids,
+            former_tasks,
             former_authority_end=former_authority_end(
                 leadership.former, self._clock.monotonic()
             ),
@@ -275,11 +281,12 @@
             calls=self._calls,
             clock=self._clock,
             jobs=registry,
-            records=server_records,
+            records=ServerRecords(commits, former_tasks, leadership.epoch),
             gate=gate,
             advice_cache_factory=self._advice_cache_factory,
             shrinker=shrinker,
             metrics=self._metrics,
+            failure_domain=self._failure_domain,
         )
 
     async def _scan(self, prefix: str) -> list[Row]:
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -97,6 +97,11 @@
         self._wakeup.set()
         return False
 
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the newest transaction or read of the guard row was answered."""
+        return self._store_reachable
+
     def is_stored(self, position: int) -> bool:
         """Return whether all writes up to `position` are stored."""
         return self._stored_position >= position
--- a/cassiaweir/leadership/_election.py
+++ b/cassiaweir/leadership/_election.py
@@ -195,7 +195,8 @@
         guard = decode_guard(rows.get(GUARD_KEY))
         epoch = max(former.epoch if former else 0, guard.epoch if guard else 0) + 1
         node, instance, address = self._identity
-        owner = Owner(epoch, node, instance, address)
+        since = former.task_records_since if former else 0
+        owner = Owner(epoch, node, instance, address, task_records_since=since or epoch)
         sent_at = self._clock.monotonic()
         version = await self._store_takeover(owner, rows)
         logger.info(
@@ -239,7 +240,7 @@
         self._commits = commits
         term = asyncio.create_task(self._term.serve(leadership, commits))
         stream = asyncio.create_task(commits.run())
-        handover = asyncio.create_task(self._hand_over(commits))
+        handover = asyncio.create_task(self._hand_over(leadership, commits))
         try:
             await asyncio.wait((term, stream), return_when=asyncio.FIRST_COMPLETED)
             if term.done() and not leadership.lost:
@@ -253,9 +254,15 @@
                 task.cancel()
             await self._await_tasks(*tasks)
 
-    async def _hand_over(self, commits: CommitStream) -> None:
-        """Release the leadership once a much stronger VM is able to lead."""
+    async def _hand_over(self, leadership: Leadership, commits: CommitStream) -> None:
+        """Release the leadership once a much stronger VM is able to lead.
+
+        Not before this leader is settled, as the successor would have to wait anew for
+        the servers that it cannot reach.
+        """
         address = await self._candidacy.wait_for_stronger_vm()
+        while not leadership.settled:
+            address = await self._candidacy.wait_for_stronger_vm()
         self._start_cooldown()
         logger.info("leadership_handed_over", stronger=address)
         await commits.release()
--- a/cassiaweir/leadership/_rows.py
+++ b/cassiaweir/leadership/_rows.py
@@ -24,7 +24,9 @@
     `node` is the name of its VM and `instance` identifies the process; `address` is
     where peers call it.  `released` means that it has given up the leadership.
     `settled` means that no earlier leader can still give orders, and that this leader
-    knows all runs that earlier ones started.
+    knows all runs that earlier ones started.  Every leader from epoch
+    `task_records_since` on records the tasks that it starts in its own failure domain;
+    it is 0 if this one does not, as in earlier builds.
     """
 
     epoch: int
@@ -33,6 +35,7 @@
     address: str
     released: bool = False
     settled: bool = False
+    task_records_since: int = 0
 
 
 class Guard(msgspec.Struct, frozen=True):
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -49,12 +49,15 @@
     """A backend server that checks leases and epochs but not its capacity.
 
     `highest_barred_runs` maps a task to its highest run that may not start any more.
-    While `failing` is set, each new run ends as failed.
+    While `failing` is set, each new run ends as failed.  `refuses` is whether its
+    address refuses connections while it is down, rather than staying silent.
     """
 
-    def __init__(self, server_id: str, site: Site, rack: str) -> None:
+    def __init__(
+        self, server_id: str, site: Site, rack: str, failure_domain: str = "augusta"
+    ) -> None:
         self.entry = ServerEntry(
-            server_id, f"{server_id}:1", SERVICE, "augusta", SERVER_SIZE,
+            server_id, f"{server_id}:1", SERVICE, failure_domain, SERVER_SIZE,
             frozenset({"a", rack}), rack, born=1,
         )  # fmt: skip
         self.site = site
@@ -65,6 +68,7 @@
         self.until_ms = 0
         self.up = True
         self.failing = False
+        self.refuses = False
         self._end_numbers = itertools.count(1)
         self._end_event = asyncio.Event()
 
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -35,10 +36,11 @@
 
     `faults` describes each breach of a guarantee that was seen: a task running twice,
     a task started again after its end was acknowledged, or an overcommitted server.
-    `specs` holds the job spec of each submitted job by its id.
+    Servers are spread over the failure `domains` in turn.  `specs` holds the job spec
+    of each submitted job by its id.
     """
 
-    def __init__(self, servers: int) -> None:
+    def __init__(self, servers: int, domains: Sequence[str] = ("augusta",)) -> None:
         self.store = MemoryStore()
         self.history: list[RunRecord] = []
         self.faults: list[str] = []
@@ -48,7 +50,8 @@
         self._delayed_tasks: set[asyncio.Task[None]] = set()
         self.servers: dict[str, FakeServer] = {}
         for number in range(servers):
-            server = FakeServer(f"i-{number}", self, f"r1-{number // 4}")
+            domain = domains[number % len(domains)]
+            server = FakeServer(f"i-{number}", self, f"r1-{number // 4}", domain)
             self.servers[server.entry.server_id] = server
             self.register(server)
 
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -227,6 +227,8 @@
     async def _reach(self, entry: ServerEntry, timeout_s: float) -> FakeServer:
         await asyncio.sleep(LATENCY_S / 2)
         server = self._site.servers[entry.server_id]
+        if self.alive and not server.up and server.refuses:
+            raise UnavailableError("refused", verdict=Verdict.NOT_RUN, refused=True)
         if not self.alive or not server.up or entry.server_id in self.unreachable:
             await self._time_out(timeout_s)
         return server
@@ -261,8 +263,11 @@
 class FakeVm:
     """An entry VM with its election and its terms as leader; it may be restarted."""
 
-    def __init__(self, name: str, site: FakeSite, cores: float = 1.0) -> None:
+    def __init__(
+        self, name: str, site: FakeSite, cores: float = 1.0, domain: str = "augusta"
+    ) -> None:
         rng = random.Random(f"{site.seed}/{name}")
+        self.failure_domain = domain
         self.name = name
         self.cores = cores
         self.site = site
@@ -296,6 +301,7 @@
             ),
             former_leader_gone=self.site.replaced,
             metrics=Metrics(),
+            failure_domain=self.failure_domain,
         )
         self.election = Election(
             self.store,
@@ -350,6 +356,7 @@
     `cores` gives the processor cores of each VM; without it there are `vms` VMs of one
     core.  VMs in `refusing` refuse connections from other VMs.  The advice service
     takes `question_s` for a question and `each_server_s` for each server named in it.
+    VMs and servers are spread over the failure `domains` in turn.
     """
 
     def __init__(
@@ -361,8 +368,10 @@
         cores: Sequence[float] = (),
         question_s: float = 0.0,
         each_server_s: float = 0.0,
+        domains: Sequence[str] = ("augusta",),
     ) -> None:
-        super().__init__(servers)
+        super().__init__(servers, domains)
+        self.cut_domains: set[str] = set()
         self.seed = seed
         self.rng = random.Random(seed)
         self.configuration = ReplaceableConfiguration()
@@ -372,12 +381,16 @@
         self._ids = itertools.count(1)
         self.vms: list[FakeVm] = []
         for number, vm_cores in enumerate(cores or [1.0] * vms):
-            self.vms.append(FakeVm(f"vm-{number}", self, vm_cores))
+            domain = domains[number % len(domains)]
+            self.vms.append(FakeVm(f"vm-{number}", self, vm_cores, domain))
 
     async def probe(self, address: str) -> ProbeResult:
         """Return whether the VM at `address` leads, or that it refuses connections."""
         await asyncio.sleep(LATENCY_S / 2)
         vm = next(vm for vm in self.vms if vm.name == address)
+        if vm.failure_domain in self.cut_domains:
+            await asyncio.sleep(CALL_TIMEOUT_S / 2)
+            return ProbeResult.SILENT
         if not vm.alive or address in self.refusing:
             return ProbeResult.REFUSED
         return ProbeResult.LEADING if vm.term.held_epoch else ProbeResult.NOT_LEADING
@@ -388,6 +401,27 @@
         vm = next(vm for vm in self.vms if vm.name == address)
         return vm.alive and not vm.store.fault_mode
 
+    def cut_domain(self, domain: str) -> None:
+        """Cut all links between a failure domain, the others and the store."""
+        self.cut_domains.add(domain)
+        for vm in self.vms:
+            inside = vm.failure_domain == domain
+            if inside:
+                vm.store.fault_mode = "silent"
+            vm.orders.unreachable |= {
+                server.entry.server_id
+                for server in self.servers.values()
+                if (server.entry.failure_domain == domain) != inside
+            }
+
+    def heal_domain(self, domain: str) -> None:
+        """Restore the links that `cut_domain` cut."""
+        self.cut_domains.discard(domain)
+        for vm in self.vms:
+            if vm.failure_domain == domain:
+                vm.store.fault_mode = ""
+            vm.orders.unreachable.clear()
+
     def replaced(self, owner: Owner) -> bool:
         """Return whether another process than the owner runs on the owner's VM."""
         vm = next(vm for vm in self.vms if vm.name == owner.node)
--- a/tests/test_dispatch_parts.py
+++ b/tests/test_dispatch_parts.py
@@ -23,6 +23,7 @@
 )
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import LEASE_S, MAX_LEASE_MS, Server
+from cassiaweir.dispatch._server_records import FormerTasks
 from cassiaweir.dispatch._shares import ShareMeter
 from cassiaweir.dispatch._speed import RunProgress, ServerSpeed
 from cassiaweir.dispatch._usage import CustomerUsage
@@ -31,6 +32,8 @@
 from cassiaweir.types import Resources
 from tests.site_fakes import QUEUE
 
+ANY_TASK = FormerTasks(None)
+
 
 def server_of(name: str, *, used: int = 0, rack: str = "r1-0") -> Server:
     entry = ServerEntry(
@@ -49,7 +52,7 @@
 
 
 def test_the_gate_opens_when_every_server_is_settled():
-    gate = TakeoverGate(["a", "b"], former_authority_end=100)
+    gate = TakeoverGate({"a": ANY_TASK, "b": ANY_TASK}, former_authority_end=100)
     gate.mark_settled("a")
     assert not gate.try_open(0)
     gate.mark_settled("b")
@@ -57,13 +60,13 @@
 
 
 def test_the_gate_stops_waiting_once_the_last_former_lease_has_expired():
-    gate = TakeoverGate(["a"], former_authority_end=100)
+    gate = TakeoverGate({"a": ANY_TASK}, former_authority_end=100)
     assert not gate.try_open(100 + MAX_FORMER_LEASE_S - 0.01)
     assert gate.try_open(100 + MAX_FORMER_LEASE_S)
 
 
 def test_the_gate_opens_sooner_if_the_former_leader_has_exited():
-    gate = TakeoverGate(["a"], former_authority_end=100)
+    gate = TakeoverGate({"a": ANY_TASK}, former_authority_end=100)
     gate.handle_former_leader_exit(10)
     assert gate.try_open(10 + MAX_FORMER_LEASE_S)
 
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable, Coroutine, Sequence
 
 import pytest
 
@@ -18,6 +19,7 @@
 from tests.site_fakes import ADVISED, QUEUE, URGENT, FakeSite, FakeVm
 from tests.virtual_time import run_virtual
 
+Fault = Callable[[FakeSite, random.Random], Coroutine[None, None, None]]
 FAULT_PERIOD_S = 30.0
 RECOVERY_PERIOD_S = 30.0
 STORE_FAULTS = ("silent", "busy", "lossy", "late")
@@ -100,6 +102,16 @@
         vm.orders.late_share = 0.0
 
 
+async def cut_domain(site: FakeSite, rng: random.Random) -> None:
+    leader = site.leader() or site.vms[0]
+    domain = rng.choice([leader.failure_domain, rng.choice(site.vms).failure_domain])
+    if domain in site.cut_domains:
+        return
+    site.cut_domain(domain)
+    await asyncio.sleep(rng.uniform(1, 8))
+    site.heal_domain(domain)
+
+
 FAULTS = (
     kill_and_restart,
     kill_all,
@@ -111,6 +123,7 @@
     cut_servers,
     delay_orders,
 )
+DOMAIN_FAULTS = (*FAULTS, cut_domain, cut_domain)
 
 
 def submit_random_job(site: FakeSite, rng: random.Random) -> str:
@@ -130,14 +143,16 @@
     return site.submit(first, then, queue=QUEUE, task_s=seconds)
 
 
-async def run_faults(site: FakeSite, rng: random.Random) -> list[str]:
+async def run_faults(
+    site: FakeSite, rng: random.Random, kinds: Sequence[Fault] = FAULTS
+) -> list[str]:
     """Submit jobs and inject faults; return the ids of the jobs."""
     jobs = []
     faults = set()
     while asyncio.get_running_loop().time() < FAULT_PERIOD_S:
         jobs.append(submit_random_job(site, rng))
         if rng.random() < 0.15:
-            fault = rng.choice(FAULTS)
+            fault = rng.choice(kinds)
             faults.add(asyncio.create_task(fault(site, rng)))
         await asyncio.sleep(rng.uniform(0.05, 0.5))
     await asyncio.gather(*faults)
@@ -169,6 +184,24 @@
     run_virtual(body)
 
 
+@pytest.mark.parametrize("seed", range(300, 330))
+def test_no_invariant_breaks_when_failure_domains_are_cut_off(seed: int) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=seed, domains=("a", "b", "c"))
+        for server in site.servers.values():
+            server.refuses = site.rng.random() < 0.5
+        await site.wait_for_leader()
+        jobs = await run_faults(site, site.rng, DOMAIN_FAULTS)
+        await asyncio.sleep(RECOVERY_PERIOD_S)
+        leader = await site.wait_for_leader()
+        states = {job_id: leader.term.job_state(job_id) for job_id in jobs}
+        await site.close()
+        assert not site.faults
+        assert set(states.values()) == {JobState.DONE}
+
+    run_virtual(body)
+
+
 @pytest.mark.parametrize("seed", range(100, 106))
 def test_failures_are_counted_once_under_faults(seed: int) -> None:
     async def body() -> None:
