Contain unexpected errors and reject reports with malformed rows

Cause: the rows of a server's report were taken as lists of anything.

Change: rows of reports are typed, and a report with a malformed row is rejected whole, as without it a run would seem gone or its end be acknowledged unread. A poller that loses the leadership ends without an error.

Ruled out: skipping only the malformed row, for the reason above; ending the process, which turns one bad message into a takeover after another.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -256,7 +256,10 @@
     async def _sweep_until_lost(self) -> None:
         while not self._leadership.lost:
             await self._clock.sleep(SWEEP_INTERVAL)
-            self._sweep()
+            try:
+                self._sweep()
+            except Exception as exc:
+                logger.opt(exception=exc).error("sweep_failed")
         self.wake()
 
     def _sweep(self) -> None:
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -120,7 +120,13 @@
             return
         with_room = servers_with_room(usable, [each.step for each in found])
         for waiting in found:
-            self._place_step(waiting, usable, with_room)
+            try:
+                self._place_step(waiting, usable, with_room)
+            except Exception as exc:
+                # An error with one step must not keep all others waiting.
+                logger.opt(exception=exc).error(
+                    "step_not_placed", step=waiting.step.name
+                )
 
     def _discard_others(self, steps: Collection[str]) -> None:
         """Discard the reservations and future candidates of all steps but `steps`."""
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -12,7 +12,11 @@
 from cassiaweir.dispatch._orders import ServerClient
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_entry import ServerReport
-from cassiaweir.exceptions import FencedError, UnavailableError
+from cassiaweir.exceptions import (
+    FencedError,
+    LeadershipLostError,
+    UnavailableError,
+)
 from cassiaweir.leadership import Leadership
 from cassiaweir.types import Clock
 
@@ -116,6 +120,14 @@
             except UnavailableError as exc:
                 self._mark_unreachable(exc)
                 await self._clock.sleep(RETRY_DELAY)
+            except LeadershipLostError:
+                return
+            except Exception as exc:
+                # One server's report must not end the polls that renew its lease.
+                logger.opt(exception=exc).error(
+                    "server_poll_failed", server=self._server.server_id
+                )
+                await self._clock.sleep(RETRY_DELAY)
 
     async def _poll(self) -> None:
         """Request one report and apply it.
--- a/cassiaweir/feeds/_table_watch.py
+++ b/cassiaweir/feeds/_table_watch.py
@@ -160,7 +160,14 @@
         else:
             self.rows[key] = row
         if self._listener is not None:
-            self._listener.on_row(key, row)
+            self._notify(self._listener, key, row)
+
+    def _notify(self, listener: RowListener, key: str, row: Row | None) -> None:
+        """Pass a change on; an error with one row must not end the watch of all."""
+        try:
+            listener.on_row(key, row)
+        except Exception as exc:
+            logger.opt(exception=exc).error("row_not_applied", key=key)
 
     def _record_failure(self, exc: UnavailableError) -> None:
         self._reachable_since = None
--- a/cassiaweir/leadership/_election.py
+++ b/cassiaweir/leadership/_election.py
@@ -135,7 +135,11 @@
 
     async def _run(self) -> None:
         while not self._stopping:
-            leadership = await self._try_take_over()
+            try:
+                leadership = await self._try_take_over()
+            except Exception as exc:
+                logger.opt(exception=exc).error("takeover_failed")
+                leadership = None
             if leadership is not None:
                 await self._serve(leadership)
             else:
--- a/cassiaweir/platform/_servers.py
+++ b/cassiaweir/platform/_servers.py
@@ -60,16 +60,31 @@
     born: int = 0
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: int
+    checkpoint: str | None
+    # The share of its work that is done.
+    percent: float
+    # Older servers omit the load.
+    load: float | None = None
+
+
+class _EndRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    kind: EndKind
+    checkpoint: str | None
+
+
 class _HoldAnswer(msgspec.Struct):
     # The server's own clock.
     clock_ms: int
     # When the server started, in Unix milliseconds; 0 if unknown.
     born: int = 0
-    # Rows of task, run, checkpoint, percentage done and load; older servers omit the
-    # load.
-    running: list[list[Any]] = []
-    # Rows of sequence number, task, run, kind of end and checkpoint.
-    ended: list[list[Any]] = []
+    running: list[_RunningRow] = []
+    ended: list[_EndRow] = []
 
 
 class _Refusal(msgspec.Struct):
@@ -210,24 +225,25 @@
 
 
 def _decode_report(server_id: str, raw: bytes) -> ServerReport:
+    """Decode a report, or raise `UnavailableError`.
+
+    A report with one malformed row is rejected as a whole: without that row, a run
+    would seem to be gone, or its end would be acknowledged unread.
+    """
     try:
         found = msgspec.json.decode(raw, type=_HoldAnswer)
-        return ServerReport(
-            found.clock_ms,
-            found.born,
-            [_running_task(row) for row in found.running],
-            [_task_end(row) for row in found.ended],
-        )
-    except (msgspec.DecodeError, ValueError, IndexError, TypeError) as exc:
+    except msgspec.DecodeError as exc:
         message = f"cannot decode the report of server {server_id}: {exc}"
         raise UnavailableError(message, verdict=Verdict.MAY_HAVE_RUN) from exc
-
-
-def _running_task(row: list[Any]) -> RunningTask:
-    task, run, checkpoint, percent, *rest = row
-    return RunningTask(task, run, checkpoint or "", percent, rest[0] if rest else None)
-
-
-def _task_end(row: list[Any]) -> TaskEnd:
-    number, task, run, kind, checkpoint, *_ = row
-    return TaskEnd(number, task, run, EndKind(kind), checkpoint or "")
+    return ServerReport(
+        found.clock_ms,
+        found.born,
+        [
+            RunningTask(row.task, row.run, row.checkpoint or "", row.percent, row.load)
+            for row in found.running
+        ],
+        [
+            TaskEnd(row.number, row.task, row.run, row.kind, row.checkpoint or "")
+            for row in found.ended
+        ],
+    )
--- /dev/null
+++ b/tests/test_unexpected_errors.py
@@ -0,0 +1,180 @@
+"""Tests that an unexpected error ends neither a process nor the work of others.
+
+Each test lets one part of the leader raise an unforeseen error, and checks that the
+jobs which have nothing to do with it still end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from cassiaweir.dispatch._dispatcher import Dispatcher
+from cassiaweir.dispatch._placer import Placer
+from cassiaweir.dispatch._reports import ReportProcessor
+from cassiaweir.feeds import TableWatch
+from cassiaweir.jobs import JobState, StepSpec
+from cassiaweir.leadership import Election
+from tests.site_fakes import FakeSite
+from tests.virtual_time import run_virtual
+
+TASK = StepSpec(count=2, cpu_millis=1_000, memory_mb=512, estimate_s=0.5)
+
+
+class UnforeseenError(Exception):
+    """Stands for a fault of the program."""
+
+
+def raise_if(
+    owner: type, name: str, monkeypatch: pytest.MonkeyPatch, wrong: Callable[..., bool]
+) -> list[str]:
+    """Let the method raise when `wrong` holds for its arguments; return the calls."""
+    original = getattr(owner, name)
+    raised: list[str] = []
+
+    def method(self: object, *args: Any) -> object:
+        if wrong(*args):
+            raised.append(name)
+            raise UnforeseenError(name)
+        return original(self, *args)
+
+    monkeypatch.setattr(owner, name, method)
+    return raised
+
+
+async def finish_a_job(site: FakeSite) -> None:
+    await site.wait_for_leader()
+    job_id = site.submit(TASK, task_s=0.5)
+    await asyncio.sleep(3)
+    leader = await site.wait_for_leader()
+    assert leader.term.job_state(job_id) is JobState.DONE
+    assert not site.faults
+
+
+def test_a_report_that_raises_does_not_end_the_polls_of_its_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=1)
+        await site.wait_for_leader()
+        await asyncio.sleep(0.5)
+        fails_until = asyncio.get_running_loop().time() + 1.0
+        raised = raise_if(
+            ReportProcessor,
+            "apply",
+            monkeypatch,
+            lambda *_: asyncio.get_running_loop().time() < fails_until,
+        )
+        running = site.submit(TASK, task_s=5.0)
+        await asyncio.sleep(2)
+        assert raised
+        await finish_a_job(site)
+        await asyncio.sleep(2)
+        assert len(site.starts_of(running)) == 2
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_a_step_that_cannot_be_placed_does_not_hold_up_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body() -> None:
+        site = FakeSite()
+        await site.wait_for_leader()
+        broken = site.submit(TASK)
+        raised = raise_if(
+            Placer,
+            "_place_step",
+            monkeypatch,
+            lambda waiting, *_: waiting.entry.job.job_id == broken,
+        )
+        await finish_a_job(site)
+        assert raised
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_a_sweep_that_raises_is_followed_by_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body() -> None:
+        site = FakeSite()
+        await site.wait_for_leader()
+        first = [True]
+        raised = raise_if(
+            Dispatcher, "_sweep", monkeypatch, lambda: first and bool(first.pop())
+        )
+        await finish_a_job(site)
+        assert raised == ["_sweep"]
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_a_row_that_cannot_be_applied_does_not_end_the_feed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body() -> None:
+        site = FakeSite()
+        leader = await site.wait_for_leader()
+        monkeypatch.setattr(leader.term, "apply_rows", lambda rows: None)
+        broken: list[str] = []
+        raised = raise_if(
+            Dispatcher, "apply_job_row", monkeypatch, lambda row: row.key in broken
+        )
+        broken.append(f"jobs/{site.submit(TASK)}")
+        broken += [key for key in site.store.rows if key.startswith("jobs/")]
+        await asyncio.sleep(1)
+        await finish_a_job(site)
+        assert raised
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_an_election_goes_on_after_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        first = [True, True, True]
+        raised = raise_if(
+            Election,
+            "owner",
+            monkeypatch,
+            lambda: bool(first) and first.pop(),
+        )
+        site = FakeSite()
+        await finish_a_job(site)
+        assert len(raised) == 3
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_the_watched_rows_are_kept_though_the_listener_raises() -> None:
+    class Listener:
+        def on_row(self, key: str, row: object) -> None:
+            raise UnforeseenError(key)
+
+    async def body() -> None:
+        site = FakeSite(vms=1)
+        vm = site.vms[0]
+        watch = TableWatch(
+            vm.store,
+            ["servers//"],
+            vm.watch._clock,
+            wait=timedelta(seconds=1),
+            listener=Listener(),
+        )
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(1)
+        assert len(watch.rows) == len(site.servers)
+        assert not task.done()
+        task.cancel()
+        await site.close()
+
+    run_virtual(body)
