--- a/cassiaweir/_option_values.py
+++ b/cassiaweir/_option_values.py
@@ -92,7 +92,7 @@
 
 def parse_count(value: object) -> int:
     """Return the whole number of at least 1 that `value` is or writes in digits."""
-    number = int(value) if isinstance(value, str) and value.isdigit() else value
+    number = int(value) if isinstance(value, str) and value.isdecimal() else value
     if not isinstance(number, int) or isinstance(number, bool) or number < 1:
         raise ValueError(f"expected a whole number of at least 1, got {value!r}")
     return number
--- a/cassiaweir/api/_jobs.py
+++ b/cassiaweir/api/_jobs.py
@@ -104,7 +104,7 @@
 def _read_page_size(request: Request) -> int:
     """Return the query parameter `limit`, the maximum number of jobs in a page."""
     text = request.args.get("limit", str(DEFAULT_PAGE_SIZE))
-    if not text.isdigit() or not 1 <= int(text) <= MAX_PAGE_SIZE:
+    if not text.isdecimal() or not 1 <= int(text) <= MAX_PAGE_SIZE:
         raise InvalidInputError(f"limit: expected 1 to {MAX_PAGE_SIZE}")
     return int(text)
 
--- a/cassiaweir/observe/_log_lines.py
+++ b/cassiaweir/observe/_log_lines.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import UTC, datetime
 
 import msgspec
 
@@ -45,7 +45,8 @@
 def parse_line(text: str) -> LogLine | None:
     """Return the event in the log line `text`, or None if there is none.
 
-    Text before the first `at=`, such as the prefix of a log collector, is ignored.
+    Text before the first `at=`, such as the prefix of a log collector, is ignored.  A
+    time without an offset is taken for UTC, in which all processes write theirs.
     """
     start = text.find("at=")
     if start < 0:
@@ -55,6 +56,8 @@
         at = datetime.fromisoformat(fields.pop("at"))
     except (KeyError, ValueError):
         return None
+    if at.tzinfo is None:
+        at = at.replace(tzinfo=UTC)
     process = fields.pop("process", "")
     return LogLine(at, process, fields.pop("event", ""), fields)
 
@@ -88,6 +91,10 @@
 
 
 def _unquote(value: str) -> str:
+    """Return the text in a quoted value; one whose line was cut off stays as it is."""
     if not value.startswith('"'):
         return value
-    return str(msgspec.json.decode(value))
+    try:
+        return str(msgspec.json.decode(value))
+    except msgspec.DecodeError:
+        return value
--- a/cassiaweir/observe/_timeline.py
+++ b/cassiaweir/observe/_timeline.py
@@ -114,7 +114,7 @@
     The number is 0, which no event has, if `cause` is empty or malformed.
     """
     process, _, sequence = cause.rpartition(":")
-    return process, int(sequence) if sequence.isdigit() else 0
+    return process, int(sequence) if sequence.isdecimal() else 0
 
 
 def render_text(events: Sequence[Event]) -> str:
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -66,6 +66,7 @@
     ("POST", "/jobs/cancel", {}),
     ("GET", "/jobs?limit=0", None),
     ("GET", "/jobs?limit=x", None),
+    ("GET", "/jobs?limit=%C2%B2", None),
     ("GET", "/jobs?limit=1001", None),
     ("GET", "/timeline?since=yesterday", None),
     ("GET", "/timeline?format=pdf", None),
--- a/tests/test_observe_lines.py
+++ b/tests/test_observe_lines.py
@@ -104,3 +104,22 @@
     result = CliRunner().invoke(main, args)
     assert result.exit_code == 0
     assert "how=failed" in result.output.splitlines()[0]
+
+
+def test_a_line_that_was_cut_off_in_a_quoted_value_is_kept():
+    line = parse_line('at=2026-12-04T08:00:00+00:00 event=store_lost cause="no usa')
+    assert line is not None
+    assert line.event == "store_lost"
+
+
+def test_times_with_and_without_an_offset_are_merged():
+    texts = [
+        "at=2026-12-04T08:00:01 event=second job=a",
+        "at=2026-12-04T08:00:00+00:00 event=first job=a",
+    ]
+    assert [line.event for line in merge_lines(texts, "a")] == ["first", "second"]
+
+
+@given(st.text(max_size=40))
+def test_no_text_makes_the_parser_fail(text: str):
+    parse_line(f"at=2026-12-04T08:00:00+00:00 event=x cause={text}")
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -51,3 +51,8 @@
     trace = msgspec.json.decode(render_trace(events))
     assert trace["traceEvents"][0]["args"] == {"name": "a"}
     assert trace["traceEvents"][1]["ph"] == "b"
+
+
+def test_a_cause_whose_number_is_not_decimal_is_ignored():
+    events = [make_event("a", 1, 1), make_event("b", 1, 2, cause="a:²")]
+    assert merge_events(events) == events
