Test that orders are sent only while their permission holds

A start is not sent after a pause on the decision before it, a start in doubt is not repeated once the store has not confirmed the leadership for a second, and nothing is sent after the authority has run out.

--- /dev/null
+++ b/tests/test_dispatch_orders.py
@@ -0,0 +1,133 @@
+"""Tests that orders are sent only while the permission for them still holds.
+
+Pattern: a process is paused or loses the store between the decision to start a task and
+the order, or between two attempts of the order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from cassiaweir.dispatch import OrderOutcome, ServerEntry, ServerReport, StartOrder
+from cassiaweir.dispatch._orders import OrderSender, StartResult
+from cassiaweir.dispatch._runs import Run
+from cassiaweir.dispatch._server import MAX_REPORT_AGE_AT_START_S, Server
+from cassiaweir.exceptions import UnavailableError
+from cassiaweir.jobs import Job, JobSpec, StepSpec
+from cassiaweir.leadership import (
+    LEADERSHIP_VALIDITY,
+    RECENT_CONFIRMATION,
+    Leadership,
+    Owner,
+)
+from cassiaweir.types import Resources
+from cassiaweir.verdict import Verdict
+from tests.site_fakes import QUEUE
+from tests.virtual_time import VirtualClock, run_virtual
+
+SERVER = ServerEntry("i-1", "i-1:1", "inventory", "a", Resources(16_000, 65_536))
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class Orders:
+    """One run on one server, and a client that counts the orders sent to it.
+
+    The first `unanswered` orders get no answer and may be carried out.
+    """
+
+    def __init__(self, unanswered: int = 0) -> None:
+        self.unanswered = unanswered
+        self.starts: list[float] = []
+        self.server = Server(SERVER)
+        self.server.update_from_report(ServerReport(1_000, 1, [], []), now())
+        self.leadership = Leadership(Owner(1, "vm", "vm-1", "vm:1"), 1, 1, now())
+        spec = JobSpec("0" * 16, QUEUE, "c", "x", (StepSpec(count=1),), 0.0)
+        step = Job(spec, 1, 3).steps[0, 0]
+        self.run = Run(step.tasks[0], 1, self.server, step.demand, "c", now())
+        self.server.add(self.run)
+        self.sender = OrderSender(self, VirtualClock(), self.leadership, lambda: None)
+
+    async def start(
+        self, entry: ServerEntry, order: StartOrder, timeout: timedelta
+    ) -> OrderOutcome:
+        """Count an order; fail without an answer while `unanswered` is left."""
+        self.starts.append(now())
+        if self.unanswered:
+            self.unanswered -= 1
+            raise UnavailableError("no answer", verdict=Verdict.MAY_HAVE_RUN)
+        return OrderOutcome.ACCEPTED
+
+    async def renew_lease(self, *args: object, **kwargs: object) -> ServerReport:
+        """Is not called in these tests."""
+        raise AssertionError
+
+    async def stop_run(self, *args: object) -> OrderOutcome:
+        """Is not called in these tests."""
+        raise AssertionError
+
+
+def test_a_start_is_sent_at_once() -> None:
+    async def body() -> None:
+        orders = Orders()
+        assert (await orders.sender.start(orders.run))[0] is StartResult.STARTED
+        assert len(orders.starts) == 1
+
+    run_virtual(body)
+
+
+@pytest.mark.parametrize("pause_s", [1.6, 3.0, 20.0])
+def test_after_a_pause_no_start_is_sent_on_the_decision_before_it(
+    pause_s: float,
+) -> None:
+    async def body() -> None:
+        orders = Orders()
+        assert pause_s > MAX_REPORT_AGE_AT_START_S
+        await asyncio.sleep(pause_s)
+        # The store may have confirmed the leadership again since the pause.
+        orders.leadership.confirmed_at = now()
+        assert (await orders.sender.start(orders.run))[0] is StartResult.NOT_STARTED
+        assert not orders.starts
+
+    run_virtual(body)
+
+
+def test_a_start_in_doubt_is_repeated_while_the_store_confirms() -> None:
+    async def body() -> None:
+        orders = Orders(unanswered=2)
+        assert (await orders.sender.start(orders.run))[0] is StartResult.STARTED
+        assert len(orders.starts) == 3
+
+    run_virtual(body)
+
+
+def test_a_start_in_doubt_is_not_repeated_long_after_the_last_confirmation() -> None:
+    async def body() -> None:
+        orders = Orders(unanswered=1_000)
+        result, _ = await orders.sender.start(orders.run)
+        assert result is StartResult.NOT_STARTED
+        assert orders.starts[-1] < RECENT_CONFIRMATION.total_seconds()
+        # The lease of the order has run out, so it cannot take effect any more.
+        assert orders.server.leases_expired(now())
+
+    run_virtual(body)
+
+
+def test_nothing_is_sent_once_the_authority_has_run_out() -> None:
+    async def body() -> None:
+        orders = Orders()
+        await asyncio.sleep(LEADERSHIP_VALIDITY.total_seconds() + 1)
+        orders.server.update_from_report(ServerReport(8_000, 1, [], []), now())
+        waiting = asyncio.create_task(orders.sender.start(orders.run))
+        await asyncio.sleep(1)
+        assert not orders.starts
+        orders.leadership.lost = True
+        assert (await waiting)[0] is StartResult.NOT_STARTED
+        assert not orders.starts
+
+    run_virtual(body)
