Revert the order in which gangs ask about servers

A likely reason, not traced: gangs then take the emptiest servers, and large single tasks find none.

--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from cassiaweir.dispatch._server import Server
@@ -131,44 +131,15 @@
     step's rack, whether it is not a fast one for an urgent step, and the CPU left free.
     """
     server = candidate.server
-    suspicion, other_rack = _suspicion(step, server), _other_rack(step, server)
+    suspicion = server.health.failures_since_success + 2 * server.speed.slow
+    suspicion += server.server_id in step.avoided_servers
+    rack = step.spec.rack
+    other_rack = int(bool(rack) and server.entry.rack != rack)
     not_fast = int(step.job.spec.queue.priority == 0 and not server.speed.fast)
     left_millis = server.free.cpu_millis - step.demand.cpu_millis * candidate.slots
     return (suspicion, other_rack, not_fast, left_millis)
 
 
-def gang_question_key(
-    step: Step, candidate: Candidate, claimed: Collection[str]
-) -> tuple[int, bool, int, int, int]:
-    """Return the sort key of a server to ask advice about for a gang.
-
-    Servers with the most room come first: fewer of them have to be asked about, and
-    short tasks, which go to the fullest servers, leave their room alone until the
-    answer is there.  Those in `claimed` come last, as other gangs wait for advice about
-    them; all gangs would otherwise wait for the same servers.
-    """
-    server = candidate.server
-    return (
-        _suspicion(step, server),
-        server.server_id in claimed,
-        _other_rack(step, server),
-        -candidate.slots,
-        -server.free.cpu_millis,
-    )
-
-
-def _suspicion(step: Step, server: Server) -> int:
-    """Return how much speaks against a server, 0 if nothing does."""
-    suspicion = server.health.failures_since_success + 2 * server.speed.slow
-    return suspicion + (server.server_id in step.avoided_servers)
-
-
-def _other_rack(step: Step, server: Server) -> int:
-    """Return 1 if the step's data is in a rack other than the server's, else 0."""
-    rack = step.spec.rack
-    return int(bool(rack) and server.entry.rack != rack)
-
-
 def _one_rack(ordered: Sequence[Candidate], count: int) -> list[Candidate]:
     """Return the candidates of one rack with room for `count` tasks, or none."""
     by_rack: dict[str, list[Candidate]] = {}
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -22,7 +22,6 @@
     choose_servers,
     find_candidates,
     find_future_candidates,
-    gang_question_key,
     preference_key,
     servers_with_room,
 )
@@ -102,8 +101,6 @@
         self._preempt = preempt
         self._launch = launch
         self._reservations = Reservations()
-        # The servers that gangs have asked advice about and not started on yet.
-        self._questions = Reservations()
         self._future: dict[str, tuple[float, list[Candidate]]] = {}
 
     def place(self) -> None:
@@ -134,7 +131,6 @@
     def _discard_others(self, steps: Collection[str]) -> None:
         """Discard the reservations and future candidates of all steps but `steps`."""
         self._reservations.retain(steps)
-        self._questions.retain(steps)
         for name in self._future.keys() - set(steps):
             del self._future[name]
 
@@ -200,7 +196,6 @@
             self._preempt_others(waiting, usable, tickets, missing)
             return
         self._reservations.release(step.name)
-        self._questions.release(step.name)
         self._start(step, tasks, chosen, tickets or {})
         self._preempt_others(waiting, usable, tickets, missing)
 
@@ -245,22 +240,17 @@
         share = self._advice.allowed_share(waiting.queue.name)
         answered = self._advice.denied(step) | tickets.keys()
         found = exclude_servers(find_candidates(step, servers, None, count), answered)
+        found.sort(key=lambda each: preference_key(step, each))
         if step.spec.gang:
-            claimed = self._questions.of_others(step.name)
-            found.sort(key=lambda each: gang_question_key(step, each, claimed))
             valid = find_candidates(step, servers, tickets, count)
             likely = share * sum(each.slots for each in found)
             if sum(each.slots for each in valid) + likely < count:
                 found = self._gang_servers_to_ask(waiting, policy, usable, count)
-        else:
-            found.sort(key=lambda each: preference_key(step, each))
-            if not found and not tickets:
-                found = exclude_servers(
-                    self._future_candidates(waiting, usable, count), answered
-                )
+        elif not found and not tickets:
+            found = exclude_servers(
+                self._future_candidates(waiting, usable, count), answered
+            )
         ids = servers_to_ask(found, count, share)
-        if step.spec.gang:
-            self._questions.claim(step.name, ids)
         urgent = waiting.queue.priority == URGENT_PRIORITY
         rank = waiting.rank[1] * 1e9 + waiting.rank[3]
         self._advice.ask(step, policy, ids, rank, urgent=urgent)
--- a/cassiaweir/dispatch/_reservations.py
+++ b/cassiaweir/dispatch/_reservations.py
@@ -32,10 +32,6 @@
         for name in self._by_step.keys() - set(steps):
             del self._by_step[name]
 
-    def claim(self, step: str, server_ids: Iterable[str]) -> None:
-        """Replace the reservation of a gang by `server_ids`, without any limit."""
-        self._by_step[step] = frozenset(server_ids)
-
     def release(self, step: str) -> None:
         """Release the reservation of a gang, if it has one."""
         self._by_step.pop(step, None)
