Take a refused connection no longer as a proof that a server runs nothing

A new leader counted a server that refused its connection as settled.

Change: only an answer in the new epoch settles a server. What the rule needed besides goes too: repeats of starts in doubt that depend on a recent confirmation, and rows that are stored again for a server's next lifetime.

Ruled out: telling the refusal of a host from that of a cut, which look the same.

A dead server whose row was open at the takeover holds earlier jobs back again, as before.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -26,7 +26,7 @@
 from cassiaweir.dispatch._usage import CustomerUsage
 from cassiaweir.exceptions import LeadershipLostError
 from cassiaweir.jobs import JobState, Step
-from cassiaweir.leadership import RECENT_CONFIRMATION, CommitStream, Leadership
+from cassiaweir.leadership import CommitStream, Leadership
 from cassiaweir.observe import Metrics
 from cassiaweir.types import Clock, Row
 
@@ -78,7 +78,6 @@
         failure_domain: str,
     ) -> None:
         self._failure_domain = failure_domain
-        self._began_at = clock.monotonic()
         self._leadership = leadership
         self._commits = commits
         self._calls = calls
@@ -188,14 +187,12 @@
         self.wake()
         return position
 
-    def handle_unreachable(self, server: Server, *, refused: bool = False) -> None:
+    def handle_unreachable(self, server: Server) -> None:
         """Mark an unreachable server's runs as lost once its leases have expired.
 
         Meanwhile the server's row names these runs for a successor.
         """
         if not server.fenced:
-            if refused and self._former_repeats_ended():
-                self._gate.mark_settled(server.server_id)
             return
         self._narrow_record(server)
         answered = sum(run.answered_at is not None for run in server.runs.values())
@@ -206,15 +203,6 @@
             self._reports.mark_runs_lost(server, "the lease has expired")
             self.wake()
 
-    def _former_repeats_ended(self) -> bool:
-        """Return whether a former leader no longer repeats its orders.
-
-        It repeats them only while its leadership is recently confirmed, and the last
-        confirmation was sent before this leader's takeover was stored.
-        """
-        elapsed = self._clock.monotonic() - self._began_at
-        return elapsed > RECENT_CONFIRMATION.total_seconds()
-
     def _narrow_record(self, server: Server) -> None:
         """Let the row of an unreachable server name its runs, or remove it if none."""
         if server.runs and self._records.is_open(server.server_id):
--- a/cassiaweir/dispatch/_gate.py
+++ b/cassiaweir/dispatch/_gate.py
@@ -34,12 +34,12 @@
     `former_tasks` are those that may have been started, by server id.  While the gate
     is closed, it holds back the tasks that may be on a server that is not settled.
 
-    A server is settled once it has answered in the new epoch, or has refused the
-    connection so that it runs nothing.  The gate opens when all servers are settled, or
-    when the last lease that a former leader can have given to an unreachable server has
-    expired.  That lease is counted from `former_authority_end`, the end of the former
-    leader's authority, which is brought forward to now when its process is known to be
-    gone.
+    A server is settled once it has answered in the new epoch.  A refused connection
+    proves nothing, as a cut may refuse connections to live servers.  The gate opens
+    when all servers are settled, or when the last lease that a former leader can have
+    given to an unreachable server has expired.  That lease is counted from
+    `former_authority_end`, the end of the former leader's authority, which is brought
+    forward to now when its process is known to be gone.
     """
 
     def __init__(
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -101,13 +101,6 @@
             if run.task.step.job.ended:
                 break
             now = self._clock.monotonic()
-            if in_doubt and not self._leadership.recently_confirmed(now):
-                # A repeat might reach the server's next lifetime after a successor
-                # has found the former one gone.
-                if self._lease_expired(run):
-                    return StartResult.NOT_STARTED, None
-                await self._clock.sleep(RETRY_DELAY)
-                continue
             if not in_doubt and not run.server.reported_recently(now):
                 return StartResult.NOT_STARTED, None
             try:
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -154,11 +154,7 @@
         A start that was in transit may have reached the new lifetime.  The server's
         clock has begun anew, so that the lease end in that order lies far ahead and the
         run gets the longest lease that the server allows.
-
-        The server's row must be stored again: a successor may have been refused by the
-        former lifetime and rely on it that nothing is started in the new one.
         """
-        self.recorded = False
         self._may_inherit_runs = bool(self.runs)
         self._inherited_lease_end_ms = 0
         self.born = born
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -46,8 +46,8 @@
         forget the ends in the report once that write is stored.
         """
 
-    def handle_unreachable(self, server: Server, *, refused: bool = False) -> None:
-        """Act on a server that does not answer, or that refuses the connection."""
+    def handle_unreachable(self, server: Server) -> None:
+        """Act on a server that does not answer."""
 
     def handle_superseded(self) -> None:
         """Act on a server that follows a higher epoch."""
@@ -179,4 +179,4 @@
                 "server_unreachable", server=self._server.server_id, cause=str(exc)
             )
         self._server.reachable = False
-        self._handler.handle_unreachable(self._server, refused=exc.refused)
+        self._handler.handle_unreachable(self._server)
--- a/cassiaweir/exceptions.py
+++ b/cassiaweir/exceptions.py
@@ -52,16 +52,12 @@
 class UnavailableError(CassiaweirError):
     """A peer or a platform service gave no usable response.
 
-    `verdict` says whether the call may still have taken effect.  `refused` means that
-    the address refused the connection, as nothing listens there.
+    `verdict` says whether the call may still have taken effect.
     """
 
-    def __init__(
-        self, message: str, *, verdict: Verdict, refused: bool = False
-    ) -> None:
+    def __init__(self, message: str, *, verdict: Verdict) -> None:
         super().__init__(message)
         self.verdict = verdict
-        self.refused = refused
 
 
 class FencedError(CassiaweirError):
--- a/cassiaweir/leadership/__init__.py
+++ b/cassiaweir/leadership/__init__.py
@@ -9,16 +9,11 @@
     Owner,
     decode_owner,
 )
-from cassiaweir.leadership._terms import (
-    LEADERSHIP_VALIDITY,
-    RECENT_CONFIRMATION,
-    Leadership,
-)
+from cassiaweir.leadership._terms import LEADERSHIP_VALIDITY, Leadership
 
 __all__ = [
     "LEADERSHIP_VALIDITY",
     "LEAD_PREFIX",
-    "RECENT_CONFIRMATION",
     "Candidacy",
     "CommitStream",
     "Election",
--- a/cassiaweir/leadership/_terms.py
+++ b/cassiaweir/leadership/_terms.py
@@ -14,9 +14,6 @@
 limit only matters on servers that the successor cannot reach.
 """
 
-RECENT_CONFIRMATION = timedelta(seconds=1)
-"""A leadership confirmed within this time counts as recently confirmed."""
-
 
 @dataclass(slots=True, eq=False)
 class Leadership:
@@ -51,7 +48,3 @@
         if self.lost or self.releasing:
             return False
         return now - self.confirmed_at < LEADERSHIP_VALIDITY.total_seconds()
-
-    def recently_confirmed(self, now: float) -> bool:
-        """Return whether the store has confirmed this leadership a moment ago."""
-        return now - self.confirmed_at < RECENT_CONFIRMATION.total_seconds()
--- a/cassiaweir/platform/_http.py
+++ b/cassiaweir/platform/_http.py
@@ -99,10 +99,7 @@
                 body = await resp.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             message = f"{address}{path}: cannot connect: {exc}"
-            refused = isinstance(exc.__cause__, ConnectionRefusedError)
-            raise UnavailableError(
-                message, verdict=Verdict.NOT_RUN, refused=refused
-            ) from exc
+            raise UnavailableError(message, verdict=Verdict.NOT_RUN) from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise unknown_outcome_error(address, path, exc) from exc
         return HttpResponse(resp.status, body, resp.headers.get("ETag", ""))
