Log the trace of unexpected errors

Cause: loguru appends a trace only to formats given as text. format_record is a function, so the exception passed by logger.opt(exception=...) was dropped.

Evidence: test_the_trace_of_an_error_stands_in_its_line fails before (the line ends after server=i-1) and passes after. Ruled out: that the callers pass no exception; all do.

Change: the line ends with trace=, at most 4,000 characters from its end, quoted like any value, so that it stays one line and bounded.

--- a/cassiaweir/observe/_logs.py
+++ b/cassiaweir/observe/_logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from typing import TYPE_CHECKING, Protocol, TextIO
 
 import msgspec
@@ -11,6 +12,9 @@
 if TYPE_CHECKING:
     from loguru import Record
 
+MAX_TRACE_CHARS = 4_000
+"""The end of a longer trace is kept, as it names the error."""
+
 
 class Sink(Protocol):
     """Receives the log lines."""
@@ -31,6 +35,11 @@
     return msgspec.json.encode(text).decode()
 
 
+def _trace(exc: BaseException) -> str:
+    """Return the trace of `exc` and of the errors that caused it, ending with `exc`."""
+    return "".join(traceback.format_exception(exc))[-MAX_TRACE_CHARS:]
+
+
 def format_record(record: Record) -> str:
     """Return the loguru format of the line for `record`.
 
@@ -48,6 +57,9 @@
         for key, value in record["extra"].items()
         if key not in excluded_keys
     ]
+    found = record["exception"]
+    if found is not None and found.value is not None:
+        pairs.append(("trace", _trace(found.value)))
     record["extra"]["line"] = " ".join(f"{key}={_quote(value)}" for key, value in pairs)
     return "{extra[line]}\n"
 
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -2,6 +2,8 @@
 
 import io
 
+from loguru import logger
+
 from cassiaweir.clock import ManualClock
 from cassiaweir.observe import EventLog, Metrics, configure_logs
 
@@ -17,6 +19,21 @@
     assert "process=p1" in lines[0]
 
 
+# Guards against a line about an unexpected error that does not say which error it was.
+def test_the_trace_of_an_error_stands_in_its_line():
+    sink = io.StringIO()
+    configure_logs("p1", "info", sink)
+    try:
+        raise ValueError("bad {row} <red>")
+    except ValueError as exc:
+        logger.opt(exception=exc).error("server_poll_failed", server="i-1")
+    lines = sink.getvalue().splitlines()
+    assert len(lines) == 1
+    assert "server=i-1" in lines[0]
+    assert "test_observe.py" in lines[0]
+    assert lines[0].endswith('ValueError: bad {row} <red>\\n"')
+
+
 def test_events_after_a_sequence_are_returned_in_order():
     log = EventLog("p1", ManualClock())
     for index in range(5):
