Log the load and the lifetimes that decide a placement

The hypotheses differ in the lifetime of the entry, that of the last report, the room and what was counted at a start; no line had any of these, and server_restarted did not say which lifetimes.

Change: tasks_placed has loads, run_not_started has load, lifetime and entry, server_restarted has the former lifetime, the new one and that of the entry, and server_entry_of_new_lifetime says when the entry follows. One short field for each server of a line that names it already, so the volume stays bounded.

No decision changes.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -156,6 +156,14 @@
             return
         if entry.draining and not server.entry.draining:
             logger.info("server_draining", server=entry.server_id)
+        if entry.born != server.entry.born:
+            logger.info(
+                "server_entry_of_new_lifetime",
+                server=entry.server_id,
+                former=server.entry.born,
+                entry=entry.born,
+                reported=server.born,
+            )
         server.entry = entry
         server.missing_since = None
         self.wake()
@@ -381,6 +389,9 @@
             run=run.number,
             server=run.server.server_id,
             outcome="unreachable" if outcome is None else outcome.value,
+            load=run.server.load_text,
+            lifetime=run.server.born,
+            entry=run.server.entry.born,
         )
         if outcome is OrderOutcome.NO_TICKET:
             self._advice.invalidate(run.task.step, run.server.server_id)
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -359,12 +359,14 @@
             ticket = tickets.get(server.server_id, "")
             runs.append(self._runs.place(task, server, number, ticket))
         if runs:
+            servers = {run.server.server_id: run.server for run in runs}
             logger.info(
                 "tasks_placed",
                 step=step.name,
                 tasks=len(runs),
                 run=runs[0].number,
-                servers=",".join(sorted({run.server.server_id for run in runs})),
+                servers=",".join(sorted(servers)),
+                loads=",".join(servers[each].load_text for each in sorted(servers)),
             )
             self._launch(runs)
 
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -55,7 +55,13 @@
         if report.born and server.born and report.born != server.born:
             # Runs of the former lifetime are not listed any more and are removed below.
             # An order that was in transit may have started a run in the new lifetime.
-            logger.warning("server_restarted", server=server.server_id)
+            logger.warning(
+                "server_restarted",
+                server=server.server_id,
+                former=server.born,
+                born=report.born,
+                entry=server.entry.born,
+            )
             server.begin_lifetime(report.born)
         elif report.born:
             server.born = report.born
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -103,6 +103,13 @@
         self._used = used
         self.free = self._entry.capacity - used
 
+    @property
+    def load_text(self) -> str:
+        """CPU and memory that the counted runs take and the entry gives, for logs."""
+        used, capacity = self._used, self._entry.capacity
+        cpu = f"{used.cpu_millis}/{capacity.cpu_millis}"
+        return f"{cpu}:{used.memory_mb}/{capacity.memory_mb}"
+
     def add(self, run: Run) -> None:
         """Count `run` against the capacity."""
         self.runs[run.key] = run
