Place no tasks by the room of a server's former lifetime

Cause: the room of a server stands in its entry in the store only. A server may start again under its id with less room. Its first report began the new lifetime (leases, health), but nothing compared the lifetime in the entry with that of the report, so until the new entry was read, late with a store that is slow or away, tasks were placed by the room of the former lifetime.

The stand-in gave each lifetime the same room, and test sites read the server's present entry instead of the stored row, so no test or soak could see it; both are changed.

Change: a server gets new runs only while its entry is of the lifetime of its last report. It works in both orders: an entry that is newer than the last report waits for the first report, an older one for the entry. Servers that tell no lifetime are as before.

Ruled out: comparing capacities (the same room in another lifetime is no proof), and taking the room from reports (they have none).

--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -53,7 +53,8 @@
     vanished, None while the entry exists.  `acknowledged` is the number of the last end
     that the server may forget.  `orphan_runs` are runs
     that the server lists although their tasks belong to no known job; how much of the
-    capacity they take is unknown.  `born` distinguishes the lifetimes of the server.
+    capacity they take is unknown.  `born` is the lifetime that the last report came
+    from, or that of the entry before the first report.
     """
 
     def __init__(self, entry: ServerEntry, *, restricted: bool = False) -> None:
@@ -93,6 +94,14 @@
         self._entry = entry
         self.free = entry.capacity - self._used
 
+    @property
+    def entry_is_current(self) -> bool:
+        """Whether the entry describes the lifetime that the last report came from.
+
+        The next lifetime of a server may have less capacity, and only its entry tells.
+        """
+        return self._entry.born == self.born
+
     @property
     def used(self) -> Resources:
         """The resources that the counted runs take."""
@@ -135,6 +144,8 @@
             return False
         if self.entry.draining or self._clock_ms is None:
             return False
+        if not self.entry_is_current:
+            return False
         if self.orphan_runs:
             return False
         missing = self.missing_since
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from cassiaweir.dispatch import (
@@ -108,18 +108,26 @@
         self.ends.clear()
         self.up = False
 
-    def restart(self) -> None:
-        """Start again under the same id, as a new lifetime without leases or epochs."""
+    def restart(
+        self, capacity: Resources | None = None, *, entry_delay_s: float = 0.0
+    ) -> None:
+        """Start again under the same id, as a new lifetime without leases or epochs.
+
+        The new lifetime may have another capacity.  Its entry reaches the store after
+        `entry_delay_s`.
+        """
         self.up = True
         self.highest_barred_runs.clear()
         self.epoch = 0
         self.until_ms = 0
         self._end_numbers = itertools.count(1)
-        self.entry = ServerEntry(
-            self.entry.server_id, self.entry.address, SERVICE, "augusta", SERVER_SIZE,
-            self.entry.labels, self.entry.rack, born=self.entry.born + 1,
-        )  # fmt: skip
-        self.site.register(self)
+        if capacity is None:
+            capacity = self.entry.capacity
+        self.entry = replace(self.entry, capacity=capacity, born=self.entry.born + 1)
+        if entry_delay_s:
+            self.site.call_later(entry_delay_s, lambda: self.site.register(self))
+        else:
+            self.site.register(self)
 
     async def renew_lease(
         self, epoch: int, until_ms: int | None, acknowledged: int, wait_s: float
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -58,7 +58,7 @@
     def register(self, server: FakeServer) -> None:
         """Write the server's entry into the store."""
         key = f"servers//{server.entry.server_id}"
-        self.store.apply([], [Write(key, msgspec.json.encode(server.entry.born))])
+        self.store.apply([], [Write(key, msgspec.json.encode(server.entry))])
 
     def unregister(self, server: FakeServer) -> None:
         """Remove the server's entry from the store."""
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+import msgspec
+
 from cassiaweir.dispatch import (
     Advice,
     AdviceCache,
@@ -296,7 +298,7 @@
             configuration=self.site.configuration,
             calls=self.orders,
             servers_prefix="servers//",
-            decode_entry=lambda server_id, _: self.site.servers[server_id].entry,
+            decode_entry=lambda _, raw: msgspec.json.decode(raw, type=ServerEntry),
             advice_cache_factory=lambda wake: AdviceCache(
                 clock, advisor, advisor, wake
             ),
--- /dev/null
+++ b/tests/test_server_lifetimes.py
@@ -0,0 +1,77 @@
+"""Tests of servers that start again under their id, with other room than before.
+
+Pattern: a server crashes and is back within a second as a smaller one, while its new
+entry is late because the store is slow or away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cassiaweir.jobs import JobState, StepSpec
+from cassiaweir.types import Resources
+from standins.users import FakeServer
+from tests.site_fakes import FakeSite
+from tests.virtual_time import run_virtual
+
+SETTLE_S = 0.5
+SMALL = Resources(4_000, 16_384)
+"""A quarter of what the servers have in their first lifetime."""
+
+ENTRY_DELAY_S = 3.0
+JOB = StepSpec(count=4, cpu_millis=4_000, estimate_s=0.5)
+"""Fits once into the first lifetime, and in four turns into the next one."""
+
+
+async def one_server() -> tuple[FakeSite, FakeServer]:
+    """Return a site whose leader knows its only server."""
+    site = FakeSite(servers=1, vms=1)
+    await site.wait_for_leader()
+    await asyncio.sleep(SETTLE_S)
+    return site, site.servers["i-0"]
+
+
+async def assert_done_within_room(site: FakeSite, job_id: str) -> None:
+    await asyncio.sleep(ENTRY_DELAY_S + 5)
+    leader = await site.wait_for_leader()
+    assert leader.term.job_state(job_id) is JobState.DONE
+    assert not site.faults
+    await site.close()
+
+
+# Guards against LIMIT: tasks placed by the room of a lifetime that has ended.
+@pytest.mark.parametrize("wait_s", [0.6, 1.5, 2.5])
+def test_a_restarted_server_gets_no_more_than_the_room_of_its_new_lifetime(
+    wait_s: float,
+) -> None:
+    async def body() -> None:
+        site, server = await one_server()
+        server.crash()
+        await asyncio.sleep(0.3)
+        server.restart(SMALL, entry_delay_s=ENTRY_DELAY_S)
+        await asyncio.sleep(wait_s)
+        await assert_done_within_room(site, site.submit(JOB, task_s=0.5))
+
+    run_virtual(body)
+
+
+# Guards against a restart with more room being ignored once its entry has been read.
+def test_the_room_of_a_larger_next_lifetime_is_used() -> None:
+    async def body() -> None:
+        site, server = await one_server()
+        server.crash()
+        await asyncio.sleep(0.3)
+        server.restart(Resources(32_000, 131_072), entry_delay_s=0.2)
+        await asyncio.sleep(1.5)
+        job_id = site.submit(
+            StepSpec(count=8, cpu_millis=4_000, estimate_s=0.5), task_s=0.5
+        )
+        await asyncio.sleep(1.5)
+        leader = await site.wait_for_leader()
+        assert leader.term.job_state(job_id) is JobState.DONE
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
