Acknowledge no end of a new lifetime by a number of the former one

Cause: a server that starts again under its id numbers its ends from 1. The first request for a report after the crash still acknowledged the ends up to the last number of the former lifetime, so the server was told to forget as many ends of its new lifetime unread. Their tasks were no longer listed, were taken as gone, and ran again, after their ends had been taken note of in the server's eyes.

Evidence: test_ends_of_a_new_lifetime_are_not_acknowledged_by_numbers_of_the_former fails before (8 starts of 4 tasks) and passes after. The stand-in compared the number with the ends of that moment only; it now keeps the highest number of its lifetime, as the platform's page allows ("ends up to it are forgotten").

Change: after a request without an answer, nothing is acknowledged until a report has shown the lifetime; that report resets the number where it has to. Ends that were acknowledged before stay so.

Ruled out: the leases, which were already left alone in that request.

--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -133,7 +133,9 @@
         """Request one report and apply it.
 
         The server may delay its answer only if it has answered in this epoch before and
-        the ends of the last report are stored.
+        the ends of the last report are stored.  After a request without an answer
+        nothing is renewed or acknowledged: the server may be in its next lifetime,
+        which numbers its ends anew.
         """
         acknowledgeable = await self._wait_stored()
         server = self._server
@@ -142,7 +144,7 @@
             server.entry,
             epoch=self._leadership.epoch,
             until_ms=server.next_lease_end_ms(asked_at) if server.reachable else None,
-            acknowledged=server.acknowledged,
+            acknowledged=server.acknowledged if server.reachable else 0,
             wait=REPORT_WAIT if acknowledgeable and server.fenced else timedelta(0),
             timeout=REPORT_TIMEOUT,
         )
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -70,6 +70,7 @@
         self.failing = False
         self.refuses = False
         self._end_numbers = itertools.count(1)
+        self._acknowledged = 0
         self._end_event = asyncio.Event()
 
     def clock_ms(self) -> int:
@@ -121,6 +122,7 @@
         self.epoch = 0
         self.until_ms = 0
         self._end_numbers = itertools.count(1)
+        self._acknowledged = 0
         if capacity is None:
             capacity = self.entry.capacity
         self.entry = replace(self.entry, capacity=capacity, born=self.entry.born + 1)
@@ -132,16 +134,19 @@
     async def renew_lease(
         self, epoch: int, until_ms: int | None, acknowledged: int, wait_s: float
     ) -> ServerReport:
-        """Extend the lease and report, waiting up to `wait_s` for an ended run."""
+        """Extend the lease and report, waiting up to `wait_s` for an ended run.
+
+        Ends up to the highest number acknowledged in this lifetime are forgotten, also
+        those that come later.
+        """
         self.apply_due_events()
         if epoch < self.epoch:
             raise FencedError(self.entry.server_id)
         self.epoch = epoch
         if until_ms is not None:
             self._extend(until_ms)
-        if acknowledged:
-            self.site.record_acknowledged(self, acknowledged)
-        self.ends = [end for end in self.ends if end.number > acknowledged]
+        self._acknowledged = max(self._acknowledged, acknowledged)
+        self._forget_acknowledged()
         ends_at = asyncio.get_running_loop().time() + wait_s
         while not self.ends:
             left = ends_at - asyncio.get_running_loop().time()
@@ -149,12 +154,17 @@
                 break
             await asyncio.sleep(min(left, 0.01))
             self.apply_due_events()
+            self._forget_acknowledged()
         running = [
             RunningTask(run.task, run.number, "", self._percent(run), 0.0)
             for run in self.runs.values()
         ]
         return ServerReport(self.clock_ms(), self.entry.born, running, list(self.ends))
 
+    def _forget_acknowledged(self) -> None:
+        self.site.record_acknowledged(self, self._acknowledged)
+        self.ends = [end for end in self.ends if end.number > self._acknowledged]
+
     def _percent(self, run: FakeRun) -> int:
         now = asyncio.get_running_loop().time()
         return min(int((now - run.began_at) / (run.ends_at - run.began_at) * 100), 100)
--- a/tests/test_server_lifetimes.py
+++ b/tests/test_server_lifetimes.py
@@ -89,3 +89,24 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against work that is run again: ends of a new lifetime acknowledged unread.
+def test_ends_of_a_new_lifetime_are_not_acknowledged_by_numbers_of_the_former() -> None:
+    async def body() -> None:
+        site, server = await one_server()
+        site.submit(JOB, task_s=0.2)
+        await asyncio.sleep(1.5)
+        server.crash()
+        await asyncio.sleep(0.3)
+        server.restart()
+        await asyncio.sleep(1.5)
+        job_id = site.submit(JOB, task_s=0.2)
+        await asyncio.sleep(1.5)
+        leader = await site.wait_for_leader()
+        assert leader.term.job_state(job_id) is JobState.DONE
+        assert len(site.starts_of(job_id)) == JOB.count
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
