Take a lease as expired only after the leadership was confirmed again

What callers could see: a task that is done runs a second time (TWICE).

Cause: a leader that loses the store may act for 6 s more. If it also cannot reach a server, it takes the runs there as gone once their leases have run out on its count. Its successor, elected meanwhile, may have called that server, prolonged the leases and acknowledged ends. The former leader then started these tasks again on servers that the successor had not called yet, so that nothing refused its orders. The same holds for the gate of a takeover, which opens by time. Starts of new jobs were guarded already (confirm_leadership); tasks given up by time were not.

Evidence: test_a_replaced_leader_does_not_start_again_what_its_successor_saw_done fails before (two starts of one task) and passes after.

Change: leases of a server, of a start in doubt and of the gate count as expired if they were so when the newest successful transaction of this leader was sent. Then no successor led before, and what a later one sees has lapsed. While the store answers this adds at most the renewal interval of 0.4 s; while it does not, tasks of lost servers wait for it.

Changed test: the start in doubt is given up with a leadership that is confirmed as usual; without that it is not, which a new test says.

Ruled out: a shorter authority, which would stop all starts in short outages of the store, and letting successors wait with acknowledgements, which would hold back every job's end.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -198,13 +198,15 @@
     def handle_unreachable(self, server: Server) -> None:
         """Mark an unreachable server's runs as lost once its leases have expired.
 
-        Meanwhile the server's row names these runs for a successor.
+        This process has to have led after that: a successor would have prolonged the
+        leases, and may know the ends of these runs.  Meanwhile the server's row names
+        the runs for a successor.
         """
         if not server.fenced:
             return
         self._narrow_record(server)
         answered = sum(run.answered_at is not None for run in server.runs.values())
-        if answered and server.leases_expired(self._clock.monotonic()):
+        if answered and server.leases_expired(self._leadership.confirmed_at):
             logger.warning(
                 "server_lease_expired", server=server.server_id, runs=answered
             )
@@ -261,7 +263,7 @@
     def _sweep(self) -> None:
         """Do what is due after some time rather than after an event."""
         now = self._clock.monotonic()
-        opened = self._gate.try_open(now)
+        opened = self._gate.try_open(self._leadership.confirmed_at)
         self._leadership.settled = self._gate.is_open
         if opened:
             logger.info(
--- a/cassiaweir/dispatch/_gate.py
+++ b/cassiaweir/dispatch/_gate.py
@@ -77,14 +77,16 @@
         """End the former leader's authority, as its process no longer exists."""
         self._former_authority_end = min(self._former_authority_end, now)
 
-    def try_open(self, now: float) -> bool:
+    def try_open(self, confirmed_at: float) -> bool:
         """Open the gate if nothing is left to wait for.
 
-        Return whether this call opened it.
+        `confirmed_at` is when this leadership was last confirmed.  Leases that expired
+        later may have been prolonged by a successor.  Return whether this call opened
+        the gate.
         """
         if self._open:
             return False
-        expired = now >= self._former_authority_end + MAX_FORMER_LEASE_S
+        expired = confirmed_at >= self._former_authority_end + MAX_FORMER_LEASE_S
         self._open = not self._unsettled or expired
         return self._open
 
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -270,5 +270,9 @@
         return StartResult.NOT_STARTED if gone else StartResult.UNKNOWN
 
     def _lease_expired(self, run: Run) -> bool:
-        """Return whether the lease has expired, so that no attempt can take effect."""
-        return run.server.leases_expired(self._clock.monotonic())
+        """Return whether the lease has expired, so that no attempt can take effect.
+
+        It has to have expired before the leadership was last confirmed: a successor may
+        have prolonged it since.
+        """
+        return run.server.leases_expired(self._leadership.confirmed_at)
--- a/tests/test_dispatch_orders.py
+++ b/tests/test_dispatch_orders.py
@@ -129,13 +129,35 @@
     run_virtual(body)
 
 
+async def confirm_leadership(orders: Orders) -> None:
+    """Confirm the leadership again and again, as transactions do."""
+    while True:
+        orders.leadership.confirmed_at = now()
+        await asyncio.sleep(0.4)
+
+
 def test_a_start_in_doubt_is_given_up_once_its_lease_has_expired() -> None:
     async def body() -> None:
         orders = Orders(unanswered=1_000)
+        confirming = asyncio.create_task(confirm_leadership(orders))
         result, _ = await orders.sender.start(orders.run)
+        confirming.cancel()
         assert result is StartResult.NOT_STARTED
         # The lease of the order has run out, so it cannot take effect any more.
+        assert orders.server.leases_expired(orders.leadership.confirmed_at)
+
+    run_virtual(body)
+
+
+# Guards against TWICE: a successor may have prolonged a lease that seems to be over.
+def test_a_start_in_doubt_is_not_given_up_without_a_newer_confirmation() -> None:
+    async def body() -> None:
+        orders = Orders(unanswered=1_000)
+        starting = asyncio.create_task(orders.sender.start(orders.run))
+        await asyncio.sleep(LEADERSHIP_VALIDITY.total_seconds() + 1)
         assert orders.server.leases_expired(now())
+        assert not starting.done()
+        starting.cancel()
 
     run_virtual(body)
 
--- a/tests/test_takeover_holding.py
+++ b/tests/test_takeover_holding.py
@@ -248,3 +248,24 @@
 ) -> None:
     former = Owner(5, "vm-0", "vm-0-1", "vm-0", task_records_since=since)
     assert decode_former_tasks(record(value), former)["i-1"].names == names
+
+
+# Guards against TWICE: a replaced leader gives up a run whose end its successor noted.
+def test_a_replaced_leader_does_not_start_again_what_its_successor_saw_done() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=4, vms=2, domains=("a", "b"))
+        former = await site.wait_for_leader()
+        await asyncio.sleep(SETTLE_S)
+        job_id = site.submit(StepSpec(count=1, cpu_millis=500), task_s=0.5)
+        used = (await site.first_start(job_id)).server
+        [successor] = [vm for vm in site.vms if vm is not former]
+        former.store.fault_mode = "silent"
+        former.orders.unreachable = {used}
+        successor.orders.unreachable = set(site.servers) - {used}
+        await successor.wait_to_lead()
+        await asyncio.sleep(LEADERSHIP_VALIDITY.total_seconds())
+        assert len(site.starts_of(job_id)) == 1
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
