Keep a server's next lifetime from carrying out late starts

What callers could see: a server given more than it has room for (LIMIT), and a task that is done started again (TWICE).

Cause: a start without an answer may be carried out seconds later. The repeat is accepted, the run ends or its server crashes, and the run is no longer counted. In the same lifetime the server refuses the late order. The next lifetime under the same id knows neither the epoch nor the run, and the lease in the order lies far ahead on its new clock.

Evidence: test_a_late_start_is_not_carried_out_by_the_next_lifetime[0.2] fails before ("started again after its end was acknowledged" and "overcommitted") and passes after. The stand-in hid this: its clock went on across restarts, so the late order came too late. Now each lifetime has a clock of its own, as the platform says.

Change: starts without an answer are remembered for 15 s. When a server's next lifetime is seen, it is told to stop each of them, which also bars those still to come, and gets no new runs before it has answered. Counted runs among them stay counted until then.

What remains: a late order that arrives before that stop, or while the server cannot be reached and its leases have run out (docs/QUESTIONS.md). Waiting 15 s for every such task would cost each crash beside lost answers more than it saves.

--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._runs import Run, RunState
+from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_entry import (
     OrderOutcome,
     ServerEntry,
@@ -109,7 +110,9 @@
                 outcome = await self._send_start(run, repeated=in_doubt)
             except UnavailableError as exc:
                 run.server.reachable = False
-                in_doubt = in_doubt or exc.verdict is not Verdict.NOT_RUN
+                if exc.verdict is not Verdict.NOT_RUN:
+                    in_doubt = True
+                    run.server.record_unanswered_start(run, now)
                 logger.info(
                     "start_unanswered",
                     task=run.task.name,
@@ -187,6 +190,53 @@
             outcome=outcome.value,
         )
 
+    async def stop_late_start(self, server: Server, task: str, run: int) -> None:
+        """Keep the next lifetime of a server from carrying out a late start.
+
+        The order is repeated until the server answers, is in yet another lifetime, or
+        has no valid lease any more.  A run that is counted is seen as answered then.
+        """
+        born, key = server.born, (task, run)
+        while not self._leadership.lost and server.born == born:
+            now = self._clock.monotonic()
+            if self._leadership.may_act(now) and await self._stops(server, task, run):
+                break
+            if server.leases_expired(now):
+                break
+            await self._clock.sleep(RETRY_DELAY)
+        if server.born != born:
+            return
+        server.late_starts.discard(key)
+        counted = server.runs.get(key)
+        if counted is not None:
+            counted.answered_at = self._clock.monotonic()
+
+    async def _stops(self, server: Server, task: str, run: int) -> bool:
+        """Order a server to stop a run; return whether it has answered."""
+        try:
+            outcome = await self._client.stop_run(
+                server.entry, task, run, self._leadership.epoch, ORDER_TIMEOUT
+            )
+        except UnavailableError as exc:
+            logger.info(
+                "late_start_not_stopped",
+                task=task,
+                run=run,
+                server=server.server_id,
+                cause=str(exc),
+            )
+            return False
+        if outcome is OrderOutcome.FENCED:
+            self._on_superseded()
+        logger.info(
+            "late_start_stopped",
+            task=task,
+            run=run,
+            server=server.server_id,
+            outcome=outcome.value,
+        )
+        return True
+
     async def _wait_permitted(self, run: Run) -> bool:
         """Wait until this process may give orders; return whether one is still needed.
 
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -27,7 +27,7 @@
 
     `stop` is called for each run that must not go on.  `stop_orphan` is called with the
     server, the task name and the run number of a listed run whose task belongs to no
-    known job.
+    known job, `stop_late_starts` with a server that has late ones after a restart.
     """
 
     def __init__(
@@ -39,6 +39,7 @@
         *,
         stop: Callable[[Run], None],
         stop_orphan: Callable[[Server, str, int], None],
+        stop_late_starts: Callable[[Server], None],
     ) -> None:
         self._jobs = jobs
         self._runs = runs
@@ -46,6 +47,7 @@
         self._metrics = metrics
         self._stop = stop
         self._stop_orphan = stop_orphan
+        self._stop_late_starts = stop_late_starts
 
     def apply(self, server: Server, report: ServerReport, asked_at: float) -> int:
         """Apply a report that was requested at `asked_at`.
@@ -62,7 +64,8 @@
                 born=report.born,
                 entry=server.entry.born,
             )
-            server.begin_lifetime(report.born)
+            server.begin_lifetime(report.born, self._clock.monotonic())
+            self._stop_late_starts(server)
         elif report.born:
             server.born = report.born
         server.update_from_report(report, self._clock.monotonic())
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -33,6 +33,9 @@
 Reports arrive more often while the server answers and this process is not paused.
 """
 
+LATE_START_S = 15.0
+"""Time within which a start without an answer may still be carried out."""
+
 MS_PER_SECOND = 1_000
 
 
@@ -54,7 +57,9 @@
     that the server may forget.  `orphan_runs` are runs
     that the server lists although their tasks belong to no known job; how much of the
     capacity they take is unknown.  `born` is the lifetime that the last report came
-    from, or that of the entry before the first report.
+    from, or that of the entry before the first report.  `late_starts` are runs of which
+    a start got no answer in an earlier lifetime: this one knows no epoch and may still
+    carry them out, so it gets no new runs before it was told to stop them.
     """
 
     def __init__(self, entry: ServerEntry, *, restricted: bool = False) -> None:
@@ -72,6 +77,8 @@
         self.missing_since: float | None = None
         self.acknowledged = 0
         self.orphan_runs: frozenset[RunKey] = frozenset()
+        self.late_starts: set[RunKey] = set()
+        self._unanswered_starts: dict[RunKey, float] = {}
         self.born = entry.born
         self._clock_ms: int | None = None
         self._clock_read_at = 0.0
@@ -146,13 +153,25 @@
             return False
         if not self.entry_is_current:
             return False
-        if self.orphan_runs:
+        if self.orphan_runs or self.late_starts:
             return False
         missing = self.missing_since
         if missing is not None and now - missing > MISSING_GRACE_S:
             return False
         return now - self._clock_read_at < MAX_REPORT_AGE_S
 
+    def record_unanswered_start(self, run: Run, now: float) -> None:
+        """Remember that a start of `run` may be carried out late."""
+        self._drop_old_unanswered(now)
+        self._unanswered_starts[run.key] = now
+
+    def _drop_old_unanswered(self, now: float) -> None:
+        self._unanswered_starts = {
+            key: sent_at
+            for key, sent_at in self._unanswered_starts.items()
+            if now - sent_at < LATE_START_S
+        }
+
     def reported_recently(self, now: float) -> bool:
         """Return whether the last report is new enough to send a start."""
         return now - self._clock_read_at < MAX_REPORT_AGE_AT_START_S
@@ -166,14 +185,17 @@
         self._clock_read_at = now
         self.reachable = True
 
-    def begin_lifetime(self, born: int) -> None:
+    def begin_lifetime(self, born: int, now: float) -> None:
         """Reset what belongs to an earlier lifetime of the server.
 
         A start that was in transit may have reached the new lifetime.  The server's
         clock has begun anew, so that the lease end in that order lies far ahead and the
-        run gets the longest lease that the server allows.
+        run gets the longest lease that the server allows.  A run in `late_starts` is
+        counted until the new lifetime has answered that it stops it.
         """
-        self._may_inherit_runs = bool(self.runs)
+        self._drop_old_unanswered(now)
+        self.late_starts = set(self._unanswered_starts)
+        self._may_inherit_runs = bool(self.runs or self.late_starts)
         self._inherited_lease_end_ms = 0
         self.born = born
         self.acknowledged = 0
@@ -182,8 +204,10 @@
         self._latest_lease_end_ms = 0
         self.health = ServerHealth()
         self.speed = ServerSpeed()
-        for run in self.runs.values():
+        for key, run in self.runs.items():
             run.until_ms = None
+            if key in self.late_starts:
+                run.answered_at = None
 
     def next_lease_end_ms(self, now: float) -> int | None:
         """Return the end, on the server's clock, of a lease that is given now.
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -25,6 +25,7 @@
 SERVICE = "inventory"
 SERVER_SIZE = Resources(16_000, 65_536)
 MAX_LEASE_MS = 6_000
+CLOCK_START_MS = 1_000_000
 STOP_DURATION_S = 0.1
 
 
@@ -71,11 +72,13 @@
         self.refuses = False
         self._end_numbers = itertools.count(1)
         self._acknowledged = 0
+        self._started_at = 0.0
         self._end_event = asyncio.Event()
 
     def clock_ms(self) -> int:
-        """Return the server's clock in milliseconds."""
-        return 1_000_000 + round(asyncio.get_running_loop().time() * 1_000)
+        """Return the server's clock in milliseconds; each lifetime begins anew."""
+        running_s = asyncio.get_running_loop().time() - self._started_at
+        return CLOCK_START_MS + round(running_s * 1_000)
 
     def apply_due_events(self) -> None:
         """End the runs that finished, stopped or lost their lease by now."""
@@ -123,6 +126,7 @@
         self.until_ms = 0
         self._end_numbers = itertools.count(1)
         self._acknowledged = 0
+        self._started_at = asyncio.get_running_loop().time()
         if capacity is None:
             capacity = self.entry.capacity
         self.entry = replace(self.entry, capacity=capacity, born=self.entry.born + 1)
@@ -193,9 +197,12 @@
         self.site.record_start(self, order)
         return OrderOutcome.ACCEPTED
 
-    def start_late(self, order: StartOrder, born: int) -> None:
-        """Execute a delayed order if the server is still in its lifetime `born`."""
-        if self.up and self.entry.born == born:
+    def start_late(self, order: StartOrder, born: int | None) -> None:
+        """Execute a delayed order if the server is still in its lifetime `born`.
+
+        With None it is executed in any lifetime.
+        """
+        if self.up and born in (None, self.entry.born):
             self.start(order)
 
     def stop(self, task: str, number: int, epoch: int) -> OrderOutcome:
--- a/tests/test_dispatch_parts.py
+++ b/tests/test_dispatch_parts.py
@@ -105,7 +105,7 @@
     step = step_of(cpu_millis=1_000)
     server.next_lease_end_ms(0.0)
     server.add(Run(step.tasks[0], 1, server, step.demand, "c", placed_at=0.0))
-    server.begin_lifetime(2)
+    server.begin_lifetime(2, 0.0)
     server.update_from_report(ServerReport(50, 2, [], []), 1.0)
     assert not server.leases_expired(1.0 + 9.9)
     assert server.leases_expired(1.0 + MAX_LEASE_MS / 1_000 / 0.98 + 0.2)
@@ -114,7 +114,7 @@
 def test_a_new_lifetime_without_starts_in_transit_has_no_lease():
     server = server_of("i-0")
     server.next_lease_end_ms(0.0)
-    server.begin_lifetime(2)
+    server.begin_lifetime(2, 0.0)
     server.update_from_report(ServerReport(50, 2, [], []), 1.0)
     assert server.leases_expired(1.2)
 
--- a/tests/test_server_lifetimes.py
+++ b/tests/test_server_lifetimes.py
@@ -7,11 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+from datetime import timedelta
 
 import pytest
 
+from cassiaweir.dispatch import OrderOutcome, ServerEntry, StartOrder
+from cassiaweir.exceptions import UnavailableError
 from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.types import Resources
+from cassiaweir.verdict import Verdict
 from standins.users import FakeServer
 from tests.site_fakes import FakeSite
 from tests.virtual_time import run_virtual
@@ -110,3 +114,50 @@
         await site.close()
 
     run_virtual(body)
+
+
+def delay_first_start(site: FakeSite, delay_s: float) -> None:
+    """Carry the first start out after `delay_s`, also in another lifetime.
+
+    It gets no answer.
+    """
+    orders = site.vms[0].orders
+    start = orders.start
+    late: list[StartOrder] = []
+
+    async def start_late(
+        entry: ServerEntry, order: StartOrder, timeout: timedelta
+    ) -> OrderOutcome:
+        if late:
+            return await start(entry, order, timeout)
+        late.append(order)
+        server = site.servers[entry.server_id]
+        site.call_later(delay_s, lambda: server.start_late(order, None))
+        await asyncio.sleep(timeout.total_seconds())
+        raise UnavailableError("no answer", verdict=Verdict.MAY_HAVE_RUN)
+
+    orders.start = start_late  # type: ignore[method-assign]
+
+
+# Guards against LIMIT and TWICE: a start carried out seconds late, by a next lifetime.
+@pytest.mark.parametrize("task_s", [0.2, 1.5])
+def test_a_late_start_is_not_carried_out_by_the_next_lifetime(task_s: float) -> None:
+    async def body() -> None:
+        site, server = await one_server()
+        delay_first_start(site, 3.0)
+        wide = StepSpec(count=1, cpu_millis=16_000, estimate_s=task_s)
+        first = site.submit(wide, task_s=task_s)
+        await asyncio.sleep(1.2)
+        server.crash()
+        await asyncio.sleep(0.3)
+        server.restart()
+        await asyncio.sleep(0.5)
+        second = site.submit(wide, task_s=2.0)
+        await asyncio.sleep(9)
+        leader = await site.wait_for_leader()
+        for job_id in (first, second):
+            assert leader.term.job_state(job_id) is JobState.DONE
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
