Let simulated servers come back smaller and with late entries

Tests and soak only. No seeded fault could show LIMIT after a restart: a stand-in had the same room in each lifetime and its entry was there at once. Now a crashed server may come back with less room, and its entry may follow seconds later, in test_site_faults and in the soak.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,11 +7,13 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
+from cassiaweir.types import Resources
 from soak._checks import ALL_FRONTS, PLANNED_STOP
 from soak._fronts import Front
 from soak._platform import FaultyServer, SoakPlatform, StoreFaults
 from soak._records import FaultRecord, History, KeyRecord
 from standins._relay import RelayControl
+from standins.users import SERVER_SIZE
 
 DURATION_RANGE_S = (0.5, 4.0)
 """The random duration of a fault."""
@@ -19,6 +21,12 @@
 PAUSE_RANGE_S = (0.0, 2.5)
 """The random pause before each fault of a series; parallel series overlap."""
 
+CAPACITIES = (SERVER_SIZE, Resources(8_000, 32_768))
+"""What a backend server may have after a restart."""
+
+ENTRY_DELAYS_S = (0.0, 0.0, 1.5)
+"""How long after a restart the entry of a backend server is written."""
+
 LINK_FAULTS = (
     RelayControl(cut_forward=True, cut_back=True),
     RelayControl(cut_forward=True),
@@ -162,14 +170,15 @@
 
 
 async def crash_server(context: FaultContext) -> None:
-    """Crash a backend server and restart it under the same id."""
+    """Crash a backend server and restart it under the same id, perhaps smaller."""
     faulty = context.choose_server()
     if not faulty.server.up:
         return
     record = context.record_start("crash-server", faulty.server.entry.server_id)
     faulty.crash()
     await context.wait_duration()
-    faulty.restart()
+    capacity = context.rng.choice(CAPACITIES)
+    faulty.restart(capacity, context.rng.choice(ENTRY_DELAYS_S))
     record.healed_at = _now()
 
 
--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -11,10 +11,9 @@
 import msgspec
 from aiohttp import web
 
-from cassiaweir.types import Write
+from cassiaweir.types import Resources, Write
 from standins._relay import Relay, RelayControl
 from standins.users import (
-    SERVER_SIZE,
     SERVICE,
     FakeServer,
     ServerService,
@@ -116,12 +115,13 @@
 
     def entry(self, *, draining: bool = False) -> dict[str, Any]:
         """Return the store entry with which the server registers itself."""
+        room = self.server.entry.capacity
         return {
             "service": SERVICE,
             "addr": self.address,
             "zone": "augusta",
             "state": "draining" if draining else "ready",
-            "room": {"cpu": SERVER_SIZE.cpu_millis, "mem_mb": SERVER_SIZE.memory_mb},
+            "room": {"cpu": room.cpu_millis, "mem_mb": room.memory_mb},
             "labels": sorted(self.server.entry.labels),
             "born": self.server.entry.born,
         }
@@ -131,11 +131,16 @@
         self.server.crash()
         self.relay.apply(RelayControl(cut_forward=True, cut_back=True))
 
-    def restart(self) -> None:
-        """Reconnect the server and start a new lifetime under the same id."""
+    def restart(
+        self, capacity: Resources | None = None, entry_delay_s: float = 0.0
+    ) -> None:
+        """Reconnect the server and start a new lifetime under the same id.
+
+        The lifetime may have another capacity, and its entry may be written late.
+        """
         self.relay.reset_connections()
         self.relay.apply(RelayControl())
-        self.server.restart()
+        self.server.restart(capacity, entry_delay_s=entry_delay_s)
 
 
 class SoakPlatform(Site):
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -1,7 +1,8 @@
 """Random faults on a simulated site, in virtual time; all jobs must still end.
 
 Each seed draws a sequence of faults, which may overlap and repeat: killed processes,
-unreachable servers, store faults, server crashes and late orders.  `Site.faults` must
+unreachable servers, store faults, late orders, and servers that crash and start again,
+some of them smaller and with a late entry.  `Site.faults` must
 stay empty: no task has two runs at once or a run after its confirmed success, and no
 server runs more than fits.
 """
@@ -16,6 +17,8 @@
 
 from cassiaweir.dispatch import EndKind
 from cassiaweir.jobs import JobState, StepSpec
+from cassiaweir.types import Resources
+from standins.users import SERVER_SIZE
 from tests.site_fakes import ADVISED, QUEUE, URGENT, FakeSite, FakeVm
 from tests.virtual_time import run_virtual
 
@@ -23,6 +26,8 @@
 FAULT_PERIOD_S = 30.0
 RECOVERY_PERIOD_S = 30.0
 STORE_FAULTS = ("silent", "busy", "lossy", "late")
+CAPACITIES = (SERVER_SIZE, Resources(6_000, 24_576))
+"""What a server may have after a restart; each task fits into either."""
 
 
 async def kill_and_restart(site: FakeSite, rng: random.Random) -> None:
@@ -83,7 +88,7 @@
         return
     server.crash()
     await asyncio.sleep(rng.uniform(0.2, 6))
-    server.restart()
+    server.restart(rng.choice(CAPACITIES), entry_delay_s=rng.choice((0, 0, 1, 3)))
 
 
 async def cut_servers(site: FakeSite, rng: random.Random) -> None:
