Name ended tasks in a server's row until their ends are stored

What callers could see: a task that is done starts again (TWICE) after a takeover.

Cause: the row of a server that a successor reads was rewritten without a task as soon as its end was known. The end itself is in the row of the job, which goes to the end of the queue when it is written again. With more than 90 queued rows the two can be stored in different transactions, and a takeover between them leaves a task that neither row shows while its server cannot be asked.

Evidence: test_the_row_of_a_server_names_ended_tasks_until_their_ends_are_stored; before, nothing remembered the ends, so the rewritten row did not name the task.

Change: a server keeps the tasks that ended there until the write of the end is stored, and its row names them. The list is trimmed with each report, so it stays short.

Ruled out: keeping the place of a rewritten row in the queue, as the deletion of a job's progress would then be stored before its outcome.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -187,6 +187,7 @@
     ) -> int:
         """Apply a report; return the position of the last write that it caused."""
         position = self._reports.apply(server, report, asked_at)
+        server.forget_stored_ends(self._commits.is_stored)
         if not server.fenced:
             server.fenced = True
             self._gate.mark_settled(server.server_id)
@@ -215,11 +216,12 @@
             self.wake()
 
     def _narrow_record(self, server: Server) -> None:
-        """Let the row of an unreachable server name its runs, or remove it if none."""
-        if server.runs and self._records.is_open(server.server_id):
+        """Let the row of an unreachable server name its tasks, or remove it if none."""
+        names = server.task_names()
+        if names and self._records.is_open(server.server_id):
             server.recorded = False
-            self._records.restrict(server.entry, _task_names(server))
-        elif not server.runs and server.leases_expired(self._clock.monotonic()):
+            self._records.restrict(server.entry, names)
+        elif not names and server.leases_expired(self._clock.monotonic()):
             server.recorded = False
             self._records.remove(server.server_id)
 
@@ -324,7 +326,7 @@
         """Store the row that new runs on a server need; none is started before."""
         server.recording = True
         if server.restricted:
-            position = self._records.restrict(server.entry, _task_names(server))
+            position = self._records.restrict(server.entry, server.task_names())
         else:
             position = self._records.open(server.entry)
         try:
@@ -361,7 +363,7 @@
         """Start `runs` once the rows of their servers name them."""
         servers = {run.server.server_id: run.server for run in runs}
         position = max(
-            self._records.restrict(server.entry, _task_names(server))
+            self._records.restrict(server.entry, server.task_names())
             for server in servers.values()
         )
         try:
@@ -452,11 +454,6 @@
         await _cancel_all([*self._pollers.values(), *self._tasks])
 
 
-def _task_names(server: Server) -> list[str]:
-    """Return the names of the tasks that may run on `server`."""
-    return [run.task.name for run in server.runs.values()]
-
-
 async def _cancel_all(tasks: Iterable[asyncio.Task[None]]) -> None:
     found = list(tasks)
     for task in found:
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -72,7 +72,9 @@
         position = 0
         for end in report.ended:
             if end.number > server.acknowledged:
-                position = max(position, self._apply_end(server, end))
+                end_position = self._apply_end(server, end)
+                server.unstored_ends[end.task] = end_position
+                position = max(position, end_position)
         listed = {(running.task, running.run) for running in report.running}
         server.orphan_runs = frozenset(
             (running.task, running.run)
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from cassiaweir.dispatch._health import ServerHealth
 from cassiaweir.dispatch._runs import Run, RunKey
 from cassiaweir.dispatch._server_entry import ServerEntry, ServerReport
@@ -60,6 +62,8 @@
     from, or that of the entry before the first report.  `late_starts` are runs of which
     a start got no answer in an earlier lifetime: this one knows no epoch and may still
     carry them out, so it gets no new runs before it was told to stop them.
+    `unstored_ends` are tasks that ended here, with the position of the write that
+    stores the end.
     """
 
     def __init__(self, entry: ServerEntry, *, restricted: bool = False) -> None:
@@ -78,6 +82,7 @@
         self.acknowledged = 0
         self.orphan_runs: frozenset[RunKey] = frozenset()
         self.late_starts: set[RunKey] = set()
+        self.unstored_ends: dict[str, int] = {}
         self._unanswered_starts: dict[RunKey, float] = {}
         self.born = entry.born
         self._clock_ms: int | None = None
@@ -138,6 +143,18 @@
             self.used = self.used - run.demand
         return run
 
+    def task_names(self) -> list[str]:
+        """Return the tasks that may run here or whose ends here are not stored yet."""
+        return [*(run.task.name for run in self.runs.values()), *self.unstored_ends]
+
+    def forget_stored_ends(self, is_stored: Callable[[int], bool]) -> None:
+        """Forget the ends that are stored, given whether a position is."""
+        self.unstored_ends = {
+            task: position
+            for task, position in self.unstored_ends.items()
+            if not is_stored(position)
+        }
+
     def count_of_step(self, step_name: str) -> int:
         """Return how many counted runs belong to the step named `step_name`."""
         return sum(run.task.step.name == step_name for run in self.runs.values())
--- a/tests/test_takeover_holding.py
+++ b/tests/test_takeover_holding.py
@@ -14,7 +14,7 @@
 
 from cassiaweir.dispatch._gate import MAX_FORMER_LEASE_S, TakeoverGate
 from cassiaweir.dispatch._server_records import FormerTasks, decode_former_tasks
-from cassiaweir.jobs import StepSpec
+from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.leadership import LEADERSHIP_VALIDITY, Owner
 from cassiaweir.types import Row
 from tests.site_fakes import FakeSite, FakeVm
@@ -269,3 +269,27 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against TWICE: a server's row that drops a task before its end is stored.
+def test_the_row_of_a_server_names_ended_tasks_until_their_ends_are_stored() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=1, vms=1)
+        leader = await site.wait_for_leader()
+        await asyncio.sleep(SETTLE_S)
+        job_id = site.submit(StepSpec(count=1, cpu_millis=500), task_s=0.5)
+        await site.first_start(job_id)
+        leader.store.fault_mode = "silent"
+        await asyncio.sleep(1)
+        dispatcher = leader.term._dispatcher
+        assert dispatcher is not None
+        server = dispatcher.servers["i-0"]
+        assert not server.runs
+        assert server.task_names() == [f"{job_id}.0.0.0"]
+        leader.store.fault_mode = ""
+        await asyncio.sleep(2)
+        assert not server.task_names()
+        assert leader.term.job_state(job_id) is JobState.DONE
+        await site.close()
+
+    run_virtual(body)
