Start a front of the soak only once when two series ask at the same moment

Starting awaits the process, and nothing kept the other series out meanwhile.

Change: starts of one front wait for each other, and the second finds it running.

--- a/soak/_fronts.py
+++ b/soak/_fronts.py
@@ -44,6 +44,7 @@
         self._directory = directory
         self._ready_address = ""
         self._process: ManagedProcess
+        self._starting = asyncio.Lock()
         self._log_offset = 0
 
     async def open(self, stack: AsyncExitStack) -> None:
@@ -76,10 +77,11 @@
         return self._process.running
 
     async def start(self) -> None:
-        """Start the process unless it runs."""
-        if not self._process.running:
-            self._log_offset = _file_size(self._process.log)
-            await self._process.start()
+        """Start the process unless it runs; several series may ask for it at once."""
+        async with self._starting:
+            if not self._process.running:
+                self._log_offset = _file_size(self._process.log)
+                await self._process.start()
         self.expected_down = False
 
     async def kill(self) -> None:
