Move the keeping of servers' rows to a module of its own

They stand in _record_keeper.py now, and opening due occurrences in the job registry, which holds the jobs. The tests of takeovers, dispatch and unexpected errors pass unchanged.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -16,6 +16,7 @@
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._orders import OrderSender, ServerClient, StartResult
 from cassiaweir.dispatch._placer import Placer
+from cassiaweir.dispatch._record_keeper import RecordKeeper
 from cassiaweir.dispatch._reports import ReportProcessor
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run, RunState
@@ -41,9 +42,6 @@
 MISSING_SERVER_TIMEOUT_S = 3.0
 """An unreachable server without runs is removed if its entry is missing this long."""
 
-RECORD_TIMEOUT = timedelta(milliseconds=400)
-"""Time for the store to take the row that a start needs; else the task waits again."""
-
 SERVER_REFUSALS = (
     OrderOutcome.UNHEALTHY,
     OrderOutcome.INVALID,
@@ -83,7 +81,7 @@
         self._calls = calls
         self._clock = clock
         self._jobs = jobs
-        self._records = records
+        self._records = RecordKeeper(records, commits, self.wake)
         self._gate = gate
         self._shrinker = shrinker
         self._metrics = metrics
@@ -187,13 +185,13 @@
     ) -> int:
         """Apply a report; return the position of the last write that it caused."""
         position = self._reports.apply(server, report, asked_at)
-        server.forget_stored_ends(self._commits.is_stored)
+        self._records.forget_stored_ends(server)
         if not server.fenced:
             server.fenced = True
             self._gate.mark_settled(server.server_id)
             logger.info("server_first_report", server=server.server_id)
         if not server.recorded and not server.recording:
-            self._run_in_background(self._store_record(server))
+            self._run_in_background(self._records.store(server))
         self.wake()
         return position
 
@@ -206,7 +204,7 @@
         """
         if not server.fenced:
             return
-        self._narrow_record(server)
+        self._records.narrow(server, self._clock.monotonic())
         answered = sum(run.answered_at is not None for run in server.runs.values())
         if answered and server.leases_expired(self._leadership.confirmed_at):
             logger.warning(
@@ -215,16 +213,6 @@
             self._reports.mark_runs_lost(server, "the lease has expired")
             self.wake()
 
-    def _narrow_record(self, server: Server) -> None:
-        """Let the row of an unreachable server name its tasks, or remove it if none."""
-        names = server.task_names()
-        if names and self._records.is_open(server.server_id):
-            server.recorded = False
-            self._records.restrict(server.entry, names)
-        elif not names and server.leases_expired(self._clock.monotonic()):
-            server.recorded = False
-            self._records.remove(server.server_id)
-
     def handle_superseded(self) -> None:
         """Stop giving orders, as a server follows a later leader."""
         if not self._leadership.lost:
@@ -272,12 +260,11 @@
             logger.info(
                 "takeover_gate_opened", unsettled=",".join(self._gate.unsettled_servers)
             )
-            for server_id in self._records.server_ids - self.servers.keys():
-                self._records.remove(server_id)
+            self._records.remove_others(set(self.servers))
         for server in self.servers.values():
             if not server.reachable:
                 self.handle_unreachable(server)
-        self._open_due_occurrences()
+        self._jobs.open_due_occurrences()
         for job in self._jobs.remove_finished():
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
         self._remove_missing_servers(now)
@@ -287,14 +274,6 @@
         )
         self.wake()
 
-    def _open_due_occurrences(self) -> None:
-        """Open the occurrences of repeated jobs that are due."""
-        wall = self._clock.now().timestamp()
-        for entry in self._jobs.open_jobs():
-            job = entry.job
-            while job.has_more_occurrences and job.next_due_at <= wall:
-                job.open_occurrence()
-
     def _remove_missing_servers(self, now: float) -> None:
         """Remove servers whose entry is missing and where nothing can run any more."""
         for server_id, server in list(self.servers.items()):
@@ -316,31 +295,12 @@
         self._jobs.fleet_cpu_millis = sum(
             each.entry.capacity.cpu_millis for each in self.servers.values()
         )
-        server.recorded = not restricted and self._records.is_open(entry.server_id)
+        self._records.add(server)
         poller = ServerPoller(
             server, self._calls, self._clock, self._leadership, self, self._commits
         )
         self._pollers[entry.server_id] = asyncio.create_task(poller.run())
 
-    async def _store_record(self, server: Server) -> None:
-        """Store the row that new runs on a server need; none is started before."""
-        server.recording = True
-        if server.restricted:
-            position = self._records.restrict(server.entry, server.task_names())
-        else:
-            position = self._records.open(server.entry)
-        try:
-            await self._commits.wait_until_stored(position)
-        except LeadershipLostError:
-            return
-        finally:
-            server.recording = False
-        # The row may have been narrowed or removed meanwhile.
-        has_row = self._records.has_row(server.server_id)
-        is_open = self._records.is_open(server.server_id)
-        server.recorded = has_row if server.restricted else is_open
-        self.wake()
-
     def _cancel(self, job_id: str) -> None:
         """Cancel a job and stop its runs."""
         entry = self._jobs.cancel(job_id)
@@ -361,24 +321,17 @@
 
     async def _start_recorded(self, runs: Sequence[Run]) -> None:
         """Start `runs` once the rows of their servers name them."""
-        servers = {run.server.server_id: run.server for run in runs}
-        position = max(
-            self._records.restrict(server.entry, server.task_names())
-            for server in servers.values()
-        )
         try:
-            async with asyncio.timeout(RECORD_TIMEOUT.total_seconds()):
-                await self._commits.wait_until_stored(position)
+            stored = await self._records.store_starts(runs)
         except LeadershipLostError:
             return
-        except TimeoutError:
-            logger.info("runs_not_recorded", runs=len(runs), first=runs[0].task.name)
-            for run in runs:
+        for run in runs:
+            if stored:
+                self._run_in_background(self._start(run))
+            else:
                 self._reports.mark_lost(run, "the start could not be recorded")
+        if not stored:
             self.wake()
-            return
-        for run in runs:
-            self._run_in_background(self._start(run))
 
     async def _start(self, run: Run) -> None:
         """Order the start of a run; if it was not started, let its task wait again."""
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -141,6 +141,14 @@
         """Yield the jobs that have not ended."""
         return (each for each in self.entries.values() if not each.job.ended)
 
+    def open_due_occurrences(self) -> None:
+        """Open the occurrences of repeated jobs that are due."""
+        wall = self._clock.now().timestamp()
+        for entry in self.open_jobs():
+            job = entry.job
+            while job.has_more_occurrences and job.next_due_at <= wall:
+                job.open_occurrence()
+
     def cancel(self, job_id: str) -> JobEntry | None:
         """Mark a job as cancelled; return its entry, or None if it was not open."""
         entry = self.entries.get(job_id)
