Ask a server for its lifetime before ends are acknowledged late

What callers could see: work that has run is run again.

Cause: the numbers of a former lifetime were held back after a request without an answer. But there need not be a request that fails: while the store is away, the next request for a report is sent 0.55 s after the last. A server that crashed and came back within that time got the number of its former lifetime in that request, and forgot the ends of its new one unread.

Change: a number is sent only while the server lists ends up to it, and only right after a report; else the server is asked for a report without a wait first. That report resets the number if the lifetime is another one. While the store answers within 0.1 s the number of requests is the same.

Ruled out: sending 0 whenever the last report is older, as the ends that come meanwhile would put the acknowledgement off for as long as the store is slow.

--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -114,6 +114,11 @@
         """
         return self._entry.born == self.born
 
+    @property
+    def reported_at(self) -> float:
+        """When the last report arrived, 0.0 before the first one."""
+        return self._clock_read_at
+
     @property
     def used(self) -> Resources:
         """The resources that the counted runs take."""
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -30,6 +30,9 @@
 UNSTORED_DELAY = timedelta(milliseconds=250)
 """Delay before the next request while the ends of the last report are not stored."""
 
+MAX_REPORT_AGE_AT_ACKNOWLEDGEMENT_S = 0.1
+"""Ends are acknowledged only to a server that has reported within this time."""
+
 STORE_TIMEOUT = timedelta(milliseconds=300)
 """Time to wait for the ends of a report to be stored before the lease is renewed."""
 
@@ -99,6 +102,7 @@
         self._handler = handler
         self._writes = writes
         self._unstored: _UnstoredEnds | None = None
+        self._first_listed_end = 0
 
     async def run(self) -> None:
         """Poll the server whenever this process may act as the leader.
@@ -133,26 +137,47 @@
         """Request one report and apply it.
 
         The server may delay its answer only if it has answered in this epoch before and
-        the ends of the last report are stored.  After a request without an answer
-        nothing is renewed or acknowledged: the server may be in its next lifetime,
-        which numbers its ends anew.
+        the ends of the last report are stored.  If it may have begun its next lifetime
+        since its last report, it is asked which it is in before ends are acknowledged:
+        the next one numbers them anew, and would forget its own ends unread.
         """
         acknowledgeable = await self._wait_stored()
+        if self._has_ends_to_acknowledge and not self._reported_just_now():
+            await self._read_report(0, timedelta(0))
+        acknowledged = 0
+        if self._has_ends_to_acknowledge:
+            acknowledged = self._server.acknowledged
+        may_wait = acknowledgeable and self._server.fenced
+        await self._read_report(acknowledged, REPORT_WAIT if may_wait else timedelta(0))
+
+    async def _read_report(self, acknowledged: int, wait: timedelta) -> None:
+        """Request a report and apply it; renew the lease of a reachable server."""
         server = self._server
         asked_at = self._clock.monotonic()
         report = await self._client.renew_lease(
             server.entry,
             epoch=self._leadership.epoch,
             until_ms=server.next_lease_end_ms(asked_at) if server.reachable else None,
-            acknowledged=server.acknowledged if server.reachable else 0,
-            wait=REPORT_WAIT if acknowledgeable and server.fenced else timedelta(0),
+            acknowledged=acknowledged,
+            wait=wait,
             timeout=REPORT_TIMEOUT,
         )
         position = self._handler.handle_report(server, report, asked_at)
-        if report.ended:
-            last = max(end.number for end in report.ended)
-            if last > server.acknowledged:
-                self._unstored = _UnstoredEnds(server.born, last, position)
+        numbers = [end.number for end in report.ended]
+        self._first_listed_end = min(numbers, default=0)
+        last = max(numbers, default=0)
+        if last > server.acknowledged:
+            self._unstored = _UnstoredEnds(server.born, last, position)
+
+    @property
+    def _has_ends_to_acknowledge(self) -> bool:
+        """Whether the last report lists ends that are stored."""
+        return 0 < self._first_listed_end <= self._server.acknowledged
+
+    def _reported_just_now(self) -> bool:
+        age_s = self._clock.monotonic() - self._server.reported_at
+        recent = age_s <= MAX_REPORT_AGE_AT_ACKNOWLEDGEMENT_S
+        return self._server.reachable and recent
 
     async def _wait_stored(self) -> bool:
         """Wait up to `STORE_TIMEOUT` for the ends of the last report to be stored.
--- a/tests/test_server_lifetimes.py
+++ b/tests/test_server_lifetimes.py
@@ -116,6 +116,37 @@
     run_virtual(body)
 
 
+# Guards against work that is run again: the same, while the store is away.
+@pytest.mark.parametrize("down_s", [0.05, 0.1, 0.2])
+def test_a_restart_between_two_reports_loses_no_ends(down_s: float) -> None:
+    async def body() -> None:
+        site, server = await one_server()
+        leader = await site.wait_for_leader()
+        for _ in range(4):
+            site.submit(JOB, task_s=0.2)
+        await asyncio.sleep(3)
+        last = site.submit(JOB, task_s=0.2)
+        await asyncio.sleep(0.1)
+        leader.store.fault_mode = "silent"
+        # The ends of the last job are known and not stored, so no report is asked for.
+        await asyncio.sleep(0.15)
+        server.crash()
+        await asyncio.sleep(down_s)
+        server.restart()
+        await asyncio.sleep(0.6)
+        leader.store.fault_mode = ""
+        await asyncio.sleep(1.5)
+        job_id = site.submit(JOB, task_s=0.2)
+        await asyncio.sleep(3)
+        for each in (last, job_id):
+            assert leader.term.job_state(each) is JobState.DONE
+        assert len(site.starts_of(job_id)) == JOB.count
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
 def delay_first_start(site: FakeSite, delay_s: float) -> None:
     """Carry the first start out after `delay_s`, also in another lifetime.
 
