Stop a start that was given up before its server gets new runs

Cause: a start gets no answer, and its server cannot be reached until its leases have run out. The run is then taken as gone: a start that is still under way would come after the end of its lease, so the server would refuse it. The server is back, its room is filled anew, and the late start is carried out on top of it, in the same lifetime. The epoch is the same, so nothing refuses it.

Evidence: test_a_late_start_is_stopped_when_its_server_is_reached_again fails before (the task runs a second time, on a full server) and passes after.

Change: what was done for the next lifetime now also holds for a run that is given up with a start unanswered. When the server reports again it is told to stop that run, which bars it, and gets no new runs before it has answered. A run that the report lists was started and is treated as before.

Ruled out: waiting for 15 s before such a run is given up, which would delay each task on a server that is cut off while orders are late.

What remains: the late start may be carried out while its server is out of reach, beside the new run elsewhere (TWICE); its lease cannot be seen from here.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -95,7 +95,7 @@
             metrics,
             stop=self._stop,
             stop_orphan=self._stop_orphan,
-            stop_late_starts=self._stop_late_starts,
+            stop_late_start=self._stop_late_start,
         )
         self._advice = advice_cache_factory(self.wake)
         self.servers: dict[str, Server] = {}
@@ -384,11 +384,10 @@
     def _stop_orphan(self, server: Server, task: str, run: int) -> None:
         self._run_in_background(self._orders.stop_orphan_run(server.entry, task, run))
 
-    def _stop_late_starts(self, server: Server) -> None:
-        for task, run in sorted(server.late_starts):
-            self._run_in_background(self._stop_late_start(server, task, run))
+    def _stop_late_start(self, server: Server, task: str, run: int) -> None:
+        self._run_in_background(self._send_late_stop(server, task, run))
 
-    async def _stop_late_start(self, server: Server, task: str, run: int) -> None:
+    async def _send_late_stop(self, server: Server, task: str, run: int) -> None:
         await self._orders.stop_late_start(server, task, run)
         self.wake()
 
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -191,22 +191,26 @@
         )
 
     async def stop_late_start(self, server: Server, task: str, run: int) -> None:
-        """Keep the next lifetime of a server from carrying out a late start.
+        """Keep a server from carrying out a late start of a run that is not expected.
 
-        The order is repeated until the server answers, is in yet another lifetime, or
-        has no valid lease any more.  A run that is counted is seen as answered then.
+        The order is repeated until the server answers or has begun another lifetime, or
+        its leases have expired.  A run that is counted is seen as answered then.
         """
         born, key = server.born, (task, run)
-        while not self._leadership.lost and server.born == born:
+        stopped = False
+        while not stopped and not self._leadership.lost and server.born == born:
             now = self._clock.monotonic()
-            if self._leadership.may_act(now) and await self._stops(server, task, run):
+            if self._leadership.may_act(now):
+                stopped = await self._stops(server, task, run)
+            if not stopped and server.leases_expired(now):
                 break
-            if server.leases_expired(now):
-                break
-            await self._clock.sleep(RETRY_DELAY)
+            if not stopped:
+                await self._clock.sleep(RETRY_DELAY)
         if server.born != born:
             return
         server.late_starts.discard(key)
+        if not stopped:
+            server.record_lost_start(key)
         counted = server.runs.get(key)
         if counted is not None:
             counted.answered_at = self._clock.monotonic()
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -8,7 +8,7 @@
 
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._run_registry import RunRegistry
-from cassiaweir.dispatch._runs import Run, RunState
+from cassiaweir.dispatch._runs import Run, RunKey, RunState
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_entry import (
     EndKind,
@@ -27,7 +27,7 @@
 
     `stop` is called for each run that must not go on.  `stop_orphan` is called with the
     server, the task name and the run number of a listed run whose task belongs to no
-    known job, `stop_late_starts` with a server that has late ones after a restart.
+    known job, `stop_late_start` likewise for one that may still be started late.
     """
 
     def __init__(
@@ -39,7 +39,7 @@
         *,
         stop: Callable[[Run], None],
         stop_orphan: Callable[[Server, str, int], None],
-        stop_late_starts: Callable[[Server], None],
+        stop_late_start: Callable[[Server, str, int], None],
     ) -> None:
         self._jobs = jobs
         self._runs = runs
@@ -47,7 +47,7 @@
         self._metrics = metrics
         self._stop = stop
         self._stop_orphan = stop_orphan
-        self._stop_late_starts = stop_late_starts
+        self._stop_late_start = stop_late_start
 
     def apply(self, server: Server, report: ServerReport, asked_at: float) -> int:
         """Apply a report that was requested at `asked_at`.
@@ -65,7 +65,6 @@
                 entry=server.entry.born,
             )
             server.begin_lifetime(report.born, self._clock.monotonic())
-            self._stop_late_starts(server)
         elif report.born:
             server.born = report.born
         server.update_from_report(report, self._clock.monotonic())
@@ -76,6 +75,7 @@
                 server.unstored_ends[end.task] = end_position
                 position = max(position, end_position)
         listed = {(running.task, running.run) for running in report.running}
+        self._stop_late_starts(server, listed)
         server.orphan_runs = frozenset(
             (running.task, running.run)
             for running in report.running
@@ -85,6 +85,17 @@
         self._stop_slow_runs(server)
         return position
 
+    def _stop_late_starts(self, server: Server, listed: set[RunKey]) -> None:
+        """Stop what may still be started late; what is `listed` has been started."""
+        now = self._clock.monotonic()
+        for key in sorted(server.expect_late_starts(now)):
+            if key not in listed:
+                self._stop_late_start(server, *key)
+                continue
+            server.late_starts.discard(key)
+            if key in server.runs:
+                server.runs[key].answered_at = now
+
     def mark_runs_lost(self, server: Server, cause: str) -> None:
         """Remove the runs of `server` that are known to be gone.
 
@@ -98,6 +109,7 @@
     def mark_lost(self, run: Run, cause: str) -> None:
         """Remove `run`, which does not exist and never will, and requeue its task."""
         if self._runs.remove(run.server, run.key) is not None:
+            run.server.record_lost_start(run.key)
             self._requeue_lost(run, cause)
 
     def _requeue_lost(self, run: Run, cause: str) -> None:
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -60,8 +60,9 @@
     that the server lists although their tasks belong to no known job; how much of the
     capacity they take is unknown.  `born` is the lifetime that the last report came
     from, or that of the entry before the first report.  `late_starts` are runs of which
-    a start got no answer in an earlier lifetime: this one knows no epoch and may still
-    carry them out, so it gets no new runs before it was told to stop them.
+    a start got no answer and may still be carried out, though they are not expected any
+    more: they were given up, or belong to an earlier lifetime.  The server gets no new
+    runs before it was told to stop them.
     `unstored_ends` are tasks that ended here, with the position of the write that
     stores the end.
     """
@@ -84,6 +85,7 @@
         self.late_starts: set[RunKey] = set()
         self.unstored_ends: dict[str, int] = {}
         self._unanswered_starts: dict[RunKey, float] = {}
+        self._lost_starts: set[RunKey] = set()
         self.born = entry.born
         self._clock_ms: int | None = None
         self._clock_read_at = 0.0
@@ -187,6 +189,22 @@
         self._drop_old_unanswered(now)
         self._unanswered_starts[run.key] = now
 
+    def record_lost_start(self, key: RunKey) -> None:
+        """Remember that a run was given up of which a start may be carried out late."""
+        if key in self._unanswered_starts:
+            self._lost_starts.add(key)
+
+    def expect_late_starts(self, now: float) -> frozenset[RunKey]:
+        """Add the starts that were lost since the last report to `late_starts`.
+
+        Return those that were added.
+        """
+        self._drop_old_unanswered(now)
+        found = frozenset(self._lost_starts & self._unanswered_starts.keys())
+        self._lost_starts.clear()
+        self.late_starts |= found
+        return found
+
     def _drop_old_unanswered(self, now: float) -> None:
         self._unanswered_starts = {
             key: sent_at
@@ -212,12 +230,13 @@
 
         A start that was in transit may have reached the new lifetime.  The server's
         clock has begun anew, so that the lease end in that order lies far ahead and the
-        run gets the longest lease that the server allows.  A run in `late_starts` is
-        counted until the new lifetime has answered that it stops it.
+        run gets the longest lease that the server allows.  A run of which
+        a start got no answer is counted until the new lifetime was told to stop it.
         """
         self._drop_old_unanswered(now)
-        self.late_starts = set(self._unanswered_starts)
-        self._may_inherit_runs = bool(self.runs or self.late_starts)
+        self._lost_starts = set(self._unanswered_starts)
+        self.late_starts.clear()
+        self._may_inherit_runs = bool(self.runs or self._lost_starts)
         self._inherited_lease_end_ms = 0
         self.born = born
         self.acknowledged = 0
@@ -228,7 +247,7 @@
         self.speed = ServerSpeed()
         for key, run in self.runs.items():
             run.until_ms = None
-            if key in self.late_starts:
+            if key in self._lost_starts:
                 run.answered_at = None
 
     def next_lease_end_ms(self, now: float) -> int | None:
--- a/tests/test_server_lifetimes.py
+++ b/tests/test_server_lifetimes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -147,27 +148,36 @@
     run_virtual(body)
 
 
-def delay_first_start(site: FakeSite, delay_s: float) -> None:
+def delay_first_start(
+    site: FakeSite, delay_s: float, *, valid: bool = False
+) -> list[str]:
     """Carry the first start out after `delay_s`, also in another lifetime.
 
-    It gets no answer.
+    It gets no answer.  With `valid`, its lease counts from its arrival.  Return a list
+    that gets the id of the server.
     """
     orders = site.vms[0].orders
     start = orders.start
-    late: list[StartOrder] = []
+    ordered: list[str] = []
 
     async def start_late(
         entry: ServerEntry, order: StartOrder, timeout: timedelta
     ) -> OrderOutcome:
-        if late:
+        if ordered:
             return await start(entry, order, timeout)
-        late.append(order)
+        ordered.append(entry.server_id)
         server = site.servers[entry.server_id]
-        site.call_later(delay_s, lambda: server.start_late(order, None))
+
+        def arrive() -> None:
+            until_ms = server.clock_ms() + 3_000 if valid else order.until_ms
+            server.start_late(replace(order, until_ms=until_ms), None)
+
+        site.call_later(delay_s, arrive)
         await asyncio.sleep(timeout.total_seconds())
         raise UnavailableError("no answer", verdict=Verdict.MAY_HAVE_RUN)
 
     orders.start = start_late  # type: ignore[method-assign]
+    return ordered
 
 
 # Guards against LIMIT and TWICE: a start carried out seconds late, by a next lifetime.
@@ -192,3 +202,31 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against LIMIT: a start that was given up while its server was out of reach.
+def test_a_late_start_is_stopped_when_its_server_is_reached_again() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=3, vms=1)
+        await site.wait_for_leader()
+        await asyncio.sleep(SETTLE_S)
+        ordered = delay_first_start(site, 9.0, valid=True)
+        wide = StepSpec(count=1, cpu_millis=16_000, estimate_s=0.5)
+        first = site.submit(wide, task_s=0.5)
+        await asyncio.sleep(0.1)
+        site.vms[0].orders.unreachable = set(ordered)
+        await asyncio.sleep(5)
+        [record] = site.starts_of(first)
+        assert record.server not in ordered
+        site.vms[0].orders.unreachable = set()
+        await asyncio.sleep(1)
+        jobs = [site.submit(wide, task_s=5.0) for _ in site.servers]
+        await asyncio.sleep(9)
+        leader = await site.wait_for_leader()
+        for job_id in jobs:
+            assert leader.term.job_state(job_id) is JobState.DONE
+        assert len(site.starts_of(first)) == 1
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
