Repeat no start of a run that is being stopped

What callers could see: a task starts once more after its end was noted (TWICE).

Cause: a server is cut off until its leases have run out, so its tasks start elsewhere. The server comes back and lists one of them as done; the newer run is stopped. Its start was unanswered, and was repeated every 60 ms for as long as the run was counted, beside the order to stop it, so it was started after the end had been acknowledged.

Evidence: test_a_start_in_doubt_is_not_repeated_once_its_run_is_being_stopped fails before (two starts) and passes after.

Change: the repeats end once the run is being stopped, and a first start is not sent then; what is in doubt is stopped, as for a job that has ended.

--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -101,7 +101,9 @@
         """
         in_doubt = False
         while await self._wait_permitted(run):
-            if run.task.step.job.ended or run.born != run.server.born:
+            if run.state is RunState.STOPPING or run.born != run.server.born:
+                break
+            if run.task.step.job.ended:
                 break
             now = self._clock.monotonic()
             if not in_doubt and not run.server.reported_recently(now):
--- a/tests/test_dispatch_orders.py
+++ b/tests/test_dispatch_orders.py
@@ -13,7 +13,7 @@
 
 from cassiaweir.dispatch import OrderOutcome, ServerEntry, ServerReport, StartOrder
 from cassiaweir.dispatch._orders import OrderSender, StartResult
-from cassiaweir.dispatch._runs import Run
+from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import MAX_REPORT_AGE_AT_START_S, Server
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.jobs import Job, JobSpec, StepSpec
@@ -117,6 +117,20 @@
     run_virtual(body)
 
 
+# Guards against TWICE: a start repeated after another run of its task was seen done.
+def test_a_start_in_doubt_is_not_repeated_once_its_run_is_being_stopped() -> None:
+    async def body() -> None:
+        orders = Orders(unanswered=1)
+        starting = asyncio.create_task(orders.sender.start(orders.run))
+        await asyncio.sleep(0.01)
+        orders.run.state = RunState.STOPPING
+        assert (await starting)[0] is StartResult.UNKNOWN
+        assert len(orders.starts) == 1
+        assert len(orders.stops) == 1
+
+    run_virtual(body)
+
+
 # Guards against LIMIT: room of one lifetime used in the next while a row is stored.
 def test_a_start_is_not_sent_to_another_lifetime_than_its_room_was_found_in() -> None:
     async def body() -> None:
