Repeat a stop that a server refuses

What callers could see: a server given more than it has room for (LIMIT), a task twice at once, or a cancelled task that runs on.

Cause: any answer to a stop counted as the stop being carried out, also 429 and 503 by which an unhealthy server says that it did nothing. A run whose first start was unanswered and whose second was refused was then neither barred nor counted any more, so that the first could be carried out late on top of what had been placed meanwhile. A cancelled run was not asked to stop again.

Evidence: test_a_stop_that_the_server_refuses_is_repeated fails before (one order) for both answers and passes after.

Change: a stop ends with an answer by which the server stops or bars the run, or cannot have it (another lifetime, a higher epoch). Else it is repeated after 0.25 s, while the run is counted; such a run keeps its room and its task until then.

--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -24,6 +24,11 @@
 
 ORDER_TIMEOUT = timedelta(milliseconds=400)
 RETRY_DELAY = timedelta(milliseconds=60)
+REFUSED_STOP_DELAY = timedelta(milliseconds=250)
+"""Pause after a server has answered a stop without carrying it out."""
+
+REFUSED_STOPS = (OrderOutcome.UNHEALTHY, OrderOutcome.INVALID)
+"""Answers to a stop by which the run may still run, or start later."""
 
 
 class ServerClient(Protocol):
@@ -133,7 +138,7 @@
         return await self._stop_in_doubt(run), None
 
     async def stop(self, run: Run) -> bool:
-        """Stop `run`, repeating the order until the server answers.
+        """Stop `run`, repeating the order until the server carries it out.
 
         Return whether the run is certainly gone because the lease has expired.
         Otherwise the server's reports show when it ends.
@@ -153,6 +158,10 @@
                     return True
                 await self._clock.sleep(RETRY_DELAY)
                 continue
+            if outcome in REFUSED_STOPS:
+                self._log_refused_stop(run.server, run.task.name, run.number, outcome)
+                await self._clock.sleep(REFUSED_STOP_DELAY)
+                continue
             if outcome is OrderOutcome.FENCED:
                 self._on_superseded()
             run.answered_at = self._clock.monotonic()
@@ -207,7 +216,7 @@
             if not stopped and server.leases_expired(now):
                 break
             if not stopped:
-                await self._clock.sleep(RETRY_DELAY)
+                await self._clock.sleep(REFUSED_STOP_DELAY)
         if server.born != born:
             return
         server.late_starts.discard(key)
@@ -218,7 +227,7 @@
             counted.answered_at = self._clock.monotonic()
 
     async def _stops(self, server: Server, task: str, run: int) -> bool:
-        """Order a server to stop a run; return whether it has answered."""
+        """Order a server to stop a run; return whether it does so."""
         try:
             outcome = await self._client.stop_run(
                 server.entry, task, run, self._leadership.epoch, ORDER_TIMEOUT
@@ -232,6 +241,9 @@
                 cause=str(exc),
             )
             return False
+        if outcome in REFUSED_STOPS:
+            self._log_refused_stop(server, task, run, outcome)
+            return False
         if outcome is OrderOutcome.FENCED:
             self._on_superseded()
         logger.info(
@@ -243,6 +255,18 @@
         )
         return True
 
+    @staticmethod
+    def _log_refused_stop(
+        server: Server, task: str, run: int, outcome: OrderOutcome
+    ) -> None:
+        logger.info(
+            "stop_refused",
+            task=task,
+            run=run,
+            server=server.server_id,
+            outcome=outcome.value,
+        )
+
     async def _wait_permitted(self, run: Run) -> bool:
         """Wait until this process may give orders; return whether one is still needed.
 
--- a/tests/test_dispatch_orders.py
+++ b/tests/test_dispatch_orders.py
@@ -42,6 +42,7 @@
         self.born = 0
         self.starts: list[float] = []
         self.stops: list[float] = []
+        self.stop_outcomes: list[OrderOutcome] = []
         self.server = Server(SERVER)
         self.server.update_from_report(ServerReport(1_000, 1, [], []), now())
         self.leadership = Leadership(Owner(1, "vm", "vm-1", "vm:1"), 1, 1, now())
@@ -66,9 +67,11 @@
         return ServerReport(1_000 + round(now() * 1_000), self.born, [], [])
 
     async def stop_run(self, *args: object) -> OrderOutcome:
-        """Count an order to stop the run."""
+        """Count an order to stop the run; return the next of `stop_outcomes`."""
         self.stops.append(now())
-        return OrderOutcome.ACCEPTED
+        return (
+            self.stop_outcomes.pop(0) if self.stop_outcomes else OrderOutcome.ACCEPTED
+        )
 
 
 def test_a_start_is_sent_at_once() -> None:
@@ -131,6 +134,19 @@
     run_virtual(body)
 
 
+# Guards against LIMIT: a start in doubt that is not barred as the server is unhealthy.
+@pytest.mark.parametrize("refusal", [OrderOutcome.UNHEALTHY, OrderOutcome.INVALID])
+def test_a_stop_that_the_server_refuses_is_repeated(refusal: OrderOutcome) -> None:
+    async def body() -> None:
+        orders = Orders()
+        orders.stop_outcomes = [refusal, refusal]
+        assert not await orders.sender.stop(orders.run)
+        assert len(orders.stops) == 3
+        assert orders.run.answered_at == orders.stops[-1]
+
+    run_virtual(body)
+
+
 # Guards against LIMIT: room of one lifetime used in the next while a row is stored.
 def test_a_start_is_not_sent_to_another_lifetime_than_its_room_was_found_in() -> None:
     async def body() -> None:
