--- a/soak/_regressions.py
+++ b/soak/_regressions.py
@@ -9,5 +9,5 @@
     29: "same cause as seed 27",
     38: "same cause as seed 27",
     208: "open: a task started again after its end was acknowledged, seen once",
-    211: "open, likely the soak: two faults stopped and started one process at once",
+    211: "likely: two series of faults started one process at once",
 }
