Keep a leadership given up when the answer to that is lost

Cause: a leader that is stopped gives up its leadership in a transaction. Its zone was cut at that moment, so the store took the transaction and the answer was lost. Whether a transaction releases was decided anew at each attempt, from the queue of writes. A report that came then queued an end, so the next attempt kept the leadership, and the process acted again for 2.5 s: it polled the servers of its zone and prolonged their leases. The successor relied on the release and opened its gate when the leases must have expired.

Change: whether a transaction releases stands in the transaction, like its writes, and does not change between attempts. Ends that are reported after it are not acknowledged, so the successor reads them.

--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -44,13 +44,15 @@
     """Writes that are sent together, repeatedly until the outcome is known.
 
     Once it is stored, all writes up to `last_position` are.  `renews` says whether it
-    also rewrites the owner row.
+    also rewrites the owner row, and `releases` whether it gives up the leadership by
+    that.  An attempt without an answer may have been stored, so neither changes later.
     """
 
     guard: Guard
     last_position: int
     writes: tuple[Write, ...]
     renews: bool
+    releases: bool
 
 
 class CommitStream:
@@ -175,11 +177,11 @@
         guard = Guard(self._leadership.epoch, self._leadership.sequence)
         remaining = [pending.oldest_position for pending in self._pending.values()]
         last_position = min(remaining) - 1 if remaining else self._last_position
-        return _Transaction(guard, last_position, tuple(writes), self._renewal_due())
+        releases = self._releasing and not self._pending
+        renews = releases or self._renewal_due()
+        return _Transaction(guard, last_position, tuple(writes), renews, releases)
 
     def _renewal_due(self) -> bool:
-        if self._releasing and not self._pending:
-            return True
         # A transaction shortly before the renewal is due carries it, which saves one
         # that only renews.
         elapsed = self._clock.monotonic() - self._renewed_at
@@ -207,9 +209,8 @@
         ]
         checks = [Check(GUARD_KEY, self._leadership.guard_version)]
         if transaction.renews:
-            releasing = self._releasing and not self._pending
-            self._leadership.releasing = releasing
-            owner = encode_owner(self._leadership, released=releasing)
+            self._leadership.releasing = transaction.releases
+            owner = encode_owner(self._leadership, released=transaction.releases)
             writes.append(Write(OWNER_KEY, owner))
         versions = await self._table.commit(checks, writes)
         return versions[GUARD_KEY]
@@ -246,8 +247,7 @@
         leadership.confirmed_at = max(leadership.confirmed_at, sent_at)
         if transaction.renews:
             self._renewed_at = sent_at
-            if self._releasing and not self._pending:
-                leadership.lost = True
+            leadership.lost = leadership.lost or transaction.releases
         async with self._stored_changed:
             self._stored_position = max(
                 self._stored_position, transaction.last_position
--- a/tests/test_leadership_commits.py
+++ b/tests/test_leadership_commits.py
@@ -135,6 +135,29 @@
     run_virtual(body)
 
 
+# Guards against TWICE: a leader that acts again after a release without an answer.
+def test_a_release_without_an_answer_is_not_taken_back_by_a_later_write() -> None:
+    async def body() -> None:
+        rig = CommitRig()
+        rig.node.fault_mode = "silent"
+        releasing = asyncio.create_task(rig.commits.release())
+        await asyncio.sleep(0.1)
+        assert not rig.leadership.may_act(asyncio.get_running_loop().time())
+        rig.commits.put(Write("t/main/row", b"an end that was reported meanwhile"))
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            assert not rig.leadership.may_act(asyncio.get_running_loop().time())
+        rig.node.fault_mode = ""
+        await asyncio.wait_for(releasing, 3)
+        assert rig.leadership.lost
+        owner = decode_owner(rig.store.rows[OWNER_KEY])
+        assert owner is not None
+        assert owner.released
+        await rig.close()
+
+    run_virtual(body)
+
+
 def test_leadership_at_a_version_is_confirmed_only_by_a_later_transaction() -> None:
     async def body() -> None:
         rig = CommitRig()
