--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -174,8 +174,9 @@
     """One VM's calls to the backend servers, with injected faults.
 
     Calls to the servers in `unreachable` time out.  The share `late_share` of orders,
-    from 0 to 1, times out and is carried out seconds later.  Where `alive` is false,
-    the VM's process has ended and all its calls time out.
+    from 0 to 1, times out and is carried out seconds later.  Servers in `unhealthy`
+    refuse half of the orders.  Where `alive` is false, the VM's process has ended and
+    all its calls time out.
     """
 
     def __init__(self, site: FakeSite, rng: random.Random) -> None:
@@ -183,6 +184,7 @@
         self._rng = rng
         self.unreachable: set[str] = set()
         self.late_share = 0.0
+        self.unhealthy: set[str] = set()
         self.alive = True
 
     async def renew_lease(
@@ -208,6 +210,8 @@
     ) -> OrderOutcome:
         """Order a server to start a run."""
         server = await self._reach(entry, timeout.total_seconds())
+        if self._refuses(entry):
+            return OrderOutcome.UNHEALTHY
         if self._rng.random() < self.late_share:
             born = server.entry.born
             delay = self._rng.uniform(2, 12)
@@ -220,12 +224,17 @@
     ) -> OrderOutcome:
         """Order a server to stop a run."""
         server = await self._reach(entry, timeout.total_seconds())
+        if self._refuses(entry):
+            return OrderOutcome.UNHEALTHY
         if self._rng.random() < self.late_share:
             delay = self._rng.uniform(2, 12)
             self._site.call_later(delay, lambda: server.stop(task, run, epoch))
             await self._time_out(timeout.total_seconds())
         return server.stop(task, run, epoch)
 
+    def _refuses(self, entry: ServerEntry) -> bool:
+        return entry.server_id in self.unhealthy and self._rng.random() < 0.5
+
     async def _reach(self, entry: ServerEntry, timeout_s: float) -> FakeServer:
         await asyncio.sleep(LATENCY_S / 2)
         server = self._site.servers[entry.server_id]
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -1,10 +1,10 @@
 """Random faults on a simulated site, in virtual time; all jobs must still end.
 
 Each seed draws a sequence of faults, which may overlap and repeat: killed processes,
-unreachable servers, store faults, late orders, and servers that crash and start again,
-some of them smaller and with a late entry.  `Site.faults` must
-stay empty: no task has two runs at once or a run after its confirmed success, and no
-server runs more than fits.
+unreachable or unhealthy servers, store faults, late orders, and servers that crash and
+start again, some of them smaller and with a late entry.  `Site.faults` must stay empty:
+no task has two runs at once or a run after its confirmed success, and no server runs
+more than fits.
 """
 
 from __future__ import annotations
@@ -107,6 +107,18 @@
         vm.orders.late_share = 0.0
 
 
+async def make_unhealthy(site: FakeSite, rng: random.Random) -> None:
+    """Let servers refuse orders while other orders are carried out late."""
+    names = rng.sample(list(site.servers), 2)
+    for vm in site.vms:
+        vm.orders.unhealthy.update(names)
+        vm.orders.late_share = 0.4
+    await asyncio.sleep(rng.uniform(2, 6))
+    for vm in site.vms:
+        vm.orders.unhealthy.difference_update(names)
+        vm.orders.late_share = 0.0
+
+
 async def cut_domain(site: FakeSite, rng: random.Random) -> None:
     leader = site.leader() or site.vms[0]
     domain = rng.choice([leader.failure_domain, rng.choice(site.vms).failure_domain])
@@ -127,6 +139,7 @@
     crash_server,
     cut_servers,
     delay_orders,
+    make_unhealthy,
 )
 DOMAIN_FAULTS = (*FAULTS, cut_domain, cut_domain)
 
