Log the end of a server's lifetime with the tasks that it ran

The answer 421, which says that another lifetime runs at a server's address, was logged as one more failed call, and only if it came first.

It is an error of its own now, logged once a server as server_replaced, with the tasks that are counted there; server_restarted names them too. No decision is changed: the server counts as unreachable as before.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -213,6 +213,19 @@
             self._reports.mark_runs_lost(server, "the lease has expired")
             self.wake()
 
+    def handle_lifetime_ended(self, server: Server) -> None:
+        """Note that another lifetime answers at the address of a server."""
+        if server.ended:
+            return
+        server.ended = True
+        logger.warning(
+            "server_replaced",
+            server=server.server_id,
+            born=server.born,
+            draining=server.entry.draining,
+            tasks=",".join(run.task.name for run in server.runs.values()),
+        )
+
     def handle_superseded(self) -> None:
         """Stop giving orders, as a server follows a later leader."""
         if not self._leadership.lost:
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -63,6 +63,7 @@
                 former=server.born,
                 born=report.born,
                 entry=server.entry.born,
+                tasks=",".join(run.task.name for run in server.runs.values()),
             )
             server.begin_lifetime(report.born, self._clock.monotonic())
         elif report.born:
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -54,7 +54,8 @@
     of earlier leaders; `recorded` that its row for a successor is stored as it must be
     for new runs, `recording` that it is being stored; `restricted` that this row must
     name each task before its start; `reachable` that no poll or start has gone
-    unanswered since its last report.  `missing_since` is the time at which its entry
+    unanswered since its last report; `ended` that another lifetime, under another id,
+    answers at its address.  `missing_since` is the time at which its entry
     vanished, None while the entry exists.  `acknowledged` is the number of the last end
     that the server may forget.  `orphan_runs` are runs
     that the server lists although their tasks belong to no known job; how much of the
@@ -79,6 +80,7 @@
         self.recorded = False
         self.recording = False
         self.reachable = True
+        self.ended = False
         self.missing_since: float | None = None
         self.acknowledged = 0
         self.orphan_runs: frozenset[RunKey] = frozenset()
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -15,6 +15,7 @@
 from cassiaweir.exceptions import (
     FencedError,
     LeadershipLostError,
+    LifetimeEndedError,
     UnavailableError,
 )
 from cassiaweir.leadership import Leadership
@@ -52,6 +53,9 @@
     def handle_unreachable(self, server: Server) -> None:
         """Act on a server that does not answer."""
 
+    def handle_lifetime_ended(self, server: Server) -> None:
+        """Act on a server at whose address another lifetime answers."""
+
     def handle_superseded(self) -> None:
         """Act on a server that follows a higher epoch."""
 
@@ -121,6 +125,10 @@
                 )
                 self._handler.handle_superseded()
                 return
+            except LifetimeEndedError as exc:
+                self._mark_unreachable(exc)
+                self._handler.handle_lifetime_ended(self._server)
+                await self._clock.sleep(RETRY_DELAY)
             except UnavailableError as exc:
                 self._mark_unreachable(exc)
                 await self._clock.sleep(RETRY_DELAY)
--- a/cassiaweir/exceptions.py
+++ b/cassiaweir/exceptions.py
@@ -60,6 +60,13 @@
         self.verdict = verdict
 
 
+class LifetimeEndedError(UnavailableError):
+    """A server's lifetime has ended: another one answers at its address."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, verdict=Verdict.NOT_RUN)
+
+
 class FencedError(CassiaweirError):
     """A worker or a server refused a command because it has seen a higher epoch."""
 
--- a/cassiaweir/platform/_servers.py
+++ b/cassiaweir/platform/_servers.py
@@ -17,7 +17,12 @@
     StartOrder,
     TaskEnd,
 )
-from cassiaweir.exceptions import FencedError, InvalidInputError, UnavailableError
+from cassiaweir.exceptions import (
+    FencedError,
+    InvalidInputError,
+    LifetimeEndedError,
+    UnavailableError,
+)
 from cassiaweir.platform._http import HttpResponse, HttpSession
 from cassiaweir.types import Resources
 from cassiaweir.verdict import Verdict
@@ -143,7 +148,8 @@
         The server forgets the ends up to number `acknowledged`, and may delay its
         answer by up to `wait` until a run ends.  `timeout` comes on top of that wait.
 
-        Raises `FencedError` where the server follows a higher epoch, and
+        Raises `FencedError` where the server follows a higher epoch,
+        `LifetimeEndedError` where another lifetime answers at its address, and
         `UnavailableError` where no report arrived.
         """
         body: dict[str, int] = {
@@ -158,6 +164,10 @@
             raise FencedError(
                 f"server {entry.server_id} follows a higher epoch than {epoch}"
             )
+        if resp.status == STATUS_OTHER_LIFETIME:
+            raise LifetimeEndedError(
+                f"another lifetime answers at the address of server {entry.server_id}"
+            )
         if resp.status != STATUS_OK:
             message = f"server {entry.server_id} answered {resp.status} to /hold"
             raise UnavailableError(message, verdict=Verdict.NOT_RUN)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -16,6 +16,7 @@
     FencedError,
     HistoryLostError,
     InvalidInputError,
+    LifetimeEndedError,
     SettingsError,
     UnavailableError,
 )
@@ -183,6 +184,13 @@
     assert headers["X-Expect-Instance"] == "i-1"
 
 
+async def test_another_lifetime_at_a_servers_address_raises_lifetime_ended_error():
+    with pytest.raises(LifetimeEndedError):
+        await HttpServerClient(FakeSession(421)).renew_lease(
+            ENTRY, epoch=7, until_ms=9, acknowledged=0, wait=SECOND, timeout=SECOND
+        )
+
+
 async def test_a_server_that_follows_a_higher_epoch_raises_fenced_error():
     with pytest.raises(FencedError):
         await HttpServerClient(FakeSession(409)).renew_lease(
