Show that a task that crashes its servers is started without bound

The simulated site gets tasks that crash the server that starts them, some time after the start; the server is back under the same id, or under another one at the same address, and the site records a fault when such a task is started a third time after three crashes.

--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -52,14 +52,21 @@
     `highest_barred_runs` maps a task to its highest run that may not start any more.
     While `failing` is set, each new run ends as failed.  `refuses` is whether its
     address refuses connections while it is down or cut off, rather than staying silent.
+    `successor` is the server that runs at its address after a crash, if its id is new.
     """
 
     def __init__(
-        self, server_id: str, site: Site, rack: str, failure_domain: str = "augusta"
+        self,
+        server_id: str,
+        site: Site,
+        rack: str,
+        failure_domain: str = "augusta",
+        *,
+        address: str = "",
     ) -> None:
         self.entry = ServerEntry(
-            server_id, f"{server_id}:1", SERVICE, failure_domain, SERVER_SIZE,
-            frozenset({"a", rack}), rack, born=1,
+            server_id, address or f"{server_id}:1", SERVICE, failure_domain,
+            SERVER_SIZE, frozenset({"a", rack}), rack, born=1,
         )  # fmt: skip
         self.site = site
         self.runs: dict[tuple[str, int], FakeRun] = {}
@@ -70,11 +77,16 @@
         self.up = True
         self.failing = False
         self.refuses = False
+        self.successor: FakeServer | None = None
         self._end_numbers = itertools.count(1)
         self._acknowledged = 0
         self._started_at = 0.0
         self._end_event = asyncio.Event()
 
+    def newest(self) -> FakeServer:
+        """Return the server that was the last to run at this address."""
+        return self if self.successor is None else self.successor.newest()
+
     def clock_ms(self) -> int:
         """Return the server's clock in milliseconds; each lifetime begins anew."""
         running_s = asyncio.get_running_loop().time() - self._started_at
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -31,11 +31,34 @@
     how: EndKind | None = None
 
 
+@dataclass(frozen=True)
+class Deadly:
+    """How a task crashes each server that starts it.
+
+    The server crashes `after_s` after the start and is back `back_after_s` later, under
+    another id if `new_id` is set.
+    """
+
+    after_s: float = 0.15
+    back_after_s: float = 2.0
+    new_id: bool = False
+
+
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 2
+"""How often a deadly task may be started after `MAX_CRASHES` servers crashed."""
+
+ENTRY_LIFETIME_S = 3.0
+"""The entry of a server that is down is removed after this time."""
+
+
 class Site:
     """A store and backend servers, with a history of all runs.
 
     `faults` describes each breach of a guarantee that was seen: a task running twice,
-    a task started again after its end was acknowledged, or an overcommitted server.
+    a task started again after its end was acknowledged, an overcommitted server, or a
+    deadly task started too often.  `deadly` holds the tasks that crash their servers,
+    by the beginning of the task's name.
     Servers are spread over the failure `domains` in turn.  `specs` holds the job spec
     of each submitted job by its id.
     """
@@ -45,6 +68,7 @@
         self.history: list[RunRecord] = []
         self.faults: list[str] = []
         self.specs: dict[str, JobSpec] = {}
+        self.deadly: dict[str, Deadly] = {}
         self._running: dict[tuple[str, str, int], RunRecord] = {}
         self._acknowledged_at: dict[str, float] = {}
         self._delayed_tasks: set[asyncio.Task[None]] = set()
@@ -108,9 +132,75 @@
             )
         server.runs[order.task, order.run] = run
         started = RunRecord(order.task, order.run, server.entry.server_id, now)
+        self._check_crashes(order.task)
         self.history.append(started)
+        self._crash_if_deadly(server, order.task)
         self._running[server.entry.server_id, order.task, order.run] = started
 
+    def crashes_of(self, task: str) -> list[RunRecord]:
+        """Return the runs of `task` that ended with a crash of their server."""
+        return [
+            run
+            for run in self.history
+            if run.task == task and run.ended_at is not None and run.how is None
+        ]
+
+    def _check_crashes(self, task: str) -> None:
+        """Record a fault if a deadly task is started too often, before the start."""
+        crashes = self.crashes_of(task)
+        if self._deadly(task) is None or len(crashes) < MAX_CRASHES:
+            return
+        third = sorted(run.ended_at or 0.0 for run in crashes)[MAX_CRASHES - 1]
+        later = [
+            run for run in self.history if run.task == task and run.began_at >= third
+        ]
+        if len(later) >= MAX_STARTS_AFTER_CRASHES:
+            self.faults.append(f"started after {len(crashes)} crashes: {task}")
+
+    def _deadly(self, task: str) -> Deadly | None:
+        found = [each for name, each in self.deadly.items() if task.startswith(name)]
+        return found[0] if found else None
+
+    def _crash_if_deadly(self, server: FakeServer, task: str) -> None:
+        deadly = self._deadly(task)
+        if deadly is None:
+            return
+        born = server.entry.born
+
+        def crash() -> None:
+            alive = server.up and server.entry.born == born
+            if alive and any(name == task for name, _ in server.runs):
+                self.crash_for(server, deadly.back_after_s, new_id=deadly.new_id)
+
+        self.call_later(deadly.after_s, crash)
+
+    def crash_for(
+        self, server: FakeServer, seconds: float, *, new_id: bool = False
+    ) -> None:
+        """Crash a server that is back later, under another id if `new_id` is set."""
+        server.crash()
+        born = server.entry.born
+        self.call_later(
+            seconds, lambda: self.replace(server) if new_id else server.restart()
+        )
+
+        def expire() -> None:
+            if not server.up and server.entry.born == born:
+                self.unregister(server)
+
+        self.call_later(ENTRY_LIFETIME_S, expire)
+
+    def replace(self, server: FakeServer) -> None:
+        """Start the next lifetime of a crashed server under another id."""
+        number = len(self.servers)
+        entry = server.entry
+        successor = FakeServer(
+            f"i-{number}", self, entry.rack, entry.failure_domain, address=entry.address
+        )
+        server.successor = successor
+        self.servers[successor.entry.server_id] = successor
+        self.register(successor)
+
     def record_end(self, server: FakeServer, run: FakeRun, how: EndKind | None) -> None:
         """Record the end of a run; `how` is None after a crash of the server."""
         key = (server.entry.server_id, run.task, run.number)
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -27,7 +27,11 @@
     cancel_key,
     job_key,
 )
-from cassiaweir.exceptions import ConflictError, UnavailableError
+from cassiaweir.exceptions import (
+    ConflictError,
+    LifetimeEndedError,
+    UnavailableError,
+)
 from cassiaweir.feeds import TableWatch
 from cassiaweir.jobs import JobSpec, StepSpec
 from cassiaweir.leadership import LEAD_PREFIX, Candidacy, Election, Owner, ProbeResult
@@ -199,6 +203,8 @@
     ) -> ServerReport:
         """Extend the lease of the server and return its report."""
         server = await self._reach(entry, timeout.total_seconds())
+        if server.successor is not None:
+            raise LifetimeEndedError(entry.server_id)
         report = await server.renew_lease(
             epoch, until_ms, acknowledged, wait.total_seconds()
         )
@@ -210,6 +216,8 @@
     ) -> OrderOutcome:
         """Order a server to start a run."""
         server = await self._reach(entry, timeout.total_seconds())
+        if server.successor is not None:
+            return OrderOutcome.OTHER_LIFETIME
         if self._refuses(entry):
             return OrderOutcome.UNHEALTHY
         if self._rng.random() < self.late_share:
@@ -224,6 +232,8 @@
     ) -> OrderOutcome:
         """Order a server to stop a run."""
         server = await self._reach(entry, timeout.total_seconds())
+        if server.successor is not None:
+            return OrderOutcome.OTHER_LIFETIME
         if self._refuses(entry):
             return OrderOutcome.UNHEALTHY
         if self._rng.random() < self.late_share:
@@ -238,10 +248,11 @@
     async def _reach(self, entry: ServerEntry, timeout_s: float) -> FakeServer:
         await asyncio.sleep(LATENCY_S / 2)
         server = self._site.servers[entry.server_id]
+        answers = server.newest().up
         cut = entry.server_id in self.unreachable
-        if self.alive and server.refuses and (cut or not server.up):
+        if self.alive and server.refuses and (cut or not answers):
             raise UnavailableError("refused", verdict=Verdict.NOT_RUN)
-        if not self.alive or not server.up or entry.server_id in self.unreachable:
+        if not self.alive or not answers or cut:
             await self._time_out(timeout_s)
         return server
 
