Give up a job whose task crashes its servers, and keep suspects apart

What callers saw: nothing, for ever.

Cause: a run that goes with its server ended in mark_lost and requeue. Nothing counted it or stored it, and all tasks of a crashed server were requeued at one moment and placed together again.

Change: CrashTracker ties the end of a server's lifetime to the runs that were sent to it. A run that is lost with an unreachable server is a loss; it becomes a crash when another lifetime reports, answers 421 at the address, or the entry is gone, and is dismissed when the same lifetime reports. Silence alone never counts. CrashHistory keeps that by lifetime, in the job's progress row, and says what may run beside a task: after one crash no other suspect, after two nothing of another job (Quarantine sets a server aside for it, an eighth of them at most). The job fails at the third crash under a task if one had no other cause, at the fourth in any case. Crashes that take several servers without runs of the job are evidence of little, and one of them changes nothing. Starts of suspected tasks, and after a takeover of all tasks of earlier jobs, are stored before they are sent, so that a successor counts them; suspects wait while the store is away, others go on. Servers' health is not touched.

Runs of a server whose next lifetime answers 421 are requeued at once, as that lifetime cannot run any more.

--- /dev/null
+++ b/cassiaweir/dispatch/_crash_tracker.py
@@ -0,0 +1,279 @@
+"""Finds out which tasks crash their servers, and gives their jobs up."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from math import isfinite
+
+from loguru import logger
+
+from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
+from cassiaweir.dispatch._runs import Run
+from cassiaweir.dispatch._server import Server, lifetime_name
+from cassiaweir.jobs import Crash, Isolation, Job, Task
+from cassiaweir.observe import Metrics
+from cassiaweir.types import Clock
+
+SAME_MOMENT_S = 1.5
+"""Servers whose last reports are closer than this may have been lost at one moment."""
+
+WIDESPREAD_SERVERS = 2
+"""Servers without runs of a job, lost together with one that had some."""
+
+GONE_AFTER_S = 3.0
+"""A server that is not registered for this long after a loss has ended."""
+
+MAX_RESOLUTION_S = 15.0
+"""A task whose limit depends on an unresolved loss waits for this long."""
+
+REMEMBERED_S = 60.0
+"""Time for which an ended lifetime is compared with others."""
+
+REPORT_GAP_S = 1.0
+"""A run may be older by this when its server ends than at the last report."""
+
+
+@dataclass(slots=True)
+class _LostLifetime:
+    """A lifetime of a server that ended or was lost from sight, with what it ran.
+
+    `seen_at` is the time of its last report, minus infinity if only a former leader
+    had one, which also knew what else ran there.  `noted_at` is the time of the first
+    loss.
+    `isolated` means that all its runs were those of one suspected job that had the
+    server for itself.
+    """
+
+    server_id: str
+    address: str
+    born: int
+    seen_at: float
+    noted_at: float
+    jobs: set[str] = field(default_factory=set)
+    isolated: bool = True
+    draining: bool = False
+    resolved: bool = False
+
+
+class CrashTracker:
+    """Ties the ends of servers' lifetimes to the tasks that were running there.
+
+    Silence alone is no crash: a lost run is noted, and counts as a crash once another
+    lifetime reports, answers at the server's address, or the server's entry is gone.  A
+    report of the same lifetime dismisses it.  `stop` is called for each run of a job
+    that is given up.
+    """
+
+    def __init__(
+        self,
+        jobs: JobRegistry,
+        servers: Mapping[str, Server],
+        clock: Clock,
+        metrics: Metrics,
+        *,
+        store_reachable: Callable[[], bool],
+        is_stored: Callable[[int], bool],
+        stop: Callable[[Run], None],
+    ) -> None:
+        self._jobs = jobs
+        self._servers = servers
+        self._clock = clock
+        self._metrics = metrics
+        self._store_reachable = store_reachable
+        self._is_stored = is_stored
+        self._stop = stop
+        self._lost: dict[str, _LostLifetime] = {}
+
+    def restore(self, job: Job) -> None:
+        """Take over the losses of a job that a former leader has stored."""
+        now = self._clock.monotonic()
+        for name in job.crashes.losses:
+            server_id, _, born = name.rpartition("@")
+            lost = self._lost.get(name)
+            if lost is None:
+                lost = _LostLifetime(
+                    server_id, "", int(born), float("-inf"), now, isolated=False
+                )
+                self._lost[name] = lost
+            lost.jobs.add(job.job_id)
+
+    def note_lifetime_end(self, server: Server) -> None:
+        """Note the loss of all runs of a server whose next lifetime reports."""
+        for run in server.runs.values():
+            self.note_loss(run)
+
+    def note_loss(self, run: Run) -> None:
+        """Note that a run was lost with its server, which may have crashed."""
+        server = run.server
+        if run.sent_at is None or run.born != server.born:
+            return
+        now = self._clock.monotonic()
+        lost = self._lost.get(server.lifetime)
+        if lost is None or lost.resolved:
+            lost = _LostLifetime(
+                server.server_id,
+                server.entry.address,
+                server.born,
+                server.reported_at,
+                now,
+            )
+            self._lost[server.lifetime] = lost
+        lost.draining |= server.is_draining
+        lost.jobs.add(run.job_id)
+        lost.isolated &= run.isolation is Isolation.ALONE
+        entry = self._jobs.entries.get(run.job_id)
+        if entry is None or entry.job.ended or lost.draining:
+            return
+        age_s = max(server.reported_at - run.placed_at, 0.0) + REPORT_GAP_S
+        entry.job.crashes.record_age(age_s)
+        crash = self._judge(lost, run.job_id)
+        if entry.job.crashes.add_loss(run.task.name, server.lifetime, crash):
+            self._jobs.save(entry)
+
+    def resolve(self) -> None:
+        """Confirm or dismiss the losses of which the cause is known by now."""
+        now = self._clock.monotonic()
+        for name, lost in list(self._lost.items()):
+            if lost.resolved:
+                if now - lost.noted_at > REMEMBERED_S:
+                    del self._lost[name]
+                continue
+            ended = self._has_ended(lost, now)
+            if ended is None:
+                continue
+            lost.resolved = True
+            if ended and not lost.draining:
+                self._confirm(name, lost)
+            else:
+                self._dismiss(name, lost)
+
+    def may_start(self, entry: JobEntry, task: Task) -> bool:
+        """Return whether a task may be started, as far as crashes are concerned.
+
+        A suspected task waits until its crashes are stored and, at its limit, until it
+        is known whether its last server crashed.
+        """
+        history = entry.job.crashes
+        if not history.isolation([task.name]):
+            return True
+        if not self._store_reachable():
+            return False
+        if history.confirmed(task.name) and not self._is_stored(entry.write_position):
+            return False
+        if history.count(task.name) < 3 or not history.has_losses(task.name):
+            return True
+        now = self._clock.monotonic()
+        recent = (self._lost[each] for each in history.losses if each in self._lost)
+        return all(now - lost.noted_at > MAX_RESOLUTION_S for lost in recent)
+
+    def _has_ended(self, lost: _LostLifetime, now: float) -> bool | None:
+        """Return whether a lost lifetime has ended, None if that is not known."""
+        server = self._servers.get(lost.server_id)
+        if server is None:
+            return True if now - lost.noted_at > GONE_AFTER_S else None
+        lost.draining |= server.is_draining and server.born == lost.born
+        if server.ended:
+            return True
+        if not server.fenced:
+            return None
+        if server.born != lost.born:
+            return True
+        alive = server.reachable and server.reported_at > lost.noted_at
+        return False if alive else None
+
+    def _confirm(self, name: str, lost: _LostLifetime) -> None:
+        for job_id in sorted(lost.jobs):
+            entry = self._jobs.entries.get(job_id)
+            if entry is None:
+                continue
+            crash = self._judge(lost, job_id)
+            tasks = entry.job.crashes.confirm(name, crash)
+            for task in tasks:
+                self._metrics.count("task_crashes")
+                self._avoid(task, lost)
+                logger.warning(
+                    "server_crashed_under_task",
+                    task=task,
+                    server=lost.server_id,
+                    born=lost.born,
+                    alone=crash.alone,
+                    widespread=crash.widespread,
+                    crashes=len(entry.job.crashes.confirmed(task)),
+                )
+            if tasks and not entry.job.ended:
+                self._give_up(entry, tasks)
+                self._jobs.save(entry)
+
+    def _avoid(self, name: str, lost: _LostLifetime) -> None:
+        """Prefer other servers for a task: one that crashes again may be to blame."""
+        task = self._jobs.find_task(name)
+        if task is not None:
+            task.step.avoided_servers |= {lost.server_id, lost.address}
+
+    def _give_up(self, entry: JobEntry, tasks: list[str]) -> None:
+        """Fail a job if one of `tasks` crashes its servers."""
+        for task in tasks:
+            if not entry.job.fail_if_crashing(task):
+                continue
+            self._metrics.count("jobs_failed", cause="crashes")
+            logger.warning(
+                "job_ended",
+                job=entry.job.job_id,
+                state=entry.job.state.value,
+                cause="crashes",
+                task=task,
+                crashes=len(entry.job.crashes.confirmed(task)),
+            )
+            for run in list(entry.runs):
+                self._stop(run)
+            return
+
+    def _dismiss(self, name: str, lost: _LostLifetime) -> None:
+        for job_id in lost.jobs:
+            entry = self._jobs.entries.get(job_id)
+            if entry is not None and entry.job.crashes.dismiss(name):
+                logger.info(
+                    "loss_was_no_crash",
+                    job=job_id,
+                    server=lost.server_id,
+                    born=lost.born,
+                    draining=lost.draining,
+                )
+                if not entry.job.ended:
+                    self._jobs.save(entry)
+
+    def _judge(self, lost: _LostLifetime, job_id: str) -> Crash:
+        """Return what the end of a lifetime says about a job that had runs there."""
+        others = self._count_lost_without(lost, job_id)
+        return Crash(
+            alone=lost.jobs == {job_id} and others == 0 and isfinite(lost.seen_at),
+            widespread=others >= WIDESPREAD_SERVERS,
+        )
+
+    def _count_lost_without(self, lost: _LostLifetime, job_id: str) -> int:
+        """Return how many servers without runs of a job were lost at that moment.
+
+        Servers that a suspected job had for itself don't count, as it explains them.
+        """
+        known = sum(
+            other is not lost
+            and abs(other.seen_at - lost.seen_at) <= SAME_MOMENT_S
+            and job_id not in other.jobs
+            and not other.isolated
+            for other in self._lost.values()
+        )
+        unreachable = sum(
+            not server.reachable
+            and server.lifetime not in self._lost
+            and abs(server.reported_at - lost.seen_at) <= SAME_MOMENT_S
+            and not server.isolated_job
+            and all(run.job_id != job_id for run in server.runs.values())
+            for server in self._servers.values()
+        )
+        return known + unreachable
+
+
+def lifetime_of(run: Run) -> str:
+    """Return the name of the lifetime in which a run is to be started."""
+    return lifetime_name(run.server.server_id, run.born)
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -11,6 +11,7 @@
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._compaction import RowShrinker
+from cassiaweir.dispatch._crash_tracker import CrashTracker, lifetime_of
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
@@ -88,17 +89,27 @@
         self._usage = CustomerUsage()
         self._runs = RunRegistry(jobs, self._usage, clock, leadership.epoch)
         self._orders = OrderSender(calls, clock, leadership, self.handle_superseded)
+        self.servers: dict[str, Server] = {}
+        self._crashes = CrashTracker(
+            jobs,
+            self.servers,
+            clock,
+            metrics,
+            store_reachable=lambda: commits.store_reachable,
+            is_stored=commits.is_stored,
+            stop=self._stop,
+        )
         self._reports = ReportProcessor(
             jobs,
             self._runs,
             clock,
             metrics,
+            self._crashes,
             stop=self._stop,
             stop_orphan=self._stop_orphan,
             stop_late_start=self._stop_late_start,
         )
         self._advice = advice_cache_factory(self.wake)
-        self.servers: dict[str, Server] = {}
         self._pollers: dict[str, asyncio.Task[None]] = {}
         self._placer = Placer(
             jobs,
@@ -108,6 +119,7 @@
             clock,
             self.servers,
             gate=gate,
+            crashes=self._crashes,
             confirm_leadership=commits.confirm_leadership,
             store_reachable=lambda: commits.store_reachable,
             preempt=self._preempt,
@@ -144,6 +156,7 @@
             logger.info(
                 "job_registered", job=row_id, queue=entry.job.spec.queue.name, held=held
             )
+            self._crashes.restore(entry.job)
             self._commits.confirm_leadership(row.version)
             self.wake()
 
@@ -225,6 +238,10 @@
             draining=server.entry.draining,
             tasks=",".join(run.task.name for run in server.runs.values()),
         )
+        for run in list(server.runs.values()):
+            self._reports.mark_lost(run, "the server has ended")
+        self._crashes.resolve()
+        self.wake()
 
     def handle_superseded(self) -> None:
         """Stop giving orders, as a server follows a later leader."""
@@ -277,6 +294,7 @@
         for server in self.servers.values():
             if not server.reachable:
                 self.handle_unreachable(server)
+        self._crashes.resolve()
         self._jobs.open_due_occurrences()
         for job in self._jobs.remove_finished():
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
@@ -325,17 +343,34 @@
 
     def _launch(self, runs: Sequence[Run]) -> None:
         """Send the start orders of `runs` in the background."""
-        restricted = [run for run in runs if run.server.restricted]
-        if restricted:
-            self._run_in_background(self._start_recorded(restricted))
+        recorded = []
         for run in runs:
-            if not run.server.restricted:
+            if run.server.restricted or self._is_watched(run):
+                recorded.append(run)
+            else:
                 self._run_in_background(self._start(run))
+        if recorded:
+            self._run_in_background(self._start_recorded(recorded))
+
+    def _is_watched(self, run: Run) -> bool:
+        """Return whether a successor has to know where a run was started.
+
+        That holds once a crash under the task may have been seen, by this leader or
+        by a former one.
+        """
+        entry = self._jobs.entries[run.job_id]
+        return entry.held or entry.job.crashes.count(run.task.name) > 0
 
     async def _start_recorded(self, runs: Sequence[Run]) -> None:
-        """Start `runs` once the rows of their servers name them."""
+        """Start `runs` once the rows that have to name them are stored."""
+        position = 0
+        for run in runs:
+            if self._is_watched(run):
+                entry = self._jobs.entries[run.job_id]
+                entry.job.crashes.watch(run.task.name, lifetime_of(run))
+                position = self._jobs.save(entry)
         try:
-            stored = await self._records.store_starts(runs)
+            stored = await self._records.store_starts(runs, position)
         except LeadershipLostError:
             return
         for run in runs:
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -113,10 +113,13 @@
             now = self._clock.monotonic()
             if not in_doubt and not run.server.reported_recently(now):
                 return StartResult.NOT_STARTED, None
+            sent_before, run.sent_at = run.sent_at, now
             try:
                 outcome = await self._send_start(run, repeated=in_doubt)
             except UnavailableError as exc:
                 run.server.reachable = False
+                if exc.verdict is Verdict.NOT_RUN:
+                    run.sent_at = sent_before
                 if exc.verdict is not Verdict.NOT_RUN:
                     in_doubt = True
                     run.server.record_unanswered_start(run, now)
@@ -331,6 +334,8 @@
         `in_doubt` is whether an earlier attempt got no answer and may be carried out.
         """
         run.answered_at = self._clock.monotonic()
+        if outcome is not OrderOutcome.ACCEPTED and not in_doubt:
+            run.sent_at = None
         if outcome is OrderOutcome.ACCEPTED:
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -105,14 +105,23 @@
 
 
 def choose_servers(
-    step: Step, candidates: Sequence[Candidate], count: int
+    step: Step,
+    candidates: Sequence[Candidate],
+    count: int,
+    *,
+    emptiest_first: bool = False,
 ) -> list[Server]:
     """Return a server for each of up to `count` tasks, the preferred ones first.
 
     Among servers that are otherwise equal, those come first on which the tasks leave
-    the least CPU free, so that other servers keep room for large tasks.
+    the least CPU free, so that other servers keep room for large tasks.  With
+    `emptiest_first`, those with the fewest runs come first: few are lost in a crash.
     """
     ordered = sorted(candidates, key=lambda each: preference_key(step, each))
+    if emptiest_first:
+        ordered.sort(
+            key=lambda each: (is_avoided(step, each.server), len(each.server.runs))
+        )
     if step.spec.same_rack:
         ordered = _one_rack(ordered, count) or ordered
     chosen: list[Server] = []
@@ -127,12 +136,14 @@
 def preference_key(step: Step, candidate: Candidate) -> tuple[int, int, int, int]:
     """Return the sort key of a server for `step`; lower ones are preferred.
 
-    In this order: failures and slowness of the server, whether it is outside of the
-    step's rack, whether it is not a fast one for an urgent step, and the CPU left free.
+    In this order: failures and slowness of the server, and whether it runs a task that
+    may crash it; whether it is outside of the step's rack, whether it is not a fast one
+    for an urgent step, and the CPU left free.
     """
     server = candidate.server
     suspicion = server.health.failures_since_success + 2 * server.speed.slow
-    suspicion += server.server_id in step.avoided_servers
+    suspicion += is_avoided(step, server)
+    suspicion += bool(server.suspects)
     rack = step.spec.rack
     other_rack = int(bool(rack) and server.entry.rack != rack)
     not_fast = int(step.job.spec.queue.priority == 0 and not server.speed.fast)
@@ -140,6 +151,12 @@
     return (suspicion, other_rack, not_fast, left_millis)
 
 
+def is_avoided(step: Step, server: Server) -> bool:
+    """Return whether tasks of a step did badly on a server, or at its address."""
+    avoided = step.avoided_servers
+    return server.server_id in avoided or server.entry.address in avoided
+
+
 def _one_rack(ordered: Sequence[Candidate], count: int) -> list[Candidate]:
     """Return the candidates of one rack with room for `count` tasks, or none."""
     by_rack: dict[str, list[Candidate]] = {}
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -10,6 +10,7 @@
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
+from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._objective import (
@@ -26,12 +27,13 @@
     servers_with_room,
 )
 from cassiaweir.dispatch._preemption import preempt_for_step
+from cassiaweir.dispatch._quarantine import Quarantine, TaskGroup
 from cassiaweir.dispatch._reservations import RESERVATION_HEADROOM, Reservations
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._usage import CustomerUsage
-from cassiaweir.jobs import Step, Task
+from cassiaweir.jobs import Isolation, Step, Task
 from cassiaweir.queues import AdvicePolicy, Queue
 from cassiaweir.types import Clock
 
@@ -84,6 +86,7 @@
         servers: Mapping[str, Server],
         *,
         gate: TakeoverGate,
+        crashes: CrashTracker,
         confirm_leadership: Callable[[int], bool],
         store_reachable: Callable[[], bool],
         preempt: Callable[[Run, Step], None],
@@ -96,6 +99,8 @@
         self._clock = clock
         self._servers = servers
         self._gate = gate
+        self._crashes = crashes
+        self._quarantine = Quarantine()
         self._confirm_leadership = confirm_leadership
         self._store_reachable = store_reachable
         self._preempt = preempt
@@ -116,6 +121,9 @@
         ]
         found = sorted(self._waiting_steps(now), key=lambda each: each.rank)
         self._discard_others({each.step.name for each in found})
+        self._quarantine.begin_round(
+            {each.entry.job.job_id for each in found}, self._servers.values()
+        )
         if not found:
             return
         with_room = servers_with_room(usable, [each.step for each in found])
@@ -150,11 +158,18 @@
     def _has_startable(self, entry: JobEntry, step: Step) -> bool:
         if not _has_waiting(step):
             return False
-        return not entry.held or bool(self._startable_tasks(entry, step))
+        unchecked = not entry.held and not entry.job.crashes
+        return unchecked or bool(self._startable_tasks(entry, step))
 
     def _startable_tasks(self, entry: JobEntry, step: Step) -> list[Task]:
-        """Return the waiting tasks that no former leader may have started."""
+        """Return the waiting tasks that may be started now.
+
+        No former leader may have started them, and what is known of their crashes has
+        to be stored.
+        """
         tasks = step.waiting()
+        if entry.job.crashes:
+            tasks = [each for each in tasks if self._crashes.may_start(entry, each)]
         if not entry.held or self._gate.is_open:
             return tasks
         return [task for task in tasks if not self._gate.holds(task.name)]
@@ -170,10 +185,42 @@
         `usable` are the servers where runs may be started, `with_room` those of them
         with room for a task of the smallest waiting step.
         """
-        step, queue = waiting.step, waiting.queue
+        step = waiting.step
         tasks = self._startable_tasks(waiting.entry, step)
         if step.spec.gang and len(tasks) < len(step.tasks):
             return
+        now = self._clock.monotonic()
+        for group in self._quarantine.groups(step, tasks, now):
+            if group.isolation is Isolation.ALONE:
+                self._set_aside(waiting, len(group.tasks), usable)
+            self._place_group(
+                waiting,
+                group,
+                self._quarantine.usable(step, group.isolation, usable),
+                self._quarantine.usable(step, group.isolation, with_room),
+            )
+
+    def _set_aside(
+        self, waiting: _WaitingStep, tasks: int, usable: Sequence[Server]
+    ) -> None:
+        """Set servers aside for `tasks` suspected tasks, none that advice denies."""
+        found = find_future_candidates(
+            waiting.step, self._available_servers(waiting, usable), tasks
+        )
+        if waiting.queue.advice is not None:
+            found = exclude_servers(found, self._advice.denied(waiting.step))
+        self._quarantine.set_aside(waiting.step, tasks, found, usable)
+
+    def _place_group(
+        self,
+        waiting: _WaitingStep,
+        group: TaskGroup,
+        usable: Sequence[Server],
+        with_room: Sequence[Server],
+    ) -> None:
+        """Start tasks of a step that are placed in the same way."""
+        step, queue, tasks = waiting.step, waiting.queue, group.tasks
+        alone = group.isolation is Isolation.ALONE
         customer = self._jobs.customer_of(waiting.entry.job)
         within_cap = self._usage.count_within_cap(customer, step.demand, len(tasks))
         if within_cap == 0 or (step.spec.gang and within_cap < len(tasks)):
@@ -184,19 +231,21 @@
         if queue.advice is not None:
             tickets = self._advice.tickets(step)
         candidates = find_candidates(step, free, tickets, within_cap)
-        chosen = choose_servers(step, candidates, within_cap)
+        chosen = choose_servers(
+            step, candidates, within_cap, emptiest_first=bool(group.isolation)
+        )
         missing = within_cap - len(chosen)
         if missing > 0 and queue.advice is not None:
             self._ask(waiting, queue.advice, usable, free, within_cap, tickets or {})
         if not self._confirm_leadership(waiting.entry.job.version):
             return
         if step.spec.gang and missing > 0:
-            if queue.priority > URGENT_PRIORITY:
+            if queue.priority > URGENT_PRIORITY and not alone:
                 self._reserve(waiting, usable, len(tasks))
             self._preempt_others(waiting, usable, tickets, missing)
             return
         self._reservations.release(step.name)
-        self._start(step, tasks, chosen, tickets or {})
+        self._start(step, group, chosen, tickets or {})
         self._preempt_others(waiting, usable, tickets, missing)
 
     def _preempt_others(
@@ -347,17 +396,19 @@
     def _start(
         self,
         step: Step,
-        tasks: Sequence[Task],
+        group: TaskGroup,
         chosen: Sequence[Server],
         tickets: Mapping[str, str],
     ) -> None:
         runs: list[Run] = []
-        for task, server in zip(tasks, chosen, strict=False):
+        for task, server in zip(group.tasks, chosen, strict=False):
             number = self._runs.next_number(step, task)
             if step.spec.gang and runs:
                 number = runs[0].number
             ticket = tickets.get(server.server_id, "")
-            runs.append(self._runs.place(task, server, number, ticket))
+            runs.append(self._runs.place(task, server, number, ticket, group.isolation))
+        if runs and group.isolation is Isolation.ALONE:
+            self._quarantine.started(step.job.job_id)
         if runs:
             servers = {run.server.server_id: run.server for run in runs}
             logger.info(
@@ -367,6 +418,7 @@
                 run=runs[0].number,
                 servers=",".join(sorted(servers)),
                 loads=",".join(servers[each].load_text for each in sorted(servers)),
+                isolation=group.isolation.name.lower(),
             )
             self._launch(runs)
 
--- a/cassiaweir/dispatch/_record_keeper.py
+++ b/cassiaweir/dispatch/_record_keeper.py
@@ -17,6 +17,9 @@
 RECORD_TIMEOUT = timedelta(milliseconds=400)
 """Time for the store to take the row that a start needs; else the task waits again."""
 
+WATCH_TIMEOUT = timedelta(seconds=2)
+"""The same for a start that only the row of its job has to name."""
+
 
 class RecordKeeper:
     """Writes the rows of a term's servers, and sets `Server.recorded` accordingly.
@@ -78,18 +81,21 @@
             server.recorded = False
             self._records.remove(server.server_id)
 
-    async def store_starts(self, runs: Sequence[Run]) -> bool:
+    async def store_starts(self, runs: Sequence[Run], position: int) -> bool:
         """Let the rows of restricted servers name `runs` before these are started.
 
-        Return whether the store took them in time.  Raises `LeadershipLostError`.
+        The writes up to `position` have to be stored as well.  Return whether the store
+        took all in time.  Raises `LeadershipLostError`.
         """
-        servers = {run.server.server_id: run.server for run in runs}
-        position = max(
-            self._records.restrict(server.entry, server.task_names())
-            for server in servers.values()
-        )
+        servers = {
+            run.server.server_id: run.server for run in runs if run.server.restricted
+        }
+        for server in servers.values():
+            row = self._records.restrict(server.entry, server.task_names())
+            position = max(position, row)
+        timeout = RECORD_TIMEOUT if servers else WATCH_TIMEOUT
         try:
-            async with asyncio.timeout(RECORD_TIMEOUT.total_seconds()):
+            async with asyncio.timeout(timeout.total_seconds()):
                 await self._commits.wait_until_stored(position)
         except TimeoutError:
             logger.info("runs_not_recorded", runs=len(runs), first=runs[0].task.name)
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run, RunKey, RunState
@@ -36,6 +37,7 @@
         runs: RunRegistry,
         clock: Clock,
         metrics: Metrics,
+        crashes: CrashTracker,
         *,
         stop: Callable[[Run], None],
         stop_orphan: Callable[[Server, str, int], None],
@@ -45,6 +47,7 @@
         self._runs = runs
         self._clock = clock
         self._metrics = metrics
+        self._crashes = crashes
         self._stop = stop
         self._stop_orphan = stop_orphan
         self._stop_late_start = stop_late_start
@@ -65,6 +68,7 @@
                 entry=server.entry.born,
                 tasks=",".join(run.task.name for run in server.runs.values()),
             )
+            self._crashes.note_lifetime_end(server)
             server.begin_lifetime(report.born, self._clock.monotonic())
         elif report.born:
             server.born = report.born
@@ -83,6 +87,7 @@
             if not self._apply_running(server, running)
         )
         self._remove_unlisted(server, listed, asked_at)
+        self._crashes.resolve()
         self._stop_slow_runs(server)
         return position
 
@@ -110,6 +115,8 @@
     def mark_lost(self, run: Run, cause: str) -> None:
         """Remove `run`, which does not exist and never will, and requeue its task."""
         if self._runs.remove(run.server, run.key) is not None:
+            if not run.server.reachable:
+                self._crashes.note_loss(run)
             run.server.record_lost_start(run.key)
             self._requeue_lost(run, cause)
 
@@ -130,6 +137,7 @@
         run = server.runs.get((running.task, running.run))
         if run is not None:
             run.task.step.record_checkpoint(run.task, running.checkpoint)
+            self._clear_suspicion(run)
             self._record_progress(run, running.percent)
             return True
         task = self._jobs.find_task(running.task)
@@ -152,6 +160,13 @@
         self._stop(adopted)
         return True
 
+    def _clear_suspicion(self, run: Run) -> None:
+        """Let others run beside a suspected run that has lived for long enough."""
+        began_at = run.answered_at or run.placed_at
+        proof_s = run.task.step.job.crashes.proof_s
+        if self._clock.monotonic() - began_at > proof_s:
+            run.server.suspects.pop(run.key, None)
+
     def _record_progress(self, run: Run, percent: float) -> None:
         """Record the progress of a run and the speed of its server."""
         spec = run.task.step.spec
@@ -212,6 +227,7 @@
         task = self._jobs.find_task(end.task)
         if task is None:
             return 0
+        task.step.job.crashes.unwatch(end.task)
         entry = self._jobs.entries[task.step.job.job_id]
         if run is not None:
             self._log_end(server, run, end)
--- a/cassiaweir/dispatch/_run_registry.py
+++ b/cassiaweir/dispatch/_run_registry.py
@@ -8,7 +8,7 @@
 from cassiaweir.dispatch._runs import Run, RunKey
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._usage import CustomerUsage
-from cassiaweir.jobs import Step, Task, TaskState
+from cassiaweir.jobs import Isolation, Step, Task, TaskState
 from cassiaweir.types import Clock
 
 RUNS_PER_EPOCH = 64
@@ -41,9 +41,17 @@
         members = step.tasks if step.spec.gang else [task]
         return max(self._lowest_run, *(member.run for member in members)) + 1
 
-    def place(self, task: Task, server: Server, number: int, ticket: str = "") -> Run:
+    def place(
+        self,
+        task: Task,
+        server: Server,
+        number: int,
+        ticket: str = "",
+        isolation: Isolation = Isolation.NONE,
+    ) -> Run:
         """Create and count a run whose start order is about to be sent."""
         entry, run = self._new_run(task, server, number, ticket)
+        run.isolation = isolation
         task.run = number
         task.state = TaskState.PLACED
         entry.job.mark_started()
@@ -53,6 +61,8 @@
     def adopt(self, task: Task, server: Server, number: int) -> Run:
         """Create and count a run that a former leader started and a server lists."""
         entry, run = self._new_run(task, server, number)
+        run.sent_at = run.placed_at
+        run.isolation = entry.job.crashes.isolation([task.name])
         if task.state is TaskState.WAITING:
             task.run = max(task.run, number)
             task.state = TaskState.PLACED
--- a/cassiaweir/dispatch/_runs.py
+++ b/cassiaweir/dispatch/_runs.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cassiaweir.dispatch._speed import RunProgress
-from cassiaweir.jobs import Task
+from cassiaweir.jobs import Isolation, Task
 from cassiaweir.types import Resources
 
 if TYPE_CHECKING:
@@ -35,7 +35,9 @@
     that the run is gone.  `until_ms` is the end of the start's lease on the server's
     clock; it stays the same when the start is repeated.  `ticket` is the permission of
     the advice service for the start, empty if none is needed.  `born` is the lifetime
-    of the server in which the room for the run was found.
+    of the server in which the room for the run was found.  `sent_at` is the time at
+    which a start was sent that may have been carried out, None if there was none.
+    `isolation` is what may run beside it while it is suspected of crashing servers.
     """
 
     task: Task
@@ -49,6 +51,8 @@
     answered_at: float | None = None
     until_ms: int | None = None
     born: int = 0
+    sent_at: float | None = None
+    isolation: Isolation = Isolation.NONE
     progress: RunProgress = field(default_factory=RunProgress)
 
     @property
@@ -56,6 +60,11 @@
         """The key under which servers list the run."""
         return (self.task.name, self.number)
 
+    @property
+    def job_id(self) -> str:
+        """The id of the job that the run belongs to."""
+        return self.task.step.job.job_id
+
     @property
     def is_latest(self) -> bool:
         """Whether this is the newest run of its task."""
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -8,6 +8,7 @@
 from cassiaweir.dispatch._runs import Run, RunKey
 from cassiaweir.dispatch._server_entry import ServerEntry, ServerReport
 from cassiaweir.dispatch._speed import ServerSpeed
+from cassiaweir.jobs import Isolation
 from cassiaweir.types import NO_RESOURCES, Resources
 
 LEASE_S = 3.0
@@ -41,6 +42,11 @@
 MS_PER_SECOND = 1_000
 
 
+def lifetime_name(server_id: str, born: int) -> str:
+    """Return the name of a server's lifetime, which is unique."""
+    return f"{server_id}@{born}"
+
+
 class Server:
     """A backend server as the leader knows it.
 
@@ -64,16 +70,19 @@
     a start got no answer and may still be carried out, though they are not expected any
     more: they were given up, or belong to an earlier lifetime.  The server gets no new
     runs before it was told to stop them.
-    `unstored_ends` are tasks that ended here, with the position of the write that
-    stores the end.
+    `suspects` are the runs of tasks that may crash the server, until they have run for
+    long enough.  `unstored_ends` are tasks that ended here, with the position of the
+    write that stores the end.
     """
 
     def __init__(self, entry: ServerEntry, *, restricted: bool = False) -> None:
         self._entry = entry
+        self._draining_born = entry.born if entry.draining else None
         self.restricted = restricted
         self._used = NO_RESOURCES
         self.free = entry.capacity
         self.runs: dict[RunKey, Run] = {}
+        self.suspects: dict[RunKey, Run] = {}
         self.health = ServerHealth()
         self.speed = ServerSpeed()
         self.fenced = False
@@ -108,6 +117,8 @@
     @entry.setter
     def entry(self, entry: ServerEntry) -> None:
         self._entry = entry
+        if entry.draining:
+            self._draining_born = entry.born
         self.free = entry.capacity - self._used
 
     @property
@@ -118,6 +129,28 @@
         """
         return self._entry.born == self.born
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the reporting lifetime has said that it will leave."""
+        return self._draining_born == self.born
+
+    @property
+    def lifetime(self) -> str:
+        """The name of the lifetime that the last report came from."""
+        return lifetime_name(self.server_id, self.born)
+
+    @property
+    def isolated_job(self) -> str:
+        """The id of the job that has the server for itself, empty if none has."""
+        for run in self.suspects.values():
+            if run.isolation is Isolation.ALONE:
+                return run.job_id
+        return ""
+
+    def hosts_only(self, job_id: str) -> bool:
+        """Return whether all counted runs belong to one job."""
+        return all(run.job_id == job_id for run in self.runs.values())
+
     @property
     def reported_at(self) -> float:
         """When the last report arrived, 0.0 before the first one."""
@@ -143,11 +176,14 @@
     def add(self, run: Run) -> None:
         """Count `run` against the capacity."""
         self.runs[run.key] = run
+        if run.isolation:
+            self.suspects[run.key] = run
         self.used = self.used + run.demand
 
     def remove(self, key: RunKey) -> Run | None:
         """Stop counting a run; return it, or None if it was not counted."""
         run = self.runs.pop(key, None)
+        self.suspects.pop(key, None)
         if run is not None:
             self.used = self.used - run.demand
         return run
--- a/cassiaweir/jobs/__init__.py
+++ b/cassiaweir/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Jobs: submitted specifications, task states, and the encoding of stored progress."""
 
+from cassiaweir.jobs._crashes import Crash, CrashHistory, Isolation
 from cassiaweir.jobs._job import Job, JobState, Step, Task, TaskState
 from cassiaweir.jobs._progress import (
     apply_progress,
@@ -16,6 +17,9 @@
 
 __all__ = [
     "MAX_TASK_SPEC_BYTES",
+    "Crash",
+    "CrashHistory",
+    "Isolation",
     "Job",
     "JobSpec",
     "JobState",
--- a/cassiaweir/jobs/_job.py
+++ b/cassiaweir/jobs/_job.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from cassiaweir.jobs._crashes import CrashHistory
 from cassiaweir.jobs._specs import JobSpec, StepSpec
 from cassiaweir.types import Resources
 
@@ -62,7 +63,8 @@
     `number` is the index of the step in the job's specification.  The tasks of a gang
     share their failures and checkpoint, which are therefore kept here and not in the
     tasks.  `avoided_servers` holds the ids of servers where a task of the step failed,
-    stalled or ran too slowly.  `demand` is the resources that one task uses.
+    stalled or ran too slowly, and ids and addresses of those that crashed under one.
+    `demand` is the resources that one task uses.
     """
 
     job: Job
@@ -115,8 +117,9 @@
     """A job and the effect of its runs' ends on the state of tasks and job.
 
     `version` is the version of the job's row; a lower one was accepted earlier.  The
-    job fails once a task or gang has had `most_failures` failed runs.  `started` is
-    true once a run of any task was ordered.
+    job fails once a task or gang has had `most_failures` failed runs, or once `crashes`
+    shows that one of its tasks crashes its servers.  `started` is true once a run of
+    any task was ordered.
 
     A recurring job (`spec.times` is not 0) runs its steps once an occurrence.  The
     steps of an occurrence are created when it opens, normally when it is due.
@@ -130,6 +133,7 @@
         self.state = JobState.QUEUED
         self.steps: dict[tuple[int, int], Step] = {}
         self.started = False
+        self.crashes = CrashHistory()
         self._opened = 0
         if not spec.times:
             self.open_occurrence()
@@ -236,6 +240,16 @@
             self.state = JobState.FAILED
         return True
 
+    def fail_if_crashing(self, task: str) -> bool:
+        """Fail the job if its task crashes its servers; return whether it does now.
+
+        That holds for long-running tasks as well.
+        """
+        if self.ended or not self.crashes.exceeds_limit(task):
+            return False
+        self.state = JobState.FAILED
+        return True
+
     def mark_waiting(self, task: Task) -> None:
         """Put a placed `task` back to WAITING after its newest run has ended."""
         if task.state is TaskState.PLACED:
--- a/cassiaweir/jobs/_progress.py
+++ b/cassiaweir/jobs/_progress.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cassiaweir.exceptions import InvalidInputError
+from cassiaweir.jobs._crashes import CrashRow
 from cassiaweir.jobs._job import Job, JobState, Step, Task, TaskState
 
 
@@ -22,6 +23,7 @@
 class _Progress(msgspec.Struct, omit_defaults=True):
     begun: bool = False
     steps: list[_StepProgress] = []
+    crashes: list[CrashRow] = []
 
 
 class _Outcome(msgspec.Struct):
@@ -36,7 +38,7 @@
     """Return the stored form of the progress of a job that has not ended."""
     steps = [_step_progress(step) for step in job.steps.values()]
     changed = [each for each in steps if each.done or each.all_done or each.failures]
-    return msgspec.json.encode(_Progress(job.started, changed))
+    return msgspec.json.encode(_Progress(job.started, changed, job.crashes.rows()))
 
 
 def apply_progress(job: Job, raw: bytes) -> None:
@@ -54,6 +56,7 @@
         job.mark_started()
     for each in progress.steps:
         _apply_step(job, each)
+    job.crashes.restore(progress.crashes)
 
 
 def encode_outcome(job: Job) -> bytes:
