Let soak jobs crash their servers, and rooms shrink while servers run

A third series of faults lets servers have less room for a while.

A job that is not deadly may still not be reported as failed.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -14,11 +14,16 @@
 from soak._fronts import Front
 from soak._platform import KEYS, QUEUE_HOST, QUEUE_PREFIX, SoakPlatform
 from soak._records import Attempt, History, JobRecord
+from standins.users import Deadly
 
 MAX_SUBMIT_ATTEMPTS = 5
 REQUEST_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.2
 CANCEL_SHARE = 0.08
+DEADLY_SHARE = 0.02
+CRASH_DELAYS_S = (0.0, 0.1, 0.5)
+"""How long after its start a deadly task may crash its server."""
+
 SECOND_STEP_SHARE = 0.4
 PAUSE_RANGE_S = (0.05, 0.5)
 """The random pause between two actions of a caller."""
@@ -31,13 +36,14 @@
 
     def __init__(
         self, number: int, platform: SoakPlatform, fronts: Sequence[Front],
-        history: History, rng: random.Random,
+        history: History, rng: random.Random, deadly_rng: random.Random,
     ) -> None:  # fmt: skip
         self._number = number
         self._platform = platform
         self._fronts = fronts
         self._history = history
         self._rng = rng
+        self._deadly_rng = deadly_rng
         self._job_count = 0
         self._client: aiohttp.ClientSession
 
@@ -67,6 +73,10 @@
         job_id = f"{self._number:04x}{self._job_count:012x}"
         key = self._rng.choice(KEYS)
         record = JobRecord(self._random_spec(job_id))
+        if self._deadly_rng.random() < DEADLY_SHARE:
+            record.deadly = True
+            deadly = Deadly(self._deadly_rng.choice(CRASH_DELAYS_S), back_after_s=1.0)
+            self._platform.deadly[f"{job_id}.0.0.0"] = deadly
         self._history.jobs[job_id] = record
         self._platform.specs[job_id] = record.spec
         await self._submit(job_id, record, key)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -71,7 +71,8 @@
             and attempt.began_at > accepted_at
         ):
             yield f"{job_id}: {attempt.front} reports an accepted job as unknown"
-        if attempt.state in ("failed", "cancelled"):
+        given_up = record.deadly and attempt.state == "failed"
+        if attempt.state in ("failed", "cancelled") and not given_up:
             yield f"{job_id}: reported as {attempt.state} without cause"
 
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -27,6 +27,9 @@
 ENTRY_DELAYS_S = (0.0, 0.0, 1.5)
 """How long after a restart the entry of a backend server is written."""
 
+ROOM_COUNTS_AFTER_S = 3.5
+"""A smaller room counts once a front in touch must know it, and a heartbeat later."""
+
 LINK_FAULTS = (
     RelayControl(cut_forward=True, cut_back=True),
     RelayControl(cut_forward=True),
@@ -182,6 +185,16 @@
     record.healed_at = _now()
 
 
+async def resize_server(context: FaultContext) -> None:
+    """Let a backend server have less room for a while."""
+    faulty = context.choose_server()
+    record = context.record_start("resize-server", faulty.server.entry.server_id)
+    faulty.server.resize(CAPACITIES[1], counted_after_s=ROOM_COUNTS_AFTER_S)
+    await context.wait_duration()
+    faulty.server.resize(SERVER_SIZE, counted_after_s=0.0)
+    record.healed_at = _now()
+
+
 async def delay_starts(context: FaultContext) -> None:
     """Leave some start requests unanswered and carry them out seconds later."""
     faulty = context.choose_server()
@@ -240,11 +253,15 @@
 )
 
 
-async def run_series(context: FaultContext, end_at: float) -> None:
-    """Inject one random fault after the other until `end_at`."""
+async def run_series(
+    context: FaultContext,
+    end_at: float,
+    faults: Sequence[Callable[[FaultContext], Awaitable[None]]] = FAULTS,
+) -> None:
+    """Inject one of `faults` after the other, chosen at random, until `end_at`."""
     while _now() < end_at:
         await asyncio.sleep(context.rng.uniform(*PAUSE_RANGE_S))
-        await context.rng.choice(FAULTS)(context)
+        await context.rng.choice(faults)(context)
 
 
 async def heal(context: FaultContext) -> None:
--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -157,6 +157,14 @@
         self._seed = seed
         self.keys = set(KEYS)
 
+    def crash_for(
+        self, server: FakeServer, seconds: float, *, new_id: bool = False
+    ) -> None:
+        """Crash a server under a deadly task; it is back under the same id."""
+        faulty = self.faulty[server.entry.server_id]
+        faulty.crash()
+        self.call_later(seconds, lambda: None if server.up else faulty.restart())
+
     def register(self, server: FakeServer) -> None:
         """Write the entry of a server whose relay is already open."""
         faulty = self.faulty.get(server.entry.server_id)
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -32,13 +32,17 @@
 
 @dataclass(slots=True)
 class JobRecord:
-    """A job, the requests about it, and when it was accepted or cancelled."""
+    """A job, the requests about it, and when it was accepted or cancelled.
+
+    A task of a `deadly` job crashes its servers.
+    """
 
     spec: JobSpec
     attempts: list[Attempt] = field(default_factory=list)
     accepted_at: float | None = None
     cancel_sent: bool = False
     cancelled_at: float | None = None
+    deadly: bool = False
 
     @property
     def refused_by_all(self) -> bool:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -9,14 +9,14 @@
 import asyncio
 import random
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import aiohttp
 
 from soak._callers import Caller
 from soak._checks import check
-from soak._faults import FaultContext, heal, run_series
+from soak._faults import FaultContext, heal, resize_server, run_series
 from soak._fronts import Front
 from soak._platform import SoakPlatform
 from soak._records import History
@@ -69,7 +69,14 @@
         await _start_all(fronts)
         context = FaultContext(platform, fronts, history, random.Random(options.seed))
         callers = [
-            Caller(number, platform, fronts, history, _rng(options, f"caller-{number}"))
+            Caller(
+                number,
+                platform,
+                fronts,
+                history,
+                _rng(options, f"caller-{number}"),
+                _rng(options, f"deadly-{number}"),
+            )
             for number in range(options.callers)
         ]
         await _run_load_with_faults(options, context, callers)
@@ -106,7 +113,11 @@
         )
         for number in range(FAULT_SERIES)
     ]
-    await asyncio.gather(*(run_series(each, deadline) for each in series))
+    rooms = replace(context, rng=_rng(options, "rooms"))
+    await asyncio.gather(
+        *(run_series(each, deadline) for each in series),
+        run_series(rooms, deadline, [resize_server]),
+    )
     stopped.set()
     await asyncio.gather(*load)
 
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -157,10 +157,13 @@
         """
         self.entry = replace(self.entry, capacity=capacity)
         self.site.register(self)
-        self.site.call_later(counted_after_s, self._count_capacity)
+        born = self.entry.born
 
-    def _count_capacity(self) -> None:
-        self.counted_capacity = self.entry.capacity
+        def count() -> None:
+            if self.entry.born == born:
+                self.counted_capacity = self.entry.capacity
+
+        self.site.call_later(counted_after_s, count)
 
     async def renew_lease(
         self, epoch: int, until_ms: int | None, acknowledged: int, wait_s: float
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -109,3 +109,10 @@
     assert check(History(unfinished_jobs=[JOB]), [], [])
     assert check(History(bad_exits=["f: exit 1"]), [], [])
     assert check(History(), [], ["twice"])
+
+
+def test_only_a_deadly_job_may_be_reported_as_failed():
+    job = record(attempt("POST", 200, at=0.0), attempt("GET", 200, state="failed"))
+    assert problems(job) == [f"{JOB}: reported as failed without cause"]
+    job.deadly = True
+    assert not problems(job)
