Take no server for gone while its entry cannot be read

A new leader that restores losses of earlier jobs, and whose store fails before it has listed the servers, knows none of them; after three seconds it took each such loss for a crash. Four of these in a row would have failed an innocent job.

A server that is not known has ended only if current entries lack it for three seconds, as entries that were lost in an outage come back within two; a server that the leader has removed itself counts at once. A stored lifetime that cannot be read is dropped with a log line.

Tasks that a cut of a domain has cost their servers, or that a takeover found, start without it then, as they did before.

--- a/cassiaweir/dispatch/_crash_tracker.py
+++ b/cassiaweir/dispatch/_crash_tracker.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from datetime import timedelta
 from math import isfinite
 
 from loguru import logger
@@ -22,7 +23,10 @@
 """Servers without runs of a job, lost together with one that had some."""
 
 GONE_AFTER_S = 3.0
-"""A server that is not registered for this long after a loss has ended."""
+"""A server has ended if current entries lack it for this long."""
+
+MAX_ENTRIES_AGE = timedelta(seconds=2)
+"""Entries that are older say nothing about a server that they lack."""
 
 MAX_RESOLUTION_S = 15.0
 """A task whose limit depends on an unresolved loss waits for this long."""
@@ -40,9 +44,9 @@
 
     `seen_at` is the time of its last report, minus infinity if only a former leader
     had one, which also knew what else ran there.  `noted_at` is the time of the first
-    loss.
+    loss, and `absent_since` that since which current entries lack the server.
     `isolated` means that all its runs were those of one suspected job that had the
-    server for itself.
+    server for itself, and `gone` that the server was removed.
     """
 
     server_id: str
@@ -53,7 +57,9 @@
     jobs: set[str] = field(default_factory=set)
     isolated: bool = True
     draining: bool = False
+    gone: bool = False
     resolved: bool = False
+    absent_since: float | None = None
 
 
 class CrashTracker:
@@ -74,6 +80,7 @@
         *,
         store_reachable: Callable[[], bool],
         is_stored: Callable[[int], bool],
+        entries_age: Callable[[], timedelta],
         stop: Callable[[Run], None],
     ) -> None:
         self._jobs = jobs
@@ -82,14 +89,19 @@
         self._metrics = metrics
         self._store_reachable = store_reachable
         self._is_stored = is_stored
+        self._entries_age = entries_age
         self._stop = stop
         self._lost: dict[str, _LostLifetime] = {}
 
     def restore(self, job: Job) -> None:
         """Take over the losses of a job that a former leader has stored."""
         now = self._clock.monotonic()
-        for name in job.crashes.losses:
+        for name in list(job.crashes.losses):
             server_id, _, born = name.rpartition("@")
+            if not born.isdigit():
+                logger.error("lifetime_unreadable", job=job.job_id, lifetime=name)
+                job.crashes.dismiss(name)
+                continue
             lost = self._lost.get(name)
             if lost is None:
                 lost = _LostLifetime(
@@ -131,6 +143,12 @@
         if entry.job.crashes.add_loss(run.task.name, server.lifetime, crash):
             self._jobs.save(entry)
 
+    def note_removed(self, server: Server) -> None:
+        """Note that a server has gone, as its entry was missing for long enough."""
+        lost = self._lost.get(server.lifetime)
+        if lost is not None:
+            lost.gone = True
+
     def resolve(self) -> None:
         """Confirm or dismiss the losses of which the cause is known by now."""
         now = self._clock.monotonic()
@@ -169,9 +187,12 @@
 
     def _has_ended(self, lost: _LostLifetime, now: float) -> bool | None:
         """Return whether a lost lifetime has ended, None if that is not known."""
+        if lost.gone:
+            return True
         server = self._servers.get(lost.server_id)
         if server is None:
-            return True if now - lost.noted_at > GONE_AFTER_S else None
+            return True if self._is_long_absent(lost, now) else None
+        lost.absent_since = None
         lost.draining |= server.is_draining and server.born == lost.born
         if server.ended:
             return True
@@ -182,6 +203,18 @@
         alive = server.reachable and server.reported_at > lost.noted_at
         return False if alive else None
 
+    def _is_long_absent(self, lost: _LostLifetime, now: float) -> bool:
+        """Return whether a server that is not known has had no entry for long enough.
+
+        Entries that were lost in an outage of the store come back after it.
+        """
+        if self._entries_age() > MAX_ENTRIES_AGE:
+            lost.absent_since = None
+            return False
+        if lost.absent_since is None:
+            lost.absent_since = now
+        return now - lost.absent_since > GONE_AFTER_S
+
     def _confirm(self, name: str, lost: _LostLifetime) -> None:
         for job_id in sorted(lost.jobs):
             entry = self._jobs.entries.get(job_id)
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -98,6 +98,7 @@
             metrics,
             store_reachable=lambda: commits.store_reachable,
             is_stored=commits.is_stored,
+            entries_age=entries_age,
             stop=self._stop,
         )
         self._reports = ReportProcessor(
@@ -318,6 +319,7 @@
             self._pollers.pop(server_id).cancel()
             del self.servers[server_id]
             self._records.remove(server_id)
+            self._crashes.note_removed(server)
             logger.info("server_removed", server=server_id)
 
     def _add_server(self, entry: ServerEntry) -> None:
@@ -346,31 +348,35 @@
     def _launch(self, runs: Sequence[Run]) -> None:
         """Send the start orders of `runs` in the background."""
         recorded = []
+        position = 0
         for run in runs:
-            if run.server.restricted or self._is_watched(run):
+            watched_at = self._watch(run)
+            waits = run.isolation or (watched_at and self._commits.store_reachable)
+            if run.server.restricted or waits:
                 recorded.append(run)
+                position = max(position, watched_at)
             else:
                 self._run_in_background(self._start(run))
         if recorded:
-            self._run_in_background(self._start_recorded(recorded))
+            self._run_in_background(self._start_recorded(recorded, position))
 
-    def _is_watched(self, run: Run) -> bool:
-        """Return whether a successor has to know where a run was started.
+    def _watch(self, run: Run) -> int:
+        """Queue a write that tells a successor where `run` was started, if needed.
 
-        That holds once a crash under the task may have been seen, by this leader or
-        by a former one.
+        That is needed once a crash under the task may have been seen, by this leader or
+        by a former one.  Return the position of the write, 0 if there is none.
         """
         entry = self._jobs.entries[run.job_id]
-        return entry.held or entry.job.crashes.count(run.task.name) > 0
+        if not entry.held and not entry.job.crashes.count(run.task.name):
+            return 0
+        entry.job.crashes.watch(run.task.name, lifetime_of(run))
+        return self._jobs.save(entry)
 
-    async def _start_recorded(self, runs: Sequence[Run]) -> None:
-        """Start `runs` once the rows that have to name them are stored."""
-        position = 0
-        for run in runs:
-            if self._is_watched(run):
-                entry = self._jobs.entries[run.job_id]
-                entry.job.crashes.watch(run.task.name, lifetime_of(run))
-                position = self._jobs.save(entry)
+    async def _start_recorded(self, runs: Sequence[Run], position: int) -> None:
+        """Start `runs` once the rows that a successor relies on are stored.
+
+        These are the rows of restricted servers and the writes up to `position`.
+        """
         try:
             stored = await self._records.store_starts(runs, position)
         except LeadershipLostError:
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -57,7 +57,8 @@
 
         Return the position of the last write that its ends led to, or 0.
         """
-        if report.born and server.born and report.born != server.born:
+        restarted = bool(report.born and server.born and report.born != server.born)
+        if restarted:
             # Runs of the former lifetime are not listed any more and are removed below.
             # An order that was in transit may have started a run in the new lifetime.
             logger.warning(
@@ -87,7 +88,8 @@
             if not self._apply_running(server, running)
         )
         self._remove_unlisted(server, listed, asked_at)
-        self._crashes.resolve()
+        if restarted:
+            self._crashes.resolve()
         self._stop_slow_runs(server)
         return position
 
