Ask for advice before servers are kept for suspected tasks, and keep more empty ones

Cause: at most an eighth of the servers was kept for suspected jobs, and one was chosen before it was known whether the advice service allows it there; a refusal cost another question each time, while takeovers reset the time after which such a task is only kept apart.

Change: where advice is needed, servers are kept only among allowed ones, and advice about any is asked for first; a quarter of the servers may be kept if the next one is empty already.

--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -215,22 +215,28 @@
         for group in self._quarantine.groups(step, tasks, now):
             if group.isolation is Isolation.ALONE:
                 self._set_aside(waiting, len(group.tasks), usable)
+            allowed = self._quarantine.usable(step, group.isolation, usable)
             self._place_group(
                 waiting,
                 group,
-                self._quarantine.usable(step, group.isolation, usable),
+                allowed,
                 self._quarantine.usable(step, group.isolation, with_room),
+                askable=allowed or usable,
             )
 
     def _set_aside(
         self, waiting: _WaitingStep, tasks: int, usable: Sequence[Server]
     ) -> None:
-        """Set servers aside for `tasks` suspected tasks, none that advice denies."""
+        """Set servers aside for `tasks` suspected tasks, only ones that advice allows.
+
+        Where none is known to be allowed yet, advice about any is asked for first.
+        """
         found = find_future_candidates(
             waiting.step, self._available_servers(waiting, usable), tasks
         )
         if waiting.queue.advice is not None:
-            found = exclude_servers(found, self._advice.denied(waiting.step))
+            known = self._advice.allowed(waiting.step)
+            found = [each for each in found if each.server.server_id in known]
         self._quarantine.set_aside(waiting.step, tasks, found, usable)
 
     def _place_group(
@@ -239,8 +245,13 @@
         group: TaskGroup,
         usable: Sequence[Server],
         with_room: Sequence[Server],
+        *,
+        askable: Sequence[Server],
     ) -> None:
-        """Start tasks of a step that are placed in the same way."""
+        """Start tasks of a step that are placed in the same way.
+
+        Advice is asked for among the `askable` servers.
+        """
         step, queue, tasks = waiting.step, waiting.queue, group.tasks
         alone = group.isolation is Isolation.ALONE
         customer = self._jobs.customer_of(waiting.entry.job)
@@ -258,7 +269,8 @@
         )
         missing = within_cap - len(chosen)
         if missing > 0 and queue.advice is not None:
-            self._ask(waiting, queue.advice, usable, free, within_cap, tickets or {})
+            asked = self._available_servers(waiting, askable) if alone else free
+            self._ask(waiting, queue.advice, askable, asked, within_cap, tickets or {})
         if not self._confirm_leadership(waiting.entry.job.version):
             return
         if step.spec.gang and missing > 0:
--- a/cassiaweir/dispatch/_quarantine.py
+++ b/cassiaweir/dispatch/_quarantine.py
@@ -12,6 +12,9 @@
 MAX_SHARE = 0.125
 """Share of the servers that suspected jobs may have for themselves, at least one."""
 
+MAX_EMPTY_SHARE = 0.25
+"""The same where no other task has to wait for the next server to be emptied."""
+
 MAX_WAIT_S = 10.0
 """A task that finds no server for itself within this time is only kept apart."""
 
@@ -119,7 +122,7 @@
         mine = [each for each in self._set_aside if self._set_aside[each] == job_id]
         room = sum(present[each].slots for each in mine)
         needed = tasks if step.spec.gang else 1
-        if room >= needed or not self._may_take_more(job_id, servers):
+        if room >= needed:
             return
         free = [
             each
@@ -127,8 +130,11 @@
             if each.server.server_id not in self._set_aside
             and each.server.isolated_job in ("", job_id)
         ]
+        free.sort(key=lambda each: _clearing_key(step, each))
+        if not free or not self._may_take(free[0].server, job_id, servers):
+            return
         chosen = []
-        for candidate in sorted(free, key=lambda each: _clearing_key(step, each)):
+        for candidate in free:
             if room >= needed:
                 break
             chosen.append(candidate.server.server_id)
@@ -137,15 +143,16 @@
             self._in_use = True
             self._set_aside.update(dict.fromkeys(chosen, job_id))
 
-    def _may_take_more(self, job_id: str, servers: Sequence[Server]) -> bool:
-        """Return whether few enough servers are kept for other jobs."""
+    def _may_take(self, server: Server, job_id: str, servers: Sequence[Server]) -> bool:
+        """Return whether `server` may be kept for a job, beside those of others."""
         taken = {each for each, owner in self._set_aside.items() if owner != job_id}
         taken |= {
             each.server_id
             for each in servers
             if each.isolated_job and each.isolated_job != job_id
         }
-        return len(taken) < max(1, int(len(servers) * MAX_SHARE))
+        share = MAX_SHARE if server.runs else MAX_EMPTY_SHARE
+        return len(taken) < max(1, int(len(servers) * share))
 
 
 def _suspects_only(server: Server, job_id: str) -> bool:
