--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -4,7 +4,6 @@
 
 import math
 from collections.abc import Callable, Collection, Mapping, Sequence
-from dataclasses import dataclass
 from datetime import timedelta
 
 from loguru import logger
@@ -13,12 +12,8 @@
 from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
 from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._gate import TakeoverGate
-from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
-from cassiaweir.dispatch._objective import (
-    DeadlineStatus,
-    deadline_status,
-    remaining_critical_path_s,
-)
+from cassiaweir.dispatch._job_registry import JobRegistry
+from cassiaweir.dispatch._objective import DeadlineStatus
 from cassiaweir.dispatch._placement import (
     Candidate,
     choose_servers,
@@ -34,13 +29,15 @@
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._usage import CustomerUsage
-from cassiaweir.jobs import Isolation, Step, Task
-from cassiaweir.queues import AdvicePolicy, Queue
+from cassiaweir.dispatch._waiting_steps import (
+    URGENT_PRIORITY,
+    WaitingStep,
+    WaitingSteps,
+)
+from cassiaweir.jobs import Isolation, Step
+from cassiaweir.queues import AdvicePolicy
 from cassiaweir.types import Clock
 
-URGENT_PRIORITY = 0
-"""The priority of queues with urgent jobs."""
-
 RENEWAL_MARGIN_S = 0.3
 """Added to the time that renewing the tickets of a waiting gang is expected to take.
 
@@ -53,19 +50,6 @@
 FUTURE_CANDIDATES_MAX_AGE_S = 0.1
 """The servers on which a step waits for room are looked up again after this time."""
 
-Rank = tuple[int, int, int, float]
-"""The sort key of a waiting step, as `_rank` returns it; lower ones start first."""
-
-
-@dataclass(frozen=True, slots=True)
-class _WaitingStep:
-    """A step with tasks that could start, and its rank among these steps."""
-
-    rank: Rank
-    entry: JobEntry
-    step: Step
-    queue: Queue
-
 
 class Placer:
     """Places waiting tasks on servers.
@@ -104,8 +88,7 @@
         self._advice = advice
         self._clock = clock
         self._servers = servers
-        self._gate = gate
-        self._crashes = crashes
+        self._waiting = WaitingSteps(jobs, clock, gate, crashes)
         self._quarantine = Quarantine()
         self._confirm_leadership = confirm_leadership
         self._store_reachable = store_reachable
@@ -129,7 +112,7 @@
             and not server.health.suspended(now)
             and (may_record or not server.restricted)
         ]
-        found = sorted(self._waiting_steps(now), key=lambda each: each.rank)
+        found = sorted(self._waiting.find(now), key=lambda each: each.rank)
         self._discard_others({each.step.name for each in found})
         self._quarantine.begin_round(
             {each.entry.job.job_id for each in found}, self._servers.values()
@@ -164,41 +147,9 @@
         for name in self._future.keys() - set(steps):
             del self._future[name]
 
-    def _waiting_steps(self, now: float) -> list[_WaitingStep]:
-        wall = self._clock.now().timestamp()
-        found = []
-        for entry in self._jobs.open_jobs():
-            queue = self._jobs.queue_of(entry.job)
-            for step in entry.job.startable_steps():
-                if not _due(step, wall) or not self._has_startable(entry, step):
-                    continue
-                found.append(
-                    _WaitingStep(_rank(entry, step, queue, now), entry, step, queue)
-                )
-        return found
-
-    def _has_startable(self, entry: JobEntry, step: Step) -> bool:
-        if not _has_waiting(step):
-            return False
-        unchecked = not entry.held and not entry.job.crashes
-        return unchecked or bool(self._startable_tasks(entry, step))
-
-    def _startable_tasks(self, entry: JobEntry, step: Step) -> list[Task]:
-        """Return the waiting tasks that may be started now.
-
-        No former leader may have started them, and what is known of their crashes has
-        to be stored.
-        """
-        tasks = step.waiting()
-        if entry.job.crashes:
-            tasks = [each for each in tasks if self._crashes.may_start(entry, each)]
-        if not entry.held or self._gate.is_open:
-            return tasks
-        return [task for task in tasks if not self._gate.holds(task.name)]
-
     def _place_step(
         self,
-        waiting: _WaitingStep,
+        waiting: WaitingStep,
         usable: Sequence[Server],
         with_room: Sequence[Server],
     ) -> None:
@@ -208,7 +159,7 @@
         with room for a task of the smallest waiting step.
         """
         step = waiting.step
-        tasks = self._startable_tasks(waiting.entry, step)
+        tasks = self._waiting.startable_tasks(waiting.entry, step)
         if step.spec.gang and len(tasks) < len(step.tasks):
             return
         now = self._clock.monotonic()
@@ -225,7 +176,7 @@
             )
 
     def _set_aside(
-        self, waiting: _WaitingStep, tasks: int, usable: Sequence[Server]
+        self, waiting: WaitingStep, tasks: int, usable: Sequence[Server]
     ) -> None:
         """Set servers aside for `tasks` suspected tasks, only ones that advice allows.
 
@@ -241,7 +192,7 @@
 
     def _place_group(
         self,
-        waiting: _WaitingStep,
+        waiting: WaitingStep,
         group: TaskGroup,
         usable: Sequence[Server],
         with_room: Sequence[Server],
@@ -284,7 +235,7 @@
 
     def _preempt_others(
         self,
-        waiting: _WaitingStep,
+        waiting: WaitingStep,
         servers: Sequence[Server],
         tickets: Mapping[str, str] | None,
         missing: int,
@@ -303,7 +254,7 @@
 
     def _ask(
         self,
-        waiting: _WaitingStep,
+        waiting: WaitingStep,
         policy: AdvicePolicy,
         usable: Sequence[Server],
         servers: Sequence[Server],
@@ -340,7 +291,7 @@
 
     def _gang_servers_to_ask(
         self,
-        waiting: _WaitingStep,
+        waiting: WaitingStep,
         policy: AdvicePolicy,
         usable: Sequence[Server],
         count: int,
@@ -367,7 +318,7 @@
         return expiring + exclude_servers(future, self._advice.denied(step) | allowed)
 
     def _available_servers(
-        self, waiting: _WaitingStep, servers: Sequence[Server]
+        self, waiting: WaitingStep, servers: Sequence[Server]
     ) -> list[Server]:
         """Return the servers of the queue's service that a step may use.
 
@@ -384,7 +335,7 @@
         ]
 
     def _future_candidates(
-        self, waiting: _WaitingStep, usable: Sequence[Server], count: int
+        self, waiting: WaitingStep, usable: Sequence[Server], count: int
     ) -> list[Candidate]:
         """Return the servers with room for the step once other tasks have ended there.
 
@@ -405,7 +356,7 @@
         return [each for each in found if each.server.server_id not in reserved]
 
     def _reserve(
-        self, waiting: _WaitingStep, servers: Sequence[Server], tasks: int
+        self, waiting: WaitingStep, servers: Sequence[Server], tasks: int
     ) -> None:
         """Reserve servers for a gang, only allowed ones if it needs advice.
 
@@ -455,31 +406,3 @@
                 isolation=group.isolation.name.lower(),
             )
             self._launch(runs)
-
-
-def _due(step: Step, wall: float) -> bool:
-    """Return whether the occurrence of `step` is due at `wall`, in Unix seconds."""
-    spec = step.job.spec
-    if not spec.times:
-        return True
-    return wall >= spec.first_at + step.occurrence * spec.interval_s
-
-
-def _has_waiting(step: Step) -> bool:
-    return len(step.placed()) + step.done_count < len(step.tasks)
-
-
-def _rank(entry: JobEntry, step: Step, queue: Queue, now: float) -> Rank:
-    """Return the rank of a step; lower ranks start first.
-
-    In this order: whether the job can meet its deadline, whether it is urgent and on
-    time, whether it is within its customer's share, and the latest start that would
-    still meet the deadline.
-    """
-    remaining = remaining_critical_path_s(entry.job, step)
-    status = deadline_status(entry.objective, remaining, now)
-    urgent = queue.priority == URGENT_PRIORITY
-    latest_start = entry.objective.due_at - remaining
-    if status is not DeadlineStatus.ON_TIME:
-        urgent = False
-    return (int(status), int(not urgent), int(entry.over_share), latest_start)
