--- /dev/null
+++ b/cassiaweir/dispatch/_former_usage.py
@@ -0,0 +1,123 @@
+"""Estimates what each customer's former runs take on servers out of reach.
+
+After a takeover, a server that has not answered may still run what a former leader
+started there.  These runs count against their customer's cap until the server answers
+or its last lease has expired.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from cassiaweir.dispatch._gate import TakeoverGate
+from cassiaweir.dispatch._job_registry import JobRegistry
+from cassiaweir.dispatch._server import Server
+from cassiaweir.jobs import Task, TaskState
+from cassiaweir.types import NO_RESOURCES, Clock, Resources
+
+RECOUNT_INTERVAL_S = 0.1
+"""The runs are counted again after this time, as that takes time for many jobs."""
+
+
+@dataclass(frozen=True, slots=True)
+class _FormerRun:
+    """A task that may run on a server out of reach, kept after its job has ended."""
+
+    customer: str
+    demand: Resources
+
+
+class FormerUsage:
+    """Counts the resources that runs of former leaders may take, by customer.
+
+    A restricted row of a server names its tasks.  Where a row is open, any task of a
+    job from before the takeover may run, up to the capacity of such servers.
+    """
+
+    def __init__(
+        self,
+        jobs: JobRegistry,
+        gate: TakeoverGate,
+        servers: Mapping[str, Server],
+        clock: Clock,
+    ) -> None:
+        self._jobs = jobs
+        self._gate = gate
+        self._servers = servers
+        self._clock = clock
+        self._named: dict[str, _FormerRun] = {}
+        self._counted_at = -math.inf
+        self._by_customer: dict[str, Resources] = {}
+
+    def of(self, customer: str) -> Resources:
+        """Return what runs of `customer` may take on servers out of reach."""
+        if self._gate.is_open:
+            return NO_RESOURCES
+        now = self._clock.monotonic()
+        if now - self._counted_at >= RECOUNT_INTERVAL_S:
+            self._counted_at = now
+            self._by_customer = self._count()
+        return self._by_customer.get(customer, NO_RESOURCES)
+
+    def _count(self) -> dict[str, Resources]:
+        found: dict[str, Resources] = {}
+        self._add_named(found)
+        if self._gate.open_servers:
+            self._add_unnamed(found)
+        return found
+
+    def _add_named(self, found: dict[str, Resources]) -> None:
+        for name in self._gate.named_tasks:
+            task = self._jobs.find_task(name)
+            if task is not None:
+                self._remember(name, task)
+            run = self._named.get(name)
+            if run is not None:
+                _add(found, run.customer, run.demand)
+
+    def _remember(self, name: str, task: Task) -> None:
+        """Remember a named task, unless it is known to run elsewhere or to be done."""
+        if task.state is not TaskState.WAITING:
+            self._named.pop(name, None)
+            return
+        customer = task.step.job.spec.customer
+        self._named[name] = _FormerRun(customer, task.step.demand)
+
+    def _add_unnamed(self, found: dict[str, Resources]) -> None:
+        capacity = self._open_capacity()
+        named = self._gate.named_tasks
+        unnamed: dict[str, Resources] = {}
+        for entry in self._jobs.open_jobs():
+            if not entry.held:
+                continue
+            for step in entry.job.startable_steps():
+                for task in step.waiting():
+                    if task.name not in named:
+                        _add(unnamed, entry.job.spec.customer, step.demand)
+        for customer, demand in unnamed.items():
+            bounded = demand if capacity is None else _minimum(demand, capacity)
+            _add(found, customer, bounded)
+
+    def _open_capacity(self) -> Resources | None:
+        """Return the capacity of the servers with open rows, None if unknown."""
+        total = NO_RESOURCES
+        for server_id in self._gate.open_servers:
+            server = self._servers.get(server_id)
+            if server is None:
+                return None
+            total = total + server.entry.capacity
+        return total
+
+
+def _add(found: dict[str, Resources], customer: str, demand: Resources) -> None:
+    found[customer] = found.get(customer, NO_RESOURCES) + demand
+
+
+def _minimum(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        min(one.cpu_millis, other.cpu_millis),
+        min(one.memory_mb, other.memory_mb),
+        min(one.accelerators, other.accelerators),
+    )
--- a/cassiaweir/dispatch/_gate.py
+++ b/cassiaweir/dispatch/_gate.py
@@ -62,6 +62,22 @@
         """The ids of the servers that are not settled."""
         return frozenset(self._unsettled)
 
+    @property
+    def named_tasks(self) -> frozenset[str]:
+        """The tasks that restricted rows of unsettled servers name."""
+        return frozenset() if self._open else self._held_tasks
+
+    @property
+    def open_servers(self) -> frozenset[str]:
+        """The unsettled servers on which any task of a former leader may run."""
+        if self._open:
+            return frozenset()
+        return frozenset(
+            server_id
+            for server_id, tasks in self._unsettled.items()
+            if tasks.names is None
+        )
+
     def mark_settled(self, server_id: str) -> None:
         """Record that a server starts nothing more for a former leader."""
         if self._unsettled.pop(server_id, None) is not None:
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -11,6 +11,7 @@
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
 from cassiaweir.dispatch._crash_tracker import CrashTracker
+from cassiaweir.dispatch._former_usage import FormerUsage
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._objective import DeadlineStatus
@@ -89,6 +90,7 @@
         self._clock = clock
         self._servers = servers
         self._waiting = WaitingSteps(jobs, clock, gate, crashes)
+        self._former_usage = FormerUsage(jobs, gate, servers, clock)
         self._quarantine = Quarantine()
         self._confirm_leadership = confirm_leadership
         self._store_reachable = store_reachable
@@ -206,7 +208,12 @@
         step, queue, tasks = waiting.step, waiting.queue, group.tasks
         alone = group.isolation is Isolation.ALONE
         customer = self._jobs.customer_of(waiting.entry.job)
-        within_cap = self._usage.count_within_cap(customer, step.demand, len(tasks))
+        within_cap = self._usage.count_within_cap(
+            customer,
+            step.demand,
+            len(tasks),
+            self._former_usage.of(waiting.entry.job.spec.customer),
+        )
         if within_cap == 0 or (step.spec.gang and within_cap < len(tasks)):
             self._reservations.release(step.name)
             return
--- a/cassiaweir/dispatch/_usage.py
+++ b/cassiaweir/dispatch/_usage.py
@@ -28,15 +28,20 @@
         self._used[customer] = self.used(customer) - demand
 
     def count_within_cap(
-        self, customer: Customer | None, demand: Resources, maximum: int
+        self,
+        customer: Customer | None,
+        demand: Resources,
+        maximum: int,
+        former: Resources = NO_RESOURCES,
     ) -> int:
         """Return how many more runs of `demand`, at most `maximum`, the cap allows.
 
+        `former` is what the customer's runs may take on servers out of reach.
         A cap of 0 means no limit; so does a customer that is not configured.
         """
         if customer is None:
             return maximum
-        used = self.used(customer.name)
+        used = self.used(customer.name) + former
         cap = customer.cap
         room = maximum
         for limit, taken, each in (
