--- a/cassiaweir/dispatch/_compaction.py
+++ b/cassiaweir/dispatch/_compaction.py
@@ -10,12 +10,16 @@
 
 from loguru import logger
 
-from cassiaweir.exceptions import ConflictError, UnavailableError
+from cassiaweir.exceptions import (
+    ConflictError,
+    TransactionRejectedError,
+    UnavailableError,
+)
+from cassiaweir.store import TransactionSize
 from cassiaweir.types import Check, Clock, Row, Table, Write
 
 SHRUNK_VALUE = b"{}"
 SHRINK_INTERVAL = timedelta(seconds=3)
-MAX_ROWS_PER_TRANSACTION = 60
 
 
 class RowShrinker:
@@ -45,17 +49,34 @@
         for key in self._versions:
             by_part.setdefault(key.rpartition("/")[0], []).append(key)
         for keys in by_part.values():
-            yield keys[:MAX_ROWS_PER_TRANSACTION]
+            yield keys[: self._count_fitting(keys)]
 
-    async def _shrink(self, keys: list[str]) -> bool:
-        """Shrink the rows `keys`; return whether the store answered."""
+    def _count_fitting(self, keys: list[str]) -> int:
+        """Return how many of `keys` one transaction can shrink."""
+        size = TransactionSize()
+        for count, key in enumerate(keys):
+            size = size + TransactionSize.of(*self._entries([key]))
+            if not size.fits:
+                return max(count, 1)
+        return len(keys)
+
+    def _entries(self, keys: list[str]) -> tuple[list[Check], list[Write]]:
         checks = [Check(key, self._versions[key]) for key in keys]
-        writes = [Write(key, SHRUNK_VALUE) for key in keys]
+        return checks, [Write(key, SHRUNK_VALUE) for key in keys]
+
+    async def _shrink(self, keys: list[str]) -> bool:
+        """Shrink the rows `keys`; return whether the store answered.
+
+        Rows that the store refuses to shrink stay as they are.
+        """
+        checks, writes = self._entries(keys)
         try:
             await self._table.commit(checks, writes)
         except UnavailableError as exc:
             logger.info("rows_not_shrunk", rows=len(keys), cause=str(exc))
             return False
+        except TransactionRejectedError as exc:
+            logger.error("rows_not_shrinkable", rows=len(keys), cause=str(exc))
         except ConflictError:
             # An earlier attempt without an answer, or another leader, has shrunk them.
             logger.info("rows_already_shrunk", rows=len(keys))
--- a/cassiaweir/exceptions.py
+++ b/cassiaweir/exceptions.py
@@ -27,6 +27,10 @@
     """A conditional change failed because a concurrent change came first."""
 
 
+class TransactionRejectedError(CassiaweirError):
+    """The store refuses a transaction for good; repeating it cannot succeed."""
+
+
 class RefusedError(CassiaweirError):
     """A request was refused, or given up without a usable result.
 
--- a/cassiaweir/front/_submissions.py
+++ b/cassiaweir/front/_submissions.py
@@ -12,8 +12,15 @@
 from loguru import logger
 
 from cassiaweir.dispatch import cancel_key, job_key, job_part, outcome_key
-from cassiaweir.exceptions import ConflictError, RefusedError, UnavailableError
+from cassiaweir.exceptions import (
+    ConflictError,
+    InvalidInputError,
+    RefusedError,
+    TransactionRejectedError,
+    UnavailableError,
+)
 from cassiaweir.jobs import JobSpec, JobState, decode_outcome
+from cassiaweir.store import TransactionSize
 from cassiaweir.types import Check, Clock, Row, Table, Write
 from cassiaweir.verdict import Verdict
 
@@ -82,8 +89,9 @@
     async def submit(self, spec: JobSpec) -> None:
         """Store a job, or do nothing if a job with its id is stored already.
 
-        Raises `RefusedError` if the job is not stored and never will be, and
-        `UnavailableError` if it may have been stored.
+        Raises `RefusedError` if the job is not stored and never will be,
+        `InvalidInputError` if it is too large to be stored, and `UnavailableError` if
+        it may have been stored.
         """
         if self._store_unreachable():
             raise RefusedError(
@@ -150,9 +158,16 @@
     def _take_batch(self) -> list[_PendingJob]:
         """Remove and return queued jobs whose rows lie in one part of the table."""
         part = job_part(self._queued[0].spec.job_id)
-        batch = [job for job in self._queued if job_part(job.spec.job_id) == part][
-            :MAX_JOBS_PER_TRANSACTION
-        ]
+        size = TransactionSize()
+        batch: list[_PendingJob] = []
+        for job in self._queued:
+            if job_part(job.spec.job_id) != part:
+                continue
+            size = size + TransactionSize.of(*_entries([job]))
+            full = len(batch) >= MAX_JOBS_PER_TRANSACTION or not size.fits
+            if batch and full:
+                break
+            batch.append(job)
         for job in batch:
             self._queued.remove(job)
         return batch
@@ -174,12 +189,14 @@
 
     async def _try_store(self, batch: list[_PendingJob]) -> list[_PendingJob]:
         """Try once to store `batch`; return the jobs to retry."""
-        checks = [Check(job_key(job.spec.job_id), 0) for job in batch]
-        writes = [Write(job_key(job.spec.job_id), job.value) for job in batch]
+        checks, writes = _entries(batch)
         try:
             versions = await self._table.commit(checks, writes)
         except ConflictError:
             return await self._complete_stored(batch)
+        except TransactionRejectedError as exc:
+            await self._store_apart(batch, exc)
+            return []
         except UnavailableError as exc:
             return await self._retry_or_fail(batch, exc)
         rows = [
@@ -190,6 +207,21 @@
             _succeed(job)
         return []
 
+    async def _store_apart(
+        self, batch: list[_PendingJob], exc: TransactionRejectedError
+    ) -> None:
+        """Store each job of a refused transaction alone, and fail one that cannot be.
+
+        An earlier attempt with the same rows was refused as well, so such a job is
+        certainly not stored.
+        """
+        if len(batch) == 1:
+            logger.warning("job_not_storable", job=batch[0].spec.job_id, cause=str(exc))
+            _reject(batch[0], f"the job cannot be stored: {exc}")
+            return
+        for job in batch:
+            await self._store_batch([job])
+
     async def _complete_stored(self, batch: list[_PendingJob]) -> list[_PendingJob]:
         """After a conflict, report success for stored jobs; return the others."""
         try:
@@ -225,6 +257,18 @@
         return remaining
 
 
+def _entries(batch: Sequence[_PendingJob]) -> tuple[list[Check], list[Write]]:
+    """Return the conditions and writes of the transaction that stores `batch`."""
+    keys = [job_key(job.spec.job_id) for job in batch]
+    writes = [Write(key, job.value) for key, job in zip(keys, batch, strict=True)]
+    return [Check(key, 0) for key in keys], writes
+
+
+def _reject(job: _PendingJob, cause: str) -> None:
+    if not job.future.done():
+        job.future.set_exception(InvalidInputError(cause))
+
+
 def _succeed(job: _PendingJob) -> None:
     if not job.future.done():
         job.future.set_result(None)
--- a/cassiaweir/jobs/_progress.py
+++ b/cassiaweir/jobs/_progress.py
@@ -30,6 +30,9 @@
     outcome: JobState
 
 
+MAX_PROGRESS_BYTES = 48_000
+"""Checkpoints are left out of longer progress, so that it fits into a row."""
+
 GANG_INDEX = -1
 """Stands in place of a task index for what the tasks of a gang share."""
 
@@ -38,7 +41,13 @@
     """Return the stored form of the progress of a job that has not ended."""
     steps = [_step_progress(step) for step in job.steps.values()]
     changed = [each for each in steps if each.done or each.all_done or each.failures]
-    return msgspec.json.encode(_Progress(job.started, changed, job.crashes.rows()))
+    progress = _Progress(job.started, changed, job.crashes.rows())
+    encoded = msgspec.json.encode(progress)
+    if len(encoded) <= MAX_PROGRESS_BYTES:
+        return encoded
+    for step in changed:
+        step.checkpoints = []
+    return msgspec.json.encode(progress)
 
 
 def apply_progress(job: Job, raw: bytes) -> None:
--- a/cassiaweir/jobs/_specs.py
+++ b/cassiaweir/jobs/_specs.py
@@ -17,6 +17,9 @@
 MAX_TASKS_PER_STEP = 10_000
 """A step with more tasks is taken for a mistake of the caller and refused."""
 
+MAX_TASKS_PER_JOB = 12_000
+"""Limit of all steps together, so that the progress of a job fits into one row."""
+
 DEFAULT_TASK_DURATION_S = 1.0
 """Duration assumed for a task submitted without an estimate."""
 
@@ -115,6 +118,11 @@
         raise InvalidInputError("steps: a job needs at least one step")
     for number, step in enumerate(steps):
         _check_step(number, step)
+    tasks = sum(step.count for step in steps)
+    if tasks > MAX_TASKS_PER_JOB:
+        raise InvalidInputError(
+            f"steps: got {tasks} tasks, expected at most {MAX_TASKS_PER_JOB}"
+        )
 
 
 def _check_step(number: int, step: StepSpec) -> None:
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 import msgspec
@@ -13,10 +13,12 @@
 from cassiaweir.exceptions import (
     ConflictError,
     LeadershipLostError,
+    TransactionRejectedError,
     UnavailableError,
 )
 from cassiaweir.leadership._rows import GUARD_KEY, OWNER_KEY, Guard, decode_guard
 from cassiaweir.leadership._terms import Leadership
+from cassiaweir.store import TransactionSize
 from cassiaweir.types import Check, Clock, Row, Table, Write
 
 RENEWAL_INTERVAL = timedelta(milliseconds=400)
@@ -24,9 +26,6 @@
 BATCH_DELAY = timedelta(milliseconds=6)
 """Writes that are queued within this time share a transaction."""
 
-MAX_ROWS_PER_TRANSACTION = 90
-MAX_BYTES_PER_TRANSACTION = 400_000
-
 
 @dataclass(frozen=True, slots=True)
 class _Pending:
@@ -164,23 +163,25 @@
         oldest position that is still queued.
         """
         writes: list[Write] = []
-        size = 0
+        size = TransactionSize()
         for key, pending in list(self._pending.items()):
-            size += len(pending.write.value or b"")
-            full = len(writes) >= MAX_ROWS_PER_TRANSACTION
-            if writes and (full or size > MAX_BYTES_PER_TRANSACTION):
+            size = size + TransactionSize.of((), [pending.write])
+            if writes and not size.fits:
                 break
             writes.append(pending.write)
             del self._pending[key]
         self._confirmation_requested = False
-        self._leadership.sequence += 1
-        guard = Guard(self._leadership.epoch, self._leadership.sequence)
+        guard = self._next_guard()
         remaining = [pending.oldest_position for pending in self._pending.values()]
         last_position = min(remaining) - 1 if remaining else self._last_position
         releases = self._releasing and not self._pending
         renews = releases or self._renewal_due()
         return _Transaction(guard, last_position, tuple(writes), renews, releases)
 
+    def _next_guard(self) -> Guard:
+        self._leadership.sequence += 1
+        return Guard(self._leadership.epoch, self._leadership.sequence)
+
     def _renewal_due(self) -> bool:
         # A transaction shortly before the renewal is due carries it, which saves one
         # that only renews.
@@ -195,6 +196,10 @@
                 version = await self._commit(transaction)
             except ConflictError as exc:
                 version = await self._find_stored_version(transaction, exc)
+            except TransactionRejectedError as exc:
+                for part in self._split_rejected(transaction, exc):
+                    await self._send_until_stored(part)
+                return
             except UnavailableError as exc:
                 self._record_store_reachable(False, str(exc))
                 await self._clock.sleep(RETRY_DELAY)
@@ -202,6 +207,37 @@
             await self._record_stored(transaction, version, sent_at)
             return
 
+    def _split_rejected(
+        self, transaction: _Transaction, cause: TransactionRejectedError
+    ) -> list[_Transaction]:
+        """Return transactions that replace one which the store refuses for good.
+
+        A single row that is refused is left out: the rows of all other jobs must not
+        wait for it.  Raises `cause` if no row is left.
+        """
+        writes = transaction.writes
+        if not writes:
+            raise cause
+        if len(writes) == 1:
+            logger.error(
+                "leader_row_rejected",
+                key=writes[0].key,
+                size=len(writes[0].value or b""),
+                cause=str(cause),
+            )
+            return [replace(transaction, guard=self._next_guard(), writes=())]
+        middle = len(writes) // 2
+        first = replace(
+            transaction,
+            guard=self._next_guard(),
+            last_position=self._stored_position,
+            writes=writes[:middle],
+            renews=False,
+            releases=False,
+        )
+        second = replace(transaction, guard=self._next_guard(), writes=writes[middle:])
+        return [first, second]
+
     async def _commit(self, transaction: _Transaction) -> int:
         writes = [
             *transaction.writes,
--- a/cassiaweir/platform/_store.py
+++ b/cassiaweir/platform/_store.py
@@ -14,7 +14,12 @@
 
 import msgspec
 
-from cassiaweir.exceptions import ConflictError, HistoryLostError, UnavailableError
+from cassiaweir.exceptions import (
+    ConflictError,
+    HistoryLostError,
+    TransactionRejectedError,
+    UnavailableError,
+)
 from cassiaweir.platform._http import HttpSession
 from cassiaweir.types import Changes, Check, Row, Snapshot, Write
 from cassiaweir.verdict import Verdict
@@ -29,6 +34,8 @@
 STATUS_CONFLICT = 412
 # Statuses by which the store says that it did not execute the request.
 STATUSES_NOT_EXECUTED = (429, 503)
+# Statuses by which the store refuses a transaction for good.
+STATUSES_REJECTED = (400, 403, 413)
 
 
 class StoreTransport(Protocol):
@@ -183,7 +190,8 @@
         """Apply `writes` if all `checks` hold, and return the new versions.
 
         All writes must be to one part.  Raises `ConflictError` when a check failed
-        and nothing was written.
+        and nothing was written, and `TransactionRejectedError` when the store refuses
+        the transaction for good, for example because of its size.
         """
         body = msgspec.json.encode(_encode_transaction(checks, writes))
         status, raw = await self._transport.call("POST", "/rows-tx", body, NO_WAIT)
@@ -191,6 +199,11 @@
             raise ConflictError(
                 "a row has another version than the transaction expects"
             )
+        if status in STATUSES_REJECTED:
+            raise TransactionRejectedError(
+                f"the store answered {status} to {len(checks)} checks and"
+                f" {len(writes)} writes of {len(body)} bytes"
+            )
         version = _decode_answer(status, raw, Verdict.MAY_HAVE_RUN).ver
         return {write.key: version for write in writes}
 
--- a/cassiaweir/types/_store.py
+++ b/cassiaweir/types/_store.py
@@ -57,6 +57,7 @@
     ) -> dict[str, int]:
         """Apply all `writes` if all `checks` hold, and return the new versions.
 
+        Raises `TransactionRejectedError` when the service refuses it for good.
         Raises `ConflictError` when a check failed and nothing was written.  Raises
         `UnavailableError` with MAY_HAVE_RUN when the outcome is still unknown.
         """
--- a/standins/users/_http.py
+++ b/standins/users/_http.py
@@ -11,7 +11,12 @@
 from aiohttp import web
 
 from cassiaweir.dispatch import OrderOutcome, StartOrder
-from cassiaweir.exceptions import ConflictError, FencedError, HistoryLostError
+from cassiaweir.exceptions import (
+    ConflictError,
+    FencedError,
+    HistoryLostError,
+    TransactionRejectedError,
+)
 from cassiaweir.types import Check, Row, Write
 from standins.users._rows import MemoryStore
 from standins.users._servers import FakeServer
@@ -66,6 +71,8 @@
             self.store.apply(checks, writes)
         except ConflictError:
             return web.json_response({"rows": []}, status=412)
+        except TransactionRejectedError as exc:
+            return web.json_response({"error": str(exc)}, status=400)
         return web.json_response({"ver": self.store.version, "now_ms": 1})
 
     def _get(self, query: Mapping[str, str]) -> web.Response:
--- a/standins/users/_rows.py
+++ b/standins/users/_rows.py
@@ -5,9 +5,17 @@
 import asyncio
 from collections.abc import Sequence
 
-from cassiaweir.exceptions import ConflictError, HistoryLostError
+from cassiaweir.exceptions import (
+    ConflictError,
+    HistoryLostError,
+    TransactionRejectedError,
+)
 from cassiaweir.types import Changes, Check, Row, Write
 
+MAX_ENTRIES = 100
+MAX_ENCODED_BYTES = 1_000_000
+MAX_ROW_BYTES = 65_536
+
 
 class MemoryStore:
     """Rows, and the history of changes that the change feed is served from."""
@@ -21,7 +29,11 @@
         self._change_event = asyncio.Event()
 
     def apply(self, checks: Sequence[Check], writes: Sequence[Write]) -> dict[str, int]:
-        """Apply a transaction and return the new versions, or raise `ConflictError`."""
+        """Apply a transaction and return the new versions.
+
+        Raises `ConflictError`, or `TransactionRejectedError` if it is too large.
+        """
+        _check_size(checks, writes)
         for check in checks:
             row = self.rows.get(check.key)
             if (row.version if row else 0) != check.version:
@@ -68,3 +80,14 @@
                     await self._change_event.wait()
             except TimeoutError:
                 continue
+
+
+def _check_size(checks: Sequence[Check], writes: Sequence[Write]) -> None:
+    """Raise `TransactionRejectedError` for what the real store refuses for good."""
+    entries = len(checks) + len(writes)
+    sizes = [len(write.value or b"") for write in writes]
+    encoded = sum(size * 4 // 3 for size in sizes)
+    if entries > MAX_ENTRIES or encoded > MAX_ENCODED_BYTES:
+        raise TransactionRejectedError("over 100 entries or 1 MB")
+    if max(sizes, default=0) > MAX_ROW_BYTES:
+        raise TransactionRejectedError("a row is over 65,536 bytes")
