--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -12,6 +12,7 @@
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._compaction import RowShrinker
 from cassiaweir.dispatch._crash_tracker import CrashTracker, lifetime_of
+from cassiaweir.dispatch._former_servers import FormerServerProbe
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
@@ -205,7 +206,14 @@
         if not server.fenced:
             server.fenced = True
             self._gate.mark_settled(server.server_id)
-            logger.info("server_first_report", server=server.server_id)
+            former = self._gate.settle_former_lifetimes(
+                server.entry.address, server.server_id
+            )
+            logger.info(
+                "server_first_report",
+                server=server.server_id,
+                former=",".join(sorted(former)),
+            )
         if not server.recorded and not server.recording:
             self._run_in_background(self._records.store(server))
         self.wake()
@@ -243,6 +251,7 @@
         )
         for run in list(server.runs.values()):
             self._reports.mark_lost(run, "the server has ended")
+        self._gate.mark_settled(server.server_id)
         self._crashes.resolve()
         self.wake()
 
@@ -261,6 +270,10 @@
     async def run(self) -> None:
         """Start tasks until cancelled or until the leadership is lost."""
         sweep = asyncio.create_task(self._sweep_until_lost())
+        probe = FormerServerProbe(
+            self._gate, self._calls, self._clock, self._leadership, self.servers
+        )
+        self._run_in_background(probe.run())
         try:
             round_took = timedelta(0)
             while not self._leadership.lost:
--- a/cassiaweir/dispatch/_gate.py
+++ b/cassiaweir/dispatch/_gate.py
@@ -34,12 +34,13 @@
     `former_tasks` are those that may have been started, by server id.  While the gate
     is closed, it holds back the tasks that may be on a server that is not settled.
 
-    A server is settled once it has answered in the new epoch.  A refused connection
-    proves nothing, as a cut may refuse connections to live servers.  The gate opens
-    when all servers are settled, or when the last lease that a former leader can have
-    given to an unreachable server has expired.  That lease is counted from
-    `former_authority_end`, the end of the former leader's authority, which is brought
-    forward to now when its process is known to be gone.
+    A server is settled once it has answered in the new epoch, or another lifetime has
+    answered at its address.  A refused connection or a missing entry proves nothing: a
+    cut may refuse connections to live servers and keep their entries from the store.
+    The gate opens when all servers are settled, or when the last lease that a former
+    leader can have given to an unreachable server has expired.  That lease is counted
+    from `former_authority_end`, the end of the former leader's authority, which is
+    brought forward to now when its process is known to be gone.
     """
 
     def __init__(
@@ -83,6 +84,25 @@
         if self._unsettled.pop(server_id, None) is not None:
             self._update_held()
 
+    def settle_former_lifetimes(self, address: str, server_id: str) -> frozenset[str]:
+        """Settle the other servers at `address`, as `server_id` answers there now.
+
+        Return the ids of the servers that this settled.
+        """
+        found = frozenset(
+            each
+            for each, tasks in self._unsettled.items()
+            if address and tasks.address == address and each != server_id
+        )
+        for each in found:
+            self.mark_settled(each)
+        return found
+
+    def address_of(self, server_id: str) -> str:
+        """Return the address of an unsettled server, empty if it is not known."""
+        former = self._unsettled.get(server_id)
+        return "" if former is None else former.address
+
     def holds(self, task: str) -> bool:
         """Return whether a former leader may have started this task somewhere."""
         if self._open:
--- a/cassiaweir/dispatch/_server_records.py
+++ b/cassiaweir/dispatch/_server_records.py
@@ -40,10 +40,12 @@
 class FormerTasks:
     """The tasks that former leaders may have started on one server.
 
-    `names` is None if it may be any task.
+    `names` is None if it may be any task.  `address` is the server's, empty if its row
+    is unreadable.
     """
 
     names: frozenset[str] | None
+    address: str = ""
 
 
 def decode_former_tasks(
@@ -69,8 +71,8 @@
         logger.error("server_record_unreadable", server=server_id, cause=str(exc))
         return FormerTasks(None)
     if record.tasks is None or not since or record.epoch < since:
-        return FormerTasks(None)
-    return FormerTasks(frozenset(record.tasks))
+        return FormerTasks(None, record.address)
+    return FormerTasks(frozenset(record.tasks), record.address)
 
 
 class ServerRecords:
