--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -385,6 +385,17 @@
         entry.job.crashes.watch(run.task.name, lifetime_of(run))
         return self._jobs.save(entry)
 
+    def _unwatch(self, run: Run) -> None:
+        """Withdraw what `_watch` wrote, as the run was never on its server.
+
+        A successor would otherwise take a crash of that server for one under the task.
+        """
+        entry = self._jobs.entries.get(run.job_id)
+        if entry is None or entry.job.ended:
+            return
+        if entry.job.crashes.unwatch(run.task.name, lifetime_of(run)):
+            self._jobs.save(entry)
+
     async def _start_recorded(self, runs: Sequence[Run], position: int) -> None:
         """Start `runs` once the rows that a successor relies on are stored.
 
@@ -398,6 +409,7 @@
             if stored:
                 self._run_in_background(self._start(run))
             else:
+                self._unwatch(run)
                 self._reports.mark_lost(run, "the start could not be recorded")
         if not stored:
             self.wake()
@@ -424,6 +436,8 @@
             self._advice.invalidate(run.task.step, run.server.server_id)
         elif outcome in SERVER_REFUSALS:
             run.server.health.record_refusal(self._clock.monotonic())
+        if run.sent_at is None:
+            self._unwatch(run)
         self._reports.mark_lost(run, "the run was not started")
         self.wake()
 
--- a/cassiaweir/jobs/_crashes.py
+++ b/cassiaweir/jobs/_crashes.py
@@ -124,9 +124,14 @@
         """Record on which lifetime a suspected task is about to be started."""
         self._watched[task] = lifetime
 
-    def unwatch(self, task: str) -> None:
-        """Forget where a task was started, as the end of its run is known."""
-        self._watched.pop(task, None)
+    def unwatch(self, task: str, lifetime: str | None = None) -> bool:
+        """Forget where a task was started, as it is known not to run there.
+
+        With `lifetime`, only if the start was there.  Return whether it was known.
+        """
+        if lifetime is not None and self._watched.get(task) != lifetime:
+            return False
+        return self._watched.pop(task, None) is not None
 
     def record_age(self, seconds: float) -> None:
         """Note how old a run was, at most, when its server was lost."""
