--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -85,6 +85,11 @@
 
 MAX_CONNECTIONS_PER_SERVER = 4
 MAX_PEER_CHANNELS = 256
+RPC_STOP_GRACE = timedelta(milliseconds=200)
+"""Time for calls of peers when a VM stops; long polls on their behalf take longer.
+
+All times of a stop together have to be shorter than the platform's grace time.
+"""
 
 
 class _UnavailableAdvisor:
@@ -230,7 +235,12 @@
         servers_http,
         access.channels,
         access.route,
-        RpcServer(settings.peer_address, [servicer.register], events),
+        RpcServer(
+            settings.peer_address,
+            [servicer.register],
+            events,
+            stop_grace=RPC_STOP_GRACE,
+        ),
         views.configuration,
         views.leadership_rows,
         views.member_rows,
@@ -251,7 +261,7 @@
     settings: LocalSettings, clock: Clock, metrics: Metrics
 ) -> _StoreAccess:
     http = HttpSession({})
-    channels = Channels(MAX_PEER_CHANNELS)
+    channels = Channels(MAX_PEER_CHANNELS, stop_grace=RPC_STOP_GRACE)
     peer_client = PeerClient(channels)
     direct = DirectTransport(http, settings.store_address)
     route = StoreRoute(direct, peer_client, clock, metrics)
--- a/cassiaweir/leadership/_election.py
+++ b/cassiaweir/leadership/_election.py
@@ -40,6 +40,13 @@
 """A process does not take over again this soon after giving up the leadership."""
 
 
+RELEASE_TIMEOUT = timedelta(milliseconds=700)
+"""A stopping leader waits this long for the store to take its release.
+
+With the drain of the front this fits into the grace time of a stop.
+"""
+
+
 class ProbeResult(StrEnum):
     """The outcome of a probe of the leader's address.
 
@@ -121,9 +128,22 @@
         """Give up the leadership, if held, and stop."""
         self._stopping = True
         if self._commits is not None:
-            await self._commits.release()
+            await self._release(self._commits)
         await self._background.stop()
 
+    async def _release(self, commits: CommitStream) -> None:
+        """Give up the leadership, without waiting for a store that does not answer.
+
+        The process ends then, and a successor takes over as from a failed leader.
+        """
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT.total_seconds()):
+                await commits.release()
+        except TimeoutError:
+            logger.warning("leadership_not_released")
+            if self.leadership is not None:
+                self.leadership.lost = True
+
     @property
     def leading(self) -> bool:
         """Whether this process leads."""
--- a/cassiaweir/peers/_members.py
+++ b/cassiaweir/peers/_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Sequence
 from datetime import timedelta
 
@@ -15,6 +16,8 @@
 
 MEMBERS_PREFIX = "nodes//"
 RETRY_DELAY = timedelta(milliseconds=300)
+REMOVAL_TIMEOUT = timedelta(milliseconds=400)
+"""A stopping process waits this long for the store to remove its row."""
 
 
 class _MemberRow(msgspec.Struct, frozen=True):
@@ -60,9 +63,10 @@
         """Remove this process from the registry."""
         await self._background.stop()
         try:
-            await self._table.commit([], [Write(self._key, None)])
-        except UnavailableError as exc:
-            logger.info("member_not_removed", cause=str(exc))
+            async with asyncio.timeout(REMOVAL_TIMEOUT.total_seconds()):
+                await self._table.commit([], [Write(self._key, None)])
+        except (UnavailableError, TimeoutError) as exc:
+            logger.info("member_not_removed", cause=str(exc) or "timed out")
 
     def addresses(self) -> list[str]:
         """Return the addresses of the other entry VMs, registered ones before seeds."""
--- a/cassiaweir/rpc/_server.py
+++ b/cassiaweir/rpc/_server.py
@@ -38,13 +38,19 @@
     """Serves the gRPC services that `registrations` add.
 
     `address` is host:port.  With port 0 the system chooses a port; `bound_address`
-    contains it after `start`.
+    contains it after `start`.  Calls in flight may take `stop_grace` when it stops.
     """
 
     def __init__(
-        self, address: str, registrations: Sequence[Registration], events: EventLog
+        self,
+        address: str,
+        registrations: Sequence[Registration],
+        events: EventLog,
+        *,
+        stop_grace: timedelta = STOP_GRACE_PERIOD,
     ) -> None:
         self._address = address
+        self._stop_grace = stop_grace
         self._registrations = registrations
         self._events = events
         self._server: grpc.aio.Server | None = None
@@ -70,7 +76,7 @@
     async def stop(self) -> None:
         """Refuse new calls; those in flight may finish within the grace period."""
         if self._server is not None:
-            await self._server.stop(STOP_GRACE_PERIOD.total_seconds())
+            await self._server.stop(self._stop_grace.total_seconds())
 
 
 class Channels:
@@ -79,8 +85,14 @@
     Beyond that the least recently used channel is closed.
     """
 
-    def __init__(self, max_channels: int = MAX_CHANNELS) -> None:
+    def __init__(
+        self,
+        max_channels: int = MAX_CHANNELS,
+        *,
+        stop_grace: timedelta = STOP_GRACE_PERIOD,
+    ) -> None:
         self._max_channels = max_channels
+        self._stop_grace = stop_grace
         self._channels: OrderedDict[str, grpc.aio.Channel] = OrderedDict()
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -106,7 +118,7 @@
         await asyncio.gather(*self._closing, return_exceptions=True)
 
     def _close(self, channel: grpc.aio.Channel) -> None:
-        """Close `channel` in the background, within `STOP_GRACE_PERIOD`."""
-        task = asyncio.create_task(channel.close(STOP_GRACE_PERIOD.total_seconds()))
+        """Close `channel` in the background, within the grace period."""
+        task = asyncio.create_task(channel.close(self._stop_grace.total_seconds()))
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
