--- a/cassiaweir/platform/_store.py
+++ b/cassiaweir/platform/_store.py
@@ -171,9 +171,17 @@
                 f"the store no longer has the changes of {table} after version {after}"
             )
         answer = _decode_answer(status, raw, Verdict.NOT_RUN)
+        removed = [row for row in answer.rows if row.removed]
+        removed_at = {
+            row.full_key: row.ver for row in sorted(removed, key=lambda row: row.ver)
+        }
         return Changes(
-            [row.to_row() for row in answer.rows if not row.removed],
-            [row.full_key for row in answer.rows if row.removed],
+            [
+                row.to_row()
+                for row in answer.rows
+                if not row.removed and row.ver > removed_at.get(row.full_key, 0)
+            ],
+            [row.full_key for row in removed],
             max(answer.ver, after),
         )
 
--- a/cassiaweir/types/_feed.py
+++ b/cassiaweir/types/_feed.py
@@ -25,7 +25,9 @@
 class Changes:
     """The rows written and the keys removed between two versions of the store.
 
-    `version` is the later one, after which the next changes are asked for.
+    `version` is the later one, after which the next changes are asked for.  A row that
+    was removed and written again is in both; one that was removed last is not in
+    `written`.
     """
 
     written: Sequence[Row]
--- a/standins/users/_rows.py
+++ b/standins/users/_rows.py
@@ -60,7 +60,12 @@
             ]
             left = ends_at - asyncio.get_running_loop().time()
             if found or left < 1e-6:
-                written = [row for _, _, row in found if row is not None]
+                gone = {key: at for at, key, row in found if row is None}
+                written = [
+                    row
+                    for at, key, row in found
+                    if row is not None and at > gone.get(key, 0)
+                ]
                 removed = [key for _, key, row in found if row is None]
                 return Changes(written, removed, self.version)
             try:
