--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -25,8 +25,9 @@
     Advisor,
     LeaderTerm,
 )
+from cassiaweir.evacuation import EvacuationView, WatchedEvacuations
 from cassiaweir.exceptions import UnavailableError
-from cassiaweir.feeds import TableWatch
+from cassiaweir.feeds import RowListeners, TableWatch
 from cassiaweir.front import AccessChecker, FrontServer, JobDirectory, JobWriter
 from cassiaweir.leadership import LEAD_PREFIX, Candidacy, Election, Owner
 from cassiaweir.observe import (
@@ -44,6 +45,7 @@
     StoreRoute,
 )
 from cassiaweir.platform import (
+    EVACUATION_PREFIX,
     MANIFEST_KEY,
     MANIFEST_PREFIX,
     SERVERS_PREFIX,
@@ -162,11 +164,12 @@
 class _Views:
     """The rows of the store that a process watches.
 
-    `configuration` watches the rows that `configuration_view` decodes.
+    `configuration` watches the rows that `configuration_view` and `evacuations` read.
     """
 
     configuration_view: ConfigurationView
     configuration: TableWatch
+    evacuations: WatchedEvacuations
     leadership_rows: TableWatch
     member_rows: TableWatch
 
@@ -182,7 +185,7 @@
         {}, max_connections_per_address=MAX_CONNECTIONS_PER_SERVER
     )
     access = _open_store(settings, clock, metrics)
-    views = _open_views(access.store, clock)
+    views = _open_views(access.store, clock, metrics)
     members = Members(
         access.store,
         views.member_rows,
@@ -209,6 +212,7 @@
         former_leader_gone=_FormerLeaderCheck(views.member_rows).was_replaced,
         metrics=metrics,
         failure_domain=settings.failure_domain,
+        evacuations=views.evacuations,
     )
     election = Election(
         access.store,
@@ -258,17 +262,20 @@
     return _StoreAccess(http, channels, peer_client, route, PlatformStore(route))
 
 
-def _open_views(store: PlatformStore, clock: Clock) -> _Views:
+def _open_views(store: PlatformStore, clock: Clock, metrics: Metrics) -> _Views:
     configuration_view = ConfigurationView(MANIFEST_KEY, decode_manifest)
+    evacuation_view = EvacuationView(EVACUATION_PREFIX, clock, metrics)
+    configuration = TableWatch(
+        store,
+        [MANIFEST_PREFIX],
+        clock,
+        wait=CONFIGURATION_POLL_WAIT,
+        listener=RowListeners([configuration_view, evacuation_view]),
+    )
     return _Views(
         configuration_view=configuration_view,
-        configuration=TableWatch(
-            store,
-            [MANIFEST_PREFIX],
-            clock,
-            wait=CONFIGURATION_POLL_WAIT,
-            listener=configuration_view,
-        ),
+        configuration=configuration,
+        evacuations=WatchedEvacuations(evacuation_view, configuration.age),
         leadership_rows=TableWatch(
             store,
             [LEAD_PREFIX],
--- a/cassiaweir/dispatch/__init__.py
+++ b/cassiaweir/dispatch/__init__.py
@@ -7,6 +7,7 @@
 from cassiaweir.dispatch._advice import Advice, Advisor
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._dispatcher import AdviceCacheFactory
+from cassiaweir.dispatch._evacuation import EvacuationSource
 from cassiaweir.dispatch._job_rows import (
     PROGRESS_PREFIX,
     cancel_key,
@@ -32,6 +33,7 @@
     "AdviceCacheFactory",
     "Advisor",
     "EndKind",
+    "EvacuationSource",
     "LeaderTerm",
     "OrderOutcome",
     "RunningTask",
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -10,8 +10,10 @@
 from loguru import logger
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
+from cassiaweir.dispatch._cold_servers import ColdServers
 from cassiaweir.dispatch._compaction import RowShrinker
 from cassiaweir.dispatch._crash_tracker import CrashTracker, lifetime_of
+from cassiaweir.dispatch._evacuation import Evacuations, EvacuationSource
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
@@ -76,8 +78,10 @@
         metrics: Metrics,
         failure_domain: str,
         entries_age: Callable[[], timedelta],
+        evacuation_source: EvacuationSource,
     ) -> None:
         self._failure_domain = failure_domain
+        self._entries_age = entries_age
         self._leadership = leadership
         self._commits = commits
         self._calls = calls
@@ -89,8 +93,16 @@
         self._metrics = metrics
         self._usage = CustomerUsage()
         self._runs = RunRegistry(jobs, self._usage, clock, leadership.epoch)
-        self._orders = OrderSender(calls, clock, leadership, self.handle_superseded)
         self.servers: dict[str, Server] = {}
+        self._cold = ColdServers()
+        self._evacuations = Evacuations(evacuation_source, clock, self.servers)
+        self._orders = OrderSender(
+            calls,
+            clock,
+            leadership,
+            self.handle_superseded,
+            self._evacuations.permit,
+        )
         self._crashes = CrashTracker(
             jobs,
             self.servers,
@@ -122,6 +134,8 @@
             self.servers,
             gate=gate,
             crashes=self._crashes,
+            evacuations=self._evacuations,
+            cold=self._cold,
             confirm_leadership=commits.confirm_leadership,
             store_reachable=lambda: commits.store_reachable,
             entries_age=entries_age,
@@ -181,6 +195,7 @@
             )
         server.entry = entry
         server.missing_since = None
+        self._cold.note(server, self._clock.monotonic())
         self.wake()
 
     def mark_server_missing(self, server_id: str) -> None:
@@ -298,6 +313,8 @@
             if not server.reachable:
                 self.handle_unreachable(server)
         self._crashes.resolve()
+        if self._entries_age() != timedelta.max:
+            self._evacuations.warn_of_unknown_domains()
         self._jobs.open_due_occurrences()
         for job in self._jobs.remove_finished():
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
@@ -327,6 +344,7 @@
         restricted = entry.failure_domain == self._failure_domain
         server = Server(entry, restricted=restricted)
         self.servers[entry.server_id] = server
+        self._cold.note(server, self._clock.monotonic())
         self._jobs.fleet_cpu_millis = sum(
             each.entry.capacity.cpu_millis for each in self.servers.values()
         )
@@ -396,6 +414,8 @@
         self._metrics.observe("start_order", self._clock.monotonic() - began)
         self._metrics.count("start_orders", result=result.value)
         if result is not StartResult.NOT_STARTED:
+            if result is StartResult.UNKNOWN:
+                self._stop_gang_of_abandoned(run)
             return
         logger.info(
             "run_not_started",
@@ -414,6 +434,19 @@
         self._reports.mark_lost(run, "the run was not started")
         self.wake()
 
+    def _stop_gang_of_abandoned(self, run: Run) -> None:
+        """Stop the other members of a gang if the start of `run` was abandoned.
+
+        Its end, if it had begun, is reported as that of a stopped run, which says
+        nothing about the others.
+        """
+        step = run.task.step
+        abandoned = run.state is RunState.STOPPING
+        if abandoned and step.spec.gang and not step.complete:
+            for member in self._runs.gang_runs(step):
+                if member.number == run.number:
+                    self._stop(member)
+
     def _preempt(self, run: Run, step: Step) -> None:
         """Stop `run` to make room for the urgent `step`."""
         logger.info(
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from cassiaweir.dispatch._evacuation import StartPermit
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_entry import (
@@ -81,7 +82,8 @@
 class OrderSender:
     """Sends the orders of a leader's term to the servers.
 
-    `on_superseded` is called when a server follows a higher epoch.
+    `on_superseded` is called when a server follows a higher epoch, and `permit` right
+    before each attempt of a start.
     """
 
     def __init__(
@@ -90,22 +92,25 @@
         clock: Clock,
         leadership: Leadership,
         on_superseded: Callable[[], None],
+        permit: Callable[[Server], StartPermit] = lambda _: StartPermit.GRANTED,
     ) -> None:
         self._client = client
         self._clock = clock
         self._leadership = leadership
         self._on_superseded = on_superseded
+        self._permit = permit
 
     async def start(self, run: Run) -> tuple[StartResult, OrderOutcome | None]:
         """Start `run`, repeating the order while an attempt is in doubt.
 
         An attempt is in doubt if it got no answer but the server may carry it out.  It
         is repeated only after the server has answered in the lifetime that the run is
-        meant for, as the next one may have less room.  Return the result, and the
-        server's answer to the last attempt if there was one.
+        meant for, as the next one may have less room.  If the server's domain is being
+        evacuated, no further attempt is made, and a run in doubt is stopped.  Return
+        the result, and the server's answer to the last attempt if there was one.
         """
         in_doubt = False
-        while await self._wait_permitted(run):
+        while await self._wait_start_permitted(run, in_doubt):
             if run.state is RunState.STOPPING or run.born != run.server.born:
                 break
             if run.task.step.job.ended:
@@ -281,6 +286,32 @@
             await self._clock.sleep(RETRY_DELAY)
         return False
 
+    async def _wait_start_permitted(self, run: Run, in_doubt: bool) -> bool:
+        """Wait until a start may be sent; return whether to send it.
+
+        A first attempt does not wait for the evacuation requests to be known again, as
+        the task can be placed anew.  A run in doubt does: it may be running already,
+        and is stopped only if its domain is evacuated.
+        """
+        while await self._wait_permitted(run):
+            permit = self._permit(run.server)
+            if permit is StartPermit.GRANTED:
+                return True
+            waits = in_doubt and permit is StartPermit.UNKNOWN
+            if waits and not self._lease_expired(run):
+                await self._clock.sleep(RETRY_DELAY)
+                continue
+            logger.info(
+                "start_abandoned" if in_doubt else "start_withheld",
+                task=run.task.name,
+                run=run.number,
+                server=run.server.server_id,
+                domain=run.server.entry.failure_domain,
+                evacuation=permit.value,
+            )
+            return False
+        return False
+
     async def _check_lifetime(self, run: Run) -> OrderOutcome:
         """Return ACCEPTED if the server still is in the lifetime meant for `run`.
 
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -133,12 +133,12 @@
     return chosen
 
 
-def preference_key(step: Step, candidate: Candidate) -> tuple[int, int, int, int]:
+def preference_key(step: Step, candidate: Candidate) -> tuple[int, int, int, int, int]:
     """Return the sort key of a server for `step`; lower ones are preferred.
 
     In this order: failures and slowness of the server, and whether it runs a task that
-    may crash it; whether it is outside of the step's rack, whether it is not a fast one
-    for an urgent step, and the CPU left free.
+    may crash it; whether it is cold, whether it is outside of the step's rack, whether
+    it is not a fast one for an urgent step, and the CPU left free.
     """
     server = candidate.server
     suspicion = server.health.failures_since_success + 2 * server.speed.slow
@@ -148,7 +148,7 @@
     other_rack = int(bool(rack) and server.entry.rack != rack)
     not_fast = int(step.job.spec.queue.priority == 0 and not server.speed.fast)
     left_millis = server.free.cpu_millis - step.demand.cpu_millis * candidate.slots
-    return (suspicion, other_rack, not_fast, left_millis)
+    return (suspicion, int(server.cold), other_rack, not_fast, left_millis)
 
 
 def is_avoided(step: Step, server: Server) -> bool:
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -10,7 +10,9 @@
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
+from cassiaweir.dispatch._cold_servers import ColdServers
 from cassiaweir.dispatch._crash_tracker import CrashTracker
+from cassiaweir.dispatch._evacuation import Evacuations
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._objective import DeadlineStatus
@@ -76,6 +78,8 @@
         *,
         gate: TakeoverGate,
         crashes: CrashTracker,
+        evacuations: Evacuations,
+        cold: ColdServers,
         confirm_leadership: Callable[[int], bool],
         store_reachable: Callable[[], bool],
         entries_age: Callable[[], timedelta],
@@ -90,6 +94,8 @@
         self._servers = servers
         self._waiting = WaitingSteps(jobs, clock, gate, crashes)
         self._quarantine = Quarantine()
+        self._evacuations = evacuations
+        self._cold = cold
         self._confirm_leadership = confirm_leadership
         self._store_reachable = store_reachable
         self._entries_age = entries_age
@@ -112,6 +118,8 @@
             and not server.health.suspended(now)
             and (may_record or not server.restricted)
         ]
+        self._discard_evacuated()
+        usable = self._evacuations.usable(usable, now)
         found = sorted(self._waiting.find(now), key=lambda each: each.rank)
         self._discard_others({each.step.name for each in found})
         self._quarantine.begin_round(
@@ -119,6 +127,7 @@
         )
         if not found:
             return
+        self._cold.begin_round(usable, found, now)
         with_room = servers_with_room(usable, [each.step for each in found])
         for waiting in found:
             try:
@@ -147,6 +156,13 @@
         for name in self._future.keys() - set(steps):
             del self._future[name]
 
+    def _discard_evacuated(self) -> None:
+        """Discard what was decided with servers of newly evacuated domains."""
+        evacuated = self._evacuations.newly_evacuated_servers()
+        if evacuated:
+            self._reservations.release_with(evacuated)
+            self._future.clear()
+
     def _place_step(
         self,
         waiting: WaitingStep,
@@ -210,7 +226,7 @@
         if within_cap == 0 or (step.spec.gang and within_cap < len(tasks)):
             self._reservations.release(step.name)
             return
-        free = self._available_servers(waiting, with_room)
+        free = self._cold.allowed(waiting, self._available_servers(waiting, with_room))
         tickets = None
         if queue.advice is not None:
             tickets = self._advice.tickets(step)
--- a/cassiaweir/dispatch/_reservations.py
+++ b/cassiaweir/dispatch/_reservations.py
@@ -36,6 +36,12 @@
         """Release the reservation of a gang, if it has one."""
         self._by_step.pop(step, None)
 
+    def release_with(self, server_ids: Collection[str]) -> None:
+        """Release the reservations that include one of the servers `server_ids`."""
+        for name, ids in list(self._by_step.items()):
+            if not ids.isdisjoint(server_ids):
+                del self._by_step[name]
+
     def includes_any(self, step: str, servers: Iterable[Server]) -> bool:
         """Return whether one of `servers` is reserved for `step`."""
         reserved = self._by_step.get(step)
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -69,7 +69,7 @@
     from, or that of the entry before the first report.  `late_starts` are runs of which
     a start got no answer and may still be carried out, though they are not expected any
     more: they were given up, or belong to an earlier lifetime.  The server gets no new
-    runs before it was told to stop them.
+    runs before it was told to stop them.  `cold` means that it is slow after its start.
     `suspects` are the runs of tasks that may crash the server, until they have run for
     long enough.  `unstored_ends` are tasks that ended here, with the position of the
     write that stores the end.
@@ -90,6 +90,7 @@
         self.recording = False
         self.reachable = True
         self.ended = False
+        self.cold = False
         self.missing_since: float | None = None
         self.acknowledged = 0
         self.orphan_runs: frozenset[RunKey] = frozenset()
--- a/cassiaweir/dispatch/_server_entry.py
+++ b/cassiaweir/dispatch/_server_entry.py
@@ -15,7 +15,8 @@
 
     `born` distinguishes the lifetimes of a server: it is the time of its start in Unix
     milliseconds, or 0 if the server does not tell.  `leaves_in_s` is the minimum time
-    until a draining server is gone, None if it does not tell.
+    until a draining server is gone, None if it does not tell.  `cold_left_s` is how
+    much longer the server is slow after its start, 0 if it is not.
     """
 
     server_id: str
@@ -28,6 +29,7 @@
     draining: bool = False
     leaves_in_s: float | None = None
     born: int = 0
+    cold_left_s: float = 0.0
 
 
 class EndKind(StrEnum):
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -11,6 +11,7 @@
 
 from cassiaweir.dispatch._compaction import RowShrinker
 from cassiaweir.dispatch._dispatcher import AdviceCacheFactory, Dispatcher
+from cassiaweir.dispatch._evacuation import EvacuationSource, NoEvacuations
 from cassiaweir.dispatch._gate import TakeoverGate, former_authority_end
 from cassiaweir.dispatch._job_registry import (
     ConfigurationSource,
@@ -130,7 +131,8 @@
     Nothing is kept from one term to the next.  Servers register under `servers_prefix`,
     and `decode_entry` decodes such a row, given the server's id and the value.
     `former_leader_gone` returns whether the process of a former leader has been
-    replaced.  `failure_domain` is that of this VM.
+    replaced.  `failure_domain` is that of this VM.  `evacuations` provides the failure
+    domains where no tasks may be started; without it there are none.
     """
 
     def __init__(
@@ -147,7 +149,9 @@
         former_leader_gone: Callable[[Owner], bool],
         metrics: Metrics,
         failure_domain: str = "",
+        evacuations: EvacuationSource | None = None,
     ) -> None:
+        self._evacuations = evacuations or NoEvacuations()
         self._failure_domain = failure_domain
         self._table = table
         self._feed = feed
@@ -289,6 +293,7 @@
             metrics=self._metrics,
             failure_domain=self._failure_domain,
             entries_age=entries_age,
+            evacuation_source=self._evacuations,
         )
 
     async def _scan(self, prefix: str) -> list[Row]:
--- a/cassiaweir/platform/__init__.py
+++ b/cassiaweir/platform/__init__.py
@@ -13,6 +13,7 @@
     local_settings_path,
 )
 from cassiaweir.platform._manifest import (
+    EVACUATION_PREFIX,
     MANIFEST_KEY,
     MANIFEST_PREFIX,
     decode_manifest,
@@ -28,6 +29,7 @@
 from cassiaweir.platform._table import HttpTable
 
 __all__ = [
+    "EVACUATION_PREFIX",
     "MANIFEST_KEY",
     "MANIFEST_PREFIX",
     "SERVERS_PREFIX",
--- a/cassiaweir/platform/_manifest.py
+++ b/cassiaweir/platform/_manifest.py
@@ -16,6 +16,8 @@
 
 MANIFEST_KEY = "op//config"
 MANIFEST_PREFIX = "op//"
+EVACUATION_PREFIX = "op//evacuate/"
+"""A row under it asks to evacuate the failure domain that the rest of its key names."""
 
 
 class _Hint(msgspec.Struct):
--- a/cassiaweir/platform/_servers.py
+++ b/cassiaweir/platform/_servers.py
@@ -63,6 +63,8 @@
     remaining_ms: float | None = None
     # When the server started, in Unix milliseconds; 0 if unknown.
     born: int = 0
+    # How much longer the server is slow after its start.
+    cold_left_ms: float | None = None
 
 
 class _RunningRow(msgspec.Struct, array_like=True):
@@ -119,6 +121,7 @@
         draining=found.state == "draining",
         leaves_in_s=None if remaining is None else remaining / 1_000,
         born=found.born,
+        cold_left_s=max(found.cold_left_ms or 0.0, 0.0) / 1_000,
     )
 
 
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -27,6 +27,7 @@
 MAX_LEASE_MS = 6_000
 CLOCK_START_MS = 1_000_000
 STOP_DURATION_S = 0.1
+COLD_SLOWDOWN = 3.0
 
 
 @dataclass
@@ -53,7 +54,8 @@
     While `failing` is set, each new run ends as failed.  `refuses` is whether its
     address refuses connections while it is down or cut off, rather than staying silent.
     `counted_capacity` is the room that starts are held against.  `successor` is the
-    server that runs at its address after a crash, if its id is new.
+    server that runs at its address after a crash, if its id is new.  While it is cold,
+    new runs take `COLD_SLOWDOWN` times as long.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self._end_numbers = itertools.count(1)
         self._acknowledged = 0
         self._started_at = 0.0
+        self._cold_until = 0.0
         self._end_event = asyncio.Event()
 
     def newest(self) -> FakeServer:
@@ -150,6 +153,23 @@
         else:
             self.site.register(self)
 
+    def make_cold(self, seconds: float) -> None:
+        """Be slow for `seconds`, and say so in the entry until then."""
+        self._cold_until = asyncio.get_running_loop().time() + seconds
+        self.entry = replace(self.entry, cold_left_s=seconds)
+        self.site.register(self)
+
+        def warm() -> None:
+            self.entry = replace(self.entry, cold_left_s=0.0)
+            self.site.register(self)
+
+        self.site.call_later(seconds, warm)
+
+    def slowdown(self) -> float:
+        """Return how many times longer than usual a run takes that starts now."""
+        cold = asyncio.get_running_loop().time() < self._cold_until
+        return COLD_SLOWDOWN if cold else 1.0
+
     def resize(self, capacity: Resources, *, counted_after_s: float) -> None:
         """Change the capacity of a running server.
 
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -52,13 +52,18 @@
 """The entry of a server that is down is removed after this time."""
 
 
+EVACUATION_S = 5.0
+"""From this time after a request on, no task may start in an evacuated domain."""
+
+
 class Site:
     """A store and backend servers, with a history of all runs.
 
     `faults` describes each breach of a guarantee that was seen: a task running twice,
-    a task started again after its end was acknowledged, an overcommitted server, or a
-    deadly task started too often.  `deadly` holds the tasks that crash their servers,
-    by the beginning of the task's name.
+    a task started again after its end was acknowledged, an overcommitted server, a
+    deadly task started too often, or a task started in an evacuated domain.  The latter
+    is allowed until `evacuation_s` after the request.  `deadly` holds the tasks that
+    crash their servers, by the beginning of the task's name.
     Servers are spread over the failure `domains` in turn.  `specs` holds the job spec
     of each submitted job by its id.
     """
@@ -69,6 +74,8 @@
         self.faults: list[str] = []
         self.specs: dict[str, JobSpec] = {}
         self.deadly: dict[str, Deadly] = {}
+        self.evacuation_s = EVACUATION_S
+        self._evacuated_at: dict[str, float] = {}
         self._running: dict[tuple[str, str, int], RunRecord] = {}
         self._acknowledged_at: dict[str, float] = {}
         self._delayed_tasks: set[asyncio.Task[None]] = set()
@@ -89,6 +96,16 @@
         key = f"servers//{server.entry.server_id}"
         self.store.apply([], [Write(key, None)])
 
+    def evacuate(self, domain: str) -> None:
+        """Request the evacuation of a failure domain."""
+        self.store.apply([], [Write(f"op//evacuate/{domain}", b"")])
+        self._evacuated_at[domain] = asyncio.get_running_loop().time()
+
+    def give_back(self, domain: str) -> None:
+        """Withdraw the request to evacuate a failure domain."""
+        self.store.apply([], [Write(f"op//evacuate/{domain}", None)])
+        del self._evacuated_at[domain]
+
     def call_later(self, delay_s: float, action: object) -> None:
         """Call `action` after `delay_s` seconds."""
 
@@ -111,8 +128,16 @@
         seconds, _, how = order.spec.partition("/")
         kind = EndKind.FAILED if server.failing else EndKind(how)
         run = FakeRun(
-            order.task, order.run, step.demand, now, now + float(seconds), kind
+            order.task,
+            order.run,
+            step.demand,
+            now,
+            now + float(seconds) * server.slowdown(),
+            kind,
         )
+        requested_at = self._evacuated_at.get(server.entry.failure_domain, now)
+        if now > requested_at + self.evacuation_s:
+            self.faults.append(f"started in an evacuated domain: {order.task}")
         for other in self._running.values():
             if other.task == order.task:
                 self.faults.append(
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -27,6 +27,7 @@
     cancel_key,
     job_key,
 )
+from cassiaweir.evacuation import EvacuationView, WatchedEvacuations
 from cassiaweir.exceptions import (
     ConflictError,
     LifetimeEndedError,
@@ -36,6 +37,7 @@
 from cassiaweir.jobs import JobSpec, StepSpec
 from cassiaweir.leadership import LEAD_PREFIX, Candidacy, Election, Owner, ProbeResult
 from cassiaweir.observe import Metrics
+from cassiaweir.platform import EVACUATION_PREFIX, MANIFEST_PREFIX
 from cassiaweir.queues import (
     AdvicePolicy,
     BackendService,
@@ -97,7 +99,8 @@
     - `lossy`: some commits are applied, but time out
     - `late`: some commits time out and are applied seconds later
 
-    Each snapshot takes `snapshot_s` longer than other reads.
+    Each snapshot takes `snapshot_s` longer than other reads.  Feeds and snapshots of
+    `silent_tables` time out.
     """
 
     def __init__(self, store: MemoryStore, rng: random.Random) -> None:
@@ -105,6 +108,7 @@
         self._rng = rng
         self.fault_mode = ""
         self.snapshot_s = 0.0
+        self.silent_tables: set[str] = set()
         self._late_commits: set[asyncio.Task[None]] = set()
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row]:
@@ -124,6 +128,7 @@
     async def snapshot(self, prefix: str) -> Snapshot:
         """Return the rows under `prefix` and the store's version."""
         await asyncio.sleep(self.snapshot_s)
+        await self._read_table(prefix.partition("/")[0])
         return Snapshot(await self.scan(prefix), self._store.version)
 
     async def changes(self, table: str, after: int, wait: timedelta) -> Changes:
@@ -132,8 +137,13 @@
         found = await self._store.changes(table, after, wait.total_seconds())
         if self.fault_mode:
             await self._call()
+        await self._read_table(table)
         return found
 
+    async def _read_table(self, table: str) -> None:
+        if table in self.silent_tables:
+            await self._time_out(Verdict.NOT_RUN)
+
     async def commit(
         self, checks: Sequence[Check], writes: Sequence[Write]
     ) -> dict[str, int]:
@@ -313,6 +323,15 @@
         self.watch = TableWatch(
             self.store, [LEAD_PREFIX], clock, wait=timedelta(milliseconds=500)
         )
+        self.metrics = Metrics()
+        view = EvacuationView(EVACUATION_PREFIX, clock, self.metrics)
+        operator_rows = TableWatch(
+            self.store,
+            [MANIFEST_PREFIX],
+            clock,
+            wait=timedelta(milliseconds=800),
+            listener=view,
+        )
         self.term = LeaderTerm(
             table=self.store,
             feed=self.store,
@@ -325,8 +344,9 @@
                 clock, advisor, advisor, wake
             ),
             former_leader_gone=self.site.replaced,
-            metrics=Metrics(),
+            metrics=self.metrics,
             failure_domain=self.failure_domain,
+            evacuations=WatchedEvacuations(view, operator_rows.age),
         )
         self.election = Election(
             self.store,
@@ -342,6 +362,7 @@
         )
         self._tasks = [
             asyncio.create_task(self.watch.run()),
+            asyncio.create_task(operator_rows.run()),
             asyncio.create_task(self.election._run()),
         ]
 
