--- a/tests/test_front_vm.py
+++ b/tests/test_front_vm.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
 import msgspec
@@ -105,12 +106,20 @@
             await component.stop()
 
 
-async def test_a_submitted_job_runs_on_the_servers_and_is_reported_done():
+@asynccontextmanager
+async def running_site(
+    *keys: str,
+) -> AsyncIterator[tuple[FakeSite, aiohttp.ClientSession, str]]:
+    """Run an entry VM; yield its site, a session and the URL of the job.
+
+    The store has the rows `keys` beside the configuration and the servers' entries.
+    """
     async with AsyncExitStack() as stack:
         site = FakeSite(servers=2, vms=0)
         await register(site, stack)
         value = msgspec.json.encode(MANIFEST)
         site.store.apply([], [Write("op//config", value)])
+        site.store.apply([], [Write(key, b"") for key in keys])
         address = await stack.enter_async_context(
             listening(StoreService(site.store).handle)
         )
@@ -125,6 +134,11 @@
         session = await stack.enter_async_context(aiohttp.ClientSession())
         site.specs[JOB_ID] = SPEC
         await until(lambda: front._is_ready())
+        yield site, session, url
+
+
+async def test_a_submitted_job_runs_on_the_servers_and_is_reported_done():
+    async with running_site() as (site, session, url):
         async with session.post(url, json=BODY, headers=HEADERS) as resp:
             assert resp.status == 200
         await until(lambda: outcome_key(JOB_ID) in site.store.rows)
@@ -133,3 +147,16 @@
             assert resp.status == 401
         assert len(site.starts_of(JOB_ID)) == 2
         assert not site.faults
+
+
+# Guards against requests in the store that do not reach the leader of the process.
+async def test_no_job_starts_while_the_store_requests_an_evacuation():
+    key = "op//evacuate/augusta"
+    async with running_site(key) as (site, session, url):
+        async with session.post(url, json=BODY, headers=HEADERS) as resp:
+            assert resp.status == 200
+        await asyncio.sleep(1)
+        assert not site.history
+        site.store.apply([], [Write(key, None)])
+        await until(lambda: outcome_key(JOB_ID) in site.store.rows)
+        assert not site.faults
