--- a/cassiaweir/dispatch/_evacuation.py
+++ b/cassiaweir/dispatch/_evacuation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from datetime import timedelta
 from enum import StrEnum
 from typing import Protocol
@@ -31,6 +31,10 @@
 """
 
 
+_OpenedSteps = dict[str, int]
+"""The steps in which each domain that was given back lately was opened so far."""
+
+
 class EvacuationSource(Protocol):
     """Provides the requests to evacuate failure domains."""
 
@@ -85,6 +89,8 @@
         self._current = True
         self._domains: frozenset[str] = frozenset()
         self._checked: frozenset[str] = frozenset()
+        self._opened: tuple[_OpenedSteps, int] = ({}, 0)
+        self._closed: frozenset[str] = frozenset()
 
     def permit(self, server: Server) -> StartPermit:
         """Return whether a task may be started on `server` now."""
@@ -145,22 +151,32 @@
             )
         return current
 
-    def _not_yet_opened(self, now: float) -> set[str]:
+    def _not_yet_opened(self, now: float) -> frozenset[str]:
         """Return the servers of domains given back lately that get no tasks yet."""
-        closed: set[str] = set()
+        opened: _OpenedSteps = {}
         for domain, at in self._source.given_back_at.items():
             steps = 1 + math.floor((now - at) / GIVE_BACK_STEP_S)
-            if steps >= GIVE_BACK_STEPS:
-                continue
-            ids = _servers_in(domain, self._servers.values())
-            closed.update(ids[math.ceil(len(ids) * steps / GIVE_BACK_STEPS) :])
-        return closed
-
+            if steps < GIVE_BACK_STEPS:
+                opened[domain] = steps
+        # The servers become known one after the other when a term begins.
+        found = (opened, len(self._servers))
+        if found != self._opened:
+            self._opened = found
+            self._closed = frozenset(
+                server_id
+                for domain, steps in opened.items()
+                for server_id in self._after_steps(domain, steps)
+            )
+        return self._closed
 
-def _servers_in(domain: str, servers: Iterable[Server]) -> list[str]:
-    return sorted(
-        each.server_id for each in servers if each.entry.failure_domain == domain
-    )
+    def _after_steps(self, domain: str, steps: int) -> list[str]:
+        """Return the servers of a domain that are opened after the first `steps`."""
+        ids = sorted(
+            server_id
+            for server_id, server in self._servers.items()
+            if server.entry.failure_domain == domain
+        )
+        return ids[math.ceil(len(ids) * steps / GIVE_BACK_STEPS) :]
 
 
 def _milliseconds(age: timedelta) -> int:
