--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -14,6 +14,7 @@
 import pytest
 from loguru import logger
 
+from cassiaweir.dispatch import EndKind, OrderOutcome, ServerEntry, StartOrder
 from cassiaweir.dispatch._evacuation import (
     GIVE_BACK_STEP_S,
     GIVE_BACK_STEPS,
@@ -23,11 +24,13 @@
 from cassiaweir.dispatch._orders import OrderSender, StartResult
 from cassiaweir.dispatch._placer import MAX_ENTRIES_AGE
 from cassiaweir.evacuation import EvacuationView, WatchedEvacuations
+from cassiaweir.exceptions import UnavailableError
 from cassiaweir.feeds import RowListeners
 from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.observe import Metrics
 from cassiaweir.platform import PlatformStore, decode_server_entry
 from cassiaweir.types import Row
+from cassiaweir.verdict import Verdict
 from tests.site_fakes import QUEUE, URGENT, FakeSite, FakeVm
 from tests.test_dispatch_orders import Orders
 from tests.test_platform_adapter import FakeTransport
@@ -264,9 +267,10 @@
     name: str, events: list[tuple[str, dict]]
 ) -> None:
     async def body() -> None:
-        site, _ = await site_with_leader(vms=1)
+        site, leader = await site_with_leader(vms=1)
         site.evacuate(name)
         await asyncio.sleep(1)
+        assert leader.metrics._gauges["evacuated_domains", ()] == int(bool(name))
         jobs = await submit_for(site, 2)
         used = {site.servers[each.server].entry.failure_domain for each in site.history}
         assert used == set(DOMAINS)
@@ -346,21 +350,30 @@
 
 
 # Guards against GANG: members that go on without one whose start was abandoned.
-def test_a_gang_is_stopped_if_the_start_of_a_member_is_abandoned() -> None:
+def test_a_gang_is_stopped_if_the_start_of_a_member_is_abandoned(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def body() -> None:
         site, leader = await site_with_leader(servers=3, vms=1)
+        start = leader.orders.start
+
+        async def lose_answer(
+            entry: ServerEntry, order: StartOrder, timeout: timedelta
+        ) -> OrderOutcome:
+            outcome = await start(entry, order, timeout)
+            if entry.failure_domain == "b":
+                site.evacuate("b")
+                await asyncio.sleep(SEEN_S)
+                raise UnavailableError("no answer", verdict=Verdict.MAY_HAVE_RUN)
+            return outcome
+
+        monkeypatch.setattr(leader.orders, "start", lose_answer)
         gang = StepSpec(count=3, cpu_millis=16_000, estimate_s=5.0, gang=True)
         job = site.submit(gang, task_s=5.0)
-        leader.orders.unreachable = {"i-1"}
-        await asyncio.sleep(0.1)
-        site.evacuate("b")
-        await asyncio.sleep(4)
-        leader.orders.unreachable = set()
-        await asyncio.sleep(2)
-        dispatcher = leader.term._dispatcher
-        assert dispatcher is not None
-        assert len(site.starts_of(job)) == 2
-        assert not any(server.runs for server in dispatcher.servers.values())
+        await asyncio.sleep(1.5)
+        assert len(site.starts_of(job)) == 3
+        assert all(run.how is EndKind.STOPPED for run in site.starts_of(job))
+        monkeypatch.undo()
         site.give_back("b")
         await check_all_done(site, [job], 15)
 
