--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Iterator
 from datetime import timedelta
@@ -34,12 +35,16 @@
 from tests.site_fakes import QUEUE, URGENT, FakeSite, FakeVm
 from tests.test_dispatch_orders import Orders
 from tests.test_platform_adapter import FakeTransport
+from tests.test_site_faults import DOMAIN_FAULTS, RECOVERY_PERIOD_S, run_faults
 from tests.virtual_time import VirtualClock, run_virtual
 
 DOMAINS = ("a", "b", "c")
 PREFIX = "op//evacuate/"
 SMALL = StepSpec(count=4, cpu_millis=4_000, estimate_s=0.5)
 WIDE = StepSpec(count=1, cpu_millis=16_000, estimate_s=1.0)
+MAX_STRETCH_S = 6.0
+"""Time by which an unstable store may delay the effect of a request."""
+
 POLL_S = 0.8
 WAVE_S = 0.65
 """Time between two short runs on a server while their ends cannot be stored."""
@@ -506,3 +511,24 @@
     key = f"{PREFIX}a"
     RowListeners([Faulty(), view]).on_row(key, Row(key, 1, b"{broken"))
     assert view.is_evacuated("a") and not view.is_evacuated(QUEUE.name)
+
+
+async def evacuate_for_some_time(site: FakeSite, rng: random.Random) -> None:
+    domain = rng.choice(DOMAINS)
+    if domain not in site._evacuated_at:
+        site.evacuate(domain)
+        await asyncio.sleep(rng.uniform(0.2, 16))
+        site.give_back(domain)
+
+
+# Guards against late starts under faults of the store, the network and the leader.
+@pytest.mark.parametrize("seed", range(400, 408))
+def test_requests_hold_under_random_faults(seed: int) -> None:
+    async def body() -> None:
+        site, _ = await site_with_leader(seed=seed)
+        site.evacuation_s += MAX_STRETCH_S
+        kinds = (*DOMAIN_FAULTS, *[evacuate_for_some_time] * 4)
+        jobs = await run_faults(site, site.rng, kinds)
+        await check_all_done(site, jobs, RECOVERY_PERIOD_S)
+
+    run_virtual(body)
