--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -178,8 +178,8 @@
         run.progress.record(percent, now)
         sample = run.progress.sample(now, spec.duration_s)
         # All members of a gang progress at the speed of the slowest one, which says
-        # nothing about the servers of the others.
-        if sample is not None and not spec.gang:
+        # nothing about the servers of the others.  A cold server is slow for now only.
+        if sample is not None and not spec.gang and not run.server.cold:
             run.server.speed.record(sample)
 
     def _stop_slow_runs(self, server: Server) -> None:
--- a/cassiaweir/platform/_store.py
+++ b/cassiaweir/platform/_store.py
@@ -74,7 +74,7 @@
     table: str
     key: str
     part: str = ""
-    value: str = ""
+    value: str | None = ""
     ver: int = 0
     removed: bool = False
 
@@ -84,8 +84,17 @@
         return f"{self.table}/{self.part}/{self.key}"
 
     def to_row(self) -> Row:
-        """Return the row with its value decoded."""
-        return Row(self.full_key, self.ver, base64.b64decode(self.value))
+        """Return the row with its value decoded.
+
+        A value that is not in base64 is returned as it is: one such row must not keep
+        the others of its table from being read, and its own reader rejects it.
+        """
+        raw = (self.value or "").encode()
+        try:
+            value = base64.b64decode(raw)
+        except ValueError:
+            value = raw
+        return Row(self.full_key, self.ver, value)
 
 
 class _RowsAnswer(msgspec.Struct):
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -234,6 +234,15 @@
     assert row == Row("op//evacuate/a", 6, b"")
 
 
+# Guards against a malformed value that ends the watch of all rows of operators.
+async def test_the_value_of_a_request_is_ignored() -> None:
+    base = {"table": "op", "key": "evacuate/a", "ver": 4}
+    rows = [base | {"value": value} for value in ("x", "", None, "{}", "é")] + [base]
+    store = PlatformStore(FakeTransport((200, {"rows": rows, "ver": 9})))
+    found = (await store.changes("op", 3, timedelta(0))).written
+    assert [row.key for row in found] == [f"{PREFIX}a"] * len(rows)
+
+
 # Guards against a leader that resigns, or goes on at home, when its domain is emptied.
 def test_a_leader_in_an_evacuated_domain_goes_on_leading() -> None:
     async def body() -> None:
@@ -461,6 +470,22 @@
     run_virtual(body)
 
 
+# Guards against a server that is avoided as a slow one once it has become warm.
+def test_a_cold_server_is_not_taken_for_a_slow_one() -> None:
+    async def body() -> None:
+        site, leader = await site_with_leader(servers=1, vms=1)
+        site.servers["i-0"].make_cold(3.0)
+        await asyncio.sleep(0.2)
+        jobs = [site.submit(StepSpec(count=4, cpu_millis=4_000, estimate_s=1.0))]
+        await asyncio.sleep(2.5)
+        dispatcher = leader.term._dispatcher
+        assert dispatcher is not None
+        assert dispatcher.servers["i-0"].speed.value == 1.0
+        await check_all_done(site, jobs, 5)
+
+    run_virtual(body)
+
+
 # Guards against urgent work that waits in vain for a warm server.
 @pytest.mark.parametrize(("cold", "limit_s"), [(4, 0.1), (3, 1.0)])
 def test_urgent_work_starts_on_cold_servers_before_it_is_late(
