--- a/cassiaweir/platform/_store.py
+++ b/cassiaweir/platform/_store.py
@@ -81,7 +81,7 @@
     table: str
     key: str
     part: str = ""
-    value: str = ""
+    value: str | None = ""
     ver: int = 0
     removed: bool = False
 
@@ -91,8 +91,17 @@
         return f"{self.table}/{self.part}/{self.key}"
 
     def to_row(self) -> Row:
-        """Return the row with its value decoded."""
-        return Row(self.full_key, self.ver, base64.b64decode(self.value))
+        """Return the row with its value decoded.
+
+        A value that is not in base64 is returned as it is: one such row must not keep
+        the others of its table from being read, and its own reader rejects it.
+        """
+        raw = (self.value or "").encode()
+        try:
+            value = base64.b64decode(raw)
+        except ValueError:
+            value = raw
+        return Row(self.full_key, self.ver, value)
 
 
 class _RowsAnswer(msgspec.Struct):
@@ -178,9 +187,17 @@
                 f"the store no longer has the changes of {table} after version {after}"
             )
         answer = _decode_answer(status, raw, Verdict.NOT_RUN)
+        removed = [row for row in answer.rows if row.removed]
+        removed_at = {
+            row.full_key: row.ver for row in sorted(removed, key=lambda row: row.ver)
+        }
         return Changes(
-            [row.to_row() for row in answer.rows if not row.removed],
-            [row.full_key for row in answer.rows if row.removed],
+            [
+                row.to_row()
+                for row in answer.rows
+                if not row.removed and row.ver > removed_at.get(row.full_key, 0)
+            ],
+            [row.full_key for row in removed],
             max(answer.ver, after),
         )
 
