--- /dev/null
+++ b/cassiaweir/scheduling/__init__.py
@@ -0,0 +1,11 @@
+"""Learns how long work takes and how fast servers are, from what running work shows.
+
+Nothing here imports messages, the store or the dispatcher, so that it can be tested
+alone.  Nothing is stored: a new leader learns again, and uses estimates until then.
+"""
+
+from cassiaweir.scheduling._durations import DurationModel
+from cassiaweir.scheduling._server_speeds import ServerSpeeds
+from cassiaweir.scheduling._step_durations import StepDurations
+
+__all__ = ["DurationModel", "ServerSpeeds", "StepDurations"]
