--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -302,6 +302,7 @@
         for job in self._jobs.remove_finished():
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
         self._remove_missing_servers(now)
+        self._reports.learner.publish()
         self._metrics.set("jobs_open", sum(1 for _ in self._jobs.open_jobs()))
         self._metrics.set(
             "runs", sum(len(server.runs) for server in self.servers.values())
@@ -320,6 +321,7 @@
             del self.servers[server_id]
             self._records.remove(server_id)
             self._crashes.note_removed(server)
+            self._reports.learner.forget_server(server)
             logger.info("server_removed", server=server_id)
 
     def _add_server(self, entry: ServerEntry) -> None:
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._job_rows import PROGRESS_PREFIX, outcome_key, row_name
+from cassiaweir.dispatch._job_times import JobTimes, WorkModels, refresh_times
 from cassiaweir.dispatch._objective import Objective, objective_of
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._shares import ShareMeter
@@ -50,7 +51,11 @@
     `over_share` means that it was submitted beyond its customer's share.  If `held`, it
     was stored before the takeover, so that a former leader may have started its tasks.
     `write_position` is the position of its newest write; `progress_stored` means that
-    a progress row of it is stored or queued.
+    a progress row of it is stored or queued.  `submitted_at` and `last_start_at`, when
+    a task of it was last started, are on the leader's clock.  `waiting_since` is when
+    the job had a waiting step again after a round without one, `seen_in_round` the last
+    round in which it had one, and `turn_at` when it was last taken out of turn.
+    `times` are the expected durations, None before the job was first ranked.
     """
 
     job: Job
@@ -60,6 +65,12 @@
     runs: set[Run] = field(default_factory=set)
     write_position: int = 0
     progress_stored: bool = False
+    submitted_at: float = 0.0
+    last_start_at: float = 0.0
+    waiting_since: float = 0.0
+    seen_in_round: int = -1
+    turn_at: float = 0.0
+    times: JobTimes | None = None
 
 
 class JobRegistry:
@@ -67,7 +78,8 @@
 
     `progress` and `outcomes` are what former leaders stored, by job id.  `entries`
     holds the jobs that are not finished; of the others only the final state is kept.
-    `fleet_cpu_millis` is the CPU capacity of all servers.
+    `fleet_cpu_millis` is the CPU capacity of all servers.  `models` are what this term
+    has learnt of durations and of the speeds of servers.
     """
 
     def __init__(
@@ -86,6 +98,8 @@
         self._progress = dict(progress)
         self._outcomes = dict(outcomes)
         self._shares = ShareMeter()
+        self.models = WorkModels()
+        self.objective_updates = 0
 
     def queue_of(self, job: Job) -> Queue:
         """Return the job's queue as configured now, or as it was at submission."""
@@ -111,6 +125,22 @@
             return None
         return self._add(spec, row.version, held=held)
 
+    def times_of(self, entry: JobEntry, queue: Queue, now: float) -> JobTimes:
+        """Return the expected durations of a job; update its objective to them."""
+        times = refresh_times(entry.job, queue, self.models, entry.times, now)
+        if times is not entry.times:
+            if entry.times is not None:
+                self.objective_updates += 1
+            entry.times = times
+            entry.objective = objective_of(
+                entry.job.spec,
+                queue,
+                self.fleet_cpu_millis,
+                entry.submitted_at,
+                times.nominal_s,
+            )
+        return times
+
     def find_task(self, name: str) -> Task | None:
         """Return the task called `name`, or None if no job in `entries` has it."""
         entry = self.entries.get(name.partition(".")[0])
@@ -189,6 +219,7 @@
             if done and self._writer.is_stored(entry.write_position):
                 self._outcomes[job_id] = entry.job.state
                 del self.entries[job_id]
+                self.models.forget_job(entry.job)
                 removed.append(entry.job)
         return removed
 
@@ -207,6 +238,7 @@
         over = self._shares.record_submission(spec.customer, weight, spec.submitted_at)
         entry = JobEntry(job, objective, over, held)
         entry.progress_stored = progress is not None
+        entry.submitted_at = now - age_s
         self.entries[spec.job_id] = entry
         return entry
 
--- a/cassiaweir/dispatch/_objective.py
+++ b/cassiaweir/dispatch/_objective.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 
-from cassiaweir.jobs import Job, JobSpec, Step
+from cassiaweir.jobs import JobSpec
 from cassiaweir.queues import Queue
 
 MAX_LATENESS_FACTOR = 3
@@ -40,47 +41,59 @@
     worthless_at: float
 
 
-def critical_path_s(spec: JobSpec, queue: Queue, fleet_cpu_millis: int) -> float:
+def critical_path_s(
+    spec: JobSpec,
+    queue: Queue,
+    fleet_cpu_millis: int,
+    durations_s: Sequence[float] = (),
+) -> float:
     """Return the expected seconds of the longest chain of dependent steps.
 
-    The time that the advice service takes to answer for each step is included.
+    `durations_s` are the expected durations of a task of each step, the estimates if
+    empty.  The time that the advice service takes to answer for each step is included.
     """
+    durations_s = durations_s or [step.duration_s for step in spec.steps]
     ends: list[float] = []
-    for step in spec.steps:
+    for step, duration_s in zip(spec.steps, durations_s, strict=True):
         begins = max((ends[earlier] for earlier in step.after), default=0.0)
         wave_cpu_millis = max(fleet_cpu_millis * MAX_WAVE_SHARE, 1.0)
         waves = max(step.count * step.demand.cpu_millis / wave_cpu_millis, 1.0)
-        ends.append(begins + step.duration_s * waves + _advice_s(queue))
+        ends.append(begins + duration_s * waves + _advice_s(queue))
     return max(ends)
 
 
 def objective_of(
-    spec: JobSpec, queue: Queue, fleet_cpu_millis: int, submitted_at: float
+    spec: JobSpec,
+    queue: Queue,
+    fleet_cpu_millis: int,
+    submitted_at: float,
+    durations_s: Sequence[float] = (),
 ) -> Objective:
-    """Return the objective of a job that was submitted at `submitted_at`."""
-    allowed_s = queue.stretch * critical_path_s(spec, queue, fleet_cpu_millis)
-    allowed_s += queue.slack_s
+    """Return the objective of a job that was submitted at `submitted_at`.
+
+    `durations_s` are as for `critical_path_s`.
+    """
+    path_s = critical_path_s(spec, queue, fleet_cpu_millis, durations_s)
+    allowed_s = queue.stretch * path_s + queue.slack_s
     return Objective(
         submitted_at + allowed_s, submitted_at + MAX_LATENESS_FACTOR * allowed_s
     )
 
 
-def remaining_critical_path_s(job: Job, step: Step) -> float:
-    """Return the expected seconds from the start of `step` to the end of the job.
+def remaining_paths_s(spec: JobSpec, durations_s: Sequence[float] = ()) -> list[float]:
+    """Return for each step the expected seconds from its start to the end of the job.
 
-    Only `step` and the steps that depend on it count.
+    Only the step and those that depend on it count.  `durations_s` are as for
+    `critical_path_s`.
     """
-    # Steps depend only on earlier ones, so the last step is computed first.
-    remaining_s: dict[int, float] = {}
-    for number in range(len(job.spec.steps) - 1, -1, -1):
-        dependents = [
-            remaining_s[later]
-            for later in remaining_s
-            if number in job.spec.steps[later].after
-        ]
-        spec = job.spec.steps[number]
-        remaining_s[number] = spec.duration_s + max(dependents, default=0.0)
-    return remaining_s[step.number]
+    durations_s = durations_s or [step.duration_s for step in spec.steps]
+    remaining_s = list(durations_s)
+    # Steps depend only on earlier ones, so the last step is complete first.
+    for number in range(len(spec.steps) - 1, -1, -1):
+        for earlier in spec.steps[number].after:
+            through_s = durations_s[earlier] + remaining_s[number]
+            remaining_s[earlier] = max(remaining_s[earlier], through_s)
+    return remaining_s
 
 
 def deadline_status(
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -9,6 +9,15 @@
 from cassiaweir.jobs import Step
 from cassiaweir.types import Resources
 
+SLOW_SPEED = 0.45
+"""Servers below this speed, relative to the median, get tasks last."""
+
+FAST_SPEED = 1.25
+"""Servers from this relative speed on are preferred for urgent steps.
+
+The speeds of equal servers are found to differ by less than this.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -141,12 +150,15 @@
     for an urgent step, and the CPU left free.
     """
     server = candidate.server
-    suspicion = server.health.failures_since_success + 2 * server.speed.slow
+    suspicion = server.health.failures_since_success + 2 * (
+        server.relative_speed < SLOW_SPEED
+    )
     suspicion += is_avoided(step, server)
     suspicion += bool(server.suspects)
     rack = step.spec.rack
     other_rack = int(bool(rack) and server.entry.rack != rack)
-    not_fast = int(step.job.spec.queue.priority == 0 and not server.speed.fast)
+    urgent = step.job.spec.queue.priority == 0
+    not_fast = int(urgent and server.relative_speed < FAST_SPEED)
     left_millis = server.free.cpu_millis - step.demand.cpu_millis * candidate.slots
     return (suspicion, other_rack, not_fast, left_millis)
 
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -244,7 +244,7 @@
 
         Nothing is preempted for a job beyond its customer's share.
         """
-        on_time = waiting.rank[0] == int(DeadlineStatus.ON_TIME)
+        on_time = waiting.rank.status == DeadlineStatus.ON_TIME
         urgent = waiting.queue.priority == URGENT_PRIORITY
         if missing <= 0 or not urgent or not on_time or waiting.entry.over_share:
             return
@@ -286,7 +286,7 @@
             )
         ids = servers_to_ask(found, count, share)
         urgent = waiting.queue.priority == URGENT_PRIORITY
-        rank = waiting.rank[1] * 1e9 + waiting.rank[3]
+        rank = waiting.rank.not_urgent * 1e9 + waiting.rank.latest_start
         self._advice.ask(step, policy, ids, rank, urgent=urgent)
 
     def _gang_servers_to_ask(
@@ -366,9 +366,8 @@
         step = waiting.step
         if self._reservations.includes_any(step.name, servers):
             return
-        if waiting.rank[0] == DeadlineStatus.WORTHLESS and self._reservations.of_others(
-            step.name
-        ):
+        worthless = waiting.rank.status == DeadlineStatus.WORTHLESS
+        if worthless and self._reservations.of_others(step.name):
             return
         candidates = self._future_candidates(waiting, servers, tasks)
         if waiting.queue.advice is not None:
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -8,6 +8,7 @@
 
 from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
+from cassiaweir.dispatch._learning import Learner
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run, RunKey, RunState
 from cassiaweir.dispatch._server import Server
@@ -51,6 +52,7 @@
         self._stop = stop
         self._stop_orphan = stop_orphan
         self._stop_late_start = stop_late_start
+        self.learner = Learner(jobs, runs, metrics)
 
     def apply(self, server: Server, report: ServerReport, asked_at: float) -> int:
         """Apply a report that was requested at `asked_at`.
@@ -71,9 +73,12 @@
             )
             self._crashes.note_lifetime_end(server)
             server.begin_lifetime(report.born, self._clock.monotonic())
+            self.learner.forget_server(server)
         elif report.born:
             server.born = report.born
-        server.update_from_report(report, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self.learner.begin_report(server, report, asked_at, now)
+        server.update_from_report(report, now)
         position = 0
         for end in report.ended:
             if end.number > server.acknowledged:
@@ -170,17 +175,14 @@
             run.server.suspects.pop(run.key, None)
 
     def _record_progress(self, run: Run, percent: float) -> None:
-        """Record the progress of a run and the speed of its server."""
+        """Record the progress of a run."""
         spec = run.task.step.spec
         if spec.long_running:
             return
         now = self._clock.monotonic()
         run.progress.record(percent, now)
-        sample = run.progress.sample(now, spec.duration_s)
-        # All members of a gang progress at the speed of the slowest one, which says
-        # nothing about the servers of the others.
-        if sample is not None and not spec.gang:
-            run.server.speed.record(sample)
+        run.progress.sample(now, spec.duration_s)
+        self.learner.record_progress(run, percent)
 
     def _stop_slow_runs(self, server: Server) -> None:
         """Stop runs that have stalled or crawl, so that they start on other servers."""
@@ -208,6 +210,7 @@
                 continue
             if stalled:
                 server.health.record_stall(now)
+                self.learner.forget_server(server)
             self._stop(run)
 
     def _remove_unlisted(
@@ -234,6 +237,8 @@
         if run is not None:
             self._log_end(server, run, end)
         if end.kind is EndKind.DONE:
+            if run is not None:
+                self.learner.record_end(run)
             return self._finish(server, entry, task)
         task.step.record_checkpoint(task, end.checkpoint)
         position = 0
@@ -282,6 +287,7 @@
         now = self._clock.monotonic()
         if server.health.record_failure(entry.job.job_id, now):
             logger.warning("server_suspended", server=server.server_id)
+            self.learner.forget_server(server)
         if entry.job.ended:
             logger.info("job_ended", job=entry.job.job_id, state=entry.job.state.value)
             for run in list(entry.runs):
--- a/cassiaweir/dispatch/_runs.py
+++ b/cassiaweir/dispatch/_runs.py
@@ -8,6 +8,7 @@
 
 from cassiaweir.dispatch._speed import RunProgress
 from cassiaweir.jobs import Isolation, Task
+from cassiaweir.scheduling import ProgressSampler
 from cassiaweir.types import Resources
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
     of the server in which the room for the run was found.  `sent_at` is the time at
     which a start was sent that may have been carried out, None if there was none.
     `isolation` is what may run beside it while it is suspected of crashing servers.
+    `from_start` means that this leader placed it and that it resumes no checkpoint.
     """
 
     task: Task
@@ -53,7 +55,9 @@
     born: int = 0
     sent_at: float | None = None
     isolation: Isolation = Isolation.NONE
+    from_start: bool = False
     progress: RunProgress = field(default_factory=RunProgress)
+    sampler: ProgressSampler = field(default_factory=ProgressSampler)
 
     @property
     def key(self) -> RunKey:
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -7,7 +7,6 @@
 from cassiaweir.dispatch._health import ServerHealth
 from cassiaweir.dispatch._runs import Run, RunKey
 from cassiaweir.dispatch._server_entry import ServerEntry, ServerReport
-from cassiaweir.dispatch._speed import ServerSpeed
 from cassiaweir.jobs import Isolation
 from cassiaweir.types import NO_RESOURCES, Resources
 
@@ -72,7 +71,8 @@
     runs before it was told to stop them.
     `suspects` are the runs of tasks that may crash the server, until they have run for
     long enough.  `unstored_ends` are tasks that ended here, with the position of the
-    write that stores the end.
+    write that stores the end.  `relative_speed` is that of `ServerSpeeds`, 1.0 while
+    unknown.
     """
 
     def __init__(self, entry: ServerEntry, *, restricted: bool = False) -> None:
@@ -84,7 +84,7 @@
         self.runs: dict[RunKey, Run] = {}
         self.suspects: dict[RunKey, Run] = {}
         self.health = ServerHealth()
-        self.speed = ServerSpeed()
+        self.relative_speed = 1.0
         self.fenced = False
         self.recorded = False
         self.recording = False
@@ -282,7 +282,7 @@
         self._clock_ms = None
         self._latest_lease_end_ms = 0
         self.health = ServerHealth()
-        self.speed = ServerSpeed()
+        self.relative_speed = 1.0
         for key, run in self.runs.items():
             run.until_ms = None
             if key in self._lost_starts:
--- a/cassiaweir/dispatch/_speed.py
+++ b/cassiaweir/dispatch/_speed.py
@@ -1,12 +1,10 @@
-"""Detects stalled and crawling runs and measures the speed of servers.
+"""Detects stalled and crawling runs from the progress that servers report.
 
-Both use the progress that the reports of the servers show.  A speed of 1 is that at
-which a run would take exactly its estimated time.
+A speed of 1 is that at which a run would take exactly its estimated time.
 """
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
 STALL_S = 0.9
@@ -40,15 +38,6 @@
 """A run is moved if staying takes more than this many times as long as moving."""
 
 MIN_SAMPLE_S = 0.25
-SAMPLE_WEIGHT = 0.25
-SLOW_SPEED = 0.45
-"""A server whose speed is below this is slow."""
-
-FAST_SPEED = 1.1
-"""A server whose speed is above this is fast."""
-
-MAX_LOG_SPEED = 2.5
-"""Limit for the logarithm of a sample, above and below 0."""
 
 
 @dataclass(slots=True)
@@ -116,33 +105,3 @@
         whole_run_s = estimate_s / self.best_speed
         remaining_s = (100 - self.percent) / 100 * estimate_s / self.speed
         return remaining_s > MIN_MOVE_GAIN * (whole_run_s + RESTART_S)
-
-
-class ServerSpeed:
-    """The speed of one server: a moving geometric mean of the samples of its runs."""
-
-    def __init__(self) -> None:
-        self._log = 0.0
-
-    @property
-    def value(self) -> float:
-        """The mean speed; 1 until the first sample is recorded."""
-        return math.exp(self._log)
-
-    @property
-    def slow(self) -> bool:
-        """Whether other servers are preferred because this one is slow."""
-        return self.value < SLOW_SPEED
-
-    @property
-    def fast(self) -> bool:
-        """Whether the server works faster than the estimates say."""
-        return self.value > FAST_SPEED
-
-    def record(self, sample: float) -> None:
-        """Add a speed sample of one run to the mean."""
-        if sample <= 0:
-            log = -MAX_LOG_SPEED
-        else:
-            log = max(min(math.log(sample), MAX_LOG_SPEED), -MAX_LOG_SPEED)
-        self._log += (log - self._log) * SAMPLE_WEIGHT
--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -2,25 +2,50 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import NamedTuple
+
+from loguru import logger
 
 from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
-from cassiaweir.dispatch._objective import (
-    DeadlineStatus,
-    deadline_status,
-    remaining_critical_path_s,
-)
+from cassiaweir.dispatch._job_times import URGENT_PRIORITY
+from cassiaweir.dispatch._objective import deadline_status
 from cassiaweir.jobs import Step, Task
 from cassiaweir.queues import Queue
 from cassiaweir.types import Clock
 
-URGENT_PRIORITY = 0
-"""The priority of queues with urgent jobs."""
+AGED_S = 30.0
+"""A job of which no task has started for this long may be taken out of turn."""
+
+TURN_S = 1.0
+"""Time for which a step that is taken out of turn stays the only one.
+
+A backlog that has waited for long then does not keep new work from being on time.
+"""
+
+PRESSURE_S = 0.5
+"""Steps whose latest starts fall into the same interval are equally pressing."""
+
+WITHIN_SHARE = 0
+BEYOND_SHARE = 1
+OUT_OF_TURN = -1
+
+
+class Rank(NamedTuple):
+    """The sort key of a waiting step; lower ones start first.
 
-Rank = tuple[int, int, int, float]
-"""The sort key of a waiting step, as `rank_of` returns it; lower ones start first."""
+    `share` is one of `OUT_OF_TURN`, `WITHIN_SHARE` and `BEYOND_SHARE`, `status` a
+    `DeadlineStatus`, `pressure` the latest start in units of `PRESSURE_S`.
+    """
+
+    share: int
+    status: int
+    not_urgent: int
+    pressure: int
+    not_begun: int
+    latest_start: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,21 +72,65 @@
         self._clock = clock
         self._gate = gate
         self._crashes = crashes
+        self._round = 0
+        self._turn: JobEntry | None = None
+        self._turn_ends_at = 0.0
 
     def find(self, now: float) -> list[WaitingStep]:
         """Return the steps with tasks that may be started at `now`, in any order."""
         wall = self._clock.now().timestamp()
-        found = []
+        found: list[WaitingStep] = []
+        aged: list[JobEntry] = []
+        self._round += 1
         for entry in self._jobs.open_jobs():
             queue = self._jobs.queue_of(entry.job)
             for step in entry.job.startable_steps():
                 if not _due(step, wall) or not self._has_startable(entry, step):
                     continue
-                found.append(
-                    WaitingStep(rank_of(entry, step, queue, now), entry, step, queue)
-                )
+                remaining_s = self._jobs.times_of(entry, queue, now).remaining_s
+                rank = rank_of(entry, queue, remaining_s[step.number], now)
+                found.append(WaitingStep(rank, entry, step, queue))
+                if self._note_waiting(entry, now):
+                    aged.append(entry)
+        self._take_turn(found, aged, now)
         return found
 
+    def _note_waiting(self, entry: JobEntry, now: float) -> bool:
+        """Note that a job has a waiting step; return whether it waits for too long."""
+        if entry.seen_in_round < self._round - 1:
+            entry.waiting_since = now
+        entry.seen_in_round = self._round
+        return now - max(entry.waiting_since, entry.last_start_at) > AGED_S
+
+    def _take_turn(
+        self, found: list[WaitingStep], aged: list[JobEntry], now: float
+    ) -> None:
+        """Put a step of the job that has waited for longest before all others.
+
+        Nothing then waits for ever, even if other work always comes first by rank.
+        """
+        if not aged:
+            return
+        if now >= self._turn_ends_at:
+            # A job that cannot start in its turn, such as one whose customer is at its
+            # cap, waits for its next one behind the others.
+            self._turn = min(
+                aged,
+                key=lambda each: max(
+                    each.waiting_since, each.last_start_at, each.turn_at
+                ),
+            )
+            self._turn.turn_at = now
+            self._turn_ends_at = now + TURN_S
+            logger.info("job_taken_out_of_turn", job=self._turn.job.job_id)
+        if self._turn not in aged:
+            return
+        for number, waiting in enumerate(found):
+            if waiting.entry is self._turn:
+                rank = waiting.rank._replace(share=OUT_OF_TURN)
+                found[number] = replace(waiting, rank=rank)
+                return
+
     def _has_startable(self, entry: JobEntry, step: Step) -> bool:
         if not _has_waiting(step):
             return False
@@ -94,17 +163,19 @@
     return len(step.placed()) + step.done_count < len(step.tasks)
 
 
-def rank_of(entry: JobEntry, step: Step, queue: Queue, now: float) -> Rank:
-    """Return the rank of a step; lower ranks start first.
+def rank_of(entry: JobEntry, queue: Queue, remaining_s: float, now: float) -> Rank:
+    """Return the rank of a step whose job needs `remaining_s` from its start on.
 
-    In this order: whether the job can meet its deadline, whether it is urgent and on
-    time, whether it is within its customer's share, and the latest start that would
-    still meet the deadline.
+    Of equally pressing steps, those of jobs that have begun come first: a job is worth
+    something only once it is complete.
     """
-    remaining = remaining_critical_path_s(entry.job, step)
-    status = deadline_status(entry.objective, remaining, now)
-    urgent = queue.priority == URGENT_PRIORITY
-    latest_start = entry.objective.due_at - remaining
-    if status is not DeadlineStatus.ON_TIME:
-        urgent = False
-    return (int(status), int(not urgent), int(entry.over_share), latest_start)
+    objective = entry.objective
+    latest_start = objective.due_at - remaining_s
+    return Rank(
+        BEYOND_SHARE if entry.over_share else WITHIN_SHARE,
+        int(deadline_status(objective, remaining_s, now)),
+        int(queue.priority != URGENT_PRIORITY),
+        int(latest_start // PRESSURE_S),
+        int(not entry.job.started),
+        latest_start,
+    )
--- a/cassiaweir/scheduling/__init__.py
+++ b/cassiaweir/scheduling/__init__.py
@@ -5,7 +5,19 @@
 """
 
 from cassiaweir.scheduling._durations import DurationModel
+from cassiaweir.scheduling._samples import (
+    MIN_GAIN_PERCENT,
+    Progress,
+    ProgressSampler,
+)
 from cassiaweir.scheduling._server_speeds import ServerSpeeds
 from cassiaweir.scheduling._step_durations import StepDurations
 
-__all__ = ["DurationModel", "ServerSpeeds", "StepDurations"]
+__all__ = [
+    "MIN_GAIN_PERCENT",
+    "DurationModel",
+    "Progress",
+    "ProgressSampler",
+    "ServerSpeeds",
+    "StepDurations",
+]
--- a/cassiaweir/scheduling/_durations.py
+++ b/cassiaweir/scheduling/_durations.py
@@ -184,7 +184,9 @@
         factor = math.exp(self.spread(queue) * NormalDist().inv_cdf(q))
         return self.expected_s(queue, estimate_s) * factor
 
-    def weight(self, queue: str) -> float:
-        """Return how many samples of today's weight the model of `queue` has."""
+    def ratio(self, queue: str) -> float:
+        """Return the ratio of durations and estimates at the mean estimate."""
         model = self._queues.get(queue)
-        return 0.0 if model is None else model.duration_weight
+        if model is None or not model.weight:
+            return 1.0
+        return math.exp(model.r / (model.weight + PRIOR_WEIGHT))
--- a/cassiaweir/scheduling/_server_speeds.py
+++ b/cassiaweir/scheduling/_server_speeds.py
@@ -45,7 +45,7 @@
 class _StepRates:
     """Log rates of one step, corrected for the speed of the server of each.
 
-    `by_server` holds sum and number for each server, `total` and `count` for all.
+    `by_server` holds sum and weight for each server, `total` and `count` for all.
     """
 
     total: float = 0.0
@@ -53,11 +53,11 @@
     by_server: dict[str, tuple[float, float]] = field(default_factory=dict)
 
     def others(self, server_id: str) -> tuple[float, float]:
-        """Return sum and number of the samples of all other servers."""
+        """Return sum and weight of the samples of all other servers."""
         total, count = self.by_server.get(server_id, (0.0, 0.0))
         return self.total - total, self.count - count
 
-    def add(self, server_id: str, corrected: float) -> None:
+    def add(self, server_id: str, corrected: float, weight: float) -> None:
         """Add a corrected log rate of a server."""
         known = self.by_server.get(server_id)
         if known is None:
@@ -68,9 +68,9 @@
             mean = self.total / self.count
             limits = (mean - MAX_RESIDUAL, mean + MAX_RESIDUAL)
             corrected = min(max(corrected, limits[0]), limits[1])
-        self.by_server[server_id] = (known[0] + corrected, known[1] + 1)
-        self.total += corrected
-        self.count += 1
+        self.by_server[server_id] = (known[0] + weight * corrected, known[1] + weight)
+        self.total += weight * corrected
+        self.count += weight
 
 
 class ServerSpeeds:
@@ -87,12 +87,21 @@
         self._since_centred = 0
         self._mean = 1.0
         self._upper = 1.0
+        self._known = 0
+
+    def record(
+        self,
+        step: str,
+        server_id: str,
+        rate: float,
+        at: float = 0.0,
+        weight: float = 1.0,
+    ) -> None:
+        """Add the rate at which a task of `step` progressed on a server until `at`.
 
-    def record(self, step: str, server_id: str, rate: float, at: float = 0.0) -> None:
-        """Add the rate at which a task of `step` progressed on a server.
-
-        Any unit will do that is the same for all tasks of the step.  Rates that are not
-        positive are ignored: a task that has stalled says nothing about the speed.
+        Any unit will do that is the same for all tasks of the step.  `weight` is the
+        part of the task that was observed.  Rates that are not positive are ignored: a
+        task that has stalled says nothing about the speed.
         """
         if not (math.isfinite(rate) and rate > 0):
             return
@@ -109,8 +118,9 @@
         total, count = rates.others(server_id)
         if count > 0:
             self._servers[server_id] = state
-            self._update(state, log_rate - total / count, count, at)
-        rates.add(server_id, log_rate - state.log)
+            observed = log_rate - total / count
+            self._update(state, observed, weight * count / (count + weight), at)
+        rates.add(server_id, log_rate - state.log, weight)
 
     def speed(self, server_id: str) -> float:
         """Return the speed of a server, 1.0 while it is unknown."""
@@ -142,14 +152,18 @@
         """The speed that a quarter of the known servers exceeds."""
         return self._upper
 
+    @property
+    def known_count(self) -> int:
+        """How many speeds were known when the median was last computed."""
+        return self._known
+
     def _update(
-        self, state: _ServerState, observed: float, others: float, at: float
+        self, state: _ServerState, observed: float, weight: float, at: float
     ) -> None:
-        """Move a server's speed towards `observed`, seen against `others` samples."""
+        """Move the logarithm of a server's speed towards `observed`."""
         if at > state.at > -math.inf:
             state.weight *= 0.5 ** ((at - state.at) / HALF_LIFE_S)
         state.at = max(at, state.at)
-        weight = others / (others + 1)
         residual = min(max(observed - state.log, -MAX_RESIDUAL), MAX_RESIDUAL)
         state.log += residual * weight / (state.weight + weight + PRIOR_WEIGHT)
         state.weight = min(state.weight + weight, MAX_WEIGHT)
@@ -167,6 +181,7 @@
         logs = [
             each.log for each in self._servers.values() if each.weight >= KNOWN_WEIGHT
         ]
+        self._known = len(logs)
         if len(logs) < 2:
             return
         self._centre = median(logs)
--- a/tests/test_dispatch_parts.py
+++ b/tests/test_dispatch_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,7 +16,7 @@
     critical_path_s,
     deadline_status,
     objective_of,
-    remaining_critical_path_s,
+    remaining_paths_s,
 )
 from cassiaweir.dispatch._placement import (
     choose_servers,
@@ -25,12 +27,12 @@
 from cassiaweir.dispatch._server import LEASE_S, MAX_LEASE_MS, Server
 from cassiaweir.dispatch._server_records import FormerTasks
 from cassiaweir.dispatch._shares import ShareMeter
-from cassiaweir.dispatch._speed import RunProgress, ServerSpeed
+from cassiaweir.dispatch._speed import RunProgress
 from cassiaweir.dispatch._usage import CustomerUsage
 from cassiaweir.jobs import Job, JobSpec, Step, StepSpec
 from cassiaweir.queues import Customer
 from cassiaweir.types import Resources
-from tests.site_fakes import QUEUE
+from tests.site_fakes import QUEUE, URGENT
 
 ANY_TASK = FormerTasks(None)
 
@@ -217,8 +219,7 @@
     )
     spec = JobSpec("0" * 16, QUEUE, "c", "x", steps, 0.0)
     assert critical_path_s(spec, QUEUE, 1_000_000) == 3
-    job = Job(spec, 1, 3)
-    assert remaining_critical_path_s(job, job.steps[0, 0]) == 3
+    assert remaining_paths_s(spec) == [3, 3, 1]
     assert objective_of(spec, QUEUE, 1_000_000, 10.0).due_at == 10 + 4 * 3 + 3
 
 
@@ -281,11 +282,14 @@
     assert not progress.should_move(5.0)
 
 
-def test_the_speed_of_a_server_follows_its_runs():
-    speed = ServerSpeed()
-    for _ in range(8):
-        speed.record(0.15)
-    assert speed.slow
-    for _ in range(20):
-        speed.record(1.25)
-    assert speed.fast
+def test_slow_servers_come_last_and_fast_ones_first_for_urgent_steps():
+    """Servers of unlike speed are chosen as if they were alike."""
+    servers = [server_of(name) for name in ("slow", "usual", "fast")]
+    for server, speed in zip(servers, (0.4, 1.0, 1.3), strict=True):
+        server.relative_speed = speed
+    step = step_of(cpu_millis=1_000)
+    spec = replace(step.job.spec, queue=URGENT)
+    for each, expected in ((step, "usual"), (Job(spec, 1, 3).steps[0, 0], "fast")):
+        chosen = choose_servers(each, find_candidates(each, servers, None, 4), 9)
+        names = [server.server_id for server in chosen]
+        assert (names[0], names[-1]) == (expected, "slow")
