--- a/cassiaweir/scheduling/_server_speeds.py
+++ b/cassiaweir/scheduling/_server_speeds.py
@@ -13,7 +13,7 @@
 MAX_SERVERS_PER_STEP = 64
 """Further servers of a step are compared with these, but are not part of the mean."""
 
-PRIOR_WEIGHT = 1.0
+PRIOR_WEIGHT = 0.5
 """Weight, in samples, of the assumption that a server is as fast as the median."""
 
 MAX_WEIGHT = 12.0
@@ -41,36 +41,32 @@
     at: float = -math.inf
 
 
+@dataclass(slots=True)
+class _ServerRates:
+    """The log rates of one step on one server.
+
+    `total` is their weighted sum and `share` what they contribute to the sum of the
+    step.  `credited` is the weight with which they were used for the server's speed.
+    """
+
+    total: float = 0.0
+    weight: float = 0.0
+    share: float = 0.0
+    credited: float = 0.0
+
+
 @dataclass(slots=True)
 class _StepRates:
-    """Log rates of one step, corrected for the speed of the server of each.
+    """The log rates of one step.
 
-    `by_server` holds sum and weight for each server, `total` and `count` for all.
+    `total` is their weighted sum, each corrected for the speed of its server, and
+    `last` the server of the last sample.
     """
 
     total: float = 0.0
-    count: float = 0.0
-    by_server: dict[str, tuple[float, float]] = field(default_factory=dict)
-
-    def others(self, server_id: str) -> tuple[float, float]:
-        """Return sum and weight of the samples of all other servers."""
-        total, count = self.by_server.get(server_id, (0.0, 0.0))
-        return self.total - total, self.count - count
-
-    def add(self, server_id: str, corrected: float, weight: float) -> None:
-        """Add a corrected log rate of a server."""
-        known = self.by_server.get(server_id)
-        if known is None:
-            if len(self.by_server) >= MAX_SERVERS_PER_STEP:
-                return
-            known = (0.0, 0.0)
-        if self.count:
-            mean = self.total / self.count
-            limits = (mean - MAX_RESIDUAL, mean + MAX_RESIDUAL)
-            corrected = min(max(corrected, limits[0]), limits[1])
-        self.by_server[server_id] = (known[0] + weight * corrected, known[1] + weight)
-        self.total += weight * corrected
-        self.count += weight
+    weight: float = 0.0
+    by_server: dict[str, _ServerRates] = field(default_factory=dict)
+    last: str = ""
 
 
 class ServerSpeeds:
@@ -112,15 +108,20 @@
             if len(self._steps) > MAX_STEPS:
                 self._steps.popitem(last=False)
         self._steps.move_to_end(step)
-        state = self._servers.get(server_id)
-        if state is None:
-            state = _ServerState(log=self._centre)
-        total, count = rates.others(server_id)
-        if count > 0:
-            self._servers[server_id] = state
-            observed = log_rate - total / count
-            self._update(state, observed, weight * count / (count + weight), at)
-        rates.add(server_id, log_rate - state.log, weight)
+        of_server = rates.by_server.get(server_id)
+        if of_server is None:
+            if len(rates.by_server) >= MAX_SERVERS_PER_STEP:
+                return
+            of_server = rates.by_server[server_id] = _ServerRates()
+        of_server.total += weight * log_rate
+        of_server.weight += weight
+        rates.weight += weight
+        self._compare(rates, server_id, at)
+        # The tasks on the fastest servers end first and have nothing to be compared
+        # with then, so the server of the sample before is compared once more.
+        if rates.last not in ("", server_id):
+            self._compare(rates, rates.last, at)
+        rates.last = server_id
 
     def speed(self, server_id: str) -> float:
         """Return the speed of a server, 1.0 while it is unknown."""
@@ -157,6 +158,30 @@
         """How many speeds were known when the median was last computed."""
         return self._known
 
+    def _compare(self, rates: _StepRates, server_id: str, at: float) -> None:
+        """Compare the rates of a step on a server with those on all others."""
+        of_server = rates.by_server[server_id]
+        mean = of_server.total / of_server.weight
+        state = self._servers.get(server_id)
+        others = rates.weight - of_server.weight
+        if others > 0:
+            information = of_server.weight * others / rates.weight
+            new = information - of_server.credited
+            expected = (rates.total - of_server.share) / others
+            if new > 0:
+                if state is None:
+                    state = self._servers[server_id] = _ServerState(self._centre)
+                of_server.credited = information
+                self._update(state, mean - expected, new, at)
+            corrected = mean - (state.log if state is not None else self._centre)
+            limits = (expected - MAX_RESIDUAL, expected + MAX_RESIDUAL)
+            corrected = min(max(corrected, limits[0]), limits[1])
+        else:
+            corrected = mean - (state.log if state is not None else self._centre)
+        rates.total -= of_server.share
+        of_server.share = of_server.weight * corrected
+        rates.total += of_server.share
+
     def _update(
         self, state: _ServerState, observed: float, weight: float, at: float
     ) -> None:
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -50,7 +50,8 @@
     """A backend server that checks leases and epochs but not its capacity.
 
     `highest_barred_runs` maps a task to its highest run that may not start any more.
-    While `failing` is set, each new run ends as failed.  `refuses` is whether its
+    While `failing` is set, each new run ends as failed.  New runs take the time in
+    their task spec divided by `speed`.  `refuses` is whether its
     address refuses connections while it is down or cut off, rather than staying silent.
     `counted_capacity` is the room that starts are held against.  `successor` is the
     server that runs at its address after a crash, if its id is new.
@@ -78,6 +79,7 @@
         self.until_ms = 0
         self.up = True
         self.failing = False
+        self.speed = 1.0
         self.refuses = False
         self.successor: FakeServer | None = None
         self._end_numbers = itertools.count(1)
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -111,7 +111,12 @@
         seconds, _, how = order.spec.partition("/")
         kind = EndKind.FAILED if server.failing else EndKind(how)
         run = FakeRun(
-            order.task, order.run, step.demand, now, now + float(seconds), kind
+            order.task,
+            order.run,
+            step.demand,
+            now,
+            now + float(seconds) / server.speed,
+            kind,
         )
         for other in self._running.values():
             if other.task == order.task:
