--- a/cassiaweir/dispatch/_job_times.py
+++ b/cassiaweir/dispatch/_job_times.py
@@ -75,19 +75,21 @@
 def _nominal_durations_s(job: Job, models: WorkModels) -> list[float]:
     """Return the expected duration of a task of each step at the mean speed.
 
-    Durations are stated for the nominal speed.  The median server need not have it:
-    where most servers are slow, the mean is closer.
+    Estimates are for a nominal server.  The median server, to which learnt durations
+    refer, need not be one: where most servers are slow, the mean is closer.  Only the
+    learnt part of an expected duration is converted.
     """
-    mean = models.speeds.mean
-    return [
-        spec.duration_s
-        if spec.long_running
-        else models.steps.expected_s(
-            f"{job.job_id}.0.{number}", job.spec.queue.name, spec.estimate_s
-        )
-        / mean
-        for number, spec in enumerate(job.spec.steps)
-    ]
+    queue = job.spec.queue.name
+    scale = models.speeds.mean ** models.durations.confidence(queue)
+    durations_s = []
+    for number, spec in enumerate(job.spec.steps):
+        if spec.long_running:
+            durations_s.append(spec.duration_s)
+            continue
+        name = f"{job.job_id}.0.{number}"
+        expected_s = models.steps.expected_s(name, queue, spec.estimate_s)
+        durations_s.append(expected_s / scale)
+    return durations_s
 
 
 def _likely_speed(queue: Queue, speeds: ServerSpeeds) -> float:
--- a/cassiaweir/scheduling/_durations.py
+++ b/cassiaweir/scheduling/_durations.py
@@ -184,6 +184,11 @@
         factor = math.exp(self.spread(queue) * NormalDist().inv_cdf(q))
         return self.expected_s(queue, estimate_s) * factor
 
+    def confidence(self, queue: str) -> float:
+        """Return how far expected durations follow samples, from 0 (estimates) to 1."""
+        model = self._queues.get(queue)
+        return 0.0 if model is None else model.weight / (model.weight + PRIOR_WEIGHT)
+
     def ratio(self, queue: str) -> float:
         """Return the ratio of durations and estimates at the mean estimate."""
         model = self._queues.get(queue)
