--- a/cassiaweir/dispatch/_learning.py
+++ b/cassiaweir/dispatch/_learning.py
@@ -75,6 +75,9 @@
         self._now = now
         self._gap_s = now - server.reported_at
         self._end_doubt_s = max(asked_at - server.reported_at, 0.0)
+        # The median may have changed since the last sample of this server.
+        if self._models.speeds.known(server.server_id):
+            server.relative_speed = self._models.speeds.speed(server.server_id)
 
     def record_progress(self, run: Run, percent: float) -> None:
         """Record the progress of a run that a report lists."""
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -164,11 +164,10 @@
 # Guards against a customer's excess that takes the place of others' due work.
 def test_excess_of_a_customer_comes_behind_the_work_of_others():
     bench = Bench(Customer("hot", weight=1.0), Customer("calm", weight=9.0))
+    late = bench.submit(StepSpec(count=1, estimate_s=0.01), customer="calm")
+    bench.clock.advance(5)
     within = bench.submit(ONE, customer="hot")
     excess = bench.submit(ONE, queue=URGENT, customer="hot")
-    bench.clock.advance(9)
-    late = bench.submit(StepSpec(count=1, estimate_s=0.01), customer="calm")
-    bench.clock.advance(4)
     assert bench.order() == [within, late, excess]
 
 
@@ -276,7 +275,7 @@
         for percent in (30, 60, 90):
             bench.clock.advance(0.6)
             bench.report(servers[0], {runs[0]: percent})
-            late_s = 0.4 if percent == 90 else 0.0
+            late_s = 1.2 if percent == 90 else 0.0
             bench.clock.advance(late_s)
             bench.report(servers[1], {runs[1]: percent}, late_s=late_s)
         for run in runs:
