--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -282,7 +282,7 @@
             bench.runs.remove(run.server, run.key)
     assert bench.jobs.models.speeds.known("i1")
     for server in servers:
-        assert server.relative_speed == pytest.approx(1, abs=0.1)
+        assert server.relative_speed == pytest.approx(1, abs=0.01)
 
 
 # Guards against malformed reports of progress that are taken for speed.
