--- a/cassiaweir/dispatch/_cold_servers.py
+++ b/cassiaweir/dispatch/_cold_servers.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterable, Sequence
 
-from cassiaweir.dispatch._objective import remaining_critical_path_s
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._waiting_steps import URGENT_PRIORITY, WaitingStep
 
@@ -64,9 +63,6 @@
             return servers
         if not self._others_wait or waiting.queue.service not in self._warm_services:
             return servers
-        entry = waiting.entry
-        remaining_s = remaining_critical_path_s(entry.job, waiting.step)
-        latest_start = entry.objective.due_at - remaining_s
-        if self._now >= latest_start - LATEST_START_MARGIN_S:
+        if self._now >= waiting.rank.latest_start - LATEST_START_MARGIN_S:
             return servers
         return [each for each in servers if not each.cold]
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -132,7 +132,7 @@
             order.run,
             step.demand,
             now,
-            now + float(seconds) * server.slowdown(),
+            now + float(seconds) * server.slowdown() / server.speed,
             kind,
         )
         requested_at = self._evacuated_at.get(server.entry.failure_domain, now)
