--- a/cassiaweir/dispatch/__init__.py
+++ b/cassiaweir/dispatch/__init__.py
@@ -14,6 +14,8 @@
     job_part,
     outcome_key,
 )
+from cassiaweir.dispatch._objective import critical_path_s, objective_of
+from cassiaweir.dispatch._refusal_rows import Refusal, decode_refusal, encode_refusal
 from cassiaweir.dispatch._server_entry import (
     EndKind,
     OrderOutcome,
@@ -34,13 +36,18 @@
     "EndKind",
     "LeaderTerm",
     "OrderOutcome",
+    "Refusal",
     "RunningTask",
     "ServerEntry",
     "ServerReport",
     "StartOrder",
     "TaskEnd",
     "cancel_key",
+    "critical_path_s",
+    "decode_refusal",
+    "encode_refusal",
     "job_key",
     "job_part",
+    "objective_of",
     "outcome_key",
 ]
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -13,11 +13,13 @@
 from cassiaweir.dispatch._compaction import RowShrinker
 from cassiaweir.dispatch._crash_tracker import CrashTracker, lifetime_of
 from cassiaweir.dispatch._gate import TakeoverGate
-from cassiaweir.dispatch._job_registry import JobRegistry
+from cassiaweir.dispatch._job_registry import ConfigurationSource, JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
+from cassiaweir.dispatch._load import LoadSampler
 from cassiaweir.dispatch._orders import OrderSender, ServerClient, StartResult
 from cassiaweir.dispatch._placer import Placer
 from cassiaweir.dispatch._record_keeper import RecordKeeper
+from cassiaweir.dispatch._refusal_rows import decode_refusal
 from cassiaweir.dispatch._reports import ReportProcessor
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run, RunState
@@ -30,6 +32,7 @@
 from cassiaweir.jobs import JobState, Step
 from cassiaweir.leadership import CommitStream, Leadership
 from cassiaweir.observe import Metrics
+from cassiaweir.scheduling import LoadSnapshot
 from cassiaweir.types import Clock, Row
 
 PLACEMENT_DELAY = timedelta(milliseconds=2)
@@ -69,6 +72,7 @@
         calls: ServerClient,
         clock: Clock,
         jobs: JobRegistry,
+        configuration: ConfigurationSource,
         records: ServerRecords,
         gate: TakeoverGate,
         advice_cache_factory: AdviceCacheFactory,
@@ -91,6 +95,15 @@
         self._runs = RunRegistry(jobs, self._usage, clock, leadership.epoch)
         self._orders = OrderSender(calls, clock, leadership, self.handle_superseded)
         self.servers: dict[str, Server] = {}
+        self._load = LoadSampler(
+            jobs,
+            self.servers,
+            self._usage,
+            configuration,
+            clock,
+            metrics,
+            leadership.epoch,
+        )
         self._crashes = CrashTracker(
             jobs,
             self.servers,
@@ -142,11 +155,19 @@
         """Return how many open jobs of `queue` have not started any task."""
         return self._jobs.count_pending(queue)
 
+    def load(self) -> LoadSnapshot | None:
+        """Return the newest load, or None before one was measured."""
+        return self._load.snapshot
+
     # Changes of stored rows.
 
     def apply_job_row(self, row: Row) -> None:
-        """Apply a row that holds a job or a request to cancel one."""
+        """Apply a row that holds a job or a refusal, or a request to cancel a job."""
         row_id = row_name(row.key)
+        refusal = decode_refusal(row.value)
+        if refusal is not None:
+            self._load.record_refusal(row_id, refusal)
+            return
         if row_id.endswith(CANCEL_SUFFIX):
             self._cancel(row_id.removesuffix(CANCEL_SUFFIX))
             return
@@ -159,6 +180,7 @@
             logger.info(
                 "job_registered", job=row_id, queue=entry.job.spec.queue.name, held=held
             )
+            self._load.record_job(entry)
             self._crashes.restore(entry.job)
             self._commits.confirm_leadership(row.version)
             self.wake()
@@ -302,6 +324,8 @@
         for job in self._jobs.remove_finished():
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
         self._remove_missing_servers(now)
+        if self._gate.is_open:
+            self._load.sample(now)
         self._metrics.set("jobs_open", sum(1 for _ in self._jobs.open_jobs()))
         self._metrics.set(
             "runs", sum(len(server.runs) for server in self.servers.values())
--- /dev/null
+++ b/cassiaweir/dispatch/_load.py
@@ -0,0 +1,135 @@
+"""Samples the waiting work and the servers for the load that entry VMs are told."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+
+from cassiaweir.dispatch._job_registry import ConfigurationSource, JobEntry, JobRegistry
+from cassiaweir.dispatch._objective import (
+    DeadlineStatus,
+    deadline_status,
+    remaining_critical_path_s,
+)
+from cassiaweir.dispatch._refusal_rows import Refusal
+from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._usage import CustomerUsage
+from cassiaweir.jobs import Step
+from cassiaweir.observe import Metrics
+from cassiaweir.scheduling import (
+    BacklogMeter,
+    Durations,
+    LoadSnapshot,
+    QueuePlan,
+    ServerRoom,
+    WaitingTasks,
+)
+from cassiaweir.types import Clock
+
+SAMPLE_INTERVAL_S = 0.2
+
+
+class LoadSampler:
+    """Measures the load of one term, about every `SAMPLE_INTERVAL_S`."""
+
+    def __init__(
+        self,
+        jobs: JobRegistry,
+        servers: Mapping[str, Server],
+        usage: CustomerUsage,
+        configuration: ConfigurationSource,
+        clock: Clock,
+        metrics: Metrics,
+        epoch: int,
+        durations: Durations | None = None,
+    ) -> None:
+        self._jobs = jobs
+        self._servers = servers
+        self._usage = usage
+        self._configuration = configuration
+        self._clock = clock
+        self._metrics = metrics
+        self._meter = BacklogMeter(epoch, durations)
+        self._snapshot: LoadSnapshot | None = None
+
+    @property
+    def snapshot(self) -> LoadSnapshot | None:
+        """The newest load, None before the first sample."""
+        return self._snapshot
+
+    def record_job(self, entry: JobEntry) -> None:
+        """Count an accepted job."""
+        spec = entry.job.spec
+        self._meter.record_job(spec.job_id, spec.customer, spec.submitted_at)
+
+    def record_refusal(self, job_id: str, refusal: Refusal) -> None:
+        """Count a refused submission."""
+        self._meter.record_refusal(
+            job_id, refusal.customer, refusal.at, refusal.turn_at
+        )
+
+    def sample(self, now: float) -> None:
+        """Measure the load unless the last sample is too recent."""
+        last = self._snapshot
+        if last is not None and now - last.time < SAMPLE_INTERVAL_S:
+            return
+        current = self._configuration.current()
+        customers = current.customers
+        self._snapshot = self._meter.measure(
+            now,
+            self._clock.now().timestamp(),
+            queues={
+                each.name: QueuePlan(each.service, each.priority)
+                for each in current.queues
+            },
+            servers=[
+                ServerRoom(each.entry.service, each.entry.capacity, each.free)
+                for each in self._servers.values()
+                if each.accepts_new_runs(now)
+            ],
+            waiting=self._waiting(now),
+            waiting_excess=Counter(
+                each.job.spec.customer
+                for each in self._jobs.open_jobs()
+                if each.over_share and not each.job.started
+            ),
+            weight_of=lambda name: (
+                customers[name].weight if name in customers else None
+            ),
+        )
+        for name, load in self._snapshot.queues.items():
+            self._metrics.set("queue_wait_seconds", load.wait_s, queue=name)
+
+    def _waiting(self, now: float) -> Iterator[WaitingTasks]:
+        """Yield the waiting tasks of all open jobs, those of later steps as well.
+
+        Tasks that wait for the cap of their customer do not delay those of others.
+        """
+        for entry in self._jobs.open_jobs():
+            steps = [(each, _count_waiting(each)) for each in entry.job.steps.values()]
+            steps = [(step, count) for step, count in steps if count]
+            if not steps:
+                continue
+            remaining_s = remaining_critical_path_s(entry.job, steps[0][0])
+            status = deadline_status(entry.objective, remaining_s, now)
+            customer = self._jobs.customer_of(entry.job)
+            for step, count in steps:
+                within_cap = self._usage.count_within_cap(customer, step.demand, count)
+                if not within_cap:
+                    continue
+                yield WaitingTasks(
+                    entry.job.spec.queue.name,
+                    step.demand,
+                    within_cap,
+                    step.spec.duration_s,
+                    startable=entry.job.may_start(step),
+                    on_time=status is DeadlineStatus.ON_TIME,
+                    late=status is DeadlineStatus.LATE,
+                    over_share=entry.over_share,
+                )
+
+
+def _count_waiting(step: Step) -> int:
+    if step.complete:
+        return 0
+    return len(step.tasks) - step.done_count - len(step.placed())
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -34,6 +34,7 @@
 from cassiaweir.jobs import JobState, decode_outcome
 from cassiaweir.leadership import CommitStream, Leadership, Owner
 from cassiaweir.observe import Metrics
+from cassiaweir.scheduling import LoadSnapshot
 from cassiaweir.types import Clock, Feed, Row, Table
 
 FEED_WAIT = timedelta(seconds=1)
@@ -190,6 +191,12 @@
         """Return how many open jobs of `queue` have not started any task."""
         return 0 if self._dispatcher is None else self._dispatcher.count_pending(queue)
 
+    def load(self) -> LoadSnapshot | None:
+        """Return the load if this process serves as leader and has measured it."""
+        if not self.serving_epoch or self._dispatcher is None:
+            return None
+        return self._dispatcher.load()
+
     async def serve(self, leadership: Leadership, commits: CommitStream) -> None:
         """Dispatch jobs until cancelled or the leadership is lost.
 
@@ -282,6 +289,7 @@
             calls=self._calls,
             clock=self._clock,
             jobs=registry,
+            configuration=self._configuration,
             records=ServerRecords(commits, former_tasks, leadership.epoch),
             gate=gate,
             advice_cache_factory=self._advice_cache_factory,
--- a/cassiaweir/feeds/_table_watch.py
+++ b/cassiaweir/feeds/_table_watch.py
@@ -72,6 +72,11 @@
         """Whether the rows have been read at least once."""
         return self._current_at is not None
 
+    @property
+    def version(self) -> int:
+        """The version of the store that the view has reached, 0 before it is loaded."""
+        return self._version or 0
+
     def age(self) -> timedelta:
         """Return the maximum age of the view; `timedelta.max` before it is loaded."""
         if self._current_at is None:
--- a/cassiaweir/peers/_client.py
+++ b/cassiaweir/peers/_client.py
@@ -8,13 +8,16 @@
 import grpc
 from loguru import logger
 
+from cassiaweir.clock import SystemClock
 from cassiaweir.dispatch import Advice
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.jobs import JobState
 from cassiaweir.leadership import ProbeResult
+from cassiaweir.peers._load import decode_load
 from cassiaweir.rpc import node_pb2, node_pb2_grpc
 from cassiaweir.rpc._server import Channels
-from cassiaweir.types import Row
+from cassiaweir.scheduling import LoadSnapshot
+from cassiaweir.types import Clock, Row
 from cassiaweir.verdict import Verdict
 
 PROBE_TIMEOUT_S = 0.25
@@ -31,8 +34,9 @@
     whether the call may have run.
     """
 
-    def __init__(self, channels: Channels) -> None:
+    def __init__(self, channels: Channels, clock: Clock | None = None) -> None:
         self._channels = channels
+        self._clock = clock or SystemClock()
 
     async def probe(self, address: str) -> ProbeResult:
         """Return whether the process at `address` leads, or how the call failed."""
@@ -54,8 +58,12 @@
             return False
         return bool(answer.reaches_store)
 
-    async def offer(self, address: str, rows: Sequence[Row]) -> None:
-        """Send rows that were just stored to the leader at `address`."""
+    async def offer(self, address: str, rows: Sequence[Row]) -> LoadSnapshot | None:
+        """Send rows that were just stored to the leader at `address`.
+
+        Return the load that the leader tells in its answer, None if it tells none.
+        """
+        sent_at = self._clock.monotonic()
         request = node_pb2.OfferRequest(
             rows=[
                 node_pb2.OfferedRow(key=row.key, version=row.version, value=row.value)
@@ -63,9 +71,10 @@
             ]
         )
         try:
-            await self._stub(address).Offer(request, timeout=OFFER_TIMEOUT_S)
+            answer = await self._stub(address).Offer(request, timeout=OFFER_TIMEOUT_S)
         except grpc.aio.AioRpcError as exc:
             raise _to_unavailable_error(address, exc) from exc
+        return decode_load(answer, sent_at)
 
     async def job_state(self, address: str, job_id: str) -> JobState | None:
         """Return the state of a job, or None if the leader does not know the job."""
--- a/cassiaweir/peers/_members.py
+++ b/cassiaweir/peers/_members.py
@@ -18,11 +18,16 @@
 
 
 class _MemberRow(msgspec.Struct, frozen=True):
-    """The process on an entry VM, as stored under the name of the VM."""
+    """The process on an entry VM, as stored under the name of the VM.
+
+    `knows_refusals` says that its build knows refusal rows.  Older builds take such a
+    row for a stored job and would answer that the job was accepted.
+    """
 
     instance: str
     address: str
     cores: float = 0.0
+    knows_refusals: bool = False
 
 
 class Members:
@@ -48,7 +53,7 @@
         self._watch = watch
         self._clock = clock
         self._key = f"{MEMBERS_PREFIX}{node}"
-        self._own_row = _MemberRow(instance, address, cores)
+        self._own_row = _MemberRow(instance, address, cores, knows_refusals=True)
         self._seeds = [seed for seed in seeds if seed != address]
         self._background = BackgroundTasks()
 
@@ -73,6 +78,12 @@
         """Return the core counts of the other registered VMs by peer address."""
         return {member.address: member.cores for member in self._other_members()}
 
+    def all_know_refusals(self) -> bool:
+        """Return whether the builds of all registered VMs know refusal rows."""
+        return self._watch.listed and all(
+            member.knows_refusals for member in self._other_members()
+        )
+
     def _other_members(self) -> list[_MemberRow]:
         members = [
             _decode_member(row)
--- a/cassiaweir/peers/_servicer.py
+++ b/cassiaweir/peers/_servicer.py
@@ -8,11 +8,14 @@
 
 import grpc
 
+from cassiaweir.clock import SystemClock
 from cassiaweir.dispatch import Advisor
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.jobs import JobState
+from cassiaweir.peers._load import encode_load
 from cassiaweir.rpc import node_pb2, node_pb2_grpc
-from cassiaweir.types import Row
+from cassiaweir.scheduling import LoadSnapshot
+from cassiaweir.types import Clock, Row
 from cassiaweir.verdict import Verdict
 
 MIN_COMPRESSED_BYTES = 8_192
@@ -42,6 +45,9 @@
     def count_pending(self, queue: str) -> int:
         """Return how many jobs of `queue` have not started."""
 
+    def load(self) -> LoadSnapshot | None:
+        """Return the load that this process measured as the leader, if any."""
+
 
 class RelayCalls(Protocol):
     """Calls the store directly on behalf of other entry VMs."""
@@ -59,7 +65,14 @@
 class NodeServicer(node_pb2_grpc.NodeServicer):
     """Implements the gRPC service `Node`."""
 
-    def __init__(self, jobs: LeaderJobs, advisor: Advisor, relay: RelayCalls) -> None:
+    def __init__(
+        self,
+        jobs: LeaderJobs,
+        advisor: Advisor,
+        relay: RelayCalls,
+        clock: Clock | None = None,
+    ) -> None:
+        self._clock = clock or SystemClock()
         self._jobs = jobs
         self._advisor = advisor
         self._store = relay
@@ -80,10 +93,10 @@
     async def Offer(  # noqa: N802
         self, request: node_pb2.OfferRequest, context: grpc.aio.ServicerContext
     ) -> node_pb2.OfferAnswer:
-        """Apply rows that another process has just stored."""
+        """Apply rows that another process has just stored; tell the load."""
         rows = [Row(row.key, row.version, row.value) for row in request.rows]
         self._jobs.apply_rows(rows)
-        return node_pb2.OfferAnswer()
+        return encode_load(self._jobs.load(), self._clock.monotonic())
 
     async def JobState(  # noqa: N802
         self, request: node_pb2.JobStateRequest, context: grpc.aio.ServicerContext
--- /dev/null
+++ b/cassiaweir/scheduling/__init__.py
@@ -0,0 +1,35 @@
+"""Decisions of the scheduler that need neither messages nor the store."""
+
+from cassiaweir.scheduling._admission import (
+    AdmissionPolicy,
+    Admitted,
+    Rejected,
+    Submission,
+    decide,
+)
+from cassiaweir.scheduling._backlog import (
+    BacklogMeter,
+    CustomerLoad,
+    Durations,
+    LoadSnapshot,
+    QueueLoad,
+    QueuePlan,
+    ServerRoom,
+    WaitingTasks,
+)
+
+__all__ = [
+    "AdmissionPolicy",
+    "Admitted",
+    "BacklogMeter",
+    "CustomerLoad",
+    "Durations",
+    "LoadSnapshot",
+    "QueueLoad",
+    "QueuePlan",
+    "Rejected",
+    "ServerRoom",
+    "Submission",
+    "WaitingTasks",
+    "decide",
+]
