--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -27,7 +27,13 @@
 )
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.feeds import TableWatch
-from cassiaweir.front import AccessChecker, FrontServer, JobDirectory, JobWriter
+from cassiaweir.front import (
+    AccessChecker,
+    FrontServer,
+    JobDirectory,
+    JobWriter,
+    LoadAdmission,
+)
 from cassiaweir.leadership import LEAD_PREFIX, Candidacy, Election, Owner
 from cassiaweir.observe import (
     EventLog,
@@ -222,9 +228,18 @@
         rng=random.Random(instance),
         candidacy=Candidacy(settings.cores, members, access.peer_client, clock),
     )
-    states = JobDirectory(term, access.peer_client, election, access.store)
-    front = _build_front(settings, clock, metrics, access, views, states)
-    servicer = NodeServicer(term, advisor, access.route)
+    admission = LoadAdmission(
+        clock,
+        metrics,
+        election,
+        local_load=term.load,
+        enabled=members.all_know_refusals,
+    )
+    states = JobDirectory(
+        term, access.peer_client, election, access.store, admission.update
+    )
+    front = _build_front(settings, clock, metrics, access, views, states, admission)
+    servicer = NodeServicer(term, advisor, access.route, clock)
     components: list[Component] = [
         access.http,
         servers_http,
@@ -252,7 +267,7 @@
 ) -> _StoreAccess:
     http = HttpSession({})
     channels = Channels(MAX_PEER_CHANNELS)
-    peer_client = PeerClient(channels)
+    peer_client = PeerClient(channels, clock)
     direct = DirectTransport(http, settings.store_address)
     route = StoreRoute(direct, peer_client, clock, metrics)
     return _StoreAccess(http, channels, peer_client, route, PlatformStore(route))
@@ -301,6 +316,7 @@
     access: _StoreAccess,
     views: _Views,
     states: JobDirectory,
+    admission: LoadAdmission,
 ) -> FrontServer:
     configuration = views.configuration
     key_withdrawal_time = timedelta(seconds=settings.key_withdrawal_s)
@@ -315,12 +331,16 @@
             clock,
             states,
             store_unreachable=lambda: access.route.store_unreachable,
+            store_version=lambda: max(
+                configuration.version, views.leadership_rows.version
+            ),
         ),
         states=states,
         codec=PlatformJobCodec(),
         clock=clock,
         metrics=metrics,
         is_ready=lambda: configuration.age() < MAX_READY_VIEW_AGE,
+        admission=admission,
     )
 
 
--- a/cassiaweir/front/__init__.py
+++ b/cassiaweir/front/__init__.py
@@ -2,7 +2,8 @@
 
 from cassiaweir.front._access import AccessChecker
 from cassiaweir.front._app import FrontServer
+from cassiaweir.front._load_admission import LoadAdmission
 from cassiaweir.front._states import JobDirectory
 from cassiaweir.front._submissions import JobWriter
 
-__all__ = ["AccessChecker", "FrontServer", "JobDirectory", "JobWriter"]
+__all__ = ["AccessChecker", "FrontServer", "JobDirectory", "JobWriter", "LoadAdmission"]
--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -14,8 +14,14 @@
 
 from cassiaweir.exceptions import InvalidInputError, RefusedError, UnavailableError
 from cassiaweir.front._access import Access, AccessChecker, Denial
+from cassiaweir.front._load_admission import LoadAdmission
 from cassiaweir.front._states import JobDirectory
-from cassiaweir.front._submissions import CancelResult, JobWriter
+from cassiaweir.front._submissions import (
+    Attempt,
+    CancelResult,
+    JobWriter,
+    OverloadError,
+)
 from cassiaweir.jobs import JobSpec, JobState
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import Queue
@@ -84,7 +90,8 @@
 class FrontServer:
     """Serves callers, and the load balancer's readiness checks on an own address.
 
-    Once `drain` is called, readiness checks fail and each connection is closed after
+    `admission` refuses submissions by load; without it none is refused for that.  Once
+    `drain` is called, readiness checks fail and each connection is closed after
     its next response.
     """
 
@@ -100,7 +107,9 @@
         clock: Clock,
         metrics: Metrics,
         is_ready: Callable[[], bool],
+        admission: LoadAdmission | None = None,
     ) -> None:
+        self._admission = admission
         self._front_address = front_address
         self._ready_address = ready_address
         self._access = access
@@ -178,7 +187,7 @@
         """Check access, serve the request and turn errors into replies.
 
         Status 503 says that the request was not executed and may be sent again, 504
-        that it may have been executed.
+        that it may have been executed, 429 that the job is not accepted for the load.
         """
         host = (req.headers.get("Host") or "").partition(":")[0]
         key = req.headers.get(self._codec.key_header, "")
@@ -218,6 +227,7 @@
     async def _submit(
         self, req: web.BaseRequest, access: Access, submitted_id: str
     ) -> _HttpReply:
+        received_version = self._submissions.newest_version()
         max_bytes = self._access.max_body_bytes
         if (req.content_length or 0) > max_bytes:
             return _HttpReply(413, "too_large")
@@ -237,7 +247,14 @@
             customer=access.customer.name if access.customer else "",
             submitted_at=self._clock.now().timestamp(),
         )
-        await self._submissions.submit(spec)
+        rejected = self._admission.check(spec) if self._admission else None
+        attempt = Attempt(received_version, lambda: _is_connected(req), rejected)
+        try:
+            await self._submissions.submit(spec, attempt)
+        except OverloadError as exc:
+            if self._admission is not None:
+                self._admission.record(spec, exc.rejected)
+            return _HttpReply(429, exc.reason, retry_after_s=exc.rejected.retry_after_s)
         return _HttpReply(200, "stored")
 
     async def _get_state(self, job_id: str) -> _HttpReply:
@@ -253,6 +270,11 @@
         )
 
 
+def _is_connected(req: web.BaseRequest) -> bool:
+    """Return whether the connection of the caller is open, as far as it is known."""
+    return req.transport is not None and not req.transport.is_closing()
+
+
 def _milliseconds(age: timedelta) -> int:
     """Return `age` for the log; -1 where no view was received yet."""
     return -1 if age == timedelta.max else round(age.total_seconds() * 1_000)
--- a/cassiaweir/front/_states.py
+++ b/cassiaweir/front/_states.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from loguru import logger
 
-from cassiaweir.dispatch import PROGRESS_PREFIX, job_key, outcome_key
+from cassiaweir.dispatch import (
+    PROGRESS_PREFIX,
+    decode_refusal,
+    job_key,
+    outcome_key,
+)
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.jobs import JobState, decode_outcome
 from cassiaweir.leadership import Owner
+from cassiaweir.scheduling import LoadSnapshot
 from cassiaweir.types import Row, Table
 from cassiaweir.verdict import Verdict
 
@@ -36,8 +42,8 @@
 class LeaderClient(Protocol):
     """Calls to the leader in another process."""
 
-    async def offer(self, address: str, rows: Sequence[Row]) -> None:
-        """Send rows that were just stored to the leader at `address`."""
+    async def offer(self, address: str, rows: Sequence[Row]) -> LoadSnapshot | None:
+        """Send rows that were just stored to the leader; return the load it tells."""
 
     async def job_state(self, address: str, job_id: str) -> JobState | None:
         """Return the state of a job, None if the leader does not know it."""
@@ -54,7 +60,10 @@
 
 
 class JobDirectory:
-    """Looks up jobs in this process if it leads, else at the leader or in the store."""
+    """Looks up jobs in this process if it leads, else at the leader or in the store.
+
+    `on_load` is called with each load that a leader in another process tells.
+    """
 
     def __init__(
         self,
@@ -62,7 +71,9 @@
         client: LeaderClient,
         leader: LeaderSource,
         table: Table,
+        on_load: Callable[[LoadSnapshot], None] | None = None,
     ) -> None:
+        self._on_load = on_load
         self._local = local
         self._client = client
         self._leader = leader
@@ -103,9 +114,12 @@
 
     async def _offer(self, rows: Sequence[Row]) -> None:
         try:
-            await self._client.offer(self._leader_address(), rows)
+            load = await self._client.offer(self._leader_address(), rows)
         except UnavailableError as exc:
             logger.info("leader_notification_failed", rows=len(rows), cause=str(exc))
+            return
+        if load is not None and self._on_load is not None:
+            self._on_load(load)
 
     def _leader_address(self) -> str:
         """Return the address of the leader, or raise `UnavailableError`."""
@@ -129,6 +143,7 @@
         rows = await self._table.read([end_key, job_key(job_id), progress_key])
         if end_key in rows:
             return decode_outcome(rows[end_key].value)
-        if job_key(job_id) not in rows:
+        job_row = rows.get(job_key(job_id))
+        if job_row is None or decode_refusal(job_row.value) is not None:
             return None
         return JobState.RUNNING if progress_key in rows else JobState.QUEUED
--- a/cassiaweir/front/_submissions.py
+++ b/cassiaweir/front/_submissions.py
@@ -11,9 +11,18 @@
 
 from loguru import logger
 
-from cassiaweir.dispatch import cancel_key, job_key, job_part, outcome_key
+from cassiaweir.dispatch import (
+    Refusal,
+    cancel_key,
+    decode_refusal,
+    encode_refusal,
+    job_key,
+    job_part,
+    outcome_key,
+)
 from cassiaweir.exceptions import ConflictError, RefusedError, UnavailableError
 from cassiaweir.jobs import JobSpec, JobState, decode_outcome
+from cassiaweir.scheduling import Rejected
 from cassiaweir.types import Check, Clock, Row, Table, Write
 from cassiaweir.verdict import Verdict
 
@@ -27,6 +36,21 @@
 RETRY_AFTER = timedelta(seconds=1)
 """Sent with refusals: how long the caller should wait before it tries again."""
 
+TURN_TOLERANCE_S = 0.5
+"""A caller is accepted this long before its turn, as the clocks of VMs differ."""
+
+PLACE_VALIDITY_S = 30.0
+"""A caller that returns later than this after its turn has lost its place."""
+
+MAX_KNOWN_REFUSALS = 4_096
+"""Limits how many refusals are remembered to spare a conflict when callers return."""
+
+REFUSED_MEANWHILE = Rejected("refused_meanwhile", 1)
+"""Another front refused the id, perhaps after this submission had arrived.
+
+The caller may have given up this attempt and taken that refusal for final.
+"""
+
 
 class LeaderNotifier(Protocol):
     """Passes rows that were just stored to the leader."""
@@ -43,25 +67,97 @@
     UNKNOWN_JOB = "unknown_job"
 
 
+class OverloadError(RefusedError):
+    """A job was refused for the load; its id is blocked, so that it never runs."""
+
+    def __init__(self, rejected: Rejected) -> None:
+        super().__init__(
+            rejected.reason,
+            "refused for the load",
+            retry_after=timedelta(seconds=rejected.retry_after_s),
+        )
+        self.rejected = rejected
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """A caller's attempt to submit a job.
+
+    `received_version` is the newest version of the store that this process had seen
+    when the attempt arrived; `connected` returns whether the caller still waits.
+    `rejected` says why the job is to be refused, None if it is to be accepted.
+    """
+
+    received_version: int
+    connected: Callable[[], bool]
+    rejected: Rejected | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _KnownRefusal:
+    """A refusal row and its version."""
+
+    version: int
+    refusal: Refusal
+
+
 @dataclass(slots=True, eq=False)
 class _PendingJob:
-    """A job that is to be stored, and the future that its caller waits for.
+    """A job that is to be stored or refused, and the future that its caller waits for.
 
-    `in_doubt` is true after an attempt that may have been executed.  `deadline` is in
-    monotonic seconds.
+    `version` is that of the refusal row to replace, 0 if there is none.  `rejected`
+    says why the job is to be refused.  `in_doubt` is true after an attempt to store the
+    job that may have been executed or still be.  `deadline` is in monotonic seconds,
+    `received_at` in Unix seconds.
     """
 
     spec: JobSpec
-    value: bytes
+    attempt: Attempt
     future: asyncio.Future[None]
     deadline: float
+    received_at: float
+    rejected: Rejected | None
+    version: int = 0
     in_doubt: bool = field(default=False)
 
+    @property
+    def key(self) -> str:
+        """The key of the row in which the job or its refusal is stored."""
+        return job_key(self.spec.job_id)
+
+    def meet_refusal(self, known: _KnownRefusal) -> None:
+        """Adapt to a refusal row that is stored under the job's key.
+
+        Every earlier attempt to store the job under another condition has failed or
+        will fail.  A job that is refused again writes the row again, so that attempts
+        to replace this version fail as well.
+        """
+        if known.version != self.version:
+            self.in_doubt = False
+        self.version = known.version
+        waits_s = known.refusal.turn_at - self.received_at
+        if self.rejected is not None and waits_s > -PLACE_VALIDITY_S:
+            if waits_s <= TURN_TOLERANCE_S:
+                self.rejected = None
+            elif waits_s < self.rejected.turn_in_s:
+                self.rejected = self.rejected.with_turn(waits_s)
+        if self.rejected is None and not self._may_replace(known.version):
+            self.rejected = REFUSED_MEANWHILE
+
+    def _may_replace(self, version: int) -> bool:
+        """Return whether the refusal at `version` is older than this attempt."""
+        return version <= self.attempt.received_version and self.attempt.connected()
+
 
 class JobWriter:
     """Stores jobs under the condition that no job with their id is stored.
 
-    `store_unreachable` returns whether the store is known to be unreachable.
+    A job that is refused for the load gets a refusal row instead, under the same
+    condition.  Without it an earlier attempt with the same id, which got no answer, may
+    be stored later and run.
+
+    `store_unreachable` returns whether the store is known to be unreachable, and
+    `store_version` a version of the store that this process has seen elsewhere.
     """
 
     def __init__(
@@ -71,7 +167,11 @@
         notifier: LeaderNotifier,
         *,
         store_unreachable: Callable[[], bool],
+        store_version: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._store_version = store_version
+        self._newest_version = 0
+        self._known_refusals: dict[str, _KnownRefusal] = {}
         self._table = table
         self._clock = clock
         self._notifier = notifier
@@ -79,12 +179,20 @@
         self._queued: list[_PendingJob] = []
         self._transactions: set[asyncio.Task[None]] = set()
 
-    async def submit(self, spec: JobSpec) -> None:
+    def newest_version(self) -> int:
+        """Return the newest version of the store that this process has seen."""
+        self._newest_version = max(self._newest_version, self._store_version())
+        return self._newest_version
+
+    async def submit(self, spec: JobSpec, attempt: Attempt | None = None) -> None:
         """Store a job, or do nothing if a job with its id is stored already.
 
         Raises `RefusedError` if the job is not stored and never will be, and
-        `UnavailableError` if it may have been stored.
+        `UnavailableError` if it may have been stored.  The former is `OverloadError`
+        if it is refused for the load, and the id is then blocked.
         """
+        if attempt is None:
+            attempt = Attempt(self.newest_version(), lambda: True)
         if self._store_unreachable():
             raise RefusedError(
                 "store_out_of_reach",
@@ -99,7 +207,14 @@
             )
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         deadline = self._clock.monotonic() + STORE_TIMEOUT.total_seconds()
-        self._queued.append(_PendingJob(spec, spec.encode(), future, deadline))
+        received_at = self._clock.now().timestamp()
+        job = _PendingJob(
+            spec, attempt, future, deadline, received_at, attempt.rejected
+        )
+        known = self._known_refusals.get(spec.job_id)
+        if known is not None:
+            job.meet_refusal(known)
+        self._queued.append(job)
         self._start_transactions()
         await future
 
@@ -127,7 +242,7 @@
         key = job_key(job_id)
         rows = await self._table.read([key, outcome_key(job_id)])
         row = rows.get(key)
-        if row is None:
+        if row is None or decode_refusal(row.value) is not None:
             return CancelResult.UNKNOWN_JOB
         outcome = rows.get(outcome_key(job_id))
         if outcome is not None:
@@ -148,11 +263,17 @@
             task.add_done_callback(self._on_transaction_done)
 
     def _take_batch(self) -> list[_PendingJob]:
-        """Remove and return queued jobs whose rows lie in one part of the table."""
+        """Remove and return queued jobs whose rows lie in one part of the table.
+
+        Each key is written once in a transaction: of an accepted and a refused attempt
+        with one id, the later write would win and the answer to the other be wrong.
+        """
         part = job_part(self._queued[0].spec.job_id)
-        batch = [job for job in self._queued if job_part(job.spec.job_id) == part][
-            :MAX_JOBS_PER_TRANSACTION
-        ]
+        by_key: dict[str, _PendingJob] = {}
+        for job in self._queued:
+            if job_part(job.spec.job_id) == part:
+                by_key.setdefault(job.key, job)
+        batch = list(by_key.values())[:MAX_JOBS_PER_TRANSACTION]
         for job in batch:
             self._queued.remove(job)
         return batch
@@ -174,8 +295,12 @@
 
     async def _try_store(self, batch: list[_PendingJob]) -> list[_PendingJob]:
         """Try once to store `batch`; return the jobs to retry."""
-        checks = [Check(job_key(job.spec.job_id), 0) for job in batch]
-        writes = [Write(job_key(job.spec.job_id), job.value) for job in batch]
+        checks = [Check(job.key, job.version) for job in batch]
+        refusals = [self._refusal_of(job) for job in batch]
+        writes = [
+            Write(job.key, encode_refusal(refusal) if refusal else job.spec.encode())
+            for job, refusal in zip(batch, refusals, strict=True)
+        ]
         try:
             versions = await self._table.commit(checks, writes)
         except ConflictError:
@@ -186,25 +311,50 @@
             Row(write.key, versions[write.key], write.value or b"") for write in writes
         ]
         self._notifier.notify_leader(rows)
-        for job in batch:
-            _succeed(job)
+        for job, refusal in zip(batch, refusals, strict=True):
+            if refusal is None:
+                self._known_refusals.pop(job.spec.job_id, None)
+                _succeed(job)
+            else:
+                self._remember(job, _KnownRefusal(versions[job.key], refusal))
+                _reject(job)
         return []
 
+    def _refusal_of(self, job: _PendingJob) -> Refusal | None:
+        """Return the refusal to store for `job`, None if the job is to be stored."""
+        if job.rejected is None:
+            return None
+        now = self._clock.now().timestamp()
+        turn_at = job.received_at + job.rejected.turn_in_s
+        return Refusal(job.spec.customer, now, turn_at)
+
+    def _remember(self, job: _PendingJob, known: _KnownRefusal) -> None:
+        self._newest_version = max(self._newest_version, known.version)
+        self._known_refusals.pop(job.spec.job_id, None)
+        self._known_refusals[job.spec.job_id] = known
+        if len(self._known_refusals) > MAX_KNOWN_REFUSALS:
+            del self._known_refusals[next(iter(self._known_refusals))]
+
     async def _complete_stored(self, batch: list[_PendingJob]) -> list[_PendingJob]:
         """After a conflict, report success for stored jobs; return the others."""
         try:
-            stored_rows = await self._table.read(
-                [job_key(job.spec.job_id) for job in batch]
-            )
+            stored_rows = await self._table.read([job.key for job in batch])
         except UnavailableError as exc:
             return await self._retry_or_fail(batch, exc)
         remaining = []
+        versions = [job.version for job in batch]
         for job in batch:
-            if job_key(job.spec.job_id) in stored_rows:
+            row = stored_rows.get(job.key)
+            refusal = decode_refusal(row.value) if row is not None else None
+            if row is not None and refusal is None:
                 _succeed(job)
+                continue
+            if row is None or refusal is None:
+                job.version = 0
             else:
-                remaining.append(job)
-        if len(remaining) == len(batch):
+                job.meet_refusal(_KnownRefusal(row.version, refusal))
+            remaining.append(job)
+        if [job.version for job in remaining] == versions:
             await self._clock.sleep(RETRY_DELAY)
         return remaining
 
@@ -215,7 +365,8 @@
         now = self._clock.monotonic()
         remaining = []
         for job in batch:
-            job.in_doubt = job.in_doubt or exc.verdict is not Verdict.NOT_RUN
+            stores = job.rejected is None
+            job.in_doubt |= stores and exc.verdict is not Verdict.NOT_RUN
             if now >= job.deadline:
                 _fail(job, str(exc))
             else:
@@ -230,6 +381,12 @@
         job.future.set_result(None)
 
 
+def _reject(job: _PendingJob) -> None:
+    """Report that the job is refused for the load and that its id is blocked."""
+    if not job.future.done() and job.rejected is not None:
+        job.future.set_exception(OverloadError(job.rejected))
+
+
 def _fail(job: _PendingJob, cause: str) -> None:
     """Report failure: refused if certainly not stored, else `UnavailableError`."""
     if job.future.done():
--- a/cassiaweir/scheduling/_admission.py
+++ b/cassiaweir/scheduling/_admission.py
@@ -169,12 +169,6 @@
             return None
         return load
 
-    def is_full(self, queue: str, now: float) -> bool:
-        """Return whether jobs of `queue` may be refused at all."""
-        load = self.current(now)
-        found = load.queues.get(queue) if load is not None else None
-        return found is not None and found.full
-
     def decide(self, job: Submission, now: float) -> Decision:
         """Return the decision about a job that was submitted at `now`."""
         load = self.current(now)
@@ -184,8 +178,7 @@
     def _take_credit(self, job: Submission, load: LoadSnapshot) -> bool:
         """Return whether this job is one of those that its customer's share allows."""
         customer = load.customers.get(job.customer)
-        queue = load.queues.get(job.queue)
-        if customer is None or queue is None or not queue.full:
+        if customer is None or not load.is_full(job.queue):
             return True
         if not _plausible(customer):
             return True
--- a/cassiaweir/scheduling/_backlog.py
+++ b/cassiaweir/scheduling/_backlog.py
@@ -97,6 +97,11 @@
     queues: Mapping[str, QueueLoad] = field(default_factory=dict)
     customers: Mapping[str, CustomerLoad] = field(default_factory=dict)
 
+    def is_full(self, queue: str) -> bool:
+        """Return whether the servers of `queue` have no room."""
+        load = self.queues.get(queue)
+        return load is not None and load.full
+
 
 @dataclass(frozen=True, slots=True)
 class QueuePlan:
