--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -166,7 +166,9 @@
         row_id = row_name(row.key)
         refusal = decode_refusal(row.value)
         if refusal is not None:
-            self._load.record_refusal(row_id, refusal)
+            # The feed may deliver the row after the job that has replaced it.
+            if self._jobs.state(row_id) is None:
+                self._load.record_refusal(row_id, refusal)
             return
         if row_id.endswith(CANCEL_SUFFIX):
             self._cancel(row_id.removesuffix(CANCEL_SUFFIX))
--- a/cassiaweir/dispatch/_load.py
+++ b/cassiaweir/dispatch/_load.py
@@ -17,6 +17,7 @@
 from cassiaweir.jobs import Step
 from cassiaweir.observe import Metrics
 from cassiaweir.scheduling import (
+    PLACE_VALIDITY_S,
     BacklogMeter,
     Durations,
     LoadSnapshot,
@@ -63,10 +64,11 @@
         self._meter.record_job(spec.job_id, spec.customer, spec.submitted_at)
 
     def record_refusal(self, job_id: str, refusal: Refusal) -> None:
-        """Count a refused submission."""
-        self._meter.record_refusal(
-            job_id, refusal.customer, refusal.at, refusal.turn_at
-        )
+        """Count a refused submission, unless its place has lapsed."""
+        if refusal.turn_at + PLACE_VALIDITY_S > self._clock.now().timestamp():
+            self._meter.record_refusal(
+                job_id, refusal.customer, refusal.at, refusal.turn_at
+            )
 
     def sample(self, now: float) -> None:
         """Measure the load unless the last sample is too recent."""
--- a/cassiaweir/dispatch/_refusal_rows.py
+++ b/cassiaweir/dispatch/_refusal_rows.py
@@ -35,7 +35,7 @@
 def decode_refusal(value: bytes) -> Refusal | None:
     """Return the refusal in the value of a row, None if the row is not a refusal row.
 
-    A refusal row with unreadable details still blocks its id; its turn has come.
+    A refusal row with unreadable details still blocks its id, but gives it no turn.
     """
     if not value.startswith(REFUSAL_PREFIX):
         return None
--- a/cassiaweir/front/_submissions.py
+++ b/cassiaweir/front/_submissions.py
@@ -22,7 +22,7 @@
 )
 from cassiaweir.exceptions import ConflictError, RefusedError, UnavailableError
 from cassiaweir.jobs import JobSpec, JobState, decode_outcome
-from cassiaweir.scheduling import Rejected
+from cassiaweir.scheduling import PLACE_VALIDITY_S, Rejected
 from cassiaweir.types import Check, Clock, Row, Table, Write
 from cassiaweir.verdict import Verdict
 
@@ -39,9 +39,6 @@
 TURN_TOLERANCE_S = 0.5
 """A caller is accepted this long before its turn, as the clocks of VMs differ."""
 
-PLACE_VALIDITY_S = 30.0
-"""A caller that returns later than this after its turn has lost its place."""
-
 MAX_KNOWN_REFUSALS = 4_096
 """Limits how many refusals are remembered to spare a conflict when callers return."""
 
--- a/cassiaweir/peers/_members.py
+++ b/cassiaweir/peers/_members.py
@@ -56,6 +56,8 @@
         self._own_row = _MemberRow(instance, address, cores, knows_refusals=True)
         self._seeds = [seed for seed in seeds if seed != address]
         self._background = BackgroundTasks()
+        self._refusals_checked_at = 0
+        self._all_know_refusals = False
 
     async def start(self) -> None:
         """Register this process in the background, retrying until it succeeds."""
@@ -79,10 +81,18 @@
         return {member.address: member.cores for member in self._other_members()}
 
     def all_know_refusals(self) -> bool:
-        """Return whether the builds of all registered VMs know refusal rows."""
-        return self._watch.listed and all(
-            member.knows_refusals for member in self._other_members()
-        )
+        """Return whether the builds of all registered VMs know refusal rows.
+
+        The rows are decoded again only once the watch has advanced, as this is asked
+        for each submission while the servers are full.
+        """
+        version = self._watch.version
+        if version != self._refusals_checked_at:
+            self._refusals_checked_at = version
+            self._all_know_refusals = all(
+                member.knows_refusals for member in self._other_members()
+            )
+        return version > 0 and self._all_know_refusals
 
     def _other_members(self) -> list[_MemberRow]:
         members = [
--- a/cassiaweir/scheduling/__init__.py
+++ b/cassiaweir/scheduling/__init__.py
@@ -8,6 +8,7 @@
     decide,
 )
 from cassiaweir.scheduling._backlog import (
+    PLACE_VALIDITY_S,
     BacklogMeter,
     CustomerLoad,
     Durations,
@@ -19,6 +20,7 @@
 )
 
 __all__ = [
+    "PLACE_VALIDITY_S",
     "AdmissionPolicy",
     "Admitted",
     "BacklogMeter",
