--- a/cassiaweir/front/_submissions.py
+++ b/cassiaweir/front/_submissions.py
@@ -125,12 +125,9 @@
     def meet_refusal(self, known: _KnownRefusal) -> None:
         """Adapt to a refusal row that is stored under the job's key.
 
-        Every earlier attempt to store the job under another condition has failed or
-        will fail.  A job that is refused again writes the row again, so that attempts
-        to replace this version fail as well.
+        A job that is refused again writes the row again, so that attempts to replace
+        this version that are still in transit fail.
         """
-        if known.version != self.version:
-            self.in_doubt = False
         self.version = known.version
         waits_s = known.refusal.turn_at - self.received_at
         if self.rejected is not None and waits_s > -PLACE_VALIDITY_S:
--- a/tests/test_load_admission.py
+++ b/tests/test_load_admission.py
@@ -109,7 +109,8 @@
         lines: list[str] = []
         sink = logger.add(lines.append, level="WARNING", format="{message}")
         site = FakeSite(servers=2, vms=1)
-        value = encode_refusal(Refusal("agency", 0.0, 5.0))
+        turn_at = VirtualClock().now().timestamp() + 100
+        value = encode_refusal(Refusal("agency", turn_at, turn_at))
         versions = site.store.apply([], [Write(job_key(OLD_ID), value)])
         leader = await site.wait_for_leader()
         await asyncio.sleep(0.5)
@@ -119,6 +120,7 @@
         assert site.submit(STEP) == OLD_ID
         key = job_key(OLD_ID)
         leader.term.apply_rows([Row(key, versions[key], value)])
+        assert not leader.term._dispatcher._load._meter._places
         await asyncio.sleep(8)
         assert leader.term.job_state(OLD_ID) is JobState.DONE
         leader.term.apply_rows([Row(key, versions[key], value)])
--- a/tests/test_refusal_rows.py
+++ b/tests/test_refusal_rows.py
@@ -38,11 +38,12 @@
 class DelayedStore(VmStore):
     """A connection to the store that can hold back commits without an answer.
 
-    With `holding`, each commit times out and is kept for `deliver`; with `losing`, the
-    next commit is applied and its answer is lost.
+    With `holding`, each commit times out and is kept for `deliver`, or only those that
+    replace a row, with `holding_replacements`.  With `losing`, the next commit is
+    applied and its answer is lost.
     """
 
-    holding = losing = False
+    holding = holding_replacements = losing = False
 
     def __init__(self, store: MemoryStore, rng: random.Random) -> None:
         super().__init__(store, rng)
@@ -52,7 +53,7 @@
         if self.losing:
             self.losing = False
             await super().commit(checks, writes)
-        elif not self.holding:
+        elif not self.holding and not (self.holding_replacements and checks[0].version):
             return await super().commit(checks, writes)
         else:
             self.held.append((checks, writes))
@@ -150,24 +151,38 @@
     with_fronts(body)
 
 
-def test_a_late_replacement_of_a_refusal_fails_after_the_next_refusal() -> None:
-    """Guards against a refusal that leaves the row as it is.
+@pytest.mark.parametrize("at", ["same front", "other front"])
+def test_a_late_replacement_of_a_refusal_fails_after_the_next_refusal(at: str) -> None:
+    """Guards against a refusal that leaves an earlier refusal's row as it is.
 
     A write that replaces that version may still be in transit.
     """
 
     async def body(first: Front, second: Front) -> None:
         assert await first.submit(FULL) == "beyond_share"
-        second.store.holding = True
+        second.store.holding_replacements = True
         assert await second.submit() == "504"
-        assert await first.submit(FULL) == "beyond_share"
-        assert len(second.store.held) > 1
+        refusing = first if at == "same front" else Front(first.backing, 3)
+        assert await refusing.submit(FULL) == "beyond_share"
+        assert second.store.held
         assert second.store.deliver() == 0
         assert first.is_blocked()
 
     with_fronts(body)
 
 
+def test_two_attempts_with_one_id_are_not_stored_by_one_transaction() -> None:
+    """Guards against a refusal row that overwrites a job answered with 200."""
+
+    async def body(first: Front, second: Front) -> None:
+        others = [first.submit(job_id=f"{part:016x}") for part in range(16)]
+        answers = await asyncio.gather(*others, first.submit(), first.submit(FULL))
+        assert set(answers) == {"stored"}
+        assert not first.is_blocked()
+
+    with_fronts(body)
+
+
 def test_an_attempt_does_not_replace_a_refusal_that_may_be_newer() -> None:
     """Guards against a slow front that accepts what another one refused meanwhile."""
 
@@ -184,10 +199,7 @@
 
 
 def test_of_two_fronts_at_once_an_accepted_job_is_not_answered_as_refused() -> None:
-    """Guards against answers that contradict what is stored, in either order.
-
-    Both attempts of one front go through the same batch.
-    """
+    """Guards against answers that contradict what is stored, in either order."""
 
     async def body(first: Front, second: Front) -> None:
         for other in (first, second):
