--- a/cassiaweir/dispatch/_load.py
+++ b/cassiaweir/dispatch/_load.py
@@ -14,7 +14,7 @@
 from cassiaweir.dispatch._refusal_rows import Refusal
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._usage import CustomerUsage
-from cassiaweir.jobs import Step
+from cassiaweir.jobs import Job, Step
 from cassiaweir.observe import Metrics
 from cassiaweir.scheduling import (
     PLACE_VALIDITY_S,
@@ -108,14 +108,13 @@
         Tasks that wait for the cap of their customer do not delay those of others.
         """
         for entry in self._jobs.open_jobs():
-            steps = [(each, _count_waiting(each)) for each in entry.job.steps.values()]
-            steps = [(step, count) for step, count in steps if count]
+            steps = _waiting_steps(entry.job)
             if not steps:
                 continue
             remaining_s = remaining_critical_path_s(entry.job, steps[0][0])
             status = deadline_status(entry.objective, remaining_s, now)
             customer = self._jobs.customer_of(entry.job)
-            for step, count in steps:
+            for step, count, startable in steps:
                 within_cap = self._usage.count_within_cap(customer, step.demand, count)
                 if not within_cap:
                     continue
@@ -124,14 +123,27 @@
                     step.demand,
                     within_cap,
                     step.spec.duration_s,
-                    startable=entry.job.may_start(step),
+                    startable=startable,
                     on_time=status is DeadlineStatus.ON_TIME,
                     late=status is DeadlineStatus.LATE,
                     over_share=entry.over_share,
                 )
 
 
-def _count_waiting(step: Step) -> int:
-    if step.complete:
-        return 0
-    return len(step.tasks) - step.done_count - len(step.placed())
+def _waiting_steps(job: Job) -> list[tuple[Step, int, bool]]:
+    """Return each step with waiting tasks, their number, and whether they may start.
+
+    No task of a step that may not start yet was placed, so that its tasks need not be
+    looked at.
+    """
+    found = []
+    for step in job.steps.values():
+        if step.complete:
+            continue
+        startable = job.may_start(step)
+        count = len(step.tasks) - step.done_count
+        if startable:
+            count = len(step.waiting())
+        if count:
+            found.append((step, count, startable))
+    return found
