--- a/tests/test_load_admission.py
+++ b/tests/test_load_admission.py
@@ -12,7 +12,7 @@
 from cassiaweir.clock import SystemClock
 from cassiaweir.dispatch import Refusal, encode_refusal, job_key
 from cassiaweir.feeds import TableWatch
-from cassiaweir.front import FrontServer, LoadAdmission
+from cassiaweir.front import FrontServer, JobDirectory, LoadAdmission
 from cassiaweir.jobs import JobSpec, JobState, StepSpec
 from cassiaweir.observe import EventLog, Metrics
 from cassiaweir.peers import MEMBERS_PREFIX, Members, NodeServicer, PeerClient
@@ -22,9 +22,9 @@
 from cassiaweir.rpc import node_pb2
 from cassiaweir.rpc._server import Channels, RpcServer
 from cassiaweir.scheduling import CustomerLoad, LoadSnapshot, QueueLoad
-from cassiaweir.types import Row, Write
+from cassiaweir.types import Resources, Row, Write
 from tests.site_fakes import QUEUE, FakeSite, configuration
-from tests.test_front import BODY, JOB_ID, HttpRig
+from tests.test_front import BODY, JOB_ID, FakeLeader, HttpRig
 from tests.virtual_time import VirtualClock, run_virtual
 from tests.waiting import until
 
@@ -274,3 +274,35 @@
         assert (await rig.call("POST", path, BODY))[0] == 200
         assert (await rig.call("GET", path))[0] == 200
         await until(lambda: len(rig.leader.applied) == 3)
+
+
+async def test_the_load_in_the_answer_of_a_remote_leader_reaches_the_front():
+    """Guards against a front that never refuses, as it does not read the answers."""
+
+    class TellingLeader(FakeLeader):
+        async def offer(self, address, rows) -> LoadSnapshot:
+            await super().offer(address, rows)
+            return load_of(FULL)
+
+    leader, loads = TellingLeader(), []
+    states = JobDirectory(leader, leader, leader, None, loads.append)
+    states.notify_leader([Row(job_key(JOB_ID), 1, b"{}")])
+    await until(lambda: bool(loads))
+    assert loads[0].is_full("recon")
+
+
+def test_work_that_waits_for_a_cap_is_no_wait_for_others() -> None:
+    """Guards against refusing all customers for the backlog of a capped one."""
+
+    async def body() -> None:
+        site = FakeSite(servers=4, vms=1)
+        capped = Customer("capped", weight=50.0, cap=Resources(8_000))
+        site.configuration.value = configuration(capped)
+        leader = await site.wait_for_leader()
+        for _ in range(30):
+            site.submit(STEP, customer="capped", task_s=5.0)
+        await asyncio.sleep(3)
+        assert leader.term.load().queues["recon"] == QueueLoad(0.0, 0.0, full=False)
+        await site.close()
+
+    run_virtual(body)
