--- a/cassiaweir/dispatch/__init__.py
+++ b/cassiaweir/dispatch/__init__.py
@@ -15,6 +15,8 @@
     job_part,
     outcome_key,
 )
+from cassiaweir.dispatch._objective import critical_path_s, objective_of
+from cassiaweir.dispatch._refusal_rows import Refusal, decode_refusal, encode_refusal
 from cassiaweir.dispatch._server_entry import (
     EndKind,
     OrderOutcome,
@@ -36,13 +38,18 @@
     "EvacuationSource",
     "LeaderTerm",
     "OrderOutcome",
+    "Refusal",
     "RunningTask",
     "ServerEntry",
     "ServerReport",
     "StartOrder",
     "TaskEnd",
     "cancel_key",
+    "critical_path_s",
+    "decode_refusal",
+    "encode_refusal",
     "job_key",
     "job_part",
+    "objective_of",
     "outcome_key",
 ]
--- a/cassiaweir/peers/_members.py
+++ b/cassiaweir/peers/_members.py
@@ -21,11 +21,16 @@
 
 
 class _MemberRow(msgspec.Struct, frozen=True):
-    """The process on an entry VM, as stored under the name of the VM."""
+    """The process on an entry VM, as stored under the name of the VM.
+
+    `knows_refusals` says that its build knows refusal rows.  Older builds take such a
+    row for a stored job and would answer that the job was accepted.
+    """
 
     instance: str
     address: str
     cores: float = 0.0
+    knows_refusals: bool = False
 
 
 class Members:
@@ -51,9 +56,11 @@
         self._watch = watch
         self._clock = clock
         self._key = f"{MEMBERS_PREFIX}{node}"
-        self._own_row = _MemberRow(instance, address, cores)
+        self._own_row = _MemberRow(instance, address, cores, knows_refusals=True)
         self._seeds = [seed for seed in seeds if seed != address]
         self._background = BackgroundTasks()
+        self._refusals_checked_at = 0
+        self._all_know_refusals = False
 
     async def start(self) -> None:
         """Register this process in the background, retrying until it succeeds."""
@@ -77,6 +84,20 @@
         """Return the core counts of the other registered VMs by peer address."""
         return {member.address: member.cores for member in self._other_members()}
 
+    def all_know_refusals(self) -> bool:
+        """Return whether the builds of all registered VMs know refusal rows.
+
+        The rows are decoded again only once the watch has advanced, as this is asked
+        for each submission while the servers are full.
+        """
+        version = self._watch.version
+        if version != self._refusals_checked_at:
+            self._refusals_checked_at = version
+            self._all_know_refusals = all(
+                member.knows_refusals for member in self._other_members()
+            )
+        return version > 0 and self._all_know_refusals
+
     def _other_members(self) -> list[_MemberRow]:
         members = [
             _decode_member(row)
--- a/cassiaweir/scheduling/__init__.py
+++ b/cassiaweir/scheduling/__init__.py
@@ -1,9 +1,27 @@
-"""Learns how long work takes and how fast servers are, from what running work shows.
+"""Decisions of the scheduler that need neither messages nor the store.
 
-Nothing here imports messages, the store or the dispatcher, so that it can be tested
-alone.  Nothing is stored: a new leader learns again, and uses estimates until then.
+What is learnt from running work is not stored: a new leader learns again, and uses
+estimates until then.
 """
 
+from cassiaweir.scheduling._admission import (
+    AdmissionPolicy,
+    Admitted,
+    Rejected,
+    Submission,
+    decide,
+)
+from cassiaweir.scheduling._backlog import (
+    PLACE_VALIDITY_S,
+    BacklogMeter,
+    CustomerLoad,
+    Durations,
+    LoadSnapshot,
+    QueueLoad,
+    QueuePlan,
+    ServerRoom,
+    WaitingTasks,
+)
 from cassiaweir.scheduling._durations import DurationModel
 from cassiaweir.scheduling._samples import (
     MIN_GAIN_PERCENT,
@@ -15,9 +33,23 @@
 
 __all__ = [
     "MIN_GAIN_PERCENT",
+    "PLACE_VALIDITY_S",
+    "AdmissionPolicy",
+    "Admitted",
+    "BacklogMeter",
+    "CustomerLoad",
     "DurationModel",
+    "Durations",
+    "LoadSnapshot",
     "Progress",
     "ProgressSampler",
+    "QueueLoad",
+    "QueuePlan",
+    "Rejected",
+    "ServerRoom",
     "ServerSpeeds",
     "StepDurations",
+    "Submission",
+    "WaitingTasks",
+    "decide",
 ]
