--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -309,7 +309,7 @@
         self.alive = True
         self.orders.alive = True
         clock = VirtualClock()
-        advisor = FakeAdvisor(self.site.question_s, self.site.each_server_s)
+        advisor = self.site.advisor()
         self.watch = TableWatch(
             self.store, [LEAD_PREFIX], clock, wait=timedelta(milliseconds=500)
         )
@@ -409,6 +409,10 @@
             domain = domains[number % len(domains)]
             self.vms.append(FakeVm(f"vm-{number}", self, vm_cores, domain))
 
+    def advisor(self) -> FakeAdvisor:
+        """Return the advice service as a VM reaches it."""
+        return FakeAdvisor(self.question_s, self.each_server_s)
+
     async def probe(self, address: str) -> ProbeResult:
         """Return whether the VM at `address` leads, or that it refuses connections."""
         await asyncio.sleep(LATENCY_S / 2)
