--- a/cassiaweir/dispatch/_advice_cache.py
+++ b/cassiaweir/dispatch/_advice_cache.py
@@ -18,7 +18,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._advice import Advice, Advisor
-from cassiaweir.dispatch._advice_choice import AllowedShare
+from cassiaweir.dispatch._advice_choice import MAX_QUESTIONS_AT_ONCE, AllowedShare
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.jobs import Step
 from cassiaweir.queues import AdvicePolicy
@@ -73,7 +73,7 @@
     denied: set[str] = field(default_factory=set)
     allowed: set[str] = field(default_factory=set)
     tickets: dict[str, _Ticket] = field(default_factory=dict)
-    asking: bool = False
+    pending: list[tuple[str, ...]] = field(default_factory=list)
     retry_at: float = 0.0
 
 
@@ -143,12 +143,33 @@
         """Return the estimated share of servers that steps of `queue` may run on."""
         return self._shares[queue].value
 
-    def may_ask(self, step: Step) -> bool:
-        """Return whether `ask` would accept a question about `step` now."""
+    def pending(self, step: Step) -> frozenset[str]:
+        """Return the servers that unanswered questions about `step` name."""
         advice = self._by_step.get(step.name)
         if advice is None:
+            return frozenset()
+        return frozenset(itertools.chain.from_iterable(advice.pending))
+
+    def idle_lanes(self) -> int:
+        """Return how many VMs could ask a question at once that is not urgent."""
+        lanes = [LOCAL_LANE, *self._peers.addresses()]
+        reserve = int(len(lanes) >= MIN_LANES_FOR_RESERVE)
+        return max(len(self._idle(lanes)) - len(self._queue) - reserve, 0)
+
+    def may_ask(self, step: Step, *, several: bool = False) -> bool:
+        """Return whether `ask` would accept a question about `step` now.
+
+        With `several`, also while others about it are unanswered, if a VM is idle.
+        """
+        advice = self._by_step.get(step.name)
+        if advice is None:
+            return True
+        if self._clock.monotonic() < advice.retry_at:
+            return False
+        if not advice.pending:
             return True
-        return not advice.asking and self._clock.monotonic() >= advice.retry_at
+        few = len(advice.pending) < MAX_QUESTIONS_AT_ONCE
+        return several and few and self.idle_lanes() > 0
 
     def ask(
         self,
@@ -158,16 +179,18 @@
         rank: float,
         *,
         urgent: bool,
+        several: bool = False,
     ) -> None:
         """Queue a question about `step`; those with a lower `rank` are sent first.
 
-        Does nothing while another question about the step is queued or being answered,
-        or shortly after one failed.
+        Does nothing shortly after a question failed, or while another one about the
+        step is unanswered, unless `several` may be and a VM is idle.
         """
-        if not server_ids or not self.may_ask(step):
+        if not server_ids or not self.may_ask(step, several=several):
             return
-        self._by_step.setdefault(step.name, _StepAdvice()).asking = True
         question = _Question(step, policy, tuple(server_ids), urgent)
+        advice = self._by_step.setdefault(step.name, _StepAdvice())
+        advice.pending.append(question.server_ids)
         heapq.heappush(self._queue, (rank, next(self._order), question))
         self._send_queued()
 
@@ -222,7 +245,7 @@
             self._note_failure(lane, question, exc)
         finally:
             if cached is not None:
-                cached.asking = False
+                cached.pending.remove(question.server_ids)
             del self._busy[lane]
             self._send_queued()
         self._on_answer()
--- a/cassiaweir/dispatch/_advice_choice.py
+++ b/cassiaweir/dispatch/_advice_choice.py
@@ -9,6 +9,15 @@
 
 MAX_SERVERS_PER_QUESTION = 100
 
+SERVERS_PER_QUESTION = 20
+"""Questions about a gang name about as many servers, if VMs are idle to ask them.
+
+At 6.5 ms a server, 20 of them add less than a third to the time of a question.
+"""
+
+MAX_QUESTIONS_AT_ONCE = 4
+"""At most this many VMs are used for one gang at a time."""
+
 CONFIDENCE_DEVIATIONS = 1.5
 """The expected room less this many standard deviations must be enough for all tasks."""
 
@@ -56,6 +65,17 @@
     return chosen
 
 
+def split_servers(server_ids: Sequence[str], lanes: int) -> list[list[str]]:
+    """Divide servers into questions that are answered at the same time.
+
+    There are at most `lanes` of them, and at least one.
+    """
+    wanted = math.ceil(len(server_ids) / SERVERS_PER_QUESTION)
+    count = max(min(wanted, lanes, MAX_QUESTIONS_AT_ONCE), 1)
+    most = count * MAX_SERVERS_PER_QUESTION
+    return [list(server_ids[:most][first::count]) for first in range(count)]
+
+
 def exclude_servers(
     candidates: Iterable[Candidate], server_ids: frozenset[str]
 ) -> list[Candidate]:
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -127,6 +127,7 @@
             entries_age=entries_age,
             preempt=self._preempt,
             launch=self._launch,
+            metrics=metrics,
         )
         self._placement_requested = asyncio.Event()
         commits.on_stored = self.wake
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from cassiaweir.dispatch._server import Server
@@ -66,12 +66,17 @@
     """
     found = []
     for server in sorted(servers, key=lambda each: -each.free.cpu_millis):
-        slots = _slots(step, server, _future_room(server), limit)
+        slots = future_slots(step, server, limit)
         if slots > 0:
             found.append(Candidate(server, slots))
     return found
 
 
+def future_slots(step: Step, server: Server, limit: int) -> int:
+    """Return how many tasks of `step` fit on `server` once other tasks have ended."""
+    return _slots(step, server, _future_room(server), limit)
+
+
 def _future_room(server: Server) -> Resources:
     """Return what will be free once all but the long-running tasks have ended."""
     room = server.entry.capacity
@@ -92,6 +97,26 @@
     ]
 
 
+def find_backfill_candidates(
+    step: Step,
+    servers: Iterable[tuple[Server, Resources]],
+    tickets: Mapping[str, str] | None,
+    limit: int,
+) -> list[Candidate]:
+    """Return those of reserved `servers` that have room for `step`.
+
+    Each is given with the room that the step may use there.
+    """
+    found = []
+    for server, room in servers:
+        if tickets is not None and server.server_id not in tickets:
+            continue
+        slots = _slots(step, server, room, limit)
+        if slots > 0:
+            found.append(Candidate(server, slots))
+    return found
+
+
 def _slots(step: Step, server: Server, free: Resources, limit: int) -> int:
     """Return how many tasks of `step` may be placed on a server with `free` left."""
     spec = step.spec
@@ -110,14 +135,23 @@
     count: int,
     *,
     emptiest_first: bool = False,
+    reserved: Collection[str] = (),
 ) -> list[Server]:
     """Return a server for each of up to `count` tasks, the preferred ones first.
 
     Among servers that are otherwise equal, those come first on which the tasks leave
     the least CPU free, so that other servers keep room for large tasks.  With
     `emptiest_first`, those with the fewest runs come first: few are lost in a crash.
+    Servers `reserved` for gangs come after equally reliable ones.
     """
     ordered = sorted(candidates, key=lambda each: preference_key(step, each))
+    if reserved:
+        ordered.sort(
+            key=lambda each: (
+                preference_key(step, each)[0],
+                each.server.server_id in reserved,
+            )
+        )
     if emptiest_first:
         ordered.sort(
             key=lambda each: (is_avoided(step, each.server), len(each.server.runs))
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
 
 from loguru import logger
@@ -11,12 +11,14 @@
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
 from cassiaweir.dispatch._crash_tracker import CrashTracker
+from cassiaweir.dispatch._gang_planner import GangPlanner, WaitingGang
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._objective import DeadlineStatus
 from cassiaweir.dispatch._placement import (
     Candidate,
     choose_servers,
+    find_backfill_candidates,
     find_candidates,
     find_future_candidates,
     preference_key,
@@ -24,7 +26,7 @@
 )
 from cassiaweir.dispatch._preemption import preempt_for_step
 from cassiaweir.dispatch._quarantine import Quarantine, TaskGroup
-from cassiaweir.dispatch._reservations import RESERVATION_HEADROOM, Reservations
+from cassiaweir.dispatch._reservations import Reservations
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server
@@ -35,15 +37,11 @@
     WaitingSteps,
 )
 from cassiaweir.jobs import Isolation, Step
+from cassiaweir.observe import Metrics
 from cassiaweir.queues import AdvicePolicy
+from cassiaweir.scheduling import DurationModel, ServerSpeeds, StepDurations
 from cassiaweir.types import Clock
 
-RENEWAL_MARGIN_S = 0.3
-"""Added to the time that renewing the tickets of a waiting gang is expected to take.
-
-The new tickets then arrive before the old ones expire.
-"""
-
 MAX_ENTRIES_AGE = timedelta(seconds=3)
 """Nothing starts by entries of servers that are older: their rooms may have shrunk."""
 
@@ -81,6 +79,9 @@
         entries_age: Callable[[], timedelta],
         preempt: Callable[[Run, Step], None],
         launch: Callable[[Sequence[Run]], None],
+        durations: StepDurations | None = None,
+        speeds: ServerSpeeds | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._jobs = jobs
         self._runs = runs
@@ -96,7 +97,13 @@
         self._entries_current = True
         self._preempt = preempt
         self._launch = launch
+        self._metrics = metrics or Metrics()
         self._reservations = Reservations()
+        self._durations = durations or StepDurations(DurationModel())
+        self._gangs = GangPlanner(
+            advice, self._reservations, self._durations, speeds or ServerSpeeds()
+        )
+        self._reserved_with_room: list[Server] = []
         self._future: dict[str, tuple[float, list[Candidate]]] = {}
 
     def place(self) -> None:
@@ -117,9 +124,14 @@
         self._quarantine.begin_round(
             {each.entry.job.job_id for each in found}, self._servers.values()
         )
+        self._plan_gangs(found, usable, now)
         if not found:
             return
         with_room = servers_with_room(usable, [each.step for each in found])
+        reserved = self._reservations.of_others("")
+        self._reserved_with_room = [
+            each for each in with_room if each.server_id in reserved
+        ]
         for waiting in found:
             try:
                 self._place_step(waiting, usable, with_room)
@@ -142,11 +154,32 @@
         return current
 
     def _discard_others(self, steps: Collection[str]) -> None:
-        """Discard the reservations and future candidates of all steps but `steps`."""
-        self._reservations.retain(steps)
+        """Discard the future candidates of all steps but `steps`."""
         for name in self._future.keys() - set(steps):
             del self._future[name]
 
+    def _plan_gangs(
+        self, found: Iterable[WaitingStep], usable: Sequence[Server], now: float
+    ) -> None:
+        """Plan the start of the gangs that may reserve servers, in order of rank."""
+        gangs = []
+        for waiting in found:
+            step = waiting.step
+            if not step.spec.gang or waiting.queue.priority == URGENT_PRIORITY:
+                continue
+            tasks = self._waiting.startable_tasks(waiting.entry, step)
+            if len(tasks) < len(step.tasks):
+                continue
+            customer = self._jobs.customer_of(waiting.entry.job)
+            count = len(tasks)
+            if self._usage.count_within_cap(customer, step.demand, count) < count:
+                continue
+            for group in self._quarantine.groups(step, tasks, now):
+                if group.isolation is not Isolation.ALONE:
+                    servers = self._quarantine.usable(step, group.isolation, usable)
+                    gangs.append(WaitingGang(waiting, servers, count))
+        self._gangs.plan(gangs, now)
+
     def _place_step(
         self,
         waiting: WaitingStep,
@@ -215,9 +248,19 @@
         if queue.advice is not None:
             tickets = self._advice.tickets(step)
         candidates = find_candidates(step, free, tickets, within_cap)
-        chosen = choose_servers(
-            step, candidates, within_cap, emptiest_first=bool(group.isolation)
-        )
+        if step.spec.gang and not group.isolation:
+            now = self._clock.monotonic()
+            chosen = self._gangs.choose(step, candidates, within_cap, now)
+        else:
+            if not step.spec.gang and waiting.queue.priority > URGENT_PRIORITY:
+                candidates += self._backfill_candidates(step, tickets, within_cap)
+            chosen = choose_servers(
+                step,
+                candidates,
+                within_cap,
+                emptiest_first=bool(group.isolation),
+                reserved=self._reservations.of_others(step.name),
+            )
         missing = within_cap - len(chosen)
         if missing > 0 and queue.advice is not None:
             asked = self._available_servers(waiting, askable) if alone else free
@@ -225,8 +268,6 @@
         if not self._confirm_leadership(waiting.entry.job.version):
             return
         if step.spec.gang and missing > 0:
-            if queue.priority > URGENT_PRIORITY and not alone:
-                self._reserve(waiting, usable, len(tasks))
             self._preempt_others(waiting, usable, tickets, missing)
             return
         self._reservations.release(step.name)
@@ -264,59 +305,34 @@
         """Ask the advice service about servers for `count` tasks of a step.
 
         `tickets` are the valid tickets of the step.  Servers without a valid answer are
-        asked about: first those of `servers` that have room now.  If none has room, or
-        too few for a gang, those of `usable` are asked about that will have room, so
-        that the answer is there before the room.
+        asked about: first those of `servers` that have room now.  If none has room,
+        those of `usable` are asked about that will have room, so that the answer is
+        there before the room.  For gangs, `GangPlanner` chooses.
         """
         step = waiting.step
-        if not self._advice.may_ask(step):
+        gang = step.spec.gang
+        if not self._advice.may_ask(step, several=gang):
+            return
+        urgent = waiting.queue.priority == URGENT_PRIORITY
+        rank = waiting.rank[1] * 1e9 + waiting.rank[3]
+        if gang:
+            now = self._clock.monotonic()
+            for ids in self._gangs.servers_to_ask(
+                waiting, policy, servers, usable, count, now
+            ):
+                self._advice.ask(step, policy, ids, rank, urgent=urgent, several=True)
             return
         share = self._advice.allowed_share(waiting.queue.name)
         answered = self._advice.denied(step) | tickets.keys()
         found = exclude_servers(find_candidates(step, servers, None, count), answered)
         found.sort(key=lambda each: preference_key(step, each))
-        if step.spec.gang:
-            valid = find_candidates(step, servers, tickets, count)
-            likely = share * sum(each.slots for each in found)
-            if sum(each.slots for each in valid) + likely < count:
-                found = self._gang_servers_to_ask(waiting, policy, usable, count)
-        elif not found and not tickets:
+        if not found and not tickets:
             found = exclude_servers(
                 self._future_candidates(waiting, usable, count), answered
             )
         ids = servers_to_ask(found, count, share)
-        urgent = waiting.queue.priority == URGENT_PRIORITY
-        rank = waiting.rank[1] * 1e9 + waiting.rank[3]
         self._advice.ask(step, policy, ids, rank, urgent=urgent)
 
-    def _gang_servers_to_ask(
-        self,
-        waiting: WaitingStep,
-        policy: AdvicePolicy,
-        usable: Sequence[Server],
-        count: int,
-    ) -> list[Candidate]:
-        """Return the servers to ask about for a gang that has too little room now.
-
-        First come the allowed servers whose tickets would expire before they can be
-        renewed, so that valid tickets are there once there is room.  Servers without an
-        answer follow if the allowed ones have too little room even when idle.
-        """
-        step = waiting.step
-        future = self._future_candidates(waiting, usable, count)
-        allowed = self._advice.allowed(step)
-        renewal_s = (
-            policy.question_s + policy.each_server_s * len(allowed) + RENEWAL_MARGIN_S
-        )
-        valid = self._advice.tickets(step, renewal_s)
-        expiring = [
-            each for each in future if each.server.server_id in allowed - valid.keys()
-        ]
-        room = sum(each.slots for each in future if each.server.server_id in allowed)
-        if room >= count * RESERVATION_HEADROOM:
-            return expiring
-        return expiring + exclude_servers(future, self._advice.denied(step) | allowed)
-
     def _available_servers(
         self, waiting: WaitingStep, servers: Sequence[Server]
     ) -> list[Server]:
@@ -325,7 +341,7 @@
         Servers reserved for other steps are left out, except for urgent steps.
         """
         service = waiting.queue.service
-        reserved: set[str] = set()
+        reserved: Collection[str] = ()
         if waiting.queue.priority != URGENT_PRIORITY:
             reserved = self._reservations.of_others(waiting.step.name)
         return [
@@ -355,28 +371,44 @@
             return list(found)
         return [each for each in found if each.server.server_id not in reserved]
 
-    def _reserve(
-        self, waiting: WaitingStep, servers: Sequence[Server], tasks: int
-    ) -> None:
-        """Reserve servers for a gang, only allowed ones if it needs advice.
-
-        A gang whose result has no value any more gets a reservation only while no other
-        gang has one.
-        """
-        step = waiting.step
-        if self._reservations.includes_any(step.name, servers):
-            return
-        if waiting.rank[0] == DeadlineStatus.WORTHLESS and self._reservations.of_others(
-            step.name
-        ):
+    def _backfill_candidates(
+        self, step: Step, tickets: Mapping[str, str] | None, limit: int
+    ) -> list[Candidate]:
+        """Return the reserved servers that `step` may use until their gang starts."""
+        if not self._reserved_with_room or step.spec.long_running:
+            return []
+        now = self._clock.monotonic()
+        duration_s, spread = self._gangs.duration_s(step), self._spread(step)
+        rooms = []
+        for server in self._reserved_with_room:
+            room = self._reservations.backfill_room(server.server_id)
+            if room is not None:
+                usable = room.usable(server.free, now, duration_s, spread)
+                rooms.append((server, usable))
+        return find_backfill_candidates(step, rooms, tickets, limit)
+
+    def _spread(self, step: Step) -> float:
+        return self._durations.spread(step.name, step.job.spec.queue.name)
+
+    def _note_backfilled(self, step: Step, runs: Iterable[Run]) -> None:
+        """Count those of `runs` that were placed on servers reserved for gangs."""
+        reserved = self._reservations.of_others(step.name)
+        if not reserved or step.spec.gang:
             return
-        candidates = self._future_candidates(waiting, servers, tasks)
-        if waiting.queue.advice is not None:
-            allowed = self._advice.allowed(step)
-            candidates = [
-                each for each in candidates if each.server.server_id in allowed
-            ]
-        self._reservations.reserve(step.name, candidates, tasks, len(servers))
+        now = self._clock.monotonic()
+        servers = []
+        for run in runs:
+            room = None
+            if run.server.server_id in reserved:
+                room = self._reservations.backfill_room(run.server.server_id)
+            if room is not None:
+                room.take(
+                    run.demand, now, self._gangs.duration_s(step), self._spread(step)
+                )
+                servers.append(run.server.server_id)
+        if servers:
+            self._metrics.count("backfilled_tasks", len(servers))
+            logger.info("task_backfilled", step=step.name, servers=",".join(servers))
 
     def _start(
         self,
@@ -405,4 +437,5 @@
                 loads=",".join(servers[each].load_text for each in sorted(servers)),
                 isolation=group.isolation.name.lower(),
             )
+            self._note_backfilled(step, runs)
             self._launch(runs)
--- a/cassiaweir/dispatch/_reservations.py
+++ b/cassiaweir/dispatch/_reservations.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Sequence
+import math
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 
 from cassiaweir.dispatch._placement import Candidate
 from cassiaweir.dispatch._server import Server
+from cassiaweir.scheduling import BackfillRoom
 
 MAX_RESERVED_SHARE = 0.4
 """Share of the servers that may be reserved while more than one gang waits.
@@ -17,6 +20,19 @@
 """Room is reserved for this many times the tasks, as some servers free up late."""
 
 
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """The servers reserved for a gang, which is expected to start at `starts_at`.
+
+    `rooms` holds what other tasks may use of a server meanwhile; of a server that is
+    not in it they may use nothing.
+    """
+
+    servers: frozenset[str]
+    starts_at: float = math.inf
+    rooms: Mapping[str, BackfillRoom] = field(default_factory=dict)
+
+
 class Reservations:
     """The servers reserved for each gang.
 
@@ -25,43 +41,62 @@
     """
 
     def __init__(self) -> None:
-        self._by_step: dict[str, frozenset[str]] = {}
+        self._by_step: dict[str, Reservation] = {}
+        self._all: frozenset[str] | None = frozenset()
 
     def retain(self, steps: Collection[str]) -> None:
         """Release the reservations of all steps but `steps`."""
         for name in self._by_step.keys() - set(steps):
-            del self._by_step[name]
+            self.release(name)
 
     def release(self, step: str) -> None:
         """Release the reservation of a gang, if it has one."""
-        self._by_step.pop(step, None)
+        if self._by_step.pop(step, None) is not None:
+            self._all = None
+
+    def of(self, step: str) -> Reservation | None:
+        """Return the reservation of a gang, None if it has none."""
+        return self._by_step.get(step)
 
     def includes_any(self, step: str, servers: Iterable[Server]) -> bool:
         """Return whether one of `servers` is reserved for `step`."""
         reserved = self._by_step.get(step)
-        if not reserved:
+        if reserved is None:
             return False
-        return any(each.server_id in reserved for each in servers)
+        return any(each.server_id in reserved.servers for each in servers)
 
-    def of_others(self, step: str) -> set[str]:
+    def of_others(self, step: str) -> Collection[str]:
         """Return the servers that are reserved for other steps than `step`."""
-        if not self._by_step:
-            return set()
-        return {
-            server_id
-            for name, ids in self._by_step.items()
-            if name != step
-            for server_id in ids
-        }
+        if self._all is None:
+            self._all = frozenset().union(
+                *(each.servers for each in self._by_step.values())
+            )
+        if step not in self._by_step:
+            return self._all
+        return self._all - self._by_step[step].servers
+
+    def backfill_room(self, server_id: str) -> BackfillRoom | None:
+        """Return what other tasks may use of a reserved server, None for nothing."""
+        for each in self._by_step.values():
+            if server_id in each.servers:
+                return each.rooms.get(server_id)
+        return None
 
     def reserve(
-        self, step: str, candidates: Sequence[Candidate], tasks: int, servers: int
-    ) -> None:
+        self,
+        step: str,
+        candidates: Sequence[Candidate],
+        tasks: int,
+        servers: int,
+        *,
+        starts_at: float = math.inf,
+        rooms: Mapping[str, BackfillRoom] | None = None,
+    ) -> bool:
         """Reserve the first `candidates` that have room for `tasks` tasks once idle.
 
         While other gangs have reservations, all reservations together are limited to a
         share of `servers`, the number of usable servers.  Nothing is reserved if the
-        candidates have too little room for all tasks.
+        candidates have too little room for all tasks.  Return whether it is reserved.
         """
         others = self.of_others(step)
         limit = int(servers * MAX_RESERVED_SHARE) - len(others) if others else servers
@@ -72,5 +107,8 @@
                 break
             chosen.append(candidate.server.server_id)
             room += candidate.slots
-        if room >= tasks:
-            self._by_step[step] = frozenset(chosen)
+        if room < tasks:
+            return False
+        self._by_step[step] = Reservation(frozenset(chosen), starts_at, rooms or {})
+        self._all = None
+        return True
--- a/cassiaweir/scheduling/__init__.py
+++ b/cassiaweir/scheduling/__init__.py
@@ -1,11 +1,29 @@
-"""Learns how long work takes and how fast servers are, from what running work shows.
+"""Decides how work is scheduled, and learns what these decisions need to know.
 
 Nothing here imports messages, the store or the dispatcher, so that it can be tested
 alone.  Nothing is stored: a new leader learns again, and uses estimates until then.
 """
 
+from cassiaweir.scheduling._backfill import (
+    BackfillRoom,
+    expected_end,
+    room_at,
+    slot_times,
+)
 from cassiaweir.scheduling._durations import DurationModel
+from cassiaweir.scheduling._gangs import GangCandidate, GangPlan, plan_gang
 from cassiaweir.scheduling._server_speeds import ServerSpeeds
 from cassiaweir.scheduling._step_durations import StepDurations
 
-__all__ = ["DurationModel", "ServerSpeeds", "StepDurations"]
+__all__ = [
+    "BackfillRoom",
+    "DurationModel",
+    "GangCandidate",
+    "GangPlan",
+    "ServerSpeeds",
+    "StepDurations",
+    "expected_end",
+    "plan_gang",
+    "room_at",
+    "slot_times",
+]
--- a/tests/gang_site.py
+++ b/tests/gang_site.py
@@ -220,9 +220,7 @@
         needed = 1 if job.stream.gang else job.stream.tasks
         took = max(ends) - job.at if len(ends) >= needed else math.inf
         state = "late" if took <= 3 * job.limit_s else "lost"
-        found[job.stream.queue.name][
-            "on_time" if took <= job.limit_s else state
-        ] += 1
+        found[job.stream.queue.name]["on_time" if took <= job.limit_s else state] += 1
     return {
         name: ((count["on_time"] + 0.2 * count["late"]) / count.total(), count)
         for name, count in found.items()
