--- a/cassiaweir/dispatch/_gang_planner.py
+++ b/cassiaweir/dispatch/_gang_planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass, replace
 from operator import itemgetter
 
@@ -117,9 +117,10 @@
             step.name, step.job.spec.queue.name, estimate_s
         )
 
-    def plan(self, gangs: Sequence[WaitingGang], now: float) -> None:
+    def plan(self, gangs: Sequence[WaitingGang], usable: Set[str], now: float) -> None:
         """Plan the start of `gangs`, given in the order of rank, where that is due.
 
+        `usable` are the servers that may get new runs.
         A gang that can be on time is planned before all that cannot.  Those hold no
         servers while one that can is waiting.
         """
@@ -128,7 +129,7 @@
         for name in self._plans.keys() - names:
             del self._plans[name]
             self._allowed_counts.pop(name, None)
-        if not gangs or not self._is_due(gangs, now):
+        if not gangs or not self._is_due(gangs, usable, now):
             return
         self._next_at = now + PLAN_INTERVAL_S
         self._ends.clear()
@@ -157,7 +158,9 @@
         for gang in gangs:
             self._log_new(gang, held[gang.step.name])
 
-    def _is_due(self, gangs: Iterable[WaitingGang], now: float) -> bool:
+    def _is_due(
+        self, gangs: Iterable[WaitingGang], usable: Set[str], now: float
+    ) -> bool:
         """Return whether the gangs have to be planned again.
 
         This is the case after some time, and at once for a gang that is new, has new
@@ -172,10 +175,8 @@
             if self._allowed_counts.get(name) != len(self._advice.allowed(gang.step)):
                 return True
             reservation = self._reservations.of(name)
-            if reservation is not None:
-                usable = {each.server_id for each in gang.servers}
-                if not reservation.servers <= usable:
-                    return True
+            if reservation is not None and not reservation.servers <= usable:
+                return True
         return False
 
     def _plan_on_time(
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -144,14 +144,12 @@
     `emptiest_first`, those with the fewest runs come first: few are lost in a crash.
     Servers `reserved` for gangs come after equally reliable ones.
     """
-    ordered = sorted(candidates, key=lambda each: preference_key(step, each))
-    if reserved:
-        ordered.sort(
-            key=lambda each: (
-                preference_key(step, each)[0],
-                each.server.server_id in reserved,
-            )
-        )
+
+    def sort_key(candidate: Candidate) -> tuple[int, ...]:
+        suspicion, *others = preference_key(step, candidate)
+        return (suspicion, candidate.server.server_id in reserved, *others)
+
+    ordered = sorted(candidates, key=sort_key)
     if emptiest_first:
         ordered.sort(
             key=lambda each: (is_avoided(step, each.server), len(each.server.runs))
