--- a/cassiaweir/dispatch/_gang_planner.py
+++ b/cassiaweir/dispatch/_gang_planner.py
@@ -108,6 +108,8 @@
         self._checked_advice: set[str] = set()
         self._ends: dict[str, list[tuple[float, Resources]]] = {}
         self._by_demand: dict[Resources, dict[str, GangCandidate | None]] = {}
+        self._planned_durations: dict[str, float] = {}
+        self._last_servers: tuple[Sequence[Server], dict[str, Server]] = ((), {})
         self._too_large: set[tuple[Resources, int]] = set()
 
     def duration_s(self, step: Step) -> float:
@@ -134,6 +136,7 @@
         self._next_at = now + PLAN_INTERVAL_S
         self._ends.clear()
         self._by_demand.clear()
+        self._planned_durations.clear()
         self._too_large.clear()
         self._checked_advice.clear()
         held = {}
@@ -210,8 +213,8 @@
         size = (step.demand, gang.tasks)
         if size in self._too_large:
             return None
-        servers = {each.server_id: each for each in gang.servers}
-        found = self._future_candidates(gang, now)
+        servers = self._servers_of(gang)
+        found = self._future_candidates(gang, servers, now)
         plan = plan_gang(
             found,
             gang.tasks,
@@ -250,6 +253,14 @@
             self._too_large.add(size)
         return plan
 
+    def _servers_of(self, gang: WaitingGang) -> Mapping[str, Server]:
+        """Return the servers of a gang by id."""
+        known, by_id = self._last_servers
+        if known is not gang.servers:
+            by_id = {each.entry.server_id: each for each in gang.servers}
+            self._last_servers = (gang.servers, by_id)
+        return by_id
+
     def _headroom(
         self,
         plan: GangPlan,
@@ -276,14 +287,16 @@
             for each in others
         ]
 
-    def _future_candidates(self, gang: WaitingGang, now: float) -> list[GangCandidate]:
+    def _future_candidates(
+        self, gang: WaitingGang, servers: Mapping[str, Server], now: float
+    ) -> list[GangCandidate]:
         """Return the allowed servers with the times from which on they have room.
 
         A server without a valid ticket has room only once that can be renewed.
         """
         step, queue = gang.step, gang.waiting.queue
         others = self._reservations.of_others(step.name)
-        allowed: Collection[str] | None = None
+        allowed: frozenset[str] | None = None
         tickets: Collection[str] = ()
         if queue.advice is not None:
             allowed = self._advice.allowed(step)
@@ -294,11 +307,12 @@
         if alike and not step.avoided_servers:
             known = self._by_demand.setdefault(step.demand, {})
         found = []
-        for server in gang.servers:
-            server_id = server.server_id
-            if server_id in others or server.entry.service != queue.service:
+        # Sorted, as the order of a set differs from one process to the next.
+        for server_id in sorted(servers if allowed is None else allowed - others):
+            server = servers.get(server_id)
+            if server is None or server_id in others:
                 continue
-            if allowed is not None and server_id not in allowed:
+            if server.entry.service != queue.service:
                 continue
             if server_id not in known:
                 known[server_id] = self._future_candidate(step, server, now)
@@ -355,11 +369,13 @@
         step = run.task.step
         if step.spec.long_running:
             return math.inf
-        speed = self._speeds.speed(run.server.server_id)
+        duration_s = self._planned_durations.get(step.name)
+        if duration_s is None:
+            duration_s = self._planned_durations[step.name] = self.duration_s(step)
         return expected_end(
             run.placed_at,
             now,
-            self.duration_s(step) / speed,
+            duration_s / self._speeds.speed(run.server.entry.server_id),
             run.progress.percent,
             run.progress.changed_at,
         )
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -178,7 +178,7 @@
                 if group.isolation is not Isolation.ALONE:
                     servers = self._quarantine.usable(step, group.isolation, usable)
                     gangs.append(WaitingGang(waiting, servers, count))
-        self._gangs.plan(gangs, {each.server_id for each in usable}, now)
+        self._gangs.plan(gangs, {each.entry.server_id for each in usable}, now)
 
     def _place_step(
         self,
--- a/cassiaweir/dispatch/_reservations.py
+++ b/cassiaweir/dispatch/_reservations.py
@@ -65,7 +65,7 @@
             return False
         return any(each.server_id in reserved.servers for each in servers)
 
-    def of_others(self, step: str) -> Collection[str]:
+    def of_others(self, step: str) -> frozenset[str]:
         """Return the servers that are reserved for other steps than `step`."""
         if self._all is None:
             self._all = frozenset().union(
