--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -423,7 +423,9 @@
             run=run.number,
             server=run.server.server_id,
             urgent=step.name,
+            lost_core_s=round(run.unsaved_core_s(self._clock.monotonic()), 3),
         )
+        run.stop_cause = "preempted"
         self._metrics.count("preemptions")
         self._stop(run)
 
--- a/cassiaweir/dispatch/_gang_planner.py
+++ b/cassiaweir/dispatch/_gang_planner.py
@@ -11,11 +11,7 @@
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, split_servers
-from cassiaweir.dispatch._objective import (
-    DeadlineStatus,
-    deadline_status,
-    remaining_critical_path_s,
-)
+from cassiaweir.dispatch._objective import DeadlineStatus, deadline_status
 from cassiaweir.dispatch._placement import (
     Candidate,
     find_candidates,
@@ -586,9 +582,8 @@
 
 def _status(gang: WaitingGang, starts_at: float) -> DeadlineStatus:
     """Return whether a gang that starts at `starts_at` can be on time."""
-    entry = gang.waiting.entry
-    remaining_s = remaining_critical_path_s(entry.job, gang.step)
-    return deadline_status(entry.objective, remaining_s, starts_at)
+    objective, latest_start = gang.waiting.entry.objective, gang.waiting.rank[-1]
+    return deadline_status(objective, objective.due_at - latest_start, starts_at)
 
 
 def _renewal_s(policy: AdvicePolicy, servers: int) -> float:
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -40,7 +40,7 @@
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import AdvicePolicy
 from cassiaweir.scheduling import DurationModel, ServerSpeeds, StepDurations
-from cassiaweir.types import Clock
+from cassiaweir.types import Clock, Resources
 
 MAX_ENTRIES_AGE = timedelta(seconds=3)
 """Nothing starts by entries of servers that are older: their rooms may have shrunk."""
@@ -103,7 +103,7 @@
         self._gangs = GangPlanner(
             advice, self._reservations, self._durations, speeds or ServerSpeeds()
         )
-        self._reserved_with_room: list[Server] = []
+        self._promised: dict[str, Resources] = {}
         self._future: dict[str, tuple[float, list[Candidate]]] = {}
 
     def place(self) -> None:
@@ -128,10 +128,7 @@
         if not found:
             return
         with_room = servers_with_room(usable, [each.step for each in found])
-        reserved = self._reservations.of_others("")
-        self._reserved_with_room = [
-            each for each in with_room if each.server_id in reserved
-        ]
+        self._promised.clear()
         for waiting in found:
             try:
                 self._place_step(waiting, usable, with_room)
@@ -248,12 +245,15 @@
         if queue.advice is not None:
             tickets = self._advice.tickets(step)
         candidates = find_candidates(step, free, tickets, within_cap)
+        urgent = queue.priority == URGENT_PRIORITY
         if step.spec.gang and not group.isolation:
             now = self._clock.monotonic()
             chosen = self._gangs.choose(step, candidates, within_cap, now)
         else:
-            if not step.spec.gang and waiting.queue.priority > URGENT_PRIORITY:
-                candidates += self._backfill_candidates(step, tickets, within_cap)
+            if not step.spec.gang and not group.isolation and not urgent:
+                candidates += self._backfill_candidates(
+                    waiting, with_room, tickets, within_cap
+                )
             chosen = choose_servers(
                 step,
                 candidates,
@@ -291,7 +291,16 @@
             return
         now = self._clock.monotonic()
         available = self._available_servers(waiting, servers)
-        preempt_for_step(waiting.step, available, tickets, missing, now, self._preempt)
+        preempt_for_step(
+            waiting.step,
+            available,
+            tickets,
+            missing,
+            now,
+            self._preempt,
+            duration_s=self._gangs.duration_s(waiting.step),
+            promised=self._promised,
+        )
 
     def _ask(
         self,
@@ -372,15 +381,25 @@
         return [each for each in found if each.server.server_id not in reserved]
 
     def _backfill_candidates(
-        self, step: Step, tickets: Mapping[str, str] | None, limit: int
+        self,
+        waiting: WaitingStep,
+        servers: Sequence[Server],
+        tickets: Mapping[str, str] | None,
+        limit: int,
     ) -> list[Candidate]:
-        """Return the reserved servers that `step` may use until their gang starts."""
-        if not self._reserved_with_room or step.spec.long_running:
+        """Return those of `servers` that a step may use until their gang starts."""
+        step = waiting.step
+        reserved = self._reservations.of_others(step.name)
+        if not reserved or step.spec.long_running:
             return []
         now = self._clock.monotonic()
         duration_s, spread = self._gangs.duration_s(step), self._spread(step)
         rooms = []
-        for server in self._reserved_with_room:
+        for server in servers:
+            if server.entry.server_id not in reserved:
+                continue
+            if server.entry.service != waiting.queue.service:
+                continue
             room = self._reservations.backfill_room(server.server_id)
             if room is not None:
                 usable = room.usable(server.free, now, duration_s, spread)
--- a/cassiaweir/dispatch/_preemption.py
+++ b/cassiaweir/dispatch/_preemption.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
 
+from cassiaweir.dispatch._placement import fitting_tasks
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
 from cassiaweir.jobs import Step
@@ -16,6 +18,23 @@
 """A run with at least this progress is not preempted, as it will end soon."""
 
 
+class _Victims(NamedTuple):
+    """Runs of one server to stop, and the core-seconds of work that this discards.
+
+    Then there is room for `tasks` urgent tasks.
+    """
+
+    loss: float
+    server: Server
+    runs: list[Run]
+    tasks: int
+
+    @property
+    def loss_per_task(self) -> float:
+        """The core-seconds discarded for each urgent task."""
+        return self.loss / self.tasks
+
+
 def may_preempt(run: Run, now: float) -> bool:
     """Return whether `run` may be stopped for an urgent task.
 
@@ -41,46 +60,107 @@
     count: int,
     now: float,
     preempt: Callable[[Run, Step], None],
+    *,
+    duration_s: float,
+    promised: dict[str, Resources],
 ) -> None:
     """Preempt runs on `servers` to make room for up to `count` tasks of `step`.
 
-    Room is made for one task on each server.  `tickets` names the servers that the
-    advice service allows; None means that no advice is needed.
+    Room is made first where the least work is discarded for each task, and only where
+    that is less than the work of the tasks, each of which takes `duration_s`.
+    `tickets` names the servers that the advice service allows; None means that no
+    advice is needed.  `promised` is the room of stopping runs that was counted for
+    other steps in the same placement round, by server; that for `step` is added.
     """
     demand = step.demand
+    gain = demand.cpu_millis / 1_000 * duration_s
+    found: list[_Victims] = []
     for server in servers:
+        if tickets is not None and server.server_id not in tickets:
+            continue
+        stopping = _stopping(server)
+        taken = promised.get(server.server_id, NO_RESOURCES)
+        room = server.free + stopping - taken
+        if stopping != NO_RESOURCES:
+            coming = fitting_tasks(room, demand, count)
+            if coming:
+                promised[server.server_id] = taken + demand * coming
+                count -= coming
+                continue
         if count <= 0:
             return
-        if tickets is not None and server.server_id not in tickets:
+        if demand.fits(room):
             continue
-        victims = _victims_on(server, demand, now)
-        for run in victims:
+        victims = _victims_on(server, demand, room, count, now)
+        if victims is not None:
+            found.append(victims)
+    found.sort(key=lambda each: each.loss_per_task)
+    for victims in found:
+        tasks = min(victims.tasks, count)
+        if tasks <= 0:
+            return
+        if victims.loss >= gain * tasks:
+            continue
+        count -= tasks
+        server_id = victims.server.server_id
+        taken = promised.get(server_id, NO_RESOURCES)
+        promised[server_id] = taken + demand * tasks
+        for run in victims.runs:
             run.task.preempted = True
             preempt(run, step)
-        count -= bool(victims)
-
 
-def _victims_on(server: Server, demand: Resources, now: float) -> list[Run]:
-    """Return the runs to stop on `server` to make room for one task of `demand`.
 
-    The list is empty if the task will fit without that, as what stopping runs take
-    counts as free, and also if stopping runs does not make enough room.
-    """
+def _stopping(server: Server) -> Resources:
+    """Return what the runs take that are being stopped on a server."""
     stopping = NO_RESOURCES
     for run in server.runs.values():
         if run.state is RunState.STOPPING:
             stopping = stopping + run.demand
-    room = server.free + stopping
-    if demand.fits(room):
-        return []
-    victims = []
-    # The largest runs first, so that few are stopped.
-    runs = sorted(server.runs.values(), key=lambda run: -run.demand.cpu_millis)
+    return stopping
+
+
+def _victims_on(
+    server: Server, demand: Resources, room: Resources, count: int, now: float
+) -> _Victims | None:
+    """Return the runs to stop for one task of `demand`, so that little work is lost.
+
+    Their room may be enough for more tasks, at most `count`.
+
+    `room` is what will be free without that.  Return None if stopping runs does not
+    make enough room.
+    """
+    runs = [run for run in server.runs.values() if may_preempt(run, now)]
+    runs.sort(key=lambda run: run.unsaved_core_s(now))
+    chosen: list[Run] = []
+    enough = room
+    for run in runs:
+        if demand.fits(enough):
+            break
+        chosen.append(run)
+        enough = enough + run.demand
+    if not demand.fits(enough):
+        return None
+    # The last runs discard the most; earlier ones may not be needed beside them.
+    for run in reversed(chosen[:-1]):
+        if demand.fits(enough - run.demand):
+            chosen.remove(run)
+            enough = enough - run.demand
+    options = [chosen, *([run] for run in runs if demand.fits(room + run.demand))]
+    return min(
+        (_victims(server, option, demand, room, count, now) for option in options),
+        key=lambda each: (each.loss_per_task, len(each.runs)),
+    )
+
+
+def _victims(
+    server: Server,
+    runs: list[Run],
+    demand: Resources,
+    room: Resources,
+    count: int,
+    now: float,
+) -> _Victims:
     for run in runs:
-        if not may_preempt(run, now):
-            continue
-        victims.append(run)
         room = room + run.demand
-        if demand.fits(room):
-            return victims
-    return []
+    loss = sum(run.unsaved_core_s(now) for run in runs)
+    return _Victims(loss, server, runs, fitting_tasks(room, demand, count))
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -124,6 +124,7 @@
 
     def _requeue_lost(self, run: Run, cause: str) -> None:
         """Requeue the task of a removed run and stop the rest of its gang."""
+        self._count_discarded(run, run.stop_cause or "lost")
         self._runs.requeue(run, cause)
         if run.task.step.spec.gang and not run.task.step.complete:
             self._stop_gang(run)
@@ -132,6 +133,7 @@
         """Stop the members that started with `lost` and cannot go on without it."""
         for run in self._runs.gang_runs(lost.task.step):
             if run.number == lost.number and run.state is not RunState.STOPPING:
+                run.stop_cause = run.stop_cause or "gang"
                 self._stop(run)
 
     def _apply_running(self, server: Server, running: RunningTask) -> bool:
@@ -139,6 +141,7 @@
         run = server.runs.get((running.task, running.run))
         if run is not None:
             run.task.step.record_checkpoint(run.task, running.checkpoint)
+            run.note_checkpoint(running.checkpoint, self._clock.monotonic())
             self._clear_suspicion(run)
             self._record_progress(run, running.percent)
             return True
@@ -203,6 +206,7 @@
                 percent=run.progress.percent,
             )
             step.avoided_servers.add(server.server_id)
+            run.stop_cause = "stalled" if stalled else "too_slow"
             if step.spec.gang:
                 self._stop_gang(run)
                 continue
@@ -240,9 +244,20 @@
         if end.kind is EndKind.FAILED:
             position = self._fail(server, entry, task, end)
         if run is not None:
+            run.note_checkpoint(end.checkpoint, self._clock.monotonic())
+            self._count_discarded(run, run.stop_cause or end.kind.value)
             self._runs.requeue(run, end.kind.value)
         return position
 
+    def _count_discarded(self, run: Run, cause: str) -> None:
+        """Count the work that is lost with a run, unless nobody needs it any more."""
+        if run.task.state is TaskState.PLACED and not run.task.step.job.ended:
+            self._metrics.count(
+                "work_discarded_core_seconds",
+                run.unsaved_core_s(self._clock.monotonic()),
+                cause=cause,
+            )
+
     def _log_end(self, server: Server, run: Run, end: TaskEnd) -> None:
         seconds = self._clock.monotonic() - run.placed_at
         self._metrics.count("runs_ended", how=end.kind.value)
--- a/cassiaweir/dispatch/_runs.py
+++ b/cassiaweir/dispatch/_runs.py
@@ -38,6 +38,8 @@
     of the server in which the room for the run was found.  `sent_at` is the time at
     which a start was sent that may have been carried out, None if there was none.
     `isolation` is what may run beside it while it is suspected of crashing servers.
+    `checkpoint_at` is the time at which a report first showed its newest `checkpoint`.
+    `stop_cause` says why it was told to stop, for the metrics.
     """
 
     task: Task
@@ -53,6 +55,9 @@
     born: int = 0
     sent_at: float | None = None
     isolation: Isolation = Isolation.NONE
+    checkpoint: str = ""
+    checkpoint_at: float | None = None
+    stop_cause: str = ""
     progress: RunProgress = field(default_factory=RunProgress)
 
     @property
@@ -65,6 +70,19 @@
         """The id of the job that the run belongs to."""
         return self.task.step.job.job_id
 
+    def note_checkpoint(self, checkpoint: str, now: float) -> None:
+        """Note the newest checkpoint that a report shows, empty if there is none."""
+        if checkpoint and checkpoint != self.checkpoint:
+            self.checkpoint = checkpoint
+            self.checkpoint_at = now
+
+    def unsaved_core_s(self, now: float) -> float:
+        """Return the core-seconds of work since the start or the last checkpoint."""
+        began_at = self.answered_at or self.placed_at
+        if self.checkpoint_at is not None:
+            began_at = max(self.checkpoint_at, self.placed_at)
+        return max(now - began_at, 0.0) * self.demand.cpu_millis / 1_000
+
     @property
     def is_latest(self) -> bool:
         """Whether this is the newest run of its task."""
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -50,7 +50,8 @@
     """A backend server that checks leases and epochs but not its capacity.
 
     `highest_barred_runs` maps a task to its highest run that may not start any more.
-    While `failing` is set, each new run ends as failed.  `refuses` is whether its
+    While `failing` is set, each new run ends as failed.  Each run writes a checkpoint
+    every `checkpoint_s` seconds, unless that is 0.  `refuses` is whether its
     address refuses connections while it is down or cut off, rather than staying silent.
     `counted_capacity` is the room that starts are held against.  `successor` is the
     server that runs at its address after a crash, if its id is new.
@@ -78,6 +79,7 @@
         self.until_ms = 0
         self.up = True
         self.failing = False
+        self.checkpoint_s = 0.0
         self.refuses = False
         self.successor: FakeServer | None = None
         self._end_numbers = itertools.count(1)
@@ -190,7 +192,9 @@
             self.apply_due_events()
             self._forget_acknowledged()
         running = [
-            RunningTask(run.task, run.number, "", self._percent(run), 0.0)
+            RunningTask(
+                run.task, run.number, self._checkpoint(run), self._percent(run), 0.0
+            )
             for run in self.runs.values()
         ]
         return ServerReport(self.clock_ms(), self.entry.born, running, list(self.ends))
@@ -199,6 +203,14 @@
         self.site.record_acknowledged(self, self._acknowledged)
         self.ends = [end for end in self.ends if end.number > self._acknowledged]
 
+    def _checkpoint(self, run: FakeRun) -> str:
+        """Return the newest checkpoint of a run, empty if it has none."""
+        if not self.checkpoint_s:
+            return ""
+        ran_s = asyncio.get_running_loop().time() - run.began_at
+        written = int(ran_s / self.checkpoint_s)
+        return f"{run.number}/{written}" if written else ""
+
     def _percent(self, run: FakeRun) -> int:
         now = asyncio.get_running_loop().time()
         return min(int((now - run.began_at) / (run.ends_at - run.began_at) * 100), 100)
