--- a/cassiaweir/dispatch/_gang_planner.py
+++ b/cassiaweir/dispatch/_gang_planner.py
@@ -11,6 +11,7 @@
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, split_servers
+from cassiaweir.dispatch._job_times import WorkModels
 from cassiaweir.dispatch._objective import DeadlineStatus, deadline_status
 from cassiaweir.dispatch._placement import (
     Candidate,
@@ -29,8 +30,6 @@
     BackfillRoom,
     GangCandidate,
     GangPlan,
-    ServerSpeeds,
-    StepDurations,
     expected_end,
     plan_gang,
     room_at,
@@ -91,13 +90,12 @@
         self,
         advice: AdviceCache,
         reservations: Reservations,
-        durations: StepDurations,
-        speeds: ServerSpeeds,
+        models: WorkModels,
     ) -> None:
         self._advice = advice
         self._reservations = reservations
-        self._durations = durations
-        self._speeds = speeds
+        self._durations = models.steps
+        self._speeds = models.speeds
         self._plans: dict[str, GangPlan | None] = {}
         self._allowed_counts: dict[str, int] = {}
         self._next_at = -math.inf
@@ -110,10 +108,8 @@
 
     def duration_s(self, step: Step) -> float:
         """Return the expected duration of a task of `step` at speed 1."""
-        estimate_s = step.spec.duration_s
-        return self._durations.expected_s(
-            step.name, step.job.spec.queue.name, estimate_s
-        )
+        queue, spec = step.job.spec.queue.name, step.spec
+        return self._durations.expected_s(step.name, queue, spec.estimate_s)
 
     def plan(self, gangs: Sequence[WaitingGang], usable: Set[str], now: float) -> None:
         """Plan the start of `gangs`, given in the order of rank, where that is due.
@@ -582,7 +578,10 @@
 
 def _status(gang: WaitingGang, starts_at: float) -> DeadlineStatus:
     """Return whether a gang that starts at `starts_at` can be on time."""
-    objective, latest_start = gang.waiting.entry.objective, gang.waiting.rank[-1]
+    objective, latest_start = (
+        gang.waiting.entry.objective,
+        gang.waiting.rank.latest_start,
+    )
     return deadline_status(objective, objective.due_at - latest_start, starts_at)
 
 
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -39,7 +39,6 @@
 from cassiaweir.jobs import Isolation, Step
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import AdvicePolicy
-from cassiaweir.scheduling import DurationModel, ServerSpeeds, StepDurations
 from cassiaweir.types import Clock, Resources
 
 MAX_ENTRIES_AGE = timedelta(seconds=3)
@@ -79,9 +78,7 @@
         entries_age: Callable[[], timedelta],
         preempt: Callable[[Run, Step], None],
         launch: Callable[[Sequence[Run]], None],
-        durations: StepDurations | None = None,
-        speeds: ServerSpeeds | None = None,
-        metrics: Metrics | None = None,
+        metrics: Metrics,
     ) -> None:
         self._jobs = jobs
         self._runs = runs
@@ -97,12 +94,10 @@
         self._entries_current = True
         self._preempt = preempt
         self._launch = launch
-        self._metrics = metrics or Metrics()
+        self._metrics = metrics
         self._reservations = Reservations()
-        self._durations = durations or StepDurations(DurationModel())
-        self._gangs = GangPlanner(
-            advice, self._reservations, self._durations, speeds or ServerSpeeds()
-        )
+        self._durations = jobs.models.steps
+        self._gangs = GangPlanner(advice, self._reservations, jobs.models)
         self._promised: dict[str, Resources] = {}
         self._future: dict[str, tuple[float, list[Candidate]]] = {}
 
@@ -285,7 +280,7 @@
 
         Nothing is preempted for a job beyond its customer's share.
         """
-        on_time = waiting.rank[0] == int(DeadlineStatus.ON_TIME)
+        on_time = waiting.rank.status == DeadlineStatus.ON_TIME
         urgent = waiting.queue.priority == URGENT_PRIORITY
         if missing <= 0 or not urgent or not on_time or waiting.entry.over_share:
             return
@@ -323,7 +318,7 @@
         if not self._advice.may_ask(step, several=gang):
             return
         urgent = waiting.queue.priority == URGENT_PRIORITY
-        rank = waiting.rank[1] * 1e9 + waiting.rank[3]
+        rank = waiting.rank.not_urgent * 1e9 + waiting.rank.latest_start
         if gang:
             now = self._clock.monotonic()
             for ids in self._gangs.servers_to_ask(
--- a/cassiaweir/dispatch/_runs.py
+++ b/cassiaweir/dispatch/_runs.py
@@ -8,6 +8,7 @@
 
 from cassiaweir.dispatch._speed import RunProgress
 from cassiaweir.jobs import Isolation, Task
+from cassiaweir.scheduling import ProgressSampler
 from cassiaweir.types import Resources
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
     `isolation` is what may run beside it while it is suspected of crashing servers.
     `checkpoint_at` is the time at which a report first showed its newest `checkpoint`.
     `stop_cause` says why it was told to stop, for the metrics.
+    `from_start` means that this leader placed it and that it resumes no checkpoint.
     """
 
     task: Task
@@ -58,7 +60,9 @@
     checkpoint: str = ""
     checkpoint_at: float | None = None
     stop_cause: str = ""
+    from_start: bool = False
     progress: RunProgress = field(default_factory=RunProgress)
+    sampler: ProgressSampler = field(default_factory=ProgressSampler)
 
     @property
     def key(self) -> RunKey:
--- a/cassiaweir/scheduling/__init__.py
+++ b/cassiaweir/scheduling/__init__.py
@@ -12,14 +12,22 @@
 )
 from cassiaweir.scheduling._durations import DurationModel
 from cassiaweir.scheduling._gangs import GangCandidate, GangPlan, plan_gang
+from cassiaweir.scheduling._samples import (
+    MIN_GAIN_PERCENT,
+    Progress,
+    ProgressSampler,
+)
 from cassiaweir.scheduling._server_speeds import ServerSpeeds
 from cassiaweir.scheduling._step_durations import StepDurations
 
 __all__ = [
+    "MIN_GAIN_PERCENT",
     "BackfillRoom",
     "DurationModel",
     "GangCandidate",
     "GangPlan",
+    "Progress",
+    "ProgressSampler",
     "ServerSpeeds",
     "StepDurations",
     "expected_end",
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -50,8 +50,9 @@
     """A backend server that checks leases and epochs but not its capacity.
 
     `highest_barred_runs` maps a task to its highest run that may not start any more.
-    While `failing` is set, each new run ends as failed.  Each run writes a checkpoint
-    every `checkpoint_s` seconds, unless that is 0.  `refuses` is whether its
+    While `failing` is set, each new run ends as failed.  New runs take the time in
+    their task spec divided by `speed`, and write a checkpoint every `checkpoint_s`
+    seconds, unless that is 0.  `refuses` is whether its
     address refuses connections while it is down or cut off, rather than staying silent.
     `counted_capacity` is the room that starts are held against.  `successor` is the
     server that runs at its address after a crash, if its id is new.
@@ -80,6 +81,7 @@
         self.up = True
         self.failing = False
         self.checkpoint_s = 0.0
+        self.speed = 1.0
         self.refuses = False
         self.successor: FakeServer | None = None
         self._end_numbers = itertools.count(1)
--- a/tests/gang_site.py
+++ b/tests/gang_site.py
@@ -79,11 +79,8 @@
             question_s=question_s,
             each_server_s=each_server_s,
         )
-        self.speeds = {
-            name: speeds[number % len(speeds)]
-            for number, name in enumerate(self.servers)
-        }
-        for server in self.servers.values():
+        for number, server in enumerate(self.servers.values()):
+            server.speed = speeds[number % len(speeds)]
             if size is not None:
                 server.entry = replace(server.entry, capacity=size)
                 server.counted_capacity = size
@@ -101,14 +98,8 @@
         return random.Random(f"{self.seed}/{step}/{server_id}").random() < self.share
 
     def record_start(self, server: FakeServer, order: StartOrder) -> None:
-        """Start a run; its time follows from the speed of the server or its gang."""
+        """Start a run; a member of a gang ends with the slowest one."""
         super().record_start(server, order)
-        key = (order.task, order.run)
-        run = server.runs[key]
-        seconds = (run.ends_at - run.began_at) / self.speeds.get(
-            server.entry.server_id, 1.0
-        )
-        run.ends_at = run.began_at + seconds
         job_id, _, number, _ = order.task.split(".")
         if not self.specs[job_id].steps[int(number)].gang:
             return
