--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -300,22 +300,22 @@
     run_virtual(body)
 
 
-# Guards against gangs that wait for tickets while there is room: with one question at
-# a time 41% of the gangs of this load were on time, and 6 s went by before a start.
-def test_gangs_are_on_time_at_one_and_a_half_times_the_usual_load() -> None:
+# Guards against gangs that wait for tickets while there is room.  With one question at
+# a time, and tickets that expire at different times, their worth was 0.84 here.
+def test_gangs_are_on_time_at_more_than_one_and_a_half_times_the_usual_load() -> None:
     async def body() -> None:
-        site = GangSite(servers=88, seed=5, lanes=20)
+        site = GangSite(servers=88, seed=1, lanes=20)
         site.configuration.value = configuration(
             CUSTOMER, queues=(QUEUE, URGENT, GANG_QUEUE)
         )
         await site.wait_for_leader()
         await asyncio.sleep(0.5)
-        jobs = await submit_load(site, dyfed(0.5, 1.5), 6.0, 5)
-        await asyncio.sleep(15)
+        jobs = await submit_load(site, dyfed(0.5, 1.6), 10.0, 1)
+        await asyncio.sleep(12)
         worth = {name: each[0] for name, each in worth_by_queue(site, jobs).items()}
-        assert worth[GANG_QUEUE.name] > 0.7
+        assert worth[GANG_QUEUE.name] > 0.88
         assert worth[URGENT.name] > 0.99
-        assert worth[QUEUE.name] > 0.95
+        assert worth[QUEUE.name] > 0.99
         assert not site.faults
         await site.close()
 
