--- a/cassiaweir/dispatch/_gang_planner.py
+++ b/cassiaweir/dispatch/_gang_planner.py
@@ -99,7 +99,7 @@
         self._plans: dict[str, GangPlan | None] = {}
         self._allowed_counts: dict[str, int] = {}
         self._next_at = -math.inf
-        self._checked_advice: set[str] = set()
+        self._checked_advice: dict[str, tuple[float, int]] = {}
         self._ends: dict[str, list[tuple[float, Resources]]] = {}
         self._by_demand: dict[Resources, dict[str, GangCandidate | None]] = {}
         self._planned_durations: dict[str, float] = {}
@@ -120,6 +120,7 @@
         """
         names = {each.step.name for each in gangs}
         self._reservations.retain(names)
+        self._forget_old_checks(now)
         for name in self._plans.keys() - names:
             del self._plans[name]
             self._allowed_counts.pop(name, None)
@@ -130,7 +131,6 @@
         self._by_demand.clear()
         self._planned_durations.clear()
         self._too_large.clear()
-        self._checked_advice.clear()
         held = {}
         for each in gangs:
             reservation = self._reservations.of(each.step.name)
@@ -151,7 +151,17 @@
                 continue
             self._plan_gang(gang, held[name], now)
         for gang in gangs:
-            self._log_new(gang, held[gang.step.name])
+            if not held[gang.step.name]:
+                self._log_reserved(gang.step, now)
+
+    def _forget_old_checks(self, now: float) -> None:
+        """Forget when advice was last checked where that is too old to matter."""
+        if self._checked_advice:
+            self._checked_advice = {
+                name: checked
+                for name, checked in self._checked_advice.items()
+                if now - checked[0] < PLAN_INTERVAL_S
+            }
 
     def _is_due(
         self, gangs: Iterable[WaitingGang], usable: Set[str], now: float
@@ -222,23 +232,19 @@
         ]
         if not step.spec.same_rack:
             chosen += self._headroom(plan, found, servers)
-        rooms = {
-            each.server.server_id: BackfillRoom(
-                plan.starts_at,
-                room_at(
-                    each.server.free, self._run_ends(each.server, now), plan.starts_at
-                )
-                - step.demand * each.slots,
-            )
-            for each in chosen[: 2 * len(plan.slots) + 1]
-        }
+
+        def room_of(candidate: Candidate) -> BackfillRoom:
+            server, at = candidate.server, plan.starts_at
+            room = room_at(server.free, self._run_ends(server, now), at)
+            return BackfillRoom(at, room - step.demand * candidate.slots)
+
         if self._reservations.reserve(
             step.name,
             chosen,
             gang.tasks,
             len(gang.servers),
             starts_at=plan.starts_at,
-            rooms=rooms,
+            room_of=room_of,
         ):
             self._plans[step.name] = plan
         else:
@@ -419,15 +425,17 @@
     ) -> list[list[str]]:
         """Return the servers to ask the advice service about for a waiting gang.
 
-        Each list is for a question of its own.  There are none until the next planning
-        after this was called.  `servers` have room now, `usable` may
+        Each list is for a question of its own.  Between answers they are looked for
+        only once in `PLAN_INTERVAL_S`.  `servers` have room now, `usable` may
         have it later.  Tickets of reserved servers are renewed before they expire, and
         servers without an answer are asked about until the allowed ones have room.
         """
         step = waiting.step
-        if step.name in self._checked_advice:
+        answers = len(self._advice.allowed(step)) + len(self._advice.denied(step))
+        checked_at, known = self._checked_advice.get(step.name, (-math.inf, 0))
+        if now - checked_at < PLAN_INTERVAL_S and answers == known:
             return []
-        self._checked_advice.add(step.name)
+        self._checked_advice[step.name] = (now, answers)
         renewals = self._tickets_to_renew(step, policy, servers, tasks, now)
         found = [renewals] if renewals else []
         pending = self._advice.pending(step)
@@ -557,22 +565,16 @@
                 capacity += slots * share
         return found
 
-    def _log_new(self, gang: WaitingGang, held: Collection[str]) -> None:
-        """Log that a gang which held no servers has some reserved."""
-        reservation = self._reservations.of(gang.step.name)
-        if reservation is None or held:
+    def _log_reserved(self, step: Step, now: float) -> None:
+        reservation, plan = self._reservations.of(step.name), self._plans[step.name]
+        if reservation is None or plan is None:
             return
-        plan = self._plans[gang.step.name]
         logger.info(
             "gang_reserved",
-            step=gang.step.name,
+            step=step.name,
             servers=len(reservation.servers),
-            starts_in_s=round(
-                reservation.starts_at - self._next_at + PLAN_INTERVAL_S, 3
-            ),
-            ends_in_s=round(plan.ends_at - self._next_at + PLAN_INTERVAL_S, 3)
-            if plan
-            else None,
+            starts_in_s=round(plan.starts_at - now, 3),
+            ends_in_s=round(plan.ends_at - now, 3),
         )
 
 
--- a/cassiaweir/dispatch/_reservations.py
+++ b/cassiaweir/dispatch/_reservations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from cassiaweir.dispatch._placement import Candidate
@@ -90,25 +90,28 @@
         servers: int,
         *,
         starts_at: float = math.inf,
-        rooms: Mapping[str, BackfillRoom] | None = None,
+        room_of: Callable[[Candidate], BackfillRoom] | None = None,
     ) -> bool:
         """Reserve the first `candidates` that have room for `tasks` tasks once idle.
 
         While other gangs have reservations, all reservations together are limited to a
         share of `servers`, the number of usable servers.  Nothing is reserved if the
         candidates have too little room for all tasks.  Return whether it is reserved.
+        `room_of` returns what other tasks may use of a server until `starts_at`.
         """
         others = self.of_others(step)
         limit = int(servers * MAX_RESERVED_SHARE) - len(others) if others else servers
-        chosen: list[str] = []
+        chosen: list[Candidate] = []
         room = 0
         for candidate in candidates[: max(limit, 0)]:
             if room >= tasks * RESERVATION_HEADROOM:
                 break
-            chosen.append(candidate.server.server_id)
+            chosen.append(candidate)
             room += candidate.slots
         if room < tasks:
             return False
-        self._by_step[step] = Reservation(frozenset(chosen), starts_at, rooms or {})
+        by_id = {each.server.server_id: each for each in chosen}
+        rooms = {} if room_of is None else {k: room_of(by_id[k]) for k in by_id}
+        self._by_step[step] = Reservation(frozenset(by_id), starts_at, rooms)
         self._all = None
         return True
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -237,6 +237,22 @@
     run_virtual(body)
 
 
+# Guards against an urgent gang, which reserves nothing, whose tickets are not renewed.
+def test_urgent_gang_starts_once_there_is_room_though_its_tickets_expired() -> None:
+    async def body() -> None:
+        site = site_with(2)
+        queue = replace(GANG_QUEUE, name="urgent-gangs", priority=0)
+        site.configuration.value = configuration(CUSTOMER, queues=(QUEUE, queue))
+        await site.wait_for_leader()
+        site.submit(replace(FILLING, count=6), task_s=4.0)
+        await asyncio.sleep(0.2)
+        gang = site.submit(GANG, queue=queue, task_s=2.0)
+        assert await began(site, gang) < 5.2
+        await site.close()
+
+    run_virtual(body)
+
+
 # Guards against a reservation that keeps a server which is gone, or which will leave.
 @pytest.mark.parametrize("how", ["crash", "drain"])
 def test_reserved_server_that_is_lost_is_replaced(how: str) -> None:
