--- a/cassiaweir/dispatch/_gang_planner.py
+++ b/cassiaweir/dispatch/_gang_planner.py
@@ -23,7 +23,7 @@
 from cassiaweir.dispatch._reservations import RESERVATION_HEADROOM, Reservations
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
-from cassiaweir.dispatch._waiting_steps import WaitingStep
+from cassiaweir.dispatch._waiting_steps import OUT_OF_TURN, WaitingStep
 from cassiaweir.jobs import Step
 from cassiaweir.queues import AdvicePolicy
 from cassiaweir.scheduling import (
@@ -114,9 +114,9 @@
     def plan(self, gangs: Sequence[WaitingGang], usable: Set[str], now: float) -> None:
         """Plan the start of `gangs`, given in the order of rank, where that is due.
 
-        `usable` are the servers that may get new runs.
-        A gang that can be on time is planned before all that cannot.  Those hold no
-        servers while one that can is waiting.
+        `usable` are the servers that may get new runs.  A gang that can be on time, or
+        that has waited for so long that it is taken out of turn, is planned before all
+        others.  Those hold no servers while one of the former is waiting.
         """
         names = {each.step.name for each in gangs}
         self._reservations.retain(names)
@@ -135,6 +135,7 @@
         for each in gangs:
             reservation = self._reservations.of(each.step.name)
             held[each.step.name] = reservation.servers if reservation else frozenset()
+            self._allowed_counts[each.step.name] = len(self._advice.allowed(each.step))
         self._reservations.retain(())
         behind = []
         on_time = False
@@ -189,9 +190,13 @@
     ) -> bool:
         """Plan a gang if it can be on time; return whether it can.
 
-        A gang whose start cannot be planned yet counts as able to be on time.
+        A gang whose start cannot be planned yet counts as able to be on time, and so
+        does one that is taken out of turn.
         """
         name = gang.step.name
+        if gang.waiting.rank.share == OUT_OF_TURN:
+            self._plan_gang(gang, held, now)
+            return True
         if _status(gang, now) is not DeadlineStatus.ON_TIME:
             return False
         plan = self._plan_gang(gang, held, now)
@@ -210,7 +215,6 @@
         The plan counts only if its servers could be reserved.
         """
         step = gang.step
-        self._allowed_counts[step.name] = len(self._advice.allowed(step))
         self._plans[step.name] = None
         size = (step.demand, gang.tasks)
         if size in self._too_large:
