--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -156,6 +156,7 @@
             entries_age=entries_age,
             preempt=self._preempt,
             launch=self._launch,
+            metrics=metrics,
         )
         self._placement_requested = asyncio.Event()
         commits.on_stored = self.wake
@@ -511,7 +512,9 @@
             run=run.number,
             server=run.server.server_id,
             urgent=step.name,
+            lost_core_s=round(run.unsaved_core_s(self._clock.monotonic()), 3),
         )
+        run.stop_cause = "preempted"
         self._metrics.count("preemptions")
         self._stop(run)
 
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
 
 from loguru import logger
@@ -14,12 +14,14 @@
 from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._evacuation import Evacuations
 from cassiaweir.dispatch._former_usage import FormerUsage
+from cassiaweir.dispatch._gang_planner import GangPlanner, WaitingGang
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._objective import DeadlineStatus
 from cassiaweir.dispatch._placement import (
     Candidate,
     choose_servers,
+    find_backfill_candidates,
     find_candidates,
     find_future_candidates,
     preference_key,
@@ -27,7 +29,7 @@
 )
 from cassiaweir.dispatch._preemption import preempt_for_step
 from cassiaweir.dispatch._quarantine import Quarantine, TaskGroup
-from cassiaweir.dispatch._reservations import RESERVATION_HEADROOM, Reservations
+from cassiaweir.dispatch._reservations import Reservations
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server
@@ -38,14 +40,9 @@
     WaitingSteps,
 )
 from cassiaweir.jobs import Isolation, Step
+from cassiaweir.observe import Metrics
 from cassiaweir.queues import AdvicePolicy
-from cassiaweir.types import Clock
-
-RENEWAL_MARGIN_S = 0.3
-"""Added to the time that renewing the tickets of a waiting gang is expected to take.
-
-The new tickets then arrive before the old ones expire.
-"""
+from cassiaweir.types import Clock, Resources
 
 MAX_ENTRIES_AGE = timedelta(seconds=3)
 """Nothing starts by entries of servers that are older: their rooms may have shrunk."""
@@ -86,6 +83,7 @@
         entries_age: Callable[[], timedelta],
         preempt: Callable[[Run, Step], None],
         launch: Callable[[Sequence[Run]], None],
+        metrics: Metrics,
     ) -> None:
         self._jobs = jobs
         self._runs = runs
@@ -104,7 +102,11 @@
         self._entries_current = True
         self._preempt = preempt
         self._launch = launch
+        self._metrics = metrics
         self._reservations = Reservations()
+        self._durations = jobs.models.steps
+        self._gangs = GangPlanner(advice, self._reservations, jobs.models)
+        self._promised: dict[str, Resources] = {}
         self._future: dict[str, tuple[float, list[Candidate]]] = {}
 
     def place(self) -> None:
@@ -127,10 +129,15 @@
         self._quarantine.begin_round(
             {each.entry.job.job_id for each in found}, self._servers.values()
         )
+        try:
+            self._plan_gangs(found, usable, now)
+        except Exception as exc:
+            logger.opt(exception=exc).error("gangs_not_planned")
         if not found:
             return
         self._cold.begin_round(usable, found, now)
         with_room = servers_with_room(usable, [each.step for each in found])
+        self._promised.clear()
         for waiting in found:
             try:
                 self._place_step(waiting, usable, with_room)
@@ -153,8 +160,7 @@
         return current
 
     def _discard_others(self, steps: Collection[str]) -> None:
-        """Discard the reservations and future candidates of all steps but `steps`."""
-        self._reservations.retain(steps)
+        """Discard the future candidates of all steps but `steps`."""
         for name in self._future.keys() - set(steps):
             del self._future[name]
 
@@ -165,6 +171,37 @@
             self._reservations.release_with(evacuated)
             self._future.clear()
 
+    def _plan_gangs(
+        self, found: Iterable[WaitingStep], usable: Sequence[Server], now: float
+    ) -> None:
+        """Plan the start of the gangs that may reserve servers, in order of rank."""
+        gangs = []
+        for waiting in found:
+            step = waiting.step
+            if not step.spec.gang or waiting.queue.priority == URGENT_PRIORITY:
+                continue
+            tasks = self._waiting.startable_tasks(waiting.entry, step)
+            if len(tasks) < len(step.tasks):
+                continue
+            count = len(tasks)
+            if self._count_within_cap(waiting, count) < count:
+                continue
+            for group in self._quarantine.groups(step, tasks, now):
+                if group.isolation is not Isolation.ALONE:
+                    servers = self._quarantine.usable(step, group.isolation, usable)
+                    gangs.append(WaitingGang(waiting, servers, count))
+        self._gangs.plan(gangs, {each.entry.server_id for each in usable}, now)
+
+    def _count_within_cap(self, waiting: WaitingStep, count: int) -> int:
+        """Return how many of `count` tasks the cap of the customer allows now."""
+        job = waiting.entry.job
+        return self._usage.count_within_cap(
+            self._jobs.customer_of(job),
+            waiting.step.demand,
+            count,
+            self._former_usage.of(job.spec.customer),
+        )
+
     def _place_step(
         self,
         waiting: WaitingStep,
@@ -223,13 +260,7 @@
         """
         step, queue, tasks = waiting.step, waiting.queue, group.tasks
         alone = group.isolation is Isolation.ALONE
-        customer = self._jobs.customer_of(waiting.entry.job)
-        within_cap = self._usage.count_within_cap(
-            customer,
-            step.demand,
-            len(tasks),
-            self._former_usage.of(waiting.entry.job.spec.customer),
-        )
+        within_cap = self._count_within_cap(waiting, len(tasks))
         if within_cap == 0 or (step.spec.gang and within_cap < len(tasks)):
             self._reservations.release(step.name)
             return
@@ -238,9 +269,22 @@
         if queue.advice is not None:
             tickets = self._advice.tickets(step)
         candidates = find_candidates(step, free, tickets, within_cap)
-        chosen = choose_servers(
-            step, candidates, within_cap, emptiest_first=bool(group.isolation)
-        )
+        urgent = queue.priority == URGENT_PRIORITY
+        if step.spec.gang and not group.isolation:
+            now = self._clock.monotonic()
+            chosen = self._gangs.choose(step, candidates, within_cap, now)
+        else:
+            if not step.spec.gang and not group.isolation and not urgent:
+                candidates += self._backfill_candidates(
+                    waiting, with_room, tickets, within_cap
+                )
+            chosen = choose_servers(
+                step,
+                candidates,
+                within_cap,
+                emptiest_first=bool(group.isolation),
+                reserved=self._reservations.of_others(step.name),
+            )
         missing = within_cap - len(chosen)
         if missing > 0 and queue.advice is not None:
             asked = self._available_servers(waiting, askable) if alone else free
@@ -248,8 +292,6 @@
         if not self._confirm_leadership(waiting.entry.job.version):
             return
         if step.spec.gang and missing > 0:
-            if queue.priority > URGENT_PRIORITY and not alone:
-                self._reserve(waiting, usable, len(tasks))
             self._preempt_others(waiting, usable, tickets, missing)
             return
         self._reservations.release(step.name)
@@ -273,7 +315,16 @@
             return
         now = self._clock.monotonic()
         available = self._available_servers(waiting, servers)
-        preempt_for_step(waiting.step, available, tickets, missing, now, self._preempt)
+        preempt_for_step(
+            waiting.step,
+            available,
+            tickets,
+            missing,
+            now,
+            self._preempt,
+            duration_s=self._gangs.duration_s(waiting.step),
+            promised=self._promised,
+        )
 
     def _ask(
         self,
@@ -287,59 +338,34 @@
         """Ask the advice service about servers for `count` tasks of a step.
 
         `tickets` are the valid tickets of the step.  Servers without a valid answer are
-        asked about: first those of `servers` that have room now.  If none has room, or
-        too few for a gang, those of `usable` are asked about that will have room, so
-        that the answer is there before the room.
+        asked about: first those of `servers` that have room now.  If none has room,
+        those of `usable` are asked about that will have room, so that the answer is
+        there before the room.  For gangs, `GangPlanner` chooses.
         """
         step = waiting.step
-        if not self._advice.may_ask(step):
+        gang = step.spec.gang
+        if not self._advice.may_ask(step, several=gang):
+            return
+        urgent = waiting.queue.priority == URGENT_PRIORITY
+        rank = waiting.rank.not_urgent * 1e9 + waiting.rank.latest_start
+        if gang:
+            now = self._clock.monotonic()
+            for ids in self._gangs.servers_to_ask(
+                waiting, policy, servers, usable, count, now
+            ):
+                self._advice.ask(step, policy, ids, rank, urgent=urgent, several=True)
             return
         share = self._advice.allowed_share(waiting.queue.name)
         answered = self._advice.denied(step) | tickets.keys()
         found = exclude_servers(find_candidates(step, servers, None, count), answered)
         found.sort(key=lambda each: preference_key(step, each))
-        if step.spec.gang:
-            valid = find_candidates(step, servers, tickets, count)
-            likely = share * sum(each.slots for each in found)
-            if sum(each.slots for each in valid) + likely < count:
-                found = self._gang_servers_to_ask(waiting, policy, usable, count)
-        elif not found and not tickets:
+        if not found and not tickets:
             found = exclude_servers(
                 self._future_candidates(waiting, usable, count), answered
             )
         ids = servers_to_ask(found, count, share)
-        urgent = waiting.queue.priority == URGENT_PRIORITY
-        rank = waiting.rank.not_urgent * 1e9 + waiting.rank.latest_start
         self._advice.ask(step, policy, ids, rank, urgent=urgent)
 
-    def _gang_servers_to_ask(
-        self,
-        waiting: WaitingStep,
-        policy: AdvicePolicy,
-        usable: Sequence[Server],
-        count: int,
-    ) -> list[Candidate]:
-        """Return the servers to ask about for a gang that has too little room now.
-
-        First come the allowed servers whose tickets would expire before they can be
-        renewed, so that valid tickets are there once there is room.  Servers without an
-        answer follow if the allowed ones have too little room even when idle.
-        """
-        step = waiting.step
-        future = self._future_candidates(waiting, usable, count)
-        allowed = self._advice.allowed(step)
-        renewal_s = (
-            policy.question_s + policy.each_server_s * len(allowed) + RENEWAL_MARGIN_S
-        )
-        valid = self._advice.tickets(step, renewal_s)
-        expiring = [
-            each for each in future if each.server.server_id in allowed - valid.keys()
-        ]
-        room = sum(each.slots for each in future if each.server.server_id in allowed)
-        if room >= count * RESERVATION_HEADROOM:
-            return expiring
-        return expiring + exclude_servers(future, self._advice.denied(step) | allowed)
-
     def _available_servers(
         self, waiting: WaitingStep, servers: Sequence[Server]
     ) -> list[Server]:
@@ -348,7 +374,7 @@
         Servers reserved for other steps are left out, except for urgent steps.
         """
         service = waiting.queue.service
-        reserved: set[str] = set()
+        reserved: Collection[str] = ()
         if waiting.queue.priority != URGENT_PRIORITY:
             reserved = self._reservations.of_others(waiting.step.name)
         return [
@@ -378,27 +404,54 @@
             return list(found)
         return [each for each in found if each.server.server_id not in reserved]
 
-    def _reserve(
-        self, waiting: WaitingStep, servers: Sequence[Server], tasks: int
-    ) -> None:
-        """Reserve servers for a gang, only allowed ones if it needs advice.
-
-        A gang whose result has no value any more gets a reservation only while no other
-        gang has one.
-        """
+    def _backfill_candidates(
+        self,
+        waiting: WaitingStep,
+        servers: Sequence[Server],
+        tickets: Mapping[str, str] | None,
+        limit: int,
+    ) -> list[Candidate]:
+        """Return those of `servers` that a step may use until their gang starts."""
         step = waiting.step
-        if self._reservations.includes_any(step.name, servers):
-            return
-        worthless = waiting.rank.status == DeadlineStatus.WORTHLESS
-        if worthless and self._reservations.of_others(step.name):
+        reserved = self._reservations.of_others(step.name)
+        if not reserved or step.spec.long_running:
+            return []
+        now = self._clock.monotonic()
+        duration_s, spread = self._gangs.duration_s(step), self._spread(step)
+        rooms = []
+        for server in servers:
+            if server.entry.server_id not in reserved:
+                continue
+            if server.entry.service != waiting.queue.service:
+                continue
+            room = self._reservations.backfill_room(server.server_id)
+            if room is not None:
+                usable = room.usable(server.free, now, duration_s, spread)
+                rooms.append((server, usable))
+        return find_backfill_candidates(step, rooms, tickets, limit)
+
+    def _spread(self, step: Step) -> float:
+        return self._durations.spread(step.name, step.job.spec.queue.name)
+
+    def _note_backfilled(self, step: Step, runs: Iterable[Run]) -> None:
+        """Count those of `runs` that were placed on servers reserved for gangs."""
+        reserved = self._reservations.of_others(step.name)
+        if not reserved or step.spec.gang:
             return
-        candidates = self._future_candidates(waiting, servers, tasks)
-        if waiting.queue.advice is not None:
-            allowed = self._advice.allowed(step)
-            candidates = [
-                each for each in candidates if each.server.server_id in allowed
-            ]
-        self._reservations.reserve(step.name, candidates, tasks, len(servers))
+        now = self._clock.monotonic()
+        servers = []
+        for run in runs:
+            room = None
+            if run.server.server_id in reserved:
+                room = self._reservations.backfill_room(run.server.server_id)
+            if room is not None:
+                room.take(
+                    run.demand, now, self._gangs.duration_s(step), self._spread(step)
+                )
+                servers.append(run.server.server_id)
+        if servers:
+            self._metrics.count("backfilled_tasks", len(servers))
+            logger.info("task_backfilled", step=step.name, servers=",".join(servers))
 
     def _start(
         self,
@@ -427,4 +480,5 @@
                 loads=",".join(servers[each].load_text for each in sorted(servers)),
                 isolation=group.isolation.name.lower(),
             )
+            self._note_backfilled(step, runs)
             self._launch(runs)
--- a/cassiaweir/scheduling/__init__.py
+++ b/cassiaweir/scheduling/__init__.py
@@ -11,6 +11,12 @@
     Submission,
     decide,
 )
+from cassiaweir.scheduling._backfill import (
+    BackfillRoom,
+    expected_end,
+    room_at,
+    slot_times,
+)
 from cassiaweir.scheduling._backlog import (
     PLACE_VALIDITY_S,
     BacklogMeter,
@@ -23,6 +29,7 @@
     WaitingTasks,
 )
 from cassiaweir.scheduling._durations import DurationModel
+from cassiaweir.scheduling._gangs import GangCandidate, GangPlan, plan_gang
 from cassiaweir.scheduling._samples import (
     MIN_GAIN_PERCENT,
     Progress,
@@ -36,10 +43,13 @@
     "PLACE_VALIDITY_S",
     "AdmissionPolicy",
     "Admitted",
+    "BackfillRoom",
     "BacklogMeter",
     "CustomerLoad",
     "DurationModel",
     "Durations",
+    "GangCandidate",
+    "GangPlan",
     "LoadSnapshot",
     "Progress",
     "ProgressSampler",
@@ -52,4 +62,8 @@
     "Submission",
     "WaitingTasks",
     "decide",
+    "expected_end",
+    "plan_gang",
+    "room_at",
+    "slot_times",
 ]
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -409,7 +409,9 @@
         dispatcher = leader.term._dispatcher
         assert dispatcher is not None
         [reserved] = dispatcher._placer._reservations._by_step.values()
-        assert all(site.servers[each].entry.failure_domain != "a" for each in reserved)
+        domains = {site.servers[each].entry.failure_domain for each in reserved.servers}
+        assert domains
+        assert "a" not in domains
         await check_all_done(site, [job], 15)
 
     run_virtual(body)
