--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -13,6 +13,7 @@
 from cassiaweir.dispatch._compaction import RowShrinker
 from cassiaweir.dispatch._crash_tracker import CrashTracker, lifetime_of
 from cassiaweir.dispatch._gate import TakeoverGate
+from cassiaweir.dispatch._interference import InterferenceSampler
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._orders import OrderSender, ServerClient, StartResult
@@ -30,6 +31,7 @@
 from cassiaweir.jobs import JobState, Step
 from cassiaweir.leadership import CommitStream, Leadership
 from cassiaweir.observe import Metrics
+from cassiaweir.scheduling import InterferenceModel, ServerSpeeds
 from cassiaweir.types import Clock, Row
 
 PLACEMENT_DELAY = timedelta(milliseconds=2)
@@ -101,12 +103,16 @@
             entries_age=entries_age,
             stop=self._stop,
         )
+        self.interference = InterferenceModel(self._count_interfering_pairs)
+        self._count_interfering_pairs()
+        self._samples = InterferenceSampler(self.interference, ServerSpeeds(), clock)
         self._reports = ReportProcessor(
             jobs,
             self._runs,
             clock,
             metrics,
             self._crashes,
+            self._samples,
             stop=self._stop,
             stop_orphan=self._stop_orphan,
             stop_late_start=self._stop_late_start,
@@ -122,6 +128,7 @@
             self.servers,
             gate=gate,
             crashes=self._crashes,
+            interference=self.interference,
             confirm_leadership=commits.confirm_leadership,
             store_reachable=lambda: commits.store_reachable,
             entries_age=entries_age,
@@ -298,6 +305,7 @@
             if not server.reachable:
                 self.handle_unreachable(server)
         self._crashes.resolve()
+        self.interference.age(now)
         self._jobs.open_due_occurrences()
         for job in self._jobs.remove_finished():
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
@@ -320,6 +328,7 @@
             del self.servers[server_id]
             self._records.remove(server_id)
             self._crashes.note_removed(server)
+            self._samples.forget_server(server_id)
             logger.info("server_removed", server=server_id)
 
     def _add_server(self, entry: ServerEntry) -> None:
@@ -457,7 +466,11 @@
         if not task.cancelled() and task.exception() is not None:
             logger.opt(exception=task.exception()).error("dispatcher_coroutine_failed")
 
+    def _count_interfering_pairs(self) -> None:
+        self._metrics.set("interfering_pairs", self.interference.found_count)
+
     async def _close(self) -> None:
+        self.interference.clear()
         await self._advice.close()
         await _cancel_all([*self._pollers.values(), *self._tasks])
 
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -3,19 +3,26 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cassiaweir.dispatch._server import Server
 from cassiaweir.jobs import Step
+from cassiaweir.scheduling import InterferenceModel
 from cassiaweir.types import Resources
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A server and how many tasks of a step it has room for."""
+    """A server and how many tasks of a step it has room for.
+
+    `interference` is the cost of running the tasks beside what runs there, 0 for none;
+    `spreads` is whether tasks of the step slow each other down.
+    """
 
     server: Server
     slots: int
+    interference: float = 0.0
+    spreads: bool = False
 
 
 def fitting_tasks(free: Resources, demand: Resources, limit: int) -> int:
@@ -57,6 +64,23 @@
     return found
 
 
+def with_interference(
+    step: Step, candidates: list[Candidate], model: InterferenceModel
+) -> list[Candidate]:
+    """Return `candidates` with the cost of interference; the same if there is none."""
+    if not model.affects(step.kind):
+        return candidates
+    spreads = model.slowdown(step.kind, step.kind) > 1
+    return [
+        replace(
+            each,
+            interference=model.penalty(step.kind, each.server.kinds),
+            spreads=spreads,
+        )
+        for each in candidates
+    ]
+
+
 def find_future_candidates(
     step: Step, servers: Iterable[Server], limit: int
 ) -> list[Candidate]:
@@ -125,6 +149,9 @@
     if step.spec.same_rack:
         ordered = _one_rack(ordered, count) or ordered
     chosen: list[Server] = []
+    if any(each.spreads for each in ordered):
+        chosen = [each.server for each in ordered[:count]]
+        ordered = [replace(each, slots=each.slots - 1) for each in ordered]
     for candidate in ordered:
         take = min(candidate.slots, count - len(chosen))
         chosen += [candidate.server] * take
@@ -133,12 +160,12 @@
     return chosen
 
 
-def preference_key(step: Step, candidate: Candidate) -> tuple[int, int, int, int]:
+def preference_key(step: Step, candidate: Candidate) -> tuple[int, int, int, float, int]:
     """Return the sort key of a server for `step`; lower ones are preferred.
 
     In this order: failures and slowness of the server, and whether it runs a task that
     may crash it; whether it is outside of the step's rack, whether it is not a fast one
-    for an urgent step, and the CPU left free.
+    for an urgent step, interference with what runs there, and the CPU left free.
     """
     server = candidate.server
     suspicion = server.health.failures_since_success + 2 * server.speed.slow
@@ -148,7 +175,9 @@
     other_rack = int(bool(rack) and server.entry.rack != rack)
     not_fast = int(step.job.spec.queue.priority == 0 and not server.speed.fast)
     left_millis = server.free.cpu_millis - step.demand.cpu_millis * candidate.slots
-    return (suspicion, other_rack, not_fast, left_millis)
+    # Estimates that differ by less than a tenth are as good as equal.
+    interference = round(candidate.interference, 1)
+    return (suspicion, other_rack, not_fast, interference, left_millis)
 
 
 def is_avoided(step: Step, server: Server) -> bool:
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -21,6 +21,7 @@
     find_future_candidates,
     preference_key,
     servers_with_room,
+    with_interference,
 )
 from cassiaweir.dispatch._preemption import preempt_for_step
 from cassiaweir.dispatch._quarantine import Quarantine, TaskGroup
@@ -36,6 +37,7 @@
 )
 from cassiaweir.jobs import Isolation, Step
 from cassiaweir.queues import AdvicePolicy
+from cassiaweir.scheduling import InterferenceModel
 from cassiaweir.types import Clock
 
 RENEWAL_MARGIN_S = 0.3
@@ -76,6 +78,7 @@
         *,
         gate: TakeoverGate,
         crashes: CrashTracker,
+        interference: InterferenceModel,
         confirm_leadership: Callable[[int], bool],
         store_reachable: Callable[[], bool],
         entries_age: Callable[[], timedelta],
@@ -90,6 +93,7 @@
         self._servers = servers
         self._waiting = WaitingSteps(jobs, clock, gate, crashes)
         self._quarantine = Quarantine()
+        self._interference = interference
         self._confirm_leadership = confirm_leadership
         self._store_reachable = store_reachable
         self._entries_age = entries_age
@@ -214,7 +218,9 @@
         tickets = None
         if queue.advice is not None:
             tickets = self._advice.tickets(step)
-        candidates = find_candidates(step, free, tickets, within_cap)
+        candidates = with_interference(
+            step, find_candidates(step, free, tickets, within_cap), self._interference
+        )
         chosen = choose_servers(
             step, candidates, within_cap, emptiest_first=bool(group.isolation)
         )
@@ -274,6 +280,7 @@
         share = self._advice.allowed_share(waiting.queue.name)
         answered = self._advice.denied(step) | tickets.keys()
         found = exclude_servers(find_candidates(step, servers, None, count), answered)
+        found = with_interference(step, found, self._interference)
         found.sort(key=lambda each: preference_key(step, each))
         if step.spec.gang:
             valid = find_candidates(step, servers, tickets, count)
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._crash_tracker import CrashTracker
+from cassiaweir.dispatch._interference import InterferenceSampler
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run, RunKey, RunState
@@ -38,6 +39,7 @@
         clock: Clock,
         metrics: Metrics,
         crashes: CrashTracker,
+        interference: InterferenceSampler,
         *,
         stop: Callable[[Run], None],
         stop_orphan: Callable[[Server, str, int], None],
@@ -48,6 +50,7 @@
         self._clock = clock
         self._metrics = metrics
         self._crashes = crashes
+        self._interference = interference
         self._stop = stop
         self._stop_orphan = stop_orphan
         self._stop_late_start = stop_late_start
@@ -88,6 +91,7 @@
             if not self._apply_running(server, running)
         )
         self._remove_unlisted(server, listed, asked_at)
+        self._interference.record_report(server, report)
         if restarted:
             self._crashes.resolve()
         self._stop_slow_runs(server)
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -72,7 +72,8 @@
     runs before it was told to stop them.
     `suspects` are the runs of tasks that may crash the server, until they have run for
     long enough.  `unstored_ends` are tasks that ended here, with the position of the
-    write that stores the end.
+    write that stores the end.  `kinds` holds the number of counted runs of each kind
+    of task, and `kind_added_at` when a run last got another kind beside it.
     """
 
     def __init__(self, entry: ServerEntry, *, restricted: bool = False) -> None:
@@ -83,6 +84,8 @@
         self.free = entry.capacity
         self.runs: dict[RunKey, Run] = {}
         self.suspects: dict[RunKey, Run] = {}
+        self.kinds: dict[str, int] = {}
+        self.kind_added_at = 0.0
         self.health = ServerHealth()
         self.speed = ServerSpeed()
         self.fenced = False
@@ -176,6 +179,11 @@
     def add(self, run: Run) -> None:
         """Count `run` against the capacity."""
         self.runs[run.key] = run
+        kind = run.task.step.kind
+        count = self.kinds[kind] = self.kinds.get(kind, 0) + 1
+        # A second run is new company for the first one of its kind.
+        if count <= 2:
+            self.kind_added_at = run.placed_at
         if run.isolation:
             self.suspects[run.key] = run
         self.used = self.used + run.demand
@@ -186,6 +194,10 @@
         self.suspects.pop(key, None)
         if run is not None:
             self.used = self.used - run.demand
+            kind = run.task.step.kind
+            self.kinds[kind] -= 1
+            if not self.kinds[kind]:
+                del self.kinds[kind]
         return run
 
     def task_names(self) -> list[str]:
--- a/cassiaweir/jobs/_job.py
+++ b/cassiaweir/jobs/_job.py
@@ -64,7 +64,8 @@
     share their failures and checkpoint, which are therefore kept here and not in the
     tasks.  `avoided_servers` holds the ids of servers where a task of the step failed,
     stalled or ran too slowly, and ids and addresses of those that crashed under one.
-    `demand` is the resources that one task uses.
+    `demand` is the resources that one task uses.  `kind` is what tasks are compared by
+    that may slow each other down: the queue, and the image where there is one.
     """
 
     job: Job
@@ -77,9 +78,12 @@
     checkpoint: str = ""
     avoided_servers: set[str] = field(default_factory=set)
     demand: Resources = field(init=False)
+    kind: str = field(init=False)
 
     def __post_init__(self) -> None:
         self.demand = self.spec.demand
+        queue, image = self.job.spec.queue.name, self.spec.image
+        self.kind = f"{queue}/{image}" if image else queue
 
     @property
     def name(self) -> str:
--- a/cassiaweir/scheduling/__init__.py
+++ b/cassiaweir/scheduling/__init__.py
@@ -5,7 +5,16 @@
 """
 
 from cassiaweir.scheduling._durations import DurationModel
+from cassiaweir.scheduling._interference import InterferenceModel, InterferingPair
 from cassiaweir.scheduling._server_speeds import ServerSpeeds
+from cassiaweir.scheduling._sibling_rates import SiblingRates
 from cassiaweir.scheduling._step_durations import StepDurations
 
-__all__ = ["DurationModel", "ServerSpeeds", "StepDurations"]
+__all__ = [
+    "DurationModel",
+    "InterferenceModel",
+    "InterferingPair",
+    "ServerSpeeds",
+    "SiblingRates",
+    "StepDurations",
+]
--- /dev/null
+++ b/cassiaweir/scheduling/_interference.py
@@ -0,0 +1,507 @@
+"""Finds kinds of tasks that slow each other down on one server.
+
+A pair is a kind and another one, or the same, beside which its tasks progress more
+slowly.  For each pair the model compares samples of the kind with and without the other
+kind on the server.  Design note 15 derives the test.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Collection, Iterator
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+HALF_LIFE_S = 60.0
+MAX_KINDS = 64
+MAX_PAIRS = 512
+KIND_TIMEOUT_S = 120.0
+"""A kind without samples for this long may be replaced by a new one."""
+
+MAX_PLACES = 32
+"""Groups of servers that are told apart; larger fleets have several in each group."""
+
+MAX_SERVERS = 4_096
+"""Servers that are assigned to groups; the assignment begins anew beyond that."""
+
+ALARM_PROBABILITY = 0.01 * HALF_LIFE_S / 3_600
+"""Probability of a false alarm of any pair within a half life: one in 100 hours."""
+
+MIN_COUNTED_PAIRS = 64
+"""The probability is divided among the pairs that are known, at least this many."""
+
+EFFECT_VARIANCE = math.log(1.5) ** 2
+"""Variance of the logarithm of the slowdowns that the test is most sensitive to."""
+
+TASK_VARIANCE = 0.3**2
+"""Variance of the log rate among the tasks of a step, before it was measured."""
+
+TASK_VARIANCE_WEIGHT = 20.0
+"""Number of tasks as which `TASK_VARIANCE` counts in the measured variance."""
+
+MIN_TASK_VARIANCE = 0.2**2
+SERVER_VARIANCE = 0.15**2
+"""Variance of the error in the log speed of servers; learnt speeds are inexact."""
+
+MAX_LOG_RATIO = 1.0
+"""Limit for the logarithm of a ratio, so that no single sample decides."""
+
+MIN_SLOWDOWN = 1.25
+"""Smaller effects are not reported, as packing matters more then."""
+
+KEEP_SLOWDOWN = 1.1
+"""A reported pair is gone once its slowdown is below this."""
+
+MIN_PLACES = 3
+"""Places that must show the effect, without the one that shows it most clearly."""
+
+MIN_WEIGHT = 4.0
+"""Tasks that must have been observed with, and as many without, the other kind."""
+
+KEEP_WEIGHT = 2.0
+"""A reported pair is gone once its aged samples count for fewer tasks than this."""
+
+CHECK_INTERVAL_S = 0.5
+MAX_GROWTH = 1e6
+"""New samples are weighted by a growing factor, which is reset at this value."""
+
+
+@dataclass(frozen=True, slots=True)
+class InterferingPair:
+    """What is known of a pair.
+
+    `tasks` and `tasks_without` are the aged numbers of tasks of `kind` that were
+    observed with and without `beside`.  `found` is whether the pair is reported;
+    `slowdown` is an estimate also if it is not.
+    """
+
+    kind: str
+    beside: str
+    slowdown: float
+    tasks: float
+    tasks_without: float
+    found: bool
+
+
+@dataclass(slots=True)
+class _Sums:
+    """Weighted sums of samples: weights, values and squares."""
+
+    weight: float = 0.0
+    total: float = 0.0
+    squares: float = 0.0
+
+    def add(self, weight: float, value: float) -> None:
+        self.weight += weight
+        self.total += weight * value
+        self.squares += weight * value * value
+
+    def scale(self, factor: float) -> None:
+        self.weight *= factor
+        self.total *= factor
+        self.squares *= factor
+
+    @property
+    def mean(self) -> float:
+        return self.total / self.weight if self.weight else 0.0
+
+    @property
+    def deviations(self) -> float:
+        """The sum of squared deviations from the mean."""
+        return max(self.squares - self.mean * self.total, 0.0)
+
+
+@dataclass(slots=True)
+class _Group:
+    """The samples of one kind with, or without, another kind beside it.
+
+    The keys of `places` are the group of servers, and whether the server was full.
+    """
+
+    whole: _Sums = field(default_factory=_Sums)
+    places: dict[tuple[int, bool], _Sums] = field(default_factory=dict)
+
+    def add(self, place: tuple[int, bool], weight: float, value: float) -> None:
+        self.whole.add(weight, value)
+        sums = self.places.get(place)
+        if sums is None:
+            sums = self.places[place] = _Sums()
+        sums.add(weight, value)
+
+    def of_fullness(self, full: bool) -> _Sums:
+        """Return the sums over all places that were full, or over all others."""
+        found = _Sums()
+        for (_, was_full), sums in self.places.items():
+            if was_full == full:
+                found.weight += sums.weight
+                found.total += sums.total
+        return found
+
+    def all_sums(self) -> Iterator[_Sums]:
+        yield self.whole
+        yield from self.places.values()
+
+
+@dataclass(slots=True)
+class _Pair:
+    """The samples of a pair; `effect` is its log slowdown while it is reported."""
+
+    kind: str
+    beside: str
+    checked_at: float
+    exposed: _Group = field(default_factory=_Group)
+    control: _Group = field(default_factory=_Group)
+    effect: float = 0.0
+    found: bool = False
+
+    def reset(self) -> None:
+        self.exposed, self.control = _Group(), _Group()
+        self.effect, self.found = 0.0, False
+
+
+@dataclass(frozen=True, slots=True)
+class _Evidence:
+    """The estimated log slowdown of a pair and by how much it exceeds the threshold.
+
+    `margin` is the squared z value divided by its threshold, 0 without a slowdown.
+    """
+
+    effect: float
+    margin: float
+
+
+class InterferenceModel:
+    """Learns which kinds of tasks slow each other down on one server.
+
+    `on_change` is called after a pair was found or has gone.  Times are seconds on the
+    clock of the caller.  The cost of a sample does not depend on the number of servers.
+    """
+
+    def __init__(self, on_change: Callable[[], None] = lambda: None) -> None:
+        self._on_change = on_change
+        self._seen_at: dict[str, float] = {}
+        self._pairs: dict[str, dict[str, _Pair]] = {}
+        self._pair_count = 0
+        self._found: dict[str, dict[str, float]] = {}
+        self._places: dict[str, int] = {}
+        self._growth_since: float | None = None
+        self._now = -math.inf
+        self._aged_at = -math.inf
+
+    def record(
+        self,
+        kind: str,
+        others: Collection[str],
+        ratio: float,
+        at: float,
+        *,
+        weight: float = 1.0,
+        server_id: str = "",
+        full: bool = False,
+    ) -> None:
+        """Add a sample of a task of `kind` that ran beside tasks of the kinds `others`.
+
+        `ratio` is its rate relative to that of its siblings on other servers, corrected
+        for the speeds of the servers.  `weight` is the share of the task's work in
+        which it was measured.  `full` is whether the server had little capacity left.
+        """
+        if not (ratio > 0 and weight > 0):
+            return
+        now = self._now = max(self._now, at)
+        if not self._admit(kind):
+            return
+        growth = self._growth(now)
+        value = max(min(math.log(ratio), MAX_LOG_RATIO), -MAX_LOG_RATIO)
+        pairs = self._pairs.setdefault(kind, {})
+        for other in others:
+            if other not in pairs and self._admit(other):
+                self._add_pair(kind, other)
+        place = (self._place(server_id), full)
+        found = self._found.get(kind, {})
+        known = sum(found[other] for other in others if other in found)
+        for other, pair in pairs.items():
+            if other in others:
+                # What other reported pairs explain is no evidence against this one.
+                corrected = value + known - found.get(other, 0.0)
+                pair.exposed.add(place, weight * growth, corrected)
+            else:
+                pair.control.add(place, weight * growth, value + known)
+        for other in others:
+            checked = pairs.get(other)
+            if checked is not None and now - checked.checked_at >= CHECK_INTERVAL_S:
+                checked.checked_at = now
+                self._check(checked)
+
+    def age(self, now: float) -> None:
+        """Drop reported pairs whose samples have become too old."""
+        self._now = max(self._now, now)
+        if self._now - self._aged_at < CHECK_INTERVAL_S:
+            return
+        self._aged_at = self._now
+        for kind, others in list(self._found.items()):
+            for other in list(others):
+                self._check(self._pairs[kind][other])
+
+    def slowdown(self, kind: str, beside: str) -> float:
+        """Return how many times longer tasks of `kind` take beside `beside`.
+
+        It is 1.0 unless the pair is reported.
+        """
+        return math.exp(self._found.get(kind, {}).get(beside, 0.0))
+
+    def affects(self, kind: str) -> bool:
+        """Return whether `kind` is part of a reported pair."""
+        return kind in self._found or any(
+            kind in others for others in self._found.values()
+        )
+
+    def penalty(self, kind: str, others: Collection[str]) -> float:
+        """Return the cost of a task of `kind` beside tasks of the kinds `others`.
+
+        It is the sum of the log slowdowns that the task suffers and causes, 0.0 if
+        nothing interferes.
+        """
+        if not self._found:
+            return 0.0
+        suffered = self._found.get(kind, {})
+        cost = 0.0
+        for other in others:
+            cost += suffered.get(other, 0.0)
+            cost += self._found.get(other, {}).get(kind, 0.0)
+        return cost
+
+    @property
+    def found_count(self) -> int:
+        """The number of reported pairs."""
+        return sum(len(others) for others in self._found.values())
+
+    def pairs(self) -> list[InterferingPair]:
+        """Return what is known of all pairs, reported ones first."""
+        growth = self._growth(self._now)
+        listed = []
+        for pair in self._all_pairs():
+            effect = pair.effect
+            if not pair.found:
+                effect = pair.control.whole.mean - pair.exposed.whole.mean
+            listed.append(
+                InterferingPair(
+                    pair.kind,
+                    pair.beside,
+                    round(math.exp(effect), 2),
+                    round(pair.exposed.whole.weight / growth, 1),
+                    round(pair.control.whole.weight / growth, 1),
+                    pair.found,
+                )
+            )
+        listed.sort(key=lambda each: (not each.found, -each.slowdown, each.kind))
+        return listed
+
+    def clear(self) -> None:
+        """Forget everything that was learnt."""
+        changed = bool(self._found)
+        self._seen_at.clear()
+        self._pairs.clear()
+        self._pair_count = 0
+        self._found.clear()
+        self._places.clear()
+        if changed:
+            self._on_change()
+
+    def _all_pairs(self) -> Iterator[_Pair]:
+        for pairs in self._pairs.values():
+            yield from pairs.values()
+
+    def _admit(self, kind: str) -> bool:
+        """Note that `kind` was seen; return False if there is no place for it."""
+        if kind not in self._seen_at and len(self._seen_at) >= MAX_KINDS:
+            oldest = min(self._seen_at, key=self._seen_at.__getitem__)
+            if self._now - self._seen_at[oldest] < KIND_TIMEOUT_S:
+                return False
+            self._remove_kind(oldest)
+        self._seen_at[kind] = self._now
+        return True
+
+    def _remove_kind(self, kind: str) -> None:
+        del self._seen_at[kind]
+        removed = list(self._pairs.pop(kind, {}).values())
+        for pairs in self._pairs.values():
+            if kind in pairs:
+                removed.append(pairs.pop(kind))
+        self._pair_count -= len(removed)
+        for pair in removed:
+            if pair.found:
+                self._mark_gone(pair, "aged")
+
+    def _add_pair(self, kind: str, other: str) -> None:
+        if self._pair_count < MAX_PAIRS:
+            self._pair_count += 1
+            self._pairs[kind][other] = _Pair(kind, other, self._now)
+
+    def _place(self, server_id: str) -> int:
+        place = self._places.get(server_id)
+        if place is None:
+            if len(self._places) >= MAX_SERVERS:
+                self._places.clear()
+            place = self._places[server_id] = len(self._places) % MAX_PLACES
+        return place
+
+    def _growth(self, now: float) -> float:
+        """Return the weight of a sample taken at `now`.
+
+        Instead of the weight of old samples falling, that of new ones grows.
+        """
+        if self._growth_since is None or now < self._growth_since:
+            self._growth_since = now
+        growth = math.exp2((now - self._growth_since) / HALF_LIFE_S)
+        if growth < MAX_GROWTH:
+            return growth
+        for pair in self._all_pairs():
+            for group in (pair.exposed, pair.control):
+                for sums in group.all_sums():
+                    sums.scale(1 / growth)
+        self._growth_since = now
+        return 1.0
+
+    def _check(self, pair: _Pair) -> None:
+        """Decide whether a pair is reported."""
+        growth = self._growth(self._now)
+        if pair.found:
+            self._check_found(pair, growth)
+            return
+        rough = pair.control.whole.mean - pair.exposed.whole.mean
+        if rough < math.log(KEEP_SLOWDOWN):
+            return
+        evidence = self._evidence(pair, growth)
+        if evidence is None or evidence.margin < 1:
+            return
+        # A kind that is often beside the cause seems to slow tasks down as well, but
+        # less clearly than the cause itself.
+        strongest, clearest = pair, evidence
+        for other in self._pairs[pair.kind].values():
+            rival = None if other.found else self._evidence(other, growth)
+            if rival is not None and rival.margin > clearest.margin:
+                strongest, clearest = other, rival
+        if clearest.effect >= math.log(MIN_SLOWDOWN):
+            self._mark_found(strongest, clearest, growth)
+
+    def _evidence(self, pair: _Pair, growth: float) -> _Evidence | None:
+        tests = max(self._pair_count, MIN_COUNTED_PAIRS)
+        return _evidence(pair, growth, ALARM_PROBABILITY / tests)
+
+    def _check_found(self, pair: _Pair, growth: float) -> None:
+        if pair.exposed.whole.weight / growth < KEEP_WEIGHT:
+            self._mark_gone(pair, "aged")
+            return
+        evidence = self._evidence(pair, growth)
+        if evidence is None:
+            return
+        if evidence.effect < math.log(KEEP_SLOWDOWN):
+            self._mark_gone(pair, "not_seen")
+            return
+        pair.effect = self._found[pair.kind][pair.beside] = evidence.effect
+
+    def _mark_found(self, pair: _Pair, evidence: _Evidence, growth: float) -> None:
+        pair.found, pair.effect = True, evidence.effect
+        self._found.setdefault(pair.kind, {})[pair.beside] = evidence.effect
+        logger.info(
+            "interference_found",
+            kind=pair.kind,
+            beside=pair.beside,
+            slowdown=round(math.exp(evidence.effect), 2),
+            tasks=round(pair.exposed.whole.weight / growth, 1),
+            tasks_without=round(pair.control.whole.weight / growth, 1),
+        )
+        # Samples so far contain the effect that has only now become known.
+        for other in self._pairs[pair.kind].values():
+            if not other.found:
+                other.reset()
+        self._on_change()
+
+    def _mark_gone(self, pair: _Pair, cause: str) -> None:
+        others = self._found.get(pair.kind, {})
+        others.pop(pair.beside, None)
+        if not others:
+            self._found.pop(pair.kind, None)
+        pair.reset()
+        logger.info(
+            "interference_gone", kind=pair.kind, beside=pair.beside, cause=cause
+        )
+        self._on_change()
+
+
+def _evidence(
+    pair: _Pair, growth: float, alarm_probability: float
+) -> _Evidence | None:
+    """Return the evidence that a pair interferes, None if there are too few samples.
+
+    Samples are compared within each place and fullness, as far as there are samples
+    without the other kind, so that a slow or a full server is no evidence.
+    """
+    exposed, control = pair.exposed.whole, pair.control.whole
+    if min(exposed.weight, control.weight) / growth < MIN_WEIGHT:
+        return None
+    variance = _task_variance(exposed, control, growth)
+    differences = _differences(pair, variance, growth)
+    if len(differences) <= MIN_PLACES:
+        return None
+    # One server alone, slow only for a while, must not decide.
+    differences.remove(max(differences, key=lambda each: each[0] * each[1]))
+    information = sum(each[1] for each in differences)
+    effect = sum(value * info for value, info in differences) / information
+    control_places = len(pair.control.places)
+    error = (
+        1 / information
+        + variance * growth / control.weight
+        + SERVER_VARIANCE / control_places
+    )
+    if effect <= 0:
+        return _Evidence(effect, 0.0)
+    threshold = _threshold(1 / error, alarm_probability)
+    return _Evidence(effect, effect * effect / error / threshold)
+
+
+def _task_variance(exposed: _Sums, control: _Sums, growth: float) -> float:
+    """Return the variance of log rates among tasks, within the two groups."""
+    deviations = (exposed.deviations + control.deviations) / growth
+    weight = (exposed.weight + control.weight) / growth
+    measured = TASK_VARIANCE * TASK_VARIANCE_WEIGHT + deviations
+    return max(measured / (TASK_VARIANCE_WEIGHT + weight), MIN_TASK_VARIANCE)
+
+
+def _differences(
+    pair: _Pair, variance: float, growth: float
+) -> list[tuple[float, float]]:
+    """Return the log slowdown in each place and its information (1 / variance).
+
+    The value without the other kind is that of the place, moved towards the mean of all
+    places of the same fullness where it has few samples.
+    """
+    means = {full: pair.control.of_fullness(full) for full in (False, True)}
+    prior = variance / SERVER_VARIANCE
+    by_place: dict[int, tuple[float, float]] = {}
+    for (place, full), sums in pair.exposed.places.items():
+        whole = means[full]
+        if whole.weight / growth < 1:
+            continue
+        own = pair.control.places.get((place, full), _Sums())
+        weight = own.weight / growth
+        expected = (own.total / growth + prior * whole.mean) / (weight + prior)
+        error = variance * growth / sums.weight + variance / (weight + prior)
+        value, information = by_place.get(place, (0.0, 0.0))
+        by_place[place] = (
+            value + (expected - sums.mean) / error,
+            information + 1 / error,
+        )
+    return [(total / info, info) for total, info in by_place.values()]
+
+
+def _threshold(information: float, alarm_probability: float) -> float:
+    """Return the squared z value from which a pair is reported.
+
+    It is the boundary that a normal mixture crosses with `alarm_probability` at most,
+    however often it is looked at.
+    """
+    ratio = information * EFFECT_VARIANCE
+    bound = 2 * math.log(1 / alarm_probability) + math.log1p(ratio)
+    return (1 + 1 / ratio) * bound
