--- a/cassiaweir/dispatch/_interference.py
+++ b/cassiaweir/dispatch/_interference.py
@@ -185,7 +185,9 @@
         if state.speed_since is None:
             return 0.0
         log_rate = math.log(rate) - state.log_speed
-        reference = self._rates.record(step.name, server_id, log_rate, weight)
+        reference = self._rates.record(
+            step.name, server_id, log_rate, weight, mark.others
+        )
         if reference is not None:
             free = server.free.cpu_millis
             self._model.record(
@@ -195,6 +197,7 @@
                 now,
                 # The reference is as uncertain as the mean of that many tasks.
                 weight=weight * reference.weight / (reference.weight + 1),
+                sibling_shares=reference.shares,
                 server_id=server_id,
                 full=free < FULL_SHARE * server.entry.capacity.cpu_millis,
             )
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -160,7 +160,9 @@
     return chosen
 
 
-def preference_key(step: Step, candidate: Candidate) -> tuple[int, int, int, float, int]:
+def preference_key(
+    step: Step, candidate: Candidate
+) -> tuple[int, int, int, float, int]:
     """Return the sort key of a server for `step`; lower ones are preferred.
 
     In this order: failures and slowness of the server, and whether it runs a task that
--- a/cassiaweir/scheduling/_interference.py
+++ b/cassiaweir/scheduling/_interference.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterator, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from loguru import logger
 
@@ -56,13 +57,21 @@
 MIN_PLACES = 3
 """Places that must show the effect, without the one that shows it most clearly."""
 
+MIN_PLACE_INFORMATION = 1.0
+"""Information from which a place shows something: a tenth of a task on each side."""
+
+MIN_SPREAD = 1e-6
 MIN_WEIGHT = 4.0
-"""Tasks that must have been observed with, and as many without, the other kind."""
+"""Tasks that must have been observed beside the other kind."""
 
 KEEP_WEIGHT = 2.0
 """A reported pair is gone once its aged samples count for fewer tasks than this."""
 
-CHECK_INTERVAL_S = 0.5
+CHECK_INTERVAL_S = 1.0
+MAX_CHECKS_PER_SECOND = 50
+"""Pairs that are checked in a second; a check takes about 0.1 ms."""
+
+NO_SHARES: Mapping[str, float] = MappingProxyType({})
 MAX_GROWTH = 1e6
 """New samples are weighted by a growing factor, which is reset at this value."""
 
@@ -86,77 +95,83 @@
 
 @dataclass(slots=True)
 class _Sums:
-    """Weighted sums of samples: weights, values and squares."""
+    """Weighted sums over samples of a log ratio x and a contrast d.
+
+    The contrast is 1 with the other kind beside the task and 0 without, less the share
+    of siblings beside which it ran.
+    """
 
     weight: float = 0.0
-    total: float = 0.0
-    squares: float = 0.0
+    d: float = 0.0
+    dd: float = 0.0
+    x: float = 0.0
+    xd: float = 0.0
+    xx: float = 0.0
 
-    def add(self, weight: float, value: float) -> None:
+    def add(self, weight: float, contrast: float, value: float) -> None:
         self.weight += weight
-        self.total += weight * value
-        self.squares += weight * value * value
-
-    def scale(self, factor: float) -> None:
-        self.weight *= factor
-        self.total *= factor
-        self.squares *= factor
+        weighted = weight * contrast
+        self.d += weighted
+        self.dd += weighted * contrast
+        self.xd += weighted * value
+        weighted = weight * value
+        self.x += weighted
+        self.xx += weighted * value
+
+    def add_scaled(self, sums: _Sums, factor: float) -> None:
+        self.weight += sums.weight * factor
+        self.d += sums.d * factor
+        self.dd += sums.dd * factor
+        self.x += sums.x * factor
+        self.xd += sums.xd * factor
+        self.xx += sums.xx * factor
+
+    def scaled(self, factor: float) -> _Sums:
+        found = _Sums()
+        found.add_scaled(self, factor)
+        return found
 
-    @property
-    def mean(self) -> float:
-        return self.total / self.weight if self.weight else 0.0
 
-    @property
-    def deviations(self) -> float:
-        """The sum of squared deviations from the mean."""
-        return max(self.squares - self.mean * self.total, 0.0)
+_Place = tuple[int, bool]
+"""A group of servers, and whether the server was full."""
 
 
 @dataclass(slots=True)
-class _Group:
-    """The samples of one kind with, or without, another kind beside it.
+class _Pair:
+    """The samples of a pair by place; `exposed` is the weight of those beside it.
 
-    The keys of `places` are the group of servers, and whether the server was full.
+    `effect` is the log slowdown while the pair is reported.
     """
 
-    whole: _Sums = field(default_factory=_Sums)
-    places: dict[tuple[int, bool], _Sums] = field(default_factory=dict)
+    kind: str
+    beside: str
+    checked_at: float
+    places: dict[_Place, _Sums] = field(default_factory=dict)
+    exposed: float = 0.0
+    effect: float = 0.0
+    found: bool = False
 
-    def add(self, place: tuple[int, bool], weight: float, value: float) -> None:
-        self.whole.add(weight, value)
+    def add(self, place: _Place, weight: float, contrast: float, value: float) -> None:
         sums = self.places.get(place)
         if sums is None:
             sums = self.places[place] = _Sums()
-        sums.add(weight, value)
-
-    def of_fullness(self, full: bool) -> _Sums:
-        """Return the sums over all places that were full, or over all others."""
-        found = _Sums()
-        for (_, was_full), sums in self.places.items():
-            if was_full == full:
-                found.weight += sums.weight
-                found.total += sums.total
-        return found
-
-    def all_sums(self) -> Iterator[_Sums]:
-        yield self.whole
-        yield from self.places.values()
+        sums.add(weight, contrast, value)
 
+    def whole(self, growth: float) -> _Sums:
+        """Return the sums over all places at today's weights."""
+        whole = _Sums()
+        for sums in self.places.values():
+            whole.add_scaled(sums, 1 / growth)
+        return whole
 
-@dataclass(slots=True)
-class _Pair:
-    """The samples of a pair; `effect` is its log slowdown while it is reported."""
-
-    kind: str
-    beside: str
-    checked_at: float
-    exposed: _Group = field(default_factory=_Group)
-    control: _Group = field(default_factory=_Group)
-    effect: float = 0.0
-    found: bool = False
+    def scale(self, factor: float) -> None:
+        self.places = {
+            place: sums.scaled(factor) for place, sums in self.places.items()
+        }
+        self.exposed *= factor
 
     def reset(self) -> None:
-        self.exposed, self.control = _Group(), _Group()
+        self.places, self.exposed = {}, 0.0
         self.effect, self.found = 0.0, False
 
 
@@ -197,6 +212,7 @@
         at: float,
         *,
         weight: float = 1.0,
+        sibling_shares: Mapping[str, float] = NO_SHARES,
         server_id: str = "",
         full: bool = False,
     ) -> None:
@@ -204,7 +220,9 @@
 
         `ratio` is its rate relative to that of its siblings on other servers, corrected
         for the speeds of the servers.  `weight` is the share of the task's work in
-        which it was measured.  `full` is whether the server had little capacity left.
+        which it was measured.  `sibling_shares` is the share of the siblings that ran
+        beside each kind, so that a task that differs from its siblings in nothing is no
+        evidence.  `full` is whether the server had little capacity left.
         """
         if not (ratio > 0 and weight > 0):
             return
@@ -214,24 +232,33 @@
         growth = self._growth(now)
         value = max(min(math.log(ratio), MAX_LOG_RATIO), -MAX_LOG_RATIO)
         pairs = self._pairs.setdefault(kind, {})
+        due: list[_Pair] = []
         for other in others:
             if other not in pairs and self._admit(other):
                 self._add_pair(kind, other)
         place = (self._place(server_id), full)
-        found = self._found.get(kind, {})
-        known = sum(found[other] for other in others if other in found)
+        # What the reported pairs explain is no evidence for others.
+        explained = {
+            other: effect * ((other in others) - sibling_shares.get(other, 0.0))
+            for other, effect in self._found.get(kind, {}).items()
+        }
+        value += sum(explained.values())
+        weight *= growth
         for other, pair in pairs.items():
-            if other in others:
-                # What other reported pairs explain is no evidence against this one.
-                corrected = value + known - found.get(other, 0.0)
-                pair.exposed.add(place, weight * growth, corrected)
-            else:
-                pair.control.add(place, weight * growth, value + known)
-        for other in others:
-            checked = pairs.get(other)
-            if checked is not None and now - checked.checked_at >= CHECK_INTERVAL_S:
-                checked.checked_at = now
-                self._check(checked)
+            beside = other in others
+            contrast = beside - sibling_shares.get(other, 0.0)
+            pair.add(place, weight, contrast, value - explained.get(other, 0.0))
+            if beside:
+                pair.exposed += weight
+                if now - pair.checked_at >= self._check_interval_s:
+                    due.append(pair)
+        for pair in due:
+            pair.checked_at = now
+            self._check(pair)
+
+    @property
+    def _check_interval_s(self) -> float:
+        return max(CHECK_INTERVAL_S, self._pair_count / MAX_CHECKS_PER_SECOND)
 
     def age(self, now: float) -> None:
         """Drop reported pairs whose samples have become too old."""
@@ -281,16 +308,19 @@
         growth = self._growth(self._now)
         listed = []
         for pair in self._all_pairs():
+            whole = pair.whole(growth)
+            spread = whole.dd - whole.d * whole.d / whole.weight if whole.weight else 0
             effect = pair.effect
-            if not pair.found:
-                effect = pair.control.whole.mean - pair.exposed.whole.mean
+            if not pair.found and spread > MIN_SPREAD:
+                effect = -(whole.xd - whole.x * whole.d / whole.weight) / spread
+            tasks = pair.exposed / growth
             listed.append(
                 InterferingPair(
                     pair.kind,
                     pair.beside,
                     round(math.exp(effect), 2),
-                    round(pair.exposed.whole.weight / growth, 1),
-                    round(pair.control.whole.weight / growth, 1),
+                    round(tasks, 1),
+                    round(whole.weight - tasks, 1),
                     pair.found,
                 )
             )
@@ -357,9 +387,7 @@
         if growth < MAX_GROWTH:
             return growth
         for pair in self._all_pairs():
-            for group in (pair.exposed, pair.control):
-                for sums in group.all_sums():
-                    sums.scale(1 / growth)
+            pair.scale(1 / growth)
         self._growth_since = now
         return 1.0
 
@@ -369,9 +397,6 @@
         if pair.found:
             self._check_found(pair, growth)
             return
-        rough = pair.control.whole.mean - pair.exposed.whole.mean
-        if rough < math.log(KEEP_SLOWDOWN):
-            return
         evidence = self._evidence(pair, growth)
         if evidence is None or evidence.margin < 1:
             return
@@ -390,7 +415,7 @@
         return _evidence(pair, growth, ALARM_PROBABILITY / tests)
 
     def _check_found(self, pair: _Pair, growth: float) -> None:
-        if pair.exposed.whole.weight / growth < KEEP_WEIGHT:
+        if pair.exposed / growth < KEEP_WEIGHT:
             self._mark_gone(pair, "aged")
             return
         evidence = self._evidence(pair, growth)
@@ -409,8 +434,7 @@
             kind=pair.kind,
             beside=pair.beside,
             slowdown=round(math.exp(evidence.effect), 2),
-            tasks=round(pair.exposed.whole.weight / growth, 1),
-            tasks_without=round(pair.control.whole.weight / growth, 1),
+            tasks=round(pair.exposed / growth, 1),
         )
         # Samples so far contain the effect that has only now become known.
         for other in self._pairs[pair.kind].values():
@@ -430,70 +454,88 @@
         self._on_change()
 
 
-def _evidence(
-    pair: _Pair, growth: float, alarm_probability: float
-) -> _Evidence | None:
+def _evidence(pair: _Pair, growth: float, alarm_probability: float) -> _Evidence | None:
     """Return the evidence that a pair interferes, None if there are too few samples.
 
-    Samples are compared within each place and fullness, as far as there are samples
-    without the other kind, so that a slow or a full server is no evidence.
+    It is the slope of a regression of log ratios on contrasts.  Each place has its own
+    level, normally distributed around that of all places of the same fullness, so that
+    a slow or a full server is no evidence.
     """
-    exposed, control = pair.exposed.whole, pair.control.whole
-    if min(exposed.weight, control.weight) / growth < MIN_WEIGHT:
+    if pair.exposed / growth < MIN_WEIGHT:
         return None
-    variance = _task_variance(exposed, control, growth)
-    differences = _differences(pair, variance, growth)
-    if len(differences) <= MIN_PLACES:
+    variance = _task_variance(pair.whole(growth))
+    terms = {
+        place: _weigh_place(sums, variance, growth)
+        for place, sums in pair.places.items()
+    }
+    score, information, by_place = _slope(terms)
+    if sum(info > MIN_PLACE_INFORMATION for _, info in by_place.values()) <= MIN_PLACES:
         return None
     # One server alone, slow only for a while, must not decide.
-    differences.remove(max(differences, key=lambda each: each[0] * each[1]))
-    information = sum(each[1] for each in differences)
-    effect = sum(value * info for value, info in differences) / information
-    control_places = len(pair.control.places)
-    error = (
-        1 / information
-        + variance * growth / control.weight
-        + SERVER_VARIANCE / control_places
+    clearest = min(by_place, key=lambda place: by_place[place][0])
+    score, information, _ = _slope(
+        {place: each for place, each in terms.items() if place[0] != clearest}
     )
+    if information <= 0:
+        return None
+    effect = -score / information
     if effect <= 0:
         return _Evidence(effect, 0.0)
-    threshold = _threshold(1 / error, alarm_probability)
-    return _Evidence(effect, effect * effect / error / threshold)
+    threshold = _threshold(information, alarm_probability)
+    return _Evidence(effect, effect * effect * information / threshold)
+
+
+def _task_variance(whole: _Sums) -> float:
+    """Return the variance of log ratios among tasks that the contrast leaves."""
+    if not whole.weight:
+        return TASK_VARIANCE
+    left = whole.xx - whole.x * whole.x / whole.weight
+    spread = whole.dd - whole.d * whole.d / whole.weight
+    if spread > MIN_SPREAD:
+        left -= (whole.xd - whole.x * whole.d / whole.weight) ** 2 / spread
+    measured = TASK_VARIANCE * TASK_VARIANCE_WEIGHT + max(left, 0.0)
+    return max(measured / (TASK_VARIANCE_WEIGHT + whole.weight), MIN_TASK_VARIANCE)
 
 
-def _task_variance(exposed: _Sums, control: _Sums, growth: float) -> float:
-    """Return the variance of log rates among tasks, within the two groups."""
-    deviations = (exposed.deviations + control.deviations) / growth
-    weight = (exposed.weight + control.weight) / growth
-    measured = TASK_VARIANCE * TASK_VARIANCE_WEIGHT + deviations
-    return max(measured / (TASK_VARIANCE_WEIGHT + weight), MIN_TASK_VARIANCE)
+def _weigh_place(sums: _Sums, variance: float, growth: float) -> _Sums:
+    """Return the sums of one place, weighted by the inverse of their covariance.
+
+    All samples of a place share the error of its level, of `SERVER_VARIANCE`.
+    """
+    now = sums.scaled(1 / growth)
+    shared = SERVER_VARIANCE / (variance + SERVER_VARIANCE * now.weight)
+    return _Sums(
+        weight=(now.weight - shared * now.weight * now.weight) / variance,
+        d=(now.d - shared * now.weight * now.d) / variance,
+        dd=(now.dd - shared * now.d * now.d) / variance,
+        x=(now.x - shared * now.weight * now.x) / variance,
+        xd=(now.xd - shared * now.x * now.d) / variance,
+    )
 
 
-def _differences(
-    pair: _Pair, variance: float, growth: float
-) -> list[tuple[float, float]]:
-    """Return the log slowdown in each place and its information (1 / variance).
+def _slope(
+    terms: Mapping[_Place, _Sums],
+) -> tuple[float, float, dict[int, tuple[float, float]]]:
+    """Return score and information of the slope, in all and by group of servers.
 
-    The value without the other kind is that of the place, moved towards the mean of all
-    places of the same fullness where it has few samples.
+    The slope is the score divided by the information, the inverse of its variance.
     """
-    means = {full: pair.control.of_fullness(full) for full in (False, True)}
-    prior = variance / SERVER_VARIANCE
+    means: dict[bool, tuple[float, float]] = {}
+    for full in (False, True):
+        weight = d = x = 0.0
+        for (_, was_full), each in terms.items():
+            if was_full == full:
+                weight, d, x = weight + each.weight, d + each.d, x + each.x
+        means[full] = (d / weight, x / weight) if weight else (0.0, 0.0)
     by_place: dict[int, tuple[float, float]] = {}
-    for (place, full), sums in pair.exposed.places.items():
-        whole = means[full]
-        if whole.weight / growth < 1:
-            continue
-        own = pair.control.places.get((place, full), _Sums())
-        weight = own.weight / growth
-        expected = (own.total / growth + prior * whole.mean) / (weight + prior)
-        error = variance * growth / sums.weight + variance / (weight + prior)
-        value, information = by_place.get(place, (0.0, 0.0))
-        by_place[place] = (
-            value + (expected - sums.mean) / error,
-            information + 1 / error,
-        )
-    return [(total / info, info) for total, info in by_place.values()]
+    for (place, full), each in terms.items():
+        mean_d, mean_x = means[full]
+        score, information = by_place.get(place, (0.0, 0.0))
+        score += each.xd - mean_x * each.d - mean_d * (each.x - mean_x * each.weight)
+        information += each.dd - mean_d * (2 * each.d - mean_d * each.weight)
+        by_place[place] = (score, information)
+    total = sum(score for score, _ in by_place.values())
+    return total, sum(info for _, info in by_place.values()), by_place
 
 
 def _threshold(information: float, alarm_probability: float) -> float:
--- a/cassiaweir/scheduling/_sibling_rates.py
+++ b/cassiaweir/scheduling/_sibling_rates.py
@@ -3,31 +3,42 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 MAX_STEPS = 2_048
 """Steps whose rates are kept; the one that was updated longest ago is dropped."""
 
 MIN_SIBLING_WEIGHT = 0.3
-"""Work of siblings, in tasks, that must have been observed for a reference."""
+"""Weight of samples of siblings from which there is a reference."""
 
 
 @dataclass(frozen=True, slots=True)
 class Reference:
-    """The mean logarithm of the rates of siblings, and how many tasks it stands for."""
+    """What the siblings of a task on other servers show.
+
+    `log_rate` is the mean logarithm of their rates, `weight` the number of tasks that
+    it stands for, and `shares` the share of them that ran beside each kind.
+    """
 
     log_rate: float
     weight: float
+    shares: Mapping[str, float]
 
 
 @dataclass(slots=True)
 class _Sums:
+    """The weight of samples, their weighted total, and the weights by kind beside."""
+
     weight: float = 0.0
     total: float = 0.0
+    beside: dict[str, float] = field(default_factory=dict)
 
-    def add(self, weight: float, value: float) -> None:
+    def add(self, weight: float, value: float, others: Iterable[str]) -> None:
         self.weight += weight
         self.total += weight * value
+        for other in others:
+            self.beside[other] = self.beside.get(other, 0.0) + weight
 
 
 @dataclass(slots=True)
@@ -43,12 +54,18 @@
         self._steps: OrderedDict[str, _StepRates] = OrderedDict()
 
     def record(
-        self, step: str, server_id: str, log_rate: float, weight: float
+        self,
+        step: str,
+        server_id: str,
+        log_rate: float,
+        weight: float,
+        others: Collection[str],
     ) -> Reference | None:
         """Add a sample; return the reference of its siblings on other servers.
 
-        `weight` is the share of a task's work in which the rate was measured, so that
-        one task has a weight of at most 1.  Return None while too little is known.
+        `weight` is the part of a task that the sample stands for, in all at most 1 for
+        each task, and `others` are the kinds beside it.  Return None while too little
+        is known of the siblings.
         """
         rates = self._steps.get(step)
         if rates is None:
@@ -57,13 +74,17 @@
                 self._steps.popitem(last=False)
         else:
             self._steps.move_to_end(step)
-        own = rates.by_server.setdefault(server_id, _Sums())
-        own.add(weight, log_rate)
-        rates.whole.add(weight, log_rate)
-        others = rates.whole.weight - own.weight
-        if others < MIN_SIBLING_WEIGHT:
+        own, whole = rates.by_server.setdefault(server_id, _Sums()), rates.whole
+        own.add(weight, log_rate, others)
+        whole.add(weight, log_rate, others)
+        siblings = whole.weight - own.weight
+        if siblings < MIN_SIBLING_WEIGHT:
             return None
-        return Reference((rates.whole.total - own.total) / others, others)
+        shares = {
+            kind: (beside - own.beside.get(kind, 0.0)) / siblings
+            for kind, beside in whole.beside.items()
+        }
+        return Reference((whole.total - own.total) / siblings, siblings, shares)
 
     def __len__(self) -> int:
         return len(self._steps)
--- a/lab/_interference_load.py
+++ b/lab/_interference_load.py
@@ -267,9 +267,7 @@
         if machine.server.free.cpu_millis < 0.1 * CAPACITY.cpu_millis:
             rate *= self._conditions.full_rate
         kind = work.run.task.step.kind
-        beside = {
-            each.run.task.step.kind for each in machine.work if each is not work
-        }
+        beside = {each.run.task.step.kind for each in machine.work if each is not work}
         for other in beside:
             rate *= self._conditions.factors.get((kind, other), 1.0)
         return rate
@@ -315,9 +313,7 @@
             return
         opened.job.finish_task(task)
         if opened.job.ended and self._open.pop(opened.job.job_id, None):
-            self.delays_s[task.step.kind].append(
-                self.clock.now_s - opened.submitted_at
-            )
+            self.delays_s[task.step.kind].append(self.clock.now_s - opened.submitted_at)
 
     def _place(self) -> None:
         """Place waiting tasks: urgent ones first, then in the order of submission."""
