--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -13,7 +13,6 @@
 from cassiaweir.dispatch._compaction import RowShrinker
 from cassiaweir.dispatch._crash_tracker import CrashTracker, lifetime_of
 from cassiaweir.dispatch._gate import TakeoverGate
-from cassiaweir.dispatch._interference import InterferenceSampler
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._orders import OrderSender, ServerClient, StartResult
@@ -31,7 +30,7 @@
 from cassiaweir.jobs import JobState, Step
 from cassiaweir.leadership import CommitStream, Leadership
 from cassiaweir.observe import Metrics
-from cassiaweir.scheduling import InterferenceModel, ServerSpeeds
+from cassiaweir.scheduling import InterferenceModel
 from cassiaweir.types import Clock, Row
 
 PLACEMENT_DELAY = timedelta(milliseconds=2)
@@ -103,16 +102,12 @@
             entries_age=entries_age,
             stop=self._stop,
         )
-        self.interference = InterferenceModel(self._count_interfering_pairs)
-        self._count_interfering_pairs()
-        self._samples = InterferenceSampler(self.interference, ServerSpeeds(), clock)
         self._reports = ReportProcessor(
             jobs,
             self._runs,
             clock,
             metrics,
             self._crashes,
-            self._samples,
             stop=self._stop,
             stop_orphan=self._stop_orphan,
             stop_late_start=self._stop_late_start,
@@ -149,6 +144,11 @@
         """Return how many open jobs of `queue` have not started any task."""
         return self._jobs.count_pending(queue)
 
+    @property
+    def interference(self) -> InterferenceModel:
+        """What is known of tasks that slow each other down."""
+        return self._reports.interference.model
+
     # Changes of stored rows.
 
     def apply_job_row(self, row: Row) -> None:
@@ -310,6 +310,7 @@
         for job in self._jobs.remove_finished():
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
         self._remove_missing_servers(now)
+        self._reports.learner.publish()
         self._metrics.set("jobs_open", sum(1 for _ in self._jobs.open_jobs()))
         self._metrics.set(
             "runs", sum(len(server.runs) for server in self.servers.values())
@@ -328,7 +329,8 @@
             del self.servers[server_id]
             self._records.remove(server_id)
             self._crashes.note_removed(server)
-            self._samples.forget_server(server_id)
+            self._reports.interference.forget_server(server_id)
+            self._reports.learner.forget_server(server)
             logger.info("server_removed", server=server_id)
 
     def _add_server(self, entry: ServerEntry) -> None:
@@ -466,9 +468,6 @@
         if not task.cancelled() and task.exception() is not None:
             logger.opt(exception=task.exception()).error("dispatcher_coroutine_failed")
 
-    def _count_interfering_pairs(self) -> None:
-        self._metrics.set("interfering_pairs", self.interference.found_count)
-
     async def _close(self) -> None:
         self.interference.clear()
         await self._advice.close()
--- a/cassiaweir/dispatch/_interference.py
+++ b/cassiaweir/dispatch/_interference.py
@@ -9,6 +9,7 @@
 from cassiaweir.dispatch._runs import Run, RunKey, RunState
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_entry import ServerReport
+from cassiaweir.observe import Metrics
 from cassiaweir.scheduling import InterferenceModel, SiblingRates
 from cassiaweir.types import Clock
 
@@ -45,10 +46,7 @@
 
 
 class ServerSpeedSource(Protocol):
-    """Learns the speeds of servers relative to each other."""
-
-    def record(self, step: str, server_id: str, rate: float, at: float) -> None:
-        """Add the rate at which a task of `step` progressed on a server."""
+    """Knows the speeds of servers relative to each other."""
 
     def speed(self, server_id: str) -> float:
         """Return the speed of a server, 1.0 while it is unknown."""
@@ -91,19 +89,24 @@
 
     Rates are measured on the clocks of the servers, so that neither a paused leader nor
     a slow network changes them.  A sample ends when the kinds beside the run change.
-    Gangs give no samples, as all members progress at the rate of the slowest; nor do
+    `model` is what is learnt.  Gangs give no samples, as all members progress at the rate of the slowest; nor do
     long-running tasks, which report no progress, and tasks that fill idle CPU.
     """
 
     def __init__(
-        self, model: InterferenceModel, speeds: ServerSpeedSource, clock: Clock
+        self, speeds: ServerSpeedSource, clock: Clock, metrics: Metrics
     ) -> None:
-        self._model = model
+        self.model = InterferenceModel(self._count_pairs)
         self._speeds = speeds
         self._clock = clock
+        self._metrics = metrics
+        self._count_pairs()
         self._rates = SiblingRates()
         self._states: dict[str, _ServerState] = {}
 
+    def _count_pairs(self) -> None:
+        self._metrics.set("interfering_pairs", self.model.found_count)
+
     def forget_server(self, server_id: str) -> None:
         """Forget a server that was removed."""
         self._states.pop(server_id, None)
@@ -177,20 +180,17 @@
         elapsed_ms = state.clock_ms - mark.clock_ms
         weight = WEIGHT_PER_PROGRESS * (percent - mark.percent) / 100
         weight = min(weight, 1 - mark.spent)
-        if elapsed_ms <= 0 or weight <= 0:
+        if elapsed_ms <= 0 or weight <= 0 or state.speed_since is None:
             return 0.0
         step, server_id = run.task.step, server.server_id
         rate = (percent - mark.percent) / elapsed_ms
-        self._speeds.record(step.name, server_id, rate, now)
-        if state.speed_since is None:
-            return 0.0
         log_rate = math.log(rate) - state.log_speed
         reference = self._rates.record(
             step.name, server_id, log_rate, weight, mark.others
         )
         if reference is not None:
             free = server.free.cpu_millis
-            self._model.record(
+            self.model.record(
                 step.kind,
                 mark.others,
                 math.exp(log_rate - reference.log_rate),
@@ -210,6 +210,7 @@
         tasks on the server slow each other down.  Its mean over a minute hardly does.
         """
         if not self._speeds.known(server.server_id):
+            state.speed_since = None
             return
         log_speed = math.log(self._speeds.speed(server.server_id))
         if state.speed_since is None:
--- a/lab/_interference_load.py
+++ b/lab/_interference_load.py
@@ -21,8 +21,9 @@
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
 from cassiaweir.jobs import Job, JobSpec, Step, StepSpec, Task, TaskState
+from cassiaweir.observe import Metrics
 from cassiaweir.queues import Queue
-from cassiaweir.scheduling import InterferenceModel, ServerSpeeds
+from cassiaweir.scheduling import ProgressSampler, ServerSpeeds
 from cassiaweir.types import Resources
 
 CAPACITY = Resources(16_000, 32_768)
@@ -100,6 +101,7 @@
     run: Run
     total_s: float
     done_s: float = 0.0
+    progress: ProgressSampler = field(default_factory=ProgressSampler)
 
 
 @dataclass(slots=True)
@@ -145,12 +147,14 @@
         self._rng = random.Random(seed)
         self._conditions = conditions
         self.clock = SimulationClock()
-        self.model = InterferenceModel(self._note_change)
-        self._sampler = InterferenceSampler(
-            self.model,
-            ServerSpeeds(),
+        self._speeds = ServerSpeeds()
+        self.sampler = InterferenceSampler(
+            self._speeds,
             self.clock,  # type: ignore[arg-type]
+            Metrics(),
         )
+        self.model = self.sampler.model
+        self._known_pairs = 0
         self._machines = {
             each.server.server_id: each
             for each in map(self._machine, range(conditions.servers))
@@ -188,9 +192,12 @@
                 continue
             self._report()
             self.model.age(self.clock.now_s)
+            if self.model.found_count != self._known_pairs:
+                self._note_change()
             self._place()
 
     def _note_change(self) -> None:
+        self._known_pairs = self.model.found_count
         for each in self.model.pairs():
             if each.found:
                 self.found_at.setdefault((each.kind, each.beside), self.clock.now_s)
@@ -296,8 +303,22 @@
                 for each in machine.work
             ]
             self.rows += len(rows)
+            self._learn_speeds(machine, rows)
             report = ServerReport(round(now * 1_000), 1, rows, [])
-            self._sampler.record_report(machine.server, report)
+            self.sampler.record_report(machine.server, report)
+
+    def _learn_speeds(self, machine: _Machine, rows: list[RunningTask]) -> None:
+        """Record the rates of tasks of one step, as the leader's learner does."""
+        server_id = machine.server.server_id
+        for work, row in zip(machine.work, rows, strict=True):
+            sample = work.progress.read(row.percent, self.clock.now_s)
+            step = work.run.task.step
+            if sample is not None and not step.spec.gang:
+                rate = sample.percent / sample.elapsed_s
+                weight = max(sample.percent / 100, 0.2)
+                now = self.clock.now_s
+                self._speeds.record(step.name, server_id, rate, now, weight)
+        machine.server.relative_speed = self._speeds.speed(server_id)
 
     def _end(self, machine: _Machine, work: _Work) -> None:
         task = work.run.task
