--- a/cassiaweir/dispatch/_interference.py
+++ b/cassiaweir/dispatch/_interference.py
@@ -89,8 +89,9 @@
 
     Rates are measured on the clocks of the servers, so that neither a paused leader nor
     a slow network changes them.  A sample ends when the kinds beside the run change.
-    `model` is what is learnt.  Gangs give no samples, as all members progress at the rate of the slowest; nor do
+    Gangs give no samples, as all members progress at the rate of the slowest; nor do
     long-running tasks, which report no progress, and tasks that fill idle CPU.
+    `model` is what is learnt.
     """
 
     def __init__(
--- a/lab/_interference_load.py
+++ b/lab/_interference_load.py
@@ -333,7 +333,8 @@
                     self._waiting.append(opened)
             return
         opened.job.finish_task(task)
-        if opened.job.ended and self._open.pop(opened.job.job_id, None):
+        if opened.job.ended:
+            del self._open[opened.job.job_id]
             self.delays_s[task.step.kind].append(self.clock.now_s - opened.submitted_at)
 
     def _place(self) -> None:
