--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -190,6 +190,26 @@
     click.echo(render_lines(merge_lines(texts, subject)), nl=False)
 
 
+@debug.command("interference")
+@click.option(
+    "--address",
+    required=True,
+    help="Metrics address of an entry VM, as host:port; only the leader knows pairs.",
+)
+@click.option("--clear", is_flag=True, help="Make the leader forget all pairs.")
+def debug_interference(address: str, clear: bool) -> None:
+    """Print which kinds of tasks slow each other down on one server.
+
+    Example: cassiaweir debug interference --address 10.0.0.7:9464
+    """
+    import asyncio
+
+    from cassiaweir.composition._interference_pages import fetch_pairs, render_pairs
+
+    answer = asyncio.run(fetch_pairs(address, clear=clear))
+    click.echo(render_pairs(answer), nl=False)
+
+
 @debug.command("settings")
 @settings_options
 def debug_settings(path: Path | None, overrides: tuple[str, ...]) -> None:
--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from cassiaweir.clock import SystemClock
+from cassiaweir.composition._interference_pages import InterferencePages
 from cassiaweir.dispatch import (
     Advice,
     AdviceCache,
@@ -241,7 +242,9 @@
     ]
     if metrics_port is not None:
         host = settings.front_address.rpartition(":")[0]
-        components.insert(0, MetricsServer(f"{host}:{metrics_port}", metrics))
+        pages = InterferencePages(term).by_request
+        address = f"{host}:{metrics_port}"
+        components.insert(0, MetricsServer(address, metrics, pages))
     return Process(
         components, events, on_reload=lambda: logger.info("process_reloaded")
     )
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -34,6 +34,7 @@
 from cassiaweir.jobs import JobState, decode_outcome
 from cassiaweir.leadership import CommitStream, Leadership, Owner
 from cassiaweir.observe import Metrics
+from cassiaweir.scheduling import InterferenceModel
 from cassiaweir.types import Clock, Feed, Row, Table
 
 FEED_WAIT = timedelta(seconds=1)
@@ -190,6 +191,11 @@
         """Return how many open jobs of `queue` have not started any task."""
         return 0 if self._dispatcher is None else self._dispatcher.count_pending(queue)
 
+    @property
+    def interference(self) -> InterferenceModel | None:
+        """What this leader knows of tasks that slow each other down; None if none."""
+        return None if self._dispatcher is None else self._dispatcher.interference
+
     async def serve(self, leadership: Leadership, commits: CommitStream) -> None:
         """Dispatch jobs until cancelled or the leadership is lost.
 
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import itertools
-from dataclasses import dataclass, replace
+import math
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from cassiaweir.dispatch import (
@@ -34,7 +35,9 @@
     """A run on a fake server; times are of the event loop's clock.
 
     `ends_at` and `how`, the end that it comes to, follow from the task spec.  A run
-    that has been asked to stop ends at `stopping_at`.
+    that has been asked to stop ends at `stopping_at`.  `kind` is its queue, and its
+    image where it has one.  It has worked at `rate` since `rate_since`, and had done
+    `done_s` of its `work_s` seconds of work by then.
     """
 
     task: str
@@ -43,7 +46,27 @@
     began_at: float
     ends_at: float
     how: EndKind
+    kind: str = ""
     stopping_at: float | None = None
+    rate: float = 1.0
+    rate_since: float = field(init=False)
+    work_s: float = field(init=False)
+    done_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.rate_since = self.began_at
+        self.work_s = self.ends_at - self.began_at
+
+    def done_at(self, now: float) -> float:
+        """Return the seconds of work that are done at `now`."""
+        return self.done_s + (now - self.rate_since) * self.rate
+
+    def set_rate(self, rate: float, now: float) -> None:
+        """Work at another rate from `now` on."""
+        if rate != self.rate:
+            self.done_s, self.rate_since = self.done_at(now), now
+            self.rate = rate
+            self.ends_at = now + max(self.work_s - self.done_s, 0.0) / rate
 
 
 class FakeServer:
@@ -108,8 +131,19 @@
             elif lease_expired:
                 self._end(run, EndKind.LEASE_EXPIRED)
 
+    def update_rates(self) -> None:
+        """Let each run work at the rate that its neighbours leave it."""
+        if not self.site.rates:
+            return
+        now = asyncio.get_running_loop().time()
+        for run in self.runs.values():
+            beside = {each.kind for each in self.runs.values() if each is not run}
+            rates = (self.site.rates.get((run.kind, other), 1.0) for other in beside)
+            run.set_rate(math.prod(rates), now)
+
     def _end(self, run: FakeRun, how: EndKind) -> None:
         del self.runs[run.task, run.number]
+        self.update_rates()
         self.highest_barred_runs[run.task] = max(
             self.highest_barred_runs.get(run.task, 0), run.number
         )
@@ -203,7 +237,7 @@
 
     def _percent(self, run: FakeRun) -> int:
         now = asyncio.get_running_loop().time()
-        return min(int((now - run.began_at) / (run.ends_at - run.began_at) * 100), 100)
+        return min(int(run.done_at(now) / run.work_s * 100), 100)
 
     def _extend(self, until_ms: int) -> None:
         latest_end_ms = self.clock_ms() + MAX_LEASE_MS
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -58,7 +58,8 @@
     `faults` describes each breach of a guarantee that was seen: a task running twice,
     a task started again after its end was acknowledged, an overcommitted server, or a
     deadly task started too often.  `deadly` holds the tasks that crash their servers,
-    by the beginning of the task's name.
+    by the beginning of the task's name.  `rates` gives the rate of a kind of task while
+    one of another kind runs on the same server, where it is not the full rate.
     Servers are spread over the failure `domains` in turn.  `specs` holds the job spec
     of each submitted job by its id.
     """
@@ -69,6 +70,7 @@
         self.faults: list[str] = []
         self.specs: dict[str, JobSpec] = {}
         self.deadly: dict[str, Deadly] = {}
+        self.rates: dict[tuple[str, str], float] = {}
         self._running: dict[tuple[str, str, int], RunRecord] = {}
         self._acknowledged_at: dict[str, float] = {}
         self._delayed_tasks: set[asyncio.Task[None]] = set()
@@ -117,6 +119,7 @@
             now,
             now + float(seconds) / server.speed,
             kind,
+            f"{spec.queue.name}/{step.image}" if step.image else spec.queue.name,
         )
         for other in self._running.values():
             if other.task == order.task:
@@ -136,6 +139,7 @@
                 f"overcommitted: {order.task} does not fit on {server.entry.server_id}"
             )
         server.runs[order.task, order.run] = run
+        server.update_rates()
         started = RunRecord(order.task, order.run, server.entry.server_id, now)
         self._check_crashes(order.task)
         self.history.append(started)
