--- a/cassiaweir/scheduling/_interference.py
+++ b/cassiaweir/scheduling/_interference.py
@@ -200,6 +200,7 @@
         self._pair_count = 0
         self._found: dict[str, dict[str, float]] = {}
         self._places: dict[str, int] = {}
+        self._place_weights: dict[int, float] = {}
         self._growth_since: float | None = None
         self._now = -math.inf
         self._aged_at = -math.inf
@@ -244,6 +245,7 @@
         }
         value += sum(explained.values())
         weight *= growth
+        self._place_weights[place[0]] = self._place_weights.get(place[0], 0.0) + weight
         for other, pair in pairs.items():
             beside = other in others
             contrast = beside - sibling_shares.get(other, 0.0)
@@ -335,6 +337,7 @@
         self._pair_count = 0
         self._found.clear()
         self._places.clear()
+        self._place_weights.clear()
         if changed:
             self._on_change()
 
@@ -388,6 +391,8 @@
             return growth
         for pair in self._all_pairs():
             pair.scale(1 / growth)
+        for place in self._place_weights:
+            self._place_weights[place] /= growth
         self._growth_since = now
         return 1.0
 
@@ -412,7 +417,10 @@
 
     def _evidence(self, pair: _Pair, growth: float) -> _Evidence | None:
         tests = max(self._pair_count, MIN_COUNTED_PAIRS)
-        return _evidence(pair, growth, ALARM_PROBABILITY / tests)
+        if pair.exposed / growth < MIN_WEIGHT:
+            return None
+        places = _correct_places(pair, self._place_weights, growth)
+        return _evidence(places, ALARM_PROBABILITY / tests)
 
     def _check_found(self, pair: _Pair, growth: float) -> None:
         if pair.exposed / growth < KEEP_WEIGHT:
@@ -454,20 +462,46 @@
         self._on_change()
 
 
-def _evidence(pair: _Pair, growth: float, alarm_probability: float) -> _Evidence | None:
+def _correct_places(
+    pair: _Pair, place_weights: Mapping[int, float], growth: float
+) -> dict[_Place, _Sums]:
+    """Return the sums of a pair by place, at the weights of today.
+
+    The learnt speed of a server is a mean over the samples of all its tasks, and is
+    lower while the pair is on the server.  The same mean is taken from the contrasts.
+    """
+    contrasts: dict[int, float] = {}
+    for (place, _), sums in pair.places.items():
+        contrasts[place] = contrasts.get(place, 0.0) + sums.d
+    corrected = {}
+    for (place, full), sums in pair.places.items():
+        now = sums.scaled(1 / growth)
+        shift = contrasts[place] / place_weights[place]
+        corrected[place, full] = _Sums(
+            weight=now.weight,
+            d=now.d - shift * now.weight,
+            dd=now.dd - 2 * shift * now.d + shift * shift * now.weight,
+            x=now.x,
+            xd=now.xd - shift * now.x,
+            xx=now.xx,
+        )
+    return corrected
+
+
+def _evidence(
+    places: Mapping[_Place, _Sums], alarm_probability: float
+) -> _Evidence | None:
     """Return the evidence that a pair interferes, None if there are too few samples.
 
     It is the slope of a regression of log ratios on contrasts.  Each place has its own
     level, normally distributed around that of all places of the same fullness, so that
     a slow or a full server is no evidence.
     """
-    if pair.exposed / growth < MIN_WEIGHT:
-        return None
-    variance = _task_variance(pair.whole(growth))
-    terms = {
-        place: _weigh_place(sums, variance, growth)
-        for place, sums in pair.places.items()
-    }
+    whole = _Sums()
+    for sums in places.values():
+        whole.add_scaled(sums, 1.0)
+    variance = _task_variance(whole)
+    terms = {place: _weigh_place(sums, variance) for place, sums in places.items()}
     score, information, by_place = _slope(terms)
     if sum(info > MIN_PLACE_INFORMATION for _, info in by_place.values()) <= MIN_PLACES:
         return None
@@ -497,12 +531,11 @@
     return max(measured / (TASK_VARIANCE_WEIGHT + whole.weight), MIN_TASK_VARIANCE)
 
 
-def _weigh_place(sums: _Sums, variance: float, growth: float) -> _Sums:
+def _weigh_place(now: _Sums, variance: float) -> _Sums:
     """Return the sums of one place, weighted by the inverse of their covariance.
 
     All samples of a place share the error of its level, of `SERVER_VARIANCE`.
     """
-    now = sums.scaled(1 / growth)
     shared = SERVER_VARIANCE / (variance + SERVER_VARIANCE * now.weight)
     return _Sums(
         weight=(now.weight - shared * now.weight * now.weight) / variance,
