--- a/cassiaweir/scheduling/_interference.py
+++ b/cassiaweir/scheduling/_interference.py
@@ -235,7 +235,8 @@
         pairs = self._pairs.setdefault(kind, {})
         due: list[_Pair] = []
         for other in others:
-            if other not in pairs and self._admit(other):
+            # Kinds that only run beside others, as gangs do, are seen here alone.
+            if self._admit(other) and other not in pairs:
                 self._add_pair(kind, other)
         place = (self._place(server_id), full)
         # What the reported pairs explain is no evidence for others.
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -200,6 +200,16 @@
     assert [each.kind for each in model.pairs()] == ["new"]
 
 
+# Guards against a kind that gives no samples itself and is therefore forgotten.
+def test_kind_that_only_runs_beside_others_stays_known():
+    model = InterferenceModel()
+    for second in range(200):
+        others = [f"new/{second}"] if second % 2 else ["gang"]
+        model.record(VICTIM, others, 1.0, float(second))
+    tasks = {each.beside: each.tasks for each in model.pairs()}
+    assert tasks["gang"] > 30
+
+
 # Guards against a clear that leaves effects behind, or ends the learning.
 def test_clear_forgets_all_pairs_and_they_are_learnt_again():
     model = taught()
