--- a/cassiaweir/scheduling/_interference.py
+++ b/cassiaweir/scheduling/_interference.py
@@ -69,7 +69,7 @@
 
 CHECK_INTERVAL_S = 1.0
 MAX_CHECKS_PER_SECOND = 50
-"""Pairs that are checked in a second; a check takes about 0.1 ms."""
+"""Pairs that are checked in a second at most; a check takes 0.2 ms."""
 
 NO_SHARES: Mapping[str, float] = MappingProxyType({})
 MAX_GROWTH = 1e6
