--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -36,7 +36,7 @@
 from cassiaweir.observe._metrics_server import MetricsServer
 from cassiaweir.scheduling import InterferenceModel, SiblingRates
 from cassiaweir.scheduling._interference import MAX_KINDS, MAX_PAIRS, MAX_PLACES
-from lab._interference_load import Conditions
+from lab._interference_load import Conditions, Fleet
 from lab.interference import (
     CALM_SCENARIOS,
     false_alarms,
@@ -343,6 +343,15 @@
     assert chosen(taught(), servers_beside(CAUSE)) == ["beside-recon/b"] * 2
 
 
+# Guards against tasks that wait in a full fleet beside servers with room for them.
+def test_no_task_of_a_full_fleet_waits_because_of_interference():
+    conditions = Conditions(load=2.0, factors={("batch/blend", "batch/sort"): 0.5})
+    fleet = Fleet(1, conditions)
+    fleet.run(20.0)
+    assert ("batch/blend", "batch/sort") in fleet.found_at
+    assert fleet.unplaced_rounds == 0
+
+
 # Guards against a server with failures that is preferred because nothing interferes.
 def test_failures_weigh_more_than_interference():
     bad, good = server_of("bad"), servers_beside(CAUSE)[0]
