--- a/lab/interference.py
+++ b/lab/interference.py
@@ -83,7 +83,6 @@
 
 def find_pair(seed: int, conditions: Conditions, seconds: float) -> Found:
     """Simulate a fleet on which one pair interferes; placement does not avoid it."""
-    logger.disable("cassiaweir")
     pair = pair_of(seed)
     fleet = Fleet(seed, replace(conditions, factors={pair: PAIR_RATE}, avoid=False))
     fleet.run(seconds)
@@ -95,7 +94,6 @@
     seed: int, conditions: Conditions, seconds: float
 ) -> list[tuple[str, str]]:
     """Return the pairs that are found on a fleet on which nothing interferes."""
-    logger.disable("cassiaweir")
     fleet = Fleet(seed, conditions)
     fleet.run(seconds)
     return list(fleet.found_at)
@@ -110,7 +108,6 @@
     rate: float = PAIR_RATE,
 ) -> tuple[float, float]:
     """Return the mean delays of jobs of the slowed kind and of all jobs."""
-    logger.disable("cassiaweir")
     pair = pair_of(seed)
     fleet = Fleet(seed, replace(conditions, factors={pair: rate}, avoid=avoid))
     fleet.run(seconds)
@@ -124,8 +121,13 @@
     return fmean(slowed), fmean(delay_s for _, delay_s in delays)
 
 
+def _disable_logs() -> None:
+    """Print no events of the simulated leaders, in the process that calls this."""
+    logger.disable("cassiaweir")
+
+
 def _map_seeds(work: object, seeds: int, workers: int) -> list:
-    with ProcessPoolExecutor(workers) as executor:
+    with ProcessPoolExecutor(workers, initializer=_disable_logs) as executor:
         return list(executor.map(work, range(seeds)))  # type: ignore[arg-type]
 
 
