--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -35,7 +35,7 @@
 from cassiaweir.jobs import JobState, Step
 from cassiaweir.leadership import CommitStream, Leadership
 from cassiaweir.observe import Metrics
-from cassiaweir.scheduling import LoadSnapshot
+from cassiaweir.scheduling import InterferenceModel, LoadSnapshot
 from cassiaweir.types import Clock, Row
 
 PLACEMENT_DELAY = timedelta(milliseconds=2)
@@ -151,6 +151,7 @@
             crashes=self._crashes,
             evacuations=self._evacuations,
             cold=self._cold,
+            interference=self.interference,
             confirm_leadership=commits.confirm_leadership,
             store_reachable=lambda: commits.store_reachable,
             entries_age=entries_age,
@@ -176,6 +177,11 @@
         """Return the newest load, or None before one was measured."""
         return self._load.snapshot
 
+    @property
+    def interference(self) -> InterferenceModel:
+        """What is known of tasks that slow each other down."""
+        return self._reports.interference.model
+
     # Changes of stored rows.
 
     def apply_job_row(self, row: Row) -> None:
@@ -354,6 +360,7 @@
         self._crashes.resolve()
         if self._entries_age() != timedelta.max:
             self._evacuations.warn_of_unknown_domains()
+        self.interference.age(now)
         self._jobs.open_due_occurrences()
         for job in self._jobs.remove_finished():
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
@@ -379,6 +386,7 @@
             del self.servers[server_id]
             self._records.remove(server_id)
             self._crashes.note_removed(server)
+            self._reports.interference.forget_server(server_id)
             self._reports.learner.forget_server(server)
             logger.info("server_removed", server=server_id)
 
@@ -550,6 +558,7 @@
             logger.opt(exception=task.exception()).error("dispatcher_coroutine_failed")
 
     async def _close(self) -> None:
+        self.interference.clear()
         await self._advice.close()
         await _cancel_all([*self._pollers.values(), *self._tasks])
 
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cassiaweir.dispatch._server import Server
 from cassiaweir.jobs import Step
+from cassiaweir.scheduling import InterferenceModel
 from cassiaweir.types import Resources
 
 SLOW_SPEED = 0.45
@@ -21,10 +22,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A server and how many tasks of a step it has room for."""
+    """A server and how many tasks of a step it has room for.
+
+    `interference` is the cost of running the tasks beside what runs there, 0 for none;
+    `spreads` is whether tasks of the step slow each other down.
+    """
 
     server: Server
     slots: int
+    interference: float = 0.0
+    spreads: bool = False
 
 
 def fitting_tasks(free: Resources, demand: Resources, limit: int) -> int:
@@ -66,6 +73,23 @@
     return found
 
 
+def with_interference(
+    step: Step, candidates: list[Candidate], model: InterferenceModel
+) -> list[Candidate]:
+    """Return `candidates` with the cost of interference; the same if there is none."""
+    if not model.affects(step.kind):
+        return candidates
+    spreads = model.slowdown(step.kind, step.kind) > 1
+    return [
+        replace(
+            each,
+            interference=model.penalty(step.kind, each.server.kinds),
+            spreads=spreads,
+        )
+        for each in candidates
+    ]
+
+
 def find_future_candidates(
     step: Step, servers: Iterable[Server], limit: int
 ) -> list[Candidate]:
@@ -154,7 +178,7 @@
     Servers `reserved` for gangs come after equally reliable ones.
     """
 
-    def sort_key(candidate: Candidate) -> tuple[int, ...]:
+    def sort_key(candidate: Candidate) -> tuple[float, ...]:
         suspicion, *others = preference_key(step, candidate)
         return (suspicion, candidate.server.server_id in reserved, *others)
 
@@ -166,6 +190,9 @@
     if step.spec.same_rack:
         ordered = _one_rack(ordered, count) or ordered
     chosen: list[Server] = []
+    if any(each.spreads for each in ordered):
+        chosen = [each.server for each in ordered[:count]]
+        ordered = [replace(each, slots=each.slots - 1) for each in ordered]
     for candidate in ordered:
         take = min(candidate.slots, count - len(chosen))
         chosen += [candidate.server] * take
@@ -174,12 +201,17 @@
     return chosen
 
 
-def preference_key(step: Step, candidate: Candidate) -> tuple[int, int, int, int, int]:
-    """Return the sort key of a server for `step`; lower ones are preferred.
+PreferenceKey = tuple[int, int, int, int, float, int]
+"""The sort key of a server for a step; lower ones are preferred."""
+
+
+def preference_key(step: Step, candidate: Candidate) -> PreferenceKey:
+    """Return the sort key of a server for `step`.
 
     In this order: failures and slowness of the server, and whether it runs a task that
     may crash it; whether it is cold, whether it is outside of the step's rack, whether
-    it is not a fast one for an urgent step, and the CPU left free.
+    it is not a fast one for an urgent step, interference with what runs there, and the
+    CPU left free.
     """
     server = candidate.server
     suspicion = server.health.failures_since_success + 2 * (
@@ -192,7 +224,11 @@
     urgent = step.job.spec.queue.priority == 0
     not_fast = int(urgent and server.relative_speed < FAST_SPEED)
     left_millis = server.free.cpu_millis - step.demand.cpu_millis * candidate.slots
-    return (suspicion, int(server.cold), other_rack, not_fast, left_millis)
+    # Estimates that differ by less than a tenth are as good as equal.
+    interference = round(candidate.interference, 1)
+    return (
+        suspicion, int(server.cold), other_rack, not_fast, interference, left_millis
+    )  # fmt: skip
 
 
 def is_avoided(step: Step, server: Server) -> bool:
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -26,6 +26,7 @@
     find_future_candidates,
     preference_key,
     servers_with_room,
+    with_interference,
 )
 from cassiaweir.dispatch._preemption import preempt_for_step
 from cassiaweir.dispatch._quarantine import Quarantine, TaskGroup
@@ -42,6 +43,7 @@
 from cassiaweir.jobs import Isolation, Step
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import AdvicePolicy
+from cassiaweir.scheduling import InterferenceModel
 from cassiaweir.types import Clock, Resources
 
 MAX_ENTRIES_AGE = timedelta(seconds=3)
@@ -78,6 +80,7 @@
         crashes: CrashTracker,
         evacuations: Evacuations,
         cold: ColdServers,
+        interference: InterferenceModel,
         confirm_leadership: Callable[[int], bool],
         store_reachable: Callable[[], bool],
         entries_age: Callable[[], timedelta],
@@ -96,6 +99,7 @@
         self._quarantine = Quarantine()
         self._evacuations = evacuations
         self._cold = cold
+        self._interference = interference
         self._confirm_leadership = confirm_leadership
         self._store_reachable = store_reachable
         self._entries_age = entries_age
@@ -268,7 +272,9 @@
         tickets = None
         if queue.advice is not None:
             tickets = self._advice.tickets(step)
-        candidates = find_candidates(step, free, tickets, within_cap)
+        candidates = with_interference(
+            step, find_candidates(step, free, tickets, within_cap), self._interference
+        )
         urgent = queue.priority == URGENT_PRIORITY
         if step.spec.gang and not group.isolation:
             now = self._clock.monotonic()
@@ -358,6 +364,7 @@
         share = self._advice.allowed_share(waiting.queue.name)
         answered = self._advice.denied(step) | tickets.keys()
         found = exclude_servers(find_candidates(step, servers, None, count), answered)
+        found = with_interference(step, found, self._interference)
         found.sort(key=lambda each: preference_key(step, each))
         if not found and not tickets:
             found = exclude_servers(
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._crash_tracker import CrashTracker
+from cassiaweir.dispatch._interference import InterferenceSampler
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._learning import Learner
 from cassiaweir.dispatch._run_registry import RunRegistry
@@ -53,6 +54,7 @@
         self._stop_orphan = stop_orphan
         self._stop_late_start = stop_late_start
         self.learner = Learner(jobs, runs, metrics)
+        self.interference = InterferenceSampler(jobs.models.speeds, clock, metrics)
 
     def apply(self, server: Server, report: ServerReport, asked_at: float) -> int:
         """Apply a report that was requested at `asked_at`.
@@ -93,6 +95,7 @@
             if not self._apply_running(server, running)
         )
         self._remove_unlisted(server, listed, asked_at)
+        self.interference.record_report(server, report)
         if restarted:
             self._crashes.resolve()
         self._stop_slow_runs(server)
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -35,7 +35,7 @@
 from cassiaweir.jobs import JobState, decode_outcome
 from cassiaweir.leadership import CommitStream, Leadership, Owner
 from cassiaweir.observe import Metrics
-from cassiaweir.scheduling import LoadSnapshot
+from cassiaweir.scheduling import InterferenceModel, LoadSnapshot
 from cassiaweir.types import Clock, Feed, Row, Table
 
 FEED_WAIT = timedelta(seconds=1)
@@ -201,6 +201,11 @@
             return None
         return self._dispatcher.load()
 
+    @property
+    def interference(self) -> InterferenceModel | None:
+        """What this leader knows of tasks that slow each other down; None if none."""
+        return None if self._dispatcher is None else self._dispatcher.interference
+
     async def serve(self, leadership: Leadership, commits: CommitStream) -> None:
         """Dispatch jobs until cancelled or the leadership is lost.
 
--- a/cassiaweir/scheduling/__init__.py
+++ b/cassiaweir/scheduling/__init__.py
@@ -30,12 +30,14 @@
 )
 from cassiaweir.scheduling._durations import DurationModel
 from cassiaweir.scheduling._gangs import GangCandidate, GangPlan, plan_gang
+from cassiaweir.scheduling._interference import InterferenceModel, InterferingPair
 from cassiaweir.scheduling._samples import (
     MIN_GAIN_PERCENT,
     Progress,
     ProgressSampler,
 )
 from cassiaweir.scheduling._server_speeds import ServerSpeeds
+from cassiaweir.scheduling._sibling_rates import SiblingRates
 from cassiaweir.scheduling._step_durations import StepDurations
 
 __all__ = [
@@ -50,6 +52,8 @@
     "Durations",
     "GangCandidate",
     "GangPlan",
+    "InterferenceModel",
+    "InterferingPair",
     "LoadSnapshot",
     "Progress",
     "ProgressSampler",
@@ -58,6 +62,7 @@
     "Rejected",
     "ServerRoom",
     "ServerSpeeds",
+    "SiblingRates",
     "StepDurations",
     "Submission",
     "WaitingTasks",
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -63,7 +63,9 @@
     a task started again after its end was acknowledged, an overcommitted server, a
     deadly task started too often, or a task started in an evacuated domain.  The latter
     is allowed until `evacuation_s` after the request.  `deadly` holds the tasks that
-    crash their servers, by the beginning of the task's name.
+    crash their servers, by the beginning of the task's name.  `rates` gives the rate of
+    a kind of task while one of another kind runs on the same server, where it is not
+    the full rate.
     Servers are spread over the failure `domains` in turn.  `specs` holds the job spec
     of each submitted job by its id.
     """
@@ -76,6 +78,7 @@
         self.deadly: dict[str, Deadly] = {}
         self.evacuation_s = EVACUATION_S
         self._evacuated_at: dict[str, float] = {}
+        self.rates: dict[tuple[str, str], float] = {}
         self._running: dict[tuple[str, str, int], RunRecord] = {}
         self._acknowledged_at: dict[str, float] = {}
         self._delayed_tasks: set[asyncio.Task[None]] = set()
@@ -134,6 +137,7 @@
             now,
             now + float(seconds) * server.slowdown() / server.speed,
             kind,
+            f"{spec.queue.name}/{step.image}" if step.image else spec.queue.name,
         )
         requested_at = self._evacuated_at.get(server.entry.failure_domain, now)
         if now > requested_at + self.evacuation_s:
@@ -156,6 +160,7 @@
                 f"overcommitted: {order.task} does not fit on {server.entry.server_id}"
             )
         server.runs[order.task, order.run] = run
+        server.update_rates()
         started = RunRecord(order.task, order.run, server.entry.server_id, now)
         self._check_crashes(order.task)
         self.history.append(started)
