--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -39,10 +39,12 @@
 from cassiaweir.types import Clock, Row
 
 PLACEMENT_DELAY = timedelta(milliseconds=2)
-"""Pause before a placement round, so that events close together share one round.
+"""Pause before a placement round, so that events close together share one round."""
 
-The pause is at least as long as the previous round took, so that placement leaves half
-of the processor time to everything else.
+PLACEMENT_PAUSE_FACTOR = 3
+"""The pause lasts at least this many times the previous round.
+
+Placement then leaves three quarters of the processor time to everything else.
 """
 
 SWEEP_INTERVAL = timedelta(milliseconds=100)
@@ -325,7 +327,8 @@
             round_took = timedelta(0)
             while not self._leadership.lost:
                 await self._placement_requested.wait()
-                await self._clock.sleep(max(PLACEMENT_DELAY, round_took))
+                pause = round_took * PLACEMENT_PAUSE_FACTOR
+                await self._clock.sleep(max(PLACEMENT_DELAY, pause))
                 self._placement_requested.clear()
                 began = self._clock.monotonic()
                 if self._leadership.may_act(began):
--- a/cassiaweir/dispatch/_load.py
+++ b/cassiaweir/dispatch/_load.py
@@ -146,7 +146,7 @@
         startable = job.may_start(step)
         count = len(step.tasks) - step.done_count
         if startable:
-            count = len(step.waiting())
+            count = step.waiting_count
         if count:
             found.append((step, count, startable))
     return found
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 
 from loguru import logger
@@ -53,6 +54,14 @@
 """The servers on which a step waits for room are looked up again after this time."""
 
 
+@dataclass(frozen=True, slots=True)
+class _ServerSelection:
+    """Those of `servers` that steps of one service may use in this round."""
+
+    servers: Sequence[Server]
+    available: list[Server]
+
+
 class Placer:
     """Places waiting tasks on servers.
 
@@ -112,6 +121,7 @@
         self._gangs = GangPlanner(advice, self._reservations, jobs.models)
         self._promised: dict[str, Resources] = {}
         self._future: dict[str, tuple[float, list[Candidate]]] = {}
+        self._selections: dict[tuple[int, str, Collection[str]], _ServerSelection] = {}
 
     def place(self) -> None:
         """Start the waiting tasks for which there is room now, in the order of rank."""
@@ -142,6 +152,7 @@
         self._cold.begin_round(usable, found, now)
         with_room = servers_with_room(usable, [each.step for each in found])
         self._promised.clear()
+        self._selections.clear()
         for waiting in found:
             try:
                 self._place_step(waiting, usable, with_room)
@@ -381,14 +392,20 @@
         Servers reserved for other steps are left out, except for urgent steps.
         """
         service = waiting.queue.service
-        reserved: Collection[str] = ()
+        reserved: frozenset[str] = frozenset()
         if waiting.queue.priority != URGENT_PRIORITY:
             reserved = self._reservations.of_others(waiting.step.name)
-        return [
-            each
-            for each in servers
-            if each.entry.service == service and each.server_id not in reserved
-        ]
+        # The selection holds its servers, so that their id stays theirs.
+        key = (id(servers), service, reserved)
+        selection = self._selections.get(key)
+        if selection is None:
+            available = [
+                each
+                for each in servers
+                if each.entry.service == service and each.server_id not in reserved
+            ]
+            selection = self._selections[key] = _ServerSelection(servers, available)
+        return selection.available
 
     def _future_candidates(
         self, waiting: WaitingStep, usable: Sequence[Server], count: int
--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -132,7 +132,7 @@
                 return
 
     def _has_startable(self, entry: JobEntry, step: Step) -> bool:
-        if not _has_waiting(step):
+        if not step.waiting_count:
             return False
         unchecked = not entry.held and not entry.job.crashes
         return unchecked or bool(self.startable_tasks(entry, step))
@@ -159,10 +159,6 @@
     return wall >= spec.first_at + step.occurrence * spec.interval_s
 
 
-def _has_waiting(step: Step) -> bool:
-    return len(step.placed()) + step.done_count < len(step.tasks)
-
-
 def rank_of(entry: JobEntry, queue: Queue, remaining_s: float, now: float) -> Rank:
     """Return the rank of a step whose job needs `remaining_s` from its start on.
 
--- a/cassiaweir/jobs/_job.py
+++ b/cassiaweir/jobs/_job.py
@@ -44,12 +44,24 @@
 
     step: Step
     index: int
-    state: TaskState = TaskState.WAITING
+    _state: TaskState = field(default=TaskState.WAITING, init=False)
     run: int = 0
     failed_runs: set[int] = field(default_factory=set)
     checkpoint: str = ""
     preempted: bool = False
 
+    @property
+    def state(self) -> TaskState:
+        """The state of the task."""
+        return self._state
+
+    @state.setter
+    def state(self, state: TaskState) -> None:
+        waits = state is TaskState.WAITING
+        waited = self._state is TaskState.WAITING
+        self.step.waiting_count += waits - waited
+        self._state = state
+
     @property
     def name(self) -> str:
         """The name sent to servers: job id, occurrence, step number and task index."""
@@ -66,6 +78,7 @@
     stalled or ran too slowly, and ids and addresses of those that crashed under one.
     `demand` is the resources that one task uses.  `kind` is what tasks are compared by
     that may slow each other down: the queue, and the image where there is one.
+    `waiting_count` is kept by the tasks, as it is read far more often than it changes.
     """
 
     job: Job
@@ -74,6 +87,7 @@
     spec: StepSpec
     tasks: list[Task] = field(default_factory=list)
     done_count: int = 0
+    waiting_count: int = 0
     failed_runs: set[int] = field(default_factory=set)
     checkpoint: str = ""
     avoided_servers: set[str] = field(default_factory=set)
@@ -165,6 +179,7 @@
         for number, spec in enumerate(self.spec.steps):
             step = Step(self, occurrence, number, spec)
             step.tasks = [Task(step, index) for index in range(spec.count)]
+            step.waiting_count = spec.count
             self.steps[occurrence, number] = step
             opened.append(step)
         return opened
