--- a/cassiaweir/dispatch/_objective.py
+++ b/cassiaweir/dispatch/_objective.py
@@ -12,6 +12,9 @@
 MAX_LATENESS_FACTOR = 3
 """A result has no value once a job has taken this many times its allowed duration."""
 
+EXPECTED_SERVERS_IN_QUESTION = 30
+"""Number of servers that a question to the advice service is assumed to name."""
+
 MAX_WAVE_SHARE = 0.25
 """Share of the fleet's CPU that the tasks of one step are assumed to get at a time.
 
@@ -58,7 +61,7 @@
         begins = max((ends[earlier] for earlier in step.after), default=0.0)
         wave_cpu_millis = max(fleet_cpu_millis * MAX_WAVE_SHARE, 1.0)
         waves = max(step.count * step.demand.cpu_millis / wave_cpu_millis, 1.0)
-        ends.append(begins + duration_s * waves + _advice_s(queue))
+        ends.append(begins + duration_s * waves + expected_advice_s(queue))
     return max(ends)
 
 
@@ -107,9 +110,9 @@
     return DeadlineStatus.WORTHLESS
 
 
-def _advice_s(queue: Queue) -> float:
+def expected_advice_s(queue: Queue) -> float:
     """Return the expected seconds until the advice service has answered for a step."""
     if queue.advice is None:
         return 0.0
-    expected_servers = 30
-    return queue.advice.question_s + expected_servers * queue.advice.each_server_s
+    asked = EXPECTED_SERVERS_IN_QUESTION
+    return queue.advice.question_s + asked * queue.advice.each_server_s
--- a/cassiaweir/platform/_manifest.py
+++ b/cassiaweir/platform/_manifest.py
@@ -20,7 +20,7 @@
 """A row under it asks to evacuate the failure domain that the rest of its key names."""
 
 
-class _Hint(msgspec.Struct):
+class Hint(msgspec.Struct):
     """How long the advice service takes to answer, and how long its answer holds."""
 
     # The time for a question.
@@ -31,7 +31,7 @@
     valid_ms: float = 0
 
 
-class _Route(msgspec.Struct):
+class Route(msgspec.Struct):
     """A queue; requests reach it by host and path prefix."""
 
     name: str
@@ -47,10 +47,10 @@
     slo_ms: float = 0
     # Whether requests need no key.
     public: bool = False
-    hint: _Hint | None = None
+    hint: Hint | None = None
 
 
-class _Service(msgspec.Struct):
+class Service(msgspec.Struct):
     """A pool of backend servers."""
 
     name: str
@@ -60,7 +60,7 @@
     standby: bool = False
 
 
-class _Cap(msgspec.Struct):
+class Cap(msgspec.Struct):
     """The most that a customer's running tasks may take; 0 is no limit.
 
     `cpu` is in thousandths of a processor core, `gpu` in accelerators.
@@ -71,34 +71,43 @@
     gpu: int = 0
 
 
-class _Tenant(msgspec.Struct):
+class Tenant(msgspec.Struct):
     """A customer, with the keys that its requests carry."""
 
     name: str
     keys: list[str] = []
     # Its share of the capacity, relative to the weights of other customers.
     weight: float = 1
-    cap: _Cap = msgspec.field(default_factory=_Cap)
+    cap: Cap = msgspec.field(default_factory=Cap)
 
 
-class _Limits(msgspec.Struct):
+class Limits(msgspec.Struct):
+    """Limits for requests."""
+
     max_body_bytes: int = 262_144
 
 
-class _Manifest(msgspec.Struct):
+class Manifest(msgspec.Struct):
+    """One version of the configuration, as operators write it."""
+
     version: int
-    routes: list[_Route] = []
-    services: list[_Service] = []
-    tenants: list[_Tenant] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    routes: list[Route] = []
+    services: list[Service] = []
+    tenants: list[Tenant] = []
+    limits: Limits = msgspec.field(default_factory=Limits)
 
 
-def decode_manifest(raw: bytes) -> QueueConfiguration:
-    """Decode the manifest `raw`, or raise `InvalidInputError`."""
+def parse_manifest(raw: bytes) -> Manifest:
+    """Return the entries of the manifest `raw`, or raise `InvalidInputError`."""
     try:
-        found = msgspec.json.decode(raw, type=_Manifest)
-    except msgspec.DecodeError as exc:
+        return msgspec.json.decode(raw, type=Manifest)
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise InvalidInputError(f"cannot decode the manifest: {exc}") from exc
+
+
+def decode_manifest(raw: bytes) -> QueueConfiguration:
+    """Decode the manifest `raw`, or raise `InvalidInputError`."""
+    found = parse_manifest(raw)
     return QueueConfiguration.build(
         found.version,
         [_to_queue(route) for route in found.routes],
@@ -116,7 +125,7 @@
     )
 
 
-def _to_queue(route: _Route) -> Queue:
+def _to_queue(route: Route) -> Queue:
     hint = route.hint
     advice = None
     if hint is not None and hint.valid_ms > 0:
@@ -137,6 +146,6 @@
     )
 
 
-def _to_customer(tenant: _Tenant) -> Customer:
+def _to_customer(tenant: Tenant) -> Customer:
     cap = Resources(tenant.cap.cpu, tenant.cap.mem_mb, tenant.cap.gpu)
     return Customer(tenant.name, frozenset(tenant.keys), tenant.weight, cap)
