--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -16,6 +16,7 @@
 from cassiaweir.variables import CTL_VARIABLES
 
 EXIT_FAILURE = 1
+EXIT_UNREADABLE = 2
 CTL_COMMAND = "ctl"
 
 
@@ -155,6 +156,64 @@
     click.echo("settings are valid")
 
 
+@main.command("check-configuration")
+@click.argument("path", metavar="FILE", type=click.Path(path_type=Path))
+@click.option(
+    "--in-force",
+    type=click.Path(path_type=Path),
+    help="Configuration in force; the differences from it are printed.",
+)
+@click.option(
+    "--servers",
+    type=click.Path(path_type=Path),
+    help="Entries of the backend servers, as one JSON object by server id.",
+)
+@click.option(
+    "--job",
+    "jobs",
+    type=(str, click.Path(path_type=Path)),
+    multiple=True,
+    metavar="CUSTOMER FILE",
+    help="Body of a typical submission of a customer, to compare with its cap.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.pass_context
+def check_configuration(
+    ctx: click.Context,
+    path: Path,
+    in_force: Path | None,
+    servers: Path | None,
+    jobs: tuple[tuple[str, Path], ...],
+    as_json: bool,
+) -> None:
+    """Check the configuration in FILE before it is put in force.
+
+    Exits with 0 if nothing is found, 1 if there are findings, and 2 if a file cannot
+    be read or is not JSON.  Differences from the configuration in force are no
+    findings.
+
+    Example: cassiaweir check-configuration new.json --in-force old.json
+    """
+    from cassiaweir.configuration_check import (
+        UnreadableFileError,
+        check_files,
+        render_json,
+        render_text,
+    )
+
+    try:
+        report = check_files(path, in_force, servers, jobs)
+    except UnreadableFileError as exc:
+        click.echo(f"cassiaweir: {exc}", err=True)
+        ctx.exit(EXIT_UNREADABLE)
+    if as_json:
+        click.echo(render_json(report))
+    else:
+        click.echo(render_text(report), nl=False)
+    if report.findings:
+        ctx.exit(EXIT_FAILURE)
+
+
 @main.group()
 def debug() -> None:
     """Print settings, events and internal state for debugging."""
