--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -330,6 +330,7 @@
                 began = self._clock.monotonic()
                 if self._leadership.may_act(began):
                     self._placer.place()
+                    self._placer.waits.end_round()
                 round_took = timedelta(seconds=self._clock.monotonic() - began)
         finally:
             sweep.cancel()
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -35,6 +35,7 @@
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._usage import CustomerUsage
+from cassiaweir.dispatch._wait_causes import WaitCause, WaitSummary
 from cassiaweir.dispatch._waiting_steps import (
     URGENT_PRIORITY,
     WaitingStep,
@@ -108,6 +109,14 @@
         self._launch = launch
         self._metrics = metrics
         self._reservations = Reservations()
+        self.waits = WaitSummary(
+            self._waiting,
+            gate,
+            servers,
+            clock,
+            store_reachable=store_reachable,
+            reserved=lambda: self._reservations.of_others(""),
+        )
         self._durations = jobs.models.steps
         self._gangs = GangPlanner(advice, self._reservations, jobs.models)
         self._promised: dict[str, Resources] = {}
@@ -128,6 +137,7 @@
         ]
         self._discard_evacuated()
         usable = self._evacuations.usable(usable, now)
+        self.waits.begin_round(usable, now, entries_current=entries_current)
         found = sorted(self._waiting.find(now), key=lambda each: each.rank)
         self._discard_others({each.step.name for each in found})
         self._quarantine.begin_round(
@@ -220,6 +230,7 @@
         step = waiting.step
         tasks = self._waiting.startable_tasks(waiting.entry, step)
         if step.spec.gang and len(tasks) < len(step.tasks):
+            self.waits.note_incomplete(waiting, len(tasks))
             return
         now = self._clock.monotonic()
         for group in self._quarantine.groups(step, tasks, now):
@@ -266,8 +277,10 @@
         alone = group.isolation is Isolation.ALONE
         within_cap = self._count_within_cap(waiting, len(tasks))
         if within_cap == 0 or (step.spec.gang and within_cap < len(tasks)):
+            self.waits.note(waiting, WaitCause.CAP, len(tasks))
             self._reservations.release(step.name)
             return
+        self.waits.note(waiting, WaitCause.CAP, len(tasks) - within_cap)
         free = self._cold.allowed(waiting, self._available_servers(waiting, with_room))
         tickets = None
         if queue.advice is not None:
@@ -296,7 +309,9 @@
             asked = self._available_servers(waiting, askable) if alone else free
             self._ask(waiting, queue.advice, askable, asked, within_cap, tickets or {})
         if not self._confirm_leadership(waiting.entry.job.version):
+            self.waits.note(waiting, WaitCause.STORE, within_cap)
             return
+        self.waits.note_missing(waiting, missing, group.isolation, candidates)
         if step.spec.gang and missing > 0:
             self._preempt_others(waiting, usable, tickets, missing)
             return
--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from typing import NamedTuple
 
@@ -150,6 +151,19 @@
             return tasks
         return [task for task in tasks if not self._gate.holds(task.name)]
 
+    def held_tasks(self) -> Iterator[tuple[JobEntry, str, int]]:
+        """Yield job, queue and number of the due tasks that may not be started yet."""
+        wall = self._clock.now().timestamp()
+        for entry in self._jobs.open_jobs():
+            if not entry.job.crashes and (not entry.held or self._gate.is_open):
+                continue
+            for step in entry.job.startable_steps():
+                if _due(step, wall):
+                    tasks = self.startable_tasks(entry, step)
+                    held = len(step.waiting()) - len(tasks)
+                    if held:
+                        yield entry, self._jobs.queue_of(entry.job).name, held
+
 
 def _due(step: Step, wall: float) -> bool:
     """Return whether the occurrence of `step` is due at `wall`, in Unix seconds."""
