--- a/cassiaweir/dispatch/_wait_causes.py
+++ b/cassiaweir/dispatch/_wait_causes.py
@@ -234,7 +234,6 @@
         """Log the summary if it is due; to be called after each round."""
         if not self._due:
             return
-        self._due = False
         began = self._clock.monotonic()
         try:
             self._assign_missing()
@@ -244,6 +243,7 @@
         except Exception as exc:
             # Tasks are placed whether or not the summary can be made.
             logger.opt(exception=exc).error("waits_not_summed_up")
+        self._due = False
         cost_s = self._clock.monotonic() - began
         self._due_at = self._now + max(SUMMARY_INTERVAL_S, cost_s / MAX_COST)
 
@@ -352,12 +352,12 @@
             tasks=tasks,
             cpu_used=used,
             cpu_total=total,
-            queues=_encode(self._queues),
-            customers=_encode(self._customers),
+            queues=encode_counts(self._queues),
+            customers=encode_counts(self._customers),
         )
 
 
-def _encode(table: Mapping[str, CountsByCause]) -> str:
+def encode_counts(table: Mapping[str, CountsByCause]) -> str:
     """Return the counts as JSON, summing up all but the `MAX_NAMED` largest rows."""
     totals = Counter({name: sum(counts.values()) for name, counts in table.items()})
     named = {name for name, _ in totals.most_common(MAX_NAMED)}
--- /dev/null
+++ b/tests/test_wait_causes.py
@@ -0,0 +1,216 @@
+"""Tests that the leader's summary names what tasks wait for, with a load for each."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+
+import msgspec
+import pytest
+from loguru import logger
+
+from cassiaweir.dispatch._wait_causes import MAX_NAMED, WaitCause, encode_counts
+from cassiaweir.jobs import StepSpec
+from cassiaweir.queues import Customer, Queue
+from cassiaweir.types import Resources
+from tests.site_fakes import (
+    ADVISED,
+    CUSTOMER,
+    QUEUE,
+    URGENT,
+    FakeSite,
+    configuration,
+)
+from tests.test_takeover_holding import DOMAINS, WIDE, cut_leader
+from tests.virtual_time import run_virtual
+
+CORE = StepSpec(count=4, cpu_millis=1_000, estimate_s=1.0)
+
+GANGS = replace(QUEUE, name="gangs", stretch=100.0)
+PATIENT = replace(URGENT, name="patient", slack_s=60.0)
+Load = Callable[[FakeSite], Awaitable[None]]
+
+
+@contextmanager
+def summaries() -> Iterator[list[dict[str, object]]]:
+    """Collect the fields of the summary lines, with the time under `second`."""
+    found: list[dict[str, object]] = []
+
+    def collect(message: object) -> None:
+        record = message.record  # type: ignore[attr-defined]
+        if record["message"] == "tasks_waiting":
+            second = asyncio.get_running_loop().time()
+            found.append({**record["extra"], "second": second})
+
+    sink = logger.add(collect, level="INFO", format="{message}")
+    try:
+        yield found
+    finally:
+        logger.remove(sink)
+
+
+def causes(lines: list[dict[str, object]], queue: str) -> Counter[str]:
+    """Return the tasks of `queue` by cause, added up over the lines."""
+    found: Counter[str] = Counter()
+    for line in lines:
+        found.update(msgspec.json.decode(str(line["queues"])).get(queue, {}))
+    return found
+
+
+async def fill(site: FakeSite, task_s: float = 30.0) -> None:
+    for _ in site.servers:
+        site.submit(WIDE, task_s=task_s, customer="other")
+    await asyncio.sleep(0.5)
+
+
+async def lack_capacity(site: FakeSite) -> None:
+    await fill(site)
+    site.submit(CORE)
+
+
+async def exceed_cap(site: FakeSite) -> None:
+    capped = Customer("agency", weight=20.0, cap=Resources(1_000))
+    site.configuration.value = configuration(capped)
+    site.submit(CORE, task_s=5.0)
+
+
+async def exceed_share(site: FakeSite) -> None:
+    agency = Customer("agency", weight=1.0)
+    site.configuration.value = configuration(agency, Customer("other", weight=50.0))
+    await fill(site)
+    for _ in range(8):
+        site.submit(CORE)
+
+
+async def await_advice(site: FakeSite) -> None:
+    site.submit(CORE, queue=ADVISED)
+
+
+async def take_over(site: FakeSite) -> None:
+    jobs = [site.submit(CORE, task_s=30.0) for _ in range(30)]
+    await asyncio.sleep(0.5)
+    assert len(jobs) == 30
+    await cut_leader(site)
+
+
+async def reserve_for_gang(site: FakeSite) -> None:
+    """Make a gang wait for servers of which more than half is in use until 20 s."""
+    most = StepSpec(count=1, cpu_millis=10_000, estimate_s=20.0)
+    for _ in site.servers:
+        site.submit(most, task_s=20.0, customer="other")
+    await asyncio.sleep(0.5)
+    gang = StepSpec(count=9, cpu_millis=8_000, estimate_s=3.0, gang=True)
+    site.submit(gang, queue=GANGS)
+    await asyncio.sleep(0.5)
+    site.submit(StepSpec(count=9, cpu_millis=6_000, estimate_s=60.0), task_s=60.0)
+
+
+async def lose_store(site: FakeSite) -> None:
+    leader = await site.wait_for_leader()
+    leader.store.fault_mode = "silent"
+    await asyncio.sleep(0.1)
+    site.submit(CORE)
+
+
+async def evacuate(site: FakeSite) -> None:
+    for domain in DOMAINS:
+        site.evacuate(domain)
+    await asyncio.sleep(1.0)
+    site.submit(CORE)
+
+
+async def keep_off_cold_servers(site: FakeSite) -> None:
+    """Urgent work waits for a warm server while other work can use the cold ones."""
+    warm, *cold = site.servers.values()
+    await fill(site)
+    for server in cold:
+        server.make_cold(60.0)
+    for job_id in list(site.specs):
+        if site.starts_of(job_id)[0].server != warm.entry.server_id:
+            site.cancel(job_id)
+    await asyncio.sleep(1.0)
+    site.submit(replace(WIDE, cpu_millis=17_000), queue=QUEUE)
+    site.submit(CORE, queue=PATIENT)
+
+
+@pytest.mark.parametrize(
+    ("load", "queue", "cause"),
+    [
+        (lack_capacity, QUEUE, "capacity"),
+        (exceed_cap, QUEUE, "cap"),
+        (exceed_share, QUEUE, "share"),
+        (await_advice, ADVISED, "advice"),
+        (take_over, QUEUE, "takeover"),
+        (reserve_for_gang, QUEUE, "reserved"),
+        (lose_store, QUEUE, "store"),
+        (evacuate, QUEUE, "evacuation"),
+        (keep_off_cold_servers, PATIENT, "order"),
+    ],
+)
+def test_summary_names_the_cause(load: Load, queue: Queue, cause: str) -> None:
+    """Guards against a cause that is taken for another one, or not counted."""
+    found: Counter[str] = Counter()
+
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, domains=DOMAINS, question_s=9.0)
+        site.configuration.value = configuration(
+            CUSTOMER, Customer("other"), queues=[QUEUE, ADVISED, URGENT, GANGS, PATIENT]
+        )
+        await site.wait_for_leader()
+        await asyncio.sleep(1.0)
+        with summaries() as lines:
+            await load(site)
+            await asyncio.sleep(2.0)
+        found.update(causes(lines[-2:], queue.name))
+        await site.close()
+
+    run_virtual(body)
+    assert found.most_common(1)[0][0] == cause, found
+
+
+def test_one_line_a_second_holds_every_waiting_task_and_the_cpu() -> None:
+    """Guards against tasks that are left out or counted twice, and against floods."""
+
+    async def body() -> None:
+        site = FakeSite(servers=3, vms=1)
+        await site.wait_for_leader()
+        await fill(site)
+        for _ in range(15):
+            site.submit(CORE)
+        with summaries() as lines:
+            await asyncio.sleep(5.0)
+        assert 4 <= len(lines) <= 5
+        for line in lines[1:]:
+            assert (line["cpu_used"], line["cpu_total"]) == (48_000, 48_000)
+            assert causes([line], QUEUE.name) == {"capacity": 60}
+            assert line["tasks"] == 60
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_no_lines_while_nothing_waits_and_nothing_changes() -> None:
+    """Guards against lines that an idle site would log all day."""
+
+    async def body() -> None:
+        site = FakeSite(servers=3, vms=1)
+        await site.wait_for_leader()
+        await asyncio.sleep(2.0)
+        with summaries() as lines:
+            await asyncio.sleep(20.0)
+        assert not lines
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_counts_are_bounded_and_the_rest_is_summed_up() -> None:
+    """Guards against lines that grow with the number of queues or their names."""
+    table = {f"{number:03}" * 100: {WaitCause.CAP: number} for number in range(1, 101)}
+    found = msgspec.json.decode(encode_counts(table))
+    assert len(found) == MAX_NAMED + 1
+    assert sum(each["cap"] for each in found.values()) == 5050
+    assert len(encode_counts(table)) < 1_300
