--- a/cassiaweir/cmdline.py
+++ b/cassiaweir/cmdline.py
@@ -5,6 +5,7 @@
 import os
 import platform
 import sys
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 
 import click
@@ -190,6 +191,47 @@
     click.echo(render_lines(merge_lines(texts, subject)), nl=False)
 
 
+@debug.command("waits")
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+@click.option(
+    "--plot",
+    type=click.Path(dir_okay=False, writable=True, path_type=Path),
+    help="Write the waiting tasks by cause and second to this SVG file as well.",
+)
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+def debug_waits(as_json: bool, plot: Path | None, files: tuple[Path, ...]) -> None:
+    """Print from the log FILES of entry VMs what tasks waited for, by second.
+
+    Example: cassiaweir debug waits vm-1.log vm-2.log --plot waits.svg
+    """
+    from cassiaweir.observe._waits import encode_waits, read_waits, render_waits
+
+    report = read_waits(_lines_of(files))
+    if plot is not None:
+        from cassiaweir.observe._waits_plot import draw_waits
+
+        try:
+            plot.write_bytes(draw_waits(report))
+        except OSError as exc:
+            raise click.ClickException(f"cannot write {plot}: {exc}") from exc
+    click.echo(encode_waits(report) if as_json else render_waits(report), nl=False)
+
+
+def _lines_of(files: Iterable[Path]) -> Iterator[str]:
+    """Yield the lines of all `files`, which may be large."""
+    for file in files:
+        try:
+            with file.open(errors="replace") as lines:
+                yield from lines
+        except OSError as exc:
+            raise click.ClickException(f"cannot read {file}: {exc}") from exc
+
+
 @debug.command("interference")
 @click.option(
     "--address",
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -107,6 +107,7 @@
         self._writes = writes
         self._unstored: _UnstoredEnds | None = None
         self._first_listed_end = 0
+        self._logged_unreachable = False
 
     async def run(self) -> None:
         """Poll the server whenever this process may act as the leader.
@@ -170,6 +171,9 @@
             wait=wait,
             timeout=REPORT_TIMEOUT,
         )
+        if self._logged_unreachable:
+            self._logged_unreachable = False
+            logger.info("server_reachable", server=server.server_id)
         position = self._handler.handle_report(server, report, asked_at)
         numbers = [end.number for end in report.ended]
         self._first_listed_end = min(numbers, default=0)
@@ -210,6 +214,7 @@
 
     def _mark_unreachable(self, exc: UnavailableError) -> None:
         if self._server.reachable:
+            self._logged_unreachable = True
             logger.warning(
                 "server_unreachable", server=self._server.server_id, cause=str(exc)
             )
