--- a/tests/test_wait_causes.py
+++ b/tests/test_wait_causes.py
@@ -14,6 +14,8 @@
 
 from cassiaweir.dispatch._wait_causes import MAX_NAMED, WaitCause, encode_counts
 from cassiaweir.jobs import StepSpec
+from cassiaweir.observe._logs import format_record
+from cassiaweir.observe._waits import WaitSecond, read_waits
 from cassiaweir.queues import Customer, Queue
 from cassiaweir.types import Resources
 from tests.site_fakes import (
@@ -25,7 +27,7 @@
     configuration,
 )
 from tests.test_takeover_holding import DOMAINS, WIDE, cut_leader
-from tests.virtual_time import run_virtual
+from tests.virtual_time import VirtualClock, run_virtual
 
 CORE = StepSpec(count=4, cpu_millis=1_000, estimate_s=1.0)
 
@@ -35,15 +37,15 @@
 
 
 @contextmanager
-def summaries() -> Iterator[list[dict[str, object]]]:
-    """Collect the fields of the summary lines, with the time under `second`."""
-    found: list[dict[str, object]] = []
+def log_lines() -> Iterator[list[str]]:
+    """Collect the log lines of the site, with the virtual time."""
+    found: list[str] = []
 
     def collect(message: object) -> None:
         record = message.record  # type: ignore[attr-defined]
-        if record["message"] == "tasks_waiting":
-            second = asyncio.get_running_loop().time()
-            found.append({**record["extra"], "second": second})
+        record["time"] = VirtualClock().now()
+        format_record(record)
+        found.append(record["extra"]["line"])
 
     sink = logger.add(collect, level="INFO", format="{message}")
     try:
@@ -52,11 +54,11 @@
         logger.remove(sink)
 
 
-def causes(lines: list[dict[str, object]], queue: str) -> Counter[str]:
+def causes(lines: list[WaitSecond], queue: str) -> Counter[str]:
     """Return the tasks of `queue` by cause, added up over the lines."""
     found: Counter[str] = Counter()
     for line in lines:
-        found.update(msgspec.json.decode(str(line["queues"])).get(queue, {}))
+        found.update(line.queues.get(queue, {}))
     return found
 
 
@@ -161,10 +163,10 @@
         )
         await site.wait_for_leader()
         await asyncio.sleep(1.0)
-        with summaries() as lines:
+        with log_lines() as lines:
             await load(site)
             await asyncio.sleep(2.0)
-        found.update(causes(lines[-2:], queue.name))
+        found.update(causes(read_waits(lines).seconds[-2:], queue.name))
         await site.close()
 
     run_virtual(body)
@@ -180,13 +182,41 @@
         await fill(site)
         for _ in range(15):
             site.submit(CORE)
-        with summaries() as lines:
+        with log_lines() as lines:
             await asyncio.sleep(5.0)
-        assert 4 <= len(lines) <= 5
-        for line in lines[1:]:
-            assert (line["cpu_used"], line["cpu_total"]) == (48_000, 48_000)
-            assert causes([line], QUEUE.name) == {"capacity": 60}
-            assert line["tasks"] == 60
+        assert 4 <= sum("event=tasks_waiting" in each for each in lines) <= 5
+        for second in read_waits(lines).seconds[1:]:
+            assert (second.cpu_used, second.cpu_total) == (48_000, 48_000)
+            assert causes([second], QUEUE.name) == {"capacity": 60}
+            assert second.customers == {"agency": {"capacity": 60}}
+            assert second.tasks == 60
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_report_shows_the_cpu_in_use_after_a_takeover_and_the_end_of_a_cut() -> None:
+    """Guards against events or fields that the report expects and nobody logs."""
+
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, domains=DOMAINS)
+        await site.wait_for_leader()
+        with log_lines() as lines:
+            for _ in range(30):
+                site.submit(CORE, task_s=30.0)
+            await asyncio.sleep(1.0)
+            await cut_leader(site)
+            await asyncio.sleep(6.0)
+            for domain in list(site.cut_domains):
+                site.heal_domain(domain)
+            await asyncio.sleep(6.0)
+        found = {each.kind: each for each in read_waits(lines).recoveries}
+        assert read_waits(lines).skipped_lines == 0
+        assert found["cut ended"].events >= 3
+        cores_of_two_domains = 96 / 144
+        takeover, after_cut = found["takeover"].used, found["cut ended"].used
+        assert takeover[-1] is not None and 0.3 < takeover[-1] <= cores_of_two_domains
+        assert after_cut[-1] is not None and after_cut[-1] > takeover[-1]
         await site.close()
 
     run_virtual(body)
@@ -199,7 +229,7 @@
         site = FakeSite(servers=3, vms=1)
         await site.wait_for_leader()
         await asyncio.sleep(2.0)
-        with summaries() as lines:
+        with log_lines() as lines:
             await asyncio.sleep(20.0)
         assert not lines
         await site.close()
