--- a/cassiaweir/dispatch/_wait_causes.py
+++ b/cassiaweir/dispatch/_wait_causes.py
@@ -258,9 +258,13 @@
                 for cause, tasks in self._withheld(each, rooms):
                     self.note(each.waiting, cause, tasks)
                     left -= tasks
-            over_share = each.waiting.entry.over_share
-            cause = WaitCause.SHARE if over_share else WaitCause.CAPACITY
-            self.note(each.waiting, cause, left)
+            self.note(each.waiting, self._cause_without_room(each.waiting), left)
+
+    def _cause_without_room(self, waiting: WaitingStep) -> WaitCause:
+        if not self._entries_current:
+            return WaitCause.STORE
+        over_share = waiting.entry.over_share
+        return WaitCause.SHARE if over_share else WaitCause.CAPACITY
 
     def _rooms(self) -> dict[tuple[str, WaitCause], _Room]:
         """Return the capacity left by service and by the cause that withholds it."""
--- a/tests/test_wait_causes.py
+++ b/tests/test_wait_causes.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
+from typing import Any
 
 import msgspec
 import pytest
@@ -18,6 +19,7 @@
 from cassiaweir.observe._waits import WaitSecond, read_waits
 from cassiaweir.queues import Customer, Queue
 from cassiaweir.types import Resources
+from standins.users import FakeServer
 from tests.site_fakes import (
     ADVISED,
     CUSTOMER,
@@ -173,6 +175,53 @@
     assert found.most_common(1)[0][0] == cause, found
 
 
+def test_placed_tasks_whose_start_is_not_recorded_wait_for_the_store() -> None:
+    """Guards against tasks that wait for a row of their server and are not counted."""
+
+    async def body() -> None:
+        site = FakeSite(servers=3, vms=1)
+        leader = await site.wait_for_leader()
+        await asyncio.sleep(1.0)
+        commit = leader.store.commit
+
+        async def commit_late(*args: Any) -> dict[str, int]:
+            await asyncio.sleep(1.5)
+            return await commit(*args)
+
+        leader.store.commit = commit_late  # type: ignore[method-assign]
+        with log_lines() as lines:
+            site.submit(CORE)
+            await asyncio.sleep(4.0)
+        placed = next(n for n, each in enumerate(lines) if "tasks_placed" in each)
+        seconds = read_waits(lines[placed:]).seconds
+        assert causes(seconds, QUEUE.name)["store"] >= 4
+        await site.close()
+
+    run_virtual(body)
+
+
+def test_room_on_servers_that_were_not_read_or_have_not_answered_is_no_lack() -> None:
+    """Guards against a lack of capacity that is reported when a term begins."""
+
+    async def body() -> None:
+        site = FakeSite(servers=1, vms=1)
+        site.submit(replace(WIDE, count=2), task_s=30.0)
+        with log_lines() as lines:
+            leader = await site.wait_for_leader()
+            await asyncio.sleep(0.9)
+            server = FakeServer("i-1", site, "r1-0", "augusta")
+            site.servers["i-1"] = server
+            leader.orders.unreachable.add("i-1")
+            site.register(server)
+            await asyncio.sleep(0.2)
+        term_begins, server_asked = read_waits(lines).seconds
+        assert causes([term_begins], QUEUE.name) == {"store": 2}
+        assert causes([server_asked], QUEUE.name) == {"takeover": 1}
+        await site.close()
+
+    run_virtual(body)
+
+
 def test_one_line_a_second_holds_every_waiting_task_and_the_cpu() -> None:
     """Guards against tasks that are left out or counted twice, and against floods."""
 
