--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -11,6 +11,7 @@
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
+from cassiaweir.dispatch._cap_holds import CapHolds
 from cassiaweir.dispatch._cold_servers import ColdServers
 from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._evacuation import Evacuations
@@ -106,6 +107,7 @@
         self._servers = servers
         self._waiting = WaitingSteps(jobs, clock, gate, crashes)
         self._former_usage = FormerUsage(jobs, gate, servers, clock)
+        self._cap_holds = CapHolds()
         self._quarantine = Quarantine()
         self._evacuations = evacuations
         self._cold = cold
@@ -153,6 +155,7 @@
         self._quarantine.begin_round(
             {each.entry.job.job_id for each in found}, self._servers.values()
         )
+        self._cap_holds.begin_round()
         try:
             self._plan_gangs(found, usable, now)
         except Exception as exc:
@@ -220,13 +223,21 @@
     def _count_within_cap(self, waiting: WaitingStep, count: int) -> int:
         """Return how many of `count` tasks the cap of the customer allows now."""
         job = waiting.entry.job
+        reserved = self._former_usage.of(job.spec.customer)
+        if waiting.queue.priority != URGENT_PRIORITY:
+            reserved = reserved + self._cap_holds.of(job.spec.customer)
         return self._usage.count_within_cap(
-            self._jobs.customer_of(job),
-            waiting.step.demand,
-            count,
-            self._former_usage.of(job.spec.customer),
+            self._jobs.customer_of(job), waiting.step.demand, count, reserved
         )
 
+    def _hold_cap(self, waiting: WaitingStep) -> None:
+        """Keep the cap of the customer for a gang that waits and can be on time."""
+        urgent = waiting.queue.priority == URGENT_PRIORITY
+        on_time = waiting.rank.status == DeadlineStatus.ON_TIME
+        if waiting.step.spec.gang and on_time and not urgent:
+            customer = self._jobs.customer_of(waiting.entry.job)
+            self._cap_holds.hold(waiting, customer)
+
     def _place_step(
         self,
         waiting: WaitingStep,
@@ -290,6 +301,7 @@
         if within_cap == 0 or (step.spec.gang and within_cap < len(tasks)):
             self.waits.note(waiting, WaitCause.CAP, len(tasks))
             self._reservations.release(step.name)
+            self._hold_cap(waiting)
             return
         self.waits.note(waiting, WaitCause.CAP, len(tasks) - within_cap)
         free = self._cold.allowed(waiting, self._available_servers(waiting, with_room))
@@ -324,6 +336,8 @@
             return
         self.waits.note_missing(waiting, missing, group.isolation, candidates)
         if step.spec.gang and missing > 0:
+            if self._reservations.of(step.name) is not None:
+                self._hold_cap(waiting)
             self._preempt_others(waiting, usable, tickets, missing)
             return
         self._reservations.release(step.name)
--- a/cassiaweir/dispatch/_preemption.py
+++ b/cassiaweir/dispatch/_preemption.py
@@ -18,6 +18,10 @@
 """A run with at least this progress is not preempted, as it will end soon."""
 
 
+RESUME_COST_S = 0.5
+"""Work that preemption discards at most: a server saves a run when it stops it."""
+
+
 class _Victims(NamedTuple):
     """Runs of one server to stop, and the core-seconds of work that this discards.
 
@@ -148,7 +152,7 @@
     if demand.fits(room):
         return None
     runs = [run for run in server.runs.values() if may_preempt(run, now)]
-    runs.sort(key=lambda run: run.unsaved_core_s(now))
+    runs.sort(key=lambda run: _loss(run, now))
     chosen: list[Run] = []
     enough = room
     for run in runs:
@@ -180,5 +184,15 @@
 ) -> _Victims:
     for run in runs:
         room = room + run.demand
-    loss = sum(run.unsaved_core_s(now) for run in runs)
+    loss = sum(_loss(run, now) for run in runs)
     return _Victims(loss, server, runs, fitting_tasks(room, demand, count))
+
+
+def _loss(run: Run, now: float) -> float:
+    """Return the core-seconds that are discarded if `run` is preempted.
+
+    Only runs with checkpoints are, and a stop writes one; stopping and resuming take
+    `RESUME_COST_S`.
+    """
+    cost = RESUME_COST_S * run.demand.cpu_millis / 1_000
+    return min(run.unsaved_core_s(now), cost)
