--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -63,6 +63,7 @@
     click.echo(
         f"seed {report.options.seed}: {verdict}: "
         f"{report.accepted} of {report.jobs} jobs accepted, "
+        f"{report.refused} refused for the load, "
         f"{report.starts} task starts, faults: {'; '.join(report.faults)}"
     )
     for problem in report.problems:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -12,13 +12,33 @@
 from cassiaweir.jobs import JobSpec, JobState, StepSpec
 from cassiaweir.queues import Queue
 from soak._fronts import Front
-from soak._platform import KEYS, QUEUE_HOST, QUEUE_PREFIX, SoakPlatform
-from soak._records import Attempt, History, JobRecord
+from soak._platform import (
+    KEYS,
+    OVERLOAD_KEY,
+    OVERLOAD_SHARE,
+    QUEUE_HOST,
+    QUEUE_PREFIX,
+    SoakPlatform,
+)
+from soak._records import OVERLOADED, Attempt, History, JobRecord
 from standins.users import Deadly
 
 MAX_SUBMIT_ATTEMPTS = 5
 REQUEST_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.2
+OBEDIENT_SHARE = 0.5
+"""How often a caller refused for the load waits for as long as it was told."""
+
+MAX_OBEDIENT_WAIT_S = 2.0
+"""A run is short, so a caller waits no longer than this even then."""
+
+OVERLOAD_FACTOR = 6
+"""How many times its share the customer of `OverloadCaller` submits."""
+
+MAX_TASKS = 6
+MAX_OVERLOAD_TASKS = 12
+"""The largest number of tasks in a step; the jobs of `OverloadCaller` fill servers."""
+
 CANCEL_SHARE = 0.08
 DEADLY_SHARE = 0.02
 CRASH_DELAYS_S = (0.0, 0.1, 0.5)
@@ -34,6 +54,10 @@
 class Caller:
     """One caller with its own connection to each front."""
 
+    _keys: Sequence[str] = KEYS
+    _max_tasks = MAX_TASKS
+    _deadly_share = DEADLY_SHARE
+
     def __init__(
         self, number: int, platform: SoakPlatform, fronts: Sequence[Front],
         history: History, rng: random.Random, deadly_rng: random.Random,
@@ -45,12 +69,13 @@
         self._rng = rng
         self._deadly_rng = deadly_rng
         self._job_count = 0
+        self._stopped = asyncio.Event()
         self._client: aiohttp.ClientSession
 
     async def run(self, stopped: asyncio.Event) -> None:
         """Submit jobs until `stopped` is set; the requests of the last job complete."""
         async with aiohttp.ClientSession() as client:
-            self._client = client
+            self._client, self._stopped = client, stopped
             while not stopped.is_set():
                 await self._run_job()
                 await asyncio.sleep(self._rng.uniform(*PAUSE_RANGE_S))
@@ -68,17 +93,36 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
         return False
 
-    async def _run_job(self) -> None:
+    async def submit_wide(self, tasks: int, timeout_s: float) -> bool:
+        """Submit a job of many large tasks; return whether it was accepted in time."""
+        job_id = self._next_job_id()
+        step = StepSpec(tasks, 4_000, 256, estimate_s=0.5)
+        spec = JobSpec(job_id, QUEUE, "", "1.2/done", (step,), 0.0)
+        record = self._record_job(spec)
+        deadline = _now() + timeout_s
+        async with aiohttp.ClientSession() as client:
+            self._client = client
+            while record.accepted_at is None and _now() < deadline:
+                await self._submit(job_id, record, KEYS[0])
+        return record.accepted_at is not None
+
+    def _next_job_id(self) -> str:
         self._job_count += 1
-        job_id = f"{self._number:04x}{self._job_count:012x}"
-        key = self._rng.choice(KEYS)
-        record = JobRecord(self._random_spec(job_id))
-        if self._deadly_rng.random() < DEADLY_SHARE:
+        return f"{self._number:04x}{self._job_count:012x}"
+
+    def _record_job(self, spec: JobSpec) -> JobRecord:
+        record = self._history.jobs[spec.job_id] = JobRecord(spec)
+        self._platform.specs[spec.job_id] = spec
+        return record
+
+    async def _run_job(self) -> None:
+        job_id = self._next_job_id()
+        key = self._rng.choice(self._keys)
+        record = self._record_job(self._random_spec(job_id))
+        if self._deadly_rng.random() < self._deadly_share:
             record.deadly = True
             deadly = Deadly(self._deadly_rng.choice(CRASH_DELAYS_S), back_after_s=1.0)
             self._platform.deadly[f"{job_id}.0.0.0"] = deadly
-        self._history.jobs[job_id] = record
-        self._platform.specs[job_id] = record.spec
         await self._submit(job_id, record, key)
         if record.accepted_at is None:
             return
@@ -103,13 +147,22 @@
                 return
             if attempt.status in (400, 401, 404):
                 return
-            await asyncio.sleep(RETRY_INTERVAL_S)
+            if attempt.status == OVERLOADED and self._stopped.is_set():
+                return
+            await asyncio.sleep(self._retry_delay_s(attempt))
+
+    def _retry_delay_s(self, attempt: Attempt) -> float:
+        if attempt.status != OVERLOADED or not attempt.valid_retry_after:
+            return RETRY_INTERVAL_S
+        if self._rng.random() >= OBEDIENT_SHARE:
+            return RETRY_INTERVAL_S
+        return min(float(attempt.retry_after), MAX_OBEDIENT_WAIT_S)
 
     def _random_spec(self, job_id: str) -> JobSpec:
         rng = self._rng
-        steps = [_random_step(rng, ())]
+        steps = [_random_step(rng, (), self._max_tasks)]
         if rng.random() < SECOND_STEP_SHARE:
-            steps.append(_random_step(rng, (0,)))
+            steps.append(_random_step(rng, (0,), self._max_tasks))
         return JobSpec(
             job_id=job_id,
             queue=QUEUE,
@@ -152,9 +205,27 @@
         return attempt
 
 
-def _random_step(rng: random.Random, after: tuple[int, ...]) -> StepSpec:
+class OverloadCaller(Caller):
+    """A customer that submits several times its share without waiting for responses."""
+
+    _keys = (OVERLOAD_KEY,)
+    _max_tasks = MAX_OVERLOAD_TASKS
+    _deadly_share = 0.0
+
+    async def run(self, stopped: asyncio.Event) -> None:
+        """Submit jobs at a steady rate until `stopped` is set."""
+        async with aiohttp.ClientSession() as client, asyncio.TaskGroup() as jobs:
+            self._client, self._stopped = client, stopped
+            while not stopped.is_set():
+                jobs.create_task(self._run_job())
+                await asyncio.sleep(1 / (OVERLOAD_SHARE * OVERLOAD_FACTOR))
+
+
+def _random_step(
+    rng: random.Random, after: tuple[int, ...], max_tasks: int
+) -> StepSpec:
     return StepSpec(
-        count=rng.randint(1, 6),
+        count=rng.randint(1, max_tasks),
         cpu_millis=rng.choice((500, 1_000, 4_000)),
         memory_mb=256,
         estimate_s=0.5,
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Iterator, Sequence
 
 from cassiaweir.dispatch import EndKind
-from soak._records import Attempt, FaultRecord, History, JobRecord
-from standins.users import RunRecord
+from soak._records import (
+    OVERLOADED,
+    REFUSALS,
+    Attempt,
+    EvacuationRecord,
+    FaultRecord,
+    History,
+    JobRecord,
+)
+from standins.users import EVACUATION_S, RunRecord
 
 KEY_WITHDRAWAL_LIMIT_S = 5.0
 """A request sent later than this after the withdrawal of its key is not served."""
@@ -18,6 +27,18 @@
 FAULT_MARGIN_S = 3.0
 """A fault can affect requests that overlap its duration, extended by this margin."""
 
+MAX_STRETCH_S = 6.0
+"""An evacuation may take this much longer while the store is unstable."""
+
+STORE_FAULTS = ("cut-store", "fail-store")
+"""The faults under which the store answers slowly or not at all."""
+
+RESTART_LIMIT_S = 5.0
+"""Tasks start in a domain this soon after it is given back and others start elsewhere.
+
+The domain's servers are opened for starts step by step within 3.5 s.
+"""
+
 PLANNED_STOP = "stop"
 """The fault name of a requested, orderly stop of a front."""
 
@@ -42,6 +63,8 @@
         problems += _check_job(job_id, record, by_job[job_id])
     problems += _check_keys(history)
     problems += _check_stops(history)
+    for each in history.evacuations:
+        problems += _check_evacuation(each, runs, history.faults)
     return problems
 
 
@@ -50,14 +73,34 @@
 ) -> Iterator[str]:
     if record.refused_by_all and runs:
         yield f"{job_id}: started although every submission was refused"
+    yield from _check_overload(job_id, record, runs)
     if record.accepted_at is not None:
         yield from _check_reported_states(job_id, record)
     if record.reported_done:
         yield from _check_done(job_id, record, runs)
     yield from _check_step_order(job_id, record, runs)
     for attempt in record.attempts:
-        if attempt.status in (429, 503) and not attempt.retry_after:
-            yield f"{job_id}: {attempt.status} without Retry-After from {attempt.front}"
+        if attempt.status in REFUSALS and not attempt.valid_retry_after:
+            yield (
+                f"{job_id}: {attempt.status} with Retry-After "
+                f"{attempt.retry_after!r} from {attempt.front}"
+            )
+
+
+def _check_overload(
+    job_id: str, record: JobRecord, runs: Sequence[RunRecord]
+) -> Iterator[str]:
+    """Check that a job refused for the load does not run before it is submitted again.
+
+    The refusal blocks the id, so this holds for earlier submissions without response.
+    """
+    posts = record.posts
+    for number, post in enumerate(posts):
+        if post.status != OVERLOADED:
+            continue
+        sent_again = [each.began_at for each in posts[number + 1 :] if each.sent]
+        if any(run.began_at < min(sent_again, default=math.inf) for run in runs):
+            yield f"{job_id}: started although {post.front} had refused it for the load"
 
 
 def _check_reported_states(job_id: str, record: JobRecord) -> Iterator[str]:
@@ -95,6 +138,8 @@
     }
     if expected - done:
         yield f"{job_id}: reported as done with {len(expected - done)} unfinished tasks"
+    if any(run.began_at > reported_at for run in runs):
+        yield f"{job_id}: started again after it was reported as done"
 
 
 def _check_step_order(
@@ -128,6 +173,35 @@
                 yield f"{job_id}: {each.front} accepted a withdrawn key"
 
 
+def _check_evacuation(
+    record: EvacuationRecord, runs: Sequence[RunRecord], faults: Sequence[FaultRecord]
+) -> Iterator[str]:
+    for run in runs:
+        if run.server not in record.servers or run.began_at > record.withdrawn_at:
+            continue
+        after_s = run.began_at - record.requested_at
+        unstable = any(
+            fault.name in STORE_FAULTS
+            and fault.overlaps(record.requested_at, run.began_at, 0.0)
+            for fault in faults
+        )
+        if after_s > EVACUATION_S + (MAX_STRETCH_S if unstable else 0.0):
+            yield f"{run.task}: started {after_s:.1f} s after evacuation was requested"
+    if record.work_waits:
+        yield from _check_given_back(record, runs)
+
+
+def _check_given_back(
+    record: EvacuationRecord, runs: Sequence[RunRecord]
+) -> Iterator[str]:
+    later = [run for run in runs if run.began_at > record.withdrawn_at]
+    there = [run.began_at for run in later if run.server in record.servers]
+    elsewhere = [run.began_at for run in later if run.server not in record.servers]
+    limit = min(elsewhere, default=math.inf) + RESTART_LIMIT_S
+    if min(there, default=math.inf) > limit or not later:
+        yield f"no start on {sorted(record.servers)} after they were given back"
+
+
 def _check_stops(history: History) -> Iterator[str]:
     for job_id, record in history.jobs.items():
         for attempt in record.attempts:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
 from cassiaweir.types import Resources
 from soak._checks import ALL_FRONTS, PLANNED_STOP
 from soak._fronts import Front
-from soak._platform import FaultyServer, SoakPlatform, StoreFaults
-from soak._records import FaultRecord, History, KeyRecord
+from soak._platform import DOMAINS, FaultyServer, SoakPlatform, StoreFaults
+from soak._records import EvacuationRecord, FaultRecord, History, KeyRecord
 from standins._relay import RelayControl
 from standins.users import SERVER_SIZE
 
@@ -21,6 +22,15 @@
 PAUSE_RANGE_S = (0.0, 2.5)
 """The random pause before each fault of a series; parallel series overlap."""
 
+EVACUATION_PAUSE_RANGE_S = (0.0, 4.0)
+"""A pause before an evacuation, as nothing is refused for the load meanwhile."""
+
+EVACUATION_RANGE_S = (0.5, 8.0)
+"""The random duration of an evacuation; those over 5 s show late starts."""
+
+ALL_DOMAINS_SHARE = 0.2
+"""The share of evacuations of all domains at once."""
+
 CAPACITIES = (SERVER_SIZE, Resources(8_000, 32_768))
 """What a backend server may have after a restart."""
 
@@ -65,6 +75,21 @@
         """Wait for the random duration of a fault."""
         await asyncio.sleep(self.rng.uniform(*DURATION_RANGE_S))
 
+    @asynccontextmanager
+    async def evacuated(self, domain: str) -> AsyncIterator[EvacuationRecord]:
+        """Request the evacuation of a failure domain, and withdraw it on exit."""
+        servers = self.platform.servers.values()
+        there = [each for each in servers if each.entry.failure_domain == domain]
+        fault = self.record_start("evacuate", domain)
+        self.platform.evacuate(domain)
+        record = EvacuationRecord(
+            frozenset(each.entry.server_id for each in there), _now()
+        )
+        self.history.evacuations.append(record)
+        yield record
+        self.platform.give_back(domain)
+        fault.healed_at = record.withdrawn_at = _now()
+
     def record_start(self, name: str, target: str) -> FaultRecord:
         """Record the start of a fault and return its record."""
         record = FaultRecord(name, target, _now())
@@ -215,6 +240,16 @@
     record.healed_at = _now()
 
 
+async def evacuate_domains(context: FaultContext) -> None:
+    """Evacuate one failure domain, or all of them at once."""
+    await asyncio.sleep(context.rng.uniform(*EVACUATION_PAUSE_RANGE_S))
+    count = len(DOMAINS) if context.rng.random() < ALL_DOMAINS_SHARE else 1
+    async with AsyncExitStack() as stack:
+        for domain in context.rng.sample(DOMAINS, count):
+            await stack.enter_async_context(context.evacuated(domain))
+        await asyncio.sleep(context.rng.uniform(*EVACUATION_RANGE_S))
+
+
 async def withdraw_key(context: FaultContext) -> None:
     """Withdraw one of the keys permanently, as long as more than two are left.
 
--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -12,8 +12,10 @@
 from aiohttp import web
 
 from cassiaweir.types import Resources, Write
+from soak._checks import MAX_STRETCH_S
 from standins._relay import Relay, RelayControl
 from standins.users import (
+    EVACUATION_S,
     SERVICE,
     FakeServer,
     ServerService,
@@ -31,6 +33,14 @@
 QUEUE_PREFIX = "/jobs/"
 QUEUE_HOST = "soak.example"
 KEYS = ("key-0", "key-1", "key-2", "key-3")
+OVERLOAD_KEY = "key-overload"
+"""The key of the customer that submits several times its share; it stays valid."""
+
+OVERLOAD_SHARE = 2
+"""The jobs a second of that customer's share."""
+
+DOMAINS = ("augusta", "modica")
+"""The failure domains of the backend servers."""
 
 
 @dataclass(slots=True)
@@ -119,7 +129,7 @@
         return {
             "service": SERVICE,
             "addr": self.address,
-            "zone": "augusta",
+            "zone": self.server.entry.failure_domain,
             "state": "draining" if draining else "ready",
             "room": {"cpu": room.cpu_millis, "mem_mb": room.memory_mb},
             "labels": sorted(self.server.entry.labels),
@@ -151,7 +161,8 @@
 
     def __init__(self, servers: int, seed: int) -> None:
         self.faulty: dict[str, FaultyServer] = {}
-        super().__init__(servers)
+        super().__init__(servers, DOMAINS)
+        self.evacuation_s = EVACUATION_S + MAX_STRETCH_S
         self.store_service = StoreService(self.store)
         self._version = 0
         self._seed = seed
@@ -209,7 +220,14 @@
                 }
             ],
             "services": [{"name": SERVICE}],
-            "tenants": [{**each, "weight": 50} for each in tenants],
+            "tenants": [
+                *({**each, "weight": 50} for each in tenants),
+                {
+                    "name": "team-overload",
+                    "keys": [OVERLOAD_KEY],
+                    "weight": OVERLOAD_SHARE,
+                },
+            ],
         }
         value = msgspec.json.encode(config)
         self.store.apply([], [Write("op//config", value)])
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from cassiaweir.jobs import JobSpec
 
-REFUSALS = (429, 503)
+OVERLOADED = 429
+REFUSALS = (OVERLOADED, 503)
 STATUS_ACCEPTED = 200
 
 
@@ -29,6 +31,12 @@
     retry_after: str = ""
     state: str = ""
 
+    @property
+    def valid_retry_after(self) -> bool:
+        """Whether the response told the caller to wait for 1 or more whole seconds."""
+        text = self.retry_after
+        return text.isascii() and text.isdecimal() and int(text) >= 1
+
 
 @dataclass(slots=True)
 class JobRecord:
@@ -47,8 +55,12 @@
     @property
     def refused_by_all(self) -> bool:
         """Whether every submission was refused or never sent."""
-        posts = [each for each in self.attempts if each.method == "POST"]
-        return all(each.status in REFUSALS or not each.sent for each in posts)
+        return all(each.status in REFUSALS or not each.sent for each in self.posts)
+
+    @property
+    def posts(self) -> list[Attempt]:
+        """The submissions, in the order in which they were sent."""
+        return [each for each in self.attempts if each.method == "POST"]
 
     @property
     def reported_done(self) -> bool:
@@ -79,6 +91,21 @@
     withdrawn_at: float
 
 
+@dataclass(slots=True)
+class EvacuationRecord:
+    """The evacuation of the failure domain that consists of `servers`.
+
+    `requested_at` is when the store had acknowledged the request, and `withdrawn_at`
+    when it had removed it.  `work_waits` says that from then on there were more tasks
+    waiting than the other servers have room for.
+    """
+
+    servers: frozenset[str]
+    requested_at: float
+    withdrawn_at: float = math.inf
+    work_waits: bool = False
+
+
 @dataclass(slots=True)
 class History:
     """Everything that a run has recorded."""
@@ -86,5 +113,6 @@
     jobs: dict[str, JobRecord] = field(default_factory=dict)
     faults: list[FaultRecord] = field(default_factory=list)
     keys: list[KeyRecord] = field(default_factory=list)
+    evacuations: list[EvacuationRecord] = field(default_factory=list)
     bad_exits: list[str] = field(default_factory=list)
     unfinished_jobs: list[str] = field(default_factory=list)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -14,12 +14,18 @@
 
 import aiohttp
 
-from soak._callers import Caller
+from soak._callers import Caller, OverloadCaller
 from soak._checks import check
-from soak._faults import FaultContext, heal, resize_server, run_series
+from soak._faults import (
+    FaultContext,
+    evacuate_domains,
+    heal,
+    resize_server,
+    run_series,
+)
 from soak._fronts import Front
-from soak._platform import SoakPlatform
-from soak._records import History
+from soak._platform import DOMAINS, SoakPlatform
+from soak._records import OVERLOADED, History
 
 FAULT_SERIES = 2
 """The number of series of faults that run concurrently."""
@@ -31,6 +37,16 @@
 """All delayed start requests and writes have arrived this long after healing."""
 
 
+WIDE_TASKS_PER_SERVER = 25
+"""The tasks of the job that waits while a domain is evacuated after the faults.
+
+A server runs four of them in 1.2 s, so that many are left after `LATE_DELIVERY_S`.
+"""
+
+WIDE_JOB_TIMEOUT_S = 20.0
+"""That job must be accepted within this time, which includes the start of a front."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunOptions:
     """The seed, the size, and the duration of the faults of a run."""
@@ -50,6 +66,7 @@
     problems: list[str]
     jobs: int
     accepted: int
+    refused: int
     starts: int
     faults: list[str]
 
@@ -69,7 +86,7 @@
         await _start_all(fronts)
         context = FaultContext(platform, fronts, history, random.Random(options.seed))
         callers = [
-            Caller(
+            (Caller if number < options.callers else OverloadCaller)(
                 number,
                 platform,
                 fronts,
@@ -77,10 +94,11 @@
                 _rng(options, f"caller-{number}"),
                 _rng(options, f"deadly-{number}"),
             )
-            for number in range(options.callers)
+            for number in range(options.callers + 1)
         ]
         await _run_load_with_faults(options, context, callers)
         await heal(context)
+        await _evacuate_under_load(options, context, callers[0])
         await _wait_jobs_finished(history, callers[0])
         _record_exits(fronts, history)
         for server in platform.servers.values():
@@ -114,17 +132,32 @@
         for number in range(FAULT_SERIES)
     ]
     rooms = replace(context, rng=_rng(options, "rooms"))
+    evacuations = replace(context, rng=_rng(options, "evacuations"))
     await asyncio.gather(
         *(run_series(each, deadline) for each in series),
         run_series(rooms, deadline, [resize_server]),
+        run_series(evacuations, deadline, [evacuate_domains]),
     )
     stopped.set()
     await asyncio.gather(*load)
 
 
+async def _evacuate_under_load(
+    options: RunOptions, context: FaultContext, caller: Caller
+) -> None:
+    """Evacuate a domain until late deliveries have arrived, while many tasks wait."""
+    domain = _rng(options, "last-evacuation").choice(DOMAINS)
+    async with context.evacuated(domain) as evacuation:
+        evacuation.work_waits = await caller.submit_wide(
+            WIDE_TASKS_PER_SERVER * options.servers, WIDE_JOB_TIMEOUT_S
+        )
+        if not evacuation.work_waits:
+            context.history.bad_exits.append("no job accepted after the healing")
+        await asyncio.sleep(LATE_DELIVERY_S)
+
+
 async def _wait_jobs_finished(history: History, caller: Caller) -> None:
     """Wait until all accepted jobs have ended; record those that do not in time."""
-    await asyncio.sleep(LATE_DELIVERY_S)
     loop = asyncio.get_running_loop()
     deadline = loop.time() + FINISH_TIMEOUT_S
     for job_id, record in list(history.jobs.items()):
@@ -147,6 +180,10 @@
         problems=check(history, platform.history, platform.faults),
         jobs=len(history.jobs),
         accepted=sum(each.accepted_at is not None for each in history.jobs.values()),
+        refused=sum(
+            any(post.status == OVERLOADED for post in each.posts)
+            for each in history.jobs.values()
+        ),
         starts=len(platform.history),
         faults=[f"{each.name} {each.target}".strip() for each in history.faults],
     )
--- a/standins/users/__init__.py
+++ b/standins/users/__init__.py
@@ -6,9 +6,10 @@
 from standins.users._http import ServerService, StoreService, listening
 from standins.users._rows import MemoryStore
 from standins.users._servers import SERVER_SIZE, SERVICE, FakeRun, FakeServer
-from standins.users._site import Deadly, RunRecord, Site
+from standins.users._site import EVACUATION_S, Deadly, RunRecord, Site
 
 __all__ = [
+    "EVACUATION_S",
     "SERVER_SIZE",
     "SERVICE",
     "Deadly",
