--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,14 @@
 from cassiaweir.jobs import JobSpec, StepSpec
 from soak._callers import QUEUE
 from soak._checks import ALL_FRONTS, PLANNED_STOP, check
-from soak._records import Attempt, FaultRecord, History, JobRecord, KeyRecord
+from soak._records import (
+    Attempt,
+    EvacuationRecord,
+    FaultRecord,
+    History,
+    JobRecord,
+    KeyRecord,
+)
 from soak._run import RunOptions, run
 from standins.users import RunRecord
 
@@ -32,8 +39,16 @@
     return JobRecord(spec, list(attempts), 0.5 if accepted else None)
 
 
-def started(step: int, began_at: float, ended_at: float) -> RunRecord:
-    return RunRecord(f"{JOB}.0.{step}.0", 1, "i-0", began_at, ended_at, EndKind.DONE)
+def started(
+    step: int, began_at: float, ended_at: float, server: str = "i-0"
+) -> RunRecord:
+    return RunRecord(f"{JOB}.0.{step}.0", 1, server, began_at, ended_at, EndKind.DONE)
+
+
+def start_problems(
+    evacuation: EvacuationRecord, *runs: RunRecord, faults: tuple[FaultRecord, ...] = ()
+) -> list[str]:
+    return check(History(evacuations=[evacuation], faults=list(faults)), runs, [])
 
 
 def problems(job: JobRecord, *runs: RunRecord, **history: object) -> list[str]:
@@ -84,10 +99,75 @@
     assert problems(job, started(0, 1.0, 2.0), started(1, 1.9, 3.0))
 
 
+# Guards against a refusal that is untrue because its id was not blocked.
+def test_a_job_refused_for_the_load_must_not_run_by_an_earlier_submission():
+    unanswered = attempt("POST", -1, at=1.0)
+    job = record(unanswered, attempt("POST", 429, at=2.0), accepted=False)
+    assert problems(job, started(0, 1.5, 1.6))
+    assert problems(job, started(0, 3.0, 3.1))
+
+
+# Guards against a check that takes the later acceptance of a refused id for a fault.
+def test_a_refused_job_runs_only_after_it_was_submitted_again():
+    job = record(attempt("POST", 429, at=1.0), attempt("POST", 200, at=2.0))
+    assert problems(job, started(0, 1.9, 2.0))
+    assert not problems(job, started(0, 2.1, 2.2))
+    unsent = attempt("POST", 0, at=2.0, sent=False)
+    job = record(attempt("POST", 429, at=1.0), unsent, accepted=False)
+    assert problems(job, started(0, 2.1, 2.2))
+
+
+# Guards against a job that is stored anew under its id and runs a second time.
+def test_a_job_reported_as_done_must_not_start_again():
+    done = attempt("GET", 200, at=2.0, state="done")
+    job = record(attempt("POST", 429, at=0.0), attempt("POST", 200, at=1.0), done)
+    first = started(0, 1.1, 1.2)
+    assert not problems(job, first)
+    assert problems(job, first, started(0, 2.6, 2.7))
+
+
 @pytest.mark.parametrize("status", [429, 503])
-def test_a_refusal_must_have_a_retry_after_header(status: int):
-    job = record(attempt("POST", status, retry_after=""), accepted=False)
+@pytest.mark.parametrize("value", ["", "0", "-1", "1.5", "soon"])
+def test_a_refusal_must_say_when_to_return_in_whole_seconds(status: int, value: str):
+    job = record(attempt("POST", status, retry_after=value), accepted=False)
     assert problems(job)
+    job = record(attempt("POST", status, retry_after="12"), accepted=False)
+    assert not problems(job)
+
+
+# Guards against starts in a domain that an operator takes for empty.
+def test_nothing_may_start_in_an_evacuated_domain_after_five_seconds():
+    evacuated = EvacuationRecord(frozenset({"i-0"}), 10.0, 30.0)
+    assert not start_problems(evacuated, started(0, 14.9, 15.0))
+    assert start_problems(evacuated, started(0, 15.1, 15.2))
+    assert not start_problems(evacuated, started(0, 15.1, 15.2, "i-1"))
+    assert not start_problems(evacuated, started(0, 30.1, 30.2))
+
+
+# Guards against an allowance for faults that do not make the store unstable.
+def test_only_an_unstable_store_may_delay_an_evacuation():
+    evacuated = EvacuationRecord(frozenset({"i-0"}), 10.0, 30.0)
+    late, too_late = started(0, 15.1, 15.2), started(0, 21.1, 21.2)
+    for name in ("fail-store", "cut-store"):
+        fault = (FaultRecord(name, "f", 9.0, 11.0),)
+        assert not start_problems(evacuated, late, faults=fault)
+        assert start_problems(evacuated, too_late, faults=fault)
+    earlier = FaultRecord("fail-store", "f", 5.0, 9.0)
+    assert start_problems(evacuated, late, faults=(earlier,))
+    freeze = FaultRecord("freeze", "f", 9.0, 15.0)
+    assert start_problems(evacuated, late, faults=(freeze,))
+
+
+# Guards against a domain that stays closed after it was given back.
+def test_tasks_must_start_again_in_a_domain_that_is_given_back():
+    given_back = EvacuationRecord(frozenset({"i-0"}), 1.0, 10.0, work_waits=True)
+    elsewhere = started(0, 11.0, 11.1, "i-1")
+    assert start_problems(given_back)
+    assert start_problems(given_back, elsewhere)
+    assert start_problems(given_back, elsewhere, started(0, 16.1, 16.2))
+    assert not start_problems(given_back, elsewhere, started(0, 15.9, 16.0))
+    given_back.work_waits = False
+    assert not start_problems(given_back, elsewhere)
 
 
 def test_a_withdrawn_key_must_not_be_served():
