--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -111,6 +111,10 @@
         self.relay, self.address = await open_relay(direct_address, stack)
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        await req.read()
+        if not self.server.up:  # The request had passed the relay before the crash.
+            await asyncio.sleep(HANG_S)
+            return web.Response(status=503)
         late = req.path == "/run-start" and self._rng.random() < self.late
         if not late:
             return await self._service.handle(req)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from contextlib import AsyncExitStack
+
+import aiohttp
 import pytest
 
 from cassiaweir.dispatch import EndKind
 from cassiaweir.jobs import JobSpec, StepSpec
 from soak._callers import QUEUE
 from soak._checks import ALL_FRONTS, PLANNED_STOP, check
+from soak._platform import SoakPlatform
 from soak._records import (
     Attempt,
     EvacuationRecord,
@@ -62,6 +66,28 @@
     assert report.faults
 
 
+# Guards against runs of a server that is down: their ends have numbers of the former
+# lifetime, by which the ends of the next one are acknowledged unread.
+async def test_a_start_that_arrives_after_a_crash_is_not_carried_out():
+    order = {"task": f"{JOB}.0.0.0", "run": 1, "spec": "0.1/done", "until_ms": 2**40}
+    async with AsyncExitStack() as stack:
+        platform = SoakPlatform(1, seed=1)
+        await platform.open(stack)
+        platform.specs[JOB] = record().spec
+        (faulty,) = platform.faulty.values()
+        url = f"http://{faulty.address}/run-start"
+        client = await stack.enter_async_context(aiohttp.ClientSession())
+        faulty.server.crash()
+        with pytest.raises(TimeoutError):
+            timeout = aiohttp.ClientTimeout(total=0.3)
+            await client.post(url, json=order | {"fence": 1}, timeout=timeout)
+        assert not platform.history
+        faulty.server.restart()
+        async with client.post(url, json=order | {"fence": 1}) as resp:
+            assert resp.status == 200
+        assert platform.history
+
+
 def test_a_valid_history_has_no_problems():
     poll = attempt("GET", 200, at=3.0, state="done")
     job = record(attempt("POST", 200), poll, steps=2)
