--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -119,6 +119,7 @@
             metrics,
             leadership.epoch,
             durations=jobs.models.durations,
+            usable=self._evacuations.usable,
         )
         self._crashes = CrashTracker(
             jobs,
--- a/cassiaweir/dispatch/_load.py
+++ b/cassiaweir/dispatch/_load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from cassiaweir.dispatch._job_registry import ConfigurationSource, JobEntry, JobRegistry
 from cassiaweir.dispatch._objective import DeadlineStatus, deadline_status
@@ -27,8 +27,15 @@
 SAMPLE_INTERVAL_S = 0.2
 
 
+ServerFilter = Callable[[list[Server], float], list[Server]]
+"""Returns those of the servers where tasks may be placed at a time."""
+
+
 class LoadSampler:
-    """Measures the load of one term, about every `SAMPLE_INTERVAL_S`."""
+    """Measures the load of one term, about every `SAMPLE_INTERVAL_S`.
+
+    Of the servers that accept new runs, those that `usable` returns count.
+    """
 
     def __init__(
         self,
@@ -40,8 +47,10 @@
         metrics: Metrics,
         epoch: int,
         durations: Durations | None = None,
+        usable: ServerFilter = lambda servers, _: servers,
     ) -> None:
         self._jobs = jobs
+        self._usable = usable
         self._servers = servers
         self._usage = usage
         self._configuration = configuration
@@ -74,6 +83,9 @@
             return
         current = self._configuration.current()
         customers = current.customers
+        accepting = [
+            each for each in self._servers.values() if each.accepts_new_runs(now)
+        ]
         self._snapshot = self._meter.measure(
             now,
             self._clock.now().timestamp(),
@@ -83,8 +95,7 @@
             },
             servers=[
                 ServerRoom(each.entry.service, each.entry.capacity, each.free)
-                for each in self._servers.values()
-                if each.accepts_new_runs(now)
+                for each in self._usable(accepting, now)
             ],
             waiting=self._waiting(now),
             waiting_excess=Counter(
--- a/tests/test_load_admission.py
+++ b/tests/test_load_admission.py
@@ -306,3 +306,24 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against free servers of an evacuated domain that keep admission off.
+@pytest.mark.parametrize("evacuated", [False, True])
+def test_free_capacity_of_an_evacuated_domain_does_not_count(evacuated: bool) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=4, vms=3, domains=("a", "b"))
+        vm = await site.wait_for_leader()
+        await asyncio.sleep(1.0)
+        if evacuated:
+            site.evacuate("a")
+        await asyncio.sleep(0.5)
+        for _ in range(6):
+            site.submit(STEP, task_s=20.0)
+        await asyncio.sleep(1.0)
+        load = vm.term.load()
+        assert load is not None
+        assert load.queues["recon"].full is evacuated
+        await site.close()
+
+    run_virtual(body)
