--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -25,6 +25,7 @@
     AdviceCacheFactory,
     Advisor,
     LeaderTerm,
+    ShareAllowance,
 )
 from cassiaweir.evacuation import EvacuationView, WatchedEvacuations
 from cassiaweir.exceptions import UnavailableError
@@ -224,6 +225,9 @@
         former_leader_gone=_FormerLeaderCheck(views.member_rows).was_replaced,
         metrics=metrics,
         failure_domain=settings.failure_domain,
+        share_allowance=ShareAllowance(
+            settings.share_window_s, settings.share_overage, settings.share_slack
+        ),
         evacuations=views.evacuations,
     )
     election = Election(
--- a/cassiaweir/dispatch/__init__.py
+++ b/cassiaweir/dispatch/__init__.py
@@ -26,6 +26,7 @@
     StartOrder,
     TaskEnd,
 )
+from cassiaweir.dispatch._shares import ShareAllowance
 from cassiaweir.dispatch._term import LeaderTerm
 
 __all__ = [
@@ -42,6 +43,7 @@
     "RunningTask",
     "ServerEntry",
     "ServerReport",
+    "ShareAllowance",
     "StartOrder",
     "TaskEnd",
     "cancel_key",
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -12,7 +12,7 @@
 from cassiaweir.dispatch._job_times import JobTimes, WorkModels, refresh_times
 from cassiaweir.dispatch._objective import Objective, objective_of
 from cassiaweir.dispatch._runs import Run
-from cassiaweir.dispatch._shares import ShareMeter
+from cassiaweir.dispatch._shares import ShareAllowance, ShareMeter
 from cassiaweir.exceptions import InvalidInputError
 from cassiaweir.jobs import (
     Job,
@@ -89,6 +89,7 @@
         configuration: ConfigurationSource,
         progress: Mapping[str, bytes],
         outcomes: Mapping[str, JobState],
+        allowance: ShareAllowance | None = None,
     ) -> None:
         self.entries: dict[str, JobEntry] = {}
         self.fleet_cpu_millis = 0
@@ -97,7 +98,7 @@
         self._configuration = configuration
         self._progress = dict(progress)
         self._outcomes = dict(outcomes)
-        self._shares = ShareMeter()
+        self._shares = ShareMeter(allowance)
         self.models = WorkModels()
         self.objective_updates = 0
 
--- a/cassiaweir/dispatch/_shares.py
+++ b/cassiaweir/dispatch/_shares.py
@@ -2,49 +2,50 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
-BURST_S = 1.0
-"""A customer may submit the jobs that its share allows for this time at once."""
 
+@dataclass(frozen=True, slots=True)
+class ShareAllowance:
+    """How many jobs a customer may submit in any time of `window_s` seconds.
 
-@dataclass(slots=True)
-class _Bucket:
-    """The tokens of one customer as of `updated_at`, in Unix seconds."""
+    That is what its weight in jobs a second allows, the share `overage` more, and
+    `slack` jobs more, but at least one.
+    """
+
+    window_s: float = 1.0
+    overage: float = 0.0
+    slack: int = 0
 
-    tokens: float
-    updated_at: float
+    def limit(self, weight: float) -> float:
+        """Return the jobs that a customer of `weight` may submit in a window."""
+        return max(weight * self.window_s * (1 + self.overage) + self.slack, 1.0)
 
 
 class ShareMeter:
-    """A token bucket for each customer, filled with `weight` tokens a second.
+    """Counts the jobs of each customer in a sliding window of submission times.
 
-    Each submitted job takes one token; a job that finds none is beyond the share.
+    A job that finds the allowance used up is beyond the share, and does not count.
     """
 
-    def __init__(self) -> None:
-        self._buckets: dict[str, _Bucket] = {}
+    def __init__(self, allowance: ShareAllowance | None = None) -> None:
+        self._allowance = allowance or ShareAllowance()
+        self._times: dict[str, deque[float]] = {}
 
     def record_submission(self, customer: str, weight: float, at: float) -> bool:
         """Count a job submitted at `at`; return whether it is beyond the share.
 
-        `weight` is the customer's share in jobs a second.
+        `weight` is the customer's share in jobs a second, `at` in Unix seconds.
         """
-        bucket = self._refill(customer, weight, at)
-        if bucket.tokens < 1.0:
+        if not self.has_share_left(customer, weight, at):
             return True
-        bucket.tokens -= 1.0
+        self._times[customer].append(at)
         return False
 
     def has_share_left(self, customer: str, weight: float, at: float) -> bool:
         """Return whether a job submitted at `at` would be within the share."""
-        return self._refill(customer, weight, at).tokens >= 1.0
-
-    def _refill(self, customer: str, weight: float, at: float) -> _Bucket:
-        """Return the customer's bucket with the tokens that it has at `at`."""
-        capacity = max(weight * BURST_S, 1.0)
-        bucket = self._buckets.setdefault(customer, _Bucket(capacity, at))
-        elapsed = max(at - bucket.updated_at, 0.0)
-        bucket.tokens = min(bucket.tokens + elapsed * weight, capacity)
-        bucket.updated_at = max(at, bucket.updated_at)
-        return bucket
+        times = self._times.setdefault(customer, deque())
+        while times and times[0] <= at - self._allowance.window_s:
+            times.popleft()
+        return len(times) + 1 <= self._allowance.limit(weight)
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -30,6 +30,7 @@
     ServerRecords,
     decode_former_tasks,
 )
+from cassiaweir.dispatch._shares import ShareAllowance
 from cassiaweir.exceptions import InvalidInputError, UnavailableError
 from cassiaweir.feeds import TableWatch
 from cassiaweir.jobs import JobState, decode_outcome
@@ -150,10 +151,12 @@
         former_leader_gone: Callable[[Owner], bool],
         metrics: Metrics,
         failure_domain: str = "",
+        share_allowance: ShareAllowance | None = None,
         evacuations: EvacuationSource | None = None,
     ) -> None:
         self._evacuations = evacuations or NoEvacuations()
         self._failure_domain = failure_domain
+        self._share_allowance = share_allowance
         self._table = table
         self._feed = feed
         self._clock = clock
@@ -284,6 +287,7 @@
             self._configuration,
             {row_name(row.key): row.value for row in stored.progress},
             stored.decode_outcomes(),
+            self._share_allowance,
         )
         former_tasks = decode_former_tasks(stored.records, leadership.former)
         gate = TakeoverGate(
--- a/cassiaweir/platform/_local_settings.py
+++ b/cassiaweir/platform/_local_settings.py
@@ -38,6 +38,11 @@
 class _Bounds(msgspec.Struct):
     # The time within which a withdrawn key must no longer be accepted.
     revoke_ms: float = 5_000
+    # What a customer may submit in any time of this length is limited by its weight.
+    quota_window_s: float = 1.0
+    # The share by which it may exceed that, and jobs that it may submit beyond.
+    quota_overage: float = 0.0
+    quota_slack: int = 0
 
 
 class _Platform(msgspec.Struct):
@@ -65,7 +70,9 @@
     `node` is the name of the VM.  Addresses are host:port.  `advice_address` is empty
     where the platform has no advice service.  `key_withdrawal_s` is the time within
     which a withdrawn key must no longer be accepted.  `cores` is the processing power
-    of the VM in standard cores, which need not be a whole number.
+    of the VM in standard cores, which need not be a whole number.  In any time of
+    `share_window_s` a customer may submit the jobs that its weight allows, the share
+    `share_overage` and `share_slack` jobs more.
     """
 
     node: str
@@ -78,6 +85,9 @@
     advice_address: str
     key_withdrawal_s: float
     cores: float = 1.0
+    share_window_s: float = 1.0
+    share_overage: float = 0.0
+    share_slack: int = 0
 
 
 def local_settings_path() -> Path:
@@ -107,4 +117,7 @@
         advice_address=found.hint,
         key_withdrawal_s=bounds.revoke_ms / 1_000,
         cores=found.limits.cpu_share * found.limits.cores,
+        share_window_s=bounds.quota_window_s,
+        share_overage=bounds.quota_overage,
+        share_slack=bounds.quota_slack,
     )
--- a/tests/test_dispatch_parts.py
+++ b/tests/test_dispatch_parts.py
@@ -26,7 +26,7 @@
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import LEASE_S, MAX_LEASE_MS, Server
 from cassiaweir.dispatch._server_records import FormerTasks
-from cassiaweir.dispatch._shares import ShareMeter
+from cassiaweir.dispatch._shares import ShareAllowance, ShareMeter
 from cassiaweir.dispatch._speed import RunProgress
 from cassiaweir.dispatch._usage import CustomerUsage
 from cassiaweir.jobs import Job, JobSpec, Step, StepSpec
@@ -245,6 +245,16 @@
     assert not meter.record_submission("calm", 2.0, 0.0)
 
 
+# Guards against work of a burst that is put behind all other work, although the
+# settings allow the customer such bursts.
+def test_a_share_allows_bursts_within_its_window_overage_and_slack():
+    meter = ShareMeter(ShareAllowance(window_s=5.0, overage=0.1, slack=20))
+    burst = [meter.record_submission("agency", 2.0, 0.0) for _ in range(32)]
+    assert burst == [False] * 31 + [True]
+    assert meter.record_submission("agency", 2.0, 4.9)
+    assert not meter.record_submission("agency", 2.0, 5.0)
+
+
 def test_a_run_without_progress_is_stalled():
     progress = RunProgress()
     progress.record(40, 0.0)
