--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -52,6 +52,13 @@
 MAX_ENTRIES_AGE = timedelta(seconds=3)
 """Nothing starts by entries of servers that are older: their rooms may have shrunk."""
 
+MAX_CONSIDERED_GANGS = 16
+"""Waiting gangs that one round looks at, the first ones by rank.
+
+Reservations have a limit that few gangs reach, and each gang costs as much as many
+small steps: with a hundred of them the leader did little else.
+"""
+
 FUTURE_CANDIDATES_MAX_AGE_S = 0.1
 """The servers on which a step waits for room are looked up again after this time."""
 
@@ -151,10 +158,11 @@
         usable = self._evacuations.usable(usable, now)
         self.waits.begin_round(usable, now, entries_current=entries_current)
         found = sorted(self._waiting.find(now), key=lambda each: each.rank)
-        self._discard_others({each.step.name for each in found})
         self._quarantine.begin_round(
             {each.entry.job.job_id for each in found}, self._servers.values()
         )
+        found = self._limit_gangs(found)
+        self._discard_others({each.step.name for each in found})
         self._cap_holds.begin_round()
         try:
             self._plan_gangs(found, usable, now)
@@ -199,6 +207,20 @@
             self._reservations.release_with(evacuated)
             self._future.clear()
 
+    def _limit_gangs(self, found: Sequence[WaitingStep]) -> list[WaitingStep]:
+        """Return the steps in `found` without the gangs that this round leaves out."""
+        kept = []
+        gangs = 0
+        for waiting in found:
+            if waiting.step.spec.gang and waiting.queue.priority != URGENT_PRIORITY:
+                gangs += 1
+                if gangs > MAX_CONSIDERED_GANGS:
+                    count = waiting.step.waiting_count
+                    self.waits.note(waiting, WaitCause.ORDER, count)
+                    continue
+            kept.append(waiting)
+        return kept
+
     def _plan_gangs(
         self, found: Iterable[WaitingStep], usable: Sequence[Server], now: float
     ) -> None:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cassiaweir.dispatch._placer import MAX_CONSIDERED_GANGS
 from cassiaweir.dispatch._preemption import preempt_for_step
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.jobs import StepSpec
@@ -369,3 +370,26 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against rounds that spend their time on a hundred waiting gangs, of which few
+# can be served: urgent work then waited for the leader and not for servers.
+def test_a_round_looks_at_few_of_many_waiting_gangs_and_all_start_in_the_end() -> None:
+    async def body() -> None:
+        site = site_with(6)
+        leader = await site.wait_for_leader()
+        gang = StepSpec(count=6, cpu_millis=8_000, estimate_s=0.5, gang=True)
+        jobs = [site.submit(gang, queue=GANG_QUEUE, task_s=0.5) for _ in range(40)]
+        await asyncio.sleep(1.0)
+        dispatcher = leader.term._dispatcher
+        assert dispatcher is not None
+        placer = dispatcher._placer
+        waiting = placer._waiting.find(dispatcher._clock.monotonic())
+        assert len(waiting) > MAX_CONSIDERED_GANGS
+        assert len(placer._limit_gangs(waiting)) == MAX_CONSIDERED_GANGS
+        await asyncio.sleep(60)
+        assert all(site.starts_of(job_id) for job_id in jobs)
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
