--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -26,6 +26,15 @@
 A backlog that has waited for long then does not keep new work from being on time.
 """
 
+FINISH_MARGIN_S = 0.25
+FINISH_MARGIN_SHARE = 0.15
+"""A job counts as on time only if it ends this much before its deadline.
+
+That covers the order of a start, the store of the end, and tasks that take longer than
+expected.  Under overload the work that is nearest to its deadline comes first; without
+the margin all of it would end just after its deadline.
+"""
+
 PRESSURE_S = 0.5
 """Steps whose latest starts fall into the same interval are equally pressing."""
 
@@ -180,10 +189,11 @@
     something only once it is complete.
     """
     objective = entry.objective
+    expected_s = remaining_s * (1 + FINISH_MARGIN_SHARE) + FINISH_MARGIN_S
     latest_start = objective.due_at - remaining_s
     return Rank(
         BEYOND_SHARE if entry.over_share else WITHIN_SHARE,
-        int(deadline_status(objective, remaining_s, now)),
+        int(deadline_status(objective, expected_s, now)),
         int(queue.priority != URGENT_PRIORITY),
         int(latest_start // PRESSURE_S),
         int(not entry.job.started),
