--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -12,7 +12,7 @@
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._job_times import URGENT_PRIORITY
-from cassiaweir.dispatch._objective import deadline_status
+from cassiaweir.dispatch._objective import DeadlineStatus, deadline_status
 from cassiaweir.jobs import Step, Task
 from cassiaweir.queues import Queue
 from cassiaweir.types import Clock
@@ -35,6 +35,13 @@
 the margin all of it would end just after its deadline.
 """
 
+NEW_JOB_SHARE = 0.2
+"""A job counts as on time for this share of its allowed time after its submission.
+
+On slow servers the expected duration and the margin may exceed the allowed time of a
+short job, which would then be late from the start.
+"""
+
 PRESSURE_S = 0.5
 """Steps whose latest starts fall into the same interval are equally pressing."""
 
@@ -191,9 +198,13 @@
     objective = entry.objective
     expected_s = remaining_s * (1 + FINISH_MARGIN_SHARE) + FINISH_MARGIN_S
     latest_start = objective.due_at - remaining_s
+    status = deadline_status(objective, expected_s, now)
+    allowed_s = objective.due_at - entry.submitted_at
+    if now < entry.submitted_at + NEW_JOB_SHARE * allowed_s:
+        status = DeadlineStatus.ON_TIME
     return Rank(
         BEYOND_SHARE if entry.over_share else WITHIN_SHARE,
-        int(deadline_status(objective, expected_s, now)),
+        int(status),
         int(queue.priority != URGENT_PRIORITY),
         int(latest_start // PRESSURE_S),
         int(not entry.job.started),
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -14,12 +14,13 @@
 from cassiaweir.dispatch import EndKind, RunningTask, ServerReport, TaskEnd, job_key
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
+from cassiaweir.dispatch._objective import DeadlineStatus, Objective
 from cassiaweir.dispatch._reports import ReportProcessor
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._usage import CustomerUsage
-from cassiaweir.dispatch._waiting_steps import AGED_S, WaitingSteps
+from cassiaweir.dispatch._waiting_steps import AGED_S, WaitingSteps, rank_of
 from cassiaweir.jobs import JobSpec, StepSpec
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import Customer, Queue
@@ -142,6 +143,18 @@
         assert (order[taught][0] is old) == taught
 
 
+# Guards against urgent jobs that are late from the start, as their servers are expected
+# to take almost as long as the deadline allows.
+def test_new_job_is_on_time_even_if_its_servers_are_slow():
+    bench = Bench()
+    entry = bench.submit(StepSpec(count=1, estimate_s=1.0), queue=URGENT)
+    now = entry.submitted_at
+    entry.objective = Objective(now + 1.27, now + 3.8)
+    early = rank_of(entry, URGENT, 0.97, now + 0.1)
+    assert early.status == DeadlineStatus.ON_TIME
+    assert rank_of(entry, URGENT, 0.97, now + 0.3).status == DeadlineStatus.LATE
+
+
 # Guards against objectives that stay as they were at submission.
 def test_objective_follows_what_is_learnt_and_only_noticeable_changes():
     bench = Bench()
