Say in the logs what counts against a customer's cap, and check each start against it

The decision moves from the placer into CustomerCaps. The simulated site records a fault for each start beyond the cap of its configuration. No decision changes.

Result: test_logs_say_what_counts_against_the_cap_after_a_takeover; the tests that use the simulated site pass with the new check (test_takeover_caps, test_wait_causes, test_load_patterns, test_site_faults, test_load_admission, test_dispatch_parts, test_gangs).

--- a/cassiaweir/dispatch/_former_usage.py
+++ b/cassiaweir/dispatch/_former_usage.py
@@ -8,9 +8,13 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+import msgspec
+from loguru import logger
+
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._server import Server
@@ -20,6 +24,10 @@
 RECOUNT_INTERVAL_S = 0.1
 """The runs are counted again after this time, as that takes time for many jobs."""
 
+LOG_INTERVAL_S = 1.0
+MAX_LOGGED = 12
+"""At most this many customers are named in a line, those with most CPU."""
+
 
 @dataclass(frozen=True, slots=True)
 class _FormerRun:
@@ -49,6 +57,7 @@
         self._clock = clock
         self._named: dict[str, _FormerRun] = {}
         self._counted_at = -math.inf
+        self._logged_at = -math.inf
         self._by_customer: dict[str, Resources] = {}
 
     def of(self, customer: str) -> Resources:
@@ -58,16 +67,39 @@
         now = self._clock.monotonic()
         if now - self._counted_at >= RECOUNT_INTERVAL_S:
             self._counted_at = now
-            self._by_customer = self._count()
+            self._by_customer = self._count(now)
         return self._by_customer.get(customer, NO_RESOURCES)
 
-    def _count(self) -> dict[str, Resources]:
-        found: dict[str, Resources] = {}
-        self._add_named(found)
+    def _count(self, now: float) -> dict[str, Resources]:
+        named: dict[str, Resources] = {}
+        self._add_named(named)
+        unnamed: dict[str, Resources] = {}
         if self._gate.open_servers:
-            self._add_unnamed(found)
+            self._add_unnamed(unnamed)
+        self._log(named, unnamed, now)
+        found = dict(named)
+        for customer, demand in unnamed.items():
+            _add(found, customer, demand)
         return found
 
+    def _log(
+        self,
+        named: Mapping[str, Resources],
+        unnamed: Mapping[str, Resources],
+        now: float,
+    ) -> None:
+        """Log the count regularly while there is one."""
+        if now - self._logged_at < LOG_INTERVAL_S or not (named or unnamed):
+            return
+        self._logged_at = now
+        logger.info(
+            "former_runs_counted",
+            named=_cpu_text(named),
+            unnamed=_cpu_text(unnamed),
+            servers=len(self._gate.unsettled_servers),
+            open_servers=len(self._gate.open_servers),
+        )
+
     def _add_named(self, found: dict[str, Resources]) -> None:
         for name in self._gate.named_tasks:
             task = self._jobs.find_task(name)
@@ -115,6 +147,12 @@
     found[customer] = found.get(customer, NO_RESOURCES) + demand
 
 
+def _cpu_text(found: Mapping[str, Resources]) -> str:
+    """Return the CPU of the largest customers in thousandths of a core, as JSON."""
+    cpu = Counter({name: demand.cpu_millis for name, demand in found.items()})
+    return msgspec.json.encode(dict(cpu.most_common(MAX_LOGGED))).decode()
+
+
 def _minimum(one: Resources, other: Resources) -> Resources:
     return Resources(
         min(one.cpu_millis, other.cpu_millis),
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -102,6 +102,11 @@
         self.models = WorkModels()
         self.objective_updates = 0
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration that is applied now."""
+        return self._configuration.current().version
+
     def queue_of(self, job: Job) -> Queue:
         """Return the job's queue as configured now, or as it was at submission."""
         submitted = job.spec.queue
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -11,9 +11,9 @@
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
-from cassiaweir.dispatch._cap_holds import CapHolds
 from cassiaweir.dispatch._cold_servers import ColdServers
 from cassiaweir.dispatch._crash_tracker import CrashTracker
+from cassiaweir.dispatch._customer_caps import CustomerCaps
 from cassiaweir.dispatch._evacuation import Evacuations
 from cassiaweir.dispatch._former_usage import FormerUsage
 from cassiaweir.dispatch._gang_planner import GangPlanner, WaitingGang
@@ -43,7 +43,7 @@
     WaitingStep,
     WaitingSteps,
 )
-from cassiaweir.jobs import Isolation, Step
+from cassiaweir.jobs import Isolation, Step, Task
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import AdvicePolicy
 from cassiaweir.scheduling import InterferenceModel
@@ -108,13 +108,12 @@
     ) -> None:
         self._jobs = jobs
         self._runs = runs
-        self._usage = usage
         self._advice = advice
         self._clock = clock
         self._servers = servers
         self._waiting = WaitingSteps(jobs, clock, gate, crashes)
-        self._former_usage = FormerUsage(jobs, gate, servers, clock)
-        self._cap_holds = CapHolds()
+        former = FormerUsage(jobs, gate, servers, clock)
+        self._caps = CustomerCaps(jobs, usage, former)
         self._quarantine = Quarantine()
         self._evacuations = evacuations
         self._cold = cold
@@ -134,6 +133,7 @@
             clock,
             store_reachable=store_reachable,
             reserved=lambda: self._reservations.of_others(""),
+            metrics=metrics,
         )
         self._durations = jobs.models.steps
         self._gangs = GangPlanner(advice, self._reservations, jobs.models)
@@ -163,7 +163,7 @@
         )
         found = self._limit_gangs(found)
         self._discard_others({each.step.name for each in found})
-        self._cap_holds.begin_round()
+        self._caps.begin_round()
         try:
             self._plan_gangs(found, usable, now)
         except Exception as exc:
@@ -234,7 +234,7 @@
             if len(tasks) < len(step.tasks):
                 continue
             count = len(tasks)
-            if self._count_within_cap(waiting, count) < count:
+            if self._caps.allowed(waiting, count) < count:
                 continue
             for group in self._quarantine.groups(step, tasks, now):
                 if group.isolation is not Isolation.ALONE:
@@ -242,23 +242,20 @@
                     gangs.append(WaitingGang(waiting, servers, count))
         self._gangs.plan(gangs, {each.entry.server_id for each in usable}, now)
 
-    def _count_within_cap(self, waiting: WaitingStep, count: int) -> int:
-        """Return how many of `count` tasks the cap of the customer allows now."""
-        job = waiting.entry.job
-        reserved = self._former_usage.of(job.spec.customer)
-        if waiting.queue.priority != URGENT_PRIORITY:
-            reserved = reserved + self._cap_holds.of(job.spec.customer)
-        return self._usage.count_within_cap(
-            self._jobs.customer_of(job), waiting.step.demand, count, reserved
-        )
+    def _note_capped(
+        self, waiting: WaitingStep, tasks: Sequence[Task], capped: int
+    ) -> None:
+        """Note that the cap of the customer keeps `capped` of `tasks` waiting."""
+        if capped:
+            cause = self._caps.cause(waiting, len(tasks))
+            self.waits.note(waiting, cause, capped)
 
     def _hold_cap(self, waiting: WaitingStep) -> None:
         """Keep the cap of the customer for a gang that waits and can be on time."""
         urgent = waiting.queue.priority == URGENT_PRIORITY
         on_time = waiting.rank.status == DeadlineStatus.ON_TIME
         if waiting.step.spec.gang and on_time and not urgent:
-            customer = self._jobs.customer_of(waiting.entry.job)
-            self._cap_holds.hold(waiting, customer)
+            self._caps.hold(waiting)
 
     def _place_step(
         self,
@@ -319,13 +316,13 @@
         """
         step, queue, tasks = waiting.step, waiting.queue, group.tasks
         alone = group.isolation is Isolation.ALONE
-        within_cap = self._count_within_cap(waiting, len(tasks))
+        within_cap = self._caps.allowed(waiting, len(tasks))
         if within_cap == 0 or (step.spec.gang and within_cap < len(tasks)):
-            self.waits.note(waiting, WaitCause.CAP, len(tasks))
+            self._note_capped(waiting, tasks, len(tasks))
             self._reservations.release(step.name)
             self._hold_cap(waiting)
             return
-        self.waits.note(waiting, WaitCause.CAP, len(tasks) - within_cap)
+        self._note_capped(waiting, tasks, len(tasks) - within_cap)
         free = self._cold.allowed(waiting, self._available_servers(waiting, with_room))
         tickets = None
         if queue.advice is not None:
@@ -363,7 +360,7 @@
             self._preempt_others(waiting, usable, tickets, missing)
             return
         self._reservations.release(step.name)
-        self._start(step, group, chosen, tickets or {})
+        self._start(waiting, group, chosen, tickets or {})
         self._preempt_others(waiting, usable, tickets, missing)
 
     def _preempt_others(
@@ -530,11 +527,12 @@
 
     def _start(
         self,
-        step: Step,
+        waiting: WaitingStep,
         group: TaskGroup,
         chosen: Sequence[Server],
         tickets: Mapping[str, str],
     ) -> None:
+        step = waiting.step
         runs: list[Run] = []
         for task, server in zip(group.tasks, chosen, strict=False):
             number = self._runs.next_number(step, task)
@@ -554,6 +552,9 @@
                 servers=",".join(sorted(servers)),
                 loads=",".join(servers[each].load_text for each in sorted(servers)),
                 isolation=group.isolation.name.lower(),
+                customer=step.job.spec.customer,
+                customer_load=self._caps.load_text(waiting),
+                configuration=self._jobs.configuration_version,
             )
             self._note_backfilled(step, runs)
             self._launch(runs)
--- a/cassiaweir/dispatch/_wait_causes.py
+++ b/cassiaweir/dispatch/_wait_causes.py
@@ -22,6 +22,7 @@
     WaitingSteps,
 )
 from cassiaweir.jobs import Isolation, Step
+from cassiaweir.observe import Metrics
 from cassiaweir.types import Clock, Resources
 
 SUMMARY_INTERVAL_S = 1.0
@@ -47,6 +48,8 @@
     CAPACITY = "capacity"
     CAP = "cap"
     """Its customer uses all that its cap allows."""
+    CAP_TAKEOVER = "cap_takeover"
+    """What its customer may have running on servers out of reach takes up the cap."""
     SHARE = "share"
     """The servers are full, and its job is beyond its customer's share."""
     ADVICE = "advice"
@@ -159,8 +162,10 @@
         *,
         store_reachable: Callable[[], bool],
         reserved: Callable[[], Collection[str]],
+        metrics: Metrics,
     ) -> None:
         self._steps = steps
+        self._metrics = metrics
         self._servers = servers
         self._gate = gate
         self._clock = clock
@@ -239,6 +244,7 @@
             self._assign_missing()
             self._count_held()
             self._count_unrecorded()
+            self._count_by_cause()
             self._log()
         except Exception as exc:
             # Tasks are placed whether or not the summary can be made.
@@ -342,6 +348,14 @@
                     spec = run.task.step.job.spec
                     self._count(spec.queue.name, spec.customer, WaitCause.STORE, 1)
 
+    def _count_by_cause(self) -> None:
+        """Add the waiting tasks to the metric of each cause, once a summary."""
+        causes: Counter[WaitCause] = Counter()
+        for counts in self._queues.values():
+            causes.update(counts)
+        for cause, tasks in causes.items():
+            self._metrics.count("tasks_waiting", tasks, cause=cause.value)
+
     def _log(self) -> None:
         """Log the counts, unless nothing waits and nothing else has changed."""
         servers = self._servers.values()
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -10,7 +10,7 @@
 
 from cassiaweir.dispatch import EndKind, StartOrder
 from cassiaweir.jobs import JobSpec
-from cassiaweir.types import Write
+from cassiaweir.types import NO_RESOURCES, Resources, Write
 from standins.users._rows import MemoryStore
 from standins.users._servers import FakeRun, FakeServer
 
@@ -61,11 +61,12 @@
 
     `faults` describes each breach of a guarantee that was seen: a task running twice,
     a task started again after its end was acknowledged, an overcommitted server, a
-    deadly task started too often, or a task started in an evacuated domain.  The latter
-    is allowed until `evacuation_s` after the request.  `deadly` holds the tasks that
-    crash their servers, by the beginning of the task's name.  `rates` gives the rate of
-    a kind of task while one of another kind runs on the same server, where it is not
-    the full rate.
+    deadly task started too often, a customer above its cap, or a task started in an
+    evacuated domain.  The latter is allowed until `evacuation_s` after the request.
+    `caps` holds what each customer may have running; 0 means no limit.  `deadly` holds
+    the tasks that crash their servers, by the beginning of the task's name.  `rates`
+    gives the rate of a kind of task while one of another kind runs on the same server,
+    where it is not the full rate.
     Servers are spread over the failure `domains` in turn.  `specs` holds the job spec
     of each submitted job by its id.
     """
@@ -76,6 +77,7 @@
         self.faults: list[str] = []
         self.specs: dict[str, JobSpec] = {}
         self.deadly: dict[str, Deadly] = {}
+        self.caps: dict[str, Resources] = {}
         self.evacuation_s = EVACUATION_S
         self._evacuated_at: dict[str, float] = {}
         self.rates: dict[tuple[str, str], float] = {}
@@ -159,6 +161,7 @@
             self.faults.append(
                 f"overcommitted: {order.task} does not fit on {server.entry.server_id}"
             )
+        self._check_cap(spec.customer, run)
         server.runs[order.task, order.run] = run
         server.update_rates()
         started = RunRecord(order.task, order.run, server.entry.server_id, now)
@@ -167,6 +170,40 @@
         self._crash_if_deadly(server, order.task)
         self._running[server.entry.server_id, order.task, order.run] = started
 
+    def usage_of(self, customer: str) -> Resources:
+        """Return what all runs of a customer take now."""
+        runs = (
+            run
+            for server in self.servers.values()
+            for run in server.runs.values()
+            if self.specs[run.task.partition(".")[0]].customer == customer
+        )
+        return sum((run.demand for run in runs), NO_RESOURCES)
+
+    def cap_of(self, customer: str) -> Resources | None:
+        """Return what a customer may have running, None if that is not checked."""
+        return self.caps.get(customer)
+
+    def _check_cap(self, customer: str, run: FakeRun) -> None:
+        """Record a fault if a run that is about to start is beyond its customer's cap.
+
+        What is being stopped still counts.
+        """
+        cap = self.cap_of(customer)
+        if cap is None:
+            return
+        used = self.usage_of(customer) + run.demand
+        for taken, limit in (
+            (used.cpu_millis, cap.cpu_millis),
+            (used.memory_mb, cap.memory_mb),
+            (used.accelerators, cap.accelerators),
+        ):
+            if limit and taken > limit:
+                self.faults.append(
+                    f"above the cap: {customer} has {taken} of {limit} running "
+                    f"with {run.task}"
+                )
+
     def crashes_of(self, task: str) -> list[RunRecord]:
         """Return the runs of `task` that ended with a crash of their server."""
         return [
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -45,7 +45,7 @@
     Queue,
     QueueConfiguration,
 )
-from cassiaweir.types import Changes, Check, Row, Snapshot, Write
+from cassiaweir.types import Changes, Check, Resources, Row, Snapshot, Write
 from cassiaweir.verdict import Verdict
 from standins.users import SERVICE, FakeServer, MemoryStore, RunRecord, Site
 from tests.virtual_time import VirtualClock
@@ -88,6 +88,21 @@
         return self.value
 
 
+class VmConfiguration:
+    """The configuration as one VM has read it.
+
+    It is the site's, unless `stale` holds an older one.
+    """
+
+    def __init__(self, source: ReplaceableConfiguration) -> None:
+        self._source = source
+        self.stale: QueueConfiguration | None = None
+
+    def current(self) -> QueueConfiguration:
+        """Return the configuration."""
+        return self.stale or self._source.current()
+
+
 class VmStore:
     """One VM's connection to the store, with a fault that `fault_mode` selects.
 
@@ -306,6 +321,7 @@
         self.site = site
         self.store = VmStore(site.store, rng)
         self.orders = VmServerClient(site, rng)
+        self.configuration = VmConfiguration(site.configuration)
         self._rng = rng
         self._process_numbers = itertools.count(1)
         self.alive = False
@@ -336,7 +352,7 @@
             table=self.store,
             feed=self.store,
             clock=clock,
-            configuration=self.site.configuration,
+            configuration=self.configuration,
             calls=self.orders,
             servers_prefix="servers//",
             decode_entry=lambda _, raw: msgspec.json.decode(raw, type=ServerEntry),
@@ -402,7 +418,8 @@
     `cores` gives the processor cores of each VM; without it there are `vms` VMs of one
     core.  VMs in `refusing` refuse connections from other VMs.  The advice service
     takes `question_s` for a question and `each_server_s` for each server named in it.
-    VMs and servers are spread over the failure `domains` in turn.
+    VMs and servers are spread over the failure `domains` in turn.  Starts are checked
+    against the caps of the configuration, and against those in `caps` before them.
     """
 
     def __init__(
@@ -430,6 +447,12 @@
             domain = domains[number % len(domains)]
             self.vms.append(FakeVm(f"vm-{number}", self, vm_cores, domain))
 
+    def cap_of(self, customer: str) -> Resources | None:
+        """Return what a customer may have running, None if that is not checked."""
+        configured = self.configuration.value.customers.get(customer)
+        found = configured.cap if configured is not None else None
+        return self.caps.get(customer, found)
+
     def advisor(self) -> FakeAdvisor:
         """Return the advice service as a VM reaches it."""
         return FakeAdvisor(self.question_s, self.each_server_s)
--- a/tests/test_takeover_caps.py
+++ b/tests/test_takeover_caps.py
@@ -12,6 +12,7 @@
 import pytest
 
 from cassiaweir.jobs import StepSpec
+from cassiaweir.observe._waits import read_waits
 from cassiaweir.queues import Customer
 from cassiaweir.types import Resources
 from tests.site_fakes import FakeSite, FakeVm, configuration
@@ -23,6 +24,7 @@
     cut_leader,
     domains_of,
 )
+from tests.test_wait_causes import log_lines
 from tests.virtual_time import run_virtual
 
 DOMAINS = ("a", "b", "c")
@@ -111,3 +113,24 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against logs that do not tell why a customer has, or has not, what it may have.
+def test_logs_say_what_counts_against_the_cap_after_a_takeover() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
+        await fill_leader_domain(site, 12.0)
+        with log_lines() as lines:
+            await cut_leader(site)
+            site.submit(CORE, task_s=1.0)
+            await asyncio.sleep(2.5)
+            waiting = read_waits(lines).seconds[-1]
+            assert waiting.customers["agency"]["cap_takeover"] == 1
+            counted = [each for each in lines if "former_runs_counted" in each]
+            assert '"{\\"agency\\":16000}"' in counted[-1]
+            await asyncio.sleep(MAX_HELD_S + MAX_WAIT_S)
+        placed = [each for each in lines if "tasks_placed" in each]
+        assert "customer_load=16000:0+0:0/16000:0 configuration=1" in placed[-1]
+        await site.close()
+
+    run_virtual(body)
