Show that runs of ended jobs and unknown customers pass a cap

Runs of jobs that were cancelled or failed where the stop orders did not arrive count for nobody after a takeover: 17,000 to 23,000 of 16,000 thousandths of a core at one new job each 0.3 s.

--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -69,11 +69,13 @@
 
 
 def configuration(
-    *customers: Customer, queues: Sequence[Queue] = (QUEUE, URGENT, ADVISED)
+    *customers: Customer,
+    queues: Sequence[Queue] = (QUEUE, URGENT, ADVISED),
+    version: int = 1,
 ) -> QueueConfiguration:
     """Return a configuration with these customers, or `CUSTOMER`, and these queues."""
     return QueueConfiguration.build(
-        1, queues, [BackendService(SERVICE)], customers or [CUSTOMER], 262_144
+        version, queues, [BackendService(SERVICE)], customers or [CUSTOMER], 262_144
     )
 
 
--- a/tests/test_takeover_caps.py
+++ b/tests/test_takeover_caps.py
@@ -11,11 +11,11 @@
 
 import pytest
 
-from cassiaweir.jobs import StepSpec
+from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.observe._waits import read_waits
 from cassiaweir.queues import Customer
 from cassiaweir.types import Resources
-from tests.site_fakes import FakeSite, FakeVm, configuration
+from tests.site_fakes import CUSTOMER, FakeSite, FakeVm, configuration
 from tests.test_takeover_holding import (
     MAX_HELD_S,
     MAX_WAIT_S,
@@ -23,6 +23,7 @@
     WIDE,
     cut_leader,
     domains_of,
+    now,
 )
 from tests.test_wait_causes import log_lines
 from tests.virtual_time import run_virtual
@@ -39,27 +40,50 @@
 
     Return the leader.
     """
+    leader = await prepare(site)
+    await fill_domain(site, leader.failure_domain, task_s)
+    return leader
+
+
+async def prepare(site: FakeSite) -> FakeVm:
+    """Give the customer its cap and wait for a leader; return it."""
     customer = Customer(
         "agency", frozenset({"key"}), 20.0, Resources(CAP_CPU_MILLIS, 0, 0)
     )
     site.configuration.value = configuration(customer, Customer("other"))
     leader = await site.wait_for_leader()
     await asyncio.sleep(SETTLE_S)
+    return leader
+
+
+async def fill_domain(site: FakeSite, domain: str, task_s: float) -> list[str]:
+    """Let the customer run all that its cap allows in one failure domain.
+
+    Return the ids of its jobs, each of which has one task.
+    """
     blockers = [site.submit(WIDE, task_s=60.0, customer="other") for _ in site.servers]
     await asyncio.sleep(SETTLE_S)
-    inside = [
-        each for each in blockers if domains_of(site, each) == {leader.failure_domain}
-    ]
+    inside = [each for each in blockers if domains_of(site, each) == {domain}]
     for job_id in inside:
         site.cancel(job_id)
     await asyncio.sleep(SETTLE_S)
     jobs = [site.submit(CORE, task_s=task_s) for _ in range(16)]
     await asyncio.sleep(SETTLE_S)
-    assert all(domains_of(site, each) == {leader.failure_domain} for each in jobs)
+    assert all(domains_of(site, each) == {domain} for each in jobs)
     for job_id in set(blockers) - set(inside):
         site.cancel(job_id)
     await asyncio.sleep(SETTLE_S)
-    return leader
+    return jobs
+
+
+async def fill_other_domain(site: FakeSite, task_s: float) -> tuple[FakeVm, list[str]]:
+    """Let the customer run all that its cap allows in another domain than the leader's.
+
+    Return the leader and the ids of the customer's jobs.
+    """
+    leader = await prepare(site)
+    other = next(each for each in DOMAINS if each != leader.failure_domain)
+    return leader, await fill_domain(site, other, task_s)
 
 
 def running_cpu_millis(site: FakeSite) -> int:
@@ -134,3 +158,152 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against a successor that counts only the tasks of jobs that it finds open: the
+# runs of jobs cancelled just before went on where the stop orders did not arrive.
+@pytest.mark.parametrize("cancel_after_s", [0.0, 0.6, 1.5])
+@pytest.mark.parametrize("kill_after_s", [0.1, 0.6, 2.0])
+def test_runs_of_cancelled_jobs_count_against_the_cap_after_a_takeover(
+    cancel_after_s: float, kill_after_s: float
+) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
+        leader, jobs = await fill_other_domain(site, 30.0)
+        [domain] = domains_of(site, jobs[0])
+        site.cut_domain(domain)
+        await asyncio.sleep(cancel_after_s)
+        for job_id in jobs:
+            site.cancel(job_id)
+        await asyncio.sleep(kill_after_s)
+        await leader.kill()
+        most = await submit_until(site, now() + MAX_HELD_S + MAX_WAIT_S)
+        assert most == CAP_CPU_MILLIS
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+# Guards against runs that are stopped after the takeover and counted by nobody: their
+# job has ended, and the server that lists them has answered.
+@pytest.mark.parametrize("healed_after_s", [0.2, 1.0, 3.0])
+def test_runs_of_cancelled_jobs_count_until_their_server_has_stopped_them(
+    healed_after_s: float,
+) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
+        leader, jobs = await fill_other_domain(site, 30.0)
+        [domain] = domains_of(site, jobs[0])
+        site.cut_domain(domain)
+        for job_id in jobs:
+            site.cancel(job_id)
+        await asyncio.sleep(0.6)
+        await leader.kill()
+        for _ in range(16):
+            site.submit(CORE, task_s=12.0)
+        await site.wait_for_leader()
+        await asyncio.sleep(healed_after_s)
+        site.heal_domain(domain)
+        await asyncio.sleep(2.0)
+        assert running_cpu_millis(site) == CAP_CPU_MILLIS
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+# Guards against a leader, and the one after it, that forget the runs of a job that was
+# cancelled while the servers there were out of reach.
+@pytest.mark.parametrize("second_takeover", [False, True])
+@pytest.mark.parametrize("own_domain", [False, True])
+def test_runs_of_jobs_cancelled_after_a_takeover_count_against_the_cap(
+    own_domain: bool, second_takeover: bool
+) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
+        if own_domain:
+            leader = await prepare(site)
+            jobs = await fill_domain(site, leader.failure_domain, 30.0)
+        else:
+            leader, jobs = await fill_other_domain(site, 30.0)
+        [domain] = domains_of(site, jobs[0])
+        site.cut_domain(domain)
+        await leader.kill()
+        successor = await site.wait_for_leader()
+        for job_id in jobs:
+            site.cancel(job_id)
+        if second_takeover:
+            await asyncio.sleep(4.0)
+            await successor.kill()
+        most = await submit_until(site, now() + MAX_HELD_S + MAX_WAIT_S)
+        assert most == CAP_CPU_MILLIS
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+# Guards against a job that failed while a task of it still runs out of reach.
+def test_runs_of_failed_jobs_count_against_the_cap_after_a_takeover() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
+        leader, jobs = await fill_other_domain(site, 30.0)
+        [domain] = domains_of(site, jobs[0])
+        site.cut_domain(domain)
+        dispatcher = leader.term._dispatcher
+        assert dispatcher is not None
+        for job_id in jobs:
+            entry = dispatcher._jobs.entries[job_id]
+            entry.job.state = JobState.FAILED
+            dispatcher._jobs.save(entry)
+            for run in list(entry.runs):
+                dispatcher._stop(run)
+        await asyncio.sleep(0.6)
+        await leader.kill()
+        most = await submit_until(site, now() + MAX_HELD_S + MAX_WAIT_S)
+        assert most == CAP_CPU_MILLIS
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+# Guards against a leader that has not read the version with a new customer yet, and
+# took that for a customer without a cap.
+def test_a_customer_that_the_leader_has_not_read_yet_keeps_its_cap() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
+        leader = await site.wait_for_leader()
+        await asyncio.sleep(SETTLE_S)
+        leader.configuration.stale = site.configuration.value
+        newcomer = Customer("new", frozenset({"new"}), 20.0, Resources(CAP_CPU_MILLIS))
+        site.configuration.value = configuration(newcomer, CUSTOMER, version=2)
+        for _ in range(40):
+            site.submit(CORE, task_s=12.0, customer="new")
+        await asyncio.sleep(1.0)
+        leader.configuration.stale = None
+        await asyncio.sleep(1.0)
+        assert running_cpu_millis(site) == CAP_CPU_MILLIS
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+# Guards against a customer without a cap, as it was removed while its jobs waited.
+def test_waiting_jobs_of_a_removed_customer_keep_its_cap() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
+        await prepare(site)
+        site.caps["agency"] = Resources(CAP_CPU_MILLIS)
+        for _ in range(40):
+            site.submit(CORE, task_s=4.0)
+        await asyncio.sleep(1.0)
+        site.configuration.value = configuration(Customer("other"), version=2)
+        await asyncio.sleep(12.0)
+        assert len(site.history) == 40
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
