Count runs of ended jobs against the cap until nothing of them can run

Cause: after a takeover FormerUsage counted only tasks of jobs that it found open. A job that was cancelled or had failed was in the store as an outcome only, while its runs went on where no order to stop them arrived. The same for a job that was cancelled after the takeover, and for runs that a server lists of a job without entry: stopped, counted by nobody.

Change: a job stays registered until nothing of it can run. Its row was whole until then already; a new leader now loads such rows as ended jobs while the gate is closed, counts what servers out of reach may run of them, and adopts and stops what a server lists. Jobs from before the takeover are kept until the gate opens, so the next leader finds them too. The progress of a job is deleted then and not with the outcome, so that done tasks do not count. Where a row is open, all waiting tasks of earlier jobs count, as a former leader may have known ends that allowed further steps. Ends of runs of ended jobs are not stored again.

Ruled out: the same leader, which counts a run until its end is reported. Done jobs: none of their tasks may run without breaking TWICE.

--- a/cassiaweir/dispatch/_compaction.py
+++ b/cassiaweir/dispatch/_compaction.py
@@ -1,6 +1,8 @@
 """Shrinks the rows of jobs that have ended, so that a new leader has less to load.
 
-The row itself is kept, as it prevents the id of the job from being used again.
+A row is whole as long as runs of its job may go on: a new leader counts these against
+the cap of the customer.  The row itself is kept, as it prevents the id of the job from
+being used again.
 """
 
 from __future__ import annotations
@@ -10,6 +12,7 @@
 
 from loguru import logger
 
+from cassiaweir.dispatch._job_rows import SHRUNK_VALUE
 from cassiaweir.exceptions import (
     ConflictError,
     TransactionRejectedError,
@@ -18,7 +21,6 @@
 from cassiaweir.store import TransactionSize
 from cassiaweir.types import Check, Clock, Row, Table, Write
 
-SHRUNK_VALUE = b"{}"
 SHRINK_INTERVAL = timedelta(seconds=3)
 
 
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -199,10 +199,10 @@
         if row_id.endswith(CANCEL_SUFFIX):
             self._cancel(row_id.removesuffix(CANCEL_SUFFIX))
             return
+        held = not self._gate.is_open and row.version <= self._leadership.owner_version
         if self._jobs.has_outcome(row_id):
-            self._shrinker.add(row)
+            self._apply_ended_row(row, held=held)
             return
-        held = not self._gate.is_open and row.version <= self._leadership.owner_version
         entry = self._jobs.add_row(row, held=held)
         if entry is not None:
             logger.info(
@@ -213,6 +213,16 @@
             self._commits.confirm_leadership(row.version)
             self.wake()
 
+    def _apply_ended_row(self, row: Row, *, held: bool) -> None:
+        """Apply the row of a job with a stored outcome.
+
+        If it is `held`, runs of it may go on at servers that have not answered.
+        """
+        if held and self._jobs.add_ended_row(row):
+            return
+        self._jobs.delete_former_progress(row_name(row.key))
+        self._shrinker.add(row)
+
     def update_server(self, entry: ServerEntry) -> None:
         """Apply a new or changed entry of a server."""
         server = self.servers.get(entry.server_id)
@@ -367,7 +377,7 @@
             self._evacuations.warn_of_unknown_domains()
         self.interference.age(now)
         self._jobs.open_due_occurrences()
-        for job in self._jobs.remove_finished():
+        for job in self._jobs.remove_finished(keep_held=not self._gate.is_open):
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
         self._remove_missing_servers(now)
         self._reports.learner.publish()
--- a/cassiaweir/dispatch/_former_usage.py
+++ b/cassiaweir/dispatch/_former_usage.py
@@ -10,7 +10,6 @@
 import math
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 import msgspec
 from loguru import logger
@@ -18,7 +17,7 @@
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._server import Server
-from cassiaweir.jobs import Task, TaskState
+from cassiaweir.jobs import JobState, Task, TaskState
 from cassiaweir.types import NO_RESOURCES, Clock, Resources
 
 RECOUNT_INTERVAL_S = 0.1
@@ -29,19 +28,12 @@
 """At most this many customers are named in a line, those with most CPU."""
 
 
-@dataclass(frozen=True, slots=True)
-class _FormerRun:
-    """A task that may run on a server out of reach, kept after its job has ended."""
-
-    customer: str
-    demand: Resources
-
-
 class FormerUsage:
     """Counts the resources that runs of former leaders may take, by customer.
 
     A restricted row of a server names its tasks.  Where a row is open, any task of a
-    job from before the takeover may run, up to the capacity of such servers.
+    job from before the takeover may run, up to the capacity of such servers.  That
+    includes jobs that have ended since, or had ended by then.
     """
 
     def __init__(
@@ -55,7 +47,6 @@
         self._gate = gate
         self._servers = servers
         self._clock = clock
-        self._named: dict[str, _FormerRun] = {}
         self._counted_at = -math.inf
         self._logged_at = -math.inf
         self._by_customer: dict[str, Resources] = {}
@@ -103,30 +94,18 @@
     def _add_named(self, found: dict[str, Resources]) -> None:
         for name in self._gate.named_tasks:
             task = self._jobs.find_task(name)
-            if task is not None:
-                self._remember(name, task)
-            run = self._named.get(name)
-            if run is not None:
-                _add(found, run.customer, run.demand)
-
-    def _remember(self, name: str, task: Task) -> None:
-        """Remember a named task, unless it is known to run elsewhere or to be done."""
-        if task.state is not TaskState.WAITING:
-            self._named.pop(name, None)
-            return
-        customer = task.step.job.spec.customer
-        self._named[name] = _FormerRun(customer, task.step.demand)
+            if task is not None and _may_run(task):
+                _add(found, task.step.job.spec.customer, task.step.demand)
 
     def _add_unnamed(self, found: dict[str, Resources]) -> None:
         capacity = self._open_capacity()
         named = self._gate.named_tasks
         unnamed: dict[str, Resources] = {}
-        for entry in self._jobs.open_jobs():
-            if not entry.held:
-                continue
-            for step in entry.job.startable_steps():
+        for entry in self._jobs.held_jobs():
+            # The former leader may know of ends that make further steps startable.
+            for step in entry.job.steps.values():
                 for task in step.waiting():
-                    if task.name not in named:
+                    if task.name not in named and _may_run(task):
                         _add(unnamed, entry.job.spec.customer, step.demand)
         for customer, demand in unnamed.items():
             bounded = demand if capacity is None else _minimum(demand, capacity)
@@ -143,6 +122,16 @@
         return total
 
 
+def _may_run(task: Task) -> bool:
+    """Return whether a task of a job from before the takeover may run out of reach.
+
+    A task that is placed is known to run elsewhere.  Jobs that were cancelled or have
+    failed may have runs, those that are done have none.
+    """
+    waits = task.state is TaskState.WAITING
+    return waits and task.step.job.state is not JobState.DONE
+
+
 def _add(found: dict[str, Resources], customer: str, demand: Resources) -> None:
     found[customer] = found.get(customer, NO_RESOURCES) + demand
 
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -8,7 +8,12 @@
 
 from loguru import logger
 
-from cassiaweir.dispatch._job_rows import PROGRESS_PREFIX, outcome_key, row_name
+from cassiaweir.dispatch._job_rows import (
+    PROGRESS_PREFIX,
+    SHRUNK_VALUE,
+    outcome_key,
+    row_name,
+)
 from cassiaweir.dispatch._job_times import JobTimes, WorkModels, refresh_times
 from cassiaweir.dispatch._objective import Objective, objective_of
 from cassiaweir.dispatch._runs import Run
@@ -129,12 +134,27 @@
         job_id = row_name(row.key)
         if job_id in self.entries or job_id in self._outcomes:
             return None
-        try:
-            spec = JobSpec.decode(row.value)
-        except InvalidInputError as exc:
-            logger.error("job_unreadable", job=job_id, cause=str(exc))
+        spec = _decode_spec(row)
+        if spec is None:
             return None
-        return self._add(spec, row.version, held=held)
+        entry = self._add(spec, row.version, held=held)
+        entry.over_share = self._record_submission(entry.job)
+        return entry
+
+    def add_ended_row(self, row: Row) -> bool:
+        """Add a job that ended before the takeover, as runs of it may go on.
+
+        Return False if its row no longer holds it, as nothing of it can run.
+        """
+        job_id = row_name(row.key)
+        if row.value == SHRUNK_VALUE:
+            return False
+        spec = _decode_spec(row)
+        if spec is None:
+            return False
+        entry = self._add(spec, row.version, held=True)
+        entry.job.state = self._outcomes.pop(job_id)
+        return True
 
     def times_of(self, entry: JobEntry, queue: Queue, now: float) -> JobTimes:
         """Return the expected durations of a job; update its objective to them."""
@@ -182,6 +202,10 @@
         """Yield the jobs that have not ended."""
         return (each for each in self.entries.values() if not each.job.ended)
 
+    def held_jobs(self) -> Iterator[JobEntry]:
+        """Yield the jobs from before the takeover, among them those that have ended."""
+        return (each for each in self.entries.values() if each.held)
+
     def open_due_occurrences(self) -> None:
         """Open the occurrences of repeated jobs that are due."""
         wall = self._clock.now().timestamp()
@@ -207,33 +231,42 @@
             entry.progress_stored = True
             entry.write_position = self._writer.put(Write(key, encode_progress(job)))
             return entry.write_position
-        # The outcome is written before the progress is deleted: a new leader would run
-        # a job again for which it finds neither.
+        # The progress is kept for a new leader, which needs it while runs may go on.
         outcome = Write(outcome_key(job.job_id), encode_outcome(job))
         entry.write_position = self._writer.put(outcome)
-        if entry.progress_stored:
-            self._writer.put(Write(key, None))
         return entry.write_position
 
     def has_outcome(self, job_id: str) -> bool:
         """Return whether a job's outcome is stored and it has no runs any more."""
         return job_id in self._outcomes
 
-    def remove_finished(self) -> list[Job]:
-        """Remove and return the jobs with a stored outcome and no runs.
+    def remove_finished(self, *, keep_held: bool) -> list[Job]:
+        """Remove and return the jobs with a stored outcome of which nothing can run.
 
-        Their final state is kept.
+        With `keep_held`, jobs from before the takeover are kept: servers that have not
+        answered may run tasks of them.  The final state of removed jobs is kept.
         """
         removed = []
         for job_id, entry in list(self.entries.items()):
             done = entry.job.ended and not entry.runs
-            if done and self._writer.is_stored(entry.write_position):
+            kept = keep_held and entry.held
+            if done and not kept and self._writer.is_stored(entry.write_position):
                 self._outcomes[job_id] = entry.job.state
                 del self.entries[job_id]
                 self.models.forget_job(entry.job)
+                if entry.progress_stored:
+                    self._delete_progress(job_id)
                 removed.append(entry.job)
         return removed
 
+    def delete_former_progress(self, job_id: str) -> None:
+        """Delete the progress, if there is any, of a job that ended with its leader."""
+        if self._progress.pop(job_id, None) is not None:
+            self._delete_progress(job_id)
+
+    def _delete_progress(self, job_id: str) -> None:
+        self._writer.put(Write(f"{PROGRESS_PREFIX}{job_id}", None))
+
     def _add(self, spec: JobSpec, version: int, *, held: bool) -> JobEntry:
         job = Job(spec, version, spec.queue.most_failures)
         progress = self._progress.pop(spec.job_id, None)
@@ -244,17 +277,30 @@
         objective = objective_of(
             spec, self.queue_of(job), self.fleet_cpu_millis, now - age_s
         )
-        customer = self.customer_of(job)
-        weight = customer.weight if customer is not None else 1.0
-        over = self._shares.record_submission(spec.customer, weight, spec.submitted_at)
-        entry = JobEntry(job, objective, over, held)
+        entry = JobEntry(job, objective, over_share=False, held=held)
         entry.progress_stored = progress is not None
         entry.submitted_at = now - age_s
         self.entries[spec.job_id] = entry
         return entry
 
+    def _record_submission(self, job: Job) -> bool:
+        """Count a submission; return whether it is beyond its customer's share."""
+        customer = self.customer_of(job)
+        weight = customer.weight if customer is not None else 1.0
+        spec = job.spec
+        return self._shares.record_submission(spec.customer, weight, spec.submitted_at)
+
     def _restore_progress(self, job: Job, progress: bytes) -> None:
         try:
             apply_progress(job, progress)
         except InvalidInputError as exc:
             logger.error("progress_unreadable", job=job.job_id, cause=str(exc))
+
+
+def _decode_spec(row: Row) -> JobSpec | None:
+    """Return the job that is stored in `row`, or None if it cannot be decoded."""
+    try:
+        return JobSpec.decode(row.value)
+    except InvalidInputError as exc:
+        logger.error("job_unreadable", job=row_name(row.key), cause=str(exc))
+        return None
--- a/cassiaweir/dispatch/_job_rows.py
+++ b/cassiaweir/dispatch/_job_rows.py
@@ -13,6 +13,8 @@
 CANCEL_SUFFIX = ".cancel"
 PROGRESS_PREFIX = "progress/main/"
 OUTCOMES_PREFIX = "outcomes/main/"
+SHRUNK_VALUE = b"{}"
+"""The value of a job's row once the job has ended and nothing of it can run."""
 
 
 def job_part(job_id: str) -> str:
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -287,7 +287,8 @@
         Return the position of the write that stores it.
         """
         server.health.record_success()
-        if not entry.job.finish_task(task):
+        had_ended = entry.job.ended
+        if not entry.job.finish_task(task) or had_ended:
             return entry.write_position
         for run in list(entry.runs):
             if run.task is task:
@@ -302,12 +303,15 @@
         Return the position of the write that stores it.
         """
         task.step.avoided_servers.add(server.server_id)
+        had_ended = entry.job.ended
         if not entry.job.record_run_failure(task, end.run):
             return entry.write_position
         now = self._clock.monotonic()
         if server.health.record_failure(entry.job.job_id, now):
             logger.warning("server_suspended", server=server.server_id)
             self.learner.forget_server(server)
+        if had_ended:
+            return entry.write_position
         if entry.job.ended:
             logger.info("job_ended", job=entry.job.job_id, state=entry.job.state.value)
             for run in list(entry.runs):
--- a/tests/test_dispatch_takeover.py
+++ b/tests/test_dispatch_takeover.py
@@ -7,7 +7,7 @@
 import pytest
 
 from cassiaweir.dispatch import EndKind, job_key
-from cassiaweir.dispatch._compaction import SHRUNK_VALUE
+from cassiaweir.dispatch._job_rows import SHRUNK_VALUE
 from cassiaweir.jobs import JobState, StepSpec
 from tests.site_fakes import FakeSite
 from tests.virtual_time import run_virtual
--- a/tests/test_refusal_rows.py
+++ b/tests/test_refusal_rows.py
@@ -14,7 +14,7 @@
     encode_refusal,
     job_key,
 )
-from cassiaweir.dispatch._compaction import SHRUNK_VALUE
+from cassiaweir.dispatch._job_rows import SHRUNK_VALUE
 from cassiaweir.exceptions import (
     ConflictError,
     InvalidInputError,
--- a/tests/test_store_limits.py
+++ b/tests/test_store_limits.py
@@ -10,8 +10,8 @@
 import pytest
 from msgspec import json
 
-from cassiaweir.dispatch._compaction import SHRINK_INTERVAL, SHRUNK_VALUE, RowShrinker
-from cassiaweir.dispatch._job_rows import job_key
+from cassiaweir.dispatch._compaction import SHRINK_INTERVAL, RowShrinker
+from cassiaweir.dispatch._job_rows import SHRUNK_VALUE, job_key
 from cassiaweir.exceptions import InvalidInputError, TransactionRejectedError
 from cassiaweir.front import JobWriter
 from cassiaweir.jobs import Job, JobSpec, StepSpec, check_steps
--- a/tests/test_takeover_caps.py
+++ b/tests/test_takeover_caps.py
@@ -151,7 +151,8 @@
             waiting = read_waits(lines).seconds[-1]
             assert waiting.customers["agency"]["cap_takeover"] == 1
             counted = [each for each in lines if "former_runs_counted" in each]
-            assert '"{\\"agency\\":16000}"' in counted[-1]
+            named = counted[-1].partition("named=")[2].partition("unnamed=")[0]
+            assert '\\"agency\\":16000' in named
             await asyncio.sleep(MAX_HELD_S + MAX_WAIT_S)
         placed = [each for each in lines if "tasks_placed" in each]
         assert "customer_load=16000:0+0:0/16000:0 configuration=1" in placed[-1]
