Apply the newest cap that is known of a customer, from the configuration or its jobs

Cause: a customer that the leader's view of the configuration does not hold had no cap. A customer that was just added is known to the VM that accepts its job before the leader has read that version; one that was removed still has jobs that wait. A lowered cap was applied only once the leader had read it.

Change: a job is stored with the cap and the version of the configuration under which it was accepted. CustomerTerms applies the newest of the leader's view and the customer's jobs. Old rows have version 0 and say nothing.

Ruled out: a leader without any configuration places nothing, as the requests to evacuate come by the same feed and are required.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -13,10 +13,11 @@
 from cassiaweir.dispatch._cold_servers import ColdServers
 from cassiaweir.dispatch._compaction import RowShrinker
 from cassiaweir.dispatch._crash_tracker import CrashTracker, lifetime_of
+from cassiaweir.dispatch._customer_terms import ConfigurationSource
 from cassiaweir.dispatch._evacuation import Evacuations, EvacuationSource
 from cassiaweir.dispatch._former_servers import FormerServerProbe
 from cassiaweir.dispatch._gate import TakeoverGate
-from cassiaweir.dispatch._job_registry import ConfigurationSource, JobRegistry
+from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._load import LoadSampler
 from cassiaweir.dispatch._orders import OrderSender, ServerClient, StartResult
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from cassiaweir.dispatch._customer_terms import ConfigurationSource, CustomerTerms
 from cassiaweir.dispatch._job_rows import (
     PROGRESS_PREFIX,
     SHRUNK_VALUE,
@@ -28,7 +29,7 @@
     encode_outcome,
     encode_progress,
 )
-from cassiaweir.queues import Customer, Queue, QueueConfiguration
+from cassiaweir.queues import Customer, Queue
 from cassiaweir.types import Clock, Row, Write
 
 
@@ -42,13 +43,6 @@
         """Return whether every write up to `position` is stored."""
 
 
-class ConfigurationSource(Protocol):
-    """Provides the configuration in force."""
-
-    def current(self) -> QueueConfiguration:
-        """Return the newest configuration that was read."""
-
-
 @dataclass(slots=True, eq=False)
 class JobEntry:
     """A job that is not finished: it is open, has runs, or its end is not yet stored.
@@ -101,6 +95,7 @@
         self._writer = writer
         self._clock = clock
         self._configuration = configuration
+        self._terms = CustomerTerms(configuration)
         self._progress = dict(progress)
         self._outcomes = dict(outcomes)
         self._shares = ShareMeter(allowance)
@@ -118,8 +113,8 @@
         return self._configuration.current().queue_named(submitted.name) or submitted
 
     def customer_of(self, job: Job) -> Customer | None:
-        """Return the job's customer as configured now, or None if it is unknown."""
-        return self._configuration.current().customers.get(job.spec.customer)
+        """Return the job's customer by the newest known terms, or None if unknown."""
+        return self._terms.of(job.spec.customer)
 
     def has_share_left(self, customer: Customer) -> bool:
         """Return whether a job that `customer` submits now is within its share."""
@@ -137,6 +132,7 @@
         spec = _decode_spec(row)
         if spec is None:
             return None
+        self._terms.record(spec)
         entry = self._add(spec, row.version, held=held)
         entry.over_share = self._record_submission(entry.job)
         return entry
@@ -152,6 +148,7 @@
         spec = _decode_spec(row)
         if spec is None:
             return False
+        self._terms.record(spec)
         entry = self._add(spec, row.version, held=True)
         entry.job.state = self._outcomes.pop(job_id)
         return True
--- a/cassiaweir/dispatch/_load.py
+++ b/cassiaweir/dispatch/_load.py
@@ -5,7 +5,8 @@
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 
-from cassiaweir.dispatch._job_registry import ConfigurationSource, JobEntry, JobRegistry
+from cassiaweir.dispatch._customer_terms import ConfigurationSource
+from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._objective import DeadlineStatus, deadline_status
 from cassiaweir.dispatch._refusal_rows import Refusal
 from cassiaweir.dispatch._server import Server
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -10,13 +10,11 @@
 from loguru import logger
 
 from cassiaweir.dispatch._compaction import RowShrinker
+from cassiaweir.dispatch._customer_terms import ConfigurationSource
 from cassiaweir.dispatch._dispatcher import AdviceCacheFactory, Dispatcher
 from cassiaweir.dispatch._evacuation import EvacuationSource, NoEvacuations
 from cassiaweir.dispatch._gate import TakeoverGate, former_authority_end
-from cassiaweir.dispatch._job_registry import (
-    ConfigurationSource,
-    JobRegistry,
-)
+from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import (
     JOB_PREFIXES,
     OUTCOMES_PREFIX,
--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Protocol
 
@@ -25,7 +25,7 @@
 from cassiaweir.jobs import JobSpec, JobState
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import Queue
-from cassiaweir.types import Clock
+from cassiaweir.types import NO_RESOURCES, Clock
 from cassiaweir.verdict import Verdict
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
@@ -67,6 +67,12 @@
         """Return the response body with the number of jobs that have not started."""
 
 
+def _with_terms(spec: JobSpec, access: Access) -> JobSpec:
+    """Return `spec` with the cap and the version of the configuration in force here."""
+    cap = access.customer.cap if access.customer else NO_RESOURCES
+    return replace(spec, cap=cap, configuration=access.version)
+
+
 @dataclass(frozen=True, slots=True)
 class _HttpReply:
     """What to respond, and the reason for it in logs and metrics."""
@@ -247,6 +253,7 @@
             customer=access.customer.name if access.customer else "",
             submitted_at=self._clock.now().timestamp(),
         )
+        spec = _with_terms(spec, access)
         rejected = self._admission.check(spec) if self._admission else None
         attempt = Attempt(received_version, lambda: _is_connected(req), rejected)
         try:
--- a/cassiaweir/jobs/_specs.py
+++ b/cassiaweir/jobs/_specs.py
@@ -9,7 +9,7 @@
 
 from cassiaweir.exceptions import InvalidInputError
 from cassiaweir.queues import Queue
-from cassiaweir.types import Resources
+from cassiaweir.types import NO_RESOURCES, Resources
 
 MAX_TASK_SPEC_BYTES = 4_000
 """Limit of `JobSpec.task_spec`, encoded in UTF-8."""
@@ -87,6 +87,9 @@
         times: Occurrences of a recurring job, 0 for a job that runs once.
         first_at: When the first occurrence is due, as Unix time in seconds.
         interval_s: Seconds from one occurrence to the next.
+        cap: The customer's cap at submission, used if the leader has not read that
+            version of the configuration, or if operators remove the customer.
+        configuration: The version of the configuration at submission, 0 if unknown.
     """
 
     job_id: str
@@ -98,6 +101,8 @@
     times: int = 0
     first_at: float = 0.0
     interval_s: float = 0.0
+    cap: Resources = NO_RESOURCES
+    configuration: int = 0
 
     def encode(self) -> bytes:
         """Return the stored form of the job."""
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -45,7 +45,15 @@
     Queue,
     QueueConfiguration,
 )
-from cassiaweir.types import Changes, Check, Resources, Row, Snapshot, Write
+from cassiaweir.types import (
+    NO_RESOURCES,
+    Changes,
+    Check,
+    Resources,
+    Row,
+    Snapshot,
+    Write,
+)
 from cassiaweir.verdict import Verdict
 from standins.users import SERVICE, FakeServer, MemoryStore, RunRecord, Site
 from tests.virtual_time import VirtualClock
@@ -533,6 +541,7 @@
         Its row is also passed to the leader, or to `announce_to` where given.
         """
         job_id = f"{next(self._ids):016x}"
+        configured = self.configuration.value.customers.get(customer)
         spec = JobSpec(
             job_id=job_id,
             queue=queue,
@@ -540,6 +549,8 @@
             task_spec=f"{task_s}/{how.value}",
             steps=steps,
             submitted_at=VirtualClock().now().timestamp(),
+            cap=configured.cap if configured is not None else NO_RESOURCES,
+            configuration=self.configuration.value.version,
         )
         self.specs[job_id] = spec
         key = job_key(job_id)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Sequence
+from dataclasses import replace
 from datetime import timedelta
 
 import aiohttp
@@ -23,7 +24,7 @@
 from cassiaweir.observe import Metrics
 from cassiaweir.platform import PlatformJobCodec
 from cassiaweir.queues import ConfigurationView, Queue, QueueConfiguration
-from cassiaweir.types import Row, Write
+from cassiaweir.types import Resources, Row, Write
 from cassiaweir.verdict import Verdict
 from tests.site_fakes import (
     CUSTOMER,
@@ -39,6 +40,7 @@
 JOB_ID = "00000000000000aa"
 WITHDRAWAL = timedelta(seconds=5)
 CONFIG_KEY = "op//config"
+CAP = Resources(4_000)
 
 
 def spec_of(job_id: str) -> JobSpec:
@@ -109,7 +111,7 @@
 
     def _decode(self, raw: bytes) -> QueueConfiguration:
         version, with_key = msgspec.json.decode(raw)
-        customers = (CUSTOMER,) if with_key else ()
+        customers = (replace(CUSTOMER, cap=CAP),) if with_key else ()
         base = configuration(*customers, queues=(QUEUE, PUBLIC))
         keys = () if with_key else ("none",)
         return QueueConfiguration.build(
@@ -327,6 +329,14 @@
         assert (await rig.call("GET", "/r/00000000000000bb"))[0] == 410
 
 
+# Guards against a leader that does not know the cap of a customer that was just added.
+async def test_a_job_is_stored_with_the_cap_and_version_under_which_it_was_accepted():
+    async with HttpRig() as rig:
+        await rig.call("POST", f"/r/{JOB_ID}", BODY)
+        spec = JobSpec.decode(rig.store.rows[job_key(JOB_ID)].value)
+        assert (spec.cap, spec.configuration) == (CAP, 1)
+
+
 @pytest.mark.parametrize(
     ("method", "path", "data", "key", "status"),
     [
--- a/tests/test_takeover_caps.py
+++ b/tests/test_takeover_caps.py
@@ -292,6 +292,30 @@
     run_virtual(body)
 
 
+# Guards against a cap that was lowered and that the leader applies late: the VM that
+# accepts a job knows the newer version.
+def test_a_lowered_cap_that_the_leader_has_not_read_yet_holds_with_the_next_job() -> (
+    None
+):
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
+        leader = await prepare(site)
+        for _ in range(20):
+            site.submit(CORE, task_s=1.0)
+        await asyncio.sleep(SETTLE_S)
+        leader.configuration.stale = site.configuration.value
+        lowered = Customer("agency", frozenset({"key"}), 20.0, Resources(8_000))
+        site.configuration.value = configuration(lowered, version=2)
+        for _ in range(40):
+            site.submit(CORE, task_s=1.0)
+        await asyncio.sleep(10.0)
+        assert len(site.history) == 60
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
 # Guards against a customer without a cap, as it was removed while its jobs waited.
 def test_waiting_jobs_of_a_removed_customer_keep_its_cap() -> None:
     async def body() -> None:
