--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -19,6 +19,7 @@
     QUEUE_HOST,
     QUEUE_PREFIX,
     SoakPlatform,
+    customer_of,
 )
 from soak._records import OVERLOADED, Attempt, History, JobRecord
 from standins.users import Deadly
@@ -118,7 +119,7 @@
     async def _run_job(self) -> None:
         job_id = self._next_job_id()
         key = self._rng.choice(self._keys)
-        record = self._record_job(self._random_spec(job_id))
+        record = self._record_job(self._random_spec(job_id, customer_of(key)))
         if self._deadly_rng.random() < self._deadly_share:
             record.deadly = True
             deadly = Deadly(self._deadly_rng.choice(CRASH_DELAYS_S), back_after_s=1.0)
@@ -158,7 +159,7 @@
             return RETRY_INTERVAL_S
         return min(float(attempt.retry_after), MAX_OBEDIENT_WAIT_S)
 
-    def _random_spec(self, job_id: str) -> JobSpec:
+    def _random_spec(self, job_id: str, customer: str) -> JobSpec:
         rng = self._rng
         steps = [_random_step(rng, (), self._max_tasks)]
         if rng.random() < SECOND_STEP_SHARE:
@@ -166,7 +167,7 @@
         return JobSpec(
             job_id=job_id,
             queue=QUEUE,
-            customer="",
+            customer=customer,
             task_spec=f"{rng.choice((0.1, 0.4, 1.2))}/done",
             steps=tuple(steps),
             submitted_at=0.0,
--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -33,6 +33,10 @@
 QUEUE_PREFIX = "/jobs/"
 QUEUE_HOST = "soak.example"
 KEYS = ("key-0", "key-1", "key-2", "key-3")
+CAPPED_KEY = KEYS[1]
+"""The key of the customer whose running tasks are limited to `CAP`."""
+
+CAP = Resources(8_000)
 OVERLOAD_KEY = "key-overload"
 """The key of the customer that submits several times its share; it stays valid."""
 
@@ -171,6 +175,7 @@
         self._version = 0
         self._seed = seed
         self.keys = set(KEYS)
+        self.caps[customer_of(CAPPED_KEY)] = CAP
 
     def crash_for(
         self, server: FakeServer, seconds: float, *, new_id: bool = False
@@ -206,7 +211,11 @@
         """Store a new version of the configuration with the valid keys."""
         self._version += 3
         tenants = [
-            {"name": f"team-{key}", "keys": [key] if key in self.keys else []}
+            {
+                "name": customer_of(key),
+                "keys": [key] if key in self.keys else [],
+                "cap": {"cpu": CAP.cpu_millis if key == CAPPED_KEY else 0},
+            }
             for key in KEYS
         ]
         config = {
@@ -227,7 +236,7 @@
             "tenants": [
                 *({**each, "weight": 50} for each in tenants),
                 {
-                    "name": "team-overload",
+                    "name": customer_of(OVERLOAD_KEY),
                     "keys": [OVERLOAD_KEY],
                     "weight": OVERLOAD_SHARE,
                 },
@@ -237,6 +246,11 @@
         self.store.apply([], [Write("op//config", value)])
 
 
+def customer_of(key: str) -> str:
+    """Return the name of the customer that a key belongs to."""
+    return f"team-{key}"
+
+
 async def open_relay(target: str, stack: AsyncExitStack) -> tuple[Relay, str]:
     """Start a relay to `target`; return it and its address."""
     relay = Relay([target], check=False)
