--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable, Sequence
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
 
 from loguru import logger
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._cold_servers import ColdServers
 from cassiaweir.dispatch._compaction import RowShrinker
-from cassiaweir.dispatch._crash_tracker import CrashTracker, lifetime_of
+from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._customer_terms import ConfigurationSource
 from cassiaweir.dispatch._evacuation import Evacuations, EvacuationSource
 from cassiaweir.dispatch._former_servers import FormerServerProbe
@@ -20,20 +19,20 @@
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._load import LoadSampler
-from cassiaweir.dispatch._orders import OrderSender, ServerClient, StartResult
+from cassiaweir.dispatch._orders import OrderSender, ServerClient
 from cassiaweir.dispatch._placer import Placer
 from cassiaweir.dispatch._record_keeper import RecordKeeper
 from cassiaweir.dispatch._refusal_rows import decode_refusal
 from cassiaweir.dispatch._reports import ReportProcessor
+from cassiaweir.dispatch._run_control import RunControl
 from cassiaweir.dispatch._run_registry import RunRegistry
-from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
-from cassiaweir.dispatch._server_entry import OrderOutcome, ServerEntry, ServerReport
+from cassiaweir.dispatch._server_entry import ServerEntry, ServerReport
 from cassiaweir.dispatch._server_poller import ServerPoller
 from cassiaweir.dispatch._server_records import ServerRecords
+from cassiaweir.dispatch._term_tasks import TermTasks, cancel_all
 from cassiaweir.dispatch._usage import CustomerUsage
-from cassiaweir.exceptions import LeadershipLostError
-from cassiaweir.jobs import JobState, Step
+from cassiaweir.jobs import JobState
 from cassiaweir.leadership import CommitStream, Leadership
 from cassiaweir.observe import Metrics
 from cassiaweir.scheduling import InterferenceModel, LoadSnapshot
@@ -52,13 +51,6 @@
 MISSING_SERVER_TIMEOUT_S = 3.0
 """An unreachable server without runs is removed if its entry is missing this long."""
 
-SERVER_REFUSALS = (
-    OrderOutcome.UNHEALTHY,
-    OrderOutcome.INVALID,
-    OrderOutcome.NO_ROOM,
-)
-"""Answers to a start order after which the server gets no new runs for a while."""
-
 AdviceCacheFactory = Callable[[Callable[[], None]], AdviceCache]
 """Creates the advice cache of a term, given the function to call after each answer."""
 
@@ -111,6 +103,22 @@
             self.handle_superseded,
             self._evacuations.permit,
         )
+        self._background = TermTasks()
+        self._control = RunControl(
+            jobs,
+            self._runs,
+            self._records,
+            self._orders,
+            commits,
+            clock,
+            metrics,
+            self._background,
+            mark_lost=lambda run, cause: self._reports.mark_lost(run, cause),
+            invalidate_ticket=lambda step, server: self._advice.invalidate(
+                step, server
+            ),
+            wake=self.wake,
+        )
         self._load = LoadSampler(
             jobs,
             self.servers,
@@ -130,7 +138,7 @@
             store_reachable=lambda: commits.store_reachable,
             is_stored=commits.is_stored,
             entries_age=entries_age,
-            stop=self._stop,
+            stop=self._control.stop,
         )
         self._reports = ReportProcessor(
             jobs,
@@ -138,9 +146,9 @@
             clock,
             metrics,
             self._crashes,
-            stop=self._stop,
-            stop_orphan=self._stop_orphan,
-            stop_late_start=self._stop_late_start,
+            stop=self._control.stop,
+            stop_orphan=self._control.stop_orphan,
+            stop_late_start=self._control.stop_late_start,
         )
         self._advice = advice_cache_factory(self.wake)
         self._pollers: dict[str, asyncio.Task[None]] = {}
@@ -159,13 +167,12 @@
             confirm_leadership=commits.confirm_leadership,
             store_reachable=lambda: commits.store_reachable,
             entries_age=entries_age,
-            preempt=self._preempt,
-            launch=self._launch,
+            preempt=self._control.preempt,
+            launch=self._control.launch,
             metrics=metrics,
         )
         self._placement_requested = asyncio.Event()
         commits.on_stored = self.wake
-        self._tasks: set[asyncio.Task[None]] = set()
 
     # State of jobs for callers.
 
@@ -276,7 +283,7 @@
                 former=",".join(sorted(former)),
             )
         if not server.recorded and not server.recording:
-            self._run_in_background(self._records.store(server))
+            self._background.start(self._records.store(server))
         self.wake()
         return position
 
@@ -334,7 +341,7 @@
         probe = FormerServerProbe(
             self._gate, self._calls, self._clock, self._leadership, self.servers
         )
-        self._run_in_background(probe.run())
+        self._background.start(probe.run())
         try:
             round_took = timedelta(0)
             while not self._leadership.lost:
@@ -428,159 +435,10 @@
             return
         logger.info("job_cancelled", job=job_id, runs=len(entry.runs))
         for run in list(entry.runs):
-            self._stop(run)
-
-    def _launch(self, runs: Sequence[Run]) -> None:
-        """Send the start orders of `runs` in the background."""
-        recorded = []
-        position = 0
-        for run in runs:
-            watched_at = self._watch(run)
-            waits = run.isolation or (watched_at and self._commits.store_reachable)
-            if run.server.restricted or waits:
-                recorded.append(run)
-                position = max(position, watched_at)
-            else:
-                self._run_in_background(self._start(run))
-        if recorded:
-            self._run_in_background(self._start_recorded(recorded, position))
-
-    def _watch(self, run: Run) -> int:
-        """Queue a write that tells a successor where `run` was started, if needed.
-
-        That is needed once a crash under the task may have been seen, by this leader or
-        by a former one.  Return the position of the write, 0 if there is none.
-        """
-        entry = self._jobs.entries[run.job_id]
-        if not entry.held and not entry.job.crashes.count(run.task.name):
-            return 0
-        entry.job.crashes.watch(run.task.name, lifetime_of(run))
-        return self._jobs.save(entry)
-
-    def _unwatch(self, run: Run) -> None:
-        """Withdraw what `_watch` wrote, as the run was never on its server.
-
-        A successor would otherwise take a crash of that server for one under the task.
-        """
-        entry = self._jobs.entries.get(run.job_id)
-        if entry is None or entry.job.ended:
-            return
-        if entry.job.crashes.unwatch(run.task.name, lifetime_of(run)):
-            self._jobs.save(entry)
-
-    async def _start_recorded(self, runs: Sequence[Run], position: int) -> None:
-        """Start `runs` once the rows that a successor relies on are stored.
-
-        These are the rows of restricted servers and the writes up to `position`.
-        """
-        try:
-            stored = await self._records.store_starts(runs, position)
-        except LeadershipLostError:
-            return
-        for run in runs:
-            if stored:
-                self._run_in_background(self._start(run))
-            else:
-                self._unwatch(run)
-                self._reports.mark_lost(run, "the start could not be recorded")
-        if not stored:
-            self.wake()
-
-    async def _start(self, run: Run) -> None:
-        """Order the start of a run; if it was not started, let its task wait again."""
-        began = self._clock.monotonic()
-        result, outcome = await self._orders.start(run)
-        self._metrics.observe("start_order", self._clock.monotonic() - began)
-        self._metrics.count("start_orders", result=result.value)
-        if result is not StartResult.NOT_STARTED:
-            if result is StartResult.UNKNOWN:
-                self._stop_gang_of_abandoned(run)
-            return
-        logger.info(
-            "run_not_started",
-            task=run.task.name,
-            run=run.number,
-            server=run.server.server_id,
-            outcome="unreachable" if outcome is None else outcome.value,
-            load=run.server.load_text,
-            lifetime=run.server.born,
-            entry=run.server.entry.born,
-        )
-        if outcome is OrderOutcome.NO_TICKET:
-            self._advice.invalidate(run.task.step, run.server.server_id)
-        elif outcome in SERVER_REFUSALS:
-            run.server.health.record_refusal(self._clock.monotonic())
-        if run.sent_at is None:
-            self._unwatch(run)
-        self._reports.mark_lost(run, "the run was not started")
-        self.wake()
-
-    def _stop_gang_of_abandoned(self, run: Run) -> None:
-        """Stop the other members of a gang if the start of `run` was abandoned.
-
-        Its end, if it had begun, is reported as that of a stopped run, which says
-        nothing about the others.
-        """
-        step = run.task.step
-        abandoned = run.state is RunState.STOPPING
-        if abandoned and step.spec.gang and not step.complete:
-            for member in self._runs.gang_runs(step):
-                if member.number == run.number:
-                    self._stop(member)
-
-    def _preempt(self, run: Run, step: Step) -> None:
-        """Stop `run` to make room for the urgent `step`."""
-        logger.info(
-            "run_preempted",
-            task=run.task.name,
-            run=run.number,
-            server=run.server.server_id,
-            urgent=step.name,
-            lost_core_s=round(run.unsaved_core_s(self._clock.monotonic()), 3),
-        )
-        run.stop_cause = "preempted"
-        self._metrics.count("preemptions")
-        self._stop(run)
-
-    def _stop(self, run: Run) -> None:
-        """Stop `run` in the background, unless it is being stopped already."""
-        if run.state is not RunState.STOPPING:
-            run.state = RunState.STOPPING
-            self._run_in_background(self._send_stop(run))
-
-    async def _send_stop(self, run: Run) -> None:
-        if await self._orders.stop(run):
-            self._reports.mark_lost(run, "the lease has expired")
-            self.wake()
-
-    def _stop_orphan(self, server: Server, task: str, run: int) -> None:
-        self._run_in_background(self._orders.stop_orphan_run(server.entry, task, run))
-
-    def _stop_late_start(self, server: Server, task: str, run: int) -> None:
-        self._run_in_background(self._send_late_stop(server, task, run))
-
-    async def _send_late_stop(self, server: Server, task: str, run: int) -> None:
-        await self._orders.stop_late_start(server, task, run)
-        self.wake()
-
-    def _run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_done)
-
-    def _on_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.opt(exception=task.exception()).error("dispatcher_coroutine_failed")
+            self._control.stop(run)
 
     async def _close(self) -> None:
         self.interference.clear()
         await self._advice.close()
-        await _cancel_all([*self._pollers.values(), *self._tasks])
-
-
-async def _cancel_all(tasks: Iterable[asyncio.Task[None]]) -> None:
-    found = list(tasks)
-    for task in found:
-        task.cancel()
-    await asyncio.gather(*found, return_exceptions=True)
+        await cancel_all(self._pollers.values())
+        await self._background.close()
--- /dev/null
+++ b/cassiaweir/dispatch/_run_control.py
@@ -0,0 +1,200 @@
+"""Starts and stops runs in the background, for one term of a leader."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from loguru import logger
+
+from cassiaweir.dispatch._crash_tracker import lifetime_of
+from cassiaweir.dispatch._job_registry import JobRegistry
+from cassiaweir.dispatch._orders import OrderSender, StartResult
+from cassiaweir.dispatch._record_keeper import RecordKeeper
+from cassiaweir.dispatch._run_registry import RunRegistry
+from cassiaweir.dispatch._runs import Run, RunState
+from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._server_entry import OrderOutcome
+from cassiaweir.dispatch._term_tasks import TermTasks
+from cassiaweir.exceptions import LeadershipLostError
+from cassiaweir.jobs import Step
+from cassiaweir.leadership import CommitStream
+from cassiaweir.observe import Metrics
+from cassiaweir.types import Clock
+
+SERVER_REFUSALS = (
+    OrderOutcome.UNHEALTHY,
+    OrderOutcome.INVALID,
+    OrderOutcome.NO_ROOM,
+)
+"""Answers to a start order after which the server gets no new runs for a while."""
+
+
+class RunControl:
+    """Starts runs, once what a successor relies on is stored, and stops them.
+
+    `mark_lost` is called with a run that does not exist, and the cause;
+    `invalidate_ticket` with a step and the id of a server that refused its ticket;
+    `wake` when tasks may be placed again.
+    """
+
+    def __init__(
+        self,
+        jobs: JobRegistry,
+        runs: RunRegistry,
+        records: RecordKeeper,
+        orders: OrderSender,
+        commits: CommitStream,
+        clock: Clock,
+        metrics: Metrics,
+        background: TermTasks,
+        *,
+        mark_lost: Callable[[Run, str], None],
+        invalidate_ticket: Callable[[Step, str], None],
+        wake: Callable[[], None],
+    ) -> None:
+        self._jobs = jobs
+        self._runs = runs
+        self._records = records
+        self._orders = orders
+        self._commits = commits
+        self._clock = clock
+        self._metrics = metrics
+        self._background = background
+        self._mark_lost = mark_lost
+        self._invalidate_ticket = invalidate_ticket
+        self._wake = wake
+
+    def launch(self, runs: Sequence[Run]) -> None:
+        """Send the start orders of `runs` in the background."""
+        recorded = []
+        position = 0
+        for run in runs:
+            watched_at = self._watch(run)
+            waits = run.isolation or (watched_at and self._commits.store_reachable)
+            if run.server.restricted or waits:
+                recorded.append(run)
+                position = max(position, watched_at)
+            else:
+                self._background.start(self._start(run))
+        if recorded:
+            self._background.start(self._start_recorded(recorded, position))
+
+    def _watch(self, run: Run) -> int:
+        """Queue a write that tells a successor where `run` was started, if needed.
+
+        That is needed once a crash under the task may have been seen, by this leader or
+        by a former one.  Return the position of the write, 0 if there is none.
+        """
+        entry = self._jobs.entries[run.job_id]
+        if not entry.held and not entry.job.crashes.count(run.task.name):
+            return 0
+        entry.job.crashes.watch(run.task.name, lifetime_of(run))
+        return self._jobs.save(entry)
+
+    def _unwatch(self, run: Run) -> None:
+        """Withdraw what `_watch` wrote, as the run was never on its server.
+
+        A successor would otherwise take a crash of that server for one under the task.
+        """
+        entry = self._jobs.entries.get(run.job_id)
+        if entry is None or entry.job.ended:
+            return
+        if entry.job.crashes.unwatch(run.task.name, lifetime_of(run)):
+            self._jobs.save(entry)
+
+    async def _start_recorded(self, runs: Sequence[Run], position: int) -> None:
+        """Start `runs` once the rows that a successor relies on are stored.
+
+        These are the rows of restricted servers and the writes up to `position`.
+        """
+        try:
+            stored = await self._records.store_starts(runs, position)
+        except LeadershipLostError:
+            return
+        for run in runs:
+            if stored:
+                self._background.start(self._start(run))
+            else:
+                self._unwatch(run)
+                self._mark_lost(run, "the start could not be recorded")
+        if not stored:
+            self._wake()
+
+    async def _start(self, run: Run) -> None:
+        """Order the start of a run; if it was not started, let its task wait again."""
+        began = self._clock.monotonic()
+        result, outcome = await self._orders.start(run)
+        self._metrics.observe("start_order", self._clock.monotonic() - began)
+        self._metrics.count("start_orders", result=result.value)
+        if result is not StartResult.NOT_STARTED:
+            if result is StartResult.UNKNOWN:
+                self._stop_gang_of_abandoned(run)
+            return
+        logger.info(
+            "run_not_started",
+            task=run.task.name,
+            run=run.number,
+            server=run.server.server_id,
+            outcome="unreachable" if outcome is None else outcome.value,
+            load=run.server.load_text,
+            lifetime=run.server.born,
+            entry=run.server.entry.born,
+        )
+        if outcome is OrderOutcome.NO_TICKET:
+            self._invalidate_ticket(run.task.step, run.server.server_id)
+        elif outcome in SERVER_REFUSALS:
+            run.server.health.record_refusal(self._clock.monotonic())
+        if run.sent_at is None:
+            self._unwatch(run)
+        self._mark_lost(run, "the run was not started")
+        self._wake()
+
+    def _stop_gang_of_abandoned(self, run: Run) -> None:
+        """Stop the other members of a gang if the start of `run` was abandoned.
+
+        Its end, if it had begun, is reported as that of a stopped run, which says
+        nothing about the others.
+        """
+        step = run.task.step
+        abandoned = run.state is RunState.STOPPING
+        if abandoned and step.spec.gang and not step.complete:
+            for member in self._runs.gang_runs(step):
+                if member.number == run.number:
+                    self.stop(member)
+
+    def preempt(self, run: Run, step: Step) -> None:
+        """Stop `run` to make room for the urgent `step`."""
+        logger.info(
+            "run_preempted",
+            task=run.task.name,
+            run=run.number,
+            server=run.server.server_id,
+            urgent=step.name,
+            lost_core_s=round(run.unsaved_core_s(self._clock.monotonic()), 3),
+        )
+        run.stop_cause = "preempted"
+        self._metrics.count("preemptions")
+        self.stop(run)
+
+    def stop(self, run: Run) -> None:
+        """Stop `run` in the background, unless it is being stopped already."""
+        if run.state is not RunState.STOPPING:
+            run.state = RunState.STOPPING
+            self._background.start(self._send_stop(run))
+
+    async def _send_stop(self, run: Run) -> None:
+        if await self._orders.stop(run):
+            self._mark_lost(run, "the lease has expired")
+            self._wake()
+
+    def stop_orphan(self, server: Server, task: str, run: int) -> None:
+        """Stop a run on `server` that belongs to no known job, in the background."""
+        self._background.start(self._orders.stop_orphan_run(server.entry, task, run))
+
+    def stop_late_start(self, server: Server, task: str, run: int) -> None:
+        """Keep `server` from carrying out a late start, in the background."""
+        self._background.start(self._send_late_stop(server, task, run))
+
+    async def _send_late_stop(self, server: Server, task: str, run: int) -> None:
+        await self._orders.stop_late_start(server, task, run)
+        self._wake()
--- a/tests/test_takeover_caps.py
+++ b/tests/test_takeover_caps.py
@@ -259,7 +259,7 @@
             entry.job.state = JobState.FAILED
             dispatcher._jobs.save(entry)
             for run in list(entry.runs):
-                dispatcher._stop(run)
+                dispatcher._control.stop(run)
         await asyncio.sleep(0.6)
         await leader.kill()
         most = await submit_until(site, now() + MAX_HELD_S + MAX_WAIT_S)
