Bound what a missing server takes of a cap by the capacity in its row

Callers of a customer with a backlog: none of its new jobs started for up to 9.2 s after a takeover, if a server had crashed before it and its entry was gone.

Cause: where the row of a server is open, all waiting tasks of earlier jobs may run there, up to its capacity. That was read from its entry; without one there was no bound, and the backlog took up the whole cap. A capacity that had shrunk since the runs began was a bound too low.

Change: the row of a server holds its capacity as well; the larger of row and entry counts. Rows of earlier builds have none, and are handled as before.

--- a/cassiaweir/dispatch/_former_usage.py
+++ b/cassiaweir/dispatch/_former_usage.py
@@ -10,6 +10,7 @@
 import math
 from collections import Counter
 from collections.abc import Mapping
+from functools import reduce
 
 import msgspec
 from loguru import logger
@@ -115,12 +116,26 @@
         """Return the capacity of the servers with open rows, None if unknown."""
         total = NO_RESOURCES
         for server_id in self._gate.open_servers:
-            server = self._servers.get(server_id)
-            if server is None:
+            capacity = self._capacity_of(server_id)
+            if capacity is None:
                 return None
-            total = total + server.entry.capacity
+            total = total + capacity
         return total
 
+    def _capacity_of(self, server_id: str) -> Resources | None:
+        """Return the most that a server may have had room for, None if unknown.
+
+        Its entry may be gone, or its capacity may have changed since the row of the
+        server was written.
+        """
+        server = self._servers.get(server_id)
+        known = [
+            self._gate.capacity_of(server_id),
+            server.entry.capacity if server is not None else None,
+        ]
+        found = [each for each in known if each is not None]
+        return reduce(_maximum, found) if found else None
+
 
 def _may_run(task: Task) -> bool:
     """Return whether a task of a job from before the takeover may run out of reach.
@@ -142,6 +157,14 @@
     return msgspec.json.encode(dict(cpu.most_common(MAX_LOGGED))).decode()
 
 
+def _maximum(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        max(one.cpu_millis, other.cpu_millis),
+        max(one.memory_mb, other.memory_mb),
+        max(one.accelerators, other.accelerators),
+    )
+
+
 def _minimum(one: Resources, other: Resources) -> Resources:
     return Resources(
         min(one.cpu_millis, other.cpu_millis),
--- a/cassiaweir/dispatch/_gate.py
+++ b/cassiaweir/dispatch/_gate.py
@@ -11,6 +11,7 @@
 )
 from cassiaweir.dispatch._server_records import FormerTasks
 from cassiaweir.leadership import LEADERSHIP_VALIDITY, Owner
+from cassiaweir.types import Resources
 
 MAX_FORMER_LEASE_S = LEASE_S / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
 """Time on this leader's clock after which any lease of a former leader has expired."""
@@ -79,6 +80,11 @@
             if tasks.names is None
         )
 
+    def capacity_of(self, server_id: str) -> Resources | None:
+        """Return the capacity in the row of an unsettled server, None if unknown."""
+        former = self._unsettled.get(server_id)
+        return None if former is None else former.capacity
+
     def mark_settled(self, server_id: str) -> None:
         """Record that a server starts nothing more for a former leader."""
         if self._unsettled.pop(server_id, None) is not None:
--- a/cassiaweir/dispatch/_server_records.py
+++ b/cassiaweir/dispatch/_server_records.py
@@ -20,7 +20,7 @@
 from cassiaweir.dispatch._job_registry import RowWriter
 from cassiaweir.dispatch._server_entry import ServerEntry
 from cassiaweir.leadership import Owner
-from cassiaweir.types import Row, Write
+from cassiaweir.types import Resources, Row, Write
 
 RECORDS_PREFIX = "known/main/"
 
@@ -29,11 +29,13 @@
     """A stored row; `tasks` is None while any task may run on the server.
 
     `epoch` is that of the leader that wrote it, 0 in rows of builds without `tasks`.
+    `capacity` is that of the server by then, None in rows of builds without it.
     """
 
     address: str
     tasks: list[str] | None = None
     epoch: int = 0
+    capacity: Resources | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,11 +43,13 @@
     """The tasks that former leaders may have started on one server.
 
     `names` is None if it may be any task.  `address` is the server's, empty if its row
-    is unreadable.
+    is unreadable.  `capacity` is what the server had when the row was written, None if
+    that is unknown.
     """
 
     names: frozenset[str] | None
     address: str = ""
+    capacity: Resources | None = None
 
 
 def decode_former_tasks(
@@ -70,9 +74,10 @@
     except msgspec.DecodeError as exc:
         logger.error("server_record_unreadable", server=server_id, cause=str(exc))
         return FormerTasks(None)
-    if record.tasks is None or not since or record.epoch < since:
-        return FormerTasks(None, record.address)
-    return FormerTasks(frozenset(record.tasks), record.address)
+    names = None
+    if record.tasks is not None and since and record.epoch >= since:
+        names = frozenset(record.tasks)
+    return FormerTasks(names, record.address, record.capacity)
 
 
 class ServerRecords:
@@ -122,7 +127,8 @@
             self._writer.put(Write(_key(server_id), None))
 
     def _put(self, entry: ServerEntry, tasks: list[str] | None) -> int:
-        value = msgspec.json.encode(_Record(entry.address, tasks, self._epoch))
+        record = _Record(entry.address, tasks, self._epoch, entry.capacity)
+        value = msgspec.json.encode(record)
         return self._writer.put(Write(_key(entry.server_id), value))
 
 
--- a/tests/test_takeover_caps.py
+++ b/tests/test_takeover_caps.py
@@ -15,6 +15,7 @@
 from cassiaweir.observe._waits import read_waits
 from cassiaweir.queues import Customer
 from cassiaweir.types import Resources
+from standins.users import SERVER_SIZE
 from tests.site_fakes import CUSTOMER, FakeSite, FakeVm, configuration
 from tests.test_takeover_holding import (
     MAX_HELD_S,
@@ -161,6 +162,37 @@
     run_virtual(body)
 
 
+# Guards against a customer that may start nothing after a takeover as long as a server
+# is missing: no more can run there than its room holds.
+def test_a_missing_server_takes_no_more_of_a_cap_than_its_room() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
+        customer = Customer("agency", frozenset({"key"}), 20.0, Resources(40_000))
+        site.configuration.value = configuration(customer, Customer("other"))
+        leader = await site.wait_for_leader()
+        await asyncio.sleep(SETTLE_S)
+        for _ in range(80):
+            site.submit(CORE, task_s=1.0)
+        await asyncio.sleep(SETTLE_S)
+        missing = next(
+            each
+            for each in site.servers.values()
+            if each.entry.failure_domain != leader.failure_domain
+        )
+        missing.crash()
+        site.unregister(missing)
+        await leader.kill()
+        await site.wait_for_leader()
+        jobs = [site.submit(CORE, task_s=9.0) for _ in range(60)]
+        await asyncio.sleep(3.0)
+        started = sum(bool(site.starts_of(each)) for each in jobs)
+        assert started == 40 - SERVER_SIZE.cpu_millis // CORE.cpu_millis
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
 # Guards against a successor that counts only the tasks of jobs that it finds open: the
 # runs of jobs cancelled just before went on where the stop orders did not arrive.
 @pytest.mark.parametrize("cancel_after_s", [0.0, 0.6, 1.5])
