--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,11 +7,11 @@
 import aiohttp
 import pytest
 
-from cassiaweir.dispatch import EndKind
+from cassiaweir.dispatch import EndKind, OrderOutcome, StartOrder
 from cassiaweir.jobs import JobSpec, StepSpec
 from soak._callers import QUEUE
 from soak._checks import ALL_FRONTS, PLANNED_STOP, check
-from soak._platform import SoakPlatform
+from soak._platform import CAPPED_KEY, SoakPlatform, customer_of
 from soak._records import (
     Attempt,
     EvacuationRecord,
@@ -88,6 +88,20 @@
         assert platform.history
 
 
+# Guards against a check that sees no customer above its cap.
+async def test_a_start_above_the_cap_of_a_customer_is_a_problem():
+    platform = SoakPlatform(3, seed=1)
+    step = StepSpec(count=3, cpu_millis=4_000)
+    platform.specs[JOB] = JobSpec(
+        JOB, QUEUE, customer_of(CAPPED_KEY), "0.1/done", (step,), 0.0
+    )
+    for index, server in enumerate(platform.servers.values()):
+        assert not platform.faults
+        order = StartOrder(f"{JOB}.0.0.{index}", 1, "9/done", 2**40, 1, "", "")
+        assert server.start(order) is OrderOutcome.ACCEPTED
+    assert [each.partition(":")[0] for each in platform.faults] == ["above the cap"]
+
+
 def test_a_valid_history_has_no_problems():
     poll = attempt("GET", 200, at=3.0, state="done")
     job = record(attempt("POST", 200), poll, steps=2)
