Count the tasks that may run on servers with open rows by step

Cause: while a server with an open row has not answered, the leader counted all waiting tasks of earlier jobs ten times a second, one by one, with the name of each. On a site whose leader is bound by its processor this comes at the worst moment, right after a takeover.

Change: steps of which no row names a task are counted by their number of waiting tasks.

The tests of caps and takeovers pass.

--- a/cassiaweir/dispatch/_former_usage.py
+++ b/cassiaweir/dispatch/_former_usage.py
@@ -101,13 +101,18 @@
     def _add_unnamed(self, found: dict[str, Resources]) -> None:
         capacity = self._open_capacity()
         named = self._gate.named_tasks
+        named_steps = {name.rpartition(".")[0] for name in named}
         unnamed: dict[str, Resources] = {}
         for entry in self._jobs.held_jobs():
+            if entry.job.state is JobState.DONE:
+                continue
             # The former leader may know of ends that make further steps startable.
             for step in entry.job.steps.values():
-                for task in step.waiting():
-                    if task.name not in named and _may_run(task):
-                        _add(unnamed, entry.job.spec.customer, step.demand)
+                count = step.waiting_count
+                if count and step.name in named_steps:
+                    count = sum(task.name not in named for task in step.waiting())
+                if count:
+                    _add(unnamed, entry.job.spec.customer, step.demand * count)
         for customer, demand in unnamed.items():
             bounded = demand if capacity is None else _minimum(demand, capacity)
             _add(found, customer, bounded)
