Decide why a cap keeps tasks waiting only when it is to be logged

Cause: CustomerCaps.cause counts a second time, for each capped step of each round, though the causes are noted once a second only. Of a profiled load with 1,300 jobs and 270 servers this took a thirteenth of the time of placing.

Result: rounds of that load, longest 1.989 s before, 1.972 s now; median 36 ms before, 23 ms now.

--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -246,7 +246,7 @@
         self, waiting: WaitingStep, tasks: Sequence[Task], capped: int
     ) -> None:
         """Note that the cap of the customer keeps `capped` of `tasks` waiting."""
-        if capped:
+        if capped and self.waits.due:
             cause = self._caps.cause(waiting, len(tasks))
             self.waits.note(waiting, cause, capped)
 
--- a/cassiaweir/dispatch/_wait_causes.py
+++ b/cassiaweir/dispatch/_wait_causes.py
@@ -182,6 +182,11 @@
         self._customers: dict[str, CountsByCause] = {}
         self._last: tuple[int, int] | None = None
 
+    @property
+    def due(self) -> bool:
+        """Whether a line is due after this round, so that causes are to be noted."""
+        return self._due
+
     def begin_round(
         self, usable: Iterable[Server], now: float, *, entries_current: bool
     ) -> None:
