--- a/tests/test_takeover_caps.py
+++ b/tests/test_takeover_caps.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 import pytest
 
@@ -77,14 +78,27 @@
     return jobs
 
 
-async def fill_other_domain(site: FakeSite, task_s: float) -> tuple[FakeVm, list[str]]:
-    """Let the customer run all that its cap allows in another domain than the leader's.
+@dataclass(frozen=True)
+class CutDomain:
+    """A failure domain that was cut off while a customer had its cap running there."""
 
-    Return the leader and the ids of the customer's jobs.
+    name: str
+    leader: FakeVm
+    jobs: list[str]
+
+
+async def cut_full_domain(site: FakeSite, *, own: bool = False) -> CutDomain:
+    """Let the customer run all that its cap allows in one domain, and cut that off.
+
+    It is the leader's domain with `own`, else another one.
     """
     leader = await prepare(site)
-    other = next(each for each in DOMAINS if each != leader.failure_domain)
-    return leader, await fill_domain(site, other, task_s)
+    domain = leader.failure_domain
+    if not own:
+        domain = next(each for each in DOMAINS if each != domain)
+    jobs = await fill_domain(site, domain, 30.0)
+    site.cut_domain(domain)
+    return CutDomain(domain, leader, jobs)
 
 
 def running_cpu_millis(site: FakeSite) -> int:
@@ -202,14 +216,12 @@
 ) -> None:
     async def body() -> None:
         site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
-        leader, jobs = await fill_other_domain(site, 30.0)
-        [domain] = domains_of(site, jobs[0])
-        site.cut_domain(domain)
+        cut = await cut_full_domain(site)
         await asyncio.sleep(cancel_after_s)
-        for job_id in jobs:
+        for job_id in cut.jobs:
             site.cancel(job_id)
         await asyncio.sleep(kill_after_s)
-        await leader.kill()
+        await cut.leader.kill()
         most = await submit_until(site, now() + MAX_HELD_S + MAX_WAIT_S)
         assert most == CAP_CPU_MILLIS
         assert not site.faults
@@ -226,18 +238,16 @@
 ) -> None:
     async def body() -> None:
         site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
-        leader, jobs = await fill_other_domain(site, 30.0)
-        [domain] = domains_of(site, jobs[0])
-        site.cut_domain(domain)
-        for job_id in jobs:
+        cut = await cut_full_domain(site)
+        for job_id in cut.jobs:
             site.cancel(job_id)
         await asyncio.sleep(0.6)
-        await leader.kill()
+        await cut.leader.kill()
         for _ in range(16):
             site.submit(CORE, task_s=12.0)
         await site.wait_for_leader()
         await asyncio.sleep(healed_after_s)
-        site.heal_domain(domain)
+        site.heal_domain(cut.name)
         await asyncio.sleep(2.0)
         assert running_cpu_millis(site) == CAP_CPU_MILLIS
         assert not site.faults
@@ -255,16 +265,10 @@
 ) -> None:
     async def body() -> None:
         site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
-        if own_domain:
-            leader = await prepare(site)
-            jobs = await fill_domain(site, leader.failure_domain, 30.0)
-        else:
-            leader, jobs = await fill_other_domain(site, 30.0)
-        [domain] = domains_of(site, jobs[0])
-        site.cut_domain(domain)
-        await leader.kill()
+        cut = await cut_full_domain(site, own=own_domain)
+        await cut.leader.kill()
         successor = await site.wait_for_leader()
-        for job_id in jobs:
+        for job_id in cut.jobs:
             site.cancel(job_id)
         if second_takeover:
             await asyncio.sleep(4.0)
@@ -281,19 +285,17 @@
 def test_runs_of_failed_jobs_count_against_the_cap_after_a_takeover() -> None:
     async def body() -> None:
         site = FakeSite(servers=9, vms=6, seed=1, domains=DOMAINS)
-        leader, jobs = await fill_other_domain(site, 30.0)
-        [domain] = domains_of(site, jobs[0])
-        site.cut_domain(domain)
-        dispatcher = leader.term._dispatcher
+        cut = await cut_full_domain(site)
+        dispatcher = cut.leader.term._dispatcher
         assert dispatcher is not None
-        for job_id in jobs:
+        for job_id in cut.jobs:
             entry = dispatcher._jobs.entries[job_id]
             entry.job.state = JobState.FAILED
             dispatcher._jobs.save(entry)
             for run in list(entry.runs):
                 dispatcher._control.stop(run)
         await asyncio.sleep(0.6)
-        await leader.kill()
+        await cut.leader.kill()
         most = await submit_until(site, now() + MAX_HELD_S + MAX_WAIT_S)
         assert most == CAP_CPU_MILLIS
         assert not site.faults
