Log how long rounds, loading and terms of a leader take

Nothing told a leader that is busy from a slow store or a dead process: no line and no metric said how long a placement round took, for how long the event loop stood still, when the owner row was renewed late and why, how long the jobs took to load, or how long a term lasted.

New events event_loop_blocked, placement_round_long, leadership_renewed_late, leadership_ended and jobs_loaded, new metrics event_loop_lag, placement_round and start_delay. No decision changes.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -40,6 +40,7 @@
 from cassiaweir.leadership import LEAD_PREFIX, Candidacy, Election, Owner
 from cassiaweir.observe import (
     EventLog,
+    LoopLagMonitor,
     Metrics,
     NonBlockingWriter,
     configure_logs,
@@ -255,6 +256,7 @@
     front = _build_front(settings, clock, metrics, access, views, states, admission)
     servicer = NodeServicer(term, advisor, access.route, clock)
     components: list[Component] = [
+        LoopLagMonitor(clock, metrics),
         access.http,
         servers_http,
         access.channels,
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -47,6 +47,9 @@
 Placement then leaves three quarters of the processor time to everything else.
 """
 
+MIN_LOGGED_ROUND = timedelta(milliseconds=150)
+"""A shorter placement round is only counted by the metric."""
+
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 MISSING_SERVER_TIMEOUT_S = 3.0
 """An unreachable server without runs is removed if its entry is missing this long."""
@@ -354,10 +357,25 @@
                     self._placer.place()
                     self._placer.waits.end_round()
                 round_took = timedelta(seconds=self._clock.monotonic() - began)
+                self._note_round(round_took)
         finally:
             sweep.cancel()
             await self._close()
 
+    def _note_round(self, took: timedelta) -> None:
+        """Record how long a placement round took, and log a long one."""
+        self._metrics.observe("placement_round", took.total_seconds())
+        if took >= MIN_LOGGED_ROUND:
+            last = self._placer.last_round
+            logger.info(
+                "placement_round_long",
+                took_ms=round(took.total_seconds() * 1_000),
+                steps=last.steps,
+                looked_at=last.looked_at,
+                placed=last.placed,
+                servers=len(self.servers),
+            )
+
     async def _sweep_until_lost(self) -> None:
         while not self._leadership.lost:
             await self._clock.sleep(SWEEP_INTERVAL)
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -71,6 +71,19 @@
     available: list[Server]
 
 
+@dataclass(slots=True)
+class RoundCounts:
+    """What a placement round did, for logs.
+
+    `steps` is the number of steps with tasks that could start, `looked_at` how many of
+    them servers were looked for, and `placed` the number of tasks placed.
+    """
+
+    steps: int = 0
+    looked_at: int = 0
+    placed: int = 0
+
+
 class Placer:
     """Places waiting tasks on servers.
 
@@ -122,6 +135,7 @@
         self._store_reachable = store_reachable
         self._entries_age = entries_age
         self._entries_current = True
+        self.last_round = RoundCounts()
         self._preempt = preempt
         self._launch = launch
         self._metrics = metrics
@@ -158,6 +172,7 @@
         usable = self._evacuations.usable(usable, now)
         self.waits.begin_round(usable, now, entries_current=entries_current)
         found = sorted(self._waiting.find(now), key=lambda each: each.rank)
+        self.last_round = RoundCounts(steps=len(found))
         self._quarantine.begin_round(
             {each.entry.job.job_id for each in found}, self._servers.values()
         )
@@ -314,6 +329,7 @@
 
         Advice is asked for among the `askable` servers.
         """
+        self.last_round.looked_at += 1
         step, queue, tasks = waiting.step, waiting.queue, group.tasks
         alone = group.isolation is Isolation.ALONE
         within_cap = self._caps.allowed(waiting, len(tasks))
@@ -540,6 +556,7 @@
                 number = runs[0].number
             ticket = tickets.get(server.server_id, "")
             runs.append(self._runs.place(task, server, number, ticket, group.isolation))
+        self.last_round.placed += len(runs)
         if runs and group.isolation is Isolation.ALONE:
             self._quarantine.started(step.job.job_id)
         if runs:
--- a/cassiaweir/dispatch/_run_control.py
+++ b/cassiaweir/dispatch/_run_control.py
@@ -123,6 +123,7 @@
     async def _start(self, run: Run) -> None:
         """Order the start of a run; if it was not started, let its task wait again."""
         began = self._clock.monotonic()
+        self._metrics.observe("start_delay", began - run.placed_at)
         result, outcome = await self._orders.start(run)
         self._metrics.observe("start_order", self._clock.monotonic() - began)
         self._metrics.count("start_orders", result=result.value)
@@ -139,6 +140,7 @@
             load=run.server.load_text,
             lifetime=run.server.born,
             entry=run.server.entry.born,
+            after_ms=round((self._clock.monotonic() - run.placed_at) * 1_000),
         )
         if outcome is OrderOutcome.NO_TICKET:
             self._invalidate_ticket(run.task.step, run.server.server_id)
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -220,6 +220,7 @@
             self._leadership = None
 
     async def _serve(self, leadership: Leadership, commits: CommitStream) -> None:
+        began = self._clock.monotonic()
         listener = _ServerListener(self._servers_prefix, self._decode_entry)
         servers = TableWatch(
             self._feed,
@@ -254,6 +255,13 @@
             # Reports of servers can only be applied once the jobs are known.
             while not jobs.listed:
                 await self._clock.sleep(LOADING_POLL_INTERVAL)
+            logger.info(
+                "jobs_loaded",
+                epoch=leadership.epoch,
+                rows=len(jobs.rows),
+                outcomes=len(stored.outcomes),
+                took_ms=round((self._clock.monotonic() - began) * 1_000),
+            )
             self._dispatcher = dispatcher
             work = asyncio.create_task(dispatcher.run())
             watch = asyncio.create_task(
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -23,6 +23,9 @@
 
 RENEWAL_INTERVAL = timedelta(milliseconds=400)
 RETRY_DELAY = timedelta(milliseconds=50)
+MIN_LOGGED_RENEWAL_S = 0.8
+"""Twice `RENEWAL_INTERVAL`; the owner row may stay unchanged for little more."""
+
 BATCH_DELAY = timedelta(milliseconds=6)
 """Writes that are queued within this time share a transaction."""
 
@@ -282,6 +285,7 @@
         leadership.guard_version = version
         leadership.confirmed_at = max(leadership.confirmed_at, sent_at)
         if transaction.renews:
+            self._note_renewal(sent_at)
             self._renewed_at = sent_at
             leadership.lost = leadership.lost or transaction.releases
         async with self._stored_changed:
@@ -291,6 +295,21 @@
             self._stored_changed.notify_all()
         self.on_stored()
 
+    def _note_renewal(self, sent_at: float) -> None:
+        """Log a renewal of the owner row that came so late that others may take over.
+
+        `waited_ms` is the time until it was sent, `store_ms` that until its answer.
+        """
+        waited_s = sent_at - self._renewed_at
+        store_s = self._clock.monotonic() - sent_at
+        if waited_s + store_s >= MIN_LOGGED_RENEWAL_S:
+            logger.warning(
+                "leadership_renewed_late",
+                epoch=self._leadership.epoch,
+                waited_ms=round(waited_s * 1_000),
+                store_ms=round(store_s * 1_000),
+            )
+
     def _record_store_reachable(self, reachable: bool, cause: str) -> None:
         if reachable == self._store_reachable:
             return
--- a/cassiaweir/leadership/_election.py
+++ b/cassiaweir/leadership/_election.py
@@ -229,7 +229,7 @@
             former=former.node if former else "",
             cause=reason,
         )
-        return Leadership(owner, version, version, sent_at, former)
+        return Leadership(owner, version, version, sent_at, former, acquired_at=sent_at)
 
     async def _store_takeover(self, owner: Owner, rows: dict[str, Row]) -> int:
         """Write both rows if neither has changed; return the guard row's version."""
@@ -270,6 +270,14 @@
             if term.done() and not leadership.lost:
                 await self._resign(term, commits)
         finally:
+            logger.info(
+                "leadership_ended",
+                epoch=leadership.epoch,
+                held_s=round(self._clock.monotonic() - leadership.acquired_at, 3),
+                unconfirmed_s=round(
+                    self._clock.monotonic() - leadership.confirmed_at, 3
+                ),
+            )
             leadership.lost = True
             self.leadership = None
             self._commits = None
--- a/cassiaweir/leadership/_terms.py
+++ b/cassiaweir/leadership/_terms.py
@@ -24,7 +24,8 @@
     guard row after the newest stored transaction.  `confirmed_at` is when the
     newest successful transaction was sent, on the monotonic clock that also advances
     while the process is suspended.  `former` is the previous leader.  `sequence`
-    numbers the newest transaction.  While `releasing`, the leadership is being given
+    numbers the newest transaction.  `acquired_at` is when the takeover was sent.
+    While `releasing`, the leadership is being given
     up and a successor may already act.  `settled` is as in `Owner`.
     """
 
@@ -34,6 +35,7 @@
     confirmed_at: float
     former: Owner | None = None
     sequence: int = 0
+    acquired_at: float = 0.0
     lost: bool = False
     releasing: bool = False
     settled: bool = False
--- a/cassiaweir/observe/__init__.py
+++ b/cassiaweir/observe/__init__.py
@@ -8,6 +8,7 @@
     render_lines,
 )
 from cassiaweir.observe._logs import configure_logs
+from cassiaweir.observe._loop_lag import LoopLagMonitor
 from cassiaweir.observe._metrics import Metrics
 from cassiaweir.observe._timeline import merge_events, render_text, render_trace
 from cassiaweir.observe._writer import NonBlockingWriter
@@ -16,6 +17,7 @@
     "Event",
     "EventLog",
     "LogLine",
+    "LoopLagMonitor",
     "Metrics",
     "NonBlockingWriter",
     "configure_logs",
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -1,11 +1,13 @@
 """Tests of the event log, the log configuration and the metrics."""
 
+import asyncio
 import io
+from datetime import timedelta
 
 from loguru import logger
 
 from cassiaweir.clock import ManualClock
-from cassiaweir.observe import EventLog, Metrics, configure_logs
+from cassiaweir.observe import EventLog, LoopLagMonitor, Metrics, configure_logs
 
 
 def test_line_breaks_and_markup_in_a_value_are_escaped():
@@ -48,3 +50,22 @@
     text = metrics.render()
     assert 'cassiaweir_requests_total{team="a\\"b"} 1' in text
     assert 'cassiaweir_wait_seconds_count{kind="urgent"} 1' in text
+
+
+# Guards against a leader that stands still for a second without a line that says so.
+async def test_a_late_event_loop_is_logged_and_counted():
+    class LateClock(ManualClock):
+        async def sleep(self, duration: timedelta) -> None:
+            await super().sleep(duration + timedelta(seconds=1.2))
+
+    sink = io.StringIO()
+    configure_logs("p1", "info", sink)
+    metrics = Metrics()
+    monitor = LoopLagMonitor(LateClock(), metrics)
+    await monitor.start()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    await monitor.stop()
+    assert "event_loop_blocked" in sink.getvalue()
+    assert "lag_ms=1200" in sink.getvalue()
+    assert "cassiaweir_event_loop_lag_seconds_count" in metrics.render()
