--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -41,6 +41,10 @@
         """Return the virtual seconds since the loop was created."""
         return self._virtual_selector.elapsed
 
+    def spend(self, seconds: float) -> None:
+        """Advance the time as a computation does, which lets no other task run."""
+        self._virtual_selector.elapsed += seconds
+
 
 class VirtualClock:
     """A `Clock` that reads the virtual time of the running loop."""
