Divide placement rounds into slices, with other work in between

Cause: a round of placing looked at all waiting steps in one go. Meanwhile nothing else of the leader ran: orders timed out unread, tickets expired before their starts were sent, reports grew too old to place by, and other processes took the leader for dead. The backlog that this left made the next round longer.

Each slice looks anew at which servers may be used, and uses no room that was freed since the round began, as that belongs to the first steps of the next one. The loop has moved to PlacementLoop.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -20,6 +20,7 @@
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._load import LoadSampler
 from cassiaweir.dispatch._orders import OrderSender, ServerClient
+from cassiaweir.dispatch._placement_loop import PlacementLoop
 from cassiaweir.dispatch._placer import Placer
 from cassiaweir.dispatch._record_keeper import RecordKeeper
 from cassiaweir.dispatch._refusal_rows import decode_refusal
@@ -38,18 +39,6 @@
 from cassiaweir.scheduling import InterferenceModel, LoadSnapshot
 from cassiaweir.types import Clock, Row
 
-PLACEMENT_DELAY = timedelta(milliseconds=2)
-"""Pause before a placement round, so that events close together share one round."""
-
-PLACEMENT_PAUSE_FACTOR = 3
-"""The pause lasts at least this many times the previous round.
-
-Placement then leaves three quarters of the processor time to everything else.
-"""
-
-MIN_LOGGED_ROUND = timedelta(milliseconds=150)
-"""A shorter placement round is only counted by the metric."""
-
 SWEEP_INTERVAL = timedelta(milliseconds=100)
 MISSING_SERVER_TIMEOUT_S = 3.0
 """An unreachable server without runs is removed if its entry is missing this long."""
@@ -346,36 +335,19 @@
         )
         self._background.start(probe.run())
         try:
-            round_took = timedelta(0)
+            placement = PlacementLoop(
+                self._placer, self._clock, self._leadership, self._metrics
+            )
             while not self._leadership.lost:
                 await self._placement_requested.wait()
-                pause = round_took * PLACEMENT_PAUSE_FACTOR
-                await self._clock.sleep(max(PLACEMENT_DELAY, pause))
+                await placement.pause()
                 self._placement_requested.clear()
-                began = self._clock.monotonic()
-                if self._leadership.may_act(began):
-                    self._placer.place()
-                    self._placer.waits.end_round()
-                round_took = timedelta(seconds=self._clock.monotonic() - began)
-                self._note_round(round_took)
+                if not await placement.run_round():
+                    self.wake()
         finally:
             sweep.cancel()
             await self._close()
 
-    def _note_round(self, took: timedelta) -> None:
-        """Record how long a placement round took, and log a long one."""
-        self._metrics.observe("placement_round", took.total_seconds())
-        if took >= MIN_LOGGED_ROUND:
-            last = self._placer.last_round
-            logger.info(
-                "placement_round_long",
-                took_ms=round(took.total_seconds() * 1_000),
-                steps=last.steps,
-                looked_at=last.looked_at,
-                placed=last.placed,
-                servers=len(self.servers),
-            )
-
     async def _sweep_until_lost(self) -> None:
         while not self._leadership.lost:
             await self._clock.sleep(SWEEP_INTERVAL)
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -76,16 +76,34 @@
     """What a placement round did, for logs.
 
     `steps` is the number of steps with tasks that could start, `looked_at` how many of
-    them servers were looked for, and `placed` the number of tasks placed.
+    them servers were looked for, `placed` the number of tasks placed, and `slices` that
+    of the parts in which it was done.
     """
 
     steps: int = 0
     looked_at: int = 0
     placed: int = 0
+    slices: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Round:
+    """A placement round: the steps in the order of rank, and where it may place them.
+
+    `rooms` is what was free on each usable server when the round began.  Room that is
+    freed later belongs to the first steps of the next round.
+    """
+
+    steps: Sequence[WaitingStep]
+    jobs: frozenset[str]
+    rooms: Mapping[str, Resources]
 
 
 class Placer:
-    """Places waiting tasks on servers.
+    """Places waiting tasks on servers, in rounds that are divided into slices.
+
+    Between two slices of a round the caller lets other work run, so that a large
+    backlog keeps no lease, report or probe waiting.
 
     `launch` is called with the runs that are to be started, and `preempt` with a run to
     stop and the urgent step that needs its room.
@@ -136,6 +154,8 @@
         self._entries_age = entries_age
         self._entries_current = True
         self.last_round = RoundCounts()
+        self._round = _Round((), frozenset(), {})
+        self._position = 0
         self._preempt = preempt
         self._launch = launch
         self._metrics = metrics
@@ -155,27 +175,15 @@
         self._future: dict[str, tuple[float, list[Candidate]]] = {}
         self._selections: dict[tuple[int, str, Collection[str]], _ServerSelection] = {}
 
-    def place(self) -> None:
-        """Start the waiting tasks for which there is room now, in the order of rank."""
+    def begin_round(self) -> None:
+        """Find the waiting steps, order them by rank, and plan the gangs."""
         now = self._clock.monotonic()
-        may_record = self._store_reachable()
-        entries_current = self._check_entries()
-        usable = [
-            server
-            for server in self._servers.values()
-            if entries_current
-            and server.accepts_new_runs(now)
-            and not server.health.suspended(now)
-            and (may_record or not server.restricted)
-        ]
-        self._discard_evacuated()
-        usable = self._evacuations.usable(usable, now)
-        self.waits.begin_round(usable, now, entries_current=entries_current)
+        usable = self._usable_servers(now)
+        self.waits.begin_round(usable, now, entries_current=self._entries_current)
         found = sorted(self._waiting.find(now), key=lambda each: each.rank)
         self.last_round = RoundCounts(steps=len(found))
-        self._quarantine.begin_round(
-            {each.entry.job.job_id for each in found}, self._servers.values()
-        )
+        jobs = frozenset(each.entry.job.job_id for each in found)
+        self._quarantine.begin_round(jobs, self._servers.values())
         found = self._limit_gangs(found)
         self._discard_others({each.step.name for each in found})
         self._caps.begin_round()
@@ -183,20 +191,74 @@
             self._plan_gangs(found, usable, now)
         except Exception as exc:
             logger.opt(exception=exc).error("gangs_not_planned")
-        if not found:
-            return
-        self._cold.begin_round(usable, found, now)
-        with_room = servers_with_room(usable, [each.step for each in found])
+        rooms = {each.server_id: each.free for each in usable}
+        self._round = _Round(found, jobs, rooms)
+        self._position = 0
+
+    def place(self, limit: timedelta) -> bool:
+        """Start tasks of the round's next steps, for about `limit`.
+
+        Return whether all steps of the round have been looked at.
+        """
+        now = self._clock.monotonic()
+        steps = self._round.steps[self._position :]
+        usable = self._begin_slice(steps, now)
+        if not steps:
+            return True
+        with_room = servers_with_room(usable, [each.step for each in steps])
+        for waiting in steps:
+            self._position += 1
+            if not waiting.entry.job.ended:
+                self._try_place(waiting, usable, with_room)
+            if self._clock.monotonic() - now >= limit.total_seconds():
+                break
+        return self._position == len(self._round.steps)
+
+    def _begin_slice(self, steps: Sequence[WaitingStep], now: float) -> list[Server]:
+        """Return the servers that may be used now, and forget what was found before.
+
+        Reports, entries and requests of operators may have changed since the last slice
+        of the round.
+        """
+        rooms = self._round.rooms
+        usable = [
+            each
+            for each in self._usable_servers(now)
+            if each.server_id in rooms and each.free.fits(rooms[each.server_id])
+        ]
+        self._quarantine.begin_round(self._round.jobs, self._servers.values())
+        self._cold.begin_round(usable, steps, now)
         self._promised.clear()
         self._selections.clear()
-        for waiting in found:
-            try:
-                self._place_step(waiting, usable, with_room)
-            except Exception as exc:
-                # An error with one step must not keep all others waiting.
-                logger.opt(exception=exc).error(
-                    "step_not_placed", step=waiting.step.name
-                )
+        self.last_round.slices += 1
+        return usable
+
+    def _try_place(
+        self,
+        waiting: WaitingStep,
+        usable: Sequence[Server],
+        with_room: Sequence[Server],
+    ) -> None:
+        """Place tasks of a step; an error with it must not keep the others waiting."""
+        try:
+            self._place_step(waiting, usable, with_room)
+        except Exception as exc:
+            logger.opt(exception=exc).error("step_not_placed", step=waiting.step.name)
+
+    def _usable_servers(self, now: float) -> list[Server]:
+        """Return the servers where tasks may be started at `now`."""
+        may_record = self._store_reachable()
+        entries_current = self._check_entries()
+        usable = [
+            server
+            for server in self._servers.values()
+            if entries_current
+            and server.accepts_new_runs(now)
+            and not server.health.suspended(now)
+            and (may_record or not server.restricted)
+        ]
+        self._discard_evacuated()
+        return self._evacuations.usable(usable, now)
 
     def _check_entries(self) -> bool:
         """Return whether the servers' entries are current enough to place tasks."""
