Let other work run while a watch applies many rows

A successor that reads 1,500 jobs renewed nothing and answered no probe meanwhile, and was taken for dead like its predecessor.

Change: after each 20 ms other work runs. Rows are applied in the same order, and the version is advanced after the last.

--- a/cassiaweir/feeds/_table_watch.py
+++ b/cassiaweir/feeds/_table_watch.py
@@ -14,6 +14,13 @@
 from cassiaweir.types import Clock, Feed, Row, Snapshot
 
 RETRY_DELAY = timedelta(milliseconds=100)
+APPLY_SLICE = timedelta(milliseconds=20)
+"""Rows are applied for this time without a break.
+
+A new leader reads thousands of jobs, and has to answer probes and renew its leadership
+meanwhile.
+"""
+
 MAX_CONCURRENT_SNAPSHOTS = 4
 """More concurrent snapshots only compete for the bandwidth of a slow link."""
 
@@ -135,12 +142,14 @@
                 raise result
         snapshots = [self._snapshots.pop(prefix) for prefix in self._prefixes]
         rows_by_key = {row.key: row for each in snapshots for row in each.rows}
-        for key in self.rows.keys() - rows_by_key.keys():
-            self._apply(key, None)
+        changes: list[tuple[str, Row | None]] = [
+            (key, None) for key in self.rows.keys() - rows_by_key.keys()
+        ]
         for key, row in rows_by_key.items():
             known = self.rows.get(key)
             if known is None or known.version != row.version:
-                self._apply(key, row)
+                changes.append((key, row))
+        await self._apply_all(changes)
         self._version = min(each.version for each in snapshots)
 
     async def _read_snapshot(self, prefix: str, semaphore: asyncio.Semaphore) -> None:
@@ -150,14 +159,22 @@
 
     async def _read_changes(self, version: int) -> None:
         changes = await self._feed.changes(self._table, version, self._wait)
-        for key in changes.removed:
-            if key.startswith(self._prefixes):
-                self._apply(key, None)
-        for row in changes.written:
-            if row.key.startswith(self._prefixes):
-                self._apply(row.key, row)
+        found: list[tuple[str, Row | None]] = [(key, None) for key in changes.removed]
+        found += [(row.key, row) for row in changes.written]
+        await self._apply_all(
+            [each for each in found if each[0].startswith(self._prefixes)]
+        )
         self._version = changes.version
 
+    async def _apply_all(self, changes: Sequence[tuple[str, Row | None]]) -> None:
+        """Apply changes in this order; let other work run after each `APPLY_SLICE`."""
+        began = self._clock.monotonic()
+        for key, row in changes:
+            self._apply(key, row)
+            if self._clock.monotonic() - began >= APPLY_SLICE.total_seconds():
+                await self._clock.sleep(timedelta(0))
+                began = self._clock.monotonic()
+
     def _apply(self, key: str, row: Row | None) -> None:
         self._changed_at = self._clock.monotonic()
         if row is None:
