Look for servers only for steps that may find room

Cause: each waiting step scanned all servers with room for the smallest step, then those reserved for gangs, then for an urgent step those where runs could be preempted, although nearly all of them need room of which a smaller step has just found none, or have tickets for few servers.

Change: ServerSearch remembers per slice of a round which demands found no room and looks for no larger ones; steps with tickets look at the servers that these name. The search has moved out of the placer.

--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -21,10 +20,7 @@
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._objective import DeadlineStatus
 from cassiaweir.dispatch._placement import (
-    Candidate,
     choose_servers,
-    find_backfill_candidates,
-    find_candidates,
     find_future_candidates,
     preference_key,
     servers_with_room,
@@ -36,6 +32,7 @@
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._server_search import ServerSearch
 from cassiaweir.dispatch._usage import CustomerUsage
 from cassiaweir.dispatch._wait_causes import WaitCause, WaitSummary
 from cassiaweir.dispatch._waiting_steps import (
@@ -59,17 +56,6 @@
 small steps: with a hundred of them the leader did little else.
 """
 
-FUTURE_CANDIDATES_MAX_AGE_S = 0.1
-"""The servers on which a step waits for room are looked up again after this time."""
-
-
-@dataclass(frozen=True, slots=True)
-class _ServerSelection:
-    """Those of `servers` that steps of one service may use in this round."""
-
-    servers: Sequence[Server]
-    available: list[Server]
-
 
 @dataclass(slots=True)
 class RoundCounts:
@@ -171,9 +157,10 @@
         )
         self._durations = jobs.models.steps
         self._gangs = GangPlanner(advice, self._reservations, jobs.models)
+        self._search = ServerSearch(
+            self._reservations, self._gangs, self._durations, cold, clock
+        )
         self._promised: dict[str, Resources] = {}
-        self._future: dict[str, tuple[float, list[Candidate]]] = {}
-        self._selections: dict[tuple[int, str, Collection[str]], _ServerSelection] = {}
 
     def begin_round(self) -> None:
         """Find the waiting steps, order them by rank, and plan the gangs."""
@@ -185,7 +172,7 @@
         jobs = frozenset(each.entry.job.job_id for each in found)
         self._quarantine.begin_round(jobs, self._servers.values())
         found = self._limit_gangs(found)
-        self._discard_others({each.step.name for each in found})
+        self._search.begin_round({each.step.name for each in found})
         self._caps.begin_round()
         try:
             self._plan_gangs(found, usable, now)
@@ -212,6 +199,7 @@
                 self._try_place(waiting, usable, with_room)
             if self._clock.monotonic() - now >= limit.total_seconds():
                 break
+        self.last_round.looked_at = self._search.looks
         return self._position == len(self._round.steps)
 
     def _begin_slice(self, steps: Sequence[WaitingStep], now: float) -> list[Server]:
@@ -229,7 +217,7 @@
         self._quarantine.begin_round(self._round.jobs, self._servers.values())
         self._cold.begin_round(usable, steps, now)
         self._promised.clear()
-        self._selections.clear()
+        self._search.begin_slice()
         self.last_round.slices += 1
         return usable
 
@@ -272,17 +260,12 @@
             )
         return current
 
-    def _discard_others(self, steps: Collection[str]) -> None:
-        """Discard the future candidates of all steps but `steps`."""
-        for name in self._future.keys() - set(steps):
-            del self._future[name]
-
     def _discard_evacuated(self) -> None:
         """Discard what was decided with servers of newly evacuated domains."""
         evacuated = self._evacuations.newly_evacuated_servers()
         if evacuated:
             self._reservations.release_with(evacuated)
-            self._future.clear()
+            self._search.forget_future()
 
     def _limit_gangs(self, found: Sequence[WaitingStep]) -> list[WaitingStep]:
         """Return the steps in `found` without the gangs that this round leaves out."""
@@ -371,7 +354,7 @@
         Where none is known to be allowed yet, advice about any is asked for first.
         """
         found = find_future_candidates(
-            waiting.step, self._available_servers(waiting, usable), tasks
+            waiting.step, self._search.available(waiting, usable), tasks
         )
         if waiting.queue.advice is not None:
             known = self._advice.allowed(waiting.step)
@@ -391,7 +374,6 @@
 
         Advice is asked for among the `askable` servers.
         """
-        self.last_round.looked_at += 1
         step, queue, tasks = waiting.step, waiting.queue, group.tasks
         alone = group.isolation is Isolation.ALONE
         within_cap = self._caps.allowed(waiting, len(tasks))
@@ -401,12 +383,13 @@
             self._hold_cap(waiting)
             return
         self._note_capped(waiting, tasks, len(tasks) - within_cap)
-        free = self._cold.allowed(waiting, self._available_servers(waiting, with_room))
         tickets = None
         if queue.advice is not None:
             tickets = self._advice.tickets(step)
         candidates = with_interference(
-            step, find_candidates(step, free, tickets, within_cap), self._interference
+            step,
+            self._search.candidates(waiting, with_room, tickets, within_cap),
+            self._interference,
         )
         urgent = queue.priority == URGENT_PRIORITY
         if step.spec.gang and not group.isolation:
@@ -414,7 +397,7 @@
             chosen = self._gangs.choose(step, candidates, within_cap, now)
         else:
             if not step.spec.gang and not group.isolation and not urgent:
-                candidates += self._backfill_candidates(
+                candidates += self._search.backfill_candidates(
                     waiting, with_room, tickets, within_cap
                 )
             chosen = choose_servers(
@@ -426,7 +409,7 @@
             )
         missing = within_cap - len(chosen)
         if missing > 0 and queue.advice is not None:
-            asked = self._available_servers(waiting, askable) if alone else free
+            asked = askable if alone else with_room
             self._ask(waiting, queue.advice, askable, asked, within_cap, tickets or {})
         if not self._confirm_leadership(waiting.entry.job.version):
             self.waits.note(waiting, WaitCause.STORE, within_cap)
@@ -456,14 +439,11 @@
         urgent = waiting.queue.priority == URGENT_PRIORITY
         if missing <= 0 or not urgent or not on_time or waiting.entry.over_share:
             return
-        now = self._clock.monotonic()
-        available = self._available_servers(waiting, servers)
         preempt_for_step(
             waiting.step,
-            available,
-            tickets,
+            self._search.with_tickets(waiting, servers, tickets),
             missing,
-            now,
+            self._clock.monotonic(),
             self._preempt,
             duration_s=self._gangs.duration_s(waiting.step),
             promised=self._promised,
@@ -493,93 +473,25 @@
         rank = waiting.rank.not_urgent * 1e9 + waiting.rank.latest_start
         if gang:
             now = self._clock.monotonic()
+            with_room = self._search.available(waiting, servers)
             for ids in self._gangs.servers_to_ask(
-                waiting, policy, servers, usable, count, now
+                waiting, policy, with_room, usable, count, now
             ):
                 self._advice.ask(step, policy, ids, rank, urgent=urgent, several=True)
             return
         share = self._advice.allowed_share(waiting.queue.name)
         answered = self._advice.denied(step) | tickets.keys()
-        found = exclude_servers(find_candidates(step, servers, None, count), answered)
+        found = self._search.candidates(waiting, servers, None, count)
+        found = exclude_servers(found, answered)
         found = with_interference(step, found, self._interference)
         found.sort(key=lambda each: preference_key(step, each))
         if not found and not tickets:
             found = exclude_servers(
-                self._future_candidates(waiting, usable, count), answered
+                self._search.future_candidates(waiting, usable, count), answered
             )
         ids = servers_to_ask(found, count, share)
         self._advice.ask(step, policy, ids, rank, urgent=urgent)
 
-    def _available_servers(
-        self, waiting: WaitingStep, servers: Sequence[Server]
-    ) -> list[Server]:
-        """Return the servers of the queue's service that a step may use.
-
-        Servers reserved for other steps are left out, except for urgent steps.
-        """
-        service = waiting.queue.service
-        reserved: frozenset[str] = frozenset()
-        if waiting.queue.priority != URGENT_PRIORITY:
-            reserved = self._reservations.of_others(waiting.step.name)
-        # The selection holds its servers, so that their id stays theirs.
-        key = (id(servers), service, reserved)
-        selection = self._selections.get(key)
-        if selection is None:
-            available = [
-                each
-                for each in servers
-                if each.entry.service == service and each.server_id not in reserved
-            ]
-            selection = self._selections[key] = _ServerSelection(servers, available)
-        return selection.available
-
-    def _future_candidates(
-        self, waiting: WaitingStep, usable: Sequence[Server], count: int
-    ) -> list[Candidate]:
-        """Return the servers with room for the step once other tasks have ended there.
-
-        They are looked up again only after `FUTURE_CANDIDATES_MAX_AGE_S`.  Servers
-        reserved for other steps are left out.
-        """
-        step = waiting.step
-        now = self._clock.monotonic()
-        looked_at, found = self._future.get(step.name, (-math.inf, []))
-        if now - looked_at >= FUTURE_CANDIDATES_MAX_AGE_S:
-            found = find_future_candidates(
-                step, self._available_servers(waiting, usable), count
-            )
-            self._future[step.name] = (now, found)
-        reserved = self._reservations.of_others(step.name)
-        if not reserved:
-            return list(found)
-        return [each for each in found if each.server.server_id not in reserved]
-
-    def _backfill_candidates(
-        self,
-        waiting: WaitingStep,
-        servers: Sequence[Server],
-        tickets: Mapping[str, str] | None,
-        limit: int,
-    ) -> list[Candidate]:
-        """Return those of `servers` that a step may use until their gang starts."""
-        step = waiting.step
-        reserved = self._reservations.of_others(step.name)
-        if not reserved or step.spec.long_running:
-            return []
-        now = self._clock.monotonic()
-        duration_s, spread = self._gangs.duration_s(step), self._spread(step)
-        rooms = []
-        for server in servers:
-            if server.entry.server_id not in reserved:
-                continue
-            if server.entry.service != waiting.queue.service:
-                continue
-            room = self._reservations.backfill_room(server.server_id)
-            if room is not None:
-                usable = room.usable(server.free, now, duration_s, spread)
-                rooms.append((server, usable))
-        return find_backfill_candidates(step, rooms, tickets, limit)
-
     def _spread(self, step: Step) -> float:
         return self._durations.spread(step.name, step.job.spec.queue.name)
 
--- a/cassiaweir/dispatch/_preemption.py
+++ b/cassiaweir/dispatch/_preemption.py
@@ -60,7 +60,6 @@
 def preempt_for_step(
     step: Step,
     servers: Iterable[Server],
-    tickets: Mapping[str, str] | None,
     count: int,
     now: float,
     preempt: Callable[[Run, Step], None],
@@ -72,13 +71,11 @@
 
     Room is made first where the least work is discarded for each task, and only where
     that is less than the work of the tasks, each of which takes `duration_s`.
-    `tickets` names the servers that the advice service allows; None means that no
-    advice is needed.  `promised` is the room of stopping runs that was counted for
+    `promised` is the room of stopping runs that was counted for
     other steps in the same placement round, by server; that for `step` is added.
     """
-    allowed = [each for each in servers if tickets is None or each.server_id in tickets]
     full = []
-    for server in allowed:
+    for server in servers:
         coming = _promise_stopping_room(server, step.demand, count, promised)
         count -= coming
         if not coming:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -140,7 +140,6 @@
         preempt_for_step(
             step,
             hosts.values(),
-            None,
             tasks,
             now,
             stop,
