Ask for advice about no more work than the servers hold

Cause: each waiting step asked for tickets, however many came before it. With 14,000 waiting tasks for 2,816 cores, nearly all tickets expired unused, their answers took up the leader, and its questions waited behind one another.

Change: in each round the first steps that lack servers are asked about, up to the CPU of all usable servers; steps behind them that have no tickets are not looked at. Tasks that no server is large enough for do not count.

--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from cassiaweir.dispatch._advice_budget import AdviceBudget
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
 from cassiaweir.dispatch._cold_servers import ColdServers
@@ -42,7 +43,6 @@
 )
 from cassiaweir.jobs import Isolation, Step, Task
 from cassiaweir.observe import Metrics
-from cassiaweir.queues import AdvicePolicy
 from cassiaweir.scheduling import InterferenceModel
 from cassiaweir.types import Clock, Resources
 
@@ -160,6 +160,7 @@
         self._search = ServerSearch(
             self._reservations, self._gangs, self._durations, cold, clock
         )
+        self._budget = AdviceBudget()
         self._promised: dict[str, Resources] = {}
 
     def begin_round(self) -> None:
@@ -174,6 +175,7 @@
         found = self._limit_gangs(found)
         self._search.begin_round({each.step.name for each in found})
         self._caps.begin_round()
+        self._budget.begin_round(usable)
         try:
             self._plan_gangs(found, usable, now)
         except Exception as exc:
@@ -195,13 +197,25 @@
         with_room = servers_with_room(usable, [each.step for each in steps])
         for waiting in steps:
             self._position += 1
-            if not waiting.entry.job.ended:
+            if self._waits_for_advice(waiting):
+                self.waits.note_missing(
+                    waiting, waiting.step.waiting_count, Isolation.NONE, ()
+                )
+            elif not waiting.entry.job.ended:
                 self._try_place(waiting, usable, with_room)
             if self._clock.monotonic() - now >= limit.total_seconds():
                 break
         self.last_round.looked_at = self._search.looks
         return self._position == len(self._round.steps)
 
+    def _waits_for_advice(self, waiting: WaitingStep) -> bool:
+        """Return whether a step can neither start nor be asked about in this round."""
+        return (
+            waiting.queue.advice is not None
+            and self._budget.exhausted(waiting)
+            and not self._advice.tickets(waiting.step)
+        )
+
     def _begin_slice(self, steps: Sequence[WaitingStep], now: float) -> list[Server]:
         """Return the servers that may be used now, and forget what was found before.
 
@@ -408,9 +422,10 @@
                 reserved=self._reservations.of_others(step.name),
             )
         missing = within_cap - len(chosen)
-        if missing > 0 and queue.advice is not None:
+        may_ask = missing > 0 and queue.advice is not None
+        if may_ask and self._budget.take(waiting, missing):
             asked = askable if alone else with_room
-            self._ask(waiting, queue.advice, askable, asked, within_cap, tickets or {})
+            self._ask(waiting, askable, asked, within_cap, tickets or {})
         if not self._confirm_leadership(waiting.entry.job.version):
             self.waits.note(waiting, WaitCause.STORE, within_cap)
             return
@@ -452,7 +467,6 @@
     def _ask(
         self,
         waiting: WaitingStep,
-        policy: AdvicePolicy,
         usable: Sequence[Server],
         servers: Sequence[Server],
         count: int,
@@ -465,9 +479,9 @@
         those of `usable` are asked about that will have room, so that the answer is
         there before the room.  For gangs, `GangPlanner` chooses.
         """
-        step = waiting.step
+        step, policy = waiting.step, waiting.queue.advice
         gang = step.spec.gang
-        if not self._advice.may_ask(step, several=gang):
+        if policy is None or not self._advice.may_ask(step, several=gang):
             return
         urgent = waiting.queue.priority == URGENT_PRIORITY
         rank = waiting.rank.not_urgent * 1e9 + waiting.rank.latest_start
