Refuse entries with impossible values, and count servers that answered

What operators of similar systems saw: one odd entry among those of the servers ended processes, or stopped them from following the list.

Here: a capacity of 400 digits made each new job raise OverflowError where its deadline is computed; one below zero, or of 10**18, made all deadlines meaningless; addresses that cannot be called made the poller log a trace six times a second, or counted as requests that may have run. A member row that is no object ended a leader's term.

Cause: an entry counted for the whole fleet before its server had answered, and its fields were taken as they came.

Change: entries are validated where they are decoded (amounts, times, id, address); the fleet's capacity is that of servers that have answered this leader, and is summed up again when one answers, is resized or removed, with deadlines following a noticeable change. An unusable address is an error before sending.

Ruled out: configurations, which the store validates; nesting, which was refused already.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -14,7 +14,6 @@
 from datetime import timedelta
 from pathlib import Path
 
-import msgspec
 from loguru import logger
 
 from cassiaweir.clock import SystemClock
@@ -52,6 +51,7 @@
     NodeServicer,
     PeerClient,
     StoreRoute,
+    registered_instance,
 )
 from cassiaweir.platform import (
     EVACUATION_PREFIX,
@@ -157,10 +157,8 @@
     def was_replaced(self, owner: Owner) -> bool:
         """Return whether another process now runs on the VM that `owner` led from."""
         row = self._watch.rows.get(f"{MEMBERS_PREFIX}{owner.node}")
-        if row is None:
-            return False
-        member = msgspec.json.decode(row.value)
-        return bool(member.get("instance") != owner.instance)
+        instance = None if row is None else registered_instance(row)
+        return instance is not None and instance != owner.instance
 
 
 @dataclass(frozen=True, slots=True)
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -239,7 +239,10 @@
                 entry=entry.born,
                 reported=server.born,
             )
+        resized = entry.capacity != server.entry.capacity
         server.entry = entry
+        if resized:
+            self._sum_up_capacity()
         server.missing_since = None
         self._cold.note(server, self._clock.monotonic())
         self.wake()
@@ -265,6 +268,7 @@
         self._records.forget_stored_ends(server)
         if not server.fenced:
             server.fenced = True
+            self._sum_up_capacity()
             self._gate.mark_settled(server.server_id)
             former = self._gate.settle_former_lifetimes(
                 server.entry.address, server.server_id
@@ -397,21 +401,30 @@
                 continue
             self._pollers.pop(server_id).cancel()
             del self.servers[server_id]
+            self._sum_up_capacity()
             self._records.remove(server_id)
             self._crashes.note_removed(server)
             self._reports.interference.forget_server(server_id)
             self._reports.learner.forget_server(server)
             logger.info("server_removed", server=server_id)
 
+    def _sum_up_capacity(self) -> None:
+        """Sum up the CPU of the fleet, by which deadlines are set.
+
+        An entry alone proves no server: it counts once the server has answered.
+        """
+        self._jobs.fleet_cpu_millis = sum(
+            each.entry.capacity.cpu_millis
+            for each in self.servers.values()
+            if each.fenced
+        )
+
     def _add_server(self, entry: ServerEntry) -> None:
         """Add a server and begin to poll it."""
         restricted = entry.failure_domain == self._failure_domain
         server = Server(entry, restricted=restricted)
         self.servers[entry.server_id] = server
         self._cold.note(server, self._clock.monotonic())
-        self._jobs.fleet_cpu_millis = sum(
-            each.entry.capacity.cpu_millis for each in self.servers.values()
-        )
         self._records.add(server)
         poller = ServerPoller(
             server, self._calls, self._clock, self._leadership, self, self._commits
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -15,7 +15,12 @@
     outcome_key,
     row_name,
 )
-from cassiaweir.dispatch._job_times import JobTimes, WorkModels, refresh_times
+from cassiaweir.dispatch._job_times import (
+    NOTICEABLE_CHANGE,
+    JobTimes,
+    WorkModels,
+    refresh_times,
+)
 from cassiaweir.dispatch._objective import Objective, objective_of
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._shares import ShareAllowance, ShareMeter
@@ -55,6 +60,7 @@
     the job had a waiting step again after a round without one, `seen_in_round` the last
     round in which it had one, and `turn_at` when it was last taken out of turn.
     `times` are the expected durations, None before the job was first ranked.
+    `fleet_cpu_millis` is the CPU capacity by which its objective was set.
     """
 
     job: Job
@@ -70,6 +76,7 @@
     seen_in_round: int = -1
     turn_at: float = 0.0
     times: JobTimes | None = None
+    fleet_cpu_millis: int = 0
 
 
 class JobRegistry:
@@ -77,8 +84,8 @@
 
     `progress` and `outcomes` are what former leaders stored, by job id.  `entries`
     holds the jobs that are not finished; of the others only the final state is kept.
-    `fleet_cpu_millis` is the CPU capacity of all servers.  `models` are what this term
-    has learnt of durations and of the speeds of servers.
+    `fleet_cpu_millis` is the CPU capacity of all servers that have answered.  `models`
+    are what this term has learnt of durations and of the speeds of servers.
     """
 
     def __init__(
@@ -156,10 +163,11 @@
     def times_of(self, entry: JobEntry, queue: Queue, now: float) -> JobTimes:
         """Return the expected durations of a job; update its objective to them."""
         times = refresh_times(entry.job, queue, self.models, entry.times, now)
-        if times is not entry.times:
+        if times is not entry.times or self._fleet_has_changed(entry):
             if entry.times is not None:
                 self.objective_updates += 1
             entry.times = times
+            entry.fleet_cpu_millis = self.fleet_cpu_millis
             entry.objective = objective_of(
                 entry.job.spec,
                 queue,
@@ -169,6 +177,11 @@
             )
         return times
 
+    def _fleet_has_changed(self, entry: JobEntry) -> bool:
+        """Return whether the fleet differs from the one that set a job's objective."""
+        change = abs(self.fleet_cpu_millis - entry.fleet_cpu_millis)
+        return change > NOTICEABLE_CHANGE * entry.fleet_cpu_millis
+
     def find_task(self, name: str) -> Task | None:
         """Return the task called `name`, or None if no job in `entries` has it."""
         entry = self.entries.get(name.partition(".")[0])
@@ -277,6 +290,7 @@
         entry = JobEntry(job, objective, over_share=False, held=held)
         entry.progress_stored = progress is not None
         entry.submitted_at = now - age_s
+        entry.fleet_cpu_millis = self.fleet_cpu_millis
         self.entries[spec.job_id] = entry
         return entry
 
--- a/cassiaweir/peers/__init__.py
+++ b/cassiaweir/peers/__init__.py
@@ -1,7 +1,11 @@
 """The other entry VMs of a deployment: their registry, and RPC calls among them."""
 
 from cassiaweir.peers._client import PeerClient
-from cassiaweir.peers._members import MEMBERS_PREFIX, Members
+from cassiaweir.peers._members import (
+    MEMBERS_PREFIX,
+    Members,
+    registered_instance,
+)
 from cassiaweir.peers._servicer import LeaderJobs, NodeServicer, RelayCalls
 from cassiaweir.peers._store_route import StoreRoute
 
@@ -13,4 +17,5 @@
     "PeerClient",
     "RelayCalls",
     "StoreRoute",
+    "registered_instance",
 ]
--- a/cassiaweir/peers/_members.py
+++ b/cassiaweir/peers/_members.py
@@ -117,8 +117,14 @@
                 await self._clock.sleep(RETRY_DELAY)
 
 
+def registered_instance(row: Row) -> str | None:
+    """Return the instance of the process in a member row, None if it is unreadable."""
+    member = _decode_member(row)
+    return None if member is None else member.instance
+
+
 def _decode_member(row: Row) -> _MemberRow | None:
     try:
         return msgspec.json.decode(row.value, type=_MemberRow)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
--- a/cassiaweir/platform/_http.py
+++ b/cassiaweir/platform/_http.py
@@ -97,6 +97,9 @@
                 allow_redirects=False,
             ) as resp:
                 body = await resp.read()
+        except (aiohttp.InvalidURL, UnicodeError) as exc:
+            message = f"{address}{path}: not a usable address: {exc}"
+            raise UnavailableError(message, verdict=Verdict.NOT_RUN) from exc
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             message = f"{address}{path}: cannot connect: {exc}"
             raise UnavailableError(message, verdict=Verdict.NOT_RUN) from exc
--- a/cassiaweir/platform/_servers.py
+++ b/cassiaweir/platform/_servers.py
@@ -4,7 +4,7 @@
 
 import re
 from datetime import timedelta
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -23,6 +23,7 @@
     LifetimeEndedError,
     UnavailableError,
 )
+from cassiaweir.platform._addresses import is_address
 from cassiaweir.platform._http import HttpResponse, HttpSession
 from cassiaweir.types import Resources
 from cassiaweir.verdict import Verdict
@@ -45,11 +46,25 @@
 }
 
 
+MAX_AMOUNT = 1_000_000_000
+"""No server has more thousandths of a core, megabytes or accelerators."""
+
+MAX_TIME_MS = 1e15
+"""Bounds times and durations in entries, in milliseconds; some 30,000 years."""
+
+SERVER_ID_PATTERN = re.compile(r"[!-~]{1,200}")
+"""Ids are sent in a header, so that they must be printable and without spaces."""
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
+UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=int(MAX_TIME_MS))]
+
+
 class _Capacity(msgspec.Struct):
     # Thousandths of a processor core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class ServerFields(msgspec.Struct):
@@ -62,11 +77,11 @@
     room: _Capacity
     labels: list[str] = []
     # The minimum time until a draining server is gone, if it is known.
-    remaining_ms: float | None = None
+    remaining_ms: Milliseconds | None = None
     # When the server started, in Unix milliseconds; 0 if unknown.
-    born: int = 0
+    born: UnixMilliseconds = 0
     # How much longer the server is slow after its start.
-    cold_left_ms: float | None = None
+    cold_left_ms: Milliseconds | None = None
 
 
 class _RunningRow(msgspec.Struct, array_like=True):
@@ -101,7 +116,14 @@
 
 
 def decode_server_entry(server_id: str, raw: bytes) -> ServerEntry:
-    """Decode the store entry of a backend server, or raise `InvalidInputError`."""
+    """Decode the store entry of a backend server, or raise `InvalidInputError`.
+
+    Other writers may leave entries there, so that no value is trusted: an amount that
+    no server has would count for the whole fleet, and an address that cannot be called
+    would fail in each attempt.
+    """
+    if SERVER_ID_PATTERN.fullmatch(server_id) is None:
+        raise InvalidInputError(f"entry of server {server_id!r}: not a usable id")
     try:
         found = msgspec.json.decode(raw, type=ServerFields)
     except (msgspec.DecodeError, RecursionError) as exc:
@@ -110,6 +132,10 @@
         raise InvalidInputError(
             f"entry of server {server_id}: unknown state {found.state!r}"
         )
+    if not is_address(found.addr):
+        raise InvalidInputError(
+            f"entry of server {server_id}: {found.addr!r} is not host:port"
+        )
     racks = [label for label in found.labels if RACK_LABEL_PATTERN.fullmatch(label)]
     remaining = found.remaining_ms
     return ServerEntry(
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -17,11 +17,12 @@
 from cassiaweir.exceptions import InvalidInputError, UnavailableError
 from cassiaweir.jobs import Job, JobSpec, StepSpec, apply_progress, decode_outcome
 from cassiaweir.leadership import Owner, decode_owner
+from cassiaweir.peers import registered_instance
 from cassiaweir.peers._members import _decode_member
 from cassiaweir.platform import PlatformJobCodec
 from cassiaweir.platform._manifest import decode_manifest
 from cassiaweir.platform._servers import _decode_report, decode_server_entry
-from cassiaweir.types import Row
+from cassiaweir.types import Resources, Row
 from tests.site_fakes import QUEUE
 
 MAX_EXAMPLES = 150
@@ -173,3 +174,74 @@
         assert isinstance(end.task, str)
         assert isinstance(end.run, int)
         assert isinstance(end.checkpoint, str)
+
+
+ENTRY = {
+    "service": "inventory", "addr": "10.0.0.1:80", "zone": "z", "state": "ready",
+    "room": {"cpu": 16_000, "mem_mb": 64_000}, "labels": ["r1-0"], "born": 1,
+}  # fmt: skip
+
+
+def test_an_entry_of_another_writer_may_have_further_fields():
+    entry = decode_server_entry("i-1", encode({**ENTRY, "colour": [1, {"a": None}]}))
+    assert entry.capacity == Resources(16_000, 64_000)
+
+
+# Guards against one odd entry by which no deadline means anything, no job is accepted,
+# or a poller fails six times a second.
+@pytest.mark.parametrize(
+    "field",
+    [
+        b'"room":{"cpu":' + b"9" * 400 + b"}",
+        b'"room":{"cpu":1000000000000000000}',
+        b'"room":{"cpu":-3000000}',
+        b'"room":{"cpu":1e400}',
+        b'"room":{"mem_mb":-1}',
+        b'"room":{"gpu":99999999999}',
+        b'"room":null',
+        b'"addr":"..:80"',
+        b'"addr":"' + b"a" * 64 + b':80"',
+        b'"addr":"10.0.0.1:0"',
+        b'"addr":"10.0.0.1:65536"',
+        b'"addr":"10.0.0.1:99999999999999999999"',
+        b'"addr":"10.0.0.1:\u0664"',
+        b'"addr":":80"',
+        b'"addr":"a b:80"',
+        b'"addr":"a\nb:80"',
+        b'"addr":"user@a:80"',
+        b'"addr":"a/b:80"',
+        b'"addr":"[::g]:80"',
+        b'"addr":"10.0.0.1"',
+        b'"addr":""',
+        b'"born":-1',
+        b'"born":1.5',
+        b'"born":99999999999999999999',
+        b'"remaining_ms":1e300',
+        b'"cold_left_ms":1e300',
+        b'"state":"' + b"x" * 300 + b'"',
+        b'"labels":' + b"[" * 100_000,
+    ],
+)
+def test_an_entry_with_an_impossible_value_names_no_server(field: bytes):
+    raw = encode(ENTRY)[:-1] + b"," + field + b"}"
+    with pytest.raises(InvalidInputError):
+        decode_server_entry("i-1", raw)
+
+
+@pytest.mark.parametrize("server_id", ["", "a b", "i-\n1", "i-\u00e9", "x" * 201])
+def test_an_id_that_cannot_be_sent_in_a_header_names_no_server(server_id: str):
+    with pytest.raises(InvalidInputError):
+        decode_server_entry(server_id, encode(ENTRY))
+
+
+@pytest.mark.parametrize(
+    "address", ["10.0.0.1:80", "a-1.b_c.example:8182", "a.example.:1", "[::1]:65535"]
+)
+def test_usual_addresses_are_accepted(address: str):
+    entry = decode_server_entry("i-1", encode({**ENTRY, "addr": address}))
+    assert entry.address == address
+
+
+@pytest.mark.parametrize("raw", [b"", b"[]", b"{}", b"[" * 100_000, b'{"instance":1}'])
+def test_an_unreadable_member_row_names_no_process(raw: bytes):
+    assert registered_instance(Row("nodes//vm", 1, raw)) is None
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -55,3 +55,15 @@
         with pytest.raises(UnavailableError) as caught:
             await session.send("GET", address, "/", None, TIMEOUT)
         assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+
+# Guards against an address that ends the caller with an unexpected error, or that is
+# taken for a request which may have run.
+@pytest.mark.parametrize(
+    "address", ["..:80", "a" * 64 + ":80", "a:99999", ":80", "a b"]
+)
+async def test_a_request_to_an_unusable_address_was_not_run(address: str):
+    async with started_session() as session:
+        with pytest.raises(UnavailableError) as caught:
+            await session.send("POST", address, "/", b"", TIMEOUT)
+        assert caught.value.verdict is Verdict.NOT_RUN
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -19,6 +20,8 @@
 from cassiaweir.feeds import TableWatch
 from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.leadership import Election
+from cassiaweir.types import Resources
+from standins.users import FakeServer
 from tests.site_fakes import FakeSite
 from tests.virtual_time import run_virtual
 
@@ -178,3 +181,24 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against a number in one entry by which the deadlines of all jobs are computed,
+# although no server stands behind the entry.
+def test_an_entry_counts_for_deadlines_only_once_its_server_has_answered() -> None:
+    async def body() -> None:
+        site = FakeSite(servers=3)
+        leader = await site.wait_for_leader()
+        odd = FakeServer("i-odd", site, "r9-9")
+        odd.entry = replace(odd.entry, capacity=Resources(10**9, 10**9))
+        odd.up = False
+        site.servers["i-odd"] = odd
+        site.register(odd)
+        await finish_a_job(site)
+        dispatcher = leader.term._dispatcher
+        assert dispatcher is not None
+        assert "i-odd" in dispatcher.servers
+        assert dispatcher._jobs.fleet_cpu_millis == 3 * 16_000
+        await site.close()
+
+    run_virtual(body)
