Open connections by the event loop alone, as failing ones aborted it

In its log, calls failed with 'File descriptor 301 is used by transport'.

Cause: aiohttp connects a socket itself and passes it to uvloop. Where such attempts are given up in a busy loop, uvloop may go on watching a descriptor that is closed and belongs to another connection by then, and aborts the process.

Evidence: tests/connection_storm.py, addresses that hang, refuse, reset and answer late in a busy loop: aborted in 6 of 6 processes within 4 s.

Change: LoopConnector lets the loop open connections from the address on, for the platform's clients and for requests to backend servers. faulthandler writes the stacks of a process that is aborted.

Ruled out: closing the sockets later; aborted in 2 of 2.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import random
 import sys
 import uuid
@@ -378,6 +379,8 @@
 
     `path` is the settings file; without it the platform's default path is used.
     """
+    # A process that a library aborts leaves no log line.
+    faulthandler.enable()
     settings = load_local_settings(path or local_settings_path())
     configure_logs(settings.node, "INFO", NonBlockingWriter(sys.stdout.fileno()))
     logger.info("process_starting", node=settings.node, store=settings.store_address)
--- a/cassiaweir/platform/_http.py
+++ b/cassiaweir/platform/_http.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp.hdrs import ACCEPT, ACCEPT_ENCODING, CONTENT_TYPE, USER_AGENT
 
+from cassiaweir.connector import LoopConnector
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.verdict import Verdict
 
@@ -46,7 +47,7 @@
     async def start(self) -> None:
         """Open the session; connections are opened on demand."""
         self._client = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=LoopConnector(
                 limit=MAX_CONNECTIONS, limit_per_host=self._max_connections_per_address
             ),
             headers=self._headers,
--- a/cassiaweir/requests/_backends.py
+++ b/cassiaweir/requests/_backends.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from cassiaweir.connector import LoopConnector
 from cassiaweir.exceptions import RefusedError, UnavailableError
 from cassiaweir.platform.wire import CALLER_HEADER
 from cassiaweir.requests._models import (
@@ -44,7 +45,7 @@
 REFUSED_RETRY_AFTER = timedelta(milliseconds=500)
 
 
-class _StrictConnector(aiohttp.TCPConnector):
+class _StrictConnector(LoopConnector):
     """Does not reuse idle connections that received unsolicited bytes."""
 
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from contextlib import asynccontextmanager
 from datetime import timedelta
 
@@ -17,6 +18,7 @@
 TIMEOUT = timedelta(milliseconds=300)
 CHUNK_COUNT = 6
 CHUNK = b"x" * 1_000
+STORM = [sys.executable, "-m", "tests.connection_storm", "4"]
 
 
 @asynccontextmanager
@@ -67,3 +69,22 @@
         with pytest.raises(UnavailableError) as caught:
             await session.send("POST", address, "/", b"", TIMEOUT)
         assert caught.value.verdict is Verdict.NOT_RUN
+
+
+# Guards against a leader that is aborted while many connections fail at once, as when
+# servers are cut off: the loop went on watching descriptors of closed sockets.
+async def test_a_process_outlives_many_failing_connections():
+    storms = [
+        await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tests.connection_storm",
+            "4",
+            stdout=asyncio.subprocess.PIPE,
+        )
+        for _ in range(3)
+    ]
+    for storm in storms:
+        answered, _ = await storm.communicate()
+        assert storm.returncode == 0
+        assert int(answered) > 0
