Place more often, now that rounds let other work run

Cause: the pause between two rounds lasted three times the work of a round, so that placement never took more than a quarter of the time. It was meant to protect other work from long rounds.

Change: the pause lasts as long as the work of the round. Between slices and rounds all other work that is due still runs first.

--- a/cassiaweir/dispatch/_placement_loop.py
+++ b/cassiaweir/dispatch/_placement_loop.py
@@ -14,10 +14,10 @@
 PLACEMENT_DELAY = timedelta(milliseconds=2)
 """Pause before a placement round, so that events close together share one round."""
 
-PLACEMENT_PAUSE_FACTOR = 3
+PLACEMENT_PAUSE_FACTOR = 1
 """The pause lasts at least this many times the work of the previous round.
 
-Placement then leaves three quarters of the processor time to everything else.
+Other work that is due runs to its end before the next round in any case.
 """
 
 SLICE = timedelta(milliseconds=25)
