Begin a new placement round after a tenth of a second

What callers saw: urgent jobs that arrived while a backlog was placed were ranked as late in the first round that saw them, behind all of it.

Cause: a new urgent job of 1 s counts as on time for 0.35 s; a round that is given up after 250 ms and the pause after it took up to 0.44 s. With the longer pause the test of this passed by its timing.

Change: a round lasts 100 ms at most.

--- a/cassiaweir/dispatch/_placement_loop.py
+++ b/cassiaweir/dispatch/_placement_loop.py
@@ -27,10 +27,12 @@
 most, which is a small part of their timeouts.
 """
 
-MAX_ROUND = timedelta(milliseconds=250)
+MAX_ROUND = timedelta(milliseconds=100)
 """A round that has lasted for this long is given up for the next one.
 
-Work that has arrived meanwhile may rank before all that is left of the round.
+Work that has arrived meanwhile may rank before all that is left of the round.  With the
+pause after it this is less than the time for which a new urgent job is sure to rank
+first.
 """
 
 MIN_LOGGED_ROUND = timedelta(milliseconds=150)
