Stop a run whose start ended with an unforeseen error

Cause: the background task that sent a start ended with the error, and nobody followed the run up: it took room on its server for good, and its task never waited again.

Change: the run is stopped, which also keeps a start in transit from being carried out, and its task waits again once that is certain.

Result: the new test fails before (the job stays in state running), and passes.

--- a/cassiaweir/dispatch/_run_control.py
+++ b/cassiaweir/dispatch/_run_control.py
@@ -124,7 +124,13 @@
         """Order the start of a run; if it was not started, let its task wait again."""
         began = self._clock.monotonic()
         self._metrics.observe("start_delay", began - run.placed_at)
-        result, outcome = await self._orders.start(run)
+        try:
+            result, outcome = await self._orders.start(run)
+        except Exception as exc:
+            # It may be running: its task waits again once it was told to stop.
+            logger.opt(exception=exc).error("start_failed", task=run.task.name)
+            self.stop(run)
+            return
         self._metrics.observe("start_order", self._clock.monotonic() - began)
         self._metrics.count("start_orders", result=result.value)
         if result is not StartResult.NOT_STARTED:
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -22,7 +22,7 @@
 from cassiaweir.leadership import Election
 from cassiaweir.types import Resources
 from standins.users import FakeServer
-from tests.site_fakes import FakeSite
+from tests.site_fakes import FakeSite, VmServerClient
 from tests.virtual_time import run_virtual
 
 TASK = StepSpec(count=2, cpu_millis=1_000, memory_mb=512, estimate_s=0.5)
@@ -202,3 +202,25 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against a run that counts for ever, as the order to start it ended with an
+# unforeseen error: its task never waited again, and its server had less room.
+def test_a_start_that_raises_is_stopped_and_its_task_starts_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=1)
+        first = [True]
+        raised = raise_if(
+            VmServerClient, "start", monkeypatch, lambda *_: first and bool(first.pop())
+        )
+        await finish_a_job(site)
+        assert raised == ["start"]
+        leader = await site.wait_for_leader()
+        dispatcher = leader.term._dispatcher
+        assert dispatcher is not None
+        assert not any(server.runs for server in dispatcher.servers.values())
+        await site.close()
+
+    run_virtual(body)
