Forget the answers of the advice service about ended jobs

Cause: the leader kept the answers about all steps of its term.

Change: they are dropped with the job, once nothing of it can run.

--- a/cassiaweir/dispatch/_advice_cache.py
+++ b/cassiaweir/dispatch/_advice_cache.py
@@ -20,7 +20,7 @@
 from cassiaweir.dispatch._advice import Advice, Advisor
 from cassiaweir.dispatch._advice_choice import MAX_QUESTIONS_AT_ONCE, AllowedShare
 from cassiaweir.exceptions import UnavailableError
-from cassiaweir.jobs import Step
+from cassiaweir.jobs import Job, Step
 from cassiaweir.queues import AdvicePolicy
 from cassiaweir.types import Clock
 
@@ -200,6 +200,11 @@
         if advice is not None:
             advice.tickets.pop(server_id, None)
 
+    def forget_job(self, job: Job) -> None:
+        """Drop the answers about the steps of a job that has ended."""
+        for step in job.steps.values():
+            self._by_step.pop(step.name, None)
+
     async def close(self) -> None:
         """Cancel the questions being answered and drop the queued ones."""
         self._queue.clear()
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -381,6 +381,7 @@
         self._jobs.open_due_occurrences()
         for job in self._jobs.remove_finished(keep_held=not self._gate.is_open):
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
+            self._advice.forget_job(job)
         self._remove_missing_servers(now)
         self._reports.learner.publish()
         if self._gate.is_open:
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -169,3 +169,20 @@
         assert len(advisor.asked) == 5
 
     run_virtual(body)
+
+
+# Guards against a leader that keeps the answers about all steps of its term: a large
+# part of its memory by the end of a day with several thousand jobs.
+def test_answers_about_an_ended_job_are_forgotten():
+    async def body() -> None:
+        cache = cache_for(RecordingAdvisor(["i-0"]))
+        step, other = step_of_job(1), step_of_job(2)
+        for each in (step, other):
+            cache.ask(each, POLICY, ["i-0", "i-1"], 0.0, urgent=False)
+        await asyncio.sleep(1.0)
+        cache.forget_job(step.job)
+        assert not cache.allowed(step) and not cache.denied(step)
+        assert cache.tickets(other) == {"i-0": "t-i-0"}
+        await cache.close()
+
+    run_virtual(body)
