--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -78,6 +78,7 @@
     their task spec divided by `speed`, and write a checkpoint every `checkpoint_s`
     seconds, unless that is 0.  `refuses` is whether its
     address refuses connections while it is down or cut off, rather than staying silent.
+    A delayed report looks for ends every `poll_s` seconds.
     `counted_capacity` is the room that starts are held against.  `successor` is the
     server that runs at its address after a crash, if its id is new.  While it is cold,
     new runs take `COLD_SLOWDOWN` times as long.
@@ -108,6 +109,7 @@
         self.checkpoint_s = 0.0
         self.speed = 1.0
         self.refuses = False
+        self.poll_s = 0.01
         self.successor: FakeServer | None = None
         self._end_numbers = itertools.count(1)
         self._acknowledged = 0
@@ -244,7 +246,7 @@
             left = ends_at - asyncio.get_running_loop().time()
             if left < 1e-6 or not self.up:
                 break
-            await asyncio.sleep(min(left, 0.01))
+            await asyncio.sleep(min(left, self.poll_s))
             self.apply_due_events()
             self._forget_acknowledged()
         running = [
