Count only work that any server can run in the budget for advice

What callers would have seen: LOST.

Cause: gangs, and steps that only some servers may run, wait while there is room for others. The budget counted them as work before all others, so that four such jobs kept everything behind them from being asked about.

Change: they do not count, and of other steps only the share of servers that advice allows.

--- a/cassiaweir/dispatch/_advice_budget.py
+++ b/cassiaweir/dispatch/_advice_budget.py
@@ -34,14 +34,27 @@
         """Return whether the work before a step takes up all servers."""
         return self._left_millis.get(waiting.queue.service, 0) <= 0
 
-    def take(self, waiting: WaitingStep, tasks: int) -> bool:
+    def take(self, waiting: WaitingStep, tasks: int, allowed_share: float) -> bool:
         """Count `tasks` that found no server; return whether to ask about them.
 
-        Tasks too large for every server take up none, as they never start.
+        Only `allowed_share` of them counts, the share of servers that advice allows a
+        step: while it waits for those, others may have room.
         """
         if self.exhausted(waiting):
             return False
-        service, demand = waiting.queue.service, waiting.step.demand
-        if demand.cpu_millis <= self._largest_millis[service]:
-            self._left_millis[service] -= demand.cpu_millis * tasks
+        if self._takes_any_room(waiting):
+            cpu_millis = waiting.step.demand.cpu_millis * tasks
+            service = waiting.queue.service
+            self._left_millis[service] -= round(cpu_millis * allowed_share)
         return True
+
+    def _takes_any_room(self, waiting: WaitingStep) -> bool:
+        """Return whether the step's tasks start one by one wherever there is room.
+
+        Others may wait while there is room for what comes after them, which must not
+        wait with them: gangs, tasks that only some servers may run, and tasks too large
+        for every server.
+        """
+        spec, largest = waiting.step.spec, self._largest_millis[waiting.queue.service]
+        bound = spec.gang or spec.label or spec.most_per_server or spec.same_rack
+        return not bound and waiting.step.demand.cpu_millis <= largest
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -61,9 +61,9 @@
 class RoundCounts:
     """What a placement round did, for logs.
 
-    `steps` is the number of steps with tasks that could start, `looked_at` how many of
-    them servers were looked for, `placed` the number of tasks placed, and `slices` that
-    of the parts in which it was done.
+    `steps` is the number of steps with tasks that could start, `looked_at` how often
+    servers were looked for, `placed` the number of tasks placed, and `slices` that of
+    the parts in which it was done.
     """
 
     steps: int = 0
@@ -76,8 +76,9 @@
 class _Round:
     """A placement round: the steps in the order of rank, and where it may place them.
 
-    `rooms` is what was free on each usable server when the round began.  Room that is
-    freed later belongs to the first steps of the next round.
+    `jobs` are the ids of their jobs.  `rooms` is what was free on each usable server
+    when the round began.  Room that is freed later belongs to the first steps of the
+    next round.
     """
 
     steps: Sequence[WaitingStep]
@@ -197,11 +198,12 @@
         with_room = servers_with_room(usable, [each.step for each in steps])
         for waiting in steps:
             self._position += 1
+            if waiting.entry.job.ended:
+                continue
             if self._waits_for_advice(waiting):
-                self.waits.note_missing(
-                    waiting, waiting.step.waiting_count, Isolation.NONE, ()
-                )
-            elif not waiting.entry.job.ended:
+                tasks = waiting.step.waiting_count
+                self.waits.note_missing(waiting, tasks, Isolation.NONE, ())
+            else:
                 self._try_place(waiting, usable, with_room)
             if self._clock.monotonic() - now >= limit.total_seconds():
                 break
@@ -216,6 +218,13 @@
             and not self._advice.tickets(waiting.step)
         )
 
+    def _is_worth_asking(self, waiting: WaitingStep, missing: int) -> bool:
+        """Return whether to ask for advice about `missing` tasks of a step."""
+        if missing <= 0:
+            return False
+        share = self._advice.allowed_share(waiting.queue.name)
+        return self._budget.take(waiting, missing, share)
+
     def _begin_slice(self, steps: Sequence[WaitingStep], now: float) -> list[Server]:
         """Return the servers that may be used now, and forget what was found before.
 
@@ -422,8 +431,7 @@
                 reserved=self._reservations.of_others(step.name),
             )
         missing = within_cap - len(chosen)
-        may_ask = missing > 0 and queue.advice is not None
-        if may_ask and self._budget.take(waiting, missing):
+        if queue.advice is not None and self._is_worth_asking(waiting, missing):
             asked = askable if alone else with_room
             self._ask(waiting, askable, asked, within_cap, tickets or {})
         if not self._confirm_leadership(waiting.entry.job.version):
--- a/tests/test_busy_leader.py
+++ b/tests/test_busy_leader.py
@@ -175,6 +175,34 @@
     run_virtual(body)
 
 
+# Guards against LOST by work that waits for few servers, or for many at once: counted
+# as what comes before all other work, it kept that from being asked about for ever.
+@pytest.mark.parametrize(
+    "blocked",
+    [
+        StepSpec(count=40, cpu_millis=8_000, estimate_s=0.5, label="r1-0"),
+        StepSpec(count=60, cpu_millis=3_000, estimate_s=0.5, most_per_server=1),
+        StepSpec(count=24, cpu_millis=8_000, estimate_s=0.5, gang=True),
+    ],
+)
+def test_work_that_only_some_servers_can_run_keeps_no_other_waiting(blocked: StepSpec):
+    async def body() -> None:
+        site = GangSite(servers=8, share=1.0, question_s=0.02, each_server_s=0.0)
+        queue = replace(QUEUE, advice=AdvicePolicy(0.02, 0.0, 2.5))
+        site.configuration.value = configuration(CUSTOMER, queues=(queue,))
+        await site.wait_for_leader()
+        for _ in range(4):
+            site.submit(blocked, queue=queue, task_s=9.0)
+        await asyncio.sleep(0.5)
+        submitted_at = asyncio.get_running_loop().time()
+        other = StepSpec(count=2, cpu_millis=1_000, estimate_s=20.0)
+        started = await site.first_start(site.submit(other, queue=queue, task_s=20.0))
+        assert started.began_at - submitted_at < URGENT_START_S
+        await site.close()
+
+    run_virtual(body)
+
+
 # Guards against a successor that reads the jobs of its predecessor in one go, answers
 # no probe meanwhile and is deposed in turn.
 def test_loading_many_jobs_keeps_no_probe_waiting(monkeypatch):
