--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A service that nobody cancelled is shown as failed after executors have crashed."""
+"""One recurring job takes the processes of all machines down again and again."""
 
 from __future__ import annotations
 
@@ -10,67 +10,65 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from standins import Cell, job_id, now, run_case  # noqa: E402
+from standins import (  # noqa: E402
+    FINISH_S,
+    MEMORY_LIMIT_MB,
+    OTHER_KEY,
+    Cell,
+    job_id,
+    now,
+    run_case,
+)
 
-SERVICE_TASKS = 24
-CRASH_SHARE = 0.14
-CRASH_FOR_S = 4.5
-CRASH_EVERY_S = 5.0
-LIMIT_S = 90.0
-WATCH_S = 8.0
+LOAD_S = 30.0
+JOBS_EVERY_S = 0.2
+POISON_AT_S = 8.0
+ENDS_OF_A_FAULT = 3
+MACHINES_OF_A_FAULT = 2
 
 
-async def crash_some(cell: Cell, rng: random.Random) -> None:
-    """Crash a share of the executors; they begin their next lifetimes later."""
-    up = [each for each in cell.fleet.executors if not each.down]
-    count = int(len(cell.fleet.executors) * CRASH_SHARE)
-    chosen = rng.sample(up, count)
-    for each in chosen:
-        each.crash()
-    await asyncio.sleep(CRASH_FOR_S)
-    for each in chosen:
-        each.restart()
-
-
-async def crash_often(cell: Cell) -> None:
-    """Crash a share of the executors again and again."""
+async def case(cell: Cell, trouble: bool) -> list[str]:
+    """Hand in one job that is due since 1970 among small ones of another tenant."""
     rng = random.Random(7)
-    crashes = set()
-    while True:
-        await asyncio.sleep(CRASH_EVERY_S)
-        crashes.add(asyncio.create_task(crash_some(cell, rng)))
+    cell.fleet.work = lambda task, run: (rng.uniform(0.5, 1.5), "done")
+    accepted: set[str] = set()
+    began = now()
 
+    async def hand_in(job: str, body: dict) -> None:
+        if await cell.submit(job, body, tries=3):
+            accepted.add(job)
 
-async def case(cell: Cell, trouble: bool) -> list[str]:
-    """Run a service while executors crash."""
-    service = job_id()
-    fleet = cell.fleet
-    fleet.lasts = lambda task: task.startswith(service)
-    # The tasks never end by themselves.
-    fleet.work = lambda task, run: (100_000.0, "failed")
-    step = {"count": SERVICE_TASKS, "cpu": 8000, "mem_mb": 2048, "long_running": True}
-    if not await cell.submit(service, {"spec": "service", "steps": [step]}):
-        raise RuntimeError("the service was not accepted")
-    began = now()
-    crashes = asyncio.create_task(crash_often(cell)) if trouble else None
-    state = ""
-    while now() < began + LIMIT_S and state not in ("failed", "cancelled", "done"):
-        await asyncio.sleep(0.5)
-        state = await cell.state(service)
-    if crashes is not None:
-        crashes.cancel()
-    if state == "running":
+    work = set()
+    poisoned = False
+    poison = job_id()
+    while now() < began + LOAD_S:
+        body = {
+            "spec": "check",
+            "steps": [{"count": 2, "cpu": 1400, "mem_mb": 256, "estimate_ms": 1000}],
+        }
+        work.add(asyncio.create_task(hand_in(job_id(), body)))
+        if trouble and not poisoned and now() > began + POISON_AT_S:
+            poisoned = True
+            # Every hour, with `first_ms` omitted: the first one was due in 1970.
+            hourly = {"times": 1_000_000, "interval_ms": 3_600_000}
+            work.add(
+                asyncio.create_task(cell.submit(poison, body | hourly, key=OTHER_KEY))
+            )
+        await asyncio.sleep(JOBS_EVERY_S)
+    await asyncio.gather(*work)
+    await asyncio.sleep(FINISH_S)
+    states = await asyncio.gather(*(cell.state(job) for job in sorted(accepted)))
+    finished = sum(state == "done" for state in states)
+    cell.record.line(f"{finished} of {len(accepted)} other accepted jobs are done")
+    ends = cell.memory_kills
+    cell.record.line(f"processes that ended by themselves: {dict(ends)}")
+    often = [name for name, count in ends.items() if count >= ENDS_OF_A_FAULT]
+    if len(often) < MACHINES_OF_A_FAULT:
         return []
-    ended_s = now() - began
-    await asyncio.sleep(WATCH_S)
-    at_work = sum(map(bool, fleet.active.values()))
-    text = (
-        f"{service}: shown as {state} {ended_s:.1f} s after it was accepted, though "
-        f"nobody cancelled it and no run of it has ended failed; {WATCH_S:.0f} s later "
-        f"{at_work} of {SERVICE_TASKS} tasks are at work"
-    )
-    cell.record.line(f"LOST {text}")
-    return [text]
+    return [
+        f"{name}: its process ended {ends[name]} times, over its {MEMORY_LIMIT_MB} MB"
+        for name in often
+    ]
 
 
 run_case(case, FOLDER)
