Apply each end of a run once

Cause: a server lists an end until it is acknowledged, which waits until the rows of all ends in its report are stored. The leader applied every listed end with each report. The end "done" of a lasting task put its task back to waiting each time, although its next run was at work; other ends reset the health of the server, replaced newer checkpoints and dropped the record of a later start. The next leader did the same with what its predecessor had applied.

Change: the leader notes the last end applied in each lifetime of a server. A task waits again only if the run that ended was counted and is its newest. A checkpoint belongs to a run, which is stored with it. Failures reported after a success, and those of lasting tasks, are not kept.

The test of lasting tasks in test_jobs_job.py expected finish_task to put a task back to waiting; it now expects that the task stays placed until its run is requeued, which is as strict.

Ruled out: the run numbers of the orders. Starts that doubled had rising numbers, and servers accepted them as newer runs.

--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -81,12 +81,7 @@
         now = self._clock.monotonic()
         self.learner.begin_report(server, report, asked_at, now)
         server.update_from_report(report, now)
-        position = 0
-        for end in report.ended:
-            if end.number > server.acknowledged:
-                end_position = self._apply_end(server, end)
-                server.unstored_ends[end.task] = end_position
-                position = max(position, end_position)
+        position = self._apply_ends(server, report)
         listed = {(running.task, running.run) for running in report.running}
         self._stop_late_starts(server, listed)
         server.orphan_runs = frozenset(
@@ -101,6 +96,22 @@
         self._stop_slow_runs(server)
         return position
 
+    def _apply_ends(self, server: Server, report: ServerReport) -> int:
+        """Apply the ends that are new; return the last position that an end rests on.
+
+        A server lists an end until it is acknowledged, which may take as long as the
+        store is away.  An end that was applied before says nothing about later runs.
+        """
+        position = 0
+        for end in sorted(report.ended, key=lambda each: each.number):
+            if end.number <= server.acknowledged:
+                continue
+            if end.number > server.applied:
+                server.unstored_ends[end.task] = self._apply_end(server, end)
+                server.applied = end.number
+            position = max(position, server.unstored_ends.get(end.task, 0))
+        return position
+
     def _stop_late_starts(self, server: Server, listed: set[RunKey]) -> None:
         """Stop what may still be started late; what is `listed` has been started."""
         now = self._clock.monotonic()
@@ -148,7 +159,7 @@
         """Apply a listed run; return whether its task belongs to a known job."""
         run = server.runs.get((running.task, running.run))
         if run is not None:
-            run.task.step.record_checkpoint(run.task, running.checkpoint)
+            run.task.step.record_checkpoint(run.task, run.number, running.checkpoint)
             run.note_checkpoint(running.checkpoint, self._clock.monotonic())
             self._clear_suspicion(run)
             self._record_progress(run, running.percent)
@@ -160,7 +171,7 @@
         adopted = self._runs.adopt(task, server, running.run)
         adopted.state = RunState.RUNNING
         adopted.answered_at = self._clock.monotonic()
-        task.step.record_checkpoint(task, running.checkpoint)
+        task.step.record_checkpoint(task, running.run, running.checkpoint)
         needed = adopted.is_latest and task.state is TaskState.PLACED
         if needed and not task.step.job.ended:
             logger.info(
@@ -241,21 +252,23 @@
         task = self._jobs.find_task(end.task)
         if task is None:
             return 0
-        task.step.job.crashes.unwatch(end.task)
+        task.step.job.crashes.unwatch(end.task, server.lifetime)
         entry = self._jobs.entries[task.step.job.job_id]
         if run is not None:
             self._log_end(server, run, end)
         if end.kind is EndKind.DONE:
             if run is not None and not server.cold:
                 self.learner.record_end(run)
-            return self._finish(server, entry, task)
-        task.step.record_checkpoint(task, end.checkpoint)
-        position = 0
-        if end.kind is EndKind.FAILED:
-            position = self._fail(server, entry, task, end)
+            position = self._finish(server, entry, task)
+        else:
+            task.step.record_checkpoint(task, end.run, end.checkpoint)
+            position = 0
+            if end.kind is EndKind.FAILED:
+                position = self._fail(server, entry, task, end)
+            if run is not None:
+                run.note_checkpoint(end.checkpoint, self._clock.monotonic())
+                self._count_discarded(run, run.stop_cause or end.kind.value)
         if run is not None:
-            run.note_checkpoint(end.checkpoint, self._clock.monotonic())
-            self._count_discarded(run, run.stop_cause or end.kind.value)
             self._runs.requeue(run, end.kind.value)
         return position
 
@@ -310,7 +323,7 @@
         if server.health.record_failure(entry.job.job_id, now):
             logger.warning("server_suspended", server=server.server_id)
             self.learner.forget_server(server)
-        if had_ended:
+        if had_ended or task.step.spec.long_running:
             return entry.write_position
         if entry.job.ended:
             logger.info("job_ended", job=entry.job.job_id, state=entry.job.state.value)
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -61,8 +61,9 @@
     name each task before its start; `reachable` that no poll or start has gone
     unanswered since its last report; `ended` that another lifetime, under another id,
     answers at its address.  `missing_since` is the time at which its entry
-    vanished, None while the entry exists.  `acknowledged` is the number of the last end
-    that the server may forget.  `orphan_runs` are runs
+    vanished, None while the entry exists.  `applied` is the number of the last end in
+    its lifetime that this leader has applied, `acknowledged` that of the last one that
+    the server may forget.  `orphan_runs` are runs
     that the server lists although their tasks belong to no known job; how much of the
     capacity they take is unknown.  `born` is the lifetime that the last report came
     from, or that of the entry before the first report.  `late_starts` are runs of which
@@ -95,6 +96,7 @@
         self.ended = False
         self.cold = False
         self.missing_since: float | None = None
+        self.applied = 0
         self.acknowledged = 0
         self.orphan_runs: frozenset[RunKey] = frozenset()
         self.late_starts: set[RunKey] = set()
@@ -290,6 +292,7 @@
         self._may_inherit_runs = bool(self.runs or self._lost_starts)
         self._inherited_lease_end_ms = 0
         self.born = born
+        self.applied = 0
         self.acknowledged = 0
         self.orphan_runs = frozenset()
         self._clock_ms = None
--- a/cassiaweir/jobs/_job.py
+++ b/cassiaweir/jobs/_job.py
@@ -38,8 +38,9 @@
 class Task:
     """A task of a step.
 
-    `run` is the number of its newest run, 0 before the first one.  `preempted` is true
-    once a run of the task was stopped to make room for urgent work.
+    `run` is the number of its newest run, 0 before the first one.  `checkpoint_run` is
+    the run that wrote `checkpoint`, 0 if a former leader has not stored it.
+    `preempted` is true once a run of the task was stopped to make room for urgent work.
     """
 
     step: Step
@@ -48,6 +49,7 @@
     run: int = 0
     failed_runs: set[int] = field(default_factory=set)
     checkpoint: str = ""
+    checkpoint_run: int = 0
     preempted: bool = False
 
     @property
@@ -90,6 +92,7 @@
     waiting_count: int = 0
     failed_runs: set[int] = field(default_factory=set)
     checkpoint: str = ""
+    checkpoint_run: int = 0
     avoided_servers: set[str] = field(default_factory=set)
     demand: Resources = field(init=False)
     kind: str = field(init=False)
@@ -121,14 +124,16 @@
         """Return the checkpoint from which a run of `task` resumes."""
         return self.checkpoint if self.spec.gang else task.checkpoint
 
-    def record_checkpoint(self, task: Task, checkpoint: str) -> None:
-        """Store the newest checkpoint of `task`; an empty one changes nothing."""
-        if not checkpoint:
-            return
-        if self.spec.gang:
-            self.checkpoint = checkpoint
-        else:
-            task.checkpoint = checkpoint
+    def record_checkpoint(self, task: Task, run: int, checkpoint: str) -> None:
+        """Record a checkpoint that `run` of `task` wrote; an empty one changes nothing.
+
+        Reports of an older run may arrive after those of a newer one, and don't replace
+        its checkpoint.
+        """
+        holder: Step | Task = self if self.spec.gang else task
+        if checkpoint and run >= holder.checkpoint_run:
+            holder.checkpoint = checkpoint
+            holder.checkpoint_run = run
 
 
 class Job:
@@ -226,10 +231,9 @@
         """Record that a run of `task` succeeded; return whether a task became done.
 
         The success of one task completes its whole gang.  A long-running task never
-        becomes done: it waits for its next run.
+        becomes done.
         """
         if task.step.spec.long_running:
-            self.mark_waiting(task)
             return False
         step = task.step
         tasks = step.tasks if step.spec.gang else [task]
@@ -245,15 +249,18 @@
         """Record that `run` of `task` failed; return whether it is counted only now.
 
         A failure may be reported more than once, by each member of a gang too, and the
-        failure of an earlier run may be reported after that of a later one.  Failures
-        are therefore counted by run number.  They never fail a long-running job.
+        failure of an earlier run may be reported after that of a later one, or after
+        the task is done.  Failures are therefore counted by run number.  They never
+        fail a long-running job, of which only the last one is kept.
         """
         step = task.step
         holder: Step | Task = step if step.spec.gang else task
         if run in holder.failed_runs:
             return False
+        if step.spec.long_running:
+            holder.failed_runs.clear()
         holder.failed_runs.add(run)
-        if step.spec.long_running or self.ended:
+        if step.spec.long_running or self.ended or task.state is TaskState.DONE:
             return True
         if len(holder.failed_runs) >= self.most_failures:
             self.state = JobState.FAILED
--- a/cassiaweir/jobs/_progress.py
+++ b/cassiaweir/jobs/_progress.py
@@ -9,6 +9,14 @@
 from cassiaweir.jobs._job import Job, JobState, Step, Task, TaskState
 
 
+class _Checkpoint(msgspec.Struct, omit_defaults=True, array_like=True):
+    # The index of the task; GANG_INDEX stands for the whole gang.
+    index: int
+    checkpoint: str
+    # The run that wrote it, 0 in rows of builds that did not store it.
+    run: int = 0
+
+
 class _StepProgress(msgspec.Struct, omit_defaults=True, array_like=True):
     occurrence: int
     number: int
@@ -16,8 +24,7 @@
     all_done: bool = False
     # Pairs of task index and numbers of the failed runs; GANG_INDEX is the whole gang.
     failures: list[tuple[int, list[int]]] = []
-    # Pairs of task index and checkpoint; GANG_INDEX is the whole gang.
-    checkpoints: list[tuple[int, str]] = []
+    checkpoints: list[_Checkpoint] = []
 
 
 class _Progress(msgspec.Struct, omit_defaults=True):
@@ -89,17 +96,21 @@
     for task in step.tasks:
         if task.state is TaskState.DONE:
             progress.done.append(task.index)
-        elif task.failed_runs:
+        elif task.failed_runs and not step.spec.long_running:
             progress.failures.append((task.index, sorted(task.failed_runs)))
         if task.checkpoint and task.state is not TaskState.DONE:
-            progress.checkpoints.append((task.index, task.checkpoint))
-    if step.failed_runs:
+            progress.checkpoints.append(_checkpoint_of(task, task.index))
+    if step.failed_runs and not step.spec.long_running:
         progress.failures.append((GANG_INDEX, sorted(step.failed_runs)))
     if step.checkpoint:
-        progress.checkpoints.append((GANG_INDEX, step.checkpoint))
+        progress.checkpoints.append(_checkpoint_of(step, GANG_INDEX))
     return progress
 
 
+def _checkpoint_of(holder: Step | Task, index: int) -> _Checkpoint:
+    return _Checkpoint(index, holder.checkpoint, holder.checkpoint_run)
+
+
 def _apply_step(job: Job, progress: _StepProgress) -> None:
     """Apply the progress of a step; one that the job doesn't have is ignored."""
     first = job.find_task(f"{job.job_id}.{progress.occurrence}.{progress.number}.0")
@@ -111,8 +122,9 @@
         job.finish_task(step.tasks[index])
     for index, runs in progress.failures:
         _holder(step, index).failed_runs.update(runs)
-    for index, checkpoint in progress.checkpoints:
-        _holder(step, index).checkpoint = checkpoint
+    for each in progress.checkpoints:
+        holder = _holder(step, each.index)
+        holder.checkpoint, holder.checkpoint_run = each.checkpoint, each.run
 
 
 def _holder(step: Step, index: int) -> Step | Task:
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from cassiaweir.dispatch import EndKind, StartOrder
-from cassiaweir.jobs import JobSpec
+from cassiaweir.jobs import JobSpec, StepSpec
 from cassiaweir.types import NO_RESOURCES, Resources, Write
 from standins.users._rows import MemoryStore
 from standins.users._servers import FakeRun, FakeServer
@@ -127,9 +127,8 @@
         for each in self.servers.values():
             each.apply_due_events()
         now = asyncio.get_running_loop().time()
-        job_id, _, number, _ = order.task.split(".")
-        spec = self.specs[job_id]
-        step = spec.steps[int(number)]
+        spec = self.specs[order.task.partition(".")[0]]
+        step = self._step_of(order.task)
         seconds, _, how = order.spec.partition("/")
         kind = EndKind.FAILED if server.failing else EndKind(how)
         run = FakeRun(
@@ -279,9 +278,15 @@
         """Record that ends up to `number` are acknowledged and no longer reported."""
         now = asyncio.get_running_loop().time()
         for end in server.ends:
-            if end.number <= number and end.kind is EndKind.DONE:
+            if end.number > number or end.kind is not EndKind.DONE:
+                continue
+            if not self._step_of(end.task).long_running:
                 self._acknowledged_at.setdefault(end.task, now)
 
+    def _step_of(self, task: str) -> StepSpec:
+        job_id, _, number, _ = task.split(".")
+        return self.specs[job_id].steps[int(number)]
+
     def starts_of(self, job_id: str) -> list[RunRecord]:
         """Return the runs of a job, in order of start."""
         return [each for each in self.history if each.task.startswith(job_id)]
--- a/tests/test_jobs_job.py
+++ b/tests/test_jobs_job.py
@@ -82,7 +82,9 @@
     for run in range(1, 6):
         task.state = TaskState.PLACED
         job.record_run_failure(task, run)
-        job.finish_task(task)
+        assert not job.finish_task(task)
+        assert task.state is TaskState.PLACED
+        job.mark_waiting(task)
         assert task.state is TaskState.WAITING
     assert not job.ended
 
@@ -145,11 +147,16 @@
         if self.job.may_start(task.step) and task.state is not TaskState.DONE:
             self.job.record_run_failure(task, run)
 
-    @rule(number=st.integers(0, 2), index=st.integers(0, 2), text=st.text(max_size=4))
-    def checkpoint(self, number: int, index: int, text: str) -> None:
+    @rule(
+        number=st.integers(0, 2),
+        index=st.integers(0, 2),
+        run=st.integers(1, 3),
+        text=st.text(max_size=4),
+    )
+    def checkpoint(self, number: int, index: int, run: int, text: str) -> None:
         task = self.pick(number, index)
         if task.state is not TaskState.DONE:
-            task.step.record_checkpoint(task, text)
+            task.step.record_checkpoint(task, run, text)
 
     @invariant()
     def rebuilt_job_is_equal(self) -> None:
