Take no run for gone by a report that may leave out ends

Cause: a server lists 500 ends at a time until they are acknowledged. A run whose end comes after these is in neither list of the report. The leader took it for gone and started its task again; the next leader released the tasks of such ends, as the server had answered. Callers would see tasks that had been done run again (TWICE).

Change: the adapter says whether a report lists all ends. One that may not removes no run, and settles no server for the takeover gate. Ends that are acknowledged make room for the next ones in the list, so that the leader learns of all. The servers of the simulated site list 500 ends as well.

Measured: two cases with 650 tasks on one server, by the same leader and by the next one, fail before ("started again after its end was acknowledged") and pass now; so does one on the leader's parts alone.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -269,20 +269,26 @@
         if not server.fenced:
             server.fenced = True
             self._sum_up_capacity()
-            self._gate.mark_settled(server.server_id)
-            former = self._gate.settle_former_lifetimes(
-                server.entry.address, server.server_id
-            )
-            logger.info(
-                "server_first_report",
-                server=server.server_id,
-                former=",".join(sorted(former)),
-            )
+        if not server.settled and report.ends_complete:
+            self._settle(server)
         if not server.recorded and not server.recording:
             self._background.start(self._records.store(server))
         self.wake()
         return position
 
+    def _settle(self, server: Server) -> None:
+        """Note that a server has listed all that former leaders started there."""
+        server.settled = True
+        self._gate.mark_settled(server.server_id)
+        former = self._gate.settle_former_lifetimes(
+            server.entry.address, server.server_id
+        )
+        logger.info(
+            "server_first_report",
+            server=server.server_id,
+            former=",".join(sorted(former)),
+        )
+
     def handle_unreachable(self, server: Server) -> None:
         """Mark an unreachable server's runs as lost once its leases have expired.
 
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -89,7 +89,8 @@
             for running in report.running
             if not self._apply_running(server, running)
         )
-        self._remove_unlisted(server, listed, asked_at)
+        if report.ends_complete:
+            self._remove_unlisted(server, listed, asked_at)
         self.interference.record_report(server, report)
         if restarted:
             self._crashes.resolve()
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -63,7 +63,8 @@
     answers at its address.  `missing_since` is the time at which its entry
     vanished, None while the entry exists.  `applied` is the number of the last end in
     its lifetime that this leader has applied, `acknowledged` that of the last one that
-    the server may forget.  `orphan_runs` are runs
+    the server may forget.  `settled` means that a report has listed all that a former
+    leader started there.  `orphan_runs` are runs
     that the server lists although their tasks belong to no known job; how much of the
     capacity they take is unknown.  `born` is the lifetime that the last report came
     from, or that of the entry before the first report.  `late_starts` are runs of which
@@ -96,6 +97,7 @@
         self.ended = False
         self.cold = False
         self.missing_since: float | None = None
+        self.settled = False
         self.applied = 0
         self.acknowledged = 0
         self.orphan_runs: frozenset[RunKey] = frozenset()
--- a/cassiaweir/dispatch/_server_entry.py
+++ b/cassiaweir/dispatch/_server_entry.py
@@ -75,13 +75,16 @@
 class ServerReport:
     """All runs on a server, and the ends that are not acknowledged yet.
 
-    `clock_ms` is the server's clock at the time of the report.
+    `clock_ms` is the server's clock at the time of the report.  `ends_complete` is
+    false if more ends may follow those listed: a run that is not listed may then have
+    ended.
     """
 
     clock_ms: int
     born: int
     running: Sequence[RunningTask]
     ended: Sequence[TaskEnd]
+    ends_complete: bool = True
 
 
 class OrderOutcome(StrEnum):
--- a/cassiaweir/platform/_servers.py
+++ b/cassiaweir/platform/_servers.py
@@ -29,6 +29,9 @@
 from cassiaweir.verdict import Verdict
 
 SERVERS_PREFIX = "servers//"
+MAX_LISTED_ENDS = 500
+"""A server lists at most this many ends that are not acknowledged, the oldest ones."""
+
 RACK_LABEL_PATTERN = re.compile(r"r\d+-\d+")
 
 STATUS_OK = 200
@@ -287,4 +290,5 @@
             TaskEnd(row.number, row.task, row.run, row.kind, row.checkpoint or "")
             for row in found.ended
         ],
+        ends_complete=len(found.ended) < MAX_LISTED_ENDS,
     )
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -29,6 +29,8 @@
 CLOCK_START_MS = 1_000_000
 STOP_DURATION_S = 0.1
 COLD_SLOWDOWN = 3.0
+MAX_LISTED_ENDS = 500
+"""A report lists at most this many ends that are not acknowledged, the oldest ones."""
 
 
 @dataclass
@@ -255,7 +257,11 @@
             )
             for run in self.runs.values()
         ]
-        return ServerReport(self.clock_ms(), self.entry.born, running, list(self.ends))
+        listed = self.ends[:MAX_LISTED_ENDS]
+        complete = len(listed) < MAX_LISTED_ENDS
+        return ServerReport(
+            self.clock_ms(), self.entry.born, running, listed, ends_complete=complete
+        )
 
     def _forget_acknowledged(self) -> None:
         self.site.record_acknowledged(self, self._acknowledged)
--- a/tests/test_listed_ends.py
+++ b/tests/test_listed_ends.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -23,6 +24,8 @@
 from cassiaweir.jobs import Job, JobSpec, JobState, StepSpec, Task, TaskState
 from cassiaweir.jobs._crashes import CrashRow
 from cassiaweir.observe import Metrics
+from standins.users import SERVER_SIZE
+from standins.users._servers import MAX_LISTED_ENDS
 from tests.site_fakes import QUEUE, FakeSite, configuration
 from tests.test_dispatch_parts import server_of
 from tests.virtual_time import VirtualClock, run_virtual
@@ -85,6 +88,7 @@
         server: Server,
         ended: list[TaskEnd],
         *,
+        complete: bool = True,
         checkpoint: str = "",
     ) -> int:
         """Apply a report that lists all counted runs that are not in `ended`."""
@@ -95,7 +99,7 @@
             if key not in ends
         ]
         now = asyncio.get_running_loop().time()
-        found = ServerReport(1_000, 1, running, ended)
+        found = ServerReport(1_000, 1, running, ended, ends_complete=complete)
         return self.reports.apply(server, found, now)
 
 
@@ -259,3 +263,54 @@
         assert not leader.writes
 
     run_virtual(body)
+
+
+# Guards against TWICE: a server lists a limited number of ends, and a run whose end is
+# not among them was taken for gone, so that its task was started again.
+def test_a_run_that_a_full_report_does_not_list_may_have_ended() -> None:
+    async def body() -> None:
+        leader = Leader(StepSpec(count=2))
+        server = leader.servers[0]
+        ended, hidden = (leader.start(task, server) for task in leader.tasks)
+        server.runs.pop(hidden.key)
+        await asyncio.sleep(1)
+        ends = [end_of(ended, EndKind.DONE)]
+        server.runs[hidden.key] = hidden
+        now = asyncio.get_running_loop().time()
+        full = ServerReport(1_000, 1, [], ends, ends_complete=False)
+        leader.reports.apply(server, full, now)
+        assert hidden.task.state is TaskState.PLACED
+        leader.reports.apply(server, replace(full, ends_complete=True), now)
+        assert hidden.task.state is TaskState.WAITING
+
+    run_virtual(body)
+
+
+# Guards against TWICE: as above, by the same leader and by the next one, which took
+# tasks for not started whose ends were beyond the first report.
+@pytest.mark.parametrize("takeover", [False, True])
+def test_tasks_with_more_ends_than_a_report_lists_run_once(takeover: bool) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=1, vms=3, seed=4, domains=("a", "b", "c"))
+        leader = await site.wait_for_leader()
+        assert leader.failure_domain != site.servers["i-0"].entry.failure_domain
+        count = MAX_LISTED_ENDS + 150
+        small = StepSpec(count=count, cpu_millis=SERVER_SIZE.cpu_millis // count)
+        job_id = site.submit(small, task_s=3.0)
+        await asyncio.sleep(2.8)
+        for vm in site.vms:
+            vm.store.fault_mode = "lossy"
+        await asyncio.sleep(1.5)
+        if takeover:
+            await leader.kill()
+        for vm in site.vms:
+            vm.store.fault_mode = ""
+        await asyncio.sleep(15)
+        leader = await site.wait_for_leader()
+        state = leader.term.job_state(job_id)
+        await site.close()
+        assert not site.faults
+        assert state is JobState.DONE
+        assert len(site.starts_of(job_id)) == count
+
+    run_virtual(body)
