--- a/cassiaweir/dispatch/_advice_cache.py
+++ b/cassiaweir/dispatch/_advice_cache.py
@@ -203,7 +203,11 @@
     def forget_job(self, job: Job) -> None:
         """Drop the answers about the steps of a job that has ended."""
         for step in job.steps.values():
-            self._by_step.pop(step.name, None)
+            self.forget_step(step)
+
+    def forget_step(self, step: Step) -> None:
+        """Drop the answers about a step that has ended."""
+        self._by_step.pop(step.name, None)
 
     async def close(self) -> None:
         """Cancel the questions being answered and drop the queued ones."""
--- a/cassiaweir/dispatch/_crash_tracker.py
+++ b/cassiaweir/dispatch/_crash_tracker.py
@@ -141,6 +141,7 @@
         entry.job.crashes.record_age(age_s)
         crash = self._judge(lost, run.job_id)
         if entry.job.crashes.add_loss(run.task.name, server.lifetime, crash):
+            entry.job.mark_unsaved(run.task.name)
             self._jobs.save(entry)
 
     def note_removed(self, server: Server) -> None:
@@ -223,6 +224,7 @@
             crash = self._judge(lost, job_id)
             tasks = entry.job.crashes.confirm(name, crash)
             for task in tasks:
+                entry.job.mark_unsaved(task)
                 self._metrics.count("task_crashes")
                 self._avoid(task, lost)
                 logger.warning(
@@ -265,7 +267,10 @@
     def _dismiss(self, name: str, lost: _LostLifetime) -> None:
         for job_id in lost.jobs:
             entry = self._jobs.entries.get(job_id)
-            if entry is not None and entry.job.crashes.dismiss(name):
+            tasks = entry.job.crashes.dismiss(name) if entry is not None else []
+            if entry is not None and tasks:
+                for task in tasks:
+                    entry.job.mark_unsaved(task)
                 logger.info(
                     "loss_was_no_crash",
                     job=job_id,
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -19,6 +19,7 @@
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._load import LoadSampler
+from cassiaweir.dispatch._occurrences import OccurrenceOpener
 from cassiaweir.dispatch._orders import OrderSender, ServerClient
 from cassiaweir.dispatch._placement_loop import PlacementLoop
 from cassiaweir.dispatch._placer import Placer
@@ -83,6 +84,7 @@
         self._gate = gate
         self._shrinker = shrinker
         self._metrics = metrics
+        self._occurrences = OccurrenceOpener(jobs, clock, metrics)
         self._usage = CustomerUsage()
         self._runs = RunRegistry(jobs, self._usage, clock, leadership.epoch)
         self.servers: dict[str, Server] = {}
@@ -384,7 +386,11 @@
         if self._entries_age() != timedelta.max:
             self._evacuations.warn_of_unknown_domains()
         self.interference.age(now)
-        self._jobs.open_due_occurrences()
+        self._occurrences.open_due()
+        self._jobs.delete_obsolete_rows()
+        for step in self._jobs.closed_steps:
+            self._advice.forget_step(step)
+        self._jobs.closed_steps.clear()
         for job in self._jobs.remove_finished(keep_held=not self._gate.is_open):
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
             self._advice.forget_job(job)
--- a/cassiaweir/dispatch/_former_usage.py
+++ b/cassiaweir/dispatch/_former_usage.py
@@ -18,7 +18,8 @@
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._server import Server
-from cassiaweir.jobs import JobState, Task, TaskState
+from cassiaweir.dispatch._task_selection import TaskSelection
+from cassiaweir.jobs import Job, JobState, Task, TaskState
 from cassiaweir.types import NO_RESOURCES, Clock, Resources
 
 RECOUNT_INTERVAL_S = 0.1
@@ -100,19 +101,18 @@
 
     def _add_unnamed(self, found: dict[str, Resources]) -> None:
         capacity = self._open_capacity()
-        named = self._gate.named_tasks
-        named_steps = {name.rpartition(".")[0] for name in named}
+        wall = self._clock.now().timestamp()
         unnamed: dict[str, Resources] = {}
         for entry in self._jobs.held_jobs():
             if entry.job.state is JobState.DONE:
                 continue
             # The former leader may know of ends that make further steps startable.
             for step in entry.job.steps.values():
-                count = step.waiting_count
-                if count and step.name in named_steps:
-                    count = sum(task.name not in named for task in step.waiting())
+                named = self._gate.named_indexes(step.name)
+                count = len(TaskSelection(step, named))
                 if count:
                     _add(unnamed, entry.job.spec.customer, step.demand * count)
+            _add_overdue(unnamed, entry.job, wall)
         for customer, demand in unnamed.items():
             bounded = demand if capacity is None else _minimum(demand, capacity)
             _add(found, customer, bounded)
@@ -152,6 +152,14 @@
     return waits and task.step.job.state is not JobState.DONE
 
 
+def _add_overdue(found: dict[str, Resources], job: Job, wall: float) -> None:
+    """Add occurrences that a former leader may have opened, and this one has not."""
+    overdue = job.count_overdue(wall) if job.spec.times else 0
+    if overdue:
+        for spec in job.spec.steps:
+            _add(found, job.spec.customer, spec.demand * (spec.count * overdue))
+
+
 def _add(found: dict[str, Resources], customer: str, demand: Resources) -> None:
     found[customer] = found.get(customer, NO_RESOURCES) + demand
 
--- a/cassiaweir/dispatch/_gate.py
+++ b/cassiaweir/dispatch/_gate.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from cassiaweir.dispatch._server import (
     LEASE_EXPIRY_MARGIN_S,
@@ -52,6 +52,7 @@
         self._open = not self._unsettled
         self._holds_all = False
         self._held_tasks: frozenset[str] = frozenset()
+        self._held_indexes: dict[str, frozenset[int]] = {}
         self._update_held()
 
     @property
@@ -115,6 +116,17 @@
             return False
         return self._holds_all or task in self._held_tasks
 
+    def named_indexes(self, step_name: str) -> frozenset[int]:
+        """Return the indexes of the tasks of a step that restricted rows name."""
+        if self._open:
+            return frozenset()
+        return self._held_indexes.get(step_name, frozenset())
+
+    @property
+    def holds_all(self) -> bool:
+        """Whether any task may have been started somewhere by a former leader."""
+        return self._holds_all and not self._open
+
     def handle_former_leader_exit(self, now: float) -> None:
         """End the former leader's authority, as its process no longer exists."""
         self._former_authority_end = min(self._former_authority_end, now)
@@ -136,3 +148,14 @@
         named = [each.names for each in self._unsettled.values() if each.names]
         self._holds_all = any(each.names is None for each in self._unsettled.values())
         self._held_tasks = frozenset().union(*named)
+        self._held_indexes = _indexes_by_step(self._held_tasks)
+
+
+def _indexes_by_step(names: Iterable[str]) -> dict[str, frozenset[int]]:
+    """Return the indexes of tasks by the names of their steps."""
+    found: dict[str, set[int]] = {}
+    for name in names:
+        step_name, _, index = name.rpartition(".")
+        if index.isdecimal():
+            found.setdefault(step_name, set()).add(int(index))
+    return {step_name: frozenset(indexes) for step_name, indexes in found.items()}
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -10,9 +10,9 @@
 
 from cassiaweir.dispatch._customer_terms import ConfigurationSource, CustomerTerms
 from cassiaweir.dispatch._job_rows import (
-    PROGRESS_PREFIX,
     SHRUNK_VALUE,
     outcome_key,
+    progress_key,
     row_name,
 )
 from cassiaweir.dispatch._job_times import (
@@ -26,13 +26,16 @@
 from cassiaweir.dispatch._shares import ShareAllowance, ShareMeter
 from cassiaweir.exceptions import InvalidInputError
 from cassiaweir.jobs import (
+    MAIN_CHUNK,
+    ChunkKey,
     Job,
     JobSpec,
     JobState,
+    Step,
     Task,
     apply_progress,
+    encode_chunk,
     encode_outcome,
-    encode_progress,
 )
 from cassiaweir.queues import Customer, Queue
 from cassiaweir.types import Clock, Row, Write
@@ -45,7 +48,15 @@
         """Queue a write and return its position in the order of writes."""
 
     def is_stored(self, position: int) -> bool:
-        """Return whether every write up to `position` is stored."""
+        """Return whether the write at `position` and those before it are stored."""
+
+
+@dataclass(frozen=True, slots=True)
+class _ObsoleteRow:
+    """A row to be deleted once the writes up to `position` are stored."""
+
+    key: str
+    position: int
 
 
 @dataclass(slots=True, eq=False)
@@ -54,8 +65,8 @@
 
     `over_share` means that it was submitted beyond its customer's share.  If `held`, it
     was stored before the takeover, so that a former leader may have started its tasks.
-    `write_position` is the position of its newest write; `progress_stored` means that
-    a progress row of it is stored or queued.  `submitted_at` and `last_start_at`, when
+    `write_position` is the position of its newest write; `stored_chunks` are those of
+    which a progress row is stored or queued.  `submitted_at` and `last_start_at`, when
     a task of it was last started, are on the leader's clock.  `waiting_since` is when
     the job had a waiting step again after a round without one, `seen_in_round` the last
     round in which it had one, and `turn_at` when it was last taken out of turn.
@@ -69,7 +80,7 @@
     held: bool = False
     runs: set[Run] = field(default_factory=set)
     write_position: int = 0
-    progress_stored: bool = False
+    stored_chunks: set[ChunkKey] = field(default_factory=set)
     submitted_at: float = 0.0
     last_start_at: float = 0.0
     waiting_since: float = 0.0
@@ -82,10 +93,13 @@
 class JobRegistry:
     """Keeps the jobs read from the store and writes their progress and outcomes.
 
-    `progress` and `outcomes` are what former leaders stored, by job id.  `entries`
+    `progress` and `outcomes` are what former leaders stored, by job id and, for
+    progress, by chunk of the job's tasks.  `entries`
     holds the jobs that are not finished; of the others only the final state is kept.
     `fleet_cpu_millis` is the CPU capacity of all servers that have answered.  `models`
     are what this term has learnt of durations and of the speeds of servers.
+    `closed_steps` are those of complete occurrences of jobs that go on; whoever acts on
+    them clears the list.
     """
 
     def __init__(
@@ -93,7 +107,7 @@
         writer: RowWriter,
         clock: Clock,
         configuration: ConfigurationSource,
-        progress: Mapping[str, bytes],
+        progress: Mapping[str, Mapping[ChunkKey, bytes]],
         outcomes: Mapping[str, JobState],
         allowance: ShareAllowance | None = None,
     ) -> None:
@@ -104,9 +118,11 @@
         self._configuration = configuration
         self._terms = CustomerTerms(configuration)
         self._progress = dict(progress)
+        self._obsolete_rows: list[_ObsoleteRow] = []
         self._outcomes = dict(outcomes)
         self._shares = ShareMeter(allowance)
         self.models = WorkModels()
+        self.closed_steps: list[Step] = []
         self.objective_updates = 0
 
     @property
@@ -182,9 +198,16 @@
         change = abs(self.fleet_cpu_millis - entry.fleet_cpu_millis)
         return change > NOTICEABLE_CHANGE * entry.fleet_cpu_millis
 
+    def entry_of(self, task: str) -> JobEntry | None:
+        """Return the entry of the job of a task with this name, None if there is none.
+
+        The job need not have such a task.
+        """
+        return self.entries.get(task.partition(".")[0])
+
     def find_task(self, name: str) -> Task | None:
         """Return the task called `name`, or None if no job in `entries` has it."""
-        entry = self.entries.get(name.partition(".")[0])
+        entry = self.entry_of(name)
         return entry.job.find_task(name) if entry is not None else None
 
     def state(self, job_id: str) -> JobState | None:
@@ -216,14 +239,6 @@
         """Yield the jobs from before the takeover, among them those that have ended."""
         return (each for each in self.entries.values() if each.held)
 
-    def open_due_occurrences(self) -> None:
-        """Open the occurrences of repeated jobs that are due."""
-        wall = self._clock.now().timestamp()
-        for entry in self.open_jobs():
-            job = entry.job
-            while job.has_more_occurrences and job.next_due_at <= wall:
-                job.open_occurrence()
-
     def cancel(self, job_id: str) -> JobEntry | None:
         """Mark a job as cancelled; return its entry, or None if it was not open."""
         entry = self.entries.get(job_id)
@@ -234,18 +249,58 @@
         return entry
 
     def save(self, entry: JobEntry) -> int:
-        """Queue a write of the job's progress or outcome; return its position."""
+        """Queue writes of what has changed of the job's progress, or of its outcome.
+
+        Return the position of the job's newest write.
+        """
         job = entry.job
-        key = f"{PROGRESS_PREFIX}{job.job_id}"
         if not job.ended:
-            entry.progress_stored = True
-            entry.write_position = self._writer.put(Write(key, encode_progress(job)))
+            self._save_progress(entry)
             return entry.write_position
         # The progress is kept for a new leader, which needs it while runs may go on.
         outcome = Write(outcome_key(job.job_id), encode_outcome(job))
         entry.write_position = self._writer.put(outcome)
         return entry.write_position
 
+    def _save_progress(self, entry: JobEntry) -> None:
+        job = entry.job
+        for chunk in sorted(job.unsaved_chunks):
+            if chunk != MAIN_CHUNK and chunk[0] in job.complete_occurrences:
+                continue
+            write = Write(progress_key(job.job_id, chunk), encode_chunk(job, chunk))
+            entry.write_position = self._writer.put(write)
+            entry.stored_chunks.add(chunk)
+        job.unsaved_chunks.clear()
+        for step in job.closed_steps:
+            self.models.forget_step(step)
+        if job.closed_steps:
+            self._drop_closed(entry)
+
+    def _drop_closed(self, entry: JobEntry) -> None:
+        """Let the rows of complete occurrences be deleted, once that is stored."""
+        job = entry.job
+        self.closed_steps += job.closed_steps
+        job.closed_steps.clear()
+        closed = [
+            chunk
+            for chunk in entry.stored_chunks
+            if chunk != MAIN_CHUNK and chunk[0] in job.complete_occurrences
+        ]
+        for chunk in sorted(closed):
+            key = progress_key(job.job_id, chunk)
+            self._obsolete_rows.append(_ObsoleteRow(key, entry.write_position))
+        entry.stored_chunks.difference_update(closed)
+
+    def delete_obsolete_rows(self) -> None:
+        """Delete rows that nothing needs, as what replaces them is stored by now."""
+        waiting = []
+        for row in self._obsolete_rows:
+            if self._writer.is_stored(row.position):
+                self._writer.put(Write(row.key, None))
+            else:
+                waiting.append(row)
+        self._obsolete_rows = waiting
+
     def has_outcome(self, job_id: str) -> bool:
         """Return whether a job's outcome is stored and it has no runs any more."""
         return job_id in self._outcomes
@@ -264,34 +319,36 @@
                 self._outcomes[job_id] = entry.job.state
                 del self.entries[job_id]
                 self.models.forget_job(entry.job)
-                if entry.progress_stored:
-                    self._delete_progress(job_id)
+                self._delete_progress(job_id, entry.stored_chunks)
                 removed.append(entry.job)
         return removed
 
     def delete_former_progress(self, job_id: str) -> None:
         """Delete the progress, if there is any, of a job that ended with its leader."""
-        if self._progress.pop(job_id, None) is not None:
-            self._delete_progress(job_id)
+        self._delete_progress(job_id, self._progress.pop(job_id, {}))
 
-    def _delete_progress(self, job_id: str) -> None:
-        self._writer.put(Write(f"{PROGRESS_PREFIX}{job_id}", None))
+    def _delete_progress(self, job_id: str, chunks: Iterable[ChunkKey]) -> None:
+        for chunk in sorted(chunks):
+            self._writer.put(Write(progress_key(job_id, chunk), None))
 
     def _add(self, spec: JobSpec, version: int, *, held: bool) -> JobEntry:
         job = Job(spec, version, spec.queue.most_failures)
-        progress = self._progress.pop(spec.job_id, None)
-        if progress is not None:
-            self._restore_progress(job, progress)
+        progress = self._progress.pop(spec.job_id, {})
+        self._restore_progress(job, list(progress.values()))
         now = self._clock.monotonic()
         age_s = self._clock.now().timestamp() - spec.submitted_at
         objective = objective_of(
             spec, self.queue_of(job), self.fleet_cpu_millis, now - age_s
         )
         entry = JobEntry(job, objective, over_share=False, held=held)
-        entry.progress_stored = progress is not None
+        entry.stored_chunks = set(progress)
         entry.submitted_at = now - age_s
         entry.fleet_cpu_millis = self.fleet_cpu_millis
         self.entries[spec.job_id] = entry
+        if job.closed_steps:
+            # A former leader stored the ends of an occurrence, but not that it is done.
+            job.unsaved_chunks.add(MAIN_CHUNK)
+            self.save(entry)
         return entry
 
     def _record_submission(self, job: Job) -> bool:
@@ -301,11 +358,12 @@
         spec = job.spec
         return self._shares.record_submission(spec.customer, weight, spec.submitted_at)
 
-    def _restore_progress(self, job: Job, progress: bytes) -> None:
+    def _restore_progress(self, job: Job, rows: Sequence[bytes]) -> None:
         try:
-            apply_progress(job, progress)
+            apply_progress(job, rows)
         except InvalidInputError as exc:
             logger.error("progress_unreadable", job=job.job_id, cause=str(exc))
+        job.unsaved_chunks.clear()
 
 
 def _decode_spec(row: Row) -> JobSpec | None:
--- a/cassiaweir/dispatch/_job_rows.py
+++ b/cassiaweir/dispatch/_job_rows.py
@@ -8,6 +8,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from cassiaweir.jobs import MAIN_CHUNK, ChunkKey
+from cassiaweir.types import Row
+
 JOB_PARTS = tuple("0123456789abcdef")
 JOB_PREFIXES = tuple(f"jobs/{part}/" for part in JOB_PARTS)
 CANCEL_SUFFIX = ".cancel"
@@ -37,6 +42,31 @@
     return f"{OUTCOMES_PREFIX}{job_id}"
 
 
+def progress_key(job_id: str, chunk: ChunkKey) -> str:
+    """Return the key of the row that holds the progress of a chunk of a job's tasks."""
+    if chunk == MAIN_CHUNK:
+        return f"{PROGRESS_PREFIX}{job_id}"
+    occurrence, number = chunk
+    return f"{PROGRESS_PREFIX}{job_id}.{occurrence}.{number}"
+
+
+def progress_by_job(rows: Iterable[Row]) -> dict[str, dict[ChunkKey, bytes]]:
+    """Return the values of progress rows by job id and chunk."""
+    found: dict[str, dict[ChunkKey, bytes]] = {}
+    for row in rows:
+        job_id, chunk = _parse_progress_name(row_name(row.key))
+        found.setdefault(job_id, {})[chunk] = row.value
+    return found
+
+
+def _parse_progress_name(name: str) -> tuple[str, ChunkKey]:
+    job_id, _, rest = name.partition(".")
+    occurrence, _, number = rest.partition(".")
+    if not (occurrence.isdecimal() and number.isdecimal()):
+        return job_id, MAIN_CHUNK
+    return job_id, (int(occurrence), int(number))
+
+
 def row_name(key: str) -> str:
     """Return the last segment of a key: the job id, with any suffix."""
     return key.rpartition("/")[2]
--- a/cassiaweir/dispatch/_job_times.py
+++ b/cassiaweir/dispatch/_job_times.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from cassiaweir.dispatch._objective import remaining_paths_s
-from cassiaweir.jobs import Job
+from cassiaweir.jobs import Job, Step
 from cassiaweir.queues import Queue
 from cassiaweir.scheduling import DurationModel, ServerSpeeds, StepDurations
 
@@ -31,8 +31,12 @@
     def forget_job(self, job: Job) -> None:
         """Forget the steps of a job that has ended."""
         for step in job.steps.values():
-            self.steps.forget(step.name)
-            self.speeds.forget_step(step.name)
+            self.forget_step(step)
+
+    def forget_step(self, step: Step) -> None:
+        """Forget a step that has ended."""
+        self.steps.forget(step.name)
+        self.speeds.forget_step(step.name)
 
 
 @dataclass(slots=True)
--- a/cassiaweir/dispatch/_objective.py
+++ b/cassiaweir/dispatch/_objective.py
@@ -43,6 +43,12 @@
     due_at: float
     worthless_at: float
 
+    def later_by(self, seconds: float) -> Objective:
+        """Return the objective of a job that came `seconds` later."""
+        if not seconds:
+            return self
+        return Objective(self.due_at + seconds, self.worthless_at + seconds)
+
 
 def critical_path_s(
     spec: JobSpec,
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -19,6 +19,12 @@
 The speeds of equal servers are found to differ by less than this.
 """
 
+MAX_RUNS_PER_SERVER = 400
+"""Bounds the reports and rows of a server where tasks ask for little or nothing.
+
+It is below the 500 ends that a server lists at a time.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -155,7 +161,7 @@
     spec = step.spec
     if spec.label and spec.label not in server.entry.labels:
         return 0
-    room = limit
+    room = min(limit, MAX_RUNS_PER_SERVER - len(server.runs))
     if spec.most_per_server:
         present = server.count_of_step(step.name)
         room = min(room, spec.most_per_server - present)
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -41,7 +41,7 @@
     WaitingStep,
     WaitingSteps,
 )
-from cassiaweir.jobs import Isolation, Step, Task
+from cassiaweir.jobs import Isolation, Step
 from cassiaweir.observe import Metrics
 from cassiaweir.scheduling import InterferenceModel
 from cassiaweir.types import Clock, Resources
@@ -325,12 +325,10 @@
                     gangs.append(WaitingGang(waiting, servers, count))
         self._gangs.plan(gangs, {each.entry.server_id for each in usable}, now)
 
-    def _note_capped(
-        self, waiting: WaitingStep, tasks: Sequence[Task], capped: int
-    ) -> None:
+    def _note_capped(self, waiting: WaitingStep, tasks: int, capped: int) -> None:
         """Note that the cap of the customer keeps `capped` of `tasks` waiting."""
         if capped and self.waits.due:
-            cause = self._caps.cause(waiting, len(tasks))
+            cause = self._caps.cause(waiting, tasks)
             self.waits.note(waiting, cause, capped)
 
     def _hold_cap(self, waiting: WaitingStep) -> None:
@@ -401,11 +399,11 @@
         alone = group.isolation is Isolation.ALONE
         within_cap = self._caps.allowed(waiting, len(tasks))
         if within_cap == 0 or (step.spec.gang and within_cap < len(tasks)):
-            self._note_capped(waiting, tasks, len(tasks))
+            self._note_capped(waiting, len(tasks), len(tasks))
             self._reservations.release(step.name)
             self._hold_cap(waiting)
             return
-        self._note_capped(waiting, tasks, len(tasks) - within_cap)
+        self._note_capped(waiting, len(tasks), len(tasks) - within_cap)
         tickets = None
         if queue.advice is not None:
             tickets = self._advice.tickets(step)
@@ -546,7 +544,8 @@
     ) -> None:
         step = waiting.step
         runs: list[Run] = []
-        for task, server in zip(group.tasks, chosen, strict=False):
+        tasks = group.tasks.first(len(chosen))
+        for task, server in zip(tasks, chosen, strict=False):
             number = self._runs.next_number(step, task)
             if step.spec.gang and runs:
                 number = runs[0].number
--- a/cassiaweir/dispatch/_quarantine.py
+++ b/cassiaweir/dispatch/_quarantine.py
@@ -7,6 +7,7 @@
 
 from cassiaweir.dispatch._placement import Candidate, is_avoided
 from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._task_selection import TaskSelection
 from cassiaweir.jobs import Isolation, Step, Task
 
 MAX_SHARE = 0.125
@@ -24,7 +25,7 @@
     """Waiting tasks of a step that are placed in the same way."""
 
     isolation: Isolation
-    tasks: Sequence[Task]
+    tasks: TaskSelection
 
 
 class Quarantine:
@@ -51,21 +52,30 @@
         suspected = any(server.suspects for server in servers)
         self._in_use = suspected or bool(self._set_aside)
 
-    def groups(self, step: Step, tasks: Sequence[Task], now: float) -> list[TaskGroup]:
+    def groups(self, step: Step, tasks: TaskSelection, now: float) -> list[TaskGroup]:
         """Divide waiting tasks by what may run beside them; a gang stays together."""
         history = step.job.crashes
         if not history:
             return [TaskGroup(Isolation.NONE, tasks)]
+        suspects = history.suspects(f"{step.name}.")
         if step.spec.gang:
-            isolation = history.isolation(each.name for each in step.tasks)
+            isolation = history.isolation(suspects)
             return [TaskGroup(self._effective(step, isolation, now), tasks)]
         found: dict[Isolation, list[Task]] = {}
-        for task in tasks:
-            isolation = history.isolation([task.name])
-            found.setdefault(self._effective(step, isolation, now), []).append(task)
+        for name in suspects:
+            task = step.job.find_task(name)
+            isolation = history.isolation([name])
+            if task is not None and task.index in tasks and isolation:
+                found.setdefault(self._effective(step, isolation, now), []).append(task)
         if Isolation.ALONE not in found:
             self._waiting_since.pop(step.job.job_id, None)
-        return [TaskGroup(each, found[each]) for each in sorted(found)]
+        isolated = {task.index for group in found.values() for task in group}
+        others = tasks.excluding(frozenset(isolated))
+        groups = [TaskGroup(Isolation.NONE, others)] if len(others) else []
+        for isolation in sorted(found):
+            by_index = sorted(found[isolation], key=lambda task: task.index)
+            groups.append(TaskGroup(isolation, TaskSelection(step, only=by_index)))
+        return groups
 
     def _effective(self, step: Step, isolation: Isolation, now: float) -> Isolation:
         if isolation is not Isolation.ALONE:
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -160,7 +160,7 @@
         """Apply a listed run; return whether its task belongs to a known job."""
         run = server.runs.get((running.task, running.run))
         if run is not None:
-            run.task.step.record_checkpoint(run.task, run.number, running.checkpoint)
+            _record_checkpoint(run.task, run.number, running.checkpoint)
             run.note_checkpoint(running.checkpoint, self._clock.monotonic())
             self._clear_suspicion(run)
             self._record_progress(run, running.percent)
@@ -172,7 +172,7 @@
         adopted = self._runs.adopt(task, server, running.run)
         adopted.state = RunState.RUNNING
         adopted.answered_at = self._clock.monotonic()
-        task.step.record_checkpoint(task, running.run, running.checkpoint)
+        _record_checkpoint(task, running.run, running.checkpoint)
         needed = adopted.is_latest and task.state is TaskState.PLACED
         if needed and not task.step.job.ended:
             logger.info(
@@ -250,11 +250,15 @@
     def _apply_end(self, server: Server, end: TaskEnd) -> int:
         """Apply the end of a run; return the position of the write it led to, or 0."""
         run = self._runs.remove(server, (end.task, end.run))
-        task = self._jobs.find_task(end.task)
-        if task is None:
+        entry = self._jobs.entry_of(end.task)
+        if entry is None:
             return 0
-        task.step.job.crashes.unwatch(end.task, server.lifetime)
-        entry = self._jobs.entries[task.step.job.job_id]
+        task = entry.job.find_task(end.task)
+        if task is None:
+            # Its occurrence is complete, which may not be stored yet.
+            return entry.write_position
+        if entry.job.crashes.unwatch(end.task, server.lifetime):
+            entry.job.mark_unsaved(end.task)
         if run is not None:
             self._log_end(server, run, end)
         if end.kind is EndKind.DONE:
@@ -262,7 +266,7 @@
                 self.learner.record_end(run)
             position = self._finish(server, entry, task)
         else:
-            task.step.record_checkpoint(task, end.run, end.checkpoint)
+            _record_checkpoint(task, end.run, end.checkpoint)
             position = 0
             if end.kind is EndKind.FAILED:
                 position = self._fail(server, entry, task, end)
@@ -333,6 +337,11 @@
         return self._jobs.save(entry)
 
 
+def _record_checkpoint(task: Task, run: int, checkpoint: str) -> None:
+    """Record what `run` of `task` has written, empty if it has written nothing."""
+    task.step.attempts_of(task).record_checkpoint(run, checkpoint)
+
+
 def _should_restart(run: Run, now: float) -> bool:
     """Return whether a run has stalled and is better started again.
 
--- a/cassiaweir/dispatch/_run_control.py
+++ b/cassiaweir/dispatch/_run_control.py
@@ -89,6 +89,7 @@
         if not entry.held and not entry.job.crashes.count(run.task.name):
             return 0
         entry.job.crashes.watch(run.task.name, lifetime_of(run))
+        entry.job.mark_unsaved(run.task.name)
         return self._jobs.save(entry)
 
     def _unwatch(self, run: Run) -> None:
@@ -100,6 +101,7 @@
         if entry is None or entry.job.ended:
             return
         if entry.job.crashes.unwatch(run.task.name, lifetime_of(run)):
+            entry.job.mark_unsaved(run.task.name)
             self._jobs.save(entry)
 
     async def _start_recorded(self, runs: Sequence[Run], position: int) -> None:
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -19,6 +19,7 @@
     JOB_PREFIXES,
     OUTCOMES_PREFIX,
     PROGRESS_PREFIX,
+    progress_by_job,
     row_name,
 )
 from cassiaweir.dispatch._orders import ServerClient
@@ -291,7 +292,7 @@
             commits,
             self._clock,
             self._configuration,
-            {row_name(row.key): row.value for row in stored.progress},
+            progress_by_job(stored.progress),
             stored.decode_outcomes(),
             self._share_allowance,
         )
--- a/cassiaweir/dispatch/_wait_causes.py
+++ b/cassiaweir/dispatch/_wait_causes.py
@@ -215,7 +215,7 @@
         """
         if self._due:
             cause = WaitCause.CAPACITY
-            if len(waiting.step.waiting()) > tasks:
+            if waiting.step.waiting_count > tasks:
                 cause = self._held_cause(waiting.entry)
             self.note(waiting, cause, tasks)
 
--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -13,7 +13,8 @@
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._job_times import URGENT_PRIORITY
 from cassiaweir.dispatch._objective import DeadlineStatus, deadline_status
-from cassiaweir.jobs import Step, Task
+from cassiaweir.dispatch._task_selection import TaskSelection
+from cassiaweir.jobs import Step
 from cassiaweir.queues import Queue
 from cassiaweir.types import Clock
 
@@ -105,7 +106,13 @@
                 if not _due(step, wall) or not self._has_startable(entry, step):
                     continue
                 remaining_s = self._jobs.times_of(entry, queue, now).remaining_s
-                rank = rank_of(entry, queue, remaining_s[step.number], now)
+                rank = rank_of(
+                    entry,
+                    queue,
+                    remaining_s[step.number],
+                    now,
+                    due_after_s=_due_after_s(step),
+                )
                 found.append(WaitingStep(rank, entry, step, queue))
                 if self._note_waiting(entry, now):
                     aged.append(entry)
@@ -152,20 +159,31 @@
         if not step.waiting_count:
             return False
         unchecked = not entry.held and not entry.job.crashes
-        return unchecked or bool(self.startable_tasks(entry, step))
+        return unchecked or len(self.startable_tasks(entry, step)) > 0
 
-    def startable_tasks(self, entry: JobEntry, step: Step) -> list[Task]:
+    def startable_tasks(self, entry: JobEntry, step: Step) -> TaskSelection:
         """Return the waiting tasks that may be started now.
 
         No former leader may have started them, and what is known of their crashes has
         to be stored.
         """
-        tasks = step.waiting()
+        held: frozenset[int] = frozenset()
+        if entry.held and not self._gate.is_open:
+            if self._gate.holds_all:
+                return TaskSelection(step, only=())
+            held = self._gate.named_indexes(step.name)
         if entry.job.crashes:
-            tasks = [each for each in tasks if self._crashes.may_start(entry, each)]
-        if not entry.held or self._gate.is_open:
-            return tasks
-        return [task for task in tasks if not self._gate.holds(task.name)]
+            held |= self._suspects_held(entry, step)
+        return TaskSelection(step, held)
+
+    def _suspects_held(self, entry: JobEntry, step: Step) -> frozenset[int]:
+        """Return the indexes of suspected tasks that may not be started yet."""
+        found = set()
+        for name in entry.job.crashes.suspects(f"{step.name}."):
+            task = entry.job.find_task(name)
+            if task is not None and not self._crashes.may_start(entry, task):
+                found.add(task.index)
+        return frozenset(found)
 
     def held_tasks(self) -> Iterator[tuple[JobEntry, str, int]]:
         """Yield job, queue and number of the due tasks that may not be started yet."""
@@ -176,7 +194,7 @@
             for step in entry.job.startable_steps():
                 if _due(step, wall):
                     tasks = self.startable_tasks(entry, step)
-                    held = len(step.waiting()) - len(tasks)
+                    held = step.waiting_count - len(tasks)
                     if held:
                         yield entry, self._jobs.queue_of(entry.job).name, held
 
@@ -184,23 +202,41 @@
 def _due(step: Step, wall: float) -> bool:
     """Return whether the occurrence of `step` is due at `wall`, in Unix seconds."""
     spec = step.job.spec
-    if not spec.times:
-        return True
-    return wall >= spec.first_at + step.occurrence * spec.interval_s
+    return not spec.times or wall >= spec.due_at(step.occurrence)
+
 
+def _due_after_s(step: Step) -> float:
+    """Return how long after its job's submission the occurrence of `step` is due.
 
-def rank_of(entry: JobEntry, queue: Queue, remaining_s: float, now: float) -> Rank:
+    It is negative for an occurrence that was overdue by then.
+    """
+    spec = step.job.spec
+    if not spec.times:
+        return 0.0
+    return spec.due_at(step.occurrence) - spec.submitted_at
+
+
+def rank_of(
+    entry: JobEntry,
+    queue: Queue,
+    remaining_s: float,
+    now: float,
+    *,
+    due_after_s: float = 0.0,
+) -> Rank:
     """Return the rank of a step whose job needs `remaining_s` from its start on.
 
-    Of equally pressing steps, those of jobs that have begun come first: a job is worth
-    something only once it is complete.
+    The times of an occurrence of a recurring job count from when it is due, which is
+    `due_after_s` after the submission.  Of equally pressing steps, those of jobs that
+    have begun come first: a job is worth something only once it is complete.
     """
-    objective = entry.objective
+    submitted_at = entry.submitted_at + due_after_s
+    objective = entry.objective.later_by(due_after_s)
     expected_s = remaining_s * (1 + FINISH_MARGIN_SHARE) + FINISH_MARGIN_S
     latest_start = objective.due_at - remaining_s
     status = deadline_status(objective, expected_s, now)
-    allowed_s = objective.due_at - entry.submitted_at
-    if now < entry.submitted_at + NEW_JOB_SHARE * allowed_s:
+    allowed_s = objective.due_at - submitted_at
+    if now < submitted_at + NEW_JOB_SHARE * allowed_s:
         status = DeadlineStatus.ON_TIME
     return Rank(
         BEYOND_SHARE if entry.over_share else WITHIN_SHARE,
--- a/cassiaweir/jobs/__init__.py
+++ b/cassiaweir/jobs/__init__.py
@@ -1,12 +1,12 @@
 """Jobs: submitted specifications, task states, and the encoding of stored progress."""
 
 from cassiaweir.jobs._crashes import Crash, CrashHistory, Isolation
-from cassiaweir.jobs._job import Job, JobState, Step, Task, TaskState
+from cassiaweir.jobs._job import MAIN_CHUNK, ChunkKey, Job, JobState, Step
 from cassiaweir.jobs._progress import (
     apply_progress,
     decode_outcome,
+    encode_chunk,
     encode_outcome,
-    encode_progress,
 )
 from cassiaweir.jobs._specs import (
     MAX_TASK_SPEC_BYTES,
@@ -14,9 +14,12 @@
     StepSpec,
     check_steps,
 )
+from cassiaweir.jobs._tasks import Task, TaskState
 
 __all__ = [
+    "MAIN_CHUNK",
     "MAX_TASK_SPEC_BYTES",
+    "ChunkKey",
     "Crash",
     "CrashHistory",
     "Isolation",
@@ -30,6 +33,6 @@
     "apply_progress",
     "check_steps",
     "decode_outcome",
+    "encode_chunk",
     "encode_outcome",
-    "encode_progress",
 ]
--- a/cassiaweir/jobs/_crashes.py
+++ b/cassiaweir/jobs/_crashes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -83,6 +83,8 @@
     def __init__(self) -> None:
         self.proof_s = DEFAULT_PROOF_S
         self._lifetimes: dict[str, _Lifetime] = {}
+        self._by_task: dict[str, dict[str, None]] = {}
+        """The names of the lifetimes of each task, in the order of the losses."""
         self._watched: dict[str, str] = {}
 
     def __bool__(self) -> bool:
@@ -101,6 +103,7 @@
         if task in found.tasks:
             return False
         found.tasks.add(task)
+        self._by_task.setdefault(task, {})[lifetime] = None
         return True
 
     def confirm(self, lifetime: str, crash: Crash) -> list[str]:
@@ -112,13 +115,34 @@
         found.crash = crash
         return sorted(found.tasks)
 
-    def dismiss(self, lifetime: str) -> bool:
-        """Forget a loss that was no crash; return whether it was recorded."""
+    def dismiss(self, lifetime: str) -> list[str]:
+        """Forget a loss that was no crash; return the tasks that it was recorded for.
+
+        There are none if it is not known, or counts as a crash.
+        """
         found = self._lifetimes.get(lifetime)
         if found is None or found.confirmed:
-            return False
+            return []
         del self._lifetimes[lifetime]
-        return True
+        for task in found.tasks:
+            del self._by_task[task][lifetime]
+            if not self._by_task[task]:
+                del self._by_task[task]
+        return sorted(found.tasks)
+
+    def forget(self, prefix: str) -> None:
+        """Forget the tasks whose names begin with `prefix`, as they are done."""
+        for task in self.suspects(prefix):
+            for name in self._by_task.pop(task):
+                self._lifetimes[name].tasks.discard(task)
+                if not self._lifetimes[name].tasks:
+                    del self._lifetimes[name]
+        for task in [each for each in self._watched if each.startswith(prefix)]:
+            del self._watched[task]
+
+    def suspects(self, prefix: str) -> list[str]:
+        """Return the tasks with crashes or losses whose names begin with `prefix`."""
+        return [task for task in self._by_task if task.startswith(prefix)]
 
     def watch(self, task: str, lifetime: str) -> None:
         """Record on which lifetime a suspected task is about to be started."""
@@ -165,20 +189,28 @@
             return True
         return len(crashes) >= MAX_UNPROVEN_CRASHES
 
-    def rows(self) -> list[CrashRow]:
-        """Return the stored form; a watched start may be lost with this leader."""
-        rows = [
-            CrashRow(
-                name,
-                sorted(each.tasks),
-                each.confirmed,
-                each.crash.alone,
-                each.crash.widespread,
+    def rows(self, tasks: Collection[str]) -> list[CrashRow]:
+        """Return the stored form of what is known of `tasks`.
+
+        A watched start may be lost with this leader.
+        """
+        names = {name for task in tasks for name in self._by_task.get(task, ())}
+        rows = []
+        for name in sorted(names):
+            each = self._lifetimes[name]
+            rows.append(
+                CrashRow(
+                    name,
+                    sorted(each.tasks.intersection(tasks)),
+                    each.confirmed,
+                    each.crash.alone,
+                    each.crash.widespread,
+                )
             )
-            for name, each in self._lifetimes.items()
-        ]
         return rows + [
-            CrashRow(lifetime, [task]) for task, lifetime in self._watched.items()
+            CrashRow(self._watched[task], [task])
+            for task in tasks
+            if task in self._watched
         ]
 
     def restore(self, rows: Iterable[CrashRow]) -> None:
@@ -196,7 +228,7 @@
                 self.confirm(row.lifetime, Crash(row.alone, row.widespread))
 
     def _of(self, task: str) -> list[_Lifetime]:
-        return [each for each in self._lifetimes.values() if task in each.tasks]
+        return [self._lifetimes[name] for name in self._by_task.get(task, ())]
 
     def _isolation(self, task: str) -> Isolation:
         found = self._of(task)
--- a/cassiaweir/jobs/_job.py
+++ b/cassiaweir/jobs/_job.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from cassiaweir.jobs._crashes import CrashHistory
+from cassiaweir.jobs._number_ranges import NumberRanges
 from cassiaweir.jobs._specs import JobSpec, StepSpec
+from cassiaweir.jobs._tasks import Attempts, Task, TaskList, TaskState
 from cassiaweir.types import Resources
 
+ChunkKey = tuple[int, int]
+"""An occurrence, and the number of a chunk of its tasks, counted over all its steps."""
+
+MAIN_CHUNK: ChunkKey = (0, 0)
+"""The chunk with whose tasks the numbers of complete occurrences are stored."""
+
+TASKS_PER_CHUNK = 64
+"""Tasks whose progress is stored in one row."""
+
 
 class JobState(StrEnum):
     """The state of a job as reported to callers; values are part of the API."""
@@ -26,78 +37,31 @@
         return self in (JobState.DONE, JobState.FAILED, JobState.CANCELLED)
 
 
-class TaskState(StrEnum):
-    """The state of a task; a PLACED task has a run that may exist on a server."""
-
-    WAITING = "waiting"
-    PLACED = "placed"
-    DONE = "done"
-
-
-@dataclass(slots=True, eq=False)
-class Task:
-    """A task of a step.
-
-    `run` is the number of its newest run, 0 before the first one.  `checkpoint_run` is
-    the run that wrote `checkpoint`, 0 if a former leader has not stored it.
-    `preempted` is true once a run of the task was stopped to make room for urgent work.
-    """
-
-    step: Step
-    index: int
-    _state: TaskState = field(default=TaskState.WAITING, init=False)
-    run: int = 0
-    failed_runs: set[int] = field(default_factory=set)
-    checkpoint: str = ""
-    checkpoint_run: int = 0
-    preempted: bool = False
-
-    @property
-    def state(self) -> TaskState:
-        """The state of the task."""
-        return self._state
-
-    @state.setter
-    def state(self, state: TaskState) -> None:
-        waits = state is TaskState.WAITING
-        waited = self._state is TaskState.WAITING
-        self.step.waiting_count += waits - waited
-        self._state = state
-
-    @property
-    def name(self) -> str:
-        """The name sent to servers: job id, occurrence, step number and task index."""
-        return f"{self.step.name}.{self.index}"
-
-
 @dataclass(slots=True, eq=False)
-class Step:
+class Step(Attempts):
     """A step of one occurrence of a job.
 
-    `number` is the index of the step in the job's specification.  The tasks of a gang
-    share their failures and checkpoint, which are therefore kept here and not in the
-    tasks.  `avoided_servers` holds the ids of servers where a task of the step failed,
-    stalled or ran too slowly, and ids and addresses of those that crashed under one.
-    `demand` is the resources that one task uses.  `kind` is what tasks are compared by
-    that may slow each other down: the queue, and the image where there is one.
-    `waiting_count` is kept by the tasks, as it is read far more often than it changes.
+    `number` is the index of the step in the job's specification, and `first_task` how
+    many tasks the steps before it have.  The tasks of a gang share their failures and
+    checkpoint, which are therefore kept here and not in the tasks.  `avoided_servers`
+    holds the ids of servers where a task of the step failed, stalled or ran too slowly,
+    and ids and addresses of those that crashed under one.  `demand` is the resources
+    that one task uses.  `kind` is what tasks are compared by that may slow each other
+    down: the queue, and the image where there is one.
     """
 
     job: Job
     occurrence: int
     number: int
     spec: StepSpec
-    tasks: list[Task] = field(default_factory=list)
-    done_count: int = 0
-    waiting_count: int = 0
-    failed_runs: set[int] = field(default_factory=set)
-    checkpoint: str = ""
-    checkpoint_run: int = 0
+    first_task: int = 0
     avoided_servers: set[str] = field(default_factory=set)
+    tasks: TaskList = field(init=False)
     demand: Resources = field(init=False)
     kind: str = field(init=False)
 
     def __post_init__(self) -> None:
+        self.tasks = TaskList(self, self.spec.count)
         self.demand = self.spec.demand
         queue, image = self.job.spec.queue.name, self.spec.image
         self.kind = f"{queue}/{image}" if image else queue
@@ -107,33 +71,36 @@
         """The job id, occurrence and step number, joined by dots."""
         return f"{self.job.job_id}.{self.occurrence}.{self.number}"
 
+    @property
+    def done_count(self) -> int:
+        """How many tasks are done."""
+        return self.tasks.done_count
+
+    @property
+    def waiting_count(self) -> int:
+        """How many tasks need a run."""
+        return self.tasks.waiting_count
+
     @property
     def complete(self) -> bool:
         """Whether all tasks of the step are done."""
-        return self.done_count == len(self.tasks)
-
-    def waiting(self) -> list[Task]:
-        """Return the tasks in state WAITING, which need a run."""
-        return [task for task in self.tasks if task.state is TaskState.WAITING]
+        return self.tasks.done_count == len(self.tasks)
 
     def placed(self) -> list[Task]:
         """Return the tasks in state PLACED, which have a run."""
-        return [task for task in self.tasks if task.state is TaskState.PLACED]
+        return [task for task in self.tasks.known() if task.state is TaskState.PLACED]
+
+    def attempts_of(self, task: Task) -> Attempts:
+        """Return what holds the failures and the checkpoint of `task`."""
+        return self if self.spec.gang else task
 
     def checkpoint_of(self, task: Task) -> str:
         """Return the checkpoint from which a run of `task` resumes."""
-        return self.checkpoint if self.spec.gang else task.checkpoint
+        return self.attempts_of(task).checkpoint
 
-    def record_checkpoint(self, task: Task, run: int, checkpoint: str) -> None:
-        """Record a checkpoint that `run` of `task` wrote; an empty one changes nothing.
-
-        Reports of an older run may arrive after those of a newer one, and don't replace
-        its checkpoint.
-        """
-        holder: Step | Task = self if self.spec.gang else task
-        if checkpoint and run >= holder.checkpoint_run:
-            holder.checkpoint = checkpoint
-            holder.checkpoint_run = run
+    def chunk_of(self, index: int) -> ChunkKey:
+        """Return which chunk the task with this index belongs to."""
+        return self.occurrence, (self.first_task + index) // TASKS_PER_CHUNK
 
 
 class Job:
@@ -144,8 +111,13 @@
     shows that one of its tasks crashes its servers.  `started` is true once a run of
     any task was ordered.
 
-    A recurring job (`spec.times` is not 0) runs its steps once an occurrence.  The
-    steps of an occurrence are created when it opens, normally when it is due.
+    A recurring job (`spec.times` is not 0) runs its steps once an occurrence.  `steps`
+    holds those of the occurrences that are open: they were opened, normally once due,
+    and are not complete.  Of complete ones only the numbers are kept, as ranges.
+
+    `unsaved_chunks` are the chunks of tasks whose stored progress has to be written
+    again, `closed_steps` the steps of occurrences that have become complete; whoever
+    acts on either clears it.
     """
 
     def __init__(self, spec: JobSpec, version: int, most_failures: int) -> None:
@@ -157,7 +129,11 @@
         self.steps: dict[tuple[int, int], Step] = {}
         self.started = False
         self.crashes = CrashHistory()
-        self._opened = 0
+        self.complete_occurrences = NumberRanges()
+        self.unsaved_chunks: set[ChunkKey] = set()
+        self.closed_steps: list[Step] = []
+        self._open_occurrences: set[int] = set()
+        self._next_occurrence = 0
         if not spec.times:
             self.open_occurrence()
 
@@ -166,46 +142,102 @@
         """Whether the job is done, failed or cancelled."""
         return self.state.final
 
+    @property
+    def next_occurrence(self) -> int:
+        """The number of the next occurrence to be opened."""
+        number = self._next_occurrence
+        while True:
+            if number in self._open_occurrences:
+                number += 1
+            elif number in self.complete_occurrences:
+                number = self.complete_occurrences.next_missing(number)
+            else:
+                self._next_occurrence = number
+                return number
+
     @property
     def has_more_occurrences(self) -> bool:
         """Whether an occurrence of a recurring job has not been opened yet."""
-        return self._opened < self.spec.times
+        return self.next_occurrence < self.spec.times
 
     @property
     def next_due_at(self) -> float:
         """When the next occurrence to be opened is due, in Unix seconds."""
-        return self.spec.first_at + self._opened * self.spec.interval_s
+        return self.spec.due_at(self.next_occurrence)
+
+    @property
+    def open_occurrence_count(self) -> int:
+        """How many occurrences are open."""
+        return len(self._open_occurrences)
+
+    def count_overdue(self, wall: float) -> int:
+        """Return how many occurrences are due at `wall`, in Unix seconds, and not open.
+
+        Occurrences that were opened out of their order, if there are any, count too.
+        """
+        spec, first = self.spec, self.next_occurrence
+        if first >= spec.times or spec.due_at(first) > wall:
+            return 0
+        if spec.interval_s <= 0:
+            return spec.times - first
+        due = int(min((wall - spec.first_at) / spec.interval_s, spec.times - 1)) + 1
+        return max(due - first, 1)
 
     def open_occurrence(self) -> list[Step]:
         """Create the steps of the next occurrence and return them."""
-        occurrence = self._opened
-        self._opened += 1
+        return self._open(self.next_occurrence)
+
+    def _open(self, occurrence: int) -> list[Step]:
+        self._open_occurrences.add(occurrence)
         opened = []
+        first_task = 0
         for number, spec in enumerate(self.spec.steps):
-            step = Step(self, occurrence, number, spec)
-            step.tasks = [Task(step, index) for index in range(spec.count)]
-            step.waiting_count = spec.count
+            step = Step(self, occurrence, number, spec, first_task)
             self.steps[occurrence, number] = step
+            first_task += spec.count
             opened.append(step)
         return opened
 
     def find_task(self, name: str) -> Task | None:
-        """Return the task with this name, or None if the job has no such task.
+        """Return the task with this name; None if there is none or it needs no run.
 
         The occurrence in the name may not have been opened by this process, if a former
-        leader started the task; it is opened then, with all occurrences before it.
+        leader started the task; it is opened then.  Of complete occurrences no task is
+        known any more.
         """
+        found = self._parse(name)
+        if found is None:
+            return None
+        occurrence, number, index = found
+        step = self.step_at(occurrence, number)
+        if step is None or not 0 <= index < len(step.tasks):
+            return None
+        return step.tasks[index]
+
+    def step_at(self, occurrence: int, number: int) -> Step | None:
+        """Return a step, None if there is none or its occurrence is complete."""
+        known = occurrence in self._open_occurrences
+        exists = 0 <= occurrence < self.spec.times
+        if not known and exists and occurrence not in self.complete_occurrences:
+            self._open(occurrence)
+        return self.steps.get((occurrence, number))
+
+    def mark_unsaved(self, task: str) -> None:
+        """Note that what is stored of a task is out of date."""
+        found = self._parse(task)
+        step = self.steps.get(found[:2]) if found is not None else None
+        if found is not None and step is not None:
+            self.unsaved_chunks.add(step.chunk_of(found[2]))
+
+    @staticmethod
+    def _parse(name: str) -> tuple[int, int, int] | None:
+        """Return occurrence, step number and index in the name of a task."""
         _, _, rest = name.partition(".")
         try:
             occurrence, number, index = (int(part) for part in rest.split("."))
         except ValueError:
             return None
-        while self.has_more_occurrences and occurrence >= self._opened:
-            self.open_occurrence()
-        step = self.steps.get((occurrence, number))
-        if step is None or not 0 <= index < len(step.tasks):
-            return None
-        return step.tasks[index]
+        return occurrence, number, index
 
     def may_start(self, step: Step) -> bool:
         """Return whether all steps that `step` depends on are complete."""
@@ -233,17 +265,36 @@
         The success of one task completes its whole gang.  A long-running task never
         becomes done.
         """
-        if task.step.spec.long_running:
+        if task.step.spec.long_running or task.state is TaskState.DONE:
             return False
         step = task.step
-        tasks = step.tasks if step.spec.gang else [task]
-        newly_done = [each for each in tasks if each.state is not TaskState.DONE]
-        for each in newly_done:
-            each.state = TaskState.DONE
-        step.done_count += len(newly_done)
-        if newly_done and not self.ended and self._all_done():
+        gang = step.spec.gang
+        self._mark_done(step, range(len(step.tasks)) if gang else [task.index])
+        if not self.ended and self._all_done():
             self.state = JobState.DONE
-        return bool(newly_done)
+        return True
+
+    def restore_done(self, step: Step, indexes: Iterable[int]) -> None:
+        """Mark tasks of a step as done, as a former leader stored them."""
+        self._mark_done(step, indexes)
+
+    def _mark_done(self, step: Step, indexes: Iterable[int]) -> None:
+        for index in indexes:
+            step.tasks[index].state = TaskState.DONE
+            self.unsaved_chunks.add(step.chunk_of(0 if step.spec.gang else index))
+        if self.spec.times and step.complete:
+            self._close_if_complete(step.occurrence)
+
+    def _close_if_complete(self, occurrence: int) -> None:
+        """Keep only the number of an occurrence of which all steps are complete."""
+        keys = [(occurrence, number) for number in range(len(self.spec.steps))]
+        if not all(self.steps[key].complete for key in keys):
+            return
+        self.closed_steps += [self.steps.pop(key) for key in keys]
+        self.complete_occurrences.add(occurrence)
+        self._open_occurrences.discard(occurrence)
+        self.crashes.forget(f"{self.job_id}.{occurrence}.")
+        self.unsaved_chunks.add(MAIN_CHUNK)
 
     def record_run_failure(self, task: Task, run: int) -> bool:
         """Record that `run` of `task` failed; return whether it is counted only now.
@@ -254,15 +305,16 @@
         fail a long-running job, of which only the last one is kept.
         """
         step = task.step
-        holder: Step | Task = step if step.spec.gang else task
-        if run in holder.failed_runs:
-            return False
+        attempts = step.attempts_of(task)
         if step.spec.long_running:
-            holder.failed_runs.clear()
-        holder.failed_runs.add(run)
-        if step.spec.long_running or self.ended or task.state is TaskState.DONE:
-            return True
-        if len(holder.failed_runs) >= self.most_failures:
+            counted = run in attempts.failed_runs
+            attempts.restore_failures({run}, 1)
+            return not counted
+        if not attempts.record_failure(run):
+            return False
+        self.unsaved_chunks.add(step.chunk_of(0 if step.spec.gang else task.index))
+        needed = not self.ended and task.state is not TaskState.DONE
+        if needed and attempts.failure_count >= self.most_failures:
             self.state = JobState.FAILED
         return True
 
@@ -282,6 +334,6 @@
             task.state = TaskState.WAITING
 
     def _all_done(self) -> bool:
-        if self.has_more_occurrences:
-            return False
+        if self.spec.times:
+            return len(self.complete_occurrences) >= self.spec.times
         return all(step.complete for step in self.steps.values())
--- a/cassiaweir/jobs/_progress.py
+++ b/cassiaweir/jobs/_progress.py
@@ -1,12 +1,29 @@
-"""Encoding of a job's stored progress and outcome, which the next leader reads."""
+"""Encoding of a job's stored progress and outcome, which the next leader reads.
+
+Progress is stored by chunks of tasks, a row for each, so that no row grows with the
+number of tasks.  What the rows say adds up, in any order.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterator, Sequence
+from dataclasses import replace
+
 import msgspec
+from loguru import logger
 
 from cassiaweir.exceptions import InvalidInputError
 from cassiaweir.jobs._crashes import CrashRow
-from cassiaweir.jobs._job import Job, JobState, Step, Task, TaskState
+from cassiaweir.jobs._job import (
+    MAIN_CHUNK,
+    TASKS_PER_CHUNK,
+    ChunkKey,
+    Job,
+    JobState,
+    Step,
+)
+from cassiaweir.jobs._number_ranges import NumberRanges
+from cassiaweir.jobs._tasks import Attempts
 
 
 class _Checkpoint(msgspec.Struct, omit_defaults=True, array_like=True):
@@ -17,13 +34,21 @@
     run: int = 0
 
 
+class _Failures(msgspec.Struct, omit_defaults=True, array_like=True):
+    # The index of the task; GANG_INDEX stands for the whole gang.
+    index: int
+    # The numbers of the newest failed runs.
+    runs: list[int]
+    # How many runs failed, 0 if that is the length of `runs`.
+    count: int = 0
+
+
 class _StepProgress(msgspec.Struct, omit_defaults=True, array_like=True):
     occurrence: int
     number: int
     done: list[int] = []
     all_done: bool = False
-    # Pairs of task index and numbers of the failed runs; GANG_INDEX is the whole gang.
-    failures: list[tuple[int, list[int]]] = []
+    failures: list[_Failures] = []
     checkpoints: list[_Checkpoint] = []
 
 
@@ -31,6 +56,8 @@
     begun: bool = False
     steps: list[_StepProgress] = []
     crashes: list[CrashRow] = []
+    # The complete occurrences: pairs of the first and the one after the last.
+    complete: list[tuple[int, int]] = []
 
 
 class _Outcome(msgspec.Struct):
@@ -44,35 +71,56 @@
 """Stands in place of a task index for what the tasks of a gang share."""
 
 
-def encode_progress(job: Job) -> bytes:
-    """Return the stored form of the progress of a job that has not ended."""
-    steps = [_step_progress(step) for step in job.steps.values()]
+def encode_chunk(job: Job, chunk: ChunkKey) -> bytes:
+    """Return the stored form of the progress of a chunk of a job's tasks."""
+    parts = list(_parts(job, chunk))
+    steps = [_step_progress(step, indexes) for step, indexes in parts]
     changed = [each for each in steps if each.done or each.all_done or each.failures]
-    progress = _Progress(job.started, changed, job.crashes.rows())
+    names = {
+        f"{step.name}.{index}"
+        for step, indexes in parts
+        for index in indexes
+        if job.crashes
+    }
+    progress = _Progress(job.started, changed, job.crashes.rows(names))
+    if chunk == MAIN_CHUNK:
+        progress.complete = job.complete_occurrences.ranges
     encoded = msgspec.json.encode(progress)
     if len(encoded) <= MAX_PROGRESS_BYTES:
         return encoded
+    logger.error("checkpoints_not_stored", job=job.job_id, size=len(encoded))
     for step in changed:
         step.checkpoints = []
     return msgspec.json.encode(progress)
 
 
-def apply_progress(job: Job, raw: bytes) -> None:
-    """Apply the stored progress in `raw` to a newly created job.
+def apply_progress(job: Job, rows: Sequence[bytes]) -> None:
+    """Apply all stored progress of a newly created job.
 
-    Raises `InvalidInputError` if `raw` cannot be decoded.
+    Raises `InvalidInputError` if a row cannot be decoded; the others are applied.
     """
-    try:
-        progress = msgspec.json.decode(raw, type=_Progress)
-    except msgspec.DecodeError as exc:
+    decoded = []
+    unreadable = []
+    for raw in rows:
+        try:
+            decoded.append(msgspec.json.decode(raw, type=_Progress))
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            unreadable.append(str(exc))
+    # Nothing is created for occurrences that are known to be complete.
+    for progress in decoded:
+        if progress.complete:
+            job.complete_occurrences = NumberRanges(progress.complete)
+    for progress in decoded:
+        if progress.begun:
+            job.mark_started()
+        for each in progress.steps:
+            _apply_step(job, each)
+    for progress in decoded:
+        job.crashes.restore(_needed(job, progress.crashes))
+    if unreadable:
         raise InvalidInputError(
-            f"stored progress of job {job.job_id} cannot be decoded: {exc}"
-        ) from exc
-    if progress.begun:
-        job.mark_started()
-    for each in progress.steps:
-        _apply_step(job, each)
-    job.crashes.restore(progress.crashes)
+            f"stored progress of job {job.job_id} cannot be decoded: {unreadable[0]}"
+        )
 
 
 def encode_outcome(job: Job) -> bytes:
@@ -88,45 +136,83 @@
         return None
 
 
-def _step_progress(step: Step) -> _StepProgress:
+def _parts(job: Job, chunk: ChunkKey) -> Iterator[tuple[Step, range]]:
+    """Yield the steps of which a chunk holds tasks, with the indexes of these."""
+    occurrence, number = chunk
+    first = number * TASKS_PER_CHUNK
+    for step_number in range(len(job.spec.steps)):
+        step = job.steps.get((occurrence, step_number))
+        if step is None:
+            continue
+        begin = max(first - step.first_task, 0)
+        end = min(first + TASKS_PER_CHUNK - step.first_task, len(step.tasks))
+        if begin < end:
+            yield step, range(begin, end)
+
+
+def _step_progress(step: Step, indexes: range) -> _StepProgress:
     progress = _StepProgress(step.occurrence, step.number)
     if step.complete:
         progress.all_done = True
         return progress
-    for task in step.tasks:
-        if task.state is TaskState.DONE:
-            progress.done.append(task.index)
-        elif task.failed_runs and not step.spec.long_running:
-            progress.failures.append((task.index, sorted(task.failed_runs)))
-        if task.checkpoint and task.state is not TaskState.DONE:
-            progress.checkpoints.append(_checkpoint_of(task, task.index))
-    if step.failed_runs and not step.spec.long_running:
-        progress.failures.append((GANG_INDEX, sorted(step.failed_runs)))
-    if step.checkpoint:
-        progress.checkpoints.append(_checkpoint_of(step, GANG_INDEX))
+    for index in indexes:
+        if step.tasks.is_done(index):
+            progress.done.append(index)
+            continue
+        task = step.tasks.known_at(index)
+        if task is not None:
+            _add_attempts(progress, step, task, index)
+    if 0 in indexes:
+        _add_attempts(progress, step, step, GANG_INDEX)
     return progress
 
 
-def _checkpoint_of(holder: Step | Task, index: int) -> _Checkpoint:
-    return _Checkpoint(index, holder.checkpoint, holder.checkpoint_run)
+def _add_attempts(
+    progress: _StepProgress, step: Step, attempts: Attempts, index: int
+) -> None:
+    """Add what is known of the attempts of a task, or of a whole gang."""
+    if attempts.failed_runs and not step.spec.long_running:
+        runs = sorted(attempts.failed_runs)
+        count = attempts.failure_count
+        progress.failures.append(
+            _Failures(index, runs, 0 if count == len(runs) else count)
+        )
+    if attempts.checkpoint:
+        progress.checkpoints.append(
+            _Checkpoint(index, attempts.checkpoint, attempts.checkpoint_run)
+        )
 
 
 def _apply_step(job: Job, progress: _StepProgress) -> None:
     """Apply the progress of a step; one that the job doesn't have is ignored."""
-    first = job.find_task(f"{job.job_id}.{progress.occurrence}.{progress.number}.0")
-    if first is None:
+    step = job.step_at(progress.occurrence, progress.number)
+    if step is None:
         return
-    step = first.step
-    done = range(len(step.tasks)) if progress.all_done else progress.done
-    for index in done:
-        job.finish_task(step.tasks[index])
-    for index, runs in progress.failures:
-        _holder(step, index).failed_runs.update(runs)
+    for failures in progress.failures:
+        attempts = _attempts(step, failures.index)
+        if attempts is not None:
+            attempts.restore_failures(failures.runs, failures.count)
     for each in progress.checkpoints:
-        holder = _holder(step, each.index)
-        holder.checkpoint, holder.checkpoint_run = each.checkpoint, each.run
-
-
-def _holder(step: Step, index: int) -> Step | Task:
-    """Return what holds the failures and checkpoint of `index`: the step or a task."""
-    return step if index == GANG_INDEX else step.tasks[index]
+        attempts = _attempts(step, each.index)
+        if attempts is not None:
+            attempts.record_checkpoint(each.run, each.checkpoint)
+    count = len(step.tasks)
+    done = range(count) if progress.all_done else progress.done
+    job.restore_done(step, [index for index in done if 0 <= index < count])
+
+
+def _needed(job: Job, crashes: Sequence[CrashRow]) -> list[CrashRow]:
+    """Return `crashes` without tasks of occurrences that are complete."""
+    found = []
+    for row in crashes:
+        tasks = [each for each in row.tasks if job.find_task(each) is not None]
+        if tasks:
+            found.append(replace(row, tasks=tasks))
+    return found
+
+
+def _attempts(step: Step, index: int) -> Attempts | None:
+    """Return what holds failures and checkpoint of `index`, None if there is none."""
+    if index == GANG_INDEX:
+        return step
+    return step.tasks[index] if 0 <= index < len(step.tasks) else None
--- a/cassiaweir/jobs/_specs.py
+++ b/cassiaweir/jobs/_specs.py
@@ -104,6 +104,10 @@
     cap: Resources = NO_RESOURCES
     configuration: int = 0
 
+    def due_at(self, occurrence: int) -> float:
+        """Return when an occurrence of a recurring job is due, in Unix seconds."""
+        return self.first_at + occurrence * self.interval_s
+
     def encode(self) -> bytes:
         """Return the stored form of the job."""
         return msgspec.json.encode(self)
--- a/lab/_interference_load.py
+++ b/lab/_interference_load.py
@@ -359,7 +359,7 @@
         servers = [each.server for each in self._machines.values()]
         for opened in list(self._waiting):
             step = opened.job.steps[0, 0]
-            tasks = step.waiting()
+            tasks = step.tasks.waiting()
             if step.spec.gang and len(tasks) < len(step.tasks):
                 self._waiting.remove(opened)
                 continue
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -119,6 +119,16 @@
         self._cold_until = 0.0
         self._end_event = asyncio.Event()
 
+    @property
+    def used(self) -> Resources:
+        """The resources that all runs take."""
+        demands = [run.demand for run in self.runs.values()]
+        return Resources(
+            sum(each.cpu_millis for each in demands),
+            sum(each.memory_mb for each in demands),
+            sum(each.accelerators for each in demands),
+        )
+
     def newest(self) -> FakeServer:
         """Return the server that was the last to run at this address."""
         return self if self.successor is None else self.successor.newest()
@@ -132,7 +142,12 @@
         """End the runs that finished, stopped or lost their lease by now."""
         now = asyncio.get_running_loop().time()
         lease_expired = self.clock_ms() >= self.until_ms
-        for run in sorted(self.runs.values(), key=lambda each: each.ends_at):
+        due = [
+            run
+            for run in self.runs.values()
+            if lease_expired or run.stopping_at is not None or now >= run.ends_at
+        ]
+        for run in sorted(due, key=lambda each: each.ends_at):
             if run.stopping_at is not None and now >= run.stopping_at:
                 self._end(run, EndKind.STOPPED)
             elif now >= run.ends_at:
@@ -292,8 +307,7 @@
         if (order.task, order.run) in self.runs:
             return OrderOutcome.ACCEPTED
         newest = max(
-            (run.number for run in self.runs.values() if run.task == order.task),
-            default=0,
+            (number for task, number in self.runs if task == order.task), default=0
         )
         if order.run <= max(self.highest_barred_runs.get(order.task, 0), newest):
             return OrderOutcome.OLD_RUN
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -82,6 +82,7 @@
         self._evacuated_at: dict[str, float] = {}
         self.rates: dict[tuple[str, str], float] = {}
         self._running: dict[tuple[str, str, int], RunRecord] = {}
+        self._running_by_task: dict[str, list[RunRecord]] = {}
         self._acknowledged_at: dict[str, float] = {}
         self._delayed_tasks: set[asyncio.Task[None]] = set()
         self.servers: dict[str, FakeServer] = {}
@@ -143,11 +144,8 @@
         requested_at = self._evacuated_at.get(server.entry.failure_domain, now)
         if now > requested_at + self.evacuation_s:
             self.faults.append(f"started in an evacuated domain: {order.task}")
-        for other in self._running.values():
-            if other.task == order.task:
-                self.faults.append(
-                    f"run twice: {order.task} still runs on {other.server}"
-                )
+        for other in self._running_by_task.get(order.task, ()):
+            self.faults.append(f"run twice: {order.task} still runs on {other.server}")
         if (
             order.task in self._acknowledged_at
             and now > self._acknowledged_at[order.task]
@@ -155,7 +153,7 @@
             self.faults.append(
                 f"started again after its end was acknowledged: {order.task}"
             )
-        used = sum((each.demand for each in server.runs.values()), run.demand)
+        used = server.used + run.demand
         if not used.fits(server.counted_capacity):
             self.faults.append(
                 f"overcommitted: {order.task} does not fit on {server.entry.server_id}"
@@ -168,6 +166,7 @@
         self.history.append(started)
         self._crash_if_deadly(server, order.task)
         self._running[server.entry.server_id, order.task, order.run] = started
+        self._running_by_task.setdefault(order.task, []).append(started)
 
     def usage_of(self, customer: str) -> Resources:
         """Return what all runs of a customer take now."""
@@ -189,7 +188,7 @@
         What is being stopped still counts.
         """
         cap = self.cap_of(customer)
-        if cap is None:
+        if cap is None or cap == NO_RESOURCES:
             return
         used = self.usage_of(customer) + run.demand
         for taken, limit in (
@@ -271,6 +270,7 @@
         """Record the end of a run; `how` is None after a crash of the server."""
         key = (server.entry.server_id, run.task, run.number)
         started = self._running.pop(key)
+        self._running_by_task[run.task].remove(started)
         started.ended_at = asyncio.get_running_loop().time()
         started.how = how
 
--- a/tests/site_fakes.py
+++ b/tests/site_fakes.py
@@ -534,6 +534,9 @@
         customer: str = "agency",
         task_s: float = 1.0,
         how: EndKind = EndKind.DONE,
+        times: int = 0,
+        first_at: float = 0.0,
+        interval_s: float = 0.0,
         announce_to: FakeVm | None = None,
     ) -> str:
         """Store a job whose tasks take `task_s` and end as `how`; return its id.
@@ -549,6 +552,9 @@
             task_spec=f"{task_s}/{how.value}",
             steps=steps,
             submitted_at=VirtualClock().now().timestamp(),
+            times=times,
+            first_at=first_at,
+            interval_s=interval_s,
             cap=configured.cap if configured is not None else NO_RESOURCES,
             configuration=self.configuration.value.version,
         )
--- a/tests/test_jobs_crashes.py
+++ b/tests/test_jobs_crashes.py
@@ -72,7 +72,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.history = CrashHistory()
-        self.stored = self.history.rows()
+        self.stored = self.history.rows([TASK])
         self.starts = 0
         self.unseen: list[str] = []
 
@@ -88,7 +88,7 @@
         self.starts += 1
         if self.starts > 1:
             self.history.watch(TASK, lifetime)
-            self.stored = self.history.rows()
+            self.stored = self.history.rows([TASK])
         self.unseen.append(lifetime)
 
     @precondition(lambda self: self.unseen)
@@ -100,7 +100,7 @@
         self.history.add_loss(TASK, lifetime, crash)
         self.history.confirm(lifetime, crash)
         if saved:
-            self.stored = self.history.rows()
+            self.stored = self.history.rows([TASK])
         else:
             self.take_over()
 
@@ -112,7 +112,7 @@
         self.history.restore(self.stored)
         for lifetime in list(self.history.losses):
             self.history.confirm(lifetime, Crash())
-        self.stored = self.history.rows()
+        self.stored = self.history.rows([TASK])
 
     @invariant()
     def is_started_in_bounds(self) -> None:
--- a/tests/test_jobs_job.py
+++ b/tests/test_jobs_job.py
@@ -15,8 +15,9 @@
     TaskState,
     apply_progress,
     check_steps,
-    encode_progress,
+    encode_chunk,
 )
+from cassiaweir.jobs._job import TASKS_PER_CHUNK
 from tests.site_fakes import QUEUE
 
 
@@ -117,31 +118,45 @@
         check_steps(steps)
 
 
+INDEXES = st.sampled_from([0, 1, 2, TASKS_PER_CHUNK, TASKS_PER_CHUNK + 1])
+
+
 class ProgressMachine(RuleBasedStateMachine):
-    """A job rebuilt from its stored progress has the same tasks done and failures."""
+    """A job rebuilt from its stored progress has the same tasks done and failures.
+
+    Only rows of chunks that the job names as unsaved are written.  The first step has
+    tasks in two chunks.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.steps = (
-            StepSpec(count=3),
+            StepSpec(count=TASKS_PER_CHUNK + 2),
             StepSpec(count=2, gang=True, after=(0,)),
             StepSpec(count=1, after=(1,)),
         )
         self.job = Job(spec_of(*self.steps), 1, 3)
+        self.rows: dict[tuple[int, int], bytes] = {}
 
     def pick(self, number: int, index: int):
         step = self.job.steps[0, number]
         return step.tasks[index % len(step.tasks)]
 
     @precondition(lambda self: not self.job.ended)
-    @rule(number=st.integers(0, 2), index=st.integers(0, 2))
+    @rule()
+    def finish_all_but_the_last(self) -> None:
+        for task in self.job.steps[0, 0].tasks[:-1]:
+            self.job.finish_task(task)
+
+    @precondition(lambda self: not self.job.ended)
+    @rule(number=st.integers(0, 2), index=INDEXES)
     def finish(self, number: int, index: int) -> None:
         task = self.pick(number, index)
         if self.job.may_start(task.step):
             self.job.finish_task(task)
 
     @precondition(lambda self: not self.job.ended)
-    @rule(number=st.integers(0, 2), index=st.integers(0, 2), run=st.integers(1, 3))
+    @rule(number=st.integers(0, 2), index=INDEXES, run=st.integers(1, 3))
     def fail(self, number: int, index: int, run: int) -> None:
         task = self.pick(number, index)
         if self.job.may_start(task.step) and task.state is not TaskState.DONE:
@@ -149,21 +164,24 @@
 
     @rule(
         number=st.integers(0, 2),
-        index=st.integers(0, 2),
+        index=INDEXES,
         run=st.integers(1, 3),
         text=st.text(max_size=4),
     )
     def checkpoint(self, number: int, index: int, run: int, text: str) -> None:
         task = self.pick(number, index)
         if task.state is not TaskState.DONE:
-            task.step.record_checkpoint(task, run, text)
+            task.step.attempts_of(task).record_checkpoint(run, text)
 
     @invariant()
     def rebuilt_job_is_equal(self) -> None:
         if self.job.ended:
             return
+        for chunk in self.job.unsaved_chunks:
+            self.rows[chunk] = encode_chunk(self.job, chunk)
+        self.job.unsaved_chunks.clear()
         rebuilt_job = Job(spec_of(*self.steps), 1, 3)
-        apply_progress(rebuilt_job, encode_progress(self.job))
+        apply_progress(rebuilt_job, list(self.rows.values()))
         for key, step in self.job.steps.items():
             rebuilt = rebuilt_job.steps[key]
             assert rebuilt.done_count == step.done_count
--- a/tests/test_listed_ends.py
+++ b/tests/test_listed_ends.py
@@ -110,11 +110,12 @@
 def effects(leader: Leader, server: Server) -> Iterator[object]:
     """Yield all that an end may have changed."""
     job = leader.job
+    names = [task.name for task in leader.tasks]
     for step in job.steps.values():
         yield step.checkpoint, step.done_count, sorted(step.failed_runs)
         for task in step.tasks:
             yield task.state, task.run, task.checkpoint, sorted(task.failed_runs)
-    yield job.state, job.crashes.rows(), list(leader.writes)
+    yield job.state, job.crashes.rows(names), list(leader.writes)
     yield [list(each.runs) for each in leader.servers], len(leader.stopped)
     health = server.health
     yield health.failures_since_success, health.suspended(0.0)
@@ -225,7 +226,7 @@
         leader.reports.apply(first, ServerReport(1_000, 1, [], [old]), now)
         assert task.state is TaskState.PLACED
         assert task.checkpoint == "saved-by-run-2"
-        watched = [row.lifetime for row in leader.job.crashes.rows()]
+        watched = [row.lifetime for row in leader.job.crashes.rows([task.name])]
         assert second.lifetime in watched
 
     run_virtual(body)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -72,7 +72,7 @@
 
 def decode_progress(raw: bytes) -> None:
     spec = JobSpec("0" * 16, QUEUE, "c", "x", (StepSpec(count=2),), 0.0)
-    apply_progress(Job(spec, 1, 3), raw)
+    apply_progress(Job(spec, 1, 3), [raw])
 
 
 def decode_record(raw: bytes) -> object:
--- a/tests/test_store_limits.py
+++ b/tests/test_store_limits.py
@@ -14,8 +14,8 @@
 from cassiaweir.dispatch._job_rows import SHRUNK_VALUE, job_key
 from cassiaweir.exceptions import InvalidInputError, TransactionRejectedError
 from cassiaweir.front import JobWriter
-from cassiaweir.jobs import Job, JobSpec, StepSpec, check_steps
-from cassiaweir.jobs._progress import MAX_PROGRESS_BYTES, encode_progress
+from cassiaweir.jobs import Job, JobSpec, StepSpec, check_steps, encode_chunk
+from cassiaweir.jobs._progress import MAX_PROGRESS_BYTES
 from cassiaweir.leadership import CommitStream, Leadership, Owner
 from cassiaweir.leadership._rows import GUARD_KEY
 from cassiaweir.platform._store import _encode_transaction
@@ -151,7 +151,9 @@
             job.finish_task(task)
     for step in job.steps.values():
         step.tasks[0].checkpoint = "c" * MAX_PROGRESS_BYTES
-    assert len(encode_progress(job)) <= MAX_ROW_BYTES
+    assert job.unsaved_chunks
+    for chunk in job.unsaved_chunks:
+        assert len(encode_chunk(job, chunk)) <= MAX_ROW_BYTES
 
 
 def test_more_tasks_than_progress_can_name_are_refused() -> None:
