Acknowledge nothing that rests on a row which the store refuses

Cause: the progress of the job had outgrown a row. The store refused it for good; the commit stream left the row out and moved the stored position on, so the ends in it were acknowledged and no successor knew of them.

Change: positions of a refused row do not count as stored before a later form of that row is. A report says for each end what it rests on, and the ends before the first one that is not stored are acknowledged. Waiting for a refused row fails at once. The row of a server stays open if it cannot name all tasks.

Ruled out: stopping the leader at a refused row. The next one would write the same row, and no job would go on.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 from loguru import logger
@@ -29,7 +29,7 @@
 from cassiaweir.dispatch._run_control import RunControl
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._server import Server
-from cassiaweir.dispatch._server_entry import ServerEntry, ServerReport
+from cassiaweir.dispatch._server_entry import EndPosition, ServerEntry, ServerReport
 from cassiaweir.dispatch._server_poller import ServerPoller
 from cassiaweir.dispatch._server_records import ServerRecords
 from cassiaweir.dispatch._term_tasks import TermTasks, cancel_all
@@ -264,9 +264,9 @@
 
     def handle_report(
         self, server: Server, report: ServerReport, asked_at: float
-    ) -> int:
-        """Apply a report; return the position of the last write that it caused."""
-        position = self._reports.apply(server, report, asked_at)
+    ) -> Sequence[EndPosition]:
+        """Apply a report; return what each of its ends rests on."""
+        positions = self._reports.apply(server, report, asked_at)
         self._records.forget_stored_ends(server)
         if not server.fenced:
             server.fenced = True
@@ -276,7 +276,7 @@
         if not server.recorded and not server.recording:
             self._background.start(self._records.store(server))
         self.wake()
-        return position
+        return positions
 
     def _settle(self, server: Server) -> None:
         """Note that a server has listed all that former leaders started there."""
@@ -398,6 +398,7 @@
         self._reports.learner.publish()
         if self._gate.is_open:
             self._load.sample(now)
+        self._metrics.set("rows_rejected", self._commits.rejected_rows)
         self._metrics.set("jobs_open", sum(1 for _ in self._jobs.open_jobs()))
         self._metrics.set(
             "runs", sum(len(server.runs) for server in self.servers.values())
--- a/cassiaweir/dispatch/_record_keeper.py
+++ b/cassiaweir/dispatch/_record_keeper.py
@@ -11,7 +11,7 @@
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_records import ServerRecords
-from cassiaweir.exceptions import LeadershipLostError
+from cassiaweir.exceptions import LeadershipLostError, RowRejectedError
 from cassiaweir.leadership import CommitStream
 
 RECORD_TIMEOUT = timedelta(milliseconds=400)
@@ -61,7 +61,7 @@
             position = self._records.open(server.entry)
         try:
             await self._commits.wait_until_stored(position)
-        except LeadershipLostError:
+        except (LeadershipLostError, RowRejectedError):
             return
         finally:
             server.recording = False
@@ -74,7 +74,8 @@
     def narrow(self, server: Server, now: float) -> None:
         """Let the row of an unreachable server name its tasks, or remove it if none."""
         names = server.task_names()
-        if names and self._records.is_open(server.server_id):
+        is_open = self._records.is_open(server.server_id)
+        if names and is_open and self._records.can_name(server.entry, names):
             server.recorded = False
             self._records.restrict(server.entry, names)
         elif not names and server.leases_expired(now):
@@ -97,7 +98,7 @@
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 await self._commits.wait_until_stored(position)
-        except TimeoutError:
+        except (TimeoutError, RowRejectedError):
             logger.info("runs_not_recorded", runs=len(runs), first=runs[0].task.name)
             return False
         return True
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -15,6 +15,7 @@
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_entry import (
     EndKind,
+    EndPosition,
     RunningTask,
     ServerReport,
     TaskEnd,
@@ -56,10 +57,13 @@
         self.learner = Learner(jobs, runs, metrics)
         self.interference = InterferenceSampler(jobs.models.speeds, clock, metrics)
 
-    def apply(self, server: Server, report: ServerReport, asked_at: float) -> int:
+    def apply(
+        self, server: Server, report: ServerReport, asked_at: float
+    ) -> list[EndPosition]:
         """Apply a report that was requested at `asked_at`.
 
-        Return the position of the last write that its ends led to, or 0.
+        Return what its ends rest on, by number; those are left out that the server may
+        forget already.
         """
         restarted = bool(report.born and server.born and report.born != server.born)
         if restarted:
@@ -81,7 +85,7 @@
         now = self._clock.monotonic()
         self.learner.begin_report(server, report, asked_at, now)
         server.update_from_report(report, now)
-        position = self._apply_ends(server, report)
+        positions = self._apply_ends(server, report)
         listed = {(running.task, running.run) for running in report.running}
         self._stop_late_starts(server, listed)
         server.orphan_runs = frozenset(
@@ -95,23 +99,24 @@
         if restarted:
             self._crashes.resolve()
         self._stop_slow_runs(server)
-        return position
+        return positions
 
-    def _apply_ends(self, server: Server, report: ServerReport) -> int:
-        """Apply the ends that are new; return the last position that an end rests on.
+    def _apply_ends(self, server: Server, report: ServerReport) -> list[EndPosition]:
+        """Apply the ends that are new; return what each end rests on.
 
         A server lists an end until it is acknowledged, which may take as long as the
         store is away.  An end that was applied before says nothing about later runs.
         """
-        position = 0
+        positions = []
         for end in sorted(report.ended, key=lambda each: each.number):
             if end.number <= server.acknowledged:
                 continue
             if end.number > server.applied:
                 server.unstored_ends[end.task] = self._apply_end(server, end)
                 server.applied = end.number
-            position = max(position, server.unstored_ends.get(end.task, 0))
-        return position
+            position = server.unstored_ends.get(end.task, 0)
+            positions.append(EndPosition(end.number, position))
+        return positions
 
     def _stop_late_starts(self, server: Server, listed: set[RunKey]) -> None:
         """Stop what may still be started late; what is `listed` has been started."""
--- a/cassiaweir/dispatch/_server_entry.py
+++ b/cassiaweir/dispatch/_server_entry.py
@@ -71,6 +71,17 @@
     checkpoint: str
 
 
+@dataclass(frozen=True, slots=True)
+class EndPosition:
+    """The position of the write that has to be stored before an end is acknowledged.
+
+    `number` is that of the end; the position is 0 if there is nothing to store.
+    """
+
+    number: int
+    position: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerReport:
     """All runs on a server, and the ends that are not acknowledged yet.
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
@@ -11,11 +12,12 @@
 
 from cassiaweir.dispatch._orders import ServerClient
 from cassiaweir.dispatch._server import Server
-from cassiaweir.dispatch._server_entry import ServerReport
+from cassiaweir.dispatch._server_entry import EndPosition, ServerReport
 from cassiaweir.exceptions import (
     FencedError,
     LeadershipLostError,
     LifetimeEndedError,
+    RowRejectedError,
     UnavailableError,
 )
 from cassiaweir.leadership import Leadership
@@ -43,11 +45,11 @@
 
     def handle_report(
         self, server: Server, report: ServerReport, asked_at: float
-    ) -> int:
+    ) -> Sequence[EndPosition]:
         """Apply a report that was requested at `asked_at`.
 
-        Return the position of the last write that the report led to.  The server may
-        forget the ends in the report once that write is stored.
+        Return what the ends in the report rest on, by number.  The server may forget an
+        end once the writes of all ends up to it are stored.
         """
 
     def handle_unreachable(self, server: Server) -> None:
@@ -64,23 +66,24 @@
     """Knows which of the queued writes are stored."""
 
     def is_stored(self, position: int) -> bool:
-        """Return whether all writes up to `position` are stored."""
+        """Return whether the write at `position` and those before it are stored."""
 
     async def wait_until_stored(self, position: int) -> None:
-        """Wait until all writes up to `position` are stored."""
+        """Wait for that.
+
+        Raises `RowRejectedError` if the store refuses the write at `position`.
+        """
 
 
 @dataclass(frozen=True, slots=True)
 class _UnstoredEnds:
-    """The highest end number in a report, which is not acknowledged yet.
+    """The ends in a report that are not acknowledged yet.
 
-    `born` is the lifetime of the server in which the report was made.  The ends up to
-    `number` may be acknowledged once all writes up to `position` are stored.
+    `born` is the lifetime of the server in which the report was made.
     """
 
     born: int
-    number: int
-    position: int
+    ends: Sequence[EndPosition]
 
 
 class ServerPoller:
@@ -174,12 +177,11 @@
         if self._logged_unreachable:
             self._logged_unreachable = False
             logger.info("server_reachable", server=server.server_id)
-        position = self._handler.handle_report(server, report, asked_at)
+        ends = self._handler.handle_report(server, report, asked_at)
         numbers = [end.number for end in report.ended]
         self._first_listed_end = min(numbers, default=0)
-        last = max(numbers, default=0)
-        if last > server.acknowledged:
-            self._unstored = _UnstoredEnds(server.born, last, position)
+        if ends:
+            self._unstored = _UnstoredEnds(server.born, ends)
 
     @property
     def _has_ends_to_acknowledge(self) -> bool:
@@ -194,24 +196,35 @@
     async def _wait_stored(self) -> bool:
         """Wait up to `STORE_TIMEOUT` for the ends of the last report to be stored.
 
-        Return whether they are stored, so that the server may forget them.  If not, the
+        Return whether all are stored, so that the server may forget them.  If not, the
         server is polled again soon, as its lease must not wait for the store.
         """
-        ends = self._unstored
-        if ends is None:
+        unstored = self._unstored
+        if unstored is None:
             return True
-        if not self._writes.is_stored(ends.position):
-            try:
-                async with asyncio.timeout(STORE_TIMEOUT.total_seconds()):
-                    await self._writes.wait_until_stored(ends.position)
-            except TimeoutError:
-                await self._clock.sleep(UNSTORED_DELAY)
-                return False
-        if ends.born == self._server.born:
-            self._server.acknowledged = max(self._server.acknowledged, ends.number)
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT.total_seconds()):
+                await self._writes.wait_until_stored(
+                    max(end.position for end in unstored.ends)
+                )
+        except (TimeoutError, RowRejectedError):
+            pass
+        self._acknowledge_stored(unstored)
+        if not all(self._writes.is_stored(end.position) for end in unstored.ends):
+            await self._clock.sleep(UNSTORED_DELAY)
+            return False
         self._unstored = None
         return True
 
+    def _acknowledge_stored(self, unstored: _UnstoredEnds) -> None:
+        """Let the server forget the ends before the first one that is not stored."""
+        if unstored.born != self._server.born:
+            return
+        for end in unstored.ends:
+            if not self._writes.is_stored(end.position):
+                return
+            self._server.acknowledged = max(self._server.acknowledged, end.number)
+
     def _mark_unreachable(self, exc: UnavailableError) -> None:
         if self._server.reachable:
             self._logged_unreachable = True
--- a/cassiaweir/dispatch/_server_records.py
+++ b/cassiaweir/dispatch/_server_records.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -23,6 +23,8 @@
 from cassiaweir.types import Resources, Row, Write
 
 RECORDS_PREFIX = "known/main/"
+MAX_RECORD_BYTES = 48_000
+"""A row that would be longer does not name the tasks: any task may then run there."""
 
 
 class _Record(msgspec.Struct, omit_defaults=True):
@@ -113,11 +115,21 @@
     def restrict(self, entry: ServerEntry, tasks: Iterable[str]) -> int:
         """Queue a row that names all tasks that may run on a server.
 
-        Return the position of the write.
+        It is open if they are too many to be named.  Return the position of the write.
         """
+        names = sorted(set(tasks))
+        if not self.can_name(entry, names):
+            logger.warning(
+                "server_row_left_open", server=entry.server_id, tasks=len(names)
+            )
+            return self.open(entry)
         self._open.discard(entry.server_id)
         self._restricted.add(entry.server_id)
-        return self._put(entry, sorted(set(tasks)))
+        return self._put(entry, names)
+
+    def can_name(self, entry: ServerEntry, tasks: Sequence[str]) -> bool:
+        """Return whether the row of a server has room for the names of `tasks`."""
+        return len(self._encode(entry, tasks)) <= MAX_RECORD_BYTES
 
     def remove(self, server_id: str) -> None:
         """Queue the removal of a server's row, if it has one."""
@@ -126,11 +138,15 @@
             self._restricted.discard(server_id)
             self._writer.put(Write(_key(server_id), None))
 
-    def _put(self, entry: ServerEntry, tasks: list[str] | None) -> int:
-        record = _Record(entry.address, tasks, self._epoch, entry.capacity)
-        value = msgspec.json.encode(record)
+    def _put(self, entry: ServerEntry, tasks: Sequence[str] | None) -> int:
+        value = self._encode(entry, tasks)
         return self._writer.put(Write(_key(entry.server_id), value))
 
+    def _encode(self, entry: ServerEntry, tasks: Sequence[str] | None) -> bytes:
+        names = None if tasks is None else list(tasks)
+        record = _Record(entry.address, names, self._epoch, entry.capacity)
+        return msgspec.json.encode(record)
+
 
 def _key(server_id: str) -> str:
     return f"{RECORDS_PREFIX}{server_id}"
--- a/cassiaweir/exceptions.py
+++ b/cassiaweir/exceptions.py
@@ -31,6 +31,10 @@
     """The store refuses a transaction for good; repeating it cannot succeed."""
 
 
+class RowRejectedError(CassiaweirError):
+    """The store refuses a row for good, so that what rests on it is not stored."""
+
+
 class RefusedError(CassiaweirError):
     """A request was refused, or given up without a usable result.
 
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -13,6 +13,7 @@
 from cassiaweir.exceptions import (
     ConflictError,
     LeadershipLostError,
+    RowRejectedError,
     TransactionRejectedError,
     UnavailableError,
 )
@@ -32,12 +33,9 @@
 
 @dataclass(frozen=True, slots=True)
 class _Pending:
-    """A queued write, and the position of the oldest write that it replaces.
+    """A queued write, with its position after those of the writes that it replaces."""
 
-    `oldest_position` is the write's own position if it replaces none.
-    """
-
-    oldest_position: int
+    positions: tuple[int, ...]
     write: Write
 
 
@@ -52,7 +50,7 @@
 
     guard: Guard
     last_position: int
-    writes: tuple[Write, ...]
+    writes: tuple[_Pending, ...]
     renews: bool
     releases: bool
 
@@ -63,6 +61,10 @@
     A write replaces a queued write of the same row.  `run` raises
     `LeadershipLostError` when another process has taken over.  `on_stored` is called
     after each stored transaction.
+
+    The store may refuse a row for good, as it is too large.  The others are stored
+    without it, but its position does not count as stored before a later write of the
+    same row is.
     """
 
     def __init__(self, table: Table, clock: Clock, leadership: Leadership) -> None:
@@ -72,6 +74,7 @@
         self._pending: dict[str, _Pending] = {}
         self._last_position = 0
         self._stored_position = 0
+        self._rejected: dict[str, tuple[int, ...]] = {}
         self._renewed_at = leadership.confirmed_at
         self._wakeup = asyncio.Event()
         self._stored_changed = asyncio.Condition()
@@ -84,8 +87,9 @@
         """Queue `write` and return its position, as `wait_until_stored` takes it."""
         self._last_position += 1
         previous = self._pending.pop(write.key, None)
-        oldest = self._last_position if previous is None else previous.oldest_position
-        self._pending[write.key] = _Pending(oldest, write)
+        replaced = () if previous is None else previous.positions
+        positions = (*replaced, self._last_position)
+        self._pending[write.key] = _Pending(positions, write)
         self._wakeup.set()
         return self._last_position
 
@@ -106,14 +110,26 @@
         """Whether the newest transaction or read of the guard row was answered."""
         return self._store_reachable
 
+    @property
+    def rejected_rows(self) -> int:
+        """How many rows the store refuses in their newest form."""
+        return len(self._rejected)
+
     def is_stored(self, position: int) -> bool:
-        """Return whether all writes up to `position` are stored."""
-        return self._stored_position >= position
+        """Return whether the write at `position` and those before it are stored.
+
+        Writes before it that the store refuses are left out.
+        """
+        return self._stored_position >= position and not self._is_rejected(position)
+
+    def _is_rejected(self, position: int) -> bool:
+        return any(position in each for each in self._rejected.values())
 
     async def wait_until_stored(self, position: int) -> None:
-        """Wait until all writes up to `position` are stored.
+        """Wait until the write at `position` and those before it are stored.
 
-        Raises `LeadershipLostError` if the leadership is lost before that.
+        Raises `LeadershipLostError` if the leadership is lost before that, and
+        `RowRejectedError` if the store refuses the write.
         """
         async with self._stored_changed:
             await self._stored_changed.wait_for(
@@ -123,6 +139,8 @@
             raise LeadershipLostError(
                 "leadership was lost before the queued rows were stored"
             )
+        if self._is_rejected(position):
+            raise RowRejectedError(f"the store refuses the row at position {position}")
 
     async def release(self) -> None:
         """Store the queued writes, then give up the leadership.
@@ -165,17 +183,17 @@
         than the oldest one it stands for.  Hence the stored position ends before the
         oldest position that is still queued.
         """
-        writes: list[Write] = []
+        writes: list[_Pending] = []
         size = TransactionSize()
         for key, pending in list(self._pending.items()):
             size = size + TransactionSize.of((), [pending.write])
             if writes and not size.fits:
                 break
-            writes.append(pending.write)
+            writes.append(pending)
             del self._pending[key]
         self._confirmation_requested = False
         guard = self._next_guard()
-        remaining = [pending.oldest_position for pending in self._pending.values()]
+        remaining = [pending.positions[0] for pending in self._pending.values()]
         last_position = min(remaining) - 1 if remaining else self._last_position
         releases = self._releasing and not self._pending
         renews = releases or self._renewal_due()
@@ -216,18 +234,14 @@
         """Return transactions that replace one which the store refuses for good.
 
         A single row that is refused is left out: the rows of all other jobs must not
-        wait for it.  Raises `cause` if no row is left.
+        wait for it.  Nothing that rests on it counts as stored.  Raises `cause` if no
+        row is left.
         """
         writes = transaction.writes
         if not writes:
             raise cause
         if len(writes) == 1:
-            logger.error(
-                "leader_row_rejected",
-                key=writes[0].key,
-                size=len(writes[0].value or b""),
-                cause=str(cause),
-            )
+            self._reject(writes[0], cause)
             return [replace(transaction, guard=self._next_guard(), writes=())]
         middle = len(writes) // 2
         first = replace(
@@ -241,9 +255,20 @@
         second = replace(transaction, guard=self._next_guard(), writes=writes[middle:])
         return [first, second]
 
+    def _reject(self, pending: _Pending, cause: TransactionRejectedError) -> None:
+        """Note that the store refuses a row, until it is written in another form."""
+        key = pending.write.key
+        self._rejected[key] = self._rejected.get(key, ()) + pending.positions
+        logger.error(
+            "leader_row_rejected",
+            key=key,
+            size=len(pending.write.value or b""),
+            cause=str(cause),
+        )
+
     async def _commit(self, transaction: _Transaction) -> int:
         writes = [
-            *transaction.writes,
+            *(pending.write for pending in transaction.writes),
             Write(GUARD_KEY, msgspec.json.encode(transaction.guard)),
         ]
         checks = [Check(GUARD_KEY, self._leadership.guard_version)]
@@ -288,6 +313,8 @@
             self._note_renewal(sent_at)
             self._renewed_at = sent_at
             leadership.lost = leadership.lost or transaction.releases
+        for pending in transaction.writes:
+            self._rejected.pop(pending.write.key, None)
         async with self._stored_changed:
             self._stored_position = max(
                 self._stored_position, transaction.last_position
--- a/standins/users/_rows.py
+++ b/standins/users/_rows.py
@@ -24,6 +24,8 @@
         self.rows: dict[str, Row] = {}
         self.version = 0
         self.commits = 0
+        self.row_bytes: dict[str, int] = {}
+        """Lower limits of the rows of some tables, by the name of the table."""
         self._changes: list[tuple[int, str, Row | None]] = []
         self._oldest_version = 0
         self._change_event = asyncio.Event()
@@ -34,6 +36,7 @@
         Raises `ConflictError`, or `TransactionRejectedError` if it is too large.
         """
         _check_size(checks, writes)
+        self._check_rows(writes)
         for check in checks:
             row = self.rows.get(check.key)
             if (row.version if row else 0) != check.version:
@@ -51,6 +54,13 @@
         self._change_event = asyncio.Event()
         return {write.key: self.version for write in writes}
 
+    def _check_rows(self, writes: Sequence[Write]) -> None:
+        for write in writes:
+            table = write.key.partition("/")[0]
+            limit = self.row_bytes.get(table, MAX_ROW_BYTES)
+            if len(write.value or b"") > limit:
+                raise TransactionRejectedError(f"{write.key} is over {limit} bytes")
+
     def forget_history(self) -> None:
         """Drop the history of changes, as the real store may at any time."""
         self._changes.clear()
