Close the id of a job that is cancelled before it is stored

Without any disruption, a DELETE sent up to 20 ms after the POST had the same effect.

Cause: a cancel that finds no row stores nothing, so a submission that is under way or in doubt still meets its condition that no row is there.

Change: the cancel stores a row in place of the job, conditionally; no submission replaces it.

Ruled out: ids kept in the memory of fronts. Submission and cancel reach different fronts.

--- a/cassiaweir/dispatch/_compaction.py
+++ b/cassiaweir/dispatch/_compaction.py
@@ -25,17 +25,28 @@
 
 
 class RowShrinker:
-    """Replaces the values of rows of jobs whose outcome is stored by a short one."""
+    """Replaces the values of rows of jobs whose outcome is stored by a short one.
+
+    It also removes rows that nothing needs any more.  A row that has changed since it
+    was passed in stays as it is.
+    """
 
     def __init__(self, table: Table, clock: Clock) -> None:
         self._table = table
         self._clock = clock
         self._versions: dict[str, int] = {}
+        self._removed: set[str] = set()
 
     def add(self, row: Row) -> None:
         """Queue the row of a job that has ended, unless it is already shrunk."""
         if row.value != SHRUNK_VALUE:
             self._versions[row.key] = row.version
+            self._removed.discard(row.key)
+
+    def remove(self, row: Row) -> None:
+        """Queue the removal of a row."""
+        self._versions[row.key] = row.version
+        self._removed.add(row.key)
 
     async def run(self) -> None:
         """Shrink the queued rows at regular intervals, until cancelled."""
@@ -64,7 +75,10 @@
 
     def _entries(self, keys: list[str]) -> tuple[list[Check], list[Write]]:
         checks = [Check(key, self._versions[key]) for key in keys]
-        return checks, [Write(key, SHRUNK_VALUE) for key in keys]
+        return checks, [Write(key, self._new_value(key)) for key in keys]
+
+    def _new_value(self, key: str) -> bytes | None:
+        return None if key in self._removed else SHRUNK_VALUE
 
     async def _shrink(self, keys: list[str]) -> bool:
         """Shrink the rows `keys`; return whether the store answered.
@@ -80,8 +94,11 @@
         except TransactionRejectedError as exc:
             logger.error("rows_not_shrinkable", rows=len(keys), cause=str(exc))
         except ConflictError:
+            if len(keys) > 1:
+                return all([await self._shrink([key]) for key in keys])
             # An earlier attempt without an answer, or another leader, has shrunk them.
             logger.info("rows_already_shrunk", rows=len(keys))
         for key in keys:
             self._versions.pop(key, None)
+            self._removed.discard(key)
         return True
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -24,7 +24,8 @@
 from cassiaweir.dispatch._placement_loop import PlacementLoop
 from cassiaweir.dispatch._placer import Placer
 from cassiaweir.dispatch._record_keeper import RecordKeeper
-from cassiaweir.dispatch._refusal_rows import decode_refusal
+from cassiaweir.dispatch._refusal_expiry import RefusalExpiry
+from cassiaweir.dispatch._refusal_rows import Refusal, decode_refusal
 from cassiaweir.dispatch._reports import ReportProcessor
 from cassiaweir.dispatch._run_control import RunControl
 from cassiaweir.dispatch._run_registry import RunRegistry
@@ -84,6 +85,7 @@
         self._gate = gate
         self._shrinker = shrinker
         self._metrics = metrics
+        self._refusals = RefusalExpiry(clock, shrinker.remove)
         self._occurrences = OccurrenceOpener(jobs, clock, metrics)
         self._usage = CustomerUsage()
         self._runs = RunRegistry(jobs, self._usage, clock, leadership.epoch)
@@ -194,9 +196,7 @@
         row_id = row_name(row.key)
         refusal = decode_refusal(row.value)
         if refusal is not None:
-            # The feed may deliver the row after the job that has replaced it.
-            if self._jobs.state(row_id) is None:
-                self._load.record_refusal(row_id, refusal)
+            self._apply_refusal(row, refusal)
             return
         if row_id.endswith(CANCEL_SUFFIX):
             self._cancel(row_id.removesuffix(CANCEL_SUFFIX))
@@ -210,11 +210,22 @@
             logger.info(
                 "job_registered", job=row_id, queue=entry.job.spec.queue.name, held=held
             )
+            self._refusals.forget(row.key)
             self._load.record_job(entry)
             self._crashes.restore(entry.job)
             self._commits.confirm_leadership(row.version)
             self.wake()
 
+    def _apply_refusal(self, row: Row, refusal: Refusal) -> None:
+        """Apply a row that blocks an id, for as long as it is needed."""
+        job_id = row_name(row.key)
+        # The feed may deliver the row after the job that has replaced it.
+        if self._jobs.state(job_id) is not None:
+            return
+        self._refusals.note(row, refusal)
+        if not refusal.cancelled:
+            self._load.record_refusal(job_id, refusal)
+
     def _apply_ended_row(self, row: Row, *, held: bool) -> None:
         """Apply the row of a job with a stored outcome.
 
@@ -388,6 +399,7 @@
         self.interference.age(now)
         self._occurrences.open_due()
         self._jobs.delete_obsolete_rows()
+        self._refusals.remove_expired()
         for step in self._jobs.closed_steps:
             self._advice.forget_step(step)
         self._jobs.closed_steps.clear()
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -264,6 +264,9 @@
 
     def _save_progress(self, entry: JobEntry) -> None:
         job = entry.job
+        if job.unsaved_chunks and not entry.stored_chunks:
+            # Fronts tell by this row that the job has begun.
+            job.unsaved_chunks.add(MAIN_CHUNK)
         for chunk in sorted(job.unsaved_chunks):
             if chunk != MAIN_CHUNK and chunk[0] in job.complete_occurrences:
                 continue
--- a/cassiaweir/dispatch/_refusal_rows.py
+++ b/cassiaweir/dispatch/_refusal_rows.py
@@ -1,26 +1,45 @@
-"""Rows that block the id of a refused job, so that no earlier attempt is stored.
+"""Rows that block the id of a refused or cancelled job, so that it is not stored later.
 
-A refusal row stands under the job's key and is not a job.  Its value cannot be taken
-for a job, as it has none of a job's fields, nor for the `{}` of a job that has ended.
+Such a row stands under the job's key and is not a job.  Its value cannot be taken for a
+job, as it has none of a job's fields, nor for the `{}` of a job that has ended.
+
+An attempt to store the job that got no answer may take effect seconds later, and its
+caller may send it again.  The row is therefore kept for a time after the refusal, and
+removed then by the leader.
 """
 
 from __future__ import annotations
 
 import msgspec
 
+from cassiaweir.scheduling import PLACE_VALIDITY_S
+
 REFUSAL_PREFIX = b'{"refused":'
 
+REFUSAL_VALIDITY_S = 120.0
+"""An id stays blocked for this time at least.
+
+No write is executed, and no submission repeated, that long after it was sent.
+"""
+
 
-class Refusal(msgspec.Struct, frozen=True):
-    """A refused submission.
+class Refusal(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A refused submission, or a cancellation that found no job.
 
     `at` is when it was refused, and `turn_at` from when on a caller that returns is
-    accepted.  Both are Unix times in seconds.
+    accepted.  Both are Unix times in seconds.  With `cancelled`, no submission replaces
+    the row: its caller was told that there is no such job, or that it is cancelled.
     """
 
     customer: str = ""
     at: float = 0.0
     turn_at: float = 0.0
+    cancelled: bool = False
+
+    @property
+    def validity_s(self) -> float:
+        """How long the row is needed, from when it was written."""
+        return max(REFUSAL_VALIDITY_S, self.turn_at - self.at + PLACE_VALIDITY_S)
 
 
 class _RefusalRow(msgspec.Struct, frozen=True):
--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -206,7 +206,8 @@
         except InvalidInputError as exc:
             return _HttpReply(400, "invalid", str(exc).encode())
         except RefusedError as exc:
-            return _HttpReply(503, exc.reason, retry_after_s=RETRY_AFTER_S)
+            retry_after_s = RETRY_AFTER_S if exc.retry_after is not None else 0
+            return _HttpReply(503, exc.reason, retry_after_s=retry_after_s)
         except UnavailableError as exc:
             status = 503 if exc.verdict is Verdict.NOT_RUN else 504
             return _HttpReply(status, "unavailable", retry_after_s=RETRY_AFTER_S)
@@ -227,7 +228,7 @@
         if req.method == "GET":
             return await self._get_state(subpath)
         if req.method == "DELETE":
-            return await self._cancel(subpath)
+            return await self._cancel(access, subpath)
         return _HttpReply(405, "method_not_allowed")
 
     async def _submit(
@@ -270,8 +271,9 @@
             return _HttpReply(410, "unknown_job")
         return _HttpReply(200, state.value, self._codec.encode_state(state))
 
-    async def _cancel(self, job_id: str) -> _HttpReply:
-        result = await self._submissions.cancel(job_id)
+    async def _cancel(self, access: Access, job_id: str) -> _HttpReply:
+        customer = access.customer.name if access.customer else ""
+        result = await self._submissions.cancel(job_id, customer)
         return _HttpReply(
             200 if result is CancelResult.CANCELLED else 410, result.value
         )
