Let the random test of cancels fail without the fix

The cases passed with the former logic: submissions were stored before the cancel read, and starts were only looked at in calm times. Submissions now take up to 20 ms more, and a job that is said not to exist must not start at all.

--- a/tests/site_clients.py
+++ b/tests/site_clients.py
@@ -7,6 +7,7 @@
 
 from cassiaweir.exceptions import RefusedError, UnavailableError
 from cassiaweir.front import JobWriter
+from cassiaweir.front._cancels import CancelResult
 from cassiaweir.jobs import JobSpec, StepSpec
 from cassiaweir.types import Row
 from tests.site_fakes import QUEUE, FakeSite, FakeVm
@@ -32,7 +33,7 @@
     """Submits one job through a VM; may give up at any time, and then cancels it.
 
     `accepted` is whether the submission was answered so, `cancelled_at` when a cancel
-    was acknowledged, on the clock of the event loop.
+    was acknowledged, on the clock of the event loop, and `result` its result.
     """
 
     def __init__(self, site: FakeSite, vm: FakeVm) -> None:
@@ -40,6 +41,7 @@
         self.job_id = f"c{next(_IDS):015x}"
         self.accepted = False
         self.cancelled_at: float | None = None
+        self.result: CancelResult | None = None
         self.writer = JobWriter(
             vm.store,
             VirtualClock(),
@@ -77,7 +79,7 @@
     async def _cancel(self) -> None:
         for _ in range(20):
             try:
-                await self.writer.cancel(self.job_id, "agency")
+                self.result = await self.writer.cancel(self.job_id, "agency")
             except (RefusedError, UnavailableError):
                 await asyncio.sleep(0.3)
                 continue
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -56,6 +56,13 @@
 def test_a_cancel_beside_its_submission_wins_or_finds_the_job(seed: int) -> None:
     async def body(first: Front, second: Front) -> None:
         rng = random.Random(seed)
+        commit = first.store.commit
+
+        async def slow_commit(checks, writes):
+            await asyncio.sleep(rng.uniform(0, 0.02))
+            return await commit(checks, writes)
+
+        first.store.commit = slow_commit  # type: ignore[method-assign]
         submitting = asyncio.create_task(first.submit())
         await asyncio.sleep(rng.uniform(0, 0.02))
         result = await rng.choice([first, second]).writer.cancel(JOB_ID)
@@ -222,6 +229,8 @@
                 until = max(calm_at, each.cancelled_at + CANCEL_S)
                 starts = site.starts_of(each.job_id)
                 assert all(run.began_at <= until for run in starts)
+                # A job that is said not to exist never starts.
+                assert each.result is not CancelResult.UNKNOWN_JOB or not starts
                 assert state in (None, JobState.CANCELLED, JobState.DONE)
                 assert state is not None or not is_stored(site.store, each.job_id)
             elif each.accepted:
