Wait before a start that no row can name is tried again

A start that has to be recorded first was withdrawn at once when its row was refused, and its task placed again, some hundred times a second, each with two writes and a split transaction.

Change: such a task waits 2 s before it is placed again, as one does whose row is not stored in time. Positions of refused rows are kept in sets.

--- a/cassiaweir/dispatch/_record_keeper.py
+++ b/cassiaweir/dispatch/_record_keeper.py
@@ -86,7 +86,8 @@
         """Let the rows of restricted servers name `runs` before these are started.
 
         The writes up to `position` have to be stored as well.  Return whether the store
-        took all in time.  Raises `LeadershipLostError`.
+        took all in time.  Raises `LeadershipLostError`, and `RowRejectedError` if the
+        store refuses one of them for good.
         """
         servers = {
             run.server.server_id: run.server for run in runs if run.server.restricted
@@ -98,7 +99,7 @@
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 await self._commits.wait_until_stored(position)
-        except (TimeoutError, RowRejectedError):
+        except TimeoutError:
             logger.info("runs_not_recorded", runs=len(runs), first=runs[0].task.name)
             return False
         return True
--- a/cassiaweir/dispatch/_run_control.py
+++ b/cassiaweir/dispatch/_run_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from datetime import timedelta
 
 from loguru import logger
 
@@ -15,7 +16,7 @@
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_entry import OrderOutcome
 from cassiaweir.dispatch._term_tasks import TermTasks
-from cassiaweir.exceptions import LeadershipLostError
+from cassiaweir.exceptions import LeadershipLostError, RowRejectedError
 from cassiaweir.jobs import Step
 from cassiaweir.leadership import CommitStream
 from cassiaweir.observe import Metrics
@@ -28,6 +29,9 @@
 )
 """Answers to a start order after which the server gets no new runs for a while."""
 
+REJECTED_ROW_DELAY = timedelta(seconds=2)
+"""A task whose start no row can name waits this long before it is placed again."""
+
 
 class RunControl:
     """Starts runs, once what a successor relies on is stored, and stops them.
@@ -113,6 +117,10 @@
             stored = await self._records.store_starts(runs, position)
         except LeadershipLostError:
             return
+        except RowRejectedError:
+            # The next attempt writes the same row again, so that it has to wait.
+            await self._clock.sleep(REJECTED_ROW_DELAY)
+            stored = False
         for run in runs:
             if stored:
                 self._background.start(self._start(run))
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -74,7 +74,7 @@
         self._pending: dict[str, _Pending] = {}
         self._last_position = 0
         self._stored_position = 0
-        self._rejected: dict[str, tuple[int, ...]] = {}
+        self._rejected: dict[str, set[int]] = {}
         self._renewed_at = leadership.confirmed_at
         self._wakeup = asyncio.Event()
         self._stored_changed = asyncio.Condition()
@@ -258,7 +258,7 @@
     def _reject(self, pending: _Pending, cause: TransactionRejectedError) -> None:
         """Note that the store refuses a row, until it is written in another form."""
         key = pending.write.key
-        self._rejected[key] = self._rejected.get(key, ()) + pending.positions
+        self._rejected.setdefault(key, set()).update(pending.positions)
         logger.error(
             "leader_row_rejected",
             key=key,
