Bound the accepted jobs that the leader keeps in memory

Cause: the number of jobs that a customer may have open had no bound, and the work that waits is bounded by admission only where it needs processors now. Jobs that last, that are due in years or that no server can run were accepted without end, each with a copy of its stored row and some 2 kB a step in the leader. A leader that ends for its memory is followed by one that reads the same jobs.

Change: the leader tells the fronts, with the load, the customers that have 10,000 steps open, and those above the average once all have 30,000; these get 429 with Retry-After, and their ids are blocked as for other refusals. Rows of jobs are watched without their values. Sets of a step that are mostly empty are created when needed. The load counts an occurrence as on time or late by when it is due, so that arrears refuse nobody.

Ruled out: a bound in each front alone; a customer's calls reach all.

--- a/cassiaweir/dispatch/_load.py
+++ b/cassiaweir/dispatch/_load.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
+from dataclasses import replace
 
 from cassiaweir.dispatch._customer_terms import ConfigurationSource
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
@@ -22,6 +23,7 @@
     QueuePlan,
     ServerRoom,
     WaitingTasks,
+    crowded_customers,
 )
 from cassiaweir.types import Clock
 
@@ -106,9 +108,18 @@
             ),
             weight_of=lambda name: self._exhausted_weight(customers.get(name)),
         )
+        self._snapshot = replace(self._snapshot, crowded=self._crowded())
         for name, load in self._snapshot.queues.items():
             self._metrics.set("queue_wait_seconds", load.wait_s, queue=name)
 
+    def _crowded(self) -> frozenset[str]:
+        """Return the customers of which no more jobs may be accepted now."""
+        open_steps: Counter[str] = Counter()
+        for entry in self._jobs.open_jobs():
+            # A recurring job counts once, as what is open of it is bounded.
+            open_steps[entry.job.spec.customer] += len(entry.job.spec.steps)
+        return crowded_customers(open_steps)
+
     def _exhausted_weight(self, customer: Customer | None) -> float | None:
         """Return the weight of a customer that has used up its share for now."""
         if customer is None or self._jobs.has_share_left(customer):
@@ -126,10 +137,13 @@
                 continue
             queue = self._jobs.queue_of(entry.job)
             times = self._jobs.times_of(entry, queue, now)
-            remaining_s = times.remaining_s[steps[0][0].number]
-            status = deadline_status(entry.objective, remaining_s, now)
             customer = self._jobs.customer_of(entry.job)
+            first_steps: dict[int, Step] = {}
             for step, count, startable in steps:
+                first = first_steps.setdefault(step.occurrence, step)
+                objective = entry.objective.later_by(step.due_after_s)
+                remaining_s = times.remaining_s[first.number]
+                status = deadline_status(objective, remaining_s, now)
                 within_cap = self._usage.count_within_cap(customer, step.demand, count)
                 if not within_cap:
                     continue
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -229,7 +229,7 @@
                 server=server.server_id,
                 percent=run.progress.percent,
             )
-            step.avoided_servers.add(server.server_id)
+            step.avoided_servers |= {server.server_id}
             run.stop_cause = "stalled" if stalled else "too_slow"
             if step.spec.gang:
                 self._stop_gang(run)
@@ -325,7 +325,7 @@
 
         Return the position of the write that stores it.
         """
-        task.step.avoided_servers.add(server.server_id)
+        task.step.avoided_servers |= {server.server_id}
         had_ended = entry.job.ended
         if not entry.job.record_run_failure(task, end.run):
             return entry.write_position
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -247,6 +247,7 @@
             wait=FEED_WAIT,
             pause=JOBS_PAUSE,
             listener=_JobListener(dispatcher),
+            keep_values=False,
         )
         listener.dispatcher = dispatcher
         self._metrics.count("terms")
--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -111,7 +111,7 @@
                     queue,
                     remaining_s[step.number],
                     now,
-                    due_after_s=_due_after_s(step),
+                    due_after_s=step.due_after_s,
                 )
                 found.append(WaitingStep(rank, entry, step, queue))
                 if self._note_waiting(entry, now):
@@ -205,17 +205,6 @@
     return not spec.times or wall >= spec.due_at(step.occurrence)
 
 
-def _due_after_s(step: Step) -> float:
-    """Return how long after its job's submission the occurrence of `step` is due.
-
-    It is negative for an occurrence that was overdue by then.
-    """
-    spec = step.job.spec
-    if not spec.times:
-        return 0.0
-    return spec.due_at(step.occurrence) - spec.submitted_at
-
-
 def rank_of(
     entry: JobEntry,
     queue: Queue,
--- a/cassiaweir/feeds/_table_watch.py
+++ b/cassiaweir/feeds/_table_watch.py
@@ -37,7 +37,8 @@
 
     `wait` limits how long the store holds back an answer while nothing changes, and
     thereby the age of the view while the store works.  `pause` separates two polls, so
-    that one answer carries several changes.
+    that one answer carries several changes.  Without `keep_values`, `rows` holds the
+    rows without their values, for a listener that keeps what it needs of them.
     """
 
     def __init__(
@@ -49,8 +50,10 @@
         wait: timedelta,
         pause: timedelta = timedelta(0),
         listener: RowListener | None = None,
+        keep_values: bool = True,
     ) -> None:
         self.rows: dict[str, Row] = {}
+        self._keep_values = keep_values
         self._feed = feed
         self._prefixes = tuple(prefixes)
         self._table = prefixes[0].partition("/")[0]
@@ -180,7 +183,8 @@
         if row is None:
             self.rows.pop(key, None)
         else:
-            self.rows[key] = row
+            kept = row if self._keep_values else Row(key, row.version, b"")
+            self.rows[key] = kept
         if self._listener is not None:
             self._notify(self._listener, key, row)
 
--- a/cassiaweir/front/_load_admission.py
+++ b/cassiaweir/front/_load_admission.py
@@ -10,7 +10,13 @@
 from cassiaweir.front._states import LeaderSource
 from cassiaweir.jobs import JobSpec
 from cassiaweir.observe import Metrics
-from cassiaweir.scheduling import AdmissionPolicy, LoadSnapshot, Rejected, Submission
+from cassiaweir.scheduling import (
+    AdmissionPolicy,
+    LoadSnapshot,
+    Rejected,
+    Submission,
+    too_many_jobs,
+)
 from cassiaweir.types import Clock
 
 
@@ -51,8 +57,11 @@
             self._policy.update(local)
         now = self._clock.monotonic()
         load = self._policy.current(now)
-        if load is None or not load.is_full(spec.queue.name) or not self._enabled():
+        if load is None or not self._enabled():
             return None
+        crowded = too_many_jobs(spec.customer, load)
+        if crowded is not None or not load.is_full(spec.queue.name):
+            return crowded
         decision = self._policy.decide(_submission(spec, load), now)
         return decision if isinstance(decision, Rejected) else None
 
--- a/cassiaweir/jobs/_job.py
+++ b/cassiaweir/jobs/_job.py
@@ -55,7 +55,7 @@
     number: int
     spec: StepSpec
     first_task: int = 0
-    avoided_servers: set[str] = field(default_factory=set)
+    avoided_servers: frozenset[str] = frozenset()
     tasks: TaskList = field(init=False)
     demand: Resources = field(init=False)
     kind: str = field(init=False)
@@ -81,6 +81,17 @@
         """How many tasks need a run."""
         return self.tasks.waiting_count
 
+    @property
+    def due_after_s(self) -> float:
+        """How long after the job's submission the occurrence of the step is due.
+
+        It is negative for an occurrence that was overdue by then.
+        """
+        spec = self.job.spec
+        if not spec.times:
+            return 0.0
+        return spec.due_at(self.occurrence) - spec.submitted_at
+
     @property
     def complete(self) -> bool:
         """Whether all tasks of the step are done."""
--- a/cassiaweir/jobs/_tasks.py
+++ b/cassiaweir/jobs/_tasks.py
@@ -110,7 +110,7 @@
         self._step = step
         self._count = count
         self._known: dict[int, Task] = {}
-        self._waiting: set[int] = set()
+        self._waiting: set[int] | frozenset[int] = frozenset()
         """The indexes of the known tasks that wait."""
         self._done = 0
         """A set of bits; bit N is set once task N is done."""
@@ -142,9 +142,15 @@
         if self.is_done(index):
             return Task(self._step, index, TaskState.DONE)
         task = self._known[index] = Task(self._step, index)
-        self._waiting.add(index)
+        self._note_waiting(index)
         return task
 
+    def _note_waiting(self, index: int) -> None:
+        if not isinstance(self._waiting, set):
+            # Most steps that wait for others have no known task.
+            self._waiting = set()
+        self._waiting.add(index)
+
     def is_done(self, index: int) -> bool:
         """Return whether the task with this index is done."""
         return bool(self._done >> index & 1)
@@ -198,8 +204,8 @@
             former is TaskState.WAITING
         )
         if state is TaskState.WAITING:
-            self._waiting.add(task.index)
-        else:
+            self._note_waiting(task.index)
+        elif isinstance(self._waiting, set):
             self._waiting.discard(task.index)
         if state is TaskState.DONE and former is not TaskState.DONE:
             self._done |= 1 << task.index
--- a/cassiaweir/peers/_load.py
+++ b/cassiaweir/peers/_load.py
@@ -29,6 +29,7 @@
             )
             for name, each in load.customers.items()
         },
+        crowded=sorted(load.crowded),
     )
 
 
@@ -51,4 +52,5 @@
             name: CustomerLoad(each.allowed_share, each.wait_s)
             for name, each in answer.customers.items()
         },
+        frozenset(answer.crowded),
     )
--- a/cassiaweir/scheduling/__init__.py
+++ b/cassiaweir/scheduling/__init__.py
@@ -10,6 +10,7 @@
     Rejected,
     Submission,
     decide,
+    too_many_jobs,
 )
 from cassiaweir.scheduling._backfill import (
     BackfillRoom,
@@ -28,6 +29,7 @@
     ServerRoom,
     WaitingTasks,
 )
+from cassiaweir.scheduling._crowding import crowded_customers
 from cassiaweir.scheduling._durations import DurationModel
 from cassiaweir.scheduling._gangs import GangCandidate, GangPlan, plan_gang
 from cassiaweir.scheduling._interference import InterferenceModel, InterferingPair
@@ -66,9 +68,11 @@
     "StepDurations",
     "Submission",
     "WaitingTasks",
+    "crowded_customers",
     "decide",
     "expected_end",
     "plan_gang",
     "room_at",
     "slot_times",
+    "too_many_jobs",
 ]
--- a/cassiaweir/scheduling/_admission.py
+++ b/cassiaweir/scheduling/_admission.py
@@ -22,6 +22,7 @@
 """Callers are told to return within this time, or share of the wait, after its end."""
 
 MAX_RETRY_AFTER_S = 30
+CROWDED_RETRY_AFTER_S = 10
 MAX_TURN_S = 300.0
 """Limits of Retry-After, and of the time until the turn of a refused job.
 
@@ -118,6 +119,16 @@
     return Rejected(reason, whole_seconds(turn_in_s), wait_s, turn_in_s)
 
 
+def too_many_jobs(customer: str, load: LoadSnapshot) -> Rejected | None:
+    """Refuse a job of a customer that has too many open ones, whatever the load.
+
+    It gets no turn for a long time: it is accepted once others have ended.
+    """
+    if customer not in load.crowded:
+        return None
+    return Rejected("too_many_jobs", CROWDED_RETRY_AFTER_S, turn_in_s=MAX_TURN_S)
+
+
 def whole_seconds(seconds: float) -> int:
     """Return `seconds` rounded up, within the limits of Retry-After."""
     return min(max(math.ceil(seconds), 1), MAX_RETRY_AFTER_S)
--- a/cassiaweir/scheduling/_backlog.py
+++ b/cassiaweir/scheduling/_backlog.py
@@ -88,7 +88,8 @@
     """The load that the leader of `epoch` measured.
 
     `time` is in seconds of the monotonic clock of the process that holds the object.
-    `customers` are those beyond their share.
+    `customers` are those beyond their share, `crowded` those with so many open steps
+    that no more of their jobs are accepted.
     """
 
     epoch: int
@@ -96,6 +97,7 @@
     fleet_cpu_millis: int = 0
     queues: Mapping[str, QueueLoad] = field(default_factory=dict)
     customers: Mapping[str, CustomerLoad] = field(default_factory=dict)
+    crowded: frozenset[str] = frozenset()
 
     def is_full(self, queue: str) -> bool:
         """Return whether the servers of `queue` have no room."""
--- a/tests/test_dispatch_parts.py
+++ b/tests/test_dispatch_parts.py
@@ -186,7 +186,7 @@
 
 def test_servers_to_avoid_are_chosen_last():
     step = step_of(cpu_millis=1_000)
-    step.avoided_servers.add("full")
+    step.avoided_servers |= {"full"}
     servers = [server_of("empty"), server_of("full", used=12_000)]
     chosen = choose_servers(step, find_candidates(step, servers, None, 4), 4)
     assert {server.server_id for server in chosen} == {"empty"}
