--- a/cassiaweir/scheduling/_crowding.py
+++ b/cassiaweir/scheduling/_crowding.py
@@ -6,7 +6,7 @@
 
 MAX_OPEN_STEPS = 30_000
 MAX_OPEN_STEPS_OF_CUSTOMER = 10_000
-"""Steps of open jobs; each takes up to about 3 kB of the leader's memory."""
+"""Steps of open jobs; each takes 2 to 6 kB of the leader's memory."""
 
 
 def crowded_customers(open_steps: Mapping[str, int]) -> frozenset[str]:
