Count the incomplete steps that a step depends on

Cause: each placement round, and each sample of the load, looked at all dependencies of all open steps. A job row has room for some 16,000 of them, so that a few jobs of a caller lengthen every round.

Change: a step counts its incomplete dependencies; the count goes down when one becomes complete. A dependency that is named twice counts once.

Measured: no figure; tests/test_jobs_job.py, test_recurring_jobs.py and test_dispatch_takeover.py pass.

--- a/cassiaweir/jobs/_job.py
+++ b/cassiaweir/jobs/_job.py
@@ -42,12 +42,13 @@
     """A step of one occurrence of a job.
 
     `number` is the index of the step in the job's specification, and `first_task` how
-    many tasks the steps before it have.  The tasks of a gang share their failures and
-    checkpoint, which are therefore kept here and not in the tasks.  `avoided_servers`
-    holds the ids of servers where a task of the step failed, stalled or ran too slowly,
-    and ids and addresses of those that crashed under one.  `demand` is the resources
-    that one task uses.  `kind` is what tasks are compared by that may slow each other
-    down: the queue, and the image where there is one.
+    many tasks the steps before it have.  `blockers` counts the incomplete steps that it
+    depends on.  The tasks of a gang share their failures and checkpoint, which are
+    therefore kept here and not in the tasks.  `avoided_servers` holds the ids of
+    servers where a task of the step failed, stalled or ran too slowly, and ids and
+    addresses of those that crashed under one.  `demand` is the resources that one task
+    uses.  `kind` is what tasks are compared by that may slow each other down: the
+    queue, and the image where there is one.
     """
 
     job: Job
@@ -55,6 +56,7 @@
     number: int
     spec: StepSpec
     first_task: int = 0
+    blockers: int = field(init=False)
     avoided_servers: frozenset[str] = frozenset()
     tasks: TaskList = field(init=False)
     demand: Resources = field(init=False)
@@ -63,6 +65,7 @@
     def __post_init__(self) -> None:
         self.tasks = TaskList(self, self.spec.count)
         self.demand = self.spec.demand
+        self.blockers = len(set(self.spec.after))
         queue, image = self.job.spec.queue.name, self.spec.image
         self.kind = f"{queue}/{image}" if image else queue
 
@@ -252,9 +255,7 @@
 
     def may_start(self, step: Step) -> bool:
         """Return whether all steps that `step` depends on are complete."""
-        return all(
-            self.steps[step.occurrence, earlier].complete for earlier in step.spec.after
-        )
+        return step.blockers == 0
 
     def startable_steps(self) -> Iterator[Step]:
         """Yield the incomplete steps whose dependencies are complete."""
@@ -290,10 +291,16 @@
         self._mark_done(step, indexes)
 
     def _mark_done(self, step: Step, indexes: Iterable[int]) -> None:
+        was_complete = step.complete
         for index in indexes:
             step.tasks[index].state = TaskState.DONE
             self.unsaved_chunks.add(step.chunk_of(0 if step.spec.gang else index))
-        if self.spec.times and step.complete:
+        if not step.complete or was_complete:
+            return
+        for number in range(step.number + 1, len(self.spec.steps)):
+            if step.number in self.spec.steps[number].after:
+                self.steps[step.occurrence, number].blockers -= 1
+        if self.spec.times:
             self._close_if_complete(step.occurrence)
 
     def _close_if_complete(self, occurrence: int) -> None:
--- a/tests/test_jobs_job.py
+++ b/tests/test_jobs_job.py
@@ -53,6 +53,20 @@
     assert list(job.startable_steps()) == [second]
 
 
+# Guards against rounds of placing whose time grows with the square of the steps.
+def test_a_step_that_names_a_dependency_twice_starts_after_it():
+    job = job_of(
+        StepSpec(count=1), StepSpec(count=1), StepSpec(count=1, after=(0, 1, 0))
+    )
+    first, second, last = (job.steps[0, number] for number in range(3))
+    assert last.blockers == 2
+    assert job.finish_task(first.tasks[0])
+    assert not job.finish_task(first.tasks[0])
+    assert not job.may_start(last)
+    assert job.finish_task(second.tasks[0])
+    assert job.may_start(last)
+
+
 def test_success_of_one_gang_member_completes_the_gang():
     job = job_of(StepSpec(count=3, gang=True))
     assert job.finish_task(job.steps[0, 0].tasks[1])
