Move pending submissions into a module of their own

Change: attempts and what is known of their ids are in _pending_jobs.py. No behaviour changes.

Measured: the tests of submissions, refusals, cancels and admission pass.

--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -14,14 +14,11 @@
 
 from cassiaweir.exceptions import InvalidInputError, RefusedError, UnavailableError
 from cassiaweir.front._access import Access, AccessChecker, Denial
+from cassiaweir.front._cancels import CancelResult
 from cassiaweir.front._load_admission import LoadAdmission
+from cassiaweir.front._pending_jobs import Attempt, OverloadError
 from cassiaweir.front._states import JobDirectory
-from cassiaweir.front._submissions import (
-    Attempt,
-    CancelResult,
-    JobWriter,
-    OverloadError,
-)
+from cassiaweir.front._submissions import JobWriter
 from cassiaweir.jobs import JobSpec, JobState
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import Queue
--- a/cassiaweir/front/_submissions.py
+++ b/cassiaweir/front/_submissions.py
@@ -3,11 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import zlib
-from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from datetime import timedelta
 
 from loguru import logger
 
@@ -15,7 +11,6 @@
     Refusal,
     decode_refusal,
     encode_refusal,
-    job_key,
     job_part,
 )
 from cassiaweir.exceptions import (
@@ -33,8 +28,13 @@
     JobCanceller,
     LeaderNotifier,
 )
+from cassiaweir.front._pending_jobs import (
+    Attempt,
+    KnownRefusal,
+    PendingJob,
+    UnsettledIds,
+)
 from cassiaweir.jobs import JobSpec
-from cassiaweir.scheduling import PLACE_VALIDITY_S, Rejected
 from cassiaweir.store import TransactionSize
 from cassiaweir.types import Check, Clock, Row, Table, Write
 from cassiaweir.verdict import Verdict
@@ -42,109 +42,10 @@
 MAX_JOBS_PER_TRANSACTION = 16
 MAX_CONCURRENT_TRANSACTIONS = 16
 MAX_QUEUED_JOBS = 400
-TURN_TOLERANCE_S = 0.5
-"""A caller is accepted this long before its turn, as the clocks of VMs differ."""
-
-MAX_IDS_IN_DOUBT = 4_096
 MAX_KNOWN_REFUSALS = 4_096
 """Limits how many refusals are remembered to spare a conflict when callers return."""
 
-REFUSED_MEANWHILE = "refused_meanwhile"
-"""Another front refused the id, perhaps after this submission had arrived.
-
-The caller may have given up this attempt and taken that refusal for final.
-"""
-
-
-MAX_MEANWHILE_S = 3
-"""The longest Retry-After for that reason."""
-
-
-class OverloadError(RefusedError):
-    """A job was refused for the load; its id is blocked, so that it never runs."""
-
-    def __init__(self, rejected: Rejected) -> None:
-        super().__init__(
-            rejected.reason,
-            "refused for the load",
-            retry_after=timedelta(seconds=rejected.retry_after_s),
-        )
-        self.rejected = rejected
-
-
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """A caller's attempt to submit a job.
-
-    `received_version` is the newest version of the store that this process had seen
-    when the attempt arrived; `connected` returns whether the caller still waits.
-    `rejected` says why the job is to be refused, None if it is to be accepted.
-    """
-
-    received_version: int
-    connected: Callable[[], bool]
-    rejected: Rejected | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class _KnownRefusal:
-    """A refusal row and its version."""
-
-    version: int
-    refusal: Refusal
-
-
-@dataclass(slots=True, eq=False)
-class _PendingJob:
-    """A job that is to be stored or refused, and the future that its caller waits for.
-
-    `value` is the row that stores the job.
-    `version` is that of the refusal row to replace, 0 if there is none.  `rejected`
-    says why the job is to be refused.  `in_doubt` is true after an attempt to store the
-    job that may have been executed or still be.  `deadline` is in monotonic seconds,
-    `received_at` in Unix seconds.
-    """
-
-    spec: JobSpec
-    value: bytes
-    attempt: Attempt
-    future: asyncio.Future[None]
-    deadline: float
-    received_at: float
-    rejected: Rejected | None
-    version: int = 0
-    in_doubt: bool = field(default=False)
-
-    @property
-    def size(self) -> TransactionSize:
-        """The share of the job in the transaction that stores it."""
-        return TransactionSize.of([Check(self.key, 0)], [Write(self.key, self.value)])
-
-    @property
-    def key(self) -> str:
-        """The key of the row in which the job or its refusal is stored."""
-        return job_key(self.spec.job_id)
-
-    def meet_refusal(self, known: _KnownRefusal) -> None:
-        """Adapt to a refusal row that is stored under the job's key.
-
-        A job that is refused again writes the row again, so that attempts to replace
-        this version that are still in transit fail.
-        """
-        self.version = known.version
-        waits_s = known.refusal.turn_at - self.received_at
-        if self.rejected is not None and waits_s > -PLACE_VALIDITY_S:
-            if waits_s <= TURN_TOLERANCE_S:
-                self.rejected = None
-            elif waits_s < self.rejected.turn_in_s:
-                self.rejected = self.rejected.with_turn(waits_s)
-        if self.rejected is None and not self._may_replace(known.version):
-            spread_s = zlib.crc32(self.spec.job_id.encode()) % MAX_MEANWHILE_S
-            self.rejected = Rejected(REFUSED_MEANWHILE, 1 + spread_s)
-
-    def _may_replace(self, version: int) -> bool:
-        """Return whether the refusal at `version` is older than this attempt."""
-        return version <= self.attempt.received_version and self.attempt.connected()
+CANCELLED_BEFORE = "the job was cancelled before it was stored"
 
 
 class JobWriter:
@@ -169,14 +70,14 @@
     ) -> None:
         self._store_version = store_version
         self._newest_version = 0
-        self._known_refusals: dict[str, _KnownRefusal] = {}
+        self._known_refusals: dict[str, KnownRefusal] = {}
         self._table = table
         self._clock = clock
         self._notifier = notifier
         self._store_unreachable = store_unreachable
         self._canceller = JobCanceller(table, clock, notifier)
         self._unsettled = UnsettledIds()
-        self._queued: list[_PendingJob] = []
+        self._queued: list[PendingJob] = []
         self._transactions: set[asyncio.Task[None]] = set()
 
     def newest_version(self) -> int:
@@ -203,7 +104,7 @@
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         deadline = self._clock.monotonic() + STORE_TIMEOUT.total_seconds()
         received_at = self._clock.now().timestamp()
-        job = _PendingJob(
+        job = PendingJob(
             spec,
             spec.encode(),
             attempt,
@@ -241,7 +142,7 @@
             self._transactions.add(task)
             task.add_done_callback(self._on_transaction_done)
 
-    def _take_batch(self) -> list[_PendingJob]:
+    def _take_batch(self) -> list[PendingJob]:
         """Remove and return queued jobs whose rows lie in one part of the table.
 
         Each key is written once in a transaction: of an accepted and a refused attempt
@@ -249,7 +150,7 @@
         """
         part = job_part(self._queued[0].spec.job_id)
         size = TransactionSize()
-        by_key: dict[str, _PendingJob] = {}
+        by_key: dict[str, PendingJob] = {}
         for job in self._queued:
             if job_part(job.spec.job_id) != part or job.key in by_key:
                 continue
@@ -270,7 +171,7 @@
             logger.opt(exception=task.exception()).error("submission_failed")
         self._start_transactions()
 
-    async def _store_batch(self, batch: list[_PendingJob]) -> None:
+    async def _store_batch(self, batch: list[PendingJob]) -> None:
         """Store `batch`, retrying until each job is stored or past its deadline."""
         try:
             while batch:
@@ -279,7 +180,7 @@
             for job in batch:
                 self._fail(job, "the process is stopping")
 
-    async def _try_store(self, batch: list[_PendingJob]) -> list[_PendingJob]:
+    async def _try_store(self, batch: list[PendingJob]) -> list[PendingJob]:
         """Try once to store `batch`; return the jobs to retry."""
         refusals = [self._refusal_of(job) for job in batch]
         checks = [Check(job.key, job.version) for job in batch]
@@ -304,19 +205,19 @@
             if refusal is None:
                 self._known_refusals.pop(job.spec.job_id, None)
                 self._settle(job)
-                _succeed(job)
+                job.succeed()
             else:
-                self._remember(job, _KnownRefusal(versions[job.key], refusal))
+                self._remember(job, KnownRefusal(versions[job.key], refusal))
                 self._settle(job)
-                _reject(job)
+                job.reject()
         return []
 
-    def _settle(self, job: _PendingJob) -> None:
+    def _settle(self, job: PendingJob) -> None:
         """Note that it is known what is stored under the id of `job`."""
         self._unsettled.settle(job.spec.job_id)
 
     async def _store_apart(
-        self, batch: list[_PendingJob], exc: TransactionRejectedError
+        self, batch: list[PendingJob], exc: TransactionRejectedError
     ) -> None:
         """Store each job of a refused transaction alone, and fail one that cannot be.
 
@@ -326,12 +227,12 @@
         if len(batch) == 1:
             logger.warning("job_not_storable", job=batch[0].spec.job_id, cause=str(exc))
             self._settle(batch[0])
-            _fail_invalid(batch[0], f"the job cannot be stored: {exc}")
+            batch[0].fail(InvalidInputError(f"the job cannot be stored: {exc}"))
             return
         for job in batch:
             await self._store_batch([job])
 
-    def _refusal_of(self, job: _PendingJob) -> Refusal | None:
+    def _refusal_of(self, job: PendingJob) -> Refusal | None:
         """Return the refusal to store for `job`, None if the job is to be stored."""
         if job.rejected is None:
             return None
@@ -339,14 +240,14 @@
         turn_at = job.received_at + job.rejected.turn_in_s
         return Refusal(job.spec.customer, now, turn_at)
 
-    def _remember(self, job: _PendingJob, known: _KnownRefusal) -> None:
+    def _remember(self, job: PendingJob, known: KnownRefusal) -> None:
         self._newest_version = max(self._newest_version, known.version)
         self._known_refusals.pop(job.spec.job_id, None)
         self._known_refusals[job.spec.job_id] = known
         if len(self._known_refusals) > MAX_KNOWN_REFUSALS:
             del self._known_refusals[next(iter(self._known_refusals))]
 
-    async def _complete_stored(self, batch: list[_PendingJob]) -> list[_PendingJob]:
+    async def _complete_stored(self, batch: list[PendingJob]) -> list[PendingJob]:
         """After a conflict, report success for stored jobs; return the others."""
         try:
             stored_rows = await self._table.read([job.key for job in batch])
@@ -362,31 +263,29 @@
             refusal = decode_refusal(row.value) if row is not None else None
             if row is not None and refusal is None:
                 self._settle(job)
-                _succeed(job)
+                job.succeed()
                 continue
             if refusal is not None and refusal.cancelled:
                 self._settle(job)
-                _fail_cancelled(job)
+                job.fail(RefusedError("cancelled", CANCELLED_BEFORE))
                 continue
             if row is None or refusal is None:
                 job.version = 0
             else:
-                job.meet_refusal(_KnownRefusal(row.version, refusal))
+                job.meet_refusal(KnownRefusal(row.version, refusal))
             remaining.append(job)
         if [job.version for job in remaining] == versions:
             await self._clock.sleep(RETRY_DELAY)
         return remaining
 
-    def _fail(self, job: _PendingJob, cause: str) -> None:
+    def _fail(self, job: PendingJob, cause: str) -> None:
         """Report failure: refused if certainly not stored, else `UnavailableError`."""
         self._unsettled.end(job.spec.job_id, in_doubt=job.in_doubt)
-        if not job.future.done():
-            exc = self._not_stored(job.spec.job_id, "store_unavailable", cause)
-            job.future.set_exception(exc)
+        job.fail(self._not_stored(job.spec.job_id, "store_unavailable", cause))
 
     async def _retry_or_fail(
-        self, batch: list[_PendingJob], exc: UnavailableError
-    ) -> list[_PendingJob]:
+        self, batch: list[PendingJob], exc: UnavailableError
+    ) -> list[PendingJob]:
         """Fail the jobs whose deadline has passed; return the others after a pause."""
         now = self._clock.monotonic()
         remaining = []
@@ -400,61 +299,3 @@
         if remaining:
             await self._clock.sleep(RETRY_DELAY)
         return remaining
-
-
-class UnsettledIds:
-    """The ids of which an attempt to store a job may take effect, now or later.
-
-    An attempt that got no answer is remembered, up to a number of them: by then, the
-    caller has it answered at another front, or it has failed.
-    """
-
-    def __init__(self) -> None:
-        self._under_way: Counter[str] = Counter()
-        self._in_doubt: dict[str, None] = {}
-
-    def has(self, job_id: str) -> bool:
-        """Return whether there is such an attempt with this id."""
-        return job_id in self._under_way or job_id in self._in_doubt
-
-    def begin(self, job_id: str) -> None:
-        """Note that an attempt is under way."""
-        self._under_way[job_id] += 1
-
-    def end(self, job_id: str, *, in_doubt: bool) -> None:
-        """Note that an attempt has ended, which may take effect if it is in doubt."""
-        self._under_way[job_id] -= 1
-        if self._under_way[job_id] <= 0:
-            del self._under_way[job_id]
-        if in_doubt:
-            self._in_doubt[job_id] = None
-            if len(self._in_doubt) > MAX_IDS_IN_DOUBT:
-                del self._in_doubt[next(iter(self._in_doubt))]
-
-    def settle(self, job_id: str) -> None:
-        """Note that an attempt has ended that shows what is stored under the id."""
-        self.end(job_id, in_doubt=False)
-        self._in_doubt.pop(job_id, None)
-
-
-def _fail_invalid(job: _PendingJob, cause: str) -> None:
-    if not job.future.done():
-        job.future.set_exception(InvalidInputError(cause))
-
-
-def _succeed(job: _PendingJob) -> None:
-    if not job.future.done():
-        job.future.set_result(None)
-
-
-def _reject(job: _PendingJob) -> None:
-    """Report that the job is refused for the load and that its id is blocked."""
-    if not job.future.done() and job.rejected is not None:
-        job.future.set_exception(OverloadError(job.rejected))
-
-
-def _fail_cancelled(job: _PendingJob) -> None:
-    """Report that the job was cancelled before it was stored, and never runs."""
-    if not job.future.done():
-        cause = "the job was cancelled before it was stored"
-        job.future.set_exception(RefusedError("cancelled", cause))
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -18,7 +18,7 @@
 from cassiaweir.feeds import TableWatch
 from cassiaweir.front import AccessChecker, FrontServer, JobDirectory, JobWriter
 from cassiaweir.front._access import Access, Denial
-from cassiaweir.front._submissions import CancelResult
+from cassiaweir.front._cancels import CancelResult
 from cassiaweir.jobs import JobSpec, JobState, StepSpec
 from cassiaweir.leadership import Owner
 from cassiaweir.observe import Metrics
--- a/tests/test_refusal_rows.py
+++ b/tests/test_refusal_rows.py
@@ -22,7 +22,8 @@
     UnavailableError,
 )
 from cassiaweir.front import JobDirectory, JobWriter
-from cassiaweir.front._submissions import Attempt, CancelResult, OverloadError
+from cassiaweir.front._cancels import CancelResult
+from cassiaweir.front._pending_jobs import Attempt, OverloadError
 from cassiaweir.jobs import JobSpec
 from cassiaweir.scheduling import Rejected
 from cassiaweir.types import Write
