--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -241,6 +241,7 @@
         address=settings.peer_address,
         rng=random.Random(instance),
         candidacy=Candidacy(settings.cores, members, access.peer_client, clock),
+        metrics=metrics,
     )
     admission = LoadAdmission(
         clock,
--- a/cassiaweir/dispatch/_record_keeper.py
+++ b/cassiaweir/dispatch/_record_keeper.py
@@ -100,6 +100,13 @@
             async with asyncio.timeout(timeout.total_seconds()):
                 await self._commits.wait_until_stored(position)
         except TimeoutError:
-            logger.info("runs_not_recorded", runs=len(runs), first=runs[0].task.name)
+            logger.info(
+                "runs_not_recorded",
+                runs=len(runs),
+                first=runs[0].task.name,
+                servers=len(servers),
+                waited_ms=round(timeout.total_seconds() * 1_000),
+                missing=self._commits.missing_writes(position),
+            )
             return False
         return True
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -19,6 +19,8 @@
 )
 from cassiaweir.leadership._rows import GUARD_KEY, OWNER_KEY, Guard, decode_guard
 from cassiaweir.leadership._terms import Leadership
+from cassiaweir.leadership._write_monitor import WriteMonitor
+from cassiaweir.observe import Metrics
 from cassiaweir.store import TransactionSize
 from cassiaweir.types import Check, Clock, Row, Table, Write
 
@@ -67,7 +69,14 @@
     same row is.
     """
 
-    def __init__(self, table: Table, clock: Clock, leadership: Leadership) -> None:
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        leadership: Leadership,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self._monitor = WriteMonitor(clock, metrics or Metrics())
         self._table = table
         self._clock = clock
         self._leadership = leadership
@@ -87,6 +96,7 @@
         """Queue `write` and return its position, as `wait_until_stored` takes it."""
         self._last_position += 1
         previous = self._pending.pop(write.key, None)
+        self._monitor.note_queued(write.key, replaced=previous is not None)
         replaced = () if previous is None else previous.positions
         positions = (*replaced, self._last_position)
         self._pending[write.key] = _Pending(positions, write)
@@ -125,6 +135,10 @@
     def _is_rejected(self, position: int) -> bool:
         return any(position in each for each in self._rejected.values())
 
+    def missing_writes(self, position: int) -> int:
+        """Return how many writes up to `position` do not count as stored yet."""
+        return max(position - self._stored_position, 0)
+
     async def wait_until_stored(self, position: int) -> None:
         """Wait until the write at `position` and those before it are stored.
 
@@ -191,6 +205,7 @@
                 break
             writes.append(pending)
             del self._pending[key]
+        self._monitor.note_sent(pending.write.key for pending in writes)
         self._confirmation_requested = False
         guard = self._next_guard()
         remaining = [pending.positions[0] for pending in self._pending.values()]
@@ -315,6 +330,9 @@
             leadership.lost = leadership.lost or transaction.releases
         for pending in transaction.writes:
             self._rejected.pop(pending.write.key, None)
+        self._monitor.note_stored(
+            (pending.write.key for pending in transaction.writes), sent_at
+        )
         async with self._stored_changed:
             self._stored_position = max(
                 self._stored_position, transaction.last_position
--- a/cassiaweir/leadership/_election.py
+++ b/cassiaweir/leadership/_election.py
@@ -30,6 +30,7 @@
     decode_owner,
 )
 from cassiaweir.leadership._terms import Leadership
+from cassiaweir.observe import Metrics
 from cassiaweir.types import Check, Clock, Row, Table, Write
 
 MAX_VIEW_AGE = timedelta(milliseconds=1_200)
@@ -105,7 +106,9 @@
         address: str,
         rng: random.Random,
         candidacy: Candidacy,
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics
         self._table = table
         self._watch = watch
         self._clock = clock
@@ -260,7 +263,7 @@
 
     async def _serve(self, leadership: Leadership) -> None:
         self.leadership = leadership
-        commits = CommitStream(self._table, self._clock, leadership)
+        commits = CommitStream(self._table, self._clock, leadership, self._metrics)
         self._commits = commits
         term = asyncio.create_task(self._term.serve(leadership, commits))
         stream = asyncio.create_task(commits.run())
--- a/tests/test_leadership_commits.py
+++ b/tests/test_leadership_commits.py
@@ -10,6 +10,7 @@
 from cassiaweir.exceptions import LeadershipLostError
 from cassiaweir.leadership import CommitStream, Leadership, Owner
 from cassiaweir.leadership._rows import GUARD_KEY, OWNER_KEY, decode_owner
+from cassiaweir.observe import Metrics
 from cassiaweir.types import Check, Write
 from standins.users import MemoryStore
 from tests.site_fakes import VmStore
@@ -27,7 +28,10 @@
         version = versions[GUARD_KEY]
         self.node = VmStore(self.store, random.Random(1))
         self.leadership = Leadership(Owner(1, "n", "i", "a"), version, version, 0.0)
-        self.commits = CommitStream(self.node, VirtualClock(), self.leadership)
+        self.metrics = Metrics()
+        self.commits = CommitStream(
+            self.node, VirtualClock(), self.leadership, self.metrics
+        )
         self.task = asyncio.create_task(self.commits.run())
 
     async def close(self) -> None:
@@ -168,3 +172,23 @@
         await rig.close()
 
     run_virtual(body)
+
+
+# Guards against a stream of writes whose backlog no metric and no log line shows.
+def test_a_backlog_of_writes_is_measured_by_table() -> None:
+    async def body() -> None:
+        rig = CommitRig()
+        rig.node.fault_mode = "busy"
+        for number in range(300):
+            rig.commits.put(Write(f"known/main/{number}", b"x"))
+        rig.commits.put(Write("known/main/299", b"y"))
+        await asyncio.sleep(1.5)
+        rig.node.fault_mode = ""
+        await rig.commits.wait_until_stored(1)
+        text = rig.metrics.render()
+        assert 'cassiaweir_leader_rows_stored_total{table="known"} 96' in text
+        assert 'cassiaweir_leader_rows_replaced_total{table="known"} 1' in text
+        assert "cassiaweir_leader_rows_queued 204" in text
+        await rig.close()
+
+    run_virtual(body)
