Show that a row which is rewritten while it is queued may never be stored

While more rows are queued than a transaction takes, the row is not stored, and nothing behind it counts as stored.

--- a/tests/test_leadership_commits.py
+++ b/tests/test_leadership_commits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 
 import pytest
@@ -192,3 +193,30 @@
         await rig.close()
 
     run_virtual(body)
+
+
+# Guards against starts that go back to the queue again and again (issue 47): a row that
+# is written again while it is queued moved to the end of the queue, so that neither it
+# nor anything behind its first write counted as stored while others were queued.
+def test_a_row_that_is_rewritten_often_is_stored_in_its_turn() -> None:
+    async def body() -> None:
+        rig = CommitRig()
+        number = itertools.count()
+        for _ in range(600):
+            rig.commits.put(Write(f"progress/main/{next(number)}", b"x"))
+        position = rig.commits.put(Write("known/main/server", b"0"))
+
+        async def load() -> None:
+            while True:
+                for _ in range(40):
+                    rig.commits.put(Write(f"progress/main/{next(number)}", b"x"))
+                rig.commits.put(Write("known/main/server", b"%d" % next(number)))
+                await asyncio.sleep(0.004)
+
+        loading = asyncio.create_task(load())
+        async with asyncio.timeout(0.4):
+            await rig.commits.wait_until_stored(position)
+        loading.cancel()
+        await rig.close()
+
+    run_virtual(body)
