Keep the place of a queued row that is written again

Cause: a write that replaced a queued one moved to the end of the queue, while its first position stayed. With more rows queued than a transaction takes, a row that is written often was never stored, and no position behind it counted as stored. Change: WriteQueue keeps the place; a removal still goes to the end, behind what it may rest on. Urgent writes go first; nothing uses that yet. Who waits is woken only once what it waits for is stored; before, each transaction woke all. Why it is safe: a row that is stored earlier has newer content only; ends leave the row of a server once they are stored, not by the order of the queue.

--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
@@ -13,15 +13,15 @@
 from cassiaweir.exceptions import (
     ConflictError,
     LeadershipLostError,
-    RowRejectedError,
     TransactionRejectedError,
     UnavailableError,
 )
 from cassiaweir.leadership._rows import GUARD_KEY, OWNER_KEY, Guard, decode_guard
+from cassiaweir.leadership._stored_positions import StoredPositions
 from cassiaweir.leadership._terms import Leadership
 from cassiaweir.leadership._write_monitor import WriteMonitor
+from cassiaweir.leadership._write_queue import QueuedWrite, WriteQueue
 from cassiaweir.observe import Metrics
-from cassiaweir.store import TransactionSize
 from cassiaweir.types import Check, Clock, Row, Table, Write
 
 RENEWAL_INTERVAL = timedelta(milliseconds=400)
@@ -33,14 +33,6 @@
 """Writes that are queued within this time share a transaction."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Pending:
-    """A queued write, with its position after those of the writes that it replaces."""
-
-    positions: tuple[int, ...]
-    write: Write
-
-
 @dataclass(frozen=True, slots=True)
 class _Transaction:
     """Writes that are sent together, repeatedly until the outcome is known.
@@ -52,7 +44,7 @@
 
     guard: Guard
     last_position: int
-    writes: tuple[_Pending, ...]
+    writes: tuple[QueuedWrite, ...]
     renews: bool
     releases: bool
 
@@ -60,7 +52,7 @@
 class CommitStream:
     """Stores the leader's rows in batches and renews its leadership.
 
-    A write replaces a queued write of the same row.  `run` raises
+    A write replaces a queued write of the same row, in its place.  `run` raises
     `LeadershipLostError` when another process has taken over.  `on_stored` is called
     after each stored transaction.
 
@@ -80,28 +72,26 @@
         self._table = table
         self._clock = clock
         self._leadership = leadership
-        self._pending: dict[str, _Pending] = {}
-        self._last_position = 0
-        self._stored_position = 0
-        self._rejected: dict[str, set[int]] = {}
+        self._queue = WriteQueue()
+        self._stored = StoredPositions()
         self._renewed_at = leadership.confirmed_at
         self._wakeup = asyncio.Event()
-        self._stored_changed = asyncio.Condition()
+        self._ended = asyncio.Event()
         self._releasing = False
         self._confirmation_requested = False
         self._store_reachable = True
         self.on_stored: Callable[[], None] = lambda: None
 
-    def put(self, write: Write) -> int:
-        """Queue `write` and return its position, as `wait_until_stored` takes it."""
-        self._last_position += 1
-        previous = self._pending.pop(write.key, None)
-        self._monitor.note_queued(write.key, replaced=previous is not None)
-        replaced = () if previous is None else previous.positions
-        positions = (*replaced, self._last_position)
-        self._pending[write.key] = _Pending(positions, write)
+    def put(self, write: Write, *, urgent: bool = False) -> int:
+        """Queue `write` and return its position, as `wait_until_stored` takes it.
+
+        Urgent writes are those that starts wait for; they go before others.
+        """
+        self._monitor.note_queued(write.key, replaced=write.key in self._queue)
+        position = self._queue.put(write, urgent=urgent)
+        self._stored.add(position)
         self._wakeup.set()
-        return self._last_position
+        return position
 
     def confirm_leadership(self, version: int) -> bool:
         """Return whether this process is known to have led at store `version`.
@@ -123,21 +113,18 @@
     @property
     def rejected_rows(self) -> int:
         """How many rows the store refuses in their newest form."""
-        return len(self._rejected)
+        return self._stored.rejected_rows
 
     def is_stored(self, position: int) -> bool:
         """Return whether the write at `position` and those before it are stored.
 
         Writes before it that the store refuses are left out.
         """
-        return self._stored_position >= position and not self._is_rejected(position)
-
-    def _is_rejected(self, position: int) -> bool:
-        return any(position in each for each in self._rejected.values())
+        return self._stored.is_complete(position)
 
     def missing_writes(self, position: int) -> int:
         """Return how many writes up to `position` do not count as stored yet."""
-        return max(position - self._stored_position, 0)
+        return max(position - self._stored.complete, 0)
 
     async def wait_until_stored(self, position: int) -> None:
         """Wait until the write at `position` and those before it are stored.
@@ -145,16 +132,15 @@
         Raises `LeadershipLostError` if the leadership is lost before that, and
         `RowRejectedError` if the store refuses the write.
         """
-        async with self._stored_changed:
-            await self._stored_changed.wait_for(
-                lambda: self._stored_position >= position or self._leadership.lost
-            )
-        if self._stored_position < position:
-            raise LeadershipLostError(
-                "leadership was lost before the queued rows were stored"
-            )
-        if self._is_rejected(position):
-            raise RowRejectedError(f"the store refuses the row at position {position}")
+        await self._stored.wait_complete(position)
+
+    async def wait_until_rows_stored(self, positions: Collection[int]) -> set[int]:
+        """Wait until the writes at `positions` are stored, whatever is before them.
+
+        Return those that the store refuses instead.  Raises `LeadershipLostError` if
+        the leadership is lost before that.
+        """
+        return await self._stored.wait_stored(positions)
 
     async def release(self) -> None:
         """Store the queued writes, then give up the leadership.
@@ -163,8 +149,8 @@
         """
         self._releasing = True
         self._wakeup.set()
-        async with self._stored_changed:
-            await self._stored_changed.wait_for(lambda: self._leadership.lost)
+        if not self._leadership.lost:
+            await self._ended.wait()
 
     async def run(self) -> None:
         """Store queued writes until the leadership is lost or released."""
@@ -175,11 +161,11 @@
                 await self._send_until_stored(self._next_transaction())
         finally:
             self._leadership.lost = True
-            async with self._stored_changed:
-                self._stored_changed.notify_all()
+            self._stored.close()
+            self._ended.set()
 
     async def _wait_for_work(self) -> None:
-        if self._pending or self._releasing or self._confirmation_requested:
+        if self._queue or self._releasing or self._confirmation_requested:
             return
         self._wakeup.clear()
         renewal_in = self._renewed_at + RENEWAL_INTERVAL.total_seconds()
@@ -191,26 +177,13 @@
             return
 
     def _next_transaction(self) -> _Transaction:
-        """Remove the writes at the head of the queue and return their transaction.
-
-        A replacing write goes to the end of the queue, behind positions that are newer
-        than the oldest one it stands for.  Hence the stored position ends before the
-        oldest position that is still queued.
-        """
-        writes: list[_Pending] = []
-        size = TransactionSize()
-        for key, pending in list(self._pending.items()):
-            size = size + TransactionSize.of((), [pending.write])
-            if writes and not size.fits:
-                break
-            writes.append(pending)
-            del self._pending[key]
-        self._monitor.note_sent(pending.write.key for pending in writes)
+        """Remove the writes at the head of the queue and return their transaction."""
+        writes = self._queue.take()
+        self._monitor.note_sent(queued.write.key for queued in writes)
         self._confirmation_requested = False
         guard = self._next_guard()
-        remaining = [pending.positions[0] for pending in self._pending.values()]
-        last_position = min(remaining) - 1 if remaining else self._last_position
-        releases = self._releasing and not self._pending
+        last_position = self._queue.complete_position
+        releases = self._releasing and not self._queue
         renews = releases or self._renewal_due()
         return _Transaction(guard, last_position, tuple(writes), renews, releases)
 
@@ -240,7 +213,7 @@
                 self._record_store_reachable(False, str(exc))
                 await self._clock.sleep(RETRY_DELAY)
                 continue
-            await self._record_stored(transaction, version, sent_at)
+            self._record_stored(transaction, version, sent_at)
             return
 
     def _split_rejected(
@@ -262,7 +235,7 @@
         first = replace(
             transaction,
             guard=self._next_guard(),
-            last_position=self._stored_position,
+            last_position=self._stored.complete,
             writes=writes[:middle],
             renews=False,
             releases=False,
@@ -270,20 +243,20 @@
         second = replace(transaction, guard=self._next_guard(), writes=writes[middle:])
         return [first, second]
 
-    def _reject(self, pending: _Pending, cause: TransactionRejectedError) -> None:
+    def _reject(self, queued: QueuedWrite, cause: TransactionRejectedError) -> None:
         """Note that the store refuses a row, until it is written in another form."""
-        key = pending.write.key
-        self._rejected.setdefault(key, set()).update(pending.positions)
+        write = queued.write
+        self._stored.reject(write.key, queued.positions)
         logger.error(
             "leader_row_rejected",
-            key=key,
-            size=len(pending.write.value or b""),
+            key=write.key,
+            size=len(write.value or b""),
             cause=str(cause),
         )
 
     async def _commit(self, transaction: _Transaction) -> int:
         writes = [
-            *(pending.write for pending in transaction.writes),
+            *(queued.write for queued in transaction.writes),
             Write(GUARD_KEY, msgspec.json.encode(transaction.guard)),
         ]
         checks = [Check(GUARD_KEY, self._leadership.guard_version)]
@@ -317,7 +290,7 @@
                 self._record_store_reachable(False, str(exc))
                 await self._clock.sleep(RETRY_DELAY)
 
-    async def _record_stored(
+    def _record_stored(
         self, transaction: _Transaction, version: int, sent_at: float
     ) -> None:
         self._record_store_reachable(True, "")
@@ -328,16 +301,12 @@
             self._note_renewal(sent_at)
             self._renewed_at = sent_at
             leadership.lost = leadership.lost or transaction.releases
-        for pending in transaction.writes:
-            self._rejected.pop(pending.write.key, None)
+        for queued in transaction.writes:
+            self._stored.mark_stored(queued.write.key, queued.positions)
         self._monitor.note_stored(
-            (pending.write.key for pending in transaction.writes), sent_at
+            (queued.write.key for queued in transaction.writes), sent_at
         )
-        async with self._stored_changed:
-            self._stored_position = max(
-                self._stored_position, transaction.last_position
-            )
-            self._stored_changed.notify_all()
+        self._stored.advance(transaction.last_position)
         self.on_stored()
 
     def _note_renewal(self, sent_at: float) -> None:
