Let a start wait for the rows that name it, and for nothing else

Cause: a start in the leader's own failure domain, or of a job from before the takeover, waited until all rows queued before its own were stored, for 0.4 s; then all starts of the round went back to the queue, and were placed again with new writes. A job with several of the starts was encoded and queued once for each. Change: the rows of servers and those with the place of a watched start are urgent; a start waits for these rows alone, by server, for up to 2 s while the store answers, and no longer once it is out of reach. A job is written once for all its starts in a round. A refused row of a job no longer keeps starts on a restricted server back only by chance of the order of two positions: there the row of the server counts.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -81,7 +81,7 @@
         self._calls = calls
         self._clock = clock
         self._jobs = jobs
-        self._records = RecordKeeper(records, commits, self.wake)
+        self._records = RecordKeeper(records, commits, clock, metrics, self.wake)
         self._gate = gate
         self._shrinker = shrinker
         self._metrics = metrics
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -42,10 +42,13 @@
 
 
 class RowWriter(Protocol):
-    """Stores rows in the order in which they are queued."""
+    """Stores queued rows."""
 
-    def put(self, write: Write) -> int:
-        """Queue a write and return its position in the order of writes."""
+    def put(self, write: Write, *, urgent: bool = False) -> int:
+        """Queue a write and return its position in the order of writes.
+
+        Urgent writes are those that starts wait for; they are stored before others.
+        """
 
     def is_stored(self, position: int) -> bool:
         """Return whether the write at `position` and those before it are stored."""
@@ -255,15 +258,24 @@
         """
         job = entry.job
         if not job.ended:
-            self._save_progress(entry)
+            self._save_progress(entry, urgent=False)
             return entry.write_position
         # The progress is kept for a new leader, which needs it while runs may go on.
         outcome = Write(outcome_key(job.job_id), encode_outcome(job))
         entry.write_position = self._writer.put(outcome)
         return entry.write_position
 
-    def _save_progress(self, entry: JobEntry) -> None:
+    def save_for_start(self, entry: JobEntry) -> list[int]:
+        """Queue urgent writes of what has changed of an open job's progress.
+
+        Return their positions: a start may wait for these rows.
+        """
+        return self._save_progress(entry, urgent=True)
+
+    def _save_progress(self, entry: JobEntry, *, urgent: bool) -> list[int]:
+        """Queue writes of what has changed, and return their positions."""
         job = entry.job
+        positions = []
         if job.unsaved_chunks and not entry.stored_chunks:
             # Fronts tell by this row that the job has begun.
             job.unsaved_chunks.add(MAIN_CHUNK)
@@ -271,13 +283,15 @@
             if chunk != MAIN_CHUNK and chunk[0] in job.complete_occurrences:
                 continue
             write = Write(progress_key(job.job_id, chunk), encode_chunk(job, chunk))
-            entry.write_position = self._writer.put(write)
+            entry.write_position = self._writer.put(write, urgent=urgent)
+            positions.append(entry.write_position)
             entry.stored_chunks.add(chunk)
         job.unsaved_chunks.clear()
         for step in job.closed_steps:
             self.models.forget_step(step)
         if job.closed_steps:
             self._drop_closed(entry)
+        return positions
 
     def _drop_closed(self, entry: JobEntry) -> None:
         """Let the rows of complete occurrences be deleted, once that is stored."""
--- a/cassiaweir/dispatch/_record_keeper.py
+++ b/cassiaweir/dispatch/_record_keeper.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 
 from loguru import logger
@@ -13,12 +13,14 @@
 from cassiaweir.dispatch._server_records import ServerRecords
 from cassiaweir.exceptions import LeadershipLostError, RowRejectedError
 from cassiaweir.leadership import CommitStream
+from cassiaweir.observe import Metrics
+from cassiaweir.types import Clock
 
-RECORD_TIMEOUT = timedelta(milliseconds=400)
-"""Time for the store to take the row that a start needs; else the task waits again."""
+RECORD_TIMEOUT = timedelta(seconds=2)
+"""Time for the store to take the rows that a start needs; else the task waits again."""
 
-WATCH_TIMEOUT = timedelta(seconds=2)
-"""The same for a start that only the row of its job has to name."""
+STORE_CHECK_INTERVAL = timedelta(milliseconds=200)
+"""A start that waits for its rows looks this often whether the store is reachable."""
 
 
 class RecordKeeper:
@@ -28,8 +30,15 @@
     """
 
     def __init__(
-        self, records: ServerRecords, commits: CommitStream, wake: Callable[[], None]
+        self,
+        records: ServerRecords,
+        commits: CommitStream,
+        clock: Clock,
+        metrics: Metrics,
+        wake: Callable[[], None],
     ) -> None:
+        self._clock = clock
+        self._metrics = metrics
         self._records = records
         self._commits = commits
         self._wake = wake
@@ -82,31 +91,54 @@
             server.recorded = False
             self._records.remove(server.server_id)
 
-    async def store_starts(self, runs: Sequence[Run], position: int) -> bool:
-        """Let the rows of restricted servers name `runs` before these are started.
+    async def store_starts(
+        self, server: Server, runs: Sequence[Run], positions: Collection[int]
+    ) -> bool:
+        """Wait for what a successor has to know before `runs` start on `server`.
 
-        The writes up to `position` have to be stored as well.  Return whether the store
-        took all in time.  Raises `LeadershipLostError`, and `RowRejectedError` if the
-        store refuses one of them for good.
+        These are the writes at `positions`, and the row of a restricted server, which
+        names the runs.  Return whether the store took all in time, False as soon as it
+        is known to be out of reach.  Raises `LeadershipLostError`, and
+        `RowRejectedError` if the store refuses what the starts rest on for good.
         """
-        servers = {
-            run.server.server_id: run.server for run in runs if run.server.restricted
-        }
-        for server in servers.values():
+        needed = set(positions)
+        rests_on = needed
+        if server.restricted:
             row = self._records.restrict(server.entry, server.task_names())
-            position = max(position, row)
-        timeout = RECORD_TIMEOUT if servers else WATCH_TIMEOUT
-        try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                await self._commits.wait_until_stored(position)
-        except TimeoutError:
+            # It names the runs, so that none is started twice.
+            rests_on = {row}
+            needed = needed | rests_on
+        began = self._clock.monotonic()
+        deadline = began + RECORD_TIMEOUT.total_seconds()
+        rejected = await self._wait_stored(needed, deadline)
+        if rejected is not None and rejected & rests_on:
+            raise RowRejectedError("the store refuses a row that starts rest on")
+        stored = rejected is not None
+        waited_s = self._clock.monotonic() - began
+        self._metrics.observe("start_record", waited_s)
+        if not stored:
             logger.info(
                 "runs_not_recorded",
                 runs=len(runs),
                 first=runs[0].task.name,
-                servers=len(servers),
-                waited_ms=round(timeout.total_seconds() * 1_000),
-                missing=self._commits.missing_writes(position),
+                server=server.server_id,
+                waited_ms=round(waited_s * 1_000),
+                missing=self._commits.missing_writes(max(needed)),
             )
-            return False
-        return True
+        return stored
+
+    async def _wait_stored(
+        self, positions: Collection[int], deadline: float
+    ) -> set[int] | None:
+        """Wait for writes until `deadline`, as long as the store is within reach.
+
+        Return those that the store refuses, or None if some are not stored yet.
+        """
+        while self._clock.monotonic() < deadline:
+            try:
+                async with asyncio.timeout(STORE_CHECK_INTERVAL.total_seconds()):
+                    return await self._commits.wait_until_rows_stored(positions)
+            except TimeoutError:
+                if not self._commits.store_reachable:
+                    return None
+        return None
--- a/cassiaweir/dispatch/_run_control.py
+++ b/cassiaweir/dispatch/_run_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from loguru import logger
@@ -12,7 +13,7 @@
 from cassiaweir.dispatch._orders import OrderSender, StartResult
 from cassiaweir.dispatch._record_keeper import RecordKeeper
 from cassiaweir.dispatch._run_registry import RunRegistry
-from cassiaweir.dispatch._runs import Run, RunState
+from cassiaweir.dispatch._runs import Run, RunKey, RunState
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_entry import OrderOutcome
 from cassiaweir.dispatch._term_tasks import TermTasks
@@ -33,6 +34,18 @@
 """A task whose start no row can name waits this long before it is placed again."""
 
 
+@dataclass(slots=True)
+class _RecordedStarts:
+    """Runs on one server that start once rows are stored.
+
+    `positions` are those of the writes that tell a successor where they are started.
+    """
+
+    server: Server
+    runs: list[Run] = field(default_factory=list)
+    positions: set[int] = field(default_factory=set)
+
+
 class RunControl:
     """Starts runs, once what a successor relies on is stored, and stops them.
 
@@ -69,32 +82,51 @@
         self._wake = wake
 
     def launch(self, runs: Sequence[Run]) -> None:
-        """Send the start orders of `runs` in the background."""
-        recorded = []
-        position = 0
+        """Send the start orders of `runs` in the background.
+
+        Those on one server whose rows have to be stored first wait for these together,
+        and for nothing else.
+        """
+        watched = self._watch(runs)
+        recorded: dict[str, _RecordedStarts] = {}
         for run in runs:
-            watched_at = self._watch(run)
-            waits = run.isolation or (watched_at and self._commits.store_reachable)
+            positions = watched.get(run.key, ())
+            waits = run.isolation or (positions and self._commits.store_reachable)
             if run.server.restricted or waits:
-                recorded.append(run)
-                position = max(position, watched_at)
+                starts = recorded.setdefault(
+                    run.server.server_id, _RecordedStarts(run.server)
+                )
+                starts.runs.append(run)
+                starts.positions.update(positions)
             else:
                 self._background.start(self._start(run))
-        if recorded:
-            self._background.start(self._start_recorded(recorded, position))
+        for starts in recorded.values():
+            self._background.start(self._start_recorded(starts))
 
-    def _watch(self, run: Run) -> int:
-        """Queue a write that tells a successor where `run` was started, if needed.
+    def _must_watch(self, run: Run) -> bool:
+        """Return whether a successor has to know where `run` was started.
 
-        That is needed once a crash under the task may have been seen, by this leader or
-        by a former one.  Return the position of the write, 0 if there is none.
+        It does once a crash under the task may have been seen, by this leader or by a
+        former one.
         """
         entry = self._jobs.entries[run.job_id]
-        if not entry.held and not entry.job.crashes.count(run.task.name):
-            return 0
-        entry.job.crashes.watch(run.task.name, lifetime_of(run))
-        entry.job.mark_unsaved(run.task.name)
-        return self._jobs.save(entry)
+        return entry.held or bool(entry.job.crashes.count(run.task.name))
+
+    def _watch(self, runs: Sequence[Run]) -> dict[RunKey, list[int]]:
+        """Queue writes that tell a successor where `runs` were started, if needed.
+
+        Return their positions by run.  A job with several of the runs is written once.
+        """
+        watched = [run for run in runs if self._must_watch(run)]
+        for run in watched:
+            job = self._jobs.entries[run.job_id].job
+            job.crashes.watch(run.task.name, lifetime_of(run))
+            job.mark_unsaved(run.task.name)
+        saved = {
+            job_id: self._jobs.save_for_start(self._jobs.entries[job_id])
+            for job_id in dict.fromkeys(run.job_id for run in watched)
+        }
+        return {run.key: saved[run.job_id] for run in watched}
 
     def _unwatch(self, run: Run) -> None:
         """Withdraw what `_watch` wrote, as the run was never on its server.
@@ -108,13 +140,13 @@
             entry.job.mark_unsaved(run.task.name)
             self._jobs.save(entry)
 
-    async def _start_recorded(self, runs: Sequence[Run], position: int) -> None:
-        """Start `runs` once the rows that a successor relies on are stored.
-
-        These are the rows of restricted servers and the writes up to `position`.
-        """
+    async def _start_recorded(self, starts: _RecordedStarts) -> None:
+        """Start runs once the rows that a successor relies on are stored."""
+        runs = starts.runs
         try:
-            stored = await self._records.store_starts(runs, position)
+            stored = await self._records.store_starts(
+                starts.server, runs, starts.positions
+            )
         except LeadershipLostError:
             return
         except RowRejectedError:
--- a/cassiaweir/dispatch/_server_records.py
+++ b/cassiaweir/dispatch/_server_records.py
@@ -139,8 +139,8 @@
             self._writer.put(Write(_key(server_id), None))
 
     def _put(self, entry: ServerEntry, tasks: Sequence[str] | None) -> int:
-        value = self._encode(entry, tasks)
-        return self._writer.put(Write(_key(entry.server_id), value))
+        write = Write(_key(entry.server_id), self._encode(entry, tasks))
+        return self._writer.put(write, urgent=True)
 
     def _encode(self, entry: ServerEntry, tasks: Sequence[str] | None) -> bytes:
         names = None if tasks is None else list(tasks)
--- a/tests/test_rejected_rows.py
+++ b/tests/test_rejected_rows.py
@@ -115,7 +115,7 @@
     written: list[Write] = []
 
     class Writer:
-        def put(self, write: Write) -> int:
+        def put(self, write: Write, *, urgent: bool = False) -> int:
             written.append(write)
             return len(written)
 
