Start nothing by an old view of cancelled jobs

Cause: the leader hears of a cancel by a notification, which may be lost, or by its feed of job rows. The age of the servers' entries and of the evacuation requests is checked before each start, that of the job rows was not.

The repeat of a start in doubt was also sent up to 400 ms after the check, on what was known before the server was asked for its lifetime: with the job cancelled meanwhile, a second order went out.

Change: nothing is placed, and no order to start is sent, while the job rows have not been current for 2.5 s; a start in doubt waits. The check is made right before each order, for a repeat after the server's lifetime is known. 2.5 s is 3 s, the least time that users are promised, less the timeout of an order and 100 ms. In an outage of the whole store starts end after 2.5 s instead of the 3 s of the servers' entries.

Ruled out: reading the cancel row before each start costs a call a start.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -9,11 +9,16 @@
 from loguru import logger
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
+from cassiaweir.dispatch._cancel_age import CancelAge
 from cassiaweir.dispatch._cold_servers import ColdServers
 from cassiaweir.dispatch._compaction import RowShrinker
 from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._customer_terms import ConfigurationSource
-from cassiaweir.dispatch._evacuation import Evacuations, EvacuationSource
+from cassiaweir.dispatch._evacuation import (
+    Evacuations,
+    EvacuationSource,
+    StartPermit,
+)
 from cassiaweir.dispatch._former_servers import FormerServerProbe
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
@@ -72,10 +77,12 @@
         metrics: Metrics,
         failure_domain: str,
         entries_age: Callable[[], timedelta],
+        job_rows_age: Callable[[], timedelta],
         evacuation_source: EvacuationSource,
     ) -> None:
         self._failure_domain = failure_domain
         self._entries_age = entries_age
+        self._cancel_age = CancelAge(job_rows_age)
         self._leadership = leadership
         self._commits = commits
         self._calls = calls
@@ -97,7 +104,7 @@
             clock,
             leadership,
             self.handle_superseded,
-            self._evacuations.permit,
+            self._permit_start,
         )
         self._background = TermTasks()
         self._control = RunControl(
@@ -359,7 +366,11 @@
         self._background.start(probe.run())
         try:
             placement = PlacementLoop(
-                self._placer, self._clock, self._leadership, self._metrics
+                self._placer,
+                self._clock,
+                self._leadership,
+                self._metrics,
+                self._cancel_age,
             )
             while not self._leadership.lost:
                 await self._placement_requested.wait()
@@ -457,6 +468,12 @@
         )
         self._pollers[entry.server_id] = asyncio.create_task(poller.run())
 
+    def _permit_start(self, server: Server) -> StartPermit:
+        """Return whether a task may be started on `server` now."""
+        if not self._cancel_age.is_recent():
+            return StartPermit.CANCELS_UNKNOWN
+        return self._evacuations.permit(server)
+
     def _cancel(self, job_id: str) -> None:
         """Cancel a job and stop its runs."""
         entry = self._jobs.cancel(job_id)
--- a/cassiaweir/dispatch/_evacuation.py
+++ b/cassiaweir/dispatch/_evacuation.py
@@ -76,6 +76,9 @@
     UNKNOWN = "unknown"
     """The requests are not known well enough to tell."""
 
+    CANCELS_UNKNOWN = "cancels_unknown"
+    """It is not known well enough which jobs are cancelled."""
+
 
 class Evacuations:
     """Applies the requests of `source` to the `servers` of a leader."""
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -35,6 +35,8 @@
 REFUSED_STOPS = (OrderOutcome.UNHEALTHY, OrderOutcome.INVALID)
 """Answers to a stop by which the run may still run, or start later."""
 
+UNKNOWN_PERMITS = (StartPermit.UNKNOWN, StartPermit.CANCELS_UNKNOWN)
+
 
 class ServerClient(Protocol):
     """Calls backend servers.
@@ -83,6 +85,20 @@
     """Only a report or the expiry of the server's lease can show the effect."""
 
 
+class _Unanswered(StrEnum):
+    """Why an attempt of a start has no answer."""
+
+    NOT_DUE = "not_due"
+    """What it depends on has changed while it waited, and is asked for again."""
+
+    NOT_WANTED = "not_wanted"
+    NOT_RECEIVED = "not_received"
+    """The server has certainly not received it."""
+
+    IN_DOUBT = "in_doubt"
+    """The server may carry it out."""
+
+
 class OrderSender:
     """Sends the orders of a leader's term to the servers.
 
@@ -112,8 +128,8 @@
         meant for, as the next one may have less room.  If the server's domain is being
         evacuated, no further attempt is made, and a run in doubt is stopped.  The first
         attempts to one server take turns, so that none waits for a connection while the
-        time for its answer runs.  Return
-        the result, and the server's answer to the last attempt if there was one.
+        time for its answer runs.  Return the result, and the server's answer to the
+        last attempt if there was one.
         """
         in_doubt = False
         delay = RETRY_DELAY
@@ -121,25 +137,14 @@
             # A repeat does not take the turn of starts that may get an answer.
             turn = nullcontext() if in_doubt else run.server.start_slots
             async with turn:
-                if not self._is_permitted(run):
-                    continue
-                if _is_obsolete(run):
-                    break
-                now = self._clock.monotonic()
-                if not in_doubt and not run.server.expects_answer(now):
-                    return StartResult.NOT_STARTED, None
-                sent_before, run.sent_at = run.sent_at, now
-                outcome = None
-                try:
-                    outcome = await self._send_start(run, repeated=in_doubt)
-                except UnavailableError as exc:
-                    if exc.verdict is Verdict.NOT_RUN:
-                        run.sent_at = sent_before
-                    else:
-                        in_doubt = True
-                    self._note_unanswered(run, exc, now, in_doubt)
-            if outcome is not None:
-                return await self._interpret_answer(run, outcome, in_doubt), outcome
+                attempt = await self._try_start(run, in_doubt)
+            if isinstance(attempt, OrderOutcome):
+                return await self._interpret_answer(run, attempt, in_doubt), attempt
+            if attempt is _Unanswered.NOT_DUE:
+                continue
+            if attempt is _Unanswered.NOT_WANTED:
+                break
+            in_doubt |= attempt is _Unanswered.IN_DOUBT
             if not in_doubt or self._lease_expired(run):
                 return StartResult.NOT_STARTED, None
             await self._clock.sleep(delay)
@@ -148,22 +153,35 @@
             return StartResult.NOT_STARTED, None
         return await self._stop_in_doubt(run), None
 
-    @staticmethod
-    def _note_unanswered(
-        run: Run, exc: UnavailableError, now: float, in_doubt: bool
-    ) -> None:
-        """Note that an attempt of a start, made at `now`, got no answer."""
-        run.server.reachable = False
-        if exc.verdict is not Verdict.NOT_RUN:
-            run.server.record_unanswered_start(run, now)
-        logger.info(
-            "start_unanswered",
-            task=run.task.name,
-            run=run.number,
-            server=run.server.server_id,
-            in_doubt=in_doubt,
-            cause=str(exc),
-        )
+    async def _try_start(self, run: Run, in_doubt: bool) -> OrderOutcome | _Unanswered:
+        """Make one attempt to start `run`; return the answer, or why there is none."""
+        if not self._is_permitted(run):
+            return _Unanswered.NOT_DUE
+        if not _is_wanted(run):
+            return _Unanswered.NOT_WANTED
+        now = self._clock.monotonic()
+        if not in_doubt and not run.server.expects_answer(now):
+            return _Unanswered.NOT_RECEIVED
+        sent_before, run.sent_at = run.sent_at, now
+        try:
+            outcome = await self._send_start(run, repeated=in_doubt)
+        except UnavailableError as exc:
+            received = exc.verdict is not Verdict.NOT_RUN
+            run.server.reachable = False
+            if received:
+                run.server.record_unanswered_start(run, now)
+            else:
+                run.sent_at = sent_before
+            logger.info(
+                "start_unanswered",
+                task=run.task.name,
+                run=run.number,
+                server=run.server.server_id,
+                in_doubt=in_doubt or received,
+                cause=str(exc),
+            )
+            return _Unanswered.IN_DOUBT if received else _Unanswered.NOT_RECEIVED
+        return _Unanswered.NOT_DUE if outcome is None else outcome
 
     async def stop(self, run: Run) -> bool:
         """Stop `run`, repeating the order until the server carries it out.
@@ -316,15 +334,15 @@
     async def _wait_start_permitted(self, run: Run, in_doubt: bool) -> bool:
         """Wait until a start may be sent; return whether to send it.
 
-        A first attempt does not wait for the evacuation requests to be known again, as
-        the task can be placed anew.  A run in doubt does: it may be running already,
-        and is stopped only if its domain is evacuated.
+        A first attempt does not wait for the requests to evacuate domains and to cancel
+        jobs to be known again, as the task can be placed anew.  A run in doubt does: it
+        may be running already, and is stopped only if such a request concerns it.
         """
         while await self._wait_permitted(run):
             permit = self._permit(run.server)
             if permit is StartPermit.GRANTED:
                 return True
-            waits = in_doubt and permit is StartPermit.UNKNOWN
+            waits = in_doubt and permit in UNKNOWN_PERMITS
             if waits and not self._lease_expired(run):
                 await self._clock.sleep(RETRY_DELAY)
                 continue
@@ -359,12 +377,17 @@
             return OrderOutcome.OTHER_LIFETIME
         return OrderOutcome.ACCEPTED
 
-    async def _send_start(self, run: Run, *, repeated: bool) -> OrderOutcome:
-        """Send a start, a repeated one only if the server's lifetime goes on."""
+    async def _send_start(self, run: Run, *, repeated: bool) -> OrderOutcome | None:
+        """Send a start, a repeated one only if the server's lifetime goes on.
+
+        Return None if it was not sent, as it is no longer due once that is known.
+        """
         if repeated:
             found = await self._check_lifetime(run)
             if found is not OrderOutcome.ACCEPTED:
                 return found
+            if not (_is_wanted(run) and self._is_permitted(run)):
+                return None
         if run.until_ms is None:
             run.until_ms = run.server.start_lease_end_ms(self._clock.monotonic())
         if run.until_ms is None:
@@ -421,7 +444,10 @@
         return run.server.leases_expired(self._leadership.confirmed_at)
 
 
-def _is_obsolete(run: Run) -> bool:
-    """Return whether a run is not to be started any more."""
-    stopped = run.state is RunState.STOPPING or run.task.step.job.ended
-    return stopped or run.born != run.server.born
+def _is_wanted(run: Run) -> bool:
+    """Return whether `run` is to begin in the lifetime that its server is in."""
+    return (
+        run.state is not RunState.STOPPING
+        and run.born == run.server.born
+        and not run.task.step.job.ended
+    )
--- a/cassiaweir/dispatch/_placement_loop.py
+++ b/cassiaweir/dispatch/_placement_loop.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from cassiaweir.dispatch._cancel_age import CancelAge
 from cassiaweir.dispatch._placer import Placer
 from cassiaweir.leadership import Leadership
 from cassiaweir.observe import Metrics
@@ -43,12 +44,18 @@
     """Runs one placement round after the other, each in slices."""
 
     def __init__(
-        self, placer: Placer, clock: Clock, leadership: Leadership, metrics: Metrics
+        self,
+        placer: Placer,
+        clock: Clock,
+        leadership: Leadership,
+        metrics: Metrics,
+        cancel_age: CancelAge,
     ) -> None:
         self._placer = placer
         self._clock = clock
         self._leadership = leadership
         self._metrics = metrics
+        self._cancel_age = cancel_age
         self._worked_s = 0.0
 
     async def pause(self) -> None:
@@ -63,7 +70,7 @@
         """
         began = self._clock.monotonic()
         self._worked_s = 0.0
-        if not self._leadership.may_act(began):
+        if not self._leadership.may_act(began) or not self._cancel_age.is_recent():
             return True
         complete = True
         try:
@@ -87,6 +94,8 @@
             slice_began = self._clock.monotonic()
             if not self._leadership.may_act(slice_began):
                 return False
+            if not self._cancel_age.is_recent():
+                return False
         self._worked_s += self._clock.monotonic() - slice_began
         return True
 
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -90,13 +90,13 @@
 class _JobListener:
     """Passes the rows of jobs on to the dispatcher."""
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
-        self._dispatcher = dispatcher
+    def __init__(self) -> None:
+        self.dispatcher: Dispatcher | None = None
 
     def on_row(self, key: str, row: Row | None) -> None:
         """Apply a new row; the removal of a row changes nothing."""
-        if row is not None:
-            self._dispatcher.apply_job_row(row)
+        if row is not None and self.dispatcher is not None:
+            self.dispatcher.apply_job_row(row)
 
 
 class _ServerListener:
@@ -239,16 +239,20 @@
             )
         )
         shrinker = RowShrinker(self._table, self._clock)
-        dispatcher = self._build(leadership, commits, stored, shrinker, servers.age)
+        job_listener = _JobListener()
         jobs = TableWatch(
             self._feed,
             JOB_PREFIXES,
             self._clock,
             wait=FEED_WAIT,
             pause=JOBS_PAUSE,
-            listener=_JobListener(dispatcher),
+            listener=job_listener,
             keep_values=False,
         )
+        dispatcher = self._build(
+            leadership, commits, stored, shrinker, servers.age, jobs.age
+        )
+        job_listener.dispatcher = dispatcher
         listener.dispatcher = dispatcher
         self._metrics.count("terms")
         jobs_task = asyncio.create_task(jobs.run())
@@ -288,6 +292,7 @@
         stored: _StoredRows,
         shrinker: RowShrinker,
         entries_age: Callable[[], timedelta],
+        job_rows_age: Callable[[], timedelta],
     ) -> Dispatcher:
         registry = JobRegistry(
             commits,
@@ -318,6 +323,7 @@
             metrics=self._metrics,
             failure_domain=self._failure_domain,
             entries_age=entries_age,
+            job_rows_age=job_rows_age,
             evacuation_source=self._evacuations,
         )
 
