--- a/cassiaweir/feeds/_table_watch.py
+++ b/cassiaweir/feeds/_table_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
@@ -32,6 +33,14 @@
         """Handle the new row at `key`, None if it was removed."""
 
 
+@dataclass(frozen=True, slots=True)
+class _TimedSnapshot:
+    """A snapshot, and when it was requested, on the monotonic clock."""
+
+    requested_at: float
+    snapshot: Snapshot
+
+
 class TableWatch:
     """Watches the rows of one table whose key starts with one of `prefixes`.
 
@@ -39,6 +48,9 @@
     thereby the age of the view while the store works.  `pause` separates two polls, so
     that one answer carries several changes.  Without `keep_values`, `rows` holds the
     rows without their values, for a listener that keeps what it needs of them.
+
+    The first poll after a load or a failure is answered at once, so that the view is
+    current again although nothing changes.
     """
 
     def __init__(
@@ -66,7 +78,8 @@
         self._reachable_since: float | None = None
         self._changed_at: float | None = None
         self._reachable = True
-        self._snapshots: dict[str, Snapshot] = {}
+        self._following = False
+        self._snapshots: dict[str, _TimedSnapshot] = {}
         self._background = BackgroundTasks()
 
     async def start(self) -> None:
@@ -114,6 +127,7 @@
             except HistoryLostError as exc:
                 logger.info("feed_restarted", table=self._table, cause=str(exc))
                 self._version = None
+                self._following = False
             except UnavailableError as exc:
                 self._record_failure(exc)
                 await self._clock.sleep(RETRY_DELAY)
@@ -121,10 +135,10 @@
     async def _update(self) -> None:
         sent_at = self._clock.monotonic()
         if self._version is None:
-            await self._load_rows()
+            self._current_at = await self._load_rows()
         else:
             await self._read_changes(self._version)
-        self._current_at = sent_at
+            self._current_at = sent_at
         if self._reachable_since is None:
             self._reachable_since = sent_at
         if self._changed_at is None:
@@ -133,7 +147,12 @@
             self._reachable = True
             logger.info("feed_regained", table=self._table)
 
-    async def _load_rows(self) -> None:
+    async def _load_rows(self) -> float:
+        """Read all rows; return the time at which they were current for sure.
+
+        That is when the oldest of the snapshots was requested, which may be one that
+        an earlier attempt has read.
+        """
         missing = [each for each in self._prefixes if each not in self._snapshots]
         semaphore = asyncio.Semaphore(MAX_CONCURRENT_SNAPSHOTS)
         results = await asyncio.gather(
@@ -143,7 +162,8 @@
         for result in results:
             if isinstance(result, BaseException):
                 raise result
-        snapshots = [self._snapshots.pop(prefix) for prefix in self._prefixes]
+        found = [self._snapshots.pop(prefix) for prefix in self._prefixes]
+        snapshots = [each.snapshot for each in found]
         rows_by_key = {row.key: row for each in snapshots for row in each.rows}
         changes: list[tuple[str, Row | None]] = [
             (key, None) for key in self.rows.keys() - rows_by_key.keys()
@@ -154,20 +174,25 @@
                 changes.append((key, row))
         await self._apply_all(changes)
         self._version = min(each.version for each in snapshots)
+        return min(each.requested_at for each in found)
 
     async def _read_snapshot(self, prefix: str, semaphore: asyncio.Semaphore) -> None:
         """Read one prefix; its snapshot is kept even if another prefix fails."""
         async with semaphore:
-            self._snapshots[prefix] = await self._feed.snapshot(prefix)
+            requested_at = self._clock.monotonic()
+            snapshot = await self._feed.snapshot(prefix)
+            self._snapshots[prefix] = _TimedSnapshot(requested_at, snapshot)
 
     async def _read_changes(self, version: int) -> None:
-        changes = await self._feed.changes(self._table, version, self._wait)
+        wait = self._wait if self._following else timedelta(0)
+        changes = await self._feed.changes(self._table, version, wait)
         found: list[tuple[str, Row | None]] = [(key, None) for key in changes.removed]
         found += [(row.key, row) for row in changes.written]
         await self._apply_all(
             [each for each in found if each[0].startswith(self._prefixes)]
         )
         self._version = changes.version
+        self._following = True
 
     async def _apply_all(self, changes: Sequence[tuple[str, Row | None]]) -> None:
         """Apply changes in this order; let other work run after each `APPLY_SLICE`."""
@@ -197,6 +222,7 @@
 
     def _record_failure(self, exc: UnavailableError) -> None:
         self._reachable_since = None
+        self._following = False
         if self._reachable:
             self._reachable = False
             logger.warning("feed_lost", table=self._table, cause=str(exc))
