Keep a cancel that the leader hears of before its job

What callers saw: a job runs although its cancel was acknowledged and the leader had been told of it (UNASKED, until the feed delivers the cancel again).

Cause: fronts notify the leader of the rows that they store, each by a call of its own. The cancel may arrive first, from another front or after a lost notification of the job. The leader dropped the cancel of a job that it did not know; the job, notified of late, was registered and started.

Evidence: tests/test_cancel_age.py, a job and its cancel notified in the wrong order while the feed of jobs gets no answers: all tasks with room started.

Change: the cancel of an unknown job is kept until the job's row is seen, which is then added as cancelled. A cancel is stored only where its job is, so each of these rows is on its way.

Ruled out: the feed alone.

With a working feed the wrong order of notifications started nothing in this test.

Result: nothing of the job starts and it is shown as cancelled.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -217,6 +217,8 @@
             logger.info(
                 "job_registered", job=row_id, queue=entry.job.spec.queue.name, held=held
             )
+            if entry.job.ended:
+                logger.info("job_cancelled", job=row_id, runs=0)
             self._refusals.forget(row.key)
             self._load.record_job(entry)
             self._crashes.restore(entry.job)
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -123,6 +123,7 @@
         self._progress = dict(progress)
         self._obsolete_rows: list[_ObsoleteRow] = []
         self._outcomes = dict(outcomes)
+        self._early_cancels: set[str] = set()
         self._shares = ShareMeter(allowance)
         self.models = WorkModels()
         self.closed_steps: list[Step] = []
@@ -150,7 +151,8 @@
     def add_row(self, row: Row, *, held: bool) -> JobEntry | None:
         """Add the job that is stored in `row` and return its entry.
 
-        Returns None if the job is already known or cannot be decoded.
+        A job whose cancel was seen before its row is added as cancelled.  Returns None
+        if the job is already known or cannot be decoded.
         """
         job_id = row_name(row.key)
         if job_id in self.entries or job_id in self._outcomes:
@@ -161,6 +163,9 @@
         self._terms.record(spec)
         entry = self._add(spec, row.version, held=held)
         entry.over_share = self._record_submission(entry.job)
+        if job_id in self._early_cancels:
+            self._early_cancels.discard(job_id)
+            self.cancel(job_id)
         return entry
 
     def add_ended_row(self, row: Row) -> bool:
@@ -243,8 +248,14 @@
         return (each for each in self.entries.values() if each.held)
 
     def cancel(self, job_id: str) -> JobEntry | None:
-        """Mark a job as cancelled; return its entry, or None if it was not open."""
+        """Mark a job as cancelled; return its entry, or None if it was not open.
+
+        Notifications may overtake each other.  The cancel of a job that is not known
+        yet is kept: it was stored after the job, so the job's row is on its way.
+        """
         entry = self.entries.get(job_id)
+        if entry is None and job_id not in self._outcomes:
+            self._early_cancels.add(job_id)
         if entry is None or entry.job.ended:
             return None
         entry.job.state = JobState.CANCELLED
--- a/tests/test_cancel_age.py
+++ b/tests/test_cancel_age.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cassiaweir.dispatch import ServerReport, cancel_key
+from cassiaweir.dispatch import ServerReport, cancel_key, job_key
 from cassiaweir.dispatch._evacuation import StartPermit
 from cassiaweir.dispatch._orders import OrderSender
 from cassiaweir.jobs import JobState, StepSpec
@@ -94,3 +94,33 @@
         assert len(orders.starts) + len(orders.stops) == 2
 
     run_virtual(body)
+
+
+# Guards against UNASKED: notifications arrive out of order, the cancel before its job,
+# and the leader forgets the cancel as it does not know the job.
+@pytest.mark.parametrize("feed", ["silent", "working"])
+def test_a_cancel_that_arrives_before_its_job_is_kept(feed: str) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=4, vms=3)
+        leader = await site.wait_for_leader()
+        other = next(vm for vm in site.vms if vm is not leader)
+        await asyncio.sleep(1)
+        if feed == "silent":
+            leader.store.silent_tables = {"jobs"}
+        job_id = site.submit(WIDE, task_s=0.5, announce_to=other)
+        job = site.store.rows[job_key(job_id)]
+        site.cancel(job_id)
+        leader.term.apply_rows([job])
+        await asyncio.sleep(2)
+        assert not site.starts_of(job_id)
+        assert leader.term.job_state(job_id) is JobState.CANCELLED
+        leader.store.silent_tables = set()
+        await asyncio.sleep(3)
+        assert not site.starts_of(job_id)
+        assert leader.term.job_state(job_id) is JobState.CANCELLED
+        dispatcher = leader.term._dispatcher
+        assert dispatcher is not None
+        assert not dispatcher._jobs._early_cancels
+        await site.close()
+
+    run_virtual(body)
