Do not say of a cancel in doubt that it was not executed

What callers saw: a DELETE is answered 503, which says that it was not executed, and the cancel takes effect all the same.

Cause: a front repeats a cancel for 1.2 s and answers with the error of the last attempt. An earlier one may have got no answer, and is stored later. The last one may be refused by the store, or by the limit of ids closed in a second.

Evidence: tests/test_cancels.py, both cases: the first commit is held back, the second attempt is refused. Before: NOT_RUN, and "too many unknown jobs are being cancelled".

Result: both cases answer MAY_HAVE_RUN.

--- a/cassiaweir/front/_cancels.py
+++ b/cassiaweir/front/_cancels.py
@@ -18,6 +18,7 @@
 from cassiaweir.exceptions import ConflictError, RefusedError, UnavailableError
 from cassiaweir.jobs import JobState, decode_outcome
 from cassiaweir.types import Check, Clock, Row, Table, Write
+from cassiaweir.verdict import Verdict
 
 STORE_TIMEOUT = timedelta(milliseconds=1_200)
 """Time after the call of `submit` or `cancel` from which failures are not retried."""
@@ -65,18 +66,27 @@
     async def cancel(self, job_id: str, customer: str = "") -> CancelResult:
         """Cancel a job, or close its id; retry for up to `STORE_TIMEOUT`.
 
-        Raises `UnavailableError` if it is not known whether that was stored, and
-        `RefusedError` if too many ids of unknown jobs were closed just before.
+        Raises `UnavailableError` if it could not be stored, or if that is not known
+        (MAY_HAVE_RUN), and `RefusedError` if too many ids of unknown jobs were closed
+        just before.
         """
         deadline = self._clock.monotonic() + STORE_TIMEOUT.total_seconds()
+        in_doubt = False
         while True:
             try:
                 return await self._try_cancel(job_id, customer)
             except ConflictError:
                 # The row of the job has changed since it was read.
                 continue
-            except UnavailableError:
+            except RefusedError as exc:
+                if in_doubt:
+                    raise _unknown_outcome(exc) from exc
+                raise
+            except UnavailableError as exc:
+                in_doubt |= exc.verdict is not Verdict.NOT_RUN
                 if self._clock.monotonic() >= deadline:
+                    if in_doubt:
+                        raise _unknown_outcome(exc) from exc
                     raise
                 await self._clock.sleep(RETRY_DELAY)
 
@@ -123,3 +133,8 @@
                 retry_after=RETRY_AFTER,
             )
         self._closable -= 1
+
+
+def _unknown_outcome(cause: Exception) -> UnavailableError:
+    """Return the error for a cancel of which an earlier attempt may be stored."""
+    return UnavailableError(str(cause), verdict=Verdict.MAY_HAVE_RUN)
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -262,3 +262,40 @@
         vm.store.fault_mode = ""
     await asyncio.gather(*tasks)
     return clients
+
+
+# Guards against "not run" (503) for a cancel whose first attempt is stored later.
+def test_a_cancel_in_doubt_is_not_said_to_be_undone() -> None:
+    async def body(first: Front, second: Front) -> None:
+        assert await second.submit() == "stored"
+        first.store.holding_replacements = True
+        first.store.holding = True
+        cancelling = asyncio.create_task(first.writer.cancel(JOB_ID))
+        await asyncio.sleep(0.05)
+        assert first.store.held
+        first.store.fault_mode = "busy"
+        with pytest.raises(UnavailableError) as caught:
+            await cancelling
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+    with_fronts(body)
+
+
+# Guards against the same where the second attempt is one too many to close an id.
+def test_a_close_in_doubt_is_not_said_to_be_undone() -> None:
+    async def body(first: Front, second: Front) -> None:
+        first.store.holding = True
+        cancelling = asyncio.create_task(first.writer.cancel(JOB_ID))
+        await asyncio.sleep(0.455)
+        assert len(first.store.held) == 1
+        others = [
+            asyncio.create_task(first.writer.cancel(f"{number:016x}"))
+            for number in range(1, 300)
+        ]
+        with pytest.raises(UnavailableError) as caught:
+            await cancelling
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+        refused = await asyncio.gather(*others, return_exceptions=True)
+        assert any(isinstance(each, RefusedError) for each in refused)
+
+    with_fronts(body)
