Repeat a cancel that the store did not answer in time

What callers saw: a DELETE is answered 504 or 503 as the store is silent, its caller takes the job for cancelled, and the job runs on.

Cause: a front tried for 1.2 s and forgot the cancel.

Evidence: tests/test_cancels.py, the store silent or refusing calls for 5.2 s, with and without a stored job: nothing was stored after that.

Change: the front answers 504 (may have been executed) and repeats the cancel, one at a time and every 250 ms at most, for up to 30 s and up to 200 of them. Beyond that, and where too many ids of unknown jobs are being closed, it answers 503 and does nothing more, as before; 504 if an attempt is in doubt or the same id is being repeated.

Ruled out: answering 503 and repeating it, as 503 says "not executed". A process that ends forgets its cancels; their callers were answered 504.

--- a/cassiaweir/front/_cancels.py
+++ b/cassiaweir/front/_cancels.py
@@ -16,6 +16,7 @@
     outcome_key,
 )
 from cassiaweir.exceptions import ConflictError, RefusedError, UnavailableError
+from cassiaweir.front._cancel_retries import CancelRetries
 from cassiaweir.jobs import JobState, decode_outcome
 from cassiaweir.types import Check, Clock, Row, Table, Write
 from cassiaweir.verdict import Verdict
@@ -54,6 +55,9 @@
     or at another front, or have got no answer and take effect later.  The caller is
     told that there is no such job, which has to stay true.  So the id is closed by a
     row in place of the job, under the condition that none was stored meanwhile.
+
+    A caller that got no acknowledgement may not ask again, and takes the job for
+    cancelled all the same, so that the cancel is repeated in the background.
     """
 
     def __init__(self, table: Table, clock: Clock, notifier: LeaderNotifier) -> None:
@@ -62,33 +66,45 @@
         self._notifier = notifier
         self._closable = MAX_CLOSED_AT_ONCE
         self._counted_at = clock.monotonic()
+        self._retries = CancelRetries(self._try_cancel, clock)
 
     async def cancel(self, job_id: str, customer: str = "") -> CancelResult:
         """Cancel a job, or close its id; retry for up to `STORE_TIMEOUT`.
 
-        Raises `UnavailableError` if it could not be stored, or if that is not known
-        (MAY_HAVE_RUN), and `RefusedError` if too many ids of unknown jobs were closed
-        just before.
+        Raises `UnavailableError` if that could not be stored.  Its verdict is NOT_RUN
+        if it is certainly not done, else MAY_HAVE_RUN: an attempt is in doubt, or it is
+        repeated in the background.  Raises `RefusedError` if too many ids of unknown
+        jobs were closed just before.
         """
         deadline = self._clock.monotonic() + STORE_TIMEOUT.total_seconds()
-        in_doubt = False
+        in_doubt = self._retries.has(job_id)
         while True:
             try:
-                return await self._try_cancel(job_id, customer)
+                result = await self._try_cancel(job_id, customer)
             except ConflictError:
                 # The row of the job has changed since it was read.
                 continue
             except RefusedError as exc:
                 if in_doubt:
-                    raise _unknown_outcome(exc) from exc
+                    raise self._unfinished(job_id, customer, exc) from exc
                 raise
             except UnavailableError as exc:
                 in_doubt |= exc.verdict is not Verdict.NOT_RUN
-                if self._clock.monotonic() >= deadline:
-                    if in_doubt:
-                        raise _unknown_outcome(exc) from exc
-                    raise
-                await self._clock.sleep(RETRY_DELAY)
+                if self._clock.monotonic() < deadline:
+                    await self._clock.sleep(RETRY_DELAY)
+                    continue
+                if in_doubt or self._retries.has_room():
+                    raise self._unfinished(job_id, customer, exc) from exc
+                raise
+            self._retries.discard(job_id)
+            return result
+
+    def _unfinished(
+        self, job_id: str, customer: str, cause: Exception
+    ) -> UnavailableError:
+        """Repeat a cancel in the background; return the error for its caller."""
+        self._retries.add(job_id, customer)
+        return UnavailableError(str(cause), verdict=Verdict.MAY_HAVE_RUN)
 
     async def _try_cancel(self, job_id: str, customer: str) -> CancelResult:
         """Try once; raise `ConflictError` if the job's row changed meanwhile."""
@@ -133,8 +149,3 @@
                 retry_after=RETRY_AFTER,
             )
         self._closable -= 1
-
-
-def _unknown_outcome(cause: Exception) -> UnavailableError:
-    """Return the error for a cancel of which an earlier attempt may be stored."""
-    return UnavailableError(str(cause), verdict=Verdict.MAY_HAVE_RUN)
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -11,6 +11,11 @@
 from cassiaweir.dispatch._compaction import SHRINK_INTERVAL
 from cassiaweir.dispatch._refusal_rows import REFUSAL_VALIDITY_S
 from cassiaweir.exceptions import RefusedError, UnavailableError
+from cassiaweir.front._cancel_retries import (
+    MAX_RETRIED,
+    RETRY_PAUSE,
+    RETRY_TIMEOUT,
+)
 from cassiaweir.front._cancels import MAX_CLOSED_AT_ONCE, CancelResult
 from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.types import Row
@@ -299,3 +304,77 @@
         assert any(isinstance(each, RefusedError) for each in refused)
 
     with_fronts(body)
+
+
+# Guards against UNASKED: a cancel that the store did not answer in time is forgotten,
+# and its job runs on although its caller has heard of no refusal.
+@pytest.mark.parametrize("fault", ["silent", "busy"])
+@pytest.mark.parametrize("stored", [True, False])
+def test_a_cancel_without_an_answer_is_repeated(fault: str, stored: bool) -> None:
+    async def body(first: Front, second: Front) -> None:
+        if stored:
+            assert await second.submit() == "stored"
+        first.store.fault_mode = fault
+        with pytest.raises(UnavailableError) as caught:
+            await first.writer.cancel(JOB_ID)
+        # The caller must not be told that this has not been done.
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+        await asyncio.sleep(4)
+        first.store.fault_mode = ""
+        await asyncio.sleep(2)
+        if stored:
+            assert f"{KEY}.cancel" in first.backing.rows
+        else:
+            assert await second.submit() == "503"
+        commits = first.backing.commits
+        await asyncio.sleep(2 * RETRY_TIMEOUT.total_seconds())
+        assert first.backing.commits == commits
+
+    with_fronts(body)
+
+
+# Guards against calls without a bound on behalf of callers that have gone.
+def test_cancels_are_repeated_in_a_bounded_number_and_time() -> None:
+    async def body(first: Front, second: Front) -> None:
+        first.store.fault_mode = "busy"
+        ids = [f"{number:016x}" for number in range(MAX_RETRIED + 10)]
+        results = await asyncio.gather(
+            *(first.writer.cancel(each) for each in ids), return_exceptions=True
+        )
+        verdicts = [each.verdict for each in results]  # type: ignore[union-attr]
+        assert verdicts.count(Verdict.MAY_HAVE_RUN) == MAX_RETRIED
+        assert verdicts.count(Verdict.NOT_RUN) == 10
+        calls = 0
+        read = first.store.read
+
+        async def counting_read(keys: list[str]) -> dict[str, Row]:
+            nonlocal calls
+            calls += 1
+            return await read(keys)
+
+        first.store.read = counting_read  # type: ignore[method-assign]
+        await asyncio.sleep(RETRY_TIMEOUT.total_seconds() + 1)
+        assert 0 < calls < RETRY_TIMEOUT / RETRY_PAUSE + 2
+        first.store.fault_mode = ""
+        await asyncio.sleep(10)
+        assert first.backing.commits == 0
+
+    with_fronts(body)
+
+
+# Guards against "not run" for a cancel that the front itself still repeats.
+def test_a_cancel_that_is_being_repeated_is_not_said_to_be_undone() -> None:
+    async def body(first: Front, second: Front) -> None:
+        first.store.fault_mode = "busy"
+        ids = [f"{number:016x}" for number in range(MAX_RETRIED)]
+        cancels = [first.writer.cancel(each) for each in (*ids, ids[0])]
+        results = await asyncio.gather(*cancels, return_exceptions=True)
+        with pytest.raises(UnavailableError) as caught:
+            await first.writer.cancel(ids[1])
+        assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+        assert all(
+            each.verdict is Verdict.MAY_HAVE_RUN  # type: ignore[union-attr]
+            for each in results[:MAX_RETRIED]
+        )
+
+    with_fronts(body)
