Decide once what a run resumes from, when it is placed

Cause: the order to start a run read the newest checkpoint of its task, or of its gang, at each attempt. Members of one gang are sent at different times: some wait for the record of their start, and starts without an answer are repeated. A report that came in between, of an earlier run whose server was away, or of members of the same run that are at work, changed what the next attempt carried.

Change: `RunRegistry.place` keeps the checkpoint in the run, and all attempts carry it. The members of a gang are placed in one step of a round, with no report in between. The simulated servers now give the newest checkpoint of a run that didn't end as done.

Ruled out: members of a gang that are placed singly or in different rounds (`Placer` starts a gang only with all of its tasks waiting); runs adopted from a former leader (no start is sent for them).

--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -402,7 +402,7 @@
             spec=task.step.job.spec.task_spec,
             until_ms=run.until_ms,
             epoch=self._leadership.epoch,
-            checkpoint=task.step.checkpoint_of(task),
+            checkpoint=run.resumed_checkpoint,
             ticket=run.ticket,
         )
         return await self._client.start(run.server.entry, order, ORDER_TIMEOUT)
--- a/cassiaweir/dispatch/_run_registry.py
+++ b/cassiaweir/dispatch/_run_registry.py
@@ -52,7 +52,8 @@
         """Create and count a run whose start order is about to be sent."""
         entry, run = self._new_run(task, server, number, ticket)
         run.isolation = isolation
-        run.from_start = not task.step.checkpoint_of(task)
+        run.resumed_checkpoint = task.step.checkpoint_of(task)
+        run.from_start = not run.resumed_checkpoint
         entry.last_start_at = run.placed_at
         task.run = number
         task.state = TaskState.PLACED
--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -171,8 +171,9 @@
         self.highest_barred_runs[run.task] = max(
             self.highest_barred_runs.get(run.task, 0), run.number
         )
+        saved = "" if how is EndKind.DONE else self._checkpoint(run)
         self.ends.append(
-            TaskEnd(next(self._end_numbers), run.task, run.number, how, "")
+            TaskEnd(next(self._end_numbers), run.task, run.number, how, saved)
         )
         self.site.record_end(self, run, how)
         self._end_event.set()
