Let a task wait again once an older run of it has ended

Cause: a listed run that the leader doesn't count is adopted, and its task counts as placed from then on. If a newer run of the task had ended before, the adopted run is stopped, but its end put nothing back to the queue, as only the end of the newest run does. The task then had no run and didn't wait for one for the rest of the term.

Evidence: tests/test_listed_ends.py, with the registry and the reports of a leader: run 5 fails, a report of another server lists run 4, run 4 is stopped and ends. Before: the task stays PLACED. Not shown on a whole simulated site: there runs are given up only after their lease, or once a stop was answered, and servers refuse such starts.

Change: the end of a run puts its task back to the queue also if no run of the task is counted any more. Until then it stays placed, as the older run may still be at work.

Ruled out: letting the task wait while the older run is stopped (TWICE).

--- a/cassiaweir/dispatch/_run_registry.py
+++ b/cassiaweir/dispatch/_run_registry.py
@@ -87,9 +87,12 @@
     def requeue(self, run: Run, cause: str) -> None:
         """Let the task of a removed run wait for a new start.
 
-        Nothing happens if a newer run of the task exists.
+        Nothing happens if a newer run of the task exists.  The newest run may have
+        ended before an older one was adopted.
         """
-        if run.is_latest and run.task.state is TaskState.PLACED:
+        if run.task.state is not TaskState.PLACED:
+            return
+        if run.is_latest or not self._has_runs(run.task):
             run.task.step.job.mark_waiting(run.task)
             logger.info(
                 "task_requeued",
@@ -99,6 +102,10 @@
                 cause=cause,
             )
 
+    def _has_runs(self, task: Task) -> bool:
+        entry = self._jobs.entries.get(task.step.job.job_id)
+        return entry is not None and any(run.task is task for run in entry.runs)
+
     def gang_runs(self, step: Step) -> list[Run]:
         """Return the counted runs of `step`."""
         entry = self._jobs.entries.get(step.job.job_id)
--- a/tests/test_listed_ends.py
+++ b/tests/test_listed_ends.py
@@ -315,3 +315,25 @@
         assert len(site.starts_of(job_id)) == count
 
     run_virtual(body)
+
+
+# Guards against LOST: a late start of an older run, carried out while its task waited
+# after the end of a newer one, left the task without a run for good.
+@pytest.mark.parametrize("step", [StepSpec(count=1), LASTING])
+def test_a_task_waits_again_after_a_late_start_of_an_older_run(step: StepSpec) -> None:
+    async def body() -> None:
+        leader = Leader(step)
+        first, second = leader.servers
+        task = leader.tasks[0]
+        newer = leader.start(task, second, 5)
+        leader.report(second, [end_of(newer, EndKind.FAILED)])
+        assert task.state is TaskState.WAITING
+        now = asyncio.get_running_loop().time()
+        late = RunningTask(task.name, 4, "", 0, 0.0)
+        leader.reports.apply(first, ServerReport(1_000, 1, [late], []), now)
+        older = first.runs[task.name, 4]
+        assert leader.stopped == [older]
+        leader.report(first, [end_of(older, EndKind.STOPPED)])
+        assert task.state is TaskState.WAITING
+
+    run_virtual(body)
