Set aside enough run numbers for each term

Cause: the first run number of a term was 64 times the number of earlier terms. A task that was started more than 64 times in a term, as a lasting task that fails or one that is requeued again and again, used numbers of the next terms. The next leader then gave numbers that were lower than, or equal to, those of earlier runs, unless it happened to see the newest of them at work. "`run` numbers the task's starts. The numbering begins at 1 and rises"; servers refuse runs that are not higher than one that ended there, and a listed run with the number of the newest one is taken for it.

Change: 2^20 numbers for each term. Numbers are below 2^31 for 2,000 terms and below 2^53, which JSON holds exactly, for 8 * 10^9.

Ruled out: restoring numbers from stored progress, which holds those of failed runs and checkpoints only; a row for each number, which is a write for each start.

--- a/cassiaweir/dispatch/_run_registry.py
+++ b/cassiaweir/dispatch/_run_registry.py
@@ -11,11 +11,12 @@
 from cassiaweir.jobs import Isolation, Step, Task, TaskState
 from cassiaweir.types import Clock
 
-RUNS_PER_EPOCH = 64
+RUNS_PER_EPOCH = 1 << 20
 """Run numbers set aside for each epoch.
 
 The numbers of an epoch start above all that earlier leaders can have used, so that
-servers tell the newer run of a task from an older one.
+servers tell the newer run of a task from an older one.  A task that is started ten
+times a second uses as many in 29 hours.
 """
 
 
