Repeat a stop that ends with an unexpected error

Cause: a run is told to stop by one coroutine, and later requests find that it is being stopped. An unexpected error ended that coroutine with a log line; nothing else told the server to stop, and the lease of the run was renewed with each report. In the same way, a server that was to be kept from carrying out a late start got no tasks for the rest of its lifetime.

Evidence: tests/test_unexpected_errors.py, calls to stop raise for 0.8 s and for 3 s. Before: a task of 30 s runs on after its job was cancelled; the only server stays unused. After: both are mended.

Ruled out: orphan runs, which each report tells to stop anew.

--- a/cassiaweir/dispatch/_run_control.py
+++ b/cassiaweir/dispatch/_run_control.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import TypeVar
 
 from loguru import logger
 
@@ -33,6 +34,11 @@
 REJECTED_ROW_DELAY = timedelta(seconds=2)
 """A task whose start no row can name waits this long before it is placed again."""
 
+FAILED_STOP_DELAY = timedelta(milliseconds=250)
+"""Pause after an order to stop has ended with an unexpected error."""
+
+_T = TypeVar("_T")
+
 
 @dataclass(slots=True)
 class _RecordedStarts:
@@ -233,10 +239,22 @@
             self._background.start(self._send_stop(run))
 
     async def _send_stop(self, run: Run) -> None:
-        if await self._orders.stop(run):
+        if await self._repeated(lambda: self._orders.stop(run), run.task.name):
             self._mark_lost(run, "the lease has expired")
             self._wake()
 
+    async def _repeated(self, send: Callable[[], Awaitable[_T]], task: str) -> _T:
+        """Return the result of an order to stop, sent again after unexpected errors.
+
+        The run would otherwise go on, and no other part of the leader stops it.
+        """
+        while True:
+            try:
+                return await send()
+            except Exception as exc:
+                logger.opt(exception=exc).error("stop_failed", task=task)
+                await self._clock.sleep(FAILED_STOP_DELAY)
+
     def stop_orphan(self, server: Server, task: str, run: int) -> None:
         """Stop a run on `server` that belongs to no known job, in the background."""
         self._background.start(self._orders.stop_orphan_run(server.entry, task, run))
@@ -246,5 +264,7 @@
         self._background.start(self._send_late_stop(server, task, run))
 
     async def _send_late_stop(self, server: Server, task: str, run: int) -> None:
-        await self._orders.stop_late_start(server, task, run)
+        await self._repeated(
+            lambda: self._orders.stop_late_start(server, task, run), task
+        )
         self._wake()
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -224,3 +224,59 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against UNASKED: after an unexpected error the runs of a cancelled job were
+# never told to stop again.
+def test_a_stop_that_raises_is_repeated(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=2)
+        await site.wait_for_leader()
+        job_id = site.submit(TASK, task_s=30.0)
+        await asyncio.sleep(1)
+        fails_until = asyncio.get_running_loop().time() + 0.8
+        raised = raise_if(
+            VmServerClient,
+            "stop_run",
+            monkeypatch,
+            lambda *_: asyncio.get_running_loop().time() < fails_until,
+        )
+        site.cancel(job_id)
+        await asyncio.sleep(2)
+        assert raised
+        assert all(run.ended_at is not None for run in site.starts_of(job_id))
+        await finish_a_job(site)
+
+    run_virtual(body)
+
+
+# Guards against servers that get no tasks for good: the order that keeps a server from
+# carrying out a late start raised an unexpected error.
+def test_a_server_is_used_again_after_a_late_stop_that_raised(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=1)
+        leader = await site.wait_for_leader()
+        leader.orders.late_share = 1.0
+        job_id = site.submit(TASK, task_s=1.0)
+        await asyncio.sleep(0.3)
+        # The start is in doubt when the server begins its next lifetime.
+        server = site.servers["i-0"]
+        server.crash()
+        server.restart()
+        fails_until = asyncio.get_running_loop().time() + 3.0
+        raised = raise_if(
+            VmServerClient,
+            "stop_run",
+            monkeypatch,
+            lambda *_: asyncio.get_running_loop().time() < fails_until,
+        )
+        await asyncio.sleep(4)
+        leader.orders.late_share = 0.0
+        await asyncio.sleep(20)
+        assert raised
+        assert leader.term.job_state(job_id) is JobState.DONE
+        await finish_a_job(site)
+
+    run_virtual(body)
