Take a refusal that is nested too deeply for one that can't be read

What callers saw: nothing that is known.

Evidence: tests/test_platform_adapter.py failed with RecursionError before, and passes now. The answer counts as INVALID, as any 409 that can't be read.

--- a/cassiaweir/platform/_servers.py
+++ b/cassiaweir/platform/_servers.py
@@ -263,7 +263,7 @@
     """
     try:
         reason = msgspec.json.decode(raw, type=_Refusal).reason
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         reason = ""
     return REFUSAL_OUTCOMES.get(reason, OrderOutcome.INVALID)
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -229,6 +229,15 @@
     assert await client.start(ENTRY, order, SECOND) is expected
 
 
+# Guards against a start or a stop that raises for an answer of a server.
+@pytest.mark.parametrize("raw", [b'{"x":' + b"[" * 100_000, b'{"reason":"\xff"}', b""])
+async def test_a_refusal_that_cannot_be_read_is_one(raw: bytes):
+    session = FakeSession(409)
+    session.response = HttpResponse(409, raw)
+    stopped = await HttpServerClient(session).stop_run(ENTRY, "j.0.0.1", 2, 7, SECOND)
+    assert stopped is OrderOutcome.INVALID
+
+
 def test_a_manifest_is_decoded_to_queues_customers_and_keys():
     manifest = {
         "version": 7,
