--- a/tests/test_listed_ends.py
+++ b/tests/test_listed_ends.py
@@ -71,7 +71,7 @@
         for server in self.servers:
             server.born = 1
 
-    def _put(self, write: Any) -> int:
+    def _put(self, write: Any, **options: Any) -> int:
         self.writes.append(write.key)
         return len(self.writes)
 
