Stop all members of a gang whose earlier run turned out to be done

Cause: an end `done` stands for the whole gang. When it comes from an earlier run, whose server was away while the gang was started again, the leader stopped the runs of the task that the end names, and none of the other members. These wait for the member that was stopped until they end `alone`, or run on to their end; a cancel of the job, which has ended, stops nothing.

Evidence: tests/test_listed_ends.py, an end of run 1 while run 2 of three members is counted. Before: one member is stopped; after: all three.

Change: the runs of the gang with another number than the listed one are stopped. Members of the same run end with it, and are not told to stop, as before (second test).

Ruled out: a job that ends `failed` or is cancelled; all its runs are stopped there.

--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -269,7 +269,7 @@
         if end.kind is EndKind.DONE:
             if run is not None and not server.cold:
                 self.learner.record_end(run)
-            position = self._finish(server, entry, task)
+            position = self._finish(server, entry, task, end)
         else:
             _record_checkpoint(task, end.run, end.checkpoint)
             position = 0
@@ -304,17 +304,20 @@
             seconds=round(seconds, 3),
         )
 
-    def _finish(self, server: Server, entry: JobEntry, task: Task) -> int:
-        """Record that a task is done and stop its other runs.
+    def _finish(self, server: Server, entry: JobEntry, task: Task, end: TaskEnd) -> int:
+        """Record that a task is done, or its whole gang, and stop their other runs.
 
-        Return the position of the write that stores it.
+        The members that began with `end.run` end with it.  Return the position of the
+        write that stores it.
         """
         server.health.record_success()
         had_ended = entry.job.ended
         if not entry.job.finish_task(task) or had_ended:
             return entry.write_position
+        gang = task.step if task.step.spec.gang else None
         for run in list(entry.runs):
-            if run.task is task:
+            of_gang = run.task.step is gang and run.number != end.run
+            if run.task is task or of_gang:
                 self._stop(run)
         if entry.job.ended:
             logger.info("job_ended", job=entry.job.job_id, state=entry.job.state.value)
--- a/tests/test_listed_ends.py
+++ b/tests/test_listed_ends.py
@@ -337,3 +337,34 @@
         assert task.state is TaskState.WAITING
 
     run_virtual(body)
+
+
+# Guards against GANG and UNASKED: an earlier run of a gang turned out to be done, and
+# members of the run that had followed it waited for the others, or ran on.
+def test_the_end_of_an_earlier_run_of_a_gang_stops_all_members_of_the_next() -> None:
+    async def body() -> None:
+        leader = Leader(StepSpec(count=3, gang=True), servers=4)
+        former, *servers = leader.servers
+        for task, server in zip(leader.tasks, servers, strict=True):
+            leader.start(task, server, 2)
+        runs = [*leader.entry.runs]
+        end = TaskEnd(1, leader.tasks[0].name, 1, EndKind.DONE, "")
+        leader.report(former, [end])
+        assert leader.job.state is JobState.DONE
+        assert set(leader.stopped) == set(runs)
+
+    run_virtual(body)
+
+
+# Guards against the stop of members that have ended together with the listed one.
+def test_the_end_of_a_gang_stops_no_member_of_the_same_run() -> None:
+    async def body() -> None:
+        leader = Leader(StepSpec(count=2, gang=True))
+        first, second = leader.servers
+        run = leader.start(leader.tasks[0], first, 1)
+        leader.start(leader.tasks[1], second, 1)
+        leader.report(first, [end_of(run, EndKind.DONE)])
+        assert leader.job.state is JobState.DONE
+        assert not leader.stopped
+
+    run_virtual(body)
