--- a/standins/users/_rows.py
+++ b/standins/users/_rows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_right
 from collections.abc import Sequence
 
 from cassiaweir.exceptions import (
@@ -75,10 +76,11 @@
         while True:
             if after < self._oldest_version:
                 raise HistoryLostError(table)
+            first = bisect_right(self._changes, after, key=lambda each: each[0])
             found = [
                 each
-                for each in self._changes
-                if each[0] > after and each[1].startswith(f"{table}/")
+                for each in self._changes[first:]
+                if each[1].startswith(f"{table}/")
             ]
             left = ends_at - asyncio.get_running_loop().time()
             if found or left < 1e-6:
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -212,8 +212,10 @@
 
     def _check_crashes(self, task: str) -> None:
         """Record a fault if a deadly task is started too often, before the start."""
+        if self._deadly(task) is None:
+            return
         crashes = self.crashes_of(task)
-        if self._deadly(task) is None or len(crashes) < MAX_CRASHES:
+        if len(crashes) < MAX_CRASHES:
             return
         third = sorted(run.ended_at or 0.0 for run in crashes)[MAX_CRASHES - 1]
         later = [
