--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -289,7 +289,7 @@
             return ""
         ran_s = asyncio.get_running_loop().time() - run.began_at
         written = int(ran_s / self.checkpoint_s)
-        return f"{run.number}/{written}" if written else ""
+        return f"{run.task}/{run.number}/{written}" if written else ""
 
     def _percent(self, run: FakeRun) -> int:
         now = asyncio.get_running_loop().time()
