Test random cancels under failing feeds, orders and leaders

Guards against UNASKED: a start that is ordered later than 3 s after the cancel was stored, and a task of a cancelled job that runs on 4 s after all is calm and the last delayed order was carried out. Job, server and store feeds fail, the history is forgotten, servers refuse orders or carry them out late, leaders are ended, and half of the notifications are lost.

--- a/tests/test_cancel_age.py
+++ b/tests/test_cancel_age.py
@@ -3,15 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from datetime import timedelta
 
 import pytest
 
-from cassiaweir.dispatch import ServerReport, cancel_key, job_key
+from cassiaweir.dispatch import (
+    OrderOutcome,
+    ServerEntry,
+    ServerReport,
+    StartOrder,
+    cancel_key,
+    job_key,
+)
 from cassiaweir.dispatch._evacuation import StartPermit
 from cassiaweir.dispatch._orders import OrderSender
 from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.types import Write
-from tests.site_fakes import FakeSite
+from tests.site_fakes import FakeSite, FakeVm
 from tests.test_dispatch_orders import Orders
 from tests.virtual_time import VirtualClock, run_virtual
 
@@ -124,3 +132,103 @@
         await site.close()
 
     run_virtual(body)
+
+
+LATEST_ORDER_S = 12.0
+"""A delayed order is carried out this late at most."""
+
+STOP_S = 1.0
+
+
+# Guards against UNASKED in orders of events that nobody thought of: orders to tasks of
+# cancelled jobs and tasks that run on, while feeds and servers fail, leaders change.
+@pytest.mark.parametrize("seed", [0, 1, 2, 13, 23, 59])
+def test_random_cancels_are_kept_by_all_leaders(seed: int) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=6, vms=3, seed=seed)
+        await site.wait_for_leader()
+        sent: list[tuple[float, str]] = []
+        for vm in site.vms:
+            record_orders(vm, sent)
+        cancelled_at = await cancel_under_faults(site)
+        await asyncio.sleep(LATEST_ORDER_S)
+        await asyncio.sleep(CANCEL_S + STOP_S)
+        for server in site.servers.values():
+            server.apply_due_events()
+        running = {
+            task.partition(".")[0]
+            for server in site.servers.values()
+            for task, _ in server.runs
+        }
+        await site.close()
+        late = [
+            at - cancelled_at[job]
+            for at, job in sent
+            if job in cancelled_at and at > cancelled_at[job] + CANCEL_S
+        ]
+        assert len(cancelled_at) > 20
+        assert not late, f"{len(late)} orders, up to {max(late):.1f} s after the cancel"
+        assert not running & cancelled_at.keys()
+        assert running
+
+    run_virtual(body)
+
+
+def record_orders(vm: FakeVm, sent: list[tuple[float, str]]) -> None:
+    """Add the time and the job of each start that a VM orders to `sent`."""
+    start = vm.orders.start
+
+    async def recorded(
+        entry: ServerEntry, order: StartOrder, timeout: timedelta
+    ) -> OrderOutcome:
+        sent.append((now(), order.task.partition(".")[0]))
+        return await start(entry, order, timeout)
+
+    vm.orders.start = recorded  # type: ignore[method-assign]
+
+
+async def cancel_under_faults(site: FakeSite) -> dict[str, float]:
+    """Submit and cancel jobs for 25 s; return when each was cancelled."""
+    rng = site.rng
+    jobs: list[str] = []
+    cancelled_at: dict[str, float] = {}
+    while now() < 25:
+        step = StepSpec(count=rng.randint(1, 6), cpu_millis=2_000, estimate_s=2.0)
+        jobs.append(site.submit(step, task_s=rng.choice((0.5, 2.0, 100.0))))
+        for job_id in rng.sample(jobs, k=min(len(jobs), 2)):
+            if rng.random() < 0.5 and job_id not in cancelled_at:
+                if rng.random() < 0.5:
+                    site.cancel(job_id)
+                else:
+                    cancel_unnoticed(site, job_id)
+                cancelled_at[job_id] = now()
+        await change_faults(site)
+        await asyncio.sleep(rng.uniform(0.05, 0.4))
+    for vm in site.vms:
+        vm.store.fault_mode = ""
+        vm.store.silent_tables = set()
+        vm.orders.unhealthy = set()
+        vm.orders.unreachable = set()
+        vm.orders.late_share = 0.0
+    return cancelled_at
+
+
+async def change_faults(site: FakeSite) -> None:
+    """Begin or end faults of the VMs' feeds, stores and orders, or end a leader."""
+    rng = site.rng
+    for vm in site.vms:
+        if rng.random() < 0.04:
+            vm.store.silent_tables = rng.choice((set(), {"jobs"}, {"servers"}))
+        if rng.random() < 0.02:
+            vm.store.fault_mode = rng.choice(("", "", "lossy", "late", "busy"))
+        if rng.random() < 0.04:
+            ids = list(site.servers)
+            vm.orders.unhealthy = set(rng.sample(ids, k=2))
+            vm.orders.unreachable = set(rng.sample(ids, k=rng.choice((0, 1))))
+            vm.orders.late_share = rng.choice((0.0, 0.2))
+    if rng.random() < 0.03:
+        site.store.forget_history()
+    leader = site.leader()
+    if leader is not None and rng.random() < 0.02:
+        await leader.kill()
+        leader.start()
