Let the stops on one server take turns

Cause: all orders to stop runs on a server, as when a job with many runs there is cancelled, were sent at once over its four connections. A start that got none within 0.2 s behind them counted as unanswered: its server was taken for unreachable and the starts that waited for their turn were dropped.

Evidence: tests/test_review_47.py in virtual time, 60 stops and one start, 4 connections, an answer after 50 ms. Before: the start is NOT_STARTED. A stop that waited was also sent after its run had ended.

Change: at most two stops are under way to one server. After its turn a stop is sent only if it is still needed; on an unreachable server whose lease has expired the run is gone, so that the last ones need not wait for the timeouts of those before.

Not changed: stops of orphan runs and of late starts take no turn. Not shown on a whole site.

--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -187,18 +187,24 @@
         """Stop `run`, repeating the order until the server carries it out.
 
         Return whether the run is certainly gone because the lease has expired.
-        Otherwise the server's reports show when it ends.
+        Otherwise the server's reports show when it ends.  The attempts to one server
+        take turns, as those of starts do.
         """
         run.state = RunState.STOPPING
         while await self._wait_permitted(run):
             try:
-                outcome = await self._client.stop_run(
-                    run.server.entry,
-                    run.task.name,
-                    run.number,
-                    self._leadership.epoch,
-                    ORDER_TIMEOUT,
-                )
+                async with run.server.stop_slots:
+                    if not run.server.reachable and self._lease_expired(run):
+                        return True
+                    if not self._may_order(run):
+                        continue
+                    outcome = await self._client.stop_run(
+                        run.server.entry,
+                        run.task.name,
+                        run.number,
+                        self._leadership.epoch,
+                        ORDER_TIMEOUT,
+                    )
             except UnavailableError:
                 if self._lease_expired(run):
                     return True
@@ -315,10 +321,13 @@
 
     def _is_permitted(self, run: Run) -> bool:
         """Return whether a start may be sent right now and is still needed."""
-        needed = run.key in run.server.runs and not self._leadership.lost
-        may_act = self._leadership.may_act(self._clock.monotonic())
         granted = self._permit(run.server) is StartPermit.GRANTED
-        return needed and may_act and granted
+        return self._may_order(run) and granted
+
+    def _may_order(self, run: Run) -> bool:
+        """Return whether an order for `run` may be sent right now and is needed."""
+        needed = run.key in run.server.runs and not self._leadership.lost
+        return needed and self._leadership.may_act(self._clock.monotonic())
 
     async def _wait_permitted(self, run: Run) -> bool:
         """Wait until this process may give orders; return whether one is still needed.
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -42,6 +42,9 @@
 CONCURRENT_STARTS = 2
 """Starts under way to one server; other orders and reports need connections too."""
 
+CONCURRENT_STOPS = 2
+"""Orders to stop runs that are under way to one server, for the same reason."""
+
 MS_PER_SECOND = 1_000
 
 
@@ -78,10 +81,10 @@
     `suspects` are the runs of tasks that may crash the server, until they have run for
     long enough.  `unstored_ends` are tasks that ended here, with the position of the
     write that stores the end.  `relative_speed` is that of `ServerSpeeds`, 1.0 while
-    unknown.  `start_slots` bounds the starts under way, so that none waits for a
-    connection while the time for its answer runs.  `kinds` holds the number of counted
-    runs of each kind of task, and `kind_added_at` when a run last got another kind
-    beside it.
+    unknown.  `start_slots` and `stop_slots` bound the starts and stops under way, so
+    that none waits for a connection while the time for its answer runs.  `kinds` holds
+    the number of counted runs of each kind of task, and `kind_added_at` when a run last
+    got another kind beside it.
     """
 
     def __init__(self, entry: ServerEntry, *, restricted: bool = False) -> None:
@@ -89,6 +92,7 @@
         self._draining_born = entry.born if entry.draining else None
         self.restricted = restricted
         self.start_slots = asyncio.Semaphore(CONCURRENT_STARTS)
+        self.stop_slots = asyncio.Semaphore(CONCURRENT_STOPS)
         self._used = NO_RESOURCES
         self.free = entry.capacity
         self.runs: dict[RunKey, Run] = {}
--- /dev/null
+++ b/tests/test_review_47.py
@@ -0,0 +1,96 @@
+"""Tests from the review of issue 47: its causes, where they could act elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cassiaweir.dispatch import OrderOutcome
+from cassiaweir.dispatch._orders import StartResult
+from cassiaweir.dispatch._runs import RunState
+from cassiaweir.exceptions import UnavailableError
+from cassiaweir.verdict import Verdict
+from tests.test_dispatch_orders import PooledOrders, now
+from tests.virtual_time import run_virtual
+
+
+class PooledStops(PooledOrders):
+    """Orders to stop runs need a connection as well; none answers while `silent`."""
+
+    silent = False
+
+    async def stop_run(self, *args: object) -> OrderOutcome:
+        """Stop a run once there is a free connection."""
+        try:
+            async with asyncio.timeout(self.CONNECT_S):
+                await self.pool.acquire()
+        except TimeoutError:
+            raise UnavailableError("no connection", verdict=Verdict.NOT_RUN) from None
+        self.stops.append(now())
+        try:
+            if self.silent:
+                await asyncio.sleep(0.4)
+                raise UnavailableError("no answer", verdict=Verdict.MAY_HAVE_RUN)
+            await asyncio.sleep(self.ANSWER_S)
+        finally:
+            self.pool.release()
+        return OrderOutcome.ACCEPTED
+
+
+# Guards against SHORT (issue 47): a job with many runs is cancelled, and a start on the
+# same server gets no connection, so that a sound server is taken for unreachable.
+def test_many_stops_on_one_server_do_not_make_it_unreachable() -> None:
+    async def body() -> None:
+        orders = PooledStops(runs=61)
+        *stopped, started = orders.runs
+        stops = [asyncio.create_task(orders.sender.stop(run)) for run in stopped]
+        await asyncio.sleep(0)
+        result, _ = await orders.sender.start(started)
+        assert result is StartResult.STARTED
+        assert orders.server.reachable
+        await asyncio.gather(*stops)
+        assert len(orders.stops) == len(stopped)
+
+    run_virtual(body)
+
+
+# Guards against stops that wait for their turn after the server's lease has expired.
+def test_stops_on_a_silent_server_end_with_its_lease() -> None:
+    async def body() -> None:
+        orders = PooledStops(runs=60)
+        orders.silent = True
+        orders.server.reachable = False
+        orders.server.next_lease_end_ms(now())
+
+        async def confirm() -> None:
+            while True:
+                orders.leadership.confirmed_at = now()
+                await asyncio.sleep(0.1)
+
+        confirming = asyncio.create_task(confirm())
+        stops = [asyncio.create_task(orders.sender.stop(run)) for run in orders.runs]
+        expired_for_s = 0.0
+        while expired_for_s < 1.0:
+            await asyncio.sleep(0.05)
+            expired = orders.server.leases_expired(orders.leadership.confirmed_at)
+            expired_for_s += 0.05 * expired
+        assert all(stop.done() and stop.result() for stop in stops)
+        confirming.cancel()
+
+    run_virtual(body)
+
+
+# Guards against a stop that is sent after its run has ended while it waited.
+def test_a_stop_that_waits_is_not_sent_for_a_run_that_has_ended() -> None:
+    async def body() -> None:
+        orders = PooledStops(runs=20)
+        stops = [asyncio.create_task(orders.sender.stop(run)) for run in orders.runs]
+        await asyncio.sleep(0.01)
+        sent = len(orders.stops)
+        assert 0 < sent < len(orders.runs)
+        assert all(run.state is RunState.STOPPING for run in orders.runs)
+        for run in orders.runs:
+            orders.server.remove(run.key)
+        assert not any(await asyncio.gather(*stops))
+        assert len(orders.stops) == sent
+
+    run_virtual(body)
