Let a server wait for its own row alone

Cause: a new server, and one that is back after it was out of reach, gets no runs before its row is stored, and the row counted as stored only with all rows queued before it.

Change: `RecordKeeper.store` waits for the position of the row. Why it is safe: the row is all that a successor needs; an open one restricts nothing, and a restricted one names the tasks whose ends are not stored.

--- a/cassiaweir/dispatch/_record_keeper.py
+++ b/cassiaweir/dispatch/_record_keeper.py
@@ -69,11 +69,13 @@
         else:
             position = self._records.open(server.entry)
         try:
-            await self._commits.wait_until_stored(position)
-        except (LeadershipLostError, RowRejectedError):
+            rejected = await self._commits.wait_until_rows_stored({position})
+        except LeadershipLostError:
             return
         finally:
             server.recording = False
+        if rejected:
+            return
         # The row may have been narrowed or removed meanwhile.
         has_row = self._records.has_row(server.server_id)
         is_open = self._records.is_open(server.server_id)
