Ask for changes of job rows twice a second

Cause: an answer counts from when it was requested. While no job row changes, the view is as old as two waits of 1 s, a pause of 150 ms and two delays of the store, so that all starts, and the repeats of those in doubt, were withheld each second by a store that takes 175 ms for an answer.

Evidence: tests/test_review_47.py, answers 400 ms late: an age of 2.95 s before, under 2.5 s now.

Change: the feed of job rows waits for 500 ms. That is less than one call a second more, in quiet times only. A poll that gets no answer is noticed 500 ms earlier, too.

--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -41,6 +41,13 @@
 FEED_WAIT = timedelta(seconds=1)
 """The store holds back an answer of the feed for up to this time if nothing changes."""
 
+JOBS_FEED_WAIT = timedelta(milliseconds=500)
+"""The same for the job feed.
+
+While nothing changes, the view of job rows grows as old as two answers and a pause, and
+nothing starts by one that is older than `MAX_CANCELS_AGE`.
+"""
+
 JOBS_PAUSE = timedelta(milliseconds=150)
 """Pause between two answers of the job feed.
 
@@ -244,7 +251,7 @@
             self._feed,
             JOB_PREFIXES,
             self._clock,
-            wait=FEED_WAIT,
+            wait=JOBS_FEED_WAIT,
             pause=JOBS_PAUSE,
             listener=job_listener,
             keep_values=False,
--- a/tests/test_review_47.py
+++ b/tests/test_review_47.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from datetime import timedelta
 
 from cassiaweir.dispatch import OrderOutcome, ServerReport
+from cassiaweir.dispatch._cancel_age import MAX_CANCELS_AGE
+from cassiaweir.dispatch._job_rows import JOB_PREFIXES
 from cassiaweir.dispatch._orders import StartResult
 from cassiaweir.dispatch._record_keeper import RecordKeeper
 from cassiaweir.dispatch._runs import RunState
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_records import ServerRecords
+from cassiaweir.dispatch._term import JOBS_FEED_WAIT, JOBS_PAUSE
 from cassiaweir.exceptions import UnavailableError
+from cassiaweir.feeds import TableWatch
 from cassiaweir.observe import Metrics
-from cassiaweir.types import Write
+from cassiaweir.types import Changes, Snapshot, Write
 from cassiaweir.verdict import Verdict
 from tests.test_dispatch_orders import SERVER, PooledOrders, now
 from tests.test_leadership_commits import CommitRig
@@ -129,3 +134,37 @@
         await rig.close()
 
     run_virtual(body)
+
+
+class SlowFeed:
+    """Answers each call `DELAY_S` late; nothing changes."""
+
+    DELAY_S = 0.4
+
+    async def snapshot(self, prefix: str) -> Snapshot:
+        await asyncio.sleep(self.DELAY_S)
+        return Snapshot([], 1)
+
+    async def changes(self, table: str, after: int, wait: timedelta) -> Changes:
+        await asyncio.sleep(wait.total_seconds() + self.DELAY_S)
+        return Changes([], [], after)
+
+
+# Guards against SHORT (issue 47): while no job row changes, the view of cancels is as
+# old as two waits of its feed, and a store that is a little slow lets nothing start.
+def test_a_slow_store_without_changes_does_not_make_the_cancels_too_old() -> None:
+    async def body() -> None:
+        watch = TableWatch(
+            SlowFeed(), JOB_PREFIXES, VirtualClock(),
+            wait=JOBS_FEED_WAIT, pause=JOBS_PAUSE,
+        )  # fmt: skip
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(3)
+        ages = []
+        for _ in range(1_000):
+            await asyncio.sleep(0.01)
+            ages.append(watch.age())
+        assert max(ages) <= MAX_CANCELS_AGE, f"{max(ages).total_seconds():.2f} s"
+        task.cancel()
+
+    run_virtual(body)
