Let large urgent rows leave room for the others

Cause: up to 64 urgent rows go first, whatever their size. A transaction holds 1 MB, which 16 rows of 48 kB fill. While such rows are written as often as they are sent, no other row is stored, and nothing behind it counts as stored.

Evidence: tests/test_review_47.py, 20 urgent rows of 48 kB written before each transaction, and 10 small ones that are not urgent.

Change: urgent rows go first up to half of the bytes of a transaction, one at least.

--- a/cassiaweir/leadership/_write_queue.py
+++ b/cassiaweir/leadership/_write_queue.py
@@ -6,12 +6,15 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from cassiaweir.store import TransactionSize
+from cassiaweir.store import MAX_BYTES, TransactionSize
 from cassiaweir.types import Write
 
 MAX_URGENT_FIRST = 64
 """Urgent rows that go before the others in one transaction."""
 
+MAX_URGENT_FIRST_BYTES = MAX_BYTES // 2
+"""The same in encoded bytes, so that large urgent rows leave room as well."""
+
 
 @dataclass(frozen=True, slots=True)
 class QueuedWrite:
@@ -27,7 +30,7 @@
     A write that replaces a queued one takes over its place, so that a row is stored in
     its turn however often it is written again.  A removal goes to the end, behind all
     that it may rest on.  Urgent writes go before the others, up to `MAX_URGENT_FIRST`
-    in each transaction.
+    and `MAX_URGENT_FIRST_BYTES`, or one that is larger, in each transaction.
     """
 
     def __init__(self) -> None:
@@ -77,12 +80,24 @@
 
     def _in_order(self) -> Iterator[QueuedWrite]:
         urgent = self._urgent.values()
+        first = self._count_first()
         return itertools.chain(
-            itertools.islice(urgent, MAX_URGENT_FIRST),
+            itertools.islice(urgent, first),
             self._others.values(),
-            itertools.islice(urgent, MAX_URGENT_FIRST, None),
+            itertools.islice(urgent, first, None),
         )
 
+    def _count_first(self) -> int:
+        """Return how many urgent writes go before the others."""
+        size = TransactionSize()
+        first = 0
+        for queued in itertools.islice(self._urgent.values(), MAX_URGENT_FIRST):
+            size = size + TransactionSize.of((), [queued.write])
+            if first and size.encoded_bytes > MAX_URGENT_FIRST_BYTES:
+                break
+            first += 1
+        return first
+
     @property
     def complete_position(self) -> int:
         """The last position before which, itself included, nothing is queued."""
--- a/tests/test_review_47.py
+++ b/tests/test_review_47.py
@@ -16,6 +16,7 @@
 from cassiaweir.dispatch._term import JOBS_FEED_WAIT, JOBS_PAUSE
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.feeds import TableWatch
+from cassiaweir.leadership._write_queue import WriteQueue
 from cassiaweir.observe import Metrics
 from cassiaweir.types import Changes, Snapshot, Write
 from cassiaweir.verdict import Verdict
@@ -168,3 +169,20 @@
         task.cancel()
 
     run_virtual(body)
+
+
+# Guards against rows that are never stored, and all behind them (issue 47): urgent rows
+# that are large fill each transaction and are written again meanwhile.
+def test_large_urgent_rows_leave_room_for_the_others() -> None:
+    queue = WriteQueue()
+    for number in range(10):
+        queue.put(Write(f"t/{number}", b"x"))
+    for _ in range(3):
+        for number in range(20):
+            queue.put(Write(f"u/{number}", b"x" * 48_000), urgent=True)
+        taken = [queued.write.key for queued in queue.take()]
+        assert taken[0].startswith("u/")
+    assert not any(f"t/{number}" in queue for number in range(10))
+    queue.put(Write("v", b"x" * 600_000), urgent=True)
+    while "v" in queue:
+        assert queue.take()
