Send no first start to a server that drains by then

Cause: whether a server drains was looked at only when a task was placed.

Evidence: tests/test_review_47.py, 50 starts on one server that begins to drain after 120 ms. Before: all 50 were sent, the last over 1 s later. After: those under way only.

Change: a first attempt asks for it right before it is sent; the task is placed anew. Not changed: repeats of starts in doubt, and entries that grow old while a start waits.

--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -160,6 +160,9 @@
         if not _is_wanted(run):
             return _Unanswered.NOT_WANTED
         now = self._clock.monotonic()
+        if not in_doubt and run.server.entry.draining:
+            # It may have begun to while the start waited for its rows or its turn.
+            return _Unanswered.NOT_WANTED
         if not in_doubt and not run.server.expects_answer(now):
             return _Unanswered.NOT_RECEIVED
         sent_before, run.sent_at = run.sent_at, now
--- a/tests/test_review_47.py
+++ b/tests/test_review_47.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 
 from cassiaweir.dispatch import OrderOutcome, ServerReport
@@ -108,6 +109,22 @@
     run_virtual(body)
 
 
+# Guards against DRAIN: a start is placed, waits for its turn or its rows, and is sent
+# seconds after the server has said that it will leave.
+def test_a_start_that_waits_is_not_sent_to_a_server_that_drains_by_then() -> None:
+    async def body() -> None:
+        orders = PooledStops(runs=50)
+        work = asyncio.gather(*(orders.sender.start(run) for run in orders.runs))
+        await asyncio.sleep(0.12)
+        orders.server.entry = replace(SERVER, draining=True)
+        results = [result for result, _ in await work]
+        started = results.count(StartResult.STARTED)
+        assert 0 < started <= 6
+        assert results.count(StartResult.NOT_STARTED) == len(results) - started
+
+    run_virtual(body)
+
+
 # Guards against SHORT (issue 47): a new server gets no runs until all rows that were
 # queued before its own are stored.
 def test_a_new_server_waits_for_its_own_row_alone() -> None:
