Carry out starts late while their servers are cut off and jobs are cancelled

In the random test of a heavy site few starts were carried out late after a cancel, as an order to stop mostly came first. Servers that hold back starts are now cut off while jobs are cancelled and the leader is killed, stopped or removed; and some accepted jobs are sent again, also after their cancel.

--- a/tests/heavy_site.py
+++ b/tests/heavy_site.py
@@ -359,7 +359,10 @@
             self.counts["late"] += 1
         if job.result is CancelResult.UNKNOWN_JOB:
             self._fault(f"{order.task} starts, its id was closed")
-        if job.cancelled_at is None or self.site.late:
+        if job.cancelled_at is None:
+            return
+        if self.site.late:
+            self.counts["late after a cancel"] += 1
             return
         starter = self.site.starters[order.epoch]
         in_touch = now - starter.troubled_at > CONTACT_S
@@ -435,6 +438,7 @@
         for number in range(vms):
             self.vms.append(HeavyVm(f"vm-{number}", self, 1.0, domains[number % 3]))
         self.troubled_at = 0.0
+        self.cancel_mass: Callable[[float], None] = lambda _: None
         self._observer = asyncio.create_task(self._observe())
 
     def replace(self, server: FakeServer) -> None:
@@ -571,6 +575,26 @@
         await asyncio.sleep(rng.uniform(0.0, 1.5))
 
 
+async def start_late_while_cut(site: HeavySite, rng: random.Random) -> None:
+    """Hold back starts at servers that are then cut off, while jobs are cancelled.
+
+    No order to stop arrives before the starts are carried out; the leader may change.
+    """
+    servers = [each for each in site.servers if rng.random() < 0.4]
+    for vm in site.vms:
+        vm.orders.held_share = 0.8
+    await asyncio.sleep(rng.uniform(0.3, 1.0))
+    for vm in site.vms:
+        vm.orders.held_share = 0.0
+        vm.orders.unreachable.update(servers)
+    site.cancel_mass(rng.choice((0.3, 0.9)))
+    if rng.random() < 0.6:
+        await rng.choice((remove_leader, kill_and_restart, stop_leader))(site, rng)
+    await asyncio.sleep(rng.uniform(0.5, 5.0))
+    for vm in site.vms:
+        vm.orders.unreachable.difference_update(servers)
+
+
 async def replace_servers(site: HeavySite, rng: random.Random) -> None:
     """Crash many servers; some come back under other ids."""
     up = [each for each in site.servers.values() if each.up and each.successor is None]
@@ -582,6 +606,7 @@
 FAULTS: tuple[Callable[[Any, random.Random], Coroutine[Any, Any, None]], ...] = (
     freeze_leader, slow_store, slow_store, lose_answers, lose_answers, lose_answers,
     lose_notices, remove_leader, hand_over_in_series, replace_servers,
+    start_late_while_cut, start_late_while_cut, start_late_while_cut,
     break_store_for_all, break_store_for_some, crash_server, cut_domain, cut_servers,
     delay_orders, forget_history, kill_all, kill_and_restart, make_unhealthy,
     stop_leader,
@@ -669,6 +694,8 @@
                     raise UnavailableError("no front", verdict=Verdict.NOT_RUN)
                 await vm.call(vm.writer.submit(job.spec), wait_s)
                 job.accepted = True
+                if rng.random() < 0.3:
+                    self._spawn(self._repeat(job))
                 break
             except RefusedError:
                 break
@@ -679,6 +706,16 @@
             await asyncio.sleep(rng.choice((0.0, 0.05, 1.0, 5.0)))
             await self._cancel(job)
 
+    async def _repeat(self, job: HeavyJob) -> None:
+        """Send a job again seconds after it was accepted, perhaps after its cancel."""
+        await asyncio.sleep(self.site.rng.uniform(0.5, 15.0))
+        vm = self._front()
+        try:
+            if vm is not None:
+                await vm.call(vm.writer.submit(job.spec), 2.0)
+        except (RefusedError, UnavailableError):
+            return
+
     def _front(self) -> HeavyVm | None:
         found = [vm for vm in self.site.vms if vm.alive]
         return self.site.rng.choice(found) if found else None
@@ -734,6 +771,7 @@
         outcome.faults, outcome.counts = site.faults, site.rule.counts
         await site.wait_for_leader()
         work = HeavyLoad(site, load)
+        site.cancel_mass = work.cancel_mass
         submitting = asyncio.create_task(work.submit_for(seconds))
         while not submitting.done():
             await asyncio.sleep(site.rng.uniform(0.5, 4.0))
