--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -25,7 +25,7 @@
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._load import LoadSampler
 from cassiaweir.dispatch._occurrences import OccurrenceOpener
-from cassiaweir.dispatch._orders import OrderSender, ServerClient
+from cassiaweir.dispatch._orders import OrderSender
 from cassiaweir.dispatch._placement_loop import PlacementLoop
 from cassiaweir.dispatch._placer import Placer
 from cassiaweir.dispatch._record_keeper import RecordKeeper
@@ -35,6 +35,7 @@
 from cassiaweir.dispatch._run_control import RunControl
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._server_client import ServerClient
 from cassiaweir.dispatch._server_entry import EndPosition, ServerEntry, ServerReport
 from cassiaweir.dispatch._server_poller import ServerPoller
 from cassiaweir.dispatch._server_records import ServerRecords
--- a/cassiaweir/dispatch/_former_servers.py
+++ b/cassiaweir/dispatch/_former_servers.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._gate import TakeoverGate
-from cassiaweir.dispatch._orders import ServerClient
+from cassiaweir.dispatch._server_client import ServerClient
 from cassiaweir.dispatch._server_entry import ServerEntry
 from cassiaweir.exceptions import FencedError, LifetimeEndedError, UnavailableError
 from cassiaweir.leadership import Leadership
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -6,17 +6,16 @@
 from contextlib import nullcontext
 from datetime import timedelta
 from enum import StrEnum
-from typing import Protocol
 
 from loguru import logger
 
 from cassiaweir.dispatch._evacuation import StartPermit
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._server_client import ServerClient
 from cassiaweir.dispatch._server_entry import (
     OrderOutcome,
     ServerEntry,
-    ServerReport,
     StartOrder,
 )
 from cassiaweir.exceptions import FencedError, UnavailableError
@@ -38,42 +37,6 @@
 UNKNOWN_PERMITS = (StartPermit.UNKNOWN, StartPermit.CANCELS_UNKNOWN)
 
 
-class ServerClient(Protocol):
-    """Calls backend servers.
-
-    A call that gets no answer raises `UnavailableError`, whose verdict tells whether
-    the server may have carried it out.
-    """
-
-    async def renew_lease(
-        self,
-        entry: ServerEntry,
-        *,
-        epoch: int,
-        until_ms: int | None,
-        acknowledged: int,
-        wait: timedelta,
-        timeout: timedelta,
-    ) -> ServerReport:
-        """Extend the lease of all runs on a server and return its report.
-
-        The lease lasts until `until_ms` on the server's clock; None leaves it as it is.
-        The server forgets the ends up to number `acknowledged`, and may delay its
-        answer by up to `wait` until a run ends.  `timeout` is counted from the end of
-        that wait.  Raises `FencedError` if the server follows a higher epoch.
-        """
-
-    async def start(
-        self, entry: ServerEntry, order: StartOrder, timeout: timedelta
-    ) -> OrderOutcome:
-        """Start a run; repeating the same order has no further effect."""
-
-    async def stop_run(
-        self, entry: ServerEntry, task: str, run: int, epoch: int, timeout: timedelta
-    ) -> OrderOutcome:
-        """Stop a run, or prevent it from starting later."""
-
-
 class StartResult(StrEnum):
     """The result of an order to start a run."""
 
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -10,8 +10,8 @@
 
 from loguru import logger
 
-from cassiaweir.dispatch._orders import ServerClient
 from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._server_client import ServerClient
 from cassiaweir.dispatch._server_entry import EndPosition, ServerReport
 from cassiaweir.exceptions import (
     FencedError,
--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -22,7 +22,7 @@
     progress_by_job,
     row_name,
 )
-from cassiaweir.dispatch._orders import ServerClient
+from cassiaweir.dispatch._server_client import ServerClient
 from cassiaweir.dispatch._server_entry import ServerEntry
 from cassiaweir.dispatch._server_records import (
     RECORDS_PREFIX,
