--- a/tests/test_cancel_age.py
+++ b/tests/test_cancel_age.py
@@ -15,10 +15,14 @@
     cancel_key,
     job_key,
 )
+from cassiaweir.dispatch._cancel_age import MAX_CANCELS_AGE
 from cassiaweir.dispatch._evacuation import StartPermit
+from cassiaweir.dispatch._job_rows import JOB_PREFIXES
 from cassiaweir.dispatch._orders import OrderSender
+from cassiaweir.dispatch._term import JOBS_FEED_WAIT, JOBS_PAUSE
+from cassiaweir.feeds import TableWatch
 from cassiaweir.jobs import JobState, StepSpec
-from cassiaweir.types import Write
+from cassiaweir.types import Changes, Snapshot, Write
 from tests.site_fakes import FakeSite, FakeVm
 from tests.test_dispatch_orders import Orders
 from tests.virtual_time import VirtualClock, run_virtual
@@ -232,3 +236,37 @@
     if leader is not None and rng.random() < 0.02:
         await leader.kill()
         leader.start()
+
+
+class SlowFeed:
+    """Answers each call `DELAY_S` late; nothing changes."""
+
+    DELAY_S = 0.4
+
+    async def snapshot(self, prefix: str) -> Snapshot:
+        await asyncio.sleep(self.DELAY_S)
+        return Snapshot([], 1)
+
+    async def changes(self, table: str, after: int, wait: timedelta) -> Changes:
+        await asyncio.sleep(wait.total_seconds() + self.DELAY_S)
+        return Changes([], [], after)
+
+
+# Guards against SHORT (issue 47): while no job row changes, the view of cancels is as
+# old as two waits of its feed, and a store that is a little slow lets nothing start.
+def test_a_slow_store_without_changes_does_not_make_the_cancels_too_old() -> None:
+    async def body() -> None:
+        watch = TableWatch(
+            SlowFeed(), JOB_PREFIXES, VirtualClock(),
+            wait=JOBS_FEED_WAIT, pause=JOBS_PAUSE,
+        )  # fmt: skip
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(3)
+        ages = []
+        for _ in range(1_000):
+            await asyncio.sleep(0.01)
+            ages.append(watch.age())
+        assert max(ages) <= MAX_CANCELS_AGE, f"{max(ages).total_seconds():.2f} s"
+        task.cancel()
+
+    run_virtual(body)
--- a/tests/test_write_queue.py
+++ b/tests/test_write_queue.py
@@ -64,3 +64,20 @@
             for queued in queue.take():
                 stored[queued.write.key] = queued.write.value
         assert stored == newest
+
+
+# Guards against rows that are never stored, and all behind them (issue 47): urgent rows
+# that are large fill each transaction and are written again meanwhile.
+def test_large_urgent_rows_leave_room_for_the_others() -> None:
+    queue = WriteQueue()
+    for number in range(10):
+        queue.put(Write(f"t/{number}", b"x"))
+    for _ in range(3):
+        for number in range(20):
+            queue.put(Write(f"u/{number}", b"x" * 48_000), urgent=True)
+        taken = [queued.write.key for queued in queue.take()]
+        assert taken[0].startswith("u/")
+    assert not any(f"t/{number}" in queue for number in range(10))
+    queue.put(Write("v", b"x" * 600_000), urgent=True)
+    while "v" in queue:
+        assert queue.take()
