--- a/tests/test_heavy_site.py
+++ b/tests/test_heavy_site.py
@@ -10,7 +10,7 @@
 
 # Guards against UNASKED, TWICE and LIMIT by a leader with more to do than it can, whose
 # servers and store answer late or not, while jobs are cancelled in masses.
-@pytest.mark.parametrize("seed", [4, 9, 206])
+@pytest.mark.parametrize("seed", [9, 603, 609])
 def test_servers_are_told_only_what_clients_asked_for(seed: int) -> None:
     logger.disable("cassiaweir")
     try:
