--- a/tests/test_heavy_site.py
+++ b/tests/test_heavy_site.py
@@ -1,11 +1,11 @@
-"""Tests UNASKED, in all its clauses, on a heavy simulated site; see `heavy_site`."""
+"""Tests UNASKED, in all its clauses, on a heavy simulated site; see `heavy_load`."""
 
 from __future__ import annotations
 
 import pytest
 from loguru import logger
 
-from tests.heavy_site import run_heavy
+from tests.heavy_load import run_heavy
 
 
 # Guards against UNASKED, TWICE and LIMIT by a leader with more to do than it can, whose
