Let all calls to a server wait for a free connection in one queue

Cause: a process has four connections to a server. Change: CallQueue bounds the calls under way to an address. Reports go first and find a free connection; then urgent starts, stops, starts of gangs, other starts, repeats. The number of orders under way is halved when one gets no answer and grows with answers. What an order depends on is checked again when its turn comes. An orphan run that each report lists is told to stop once at a time, and only while the leader may act. Ruled out by reasoning: a longer time to connect (a report behind 200 starts still waits for them), more connections (moves the threshold, and new ones are priced). Checks changed: test_order_turns allows nine starts instead of six before a server drains, three at a time instead of two, by the constant; none after it, as before.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -20,6 +20,7 @@
 from cassiaweir.clock import SystemClock
 from cassiaweir.composition._interference_pages import InterferencePages
 from cassiaweir.dispatch import (
+    MAX_CALLS_PER_SERVER,
     Advice,
     AdviceCache,
     AdviceCacheFactory,
@@ -95,7 +96,6 @@
 MAX_READY_VIEW_AGE = timedelta(milliseconds=1_800)
 """With an older view of the configuration a VM fails readiness checks."""
 
-MAX_CONNECTIONS_PER_SERVER = 4
 MAX_PEER_CHANNELS = 256
 RPC_STOP_GRACE = timedelta(milliseconds=200)
 """Time for calls of peers when a VM stops; long polls on their behalf take longer.
@@ -194,9 +194,7 @@
     metrics = Metrics()
     instance = uuid.uuid4().hex[:12]
     events = EventLog(settings.node, clock)
-    servers_http = HttpSession(
-        {}, max_connections_per_address=MAX_CONNECTIONS_PER_SERVER
-    )
+    servers_http = HttpSession({}, max_connections_per_address=MAX_CALLS_PER_SERVER)
     access = _open_store(settings, clock, metrics)
     views = _open_views(access.store, clock, metrics)
     members = Members(
--- a/cassiaweir/dispatch/__init__.py
+++ b/cassiaweir/dispatch/__init__.py
@@ -6,6 +6,7 @@
 
 from cassiaweir.dispatch._advice import Advice, Advisor
 from cassiaweir.dispatch._advice_cache import AdviceCache
+from cassiaweir.dispatch._call_queue import MAX_CALLS_PER_SERVER
 from cassiaweir.dispatch._dispatcher import AdviceCacheFactory
 from cassiaweir.dispatch._evacuation import EvacuationSource
 from cassiaweir.dispatch._job_rows import (
@@ -30,6 +31,7 @@
 from cassiaweir.dispatch._term import LeaderTerm
 
 __all__ = [
+    "MAX_CALLS_PER_SERVER",
     "PROGRESS_PREFIX",
     "Advice",
     "AdviceCache",
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
+from cassiaweir.dispatch._call_queue import CallQueues
 from cassiaweir.dispatch._cancel_age import CancelAge
 from cassiaweir.dispatch._cold_servers import ColdServers
 from cassiaweir.dispatch._compaction import RowShrinker
@@ -100,12 +101,14 @@
         self.servers: dict[str, Server] = {}
         self._cold = ColdServers()
         self._evacuations = Evacuations(evacuation_source, clock, self.servers)
+        self._queues = CallQueues()
         self._orders = OrderSender(
             calls,
             clock,
             leadership,
             self.handle_superseded,
             self._permit_start,
+            self._queues,
         )
         self._background = TermTasks()
         self._control = RunControl(
@@ -364,7 +367,12 @@
         """Start tasks until cancelled or until the leadership is lost."""
         sweep = asyncio.create_task(self._sweep_until_lost())
         probe = FormerServerProbe(
-            self._gate, self._calls, self._clock, self._leadership, self.servers
+            self._gate,
+            self._calls,
+            self._clock,
+            self._leadership,
+            self.servers,
+            self._queues,
         )
         self._background.start(probe.run())
         try:
@@ -467,7 +475,13 @@
         self._cold.note(server, self._clock.monotonic())
         self._records.add(server)
         poller = ServerPoller(
-            server, self._calls, self._clock, self._leadership, self, self._commits
+            server,
+            self._calls,
+            self._clock,
+            self._leadership,
+            self,
+            self._commits,
+            self._queues,
         )
         self._pollers[entry.server_id] = asyncio.create_task(poller.run())
 
--- a/cassiaweir/dispatch/_former_servers.py
+++ b/cassiaweir/dispatch/_former_servers.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from cassiaweir.dispatch._call_queue import CallKind, CallQueues
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._server_client import ServerClient
 from cassiaweir.dispatch._server_entry import ServerEntry
@@ -32,12 +33,14 @@
         clock: Clock,
         leadership: Leadership,
         registered: Collection[str],
+        queues: CallQueues,
     ) -> None:
         self._gate = gate
         self._client = client
         self._clock = clock
         self._leadership = leadership
         self._registered = registered
+        self._queues = queues
 
     async def run(self) -> None:
         """Ask regularly while the gate is closed, until cancelled."""
@@ -54,14 +57,15 @@
         if not address:
             return
         try:
-            report = await self._client.renew_lease(
-                ServerEntry(server_id, address, service="", failure_domain=""),
-                epoch=self._leadership.epoch,
-                until_ms=None,
-                acknowledged=0,
-                wait=timedelta(0),
-                timeout=PROBE_TIMEOUT,
-            )
+            async with self._queues.at(address).turn(CallKind.REPORT):
+                report = await self._client.renew_lease(
+                    ServerEntry(server_id, address, service="", failure_domain=""),
+                    epoch=self._leadership.epoch,
+                    until_ms=None,
+                    acknowledged=0,
+                    wait=timedelta(0),
+                    timeout=PROBE_TIMEOUT,
+                )
         except LifetimeEndedError:
             self._settle(server_id, "another lifetime answers at its address")
         except (FencedError, UnavailableError):
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from contextlib import nullcontext
 from datetime import timedelta
 from enum import StrEnum
 
 from loguru import logger
 
+from cassiaweir.dispatch._call_queue import CallKind, CallQueues
 from cassiaweir.dispatch._evacuation import StartPermit
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
@@ -66,7 +66,8 @@
     """Sends the orders of a leader's term to the servers.
 
     `on_superseded` is called when a server follows a higher epoch, and `permit` right
-    before each attempt of a start.
+    before each attempt of a start.  Orders wait in `queues` for their turn, so that
+    none waits for a connection while the time for its answer runs.
     """
 
     def __init__(
@@ -76,12 +77,14 @@
         leadership: Leadership,
         on_superseded: Callable[[], None],
         permit: Callable[[Server], StartPermit] = lambda _: StartPermit.GRANTED,
+        queues: CallQueues | None = None,
     ) -> None:
         self._client = client
         self._clock = clock
         self._leadership = leadership
         self._on_superseded = on_superseded
         self._permit = permit
+        self._queues = queues or CallQueues()
 
     async def start(self, run: Run) -> tuple[StartResult, OrderOutcome | None]:
         """Start `run`, repeating the order while an attempt is in doubt.
@@ -89,18 +92,13 @@
         An attempt is in doubt if it got no answer but the server may carry it out.  It
         is repeated only after the server has answered in the lifetime that the run is
         meant for, as the next one may have less room.  If the server's domain is being
-        evacuated, no further attempt is made, and a run in doubt is stopped.  The first
-        attempts to one server take turns, so that none waits for a connection while the
-        time for its answer runs.  Return the result, and the server's answer to the
-        last attempt if there was one.
+        evacuated, no further attempt is made, and a run in doubt is stopped.  Return
+        the result, and the server's answer to the last attempt if there was one.
         """
         in_doubt = False
         delay = RETRY_DELAY
         while await self._wait_start_permitted(run, in_doubt):
-            # A repeat does not take the turn of starts that may get an answer.
-            turn = nullcontext() if in_doubt else run.server.start_slots
-            async with turn:
-                attempt = await self._try_start(run, in_doubt)
+            attempt = await self._try_start(run, in_doubt)
             if isinstance(attempt, OrderOutcome):
                 return await self._interpret_answer(run, attempt, in_doubt), attempt
             if attempt is _Unanswered.NOT_DUE:
@@ -118,58 +116,81 @@
 
     async def _try_start(self, run: Run, in_doubt: bool) -> OrderOutcome | _Unanswered:
         """Make one attempt to start `run`; return the answer, or why there is none."""
+        queue = self._queues.at(run.server.entry.address)
+        sent_before = run.sent_at
+        try:
+            async with queue.turn(_start_kind(run, in_doubt)):
+                cause = self._cause_not_to_start(run, in_doubt)
+                if cause is not None:
+                    return cause
+                run.sent_at = self._clock.monotonic()
+                outcome = await queue.order(self._send_start(run, repeated=in_doubt))
+        except UnavailableError as exc:
+            return self._note_unanswered(run, exc, in_doubt, sent_before)
+        return _Unanswered.NOT_DUE if outcome is None else outcome
+
+    def _cause_not_to_start(self, run: Run, in_doubt: bool) -> _Unanswered | None:
+        """Return why an attempt whose turn has come is not made, None if it is.
+
+        What it depends on may have changed while it waited for its rows and its turn.
+        """
         if not self._is_permitted(run):
             return _Unanswered.NOT_DUE
         if not _is_wanted(run):
             return _Unanswered.NOT_WANTED
-        now = self._clock.monotonic()
-        if not in_doubt and run.server.entry.draining:
-            # It may have begun to while the start waited for its rows or its turn.
+        if in_doubt:
+            return _Unanswered.NOT_RECEIVED if self._lease_expired(run) else None
+        if run.server.entry.draining:
             return _Unanswered.NOT_WANTED
-        if not in_doubt and not run.server.expects_answer(now):
+        if not run.server.expects_answer(self._clock.monotonic()):
             return _Unanswered.NOT_RECEIVED
-        sent_before, run.sent_at = run.sent_at, now
-        try:
-            outcome = await self._send_start(run, repeated=in_doubt)
-        except UnavailableError as exc:
-            received = exc.verdict is not Verdict.NOT_RUN
-            run.server.reachable = False
-            if received:
-                run.server.record_unanswered_start(run, now)
-            else:
-                run.sent_at = sent_before
-            logger.info(
-                "start_unanswered",
-                task=run.task.name,
-                run=run.number,
-                server=run.server.server_id,
-                in_doubt=in_doubt or received,
-                cause=str(exc),
-            )
-            return _Unanswered.IN_DOUBT if received else _Unanswered.NOT_RECEIVED
-        return _Unanswered.NOT_DUE if outcome is None else outcome
+        return None
+
+    def _note_unanswered(
+        self,
+        run: Run,
+        exc: UnavailableError,
+        in_doubt: bool,
+        sent_before: float | None,
+    ) -> _Unanswered:
+        """Note that an attempt got no answer; return what that means for the run.
+
+        `sent_before` is when an earlier attempt was sent that may be carried out.
+        """
+        received = exc.verdict is not Verdict.NOT_RUN
+        run.server.reachable = False
+        if received and run.sent_at is not None:
+            run.server.record_unanswered_start(run, run.sent_at)
+        else:
+            run.sent_at = sent_before
+        logger.info(
+            "start_unanswered",
+            task=run.task.name,
+            run=run.number,
+            server=run.server.server_id,
+            in_doubt=in_doubt or received,
+            cause=str(exc),
+        )
+        return _Unanswered.IN_DOUBT if received else _Unanswered.NOT_RECEIVED
 
     async def stop(self, run: Run) -> bool:
         """Stop `run`, repeating the order until the server carries it out.
 
         Return whether the run is certainly gone because the lease has expired.
-        Otherwise the server's reports show when it ends.  The attempts to one server
-        take turns, as those of starts do.
+        Otherwise the server's reports show when it ends.
         """
         run.state = RunState.STOPPING
+        server = run.server
         while await self._wait_permitted(run):
+            queue = self._queues.at(server.entry.address)
             try:
-                async with run.server.stop_slots:
-                    if not run.server.reachable and self._lease_expired(run):
+                async with queue.turn(CallKind.STOP):
+                    if not server.reachable and self._lease_expired(run):
                         return True
                     if not self._may_order(run):
                         continue
-                    outcome = await self._client.stop_run(
-                        run.server.entry,
-                        run.task.name,
-                        run.number,
-                        self._leadership.epoch,
-                        ORDER_TIMEOUT,
+                    outcome = await queue.order(
+                        self._send_stop(server.entry, run.task.name, run.number)
                     )
             except UnavailableError:
                 if self._lease_expired(run):
@@ -193,21 +214,25 @@
             return False
         return False
 
-    async def stop_orphan_run(self, entry: ServerEntry, task: str, run: int) -> None:
+    async def stop_orphan_run(self, server: Server, task: str, run: int) -> None:
         """Stop a run that belongs to no open task.
 
-        The order is sent once; the server's reports show whether the run has ended.
+        The order is sent once, unless a report shows meanwhile that the run has ended;
+        the server's reports show whether it has.
         """
+        queue = self._queues.at(server.entry.address)
         try:
-            outcome = await self._client.stop_run(
-                entry, task, run, self._leadership.epoch, ORDER_TIMEOUT
-            )
+            async with queue.turn(CallKind.STOP):
+                may_act = self._leadership.may_act(self._clock.monotonic())
+                if (task, run) not in server.orphan_runs or not may_act:
+                    return
+                outcome = await queue.order(self._send_stop(server.entry, task, run))
         except UnavailableError as exc:
             logger.info(
                 "orphan_run_not_stopped",
                 task=task,
                 run=run,
-                server=entry.server_id,
+                server=server.server_id,
                 cause=str(exc),
             )
             return
@@ -215,7 +240,7 @@
             "orphan_run_stopped",
             task=task,
             run=run,
-            server=entry.server_id,
+            server=server.server_id,
             outcome=outcome.value,
         )
 
@@ -230,8 +255,8 @@
         while not stopped and not self._leadership.lost and server.born == born:
             now = self._clock.monotonic()
             if self._leadership.may_act(now):
-                stopped = await self._stops(server, task, run)
-            if not stopped and server.leases_expired(now):
+                stopped = await self._try_stop_late(server, task, run, born)
+            if not stopped and server.leases_expired(self._clock.monotonic()):
                 break
             if not stopped:
                 await self._clock.sleep(REFUSED_STOP_DELAY)
@@ -244,12 +269,22 @@
         if counted is not None:
             counted.answered_at = self._clock.monotonic()
 
-    async def _stops(self, server: Server, task: str, run: int) -> bool:
-        """Order a server to stop a run; return whether it does so."""
+    async def _try_stop_late(
+        self, server: Server, task: str, run: int, born: int
+    ) -> bool:
+        """Order a server in its lifetime `born` to stop a run; return whether it does.
+
+        No order is sent if none is needed any more once its turn has come.
+        """
+        queue = self._queues.at(server.entry.address)
         try:
-            outcome = await self._client.stop_run(
-                server.entry, task, run, self._leadership.epoch, ORDER_TIMEOUT
-            )
+            async with queue.turn(CallKind.STOP):
+                now = self._clock.monotonic()
+                expired = not server.reachable and server.leases_expired(now)
+                may_act = self._leadership.may_act(now)
+                if expired or server.born != born or not may_act:
+                    return False
+                outcome = await queue.order(self._send_stop(server.entry, task, run))
         except UnavailableError as exc:
             logger.info(
                 "late_start_not_stopped",
@@ -273,6 +308,12 @@
         )
         return True
 
+    async def _send_stop(self, entry: ServerEntry, task: str, run: int) -> OrderOutcome:
+        """Send one order to stop a run."""
+        return await self._client.stop_run(
+            entry, task, run, self._leadership.epoch, ORDER_TIMEOUT
+        )
+
     @staticmethod
     def _log_refused_stop(
         server: Server, task: str, run: int, outcome: OrderOutcome
@@ -419,6 +460,15 @@
         return run.server.leases_expired(self._leadership.confirmed_at)
 
 
+def _start_kind(run: Run, in_doubt: bool) -> CallKind:
+    """Return what an attempt to start `run` counts as among the calls to its server."""
+    if in_doubt:
+        return CallKind.REPEATED_START
+    if run.urgent:
+        return CallKind.URGENT_START
+    return CallKind.GANG_START if run.task.step.spec.gang else CallKind.START
+
+
 def _is_wanted(run: Run) -> bool:
     """Return whether `run` is to begin in the lifetime that its server is in."""
     return (
--- a/cassiaweir/dispatch/_run_control.py
+++ b/cassiaweir/dispatch/_run_control.py
@@ -256,8 +256,19 @@
                 await self._clock.sleep(FAILED_STOP_DELAY)
 
     def stop_orphan(self, server: Server, task: str, run: int) -> None:
-        """Stop a run on `server` that belongs to no known job, in the background."""
-        self._background.start(self._orders.stop_orphan_run(server.entry, task, run))
+        """Stop a run on `server` that belongs to no known job, in the background.
+
+        Each report lists it until it has ended, which may take longer than a report.
+        """
+        if (task, run) not in server.orphan_stops:
+            server.orphan_stops.add((task, run))
+            self._background.start(self._send_orphan_stop(server, task, run))
+
+    async def _send_orphan_stop(self, server: Server, task: str, run: int) -> None:
+        try:
+            await self._orders.stop_orphan_run(server, task, run)
+        finally:
+            server.orphan_stops.discard((task, run))
 
     def stop_late_start(self, server: Server, task: str, run: int) -> None:
         """Keep `server` from carrying out a late start, in the background."""
--- a/cassiaweir/dispatch/_run_registry.py
+++ b/cassiaweir/dispatch/_run_registry.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
+from cassiaweir.dispatch._job_times import URGENT_PRIORITY
 from cassiaweir.dispatch._runs import Run, RunKey
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._usage import CustomerUsage
@@ -55,6 +56,7 @@
         run.isolation = isolation
         run.resumed_checkpoint = task.step.checkpoint_of(task)
         run.from_start = not run.resumed_checkpoint
+        run.urgent = self._jobs.queue_of(entry.job).priority == URGENT_PRIORITY
         entry.last_start_at = run.placed_at
         task.run = number
         task.state = TaskState.PLACED
--- a/cassiaweir/dispatch/_runs.py
+++ b/cassiaweir/dispatch/_runs.py
@@ -42,6 +42,7 @@
     `checkpoint_at` is the time at which a report first showed its newest `checkpoint`.
     `stop_cause` says why it was told to stop, for the metrics.
     `from_start` means that this leader placed it and that it resumes no checkpoint.
+    `urgent` means that its start goes before others to the same server.
     `resumed_checkpoint` is the checkpoint that each attempt of its start carries, empty
     if there is none.  It is set when the run is placed, as a later report of an earlier
     run may bring another one, and the members of a gang have to resume the same.
@@ -64,6 +65,7 @@
     checkpoint_at: float | None = None
     stop_cause: str = ""
     from_start: bool = False
+    urgent: bool = False
     resumed_checkpoint: str = ""
     progress: RunProgress = field(default_factory=RunProgress)
     sampler: ProgressSampler = field(default_factory=ProgressSampler)
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 from cassiaweir.dispatch._health import ServerHealth
@@ -39,12 +38,6 @@
 LATE_START_S = 15.0
 """Time within which a start without an answer may still be carried out."""
 
-CONCURRENT_STARTS = 2
-"""Starts under way to one server; other orders and reports need connections too."""
-
-CONCURRENT_STOPS = 2
-"""Orders to stop runs that are under way to one server, for the same reason."""
-
 MS_PER_SECOND = 1_000
 
 
@@ -73,7 +66,8 @@
     the server may forget.  `settled` means that a report has listed all that a former
     leader started there.  `orphan_runs` are runs
     that the server lists although their tasks belong to no known job; how much of the
-    capacity they take is unknown.  `born` is the lifetime that the last report came
+    capacity they take is unknown.  `orphan_stops` are those of them of which an order
+    to stop is under way.  `born` is the lifetime that the last report came
     from, or that of the entry before the first report.  `late_starts` are runs of which
     a start got no answer and may still be carried out, though they are not expected any
     more: they were given up, or belong to an earlier lifetime.  The server gets no new
@@ -81,18 +75,14 @@
     `suspects` are the runs of tasks that may crash the server, until they have run for
     long enough.  `unstored_ends` are tasks that ended here, with the position of the
     write that stores the end.  `relative_speed` is that of `ServerSpeeds`, 1.0 while
-    unknown.  `start_slots` and `stop_slots` bound the starts and stops under way, so
-    that none waits for a connection while the time for its answer runs.  `kinds` holds
-    the number of counted runs of each kind of task, and `kind_added_at` when a run last
-    got another kind beside it.
+    unknown.  `kinds` holds the number of counted runs of each kind of task, and
+    `kind_added_at` when a run last got another kind beside it.
     """
 
     def __init__(self, entry: ServerEntry, *, restricted: bool = False) -> None:
         self._entry = entry
         self._draining_born = entry.born if entry.draining else None
         self.restricted = restricted
-        self.start_slots = asyncio.Semaphore(CONCURRENT_STARTS)
-        self.stop_slots = asyncio.Semaphore(CONCURRENT_STOPS)
         self._used = NO_RESOURCES
         self.free = entry.capacity
         self.runs: dict[RunKey, Run] = {}
@@ -112,6 +102,7 @@
         self.applied = 0
         self.acknowledged = 0
         self.orphan_runs: frozenset[RunKey] = frozenset()
+        self.orphan_stops: set[RunKey] = set()
         self.late_starts: set[RunKey] = set()
         self.unstored_ends: dict[str, int] = {}
         self._unanswered_starts: dict[RunKey, float] = {}
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from cassiaweir.dispatch._call_queue import CallKind, CallQueues
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_client import ServerClient
 from cassiaweir.dispatch._server_entry import EndPosition, ServerReport
@@ -101,6 +102,7 @@
         leadership: Leadership,
         handler: ReportHandler,
         writes: WriteTracker,
+        queues: CallQueues,
     ) -> None:
         self._server = server
         self._client = client
@@ -108,6 +110,7 @@
         self._leadership = leadership
         self._handler = handler
         self._writes = writes
+        self._queues = queues
         self._unstored: _UnstoredEnds | None = None
         self._first_listed_end = 0
         self._logged_unreachable = False
@@ -165,15 +168,17 @@
     async def _read_report(self, acknowledged: int, wait: timedelta) -> None:
         """Request a report and apply it; renew the lease of a reachable server."""
         server = self._server
-        asked_at = self._clock.monotonic()
-        report = await self._client.renew_lease(
-            server.entry,
-            epoch=self._leadership.epoch,
-            until_ms=server.next_lease_end_ms(asked_at) if server.reachable else None,
-            acknowledged=acknowledged,
-            wait=wait,
-            timeout=REPORT_TIMEOUT,
-        )
+        async with self._queues.at(server.entry.address).turn(CallKind.REPORT):
+            asked_at = self._clock.monotonic()
+            renewed = server.reachable and self._leadership.may_act(asked_at)
+            report = await self._client.renew_lease(
+                server.entry,
+                epoch=self._leadership.epoch,
+                until_ms=server.next_lease_end_ms(asked_at) if renewed else None,
+                acknowledged=acknowledged,
+                wait=wait,
+                timeout=REPORT_TIMEOUT,
+            )
         if self._logged_unreachable:
             self._logged_unreachable = False
             logger.info("server_reachable", server=server.server_id)
--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from cassiaweir.dispatch import OrderOutcome
+from cassiaweir.dispatch._call_queue import MAX_ORDERS_PER_SERVER
 from cassiaweir.dispatch._orders import StartResult
 from cassiaweir.dispatch._runs import RunState
 from cassiaweir.exceptions import UnavailableError
@@ -107,7 +108,71 @@
         orders.server.entry = replace(SERVER, draining=True)
         results = [result for result, _ in await work]
         started = results.count(StartResult.STARTED)
-        assert 0 < started <= 6
+        # Three times as many can have been sent by then as are under way at once.
+        assert 0 < started <= 3 * MAX_ORDERS_PER_SERVER
         assert results.count(StartResult.NOT_STARTED) == len(results) - started
 
     run_virtual(body)
+
+
+# Guards against LOST (issue 50): stops of runs that a former leader has left behind get
+# no connection, or leave none for the report that renews the server's lease.
+def test_many_stops_of_orphan_runs_take_turns() -> None:
+    async def body() -> None:
+        orders = PooledStops(runs=60)
+        server = orders.server
+        server.orphan_runs = frozenset(run.key for run in orders.runs)
+        sender = orders.sender
+        stops = [
+            asyncio.create_task(sender.stop_orphan_run(server, *key))
+            for key in server.orphan_runs
+        ]
+        await asyncio.sleep(0.12)
+        assert orders.pool._value > 0
+        # The others have ended meanwhile.
+        server.orphan_runs = frozenset()
+        await asyncio.gather(*stops)
+        assert 0 < len(orders.stops) <= 3 * MAX_ORDERS_PER_SERVER
+
+    run_virtual(body)
+
+
+# Guards against the same by stops of starts that may still be carried out late.
+def test_many_stops_of_late_starts_take_turns() -> None:
+    async def body() -> None:
+        orders = PooledStops(runs=60)
+        server = orders.server
+        stops = []
+        for run in orders.runs:
+            server.late_starts.add(run.key)
+            stop = orders.sender.stop_late_start(server, *run.key)
+            stops.append(asyncio.create_task(stop))
+        await asyncio.sleep(0.12)
+        assert orders.pool._value > 0
+        orders.leadership.confirmed_at = now()
+        await asyncio.gather(*stops)
+        assert len(orders.stops) == len(orders.runs)
+        assert not server.late_starts
+
+    run_virtual(body)
+
+
+# Guards against the same by repeats of starts that servers have left unanswered.
+def test_many_repeats_of_starts_in_doubt_take_turns() -> None:
+    async def body() -> None:
+        orders = PooledStops(runs=40)
+        server = orders.server
+        server.next_lease_end_ms(now())
+        for run in orders.runs:
+            run.sent_at = now()
+        in_doubt = [
+            asyncio.create_task(orders.sender._try_start(run, in_doubt=True))
+            for run in orders.runs
+        ]
+        await asyncio.sleep(0.12)
+        assert orders.pool._value > 0
+        answers = await asyncio.gather(*in_doubt)
+        assert set(answers) == {OrderOutcome.ACCEPTED}
+        assert server.reachable
+
+    run_virtual(body)
