Let the starts of different jobs on one server take turns

Cause: starts of one kind were sent in the order in which they were placed. Change: calls of one kind wait in start-time fair order over their jobs. The test holds the longest wait against the target of 1.8 s; seed 2 fails before.

--- a/cassiaweir/dispatch/_call_queue.py
+++ b/cassiaweir/dispatch/_call_queue.py
@@ -44,6 +44,40 @@
     """A start in doubt, which may get no answer again."""
 
 
+class _Lane:
+    """The calls of one kind that wait, in start-time fair order over their jobs.
+
+    A job with few calls does not wait behind all those of a job with many.
+    """
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count()
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._next_start: dict[str, int] = {}
+        self._virtual_time = 0
+
+    def add(self, job_id: str) -> asyncio.Future[None]:
+        """Add a call for a job; return what is resolved when it may be sent."""
+        start = max(self._virtual_time, self._next_start.get(job_id, 0))
+        self._next_start[job_id] = start + 1
+        granted = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (start, next(self._numbers), granted))
+        return granted
+
+    def has_waiting(self) -> bool:
+        """Return whether a call waits that was not cancelled."""
+        while self._waiting and self._waiting[0][-1].cancelled():
+            heapq.heappop(self._waiting)
+        if not self._waiting:
+            self._next_start.clear()
+        return bool(self._waiting)
+
+    def grant(self) -> None:
+        """Let the first call that waits be sent."""
+        self._virtual_time, _, granted = heapq.heappop(self._waiting)
+        granted.set_result(None)
+
+
 class CallQueue:
     """The calls to one address.
 
@@ -56,8 +90,7 @@
         self._reports = 0
         self._orders = 0
         self._order_limit = float(MAX_ORDERS_PER_SERVER)
-        self._numbers = itertools.count()
-        self._waiting: list[tuple[CallKind, int, asyncio.Future[None]]] = []
+        self._lanes = {kind: _Lane() for kind in CallKind}
 
     @property
     def order_limit(self) -> int:
@@ -65,12 +98,13 @@
         return int(self._order_limit)
 
     @asynccontextmanager
-    async def turn(self, kind: CallKind) -> AsyncIterator[None]:
+    async def turn(self, kind: CallKind, job_id: str = "") -> AsyncIterator[None]:
         """Wait until a call of this kind may be sent; the block sends it.
 
-        What the call depends on may have changed meanwhile.
+        Calls of one kind for different jobs take turns.  What the call depends on may
+        have changed while it waited.
         """
-        await self._acquire(kind)
+        await self._acquire(kind, job_id)
         try:
             yield
         finally:
@@ -88,10 +122,9 @@
         self._order_limit = min(limit, MAX_ORDERS_PER_SERVER)
         return answer
 
-    async def _acquire(self, kind: CallKind) -> None:
+    async def _acquire(self, kind: CallKind, job_id: str) -> None:
         """Wait for a connection, and count a call of this kind as under way."""
-        granted = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiting, (kind, next(self._numbers), granted))
+        granted = self._lanes[kind].add(job_id)
         self._grant()
         try:
             await granted
@@ -107,14 +140,10 @@
 
     def _grant(self) -> None:
         """Let the first calls go for which there are connections."""
-        while self._waiting:
-            kind, _, granted = self._waiting[0]
-            if not granted.cancelled():
-                if not self._has_room(kind):
-                    return
+        for kind, lane in self._lanes.items():
+            while lane.has_waiting() and self._has_room(kind):
                 self._count(kind, 1)
-                granted.set_result(None)
-            heapq.heappop(self._waiting)
+                lane.grant()
 
     def _has_room(self, kind: CallKind) -> bool:
         if self._reports + self._orders >= MAX_CALLS_PER_SERVER:
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -119,7 +119,7 @@
         queue = self._queues.at(run.server.entry.address)
         sent_before = run.sent_at
         try:
-            async with queue.turn(_start_kind(run, in_doubt)):
+            async with queue.turn(_start_kind(run, in_doubt), run.job_id):
                 cause = self._cause_not_to_start(run, in_doubt)
                 if cause is not None:
                     return cause
@@ -184,7 +184,7 @@
         while await self._wait_permitted(run):
             queue = self._queues.at(server.entry.address)
             try:
-                async with queue.turn(CallKind.STOP):
+                async with queue.turn(CallKind.STOP, run.job_id):
                     if not server.reachable and self._lease_expired(run):
                         return True
                     if not self._may_order(run):
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -33,7 +33,7 @@
         self.most_orders = 0
 
     async def call(self, kind: CallKind, name: str = "", seconds: float = 0.1) -> None:
-        async with self.queue.turn(kind):
+        async with self.queue.turn(kind, name):
             self.sent.append(name)
             self.under_way.append(kind)
             self.most = max(self.most, len(self.under_way))
@@ -105,6 +105,23 @@
     run_virtual(body)
 
 
+# Guards against LOST (issue 50): a small job waits behind all starts of a wide one.
+def test_calls_of_different_jobs_take_turns() -> None:
+    async def body() -> None:
+        calls = Calls()
+        wide = [calls.start(CallKind.START, "wide") for _ in range(200)]
+        await asyncio.sleep(0.5)
+        small = [calls.start(CallKind.START, "small") for _ in range(2)]
+        more = [calls.start(CallKind.START, "wide") for _ in range(100)]
+        sent_before = len(calls.sent)
+        await asyncio.gather(*small)
+        assert len(calls.sent) - sent_before <= 4 * MAX_ORDERS_PER_SERVER
+        await asyncio.gather(*wide, *more)
+        assert len(calls.sent) == 302
+
+    run_virtual(body)
+
+
 async def no_answer() -> None:
     await asyncio.sleep(0.4)
     raise UnavailableError("no answer", verdict=Verdict.MAY_HAVE_RUN)
--- a/tests/test_wide_jobs.py
+++ b/tests/test_wide_jobs.py
@@ -8,6 +8,10 @@
 from tests.wide_jobs import Outcome, run_wide
 
 
+URGENT_START_MS = 1_800
+"""Urgent work starts within this time, by the target of CONTRIBUTING.md."""
+
+
 def run_silently(seed: int, *, disturbed: bool) -> Outcome:
     logger.disable("cassiaweir")
     try:
@@ -22,10 +26,11 @@
 
 # Guards against LOST (issue 50): one wide job keeps a leader from starting anything, or
 # costs it the leadership, without any disturbance.
-@pytest.mark.parametrize("seed", [0, 1])
+@pytest.mark.parametrize("seed", [0, 1, 2])
 def test_no_job_waits_beside_wide_jobs(seed: int) -> None:
     outcome = run_silently(seed, disturbed=False)
     assert not outcome.faults
+    assert outcome.counts["longest wait, ms"] < URGENT_START_MS
     assert outcome.counts["starts"] > 1_500
 
 
