Find the runs of one task without a look at all runs of its job

Cause: each end of a task went through all runs of its job, to stop other runs of the task. Change: JobRuns finds runs by task.

--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -15,6 +15,7 @@
     progress_key,
     row_name,
 )
+from cassiaweir.dispatch._job_runs import JobRuns
 from cassiaweir.dispatch._job_times import (
     NOTICEABLE_CHANGE,
     JobTimes,
@@ -22,7 +23,6 @@
     refresh_times,
 )
 from cassiaweir.dispatch._objective import Objective, objective_of
-from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._shares import ShareAllowance, ShareMeter
 from cassiaweir.exceptions import InvalidInputError
 from cassiaweir.jobs import (
@@ -81,7 +81,7 @@
     objective: Objective
     over_share: bool
     held: bool = False
-    runs: set[Run] = field(default_factory=set)
+    runs: JobRuns = field(default_factory=JobRuns)
     write_position: int = 0
     stored_chunks: set[ChunkKey] = field(default_factory=set)
     submitted_at: float = 0.0
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -314,11 +314,12 @@
         had_ended = entry.job.ended
         if not entry.job.finish_task(task) or had_ended:
             return entry.write_position
-        gang = task.step if task.step.spec.gang else None
-        for run in list(entry.runs):
-            of_gang = run.task.step is gang and run.number != end.run
-            if run.task is task or of_gang:
-                self._stop(run)
+        others = entry.runs.of_task(task)
+        if task.step.spec.gang:
+            members = entry.runs.of_step(task.step)
+            others += [run for run in members if run.number != end.run]
+        for run in others:
+            self._stop(run)
         if entry.job.ended:
             logger.info("job_ended", job=entry.job.job_id, state=entry.job.state.value)
         return self._jobs.save(entry)
--- a/cassiaweir/dispatch/_run_registry.py
+++ b/cassiaweir/dispatch/_run_registry.py
@@ -107,14 +107,12 @@
 
     def _has_runs(self, task: Task) -> bool:
         entry = self._jobs.entries.get(task.step.job.job_id)
-        return entry is not None and any(run.task is task for run in entry.runs)
+        return entry is not None and bool(entry.runs.of_task(task))
 
     def gang_runs(self, step: Step) -> list[Run]:
         """Return the counted runs of `step`."""
         entry = self._jobs.entries.get(step.job.job_id)
-        if entry is None:
-            return []
-        return [run for run in entry.runs if run.task.step is step]
+        return [] if entry is None else entry.runs.of_step(step)
 
     def _new_run(
         self, task: Task, server: Server, number: int, ticket: str = ""
