--- a/tests/test_wide_jobs.py
+++ b/tests/test_wide_jobs.py
@@ -7,7 +7,6 @@
 
 from tests.wide_jobs import Outcome, run_wide
 
-
 URGENT_START_MS = 1_800
 """Urgent work starts within this time, by the target of CONTRIBUTING.md."""
 
