Share the command line of the random simulations

heavy_load and wide_jobs had the same options, outcome and loop over seeds. They are in tests/seed_runs.py now; the seeds play as before (one short run of each, and their tests).

--- a/tests/heavy_load.py
+++ b/tests/heavy_load.py
@@ -10,15 +10,13 @@
 import asyncio
 import itertools
 import random
-import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 import click
 import pytest
-from loguru import logger
 
 from cassiaweir.dispatch import EndKind
 from cassiaweir.dispatch._job_registry import JobRegistry
@@ -33,6 +31,7 @@
 from cassiaweir.verdict import Verdict
 from tests.heavy_checks import ACK_S, CONTACT_S, GONE_S, HeavyJob
 from tests.heavy_site import HeavySite, HeavyVm
+from tests.seed_runs import Outcome, run_seeds
 from tests.site_fakes import (
     ADVISED,
     QUEUE,
@@ -279,15 +278,6 @@
         self.site.rule.counts[f"acknowledged {result.value}"] += 1
 
 
-@dataclass
-class Outcome:
-    """What a run has shown: breaches of guarantees, and counts to look at."""
-
-    seed: int
-    faults: list[str]
-    counts: Counter[str]
-
-
 def run_heavy(
     seed: int, *, servers: int, seconds: float, load: float, busy_s: float
 ) -> Outcome:
@@ -368,26 +358,13 @@
     seeds: str, servers: int, seconds: float, load: float, busy: float, log: str
 ) -> None:
     """Run seeds and print what each has shown."""
-    logger.remove()
-    if log:
-
-        def stamp(record: Any) -> None:
-            record["extra"]["at"] = round(asyncio.get_running_loop().time(), 3)
-
-        logger.configure(patcher=stamp)
-        logger.add(log, format="{extra[at]} {message} {extra}")
-    first, _, last = seeds.partition("..")
-    for seed in range(int(first), int(last or first) + 1):
-        began = time.monotonic()
-        outcome = run_heavy(
+    run_seeds(
+        seeds,
+        log,
+        lambda seed: run_heavy(
             seed, servers=servers, seconds=seconds, load=load, busy_s=busy
-        )
-        took = time.monotonic() - began
-        click.echo(
-            f"seed {seed} ({took:.0f} s): {dict(sorted(outcome.counts.items()))}"
-        )
-        for fault in outcome.faults[:20]:
-            click.echo(f"    {fault}")
+        ),
+    )
 
 
 if __name__ == "__main__":
--- a/tests/test_wide_jobs.py
+++ b/tests/test_wide_jobs.py
@@ -5,7 +5,8 @@
 import pytest
 from loguru import logger
 
-from tests.wide_jobs import Outcome, run_wide
+from tests.seed_runs import Outcome
+from tests.wide_jobs import run_wide
 
 URGENT_START_MS = 1_800
 """Urgent work starts within this time, by the target of CONTRIBUTING.md."""
--- a/tests/wide_jobs.py
+++ b/tests/wide_jobs.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import random
-import time
 from collections import Counter, defaultdict
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
@@ -18,7 +17,6 @@
 
 import click
 import pytest
-from loguru import logger
 
 from cassiaweir.dispatch import (
     MAX_CALLS_PER_SERVER,
@@ -35,6 +33,7 @@
 from cassiaweir.queues import Customer
 from cassiaweir.verdict import Verdict
 from standins.users import SERVER_SIZE
+from tests.seed_runs import Outcome, run_seeds
 from tests.site_fakes import (
     QUEUE,
     URGENT,
@@ -343,15 +342,6 @@
             await asyncio.sleep(0.2)
 
 
-@dataclass
-class Outcome:
-    """What a run has shown: breaches of guarantees, and counts to look at."""
-
-    seed: int
-    faults: list[str]
-    counts: Counter[str]
-
-
 def run_wide(
     seed: int, *, servers: int, seconds: float, most_tasks: int, disturbed: bool
 ) -> Outcome:
@@ -416,26 +406,13 @@
     seeds: str, servers: int, seconds: float, tasks: int, calm: bool, log: str
 ) -> None:
     """Run seeds and print what each has shown."""
-    logger.remove()
-    if log:
-
-        def stamp(record: Any) -> None:
-            record["extra"]["at"] = round(asyncio.get_running_loop().time(), 3)
-
-        logger.configure(patcher=stamp)
-        logger.add(log, format="{extra[at]} {message} {extra}")
-    first, _, last = seeds.partition("..")
-    for seed in range(int(first), int(last or first) + 1):
-        began = time.monotonic()
-        outcome = run_wide(
+    run_seeds(
+        seeds,
+        log,
+        lambda seed: run_wide(
             seed, servers=servers, seconds=seconds, most_tasks=tasks, disturbed=not calm
-        )
-        took = time.monotonic() - began
-        click.echo(
-            f"seed {seed} ({took:.0f} s): {dict(sorted(outcome.counts.items()))}"
-        )
-        for fault in outcome.faults[:20]:
-            click.echo(f"    {fault}")
+        ),
+    )
 
 
 if __name__ == "__main__":
