--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -551,6 +551,11 @@
             ticket = tickets.get(server.server_id, "")
             runs.append(self._runs.place(task, server, number, ticket, group.isolation))
         self.last_round.placed += len(runs)
+        age_s = self._clock.monotonic() - waiting.entry.submitted_at
+        status = DeadlineStatus(waiting.rank.status).name.lower()
+        if runs:
+            queue = waiting.queue.name
+            self._metrics.observe("placement_age", age_s, queue=queue, status=status)
         if runs and group.isolation is Isolation.ALONE:
             self._quarantine.started(step.job.job_id)
         if runs:
@@ -563,6 +568,8 @@
                 servers=",".join(sorted(servers)),
                 loads=",".join(servers[each].load_text for each in sorted(servers)),
                 isolation=group.isolation.name.lower(),
+                status=status,
+                age_ms=round(age_s * 1_000),
                 customer=step.job.spec.customer,
                 customer_load=self._caps.load_text(waiting),
                 configuration=self._jobs.configuration_version,
--- a/lab/leader_load.py
+++ b/lab/leader_load.py
@@ -6,6 +6,8 @@
 keep up is seen here, as it is not in tests, where computing takes no time.
 
     python -m lab.leader_load --load 2.2 --seconds 7
+
+With `--slowdown`, the leader's processor is slower than this one by that factor.
 """
 
 from __future__ import annotations
@@ -14,15 +16,20 @@
 import math
 import random
 import time
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 import click
 from loguru import logger
 
 from cassiaweir.dispatch import Advice, ServerReport
+from cassiaweir.dispatch._objective import DeadlineStatus
 from cassiaweir.dispatch._placement_loop import PlacementLoop
+from cassiaweir.dispatch._placer import Placer
+from cassiaweir.dispatch._waiting_steps import WaitingStep
 from cassiaweir.jobs import StepSpec
 from cassiaweir.queues import AdvicePolicy, Customer, Queue
 from cassiaweir.types import Resources
@@ -121,10 +128,14 @@
 
 
 class MeteredLoop(VirtualLoop):
-    """Virtual time that passes while a callback computes, unless that is exempt."""
+    """Virtual time that passes while a callback computes, unless that is exempt.
+
+    Each second of processor time counts as `slowdown` seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, slowdown: float = 1.0) -> None:
         super().__init__()
+        self._slowdown = slowdown
         self.iterations_s: list[float] = []
         self._began: float | None = None
         self._exempt = False
@@ -134,10 +145,14 @@
         return super().time() + self._computed_s()
 
     def _computed_s(self) -> float:
-        return 0.0 if self._began is None else time.process_time() - self._began
+        return 0.0 if self._began is None else self._processor_s() - self._began
+
+    def _processor_s(self) -> float:
+        """Return the seconds that the slower processor has worked."""
+        return time.process_time() * self._slowdown
 
     def _run_once(self) -> None:
-        self._began = time.process_time()
+        self._began = self._processor_s()
         super()._run_once()  # type: ignore[misc]
         spent = self._computed_s()
         self._began = None
@@ -147,19 +162,19 @@
     def charge(self, seconds: float) -> None:
         """Let a call cost `seconds` of processor time."""
         if self._began is not None:
-            self._began -= seconds
+            self._began -= seconds * self._slowdown
 
     def run_exempt(self, work: Callable[[], Any], cost_s: float) -> Any:
         """Run `work` of a stand-in, which costs `cost_s` instead of what it takes."""
         if self._exempt or self._began is None:
             return work()
         self._exempt = True
-        began = time.process_time()
+        began = self._processor_s()
         try:
             return work()
         finally:
             self._exempt = False
-            self._began += time.process_time() - began - cost_s
+            self._began += self._processor_s() - began - cost_s * self._slowdown
 
 
 def running_loop() -> MeteredLoop:
@@ -231,6 +246,10 @@
 
     rounds_s: list[float] = field(default_factory=list)
     jobs: list[Submitted] = field(default_factory=list)
+    placed: defaultdict[str, Counter[str]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    """The placed tasks by queue, and by the status of their job at that moment."""
 
 
 def submit(site: LoadedSite, rng: random.Random) -> Submitted:
@@ -271,6 +290,14 @@
         record(self)
 
     PlacementLoop._record = record_round  # type: ignore[method-assign]
+    launch = Placer._start
+
+    def record_placed(self: Placer, waiting: WaitingStep, *args: Any) -> None:
+        status = DeadlineStatus(waiting.rank.status).name.lower()
+        measured.placed[waiting.queue.name][status] += len(args[1])
+        launch(self, waiting, *args)
+
+    Placer._start = record_placed  # type: ignore
     leader = await site.wait_for_leader()
     measured.jobs += [submit(site, rng) for _ in range(backlog)]
     at = began_at = loop.time()
@@ -305,7 +332,8 @@
         median, high = waits[len(waits) // 2], waits[len(waits) * 9 // 10]
         click.echo(
             f"{name}: worth {worth:.3f}, {dict(counts)}; first start after "
-            f"{median:.2f} s (half), {high:.2f} s (nine tenths)"
+            f"{median:.2f} s (half), {high:.2f} s (nine tenths); tasks placed "
+            f"{dict(measured.placed[name])}"
         )
 
 
@@ -314,13 +342,16 @@
 @click.option("--seconds", default=8.0, show_default=True, help="Time of submitting.")
 @click.option("--backlog", default=0, show_default=True, help="Jobs at the beginning.")
 @click.option("--seed", default=1, show_default=True, help="Seed of the jobs.")
-def main(load: float, seconds: float, backlog: int, seed: int) -> None:
+@click.option(
+    "--slowdown", default=1.0, show_default=True, help="How much slower the leader is."
+)
+def main(load: float, seconds: float, backlog: int, seed: int, slowdown: float) -> None:
     """Measure a leader under load, in virtual time that includes processor time."""
     logger.remove()
     # Lines are formatted, as that costs the leader time too.
     logger.add(lambda _: None, format="{message} {extra}", level="INFO")
     exempt_stand_ins()
-    with asyncio.Runner(loop_factory=MeteredLoop) as runner:
+    with asyncio.Runner(loop_factory=partial(MeteredLoop, slowdown)) as runner:
         runner.run(run_load(load, seconds, seed, backlog))
 
 
