--- /dev/null
+++ b/tests/test_urgent_under_load.py
@@ -0,0 +1,138 @@
+"""Random tests of urgent jobs at a leader whose processor cannot keep up.
+
+The servers have room for all tasks; each order and each look of the leader takes
+virtual time.  Which work starts late is then the choice of the leader alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Sequence
+from dataclasses import replace
+
+import pytest
+
+from cassiaweir.dispatch._orders import OrderSender
+from cassiaweir.dispatch._placer import Placer
+from cassiaweir.dispatch._reports import ReportProcessor
+from cassiaweir.queues import AdvicePolicy
+from cassiaweir.types import Resources
+from tests.gang_site import CUSTOMER, GangSite, Stream, Submitted, submit_load
+from tests.site_fakes import QUEUE, URGENT, configuration
+from tests.test_busy_leader import spend_in
+from tests.virtual_time import run_virtual
+
+SEEDS = range(4)
+SERVERS = 24
+SERVER_SIZE = Resources(64_000, 128_000)
+LOAD_S = 6.0
+SETTLE_S = 6.0
+
+ORDER_S = 0.006
+LOOK_S = 0.003
+REPORT_S = 0.001
+
+URGENT_WAIT_S = 0.5
+"""Urgent jobs start this soon, however many batch jobs the leader has to start."""
+
+ADVICE = AdvicePolicy(0.02, 0.0005, 2.5)
+BATCH, FAST = replace(QUEUE, advice=ADVICE), replace(URGENT, advice=ADVICE)
+
+STREAMS = (
+    Stream(BATCH, 25, 2.2, 200, 18.0, estimate_error=0.5),
+    Stream(FAST, 3, 1.0, 200, 30.0),
+)
+"""Some 540 starts a second, of which the leader manages a third."""
+
+
+def loaded_site(seed: int) -> GangSite:
+    """Return a site whose advice service answers soon and allows most servers."""
+    site = GangSite(
+        servers=SERVERS,
+        seed=seed,
+        size=SERVER_SIZE,
+        share=0.7,
+        question_s=ADVICE.question_s,
+        each_server_s=ADVICE.each_server_s,
+    )
+    site.configuration.value = configuration(CUSTOMER, queues=(BATCH, FAST))
+    return site
+
+
+def first_starts(site: GangSite) -> dict[str, float]:
+    """Return when each job that has begun was first started."""
+    found: dict[str, float] = {}
+    for run in site.history:
+        found.setdefault(run.task.partition(".")[0], run.began_at)
+    return found
+
+
+def overtaken(
+    jobs: Sequence[Submitted], starts: dict[str, float]
+) -> list[tuple[Submitted, Submitted]]:
+    """Return each urgent job with a batch job that overtook it.
+
+    That one started while the urgent job waited, and had waited for less time.
+    """
+    found = []
+    urgent = [each for each in jobs if each.stream.queue is FAST]
+    batch = [each for each in jobs if each.stream.queue is not FAST]
+    for first in urgent:
+        began_at = starts.get(first.job_id, math.inf)
+        for other in batch:
+            other_began_at = starts.get(other.job_id, math.inf)
+            waited_s = max(other_began_at - other.at, URGENT_WAIT_S)
+            if first.at < other_began_at < began_at and began_at - first.at > waited_s:
+                found.append((first, other))
+    return found
+
+
+@pytest.fixture
+def _slow_leader(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let what the leader does for each order, look and report take time."""
+    spend_in(monkeypatch, OrderSender, "_send_start", ORDER_S)
+    spend_in(monkeypatch, Placer, "_place_step", LOOK_S)
+    spend_in(monkeypatch, ReportProcessor, "apply", REPORT_S)
+
+
+# Guards against SHORT of an urgent class: a leader that could not keep up placed batch
+# work that was on time before urgent jobs that it had already delayed.
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.usefixtures("_slow_leader")
+def test_no_batch_job_overtakes_an_urgent_one_at_a_leader_that_cannot_keep_up(
+    seed: int,
+):
+    async def body() -> None:
+        site = loaded_site(seed)
+        await site.wait_for_leader()
+        jobs = await submit_load(site, STREAMS, LOAD_S, seed)
+        await asyncio.sleep(SETTLE_S)
+        starts = first_starts(site)
+        assert not overtaken(jobs, starts)
+        assert not site.faults
+        await site.close()
+
+    run_virtual(body)
+
+
+# Guards against urgent starts that wait in turn behind the orders, looks and reports of
+# the batch work that a leader has already begun.
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.usefixtures("_slow_leader")
+def test_urgent_jobs_start_at_once_at_a_leader_that_cannot_keep_up(seed: int):
+    async def body() -> None:
+        site = loaded_site(seed)
+        await site.wait_for_leader()
+        jobs = await submit_load(site, STREAMS, LOAD_S, seed)
+        await asyncio.sleep(SETTLE_S)
+        starts = first_starts(site)
+        waits_s = [
+            starts.get(each.job_id, math.inf) - each.at
+            for each in jobs
+            if each.stream.queue is FAST
+        ]
+        assert max(waits_s) < URGENT_WAIT_S
+        await site.close()
+
+    run_virtual(body)
