Rank late urgent steps before batch steps that are on time

Cause: the rank of a waiting step compared whether its job can be on time before its urgency. An urgent job has some 0.75 s beside its work; once a leader had delayed it for that long, all batch work that could still be on time came first, for as long as there was any. A short delay became a long one.

Change: urgent steps come before all that is not urgent, unless their result has no value any more; among urgent ones those that can be on time come first.

--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -56,11 +56,15 @@
 
     `share` is one of `OUT_OF_TURN`, `WITHIN_SHARE` and `BEYOND_SHARE`, `status` a
     `DeadlineStatus`, `pressure` the latest start in units of `PRESSURE_S`.
+
+    A late urgent step comes before all work that is not urgent: a short delay of it
+    would otherwise last for as long as there is batch work that can be on time.
     """
 
     share: int
-    status: int
+    worthless: int
     not_urgent: int
+    status: int
     pressure: int
     not_begun: int
     latest_start: float
@@ -229,8 +233,9 @@
         status = DeadlineStatus.ON_TIME
     return Rank(
         BEYOND_SHARE if entry.over_share else WITHIN_SHARE,
-        int(status),
+        int(status is DeadlineStatus.WORTHLESS),
         int(queue.priority != URGENT_PRIORITY),
+        int(status),
         int(latest_start // PRESSURE_S),
         int(not entry.job.started),
         latest_start,
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -350,3 +350,16 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against SHORT of an urgent class: an urgent job that a busy leader had made late
+# waited until no batch job could be on time any more.
+def test_a_late_urgent_job_comes_before_batch_work_unless_it_has_no_value():
+    bench = Bench()
+    batch = bench.submit(StepSpec(count=1, estimate_s=2.0))
+    late = bench.submit(StepSpec(count=1, estimate_s=1.0), queue=URGENT)
+    bench.clock.advance(1.5)
+    new = bench.submit(StepSpec(count=1, estimate_s=1.0), queue=URGENT)
+    assert bench.order() == [new, late, batch]
+    bench.clock.advance(5.0)
+    assert bench.order()[0] is batch
