Tell the numbers of pending jobs with the load

Cause: only the leader knows that number, and it is asked for each request.

Change: the load that the leader tells with each notification of new jobs has the number for each queue. A front shows it for one second, which callers accept (it may be 2 s old), and asks the leader after that; if that does not answer it shows one that is up to 2 s old. Fronts and leaders of older builds are served as before.

Evidence: the test of a leader that does not answer, which fails before.

--- a/cassiaweir/dispatch/_load.py
+++ b/cassiaweir/dispatch/_load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import replace
 
 from cassiaweir.dispatch._customer_terms import ConfigurationSource
@@ -108,10 +108,23 @@
             ),
             weight_of=lambda name: self._exhausted_weight(customers.get(name)),
         )
-        self._snapshot = replace(self._snapshot, crowded=self._crowded())
+        self._snapshot = replace(
+            self._snapshot,
+            crowded=self._crowded(),
+            pending=self._pending(each.name for each in current.queues),
+        )
         for name, load in self._snapshot.queues.items():
             self._metrics.set("queue_wait_seconds", load.wait_s, queue=name)
 
+    def _pending(self, queues: Iterable[str]) -> dict[str, int]:
+        """Return how many jobs of each of `queues` have not started."""
+        counts = dict.fromkeys(queues, 0)
+        for entry in self._jobs.open_jobs():
+            queue = entry.job.spec.queue.name
+            if not entry.job.started and queue in counts:
+                counts[queue] += 1
+        return counts
+
     def _crowded(self) -> frozenset[str]:
         """Return the customers of which no more jobs may be accepted now."""
         open_steps: Counter[str] = Counter()
--- a/cassiaweir/front/_states.py
+++ b/cassiaweir/front/_states.py
@@ -33,6 +33,14 @@
 LEADER_RETRY_S = 1.0
 """After an answer that came too late, the leader is not asked again for this time."""
 
+FRESH_COUNT_S = 1.0
+MAX_COUNT_AGE_S = 2.0
+"""The age up to which the numbers of pending jobs in a load are shown.
+
+Beyond the first age the leader is asked for a newer number, and they are shown only if
+it does not answer.
+"""
+
 MAX_BEGUN_JOBS = 4_096
 """Limits how many jobs are remembered that the leader has shown as running."""
 
@@ -95,6 +103,7 @@
         self._clock = clock or SystemClock()
         self._ask_again_at = -math.inf
         self._begun: dict[str, None] = {}
+        self._newest_load: LoadSnapshot | None = None
         self._local = local
         self._client = client
         self._leader = leader
@@ -149,11 +158,28 @@
     async def count_pending(self, queue: str) -> int:
         """Return how many jobs of `queue` have not started, as known to the leader.
 
-        Raises `UnavailableError` if the leader does not answer.
+        The number may be `MAX_COUNT_AGE_S` old.  Raises `UnavailableError` if the
+        leader has told none since, and does not answer.
         """
         if self._local.serving_epoch:
             return self._local.count_pending(queue)
-        return await self._client.pending(self._leader_address(), queue)
+        told = self._told_count(queue, FRESH_COUNT_S)
+        if told is not None:
+            return told
+        try:
+            return await self._client.pending(self._leader_address(), queue)
+        except UnavailableError:
+            told = self._told_count(queue, MAX_COUNT_AGE_S)
+            if told is None:
+                raise
+            return told
+
+    def _told_count(self, queue: str, max_age_s: float) -> int | None:
+        """Return the number of pending jobs in the newest load, None if it is older."""
+        load = self._newest_load
+        if load is None or self._clock.monotonic() - load.time > max_age_s:
+            return None
+        return load.pending.get(queue)
 
     def notify_leader(self, rows: Sequence[Row]) -> None:
         """Pass rows that were just stored to the leader, ahead of its change feed.
@@ -174,7 +200,11 @@
         except UnavailableError as exc:
             logger.info("leader_notification_failed", rows=len(rows), cause=str(exc))
             return
-        if load is not None and self._on_load is not None:
+        if load is None:
+            return
+        if self._newest_load is None or load.time > self._newest_load.time:
+            self._newest_load = load
+        if self._on_load is not None:
             self._on_load(load)
 
     def _leader_address(self) -> str:
--- a/cassiaweir/peers/_load.py
+++ b/cassiaweir/peers/_load.py
@@ -30,6 +30,7 @@
             for name, each in load.customers.items()
         },
         crowded=sorted(load.crowded),
+        pending=load.pending,
     )
 
 
@@ -53,4 +54,5 @@
             for name, each in answer.customers.items()
         },
         frozenset(answer.crowded),
+        dict(answer.pending),
     )
--- a/cassiaweir/scheduling/_backlog.py
+++ b/cassiaweir/scheduling/_backlog.py
@@ -89,7 +89,8 @@
 
     `time` is in seconds of the monotonic clock of the process that holds the object.
     `customers` are those beyond their share, `crowded` those with so many open steps
-    that no more of their jobs are accepted.
+    that no more of their jobs are accepted.  `pending` counts the jobs of each queue
+    that have not started.
     """
 
     epoch: int
@@ -98,6 +99,7 @@
     queues: Mapping[str, QueueLoad] = field(default_factory=dict)
     customers: Mapping[str, CustomerLoad] = field(default_factory=dict)
     crowded: frozenset[str] = frozenset()
+    pending: Mapping[str, int] = field(default_factory=dict)
 
     def is_full(self, queue: str) -> bool:
         """Return whether the servers of `queue` have no room."""
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -46,6 +46,13 @@
     assert found.crowded == {"a", "b"}
 
 
+def test_the_numbers_of_pending_jobs_reach_the_other_vms() -> None:
+    load = LoadSnapshot(3, 5.0, pending={"spot": 0, "recon": 3})
+    found = decode_load(encode_load(load, 5.0), 7.0)
+    assert found is not None
+    assert found.pending == {"spot": 0, "recon": 3}
+
+
 def test_the_leader_tells_which_customers_are_crowded() -> None:
     async def body() -> None:
         site = FakeSite(servers=1, vms=1)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -24,6 +24,7 @@
 from cassiaweir.observe import Metrics
 from cassiaweir.platform import PlatformJobCodec
 from cassiaweir.queues import ConfigurationView, Queue, QueueConfiguration
+from cassiaweir.scheduling import LoadSnapshot
 from cassiaweir.types import Resources, Row, Write
 from cassiaweir.verdict import Verdict
 from tests.site_fakes import (
@@ -57,6 +58,7 @@
         self.reachable = True
         self.answer_s = 0.0
         self.queries = 0
+        self.load: LoadSnapshot | None = None
 
     def owner(self) -> Owner | None:
         return Owner(1, "n", "i", "address")
@@ -82,10 +84,13 @@
         return 3
 
     async def pending(self, address: str, queue: str) -> int:
+        if not self.reachable:
+            raise UnavailableError("cut", verdict=Verdict.NOT_RUN)
         return 4
 
-    async def offer(self, address: str, rows: Sequence[Row]) -> None:
+    async def offer(self, address: str, rows: Sequence[Row]) -> LoadSnapshot | None:
         self.applied += rows
+        return self.load
 
 
 class Rig:
@@ -327,6 +332,28 @@
     run_virtual(body)
 
 
+# Guards against requests for the number of pending jobs that fail while the leader has
+# no processor time: 231 of them in the seconds of a burst.
+def test_the_number_of_pending_jobs_is_known_while_the_leader_does_not_answer() -> None:
+    async def body() -> None:
+        rig = Rig()
+        rig.leader.load = LoadSnapshot(1, 0.0, pending={QUEUE.name: 7})
+        await rig.submissions.submit(spec_of(JOB_ID))
+        await asyncio.sleep(0.5)
+        rig.leader.reachable = False
+        assert await rig.states.count_pending(QUEUE.name) == 7
+        await asyncio.sleep(1.0)
+        assert await rig.states.count_pending(QUEUE.name) == 7
+        rig.leader.reachable = True
+        assert await rig.states.count_pending(QUEUE.name) == 4
+        rig.leader.reachable = False
+        await asyncio.sleep(1.0)
+        with pytest.raises(UnavailableError):
+            await rig.states.count_pending(QUEUE.name)
+
+    run_virtual(body)
+
+
 class HttpRig(Rig):
     """A front that listens on loopback addresses."""
 
