Measure a leader whose servers lie in three failure domains in the lab

Cause: all servers of lab.leader_load were in the leader's own domain, where each start waits for a stored row. In deployments a third of them are.

No logic is changed.

--- a/lab/leader_load.py
+++ b/lab/leader_load.py
@@ -56,6 +56,9 @@
 SERVERS = 176
 SERVER_SIZE = Resources(16_000, 32_000)
 ENTRY_VMS = 40
+DOMAINS = ("augusta", "benton", "carver")
+"""Starts in the first one, that of the leader, wait until a row is stored."""
+
 JOBS_PER_SECOND = 53.2
 SETTLE_S = 2.0
 """The run goes on for this time after the last submission."""
@@ -276,7 +279,9 @@
     """Submit jobs for `seconds` and print what became of them."""
     rng = random.Random(seed)
     loop = running_loop()
-    site = LoadedSite(servers=SERVERS, size=SERVER_SIZE, lanes=ENTRY_VMS)
+    site = LoadedSite(
+        servers=SERVERS, size=SERVER_SIZE, lanes=ENTRY_VMS, domains=DOMAINS
+    )
     for server in site.servers.values():
         server.poll_s = POLL_S
     customer = Customer("agency", frozenset({"key"}), weight=10_000.0)
--- a/tests/gang_site.py
+++ b/tests/gang_site.py
@@ -69,6 +69,7 @@
         lanes: int = 10,
         question_s: float = 0.455,
         each_server_s: float = 0.0065,
+        domains: Sequence[str] = ("augusta",),
     ) -> None:
         self.lanes, self.share = lanes, share
         self.questions: list[int] = []
@@ -78,6 +79,7 @@
             seed=seed,
             question_s=question_s,
             each_server_s=each_server_s,
+            domains=domains,
         )
         for number, server in enumerate(self.servers.values()):
             server.speed = speeds[number % len(speeds)]
