Prefer servers for urgent steps that need no stored row

Cause: in the leader's own failure domain a start waits until a row names it: a transaction, and the leader's queue of rows before it. With three domains a third of the servers are there, so that some two thirds of the urgent jobs with three tasks wait for one (by calculation).

Change: of servers that are otherwise equal, an urgent step gets those in other domains first. Batch steps take the others.

--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -205,7 +205,7 @@
     return chosen
 
 
-PreferenceKey = tuple[int, int, int, int, float, int]
+PreferenceKey = tuple[int, int, int, int, int, float, int]
 """The sort key of a server for a step; lower ones are preferred."""
 
 
@@ -214,8 +214,8 @@
 
     In this order: failures and slowness of the server, and whether it runs a task that
     may crash it; whether it is cold, whether it is outside of the step's rack, whether
-    it is not a fast one for an urgent step, interference with what runs there, and the
-    CPU left free.
+    it is not a fast one for an urgent step, whether an urgent step would wait there
+    until a row is stored, interference with what runs there, and the CPU left free.
     """
     server = candidate.server
     suspicion = server.health.failures_since_success + 2 * (
@@ -227,11 +227,13 @@
     other_rack = int(bool(rack) and server.entry.rack != rack)
     urgent = step.job.spec.queue.priority == 0
     not_fast = int(urgent and server.relative_speed < FAST_SPEED)
+    waits_for_row = int(urgent and server.restricted)
     left_millis = server.free.cpu_millis - step.demand.cpu_millis * candidate.slots
     # Estimates that differ by less than a tenth are as good as equal.
     interference = round(candidate.interference, 1)
     return (
-        suspicion, int(server.cold), other_rack, not_fast, interference, left_millis
+        suspicion, int(server.cold), other_rack, not_fast, waits_for_row, interference,
+        left_millis,
     )  # fmt: skip
 
 
--- a/tests/test_dispatch_parts.py
+++ b/tests/test_dispatch_parts.py
@@ -303,3 +303,18 @@
         chosen = choose_servers(each, find_candidates(each, servers, None, 4), 9)
         names = [server.server_id for server in chosen]
         assert (names[0], names[-1]) == (expected, "slow")
+
+
+# Guards against urgent starts that wait in the leader's own failure domain until a row
+# is stored, although other servers have room.
+def test_an_urgent_step_prefers_servers_that_need_no_stored_row():
+    servers = [server_of("i-0"), server_of("i-1"), server_of("i-2")]
+    servers[0].restricted = servers[1].restricted = True
+    urgent = Job(
+        JobSpec("0" * 16, URGENT, "c", "x", (StepSpec(count=1),), 0.0), 1, 3
+    ).steps[0, 0]
+    chosen = choose_servers(urgent, find_candidates(urgent, servers, None, 1), 1)
+    assert chosen == [servers[2]]
+    batch = step_of()
+    chosen = choose_servers(batch, find_candidates(batch, servers, None, 1), 1)
+    assert chosen == [servers[0]]
