Let the jobs of a load arrive in time, however busy the leader is

Cause: lab.leader_load and tests.gang_site submitted one job in each iteration of the event loop. While that was busy, jobs came later than they should: 8 s of arrivals took up to 21 s, so that the leader was never overloaded.

No logic is changed.

--- a/lab/leader_load.py
+++ b/lab/leader_load.py
@@ -308,7 +308,9 @@
     at = began_at = loop.time()
     while at < began_at + seconds:
         at += rng.expovariate(JOBS_PER_SECOND * load)
-        await asyncio.sleep(max(at - loop.time(), 0.0))
+        if at > loop.time():
+            # All jobs that are due by now come at once, however busy the leader is.
+            await asyncio.sleep(at - loop.time())
         measured.jobs.append(submit(site, rng))
     await asyncio.sleep(SETTLE_S)
     report(site, measured, loop, began_at)
--- a/tests/gang_site.py
+++ b/tests/gang_site.py
@@ -181,7 +181,9 @@
     submitted = []
     for at, number in sorted(arrivals):
         stream = streams[number]
-        await asyncio.sleep(max(began_at + at - loop.time(), 0.0))
+        if began_at + at > loop.time():
+            # All jobs that are due by now come at once, however busy the leader is.
+            await asyncio.sleep(began_at + at - loop.time())
         # The mean of the log-normal distribution is `stream.seconds`.
         task_s = stream.seconds * math.exp(rng.gauss(0, 0.5) - 0.125)
         step = StepSpec(
