Place urgent steps after each event that may let them start

Cause: an urgent step waited for one placement round to be asked about and for another one to start. A round is followed by a pause as long as its work, and is given up after 0.1 s, so that with an event loop that is full only one came in 90 ms, and a step that a round did not get to waited for the next.

Jobs beyond their customer's share wait for rounds.

--- a/cassiaweir/dispatch/_advice_cache.py
+++ b/cassiaweir/dispatch/_advice_cache.py
@@ -96,7 +96,8 @@
 class AdviceCache:
     """Caches the tickets of steps and sends the questions that are queued.
 
-    `on_answer` is called whenever a question has been answered or has failed.
+    `on_answer` is called with the step whenever a question about it has been answered
+    or has failed.
     """
 
     def __init__(
@@ -104,7 +105,7 @@
         clock: Clock,
         local: Advisor,
         peers: PeerAdvisors,
-        on_answer: Callable[[], None],
+        on_answer: Callable[[Step], None],
     ) -> None:
         self._clock = clock
         self._local = local
@@ -257,7 +258,7 @@
                 cached.pending.remove(question.server_ids)
             del self._busy[lane]
             self._send_queued()
-        self._on_answer()
+        self._on_answer(question.step)
 
     async def _fetch(self, lane: str, question: _Question, cached: _StepAdvice) -> None:
         """Get the answer to a question through `lane` and cache it."""
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -41,8 +41,9 @@
 from cassiaweir.dispatch._server_poller import ServerPoller
 from cassiaweir.dispatch._server_records import ServerRecords
 from cassiaweir.dispatch._term_tasks import TermTasks, cancel_all
+from cassiaweir.dispatch._urgent_placement import UrgentPlacement
 from cassiaweir.dispatch._usage import CustomerUsage
-from cassiaweir.jobs import JobState
+from cassiaweir.jobs import JobState, Step
 from cassiaweir.leadership import CommitStream, Leadership
 from cassiaweir.observe import Metrics
 from cassiaweir.scheduling import InterferenceModel, LoadSnapshot
@@ -52,8 +53,11 @@
 MISSING_SERVER_TIMEOUT_S = 3.0
 """An unreachable server without runs is removed if its entry is missing this long."""
 
-AdviceCacheFactory = Callable[[Callable[[], None]], AdviceCache]
-"""Creates the advice cache of a term, given the function to call after each answer."""
+AdviceCacheFactory = Callable[[Callable[[Step], None]], AdviceCache]
+"""Creates the advice cache of a term.
+
+It is given what to call with a step after each answer about it.
+"""
 
 
 class Dispatcher:
@@ -157,7 +161,7 @@
             stop_orphan=self._control.stop_orphan,
             stop_late_start=self._control.stop_late_start,
         )
-        self._advice = advice_cache_factory(self.wake)
+        self._advice = advice_cache_factory(self._place_soon)
         self._pollers: dict[str, asyncio.Task[None]] = {}
         self._placer = Placer(
             jobs,
@@ -178,6 +182,9 @@
             launch=self._control.launch,
             metrics=metrics,
         )
+        self._urgent = UrgentPlacement(
+            self._placer, clock, leadership, self._cancel_age
+        )
         self._placement_requested = asyncio.Event()
         commits.on_stored = self.wake
 
@@ -227,6 +234,8 @@
             self._load.record_job(entry)
             self._crashes.restore(entry.job)
             self._commits.confirm_leadership(row.version)
+            for step in entry.job.startable_steps():
+                self._urgent.request(step)
             self.wake()
 
     def _apply_refusal(self, row: Row, refusal: Refusal) -> None:
@@ -363,6 +372,11 @@
         """Request a placement round."""
         self._placement_requested.set()
 
+    def _place_soon(self, step: Step) -> None:
+        """Request a placement round; do not wait for it if the step is urgent."""
+        self._urgent.request(step)
+        self.wake()
+
     async def run(self) -> None:
         """Start tasks until cancelled or until the leadership is lost."""
         sweep = asyncio.create_task(self._sweep_until_lost())
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -192,7 +192,12 @@
         """
         now = self._clock.monotonic()
         steps = self._round.steps[self._position :]
-        usable = self._begin_slice(steps, now)
+        rooms = self._round.rooms
+        usable = [
+            each
+            for each in self._begin_slice(steps, now)
+            if each.server_id in rooms and each.free.fits(rooms[each.server_id])
+        ]
         if not steps:
             return True
         with_room = servers_with_room(usable, [each.step for each in steps])
@@ -210,6 +215,30 @@
         self.last_round.looked_at = self._search.looks
         return self._position == len(self._round.steps)
 
+    def is_urgent(self, step: Step) -> bool:
+        """Return whether `step` belongs to an urgent queue."""
+        return self._jobs.queue_of(step.job).priority == URGENT_PRIORITY
+
+    def place_urgent(self, steps: Iterable[Step], limit: timedelta) -> None:
+        """Start tasks of urgent `steps`, for about `limit`, beside the present round.
+
+        They may use room that was freed since the round began: urgent steps come first
+        in the next round as well.
+        """
+        now = self._clock.monotonic()
+        found = sorted(self._waiting.find_among(steps, now), key=lambda each: each.rank)
+        found = [each for each in found if not each.entry.over_share]
+        if not found:
+            return
+        others = self._round.steps[self._position :]
+        usable = self._begin_slice([*found, *others], now)
+        with_room = servers_with_room(usable, [each.step for each in found])
+        with self.waits.muted():
+            for waiting in found:
+                self._try_place(waiting, usable, with_room)
+                if self._clock.monotonic() - now >= limit.total_seconds():
+                    return
+
     def _waits_for_advice(self, waiting: WaitingStep) -> bool:
         """Return whether a step can neither start nor be asked about in this round."""
         return (
@@ -231,13 +260,9 @@
         Reports, entries and requests of operators may have changed since the last slice
         of the round.
         """
-        rooms = self._round.rooms
-        usable = [
-            each
-            for each in self._usable_servers(now)
-            if each.server_id in rooms and each.free.fits(rooms[each.server_id])
-        ]
-        self._quarantine.begin_round(self._round.jobs, self._servers.values())
+        usable = self._usable_servers(now)
+        jobs = self._round.jobs | {each.entry.job.job_id for each in steps}
+        self._quarantine.begin_round(jobs, self._servers.values())
         self._cold.begin_round(usable, steps, now)
         self._promised.clear()
         self._search.begin_slice()
--- a/cassiaweir/dispatch/_wait_causes.py
+++ b/cassiaweir/dispatch/_wait_causes.py
@@ -5,6 +5,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -201,6 +202,15 @@
         self._queues = {}
         self._customers = {}
 
+    @contextmanager
+    def muted(self) -> Iterator[None]:
+        """Note nothing in the block: its steps are looked at by the round as well."""
+        due, self._due = self._due, False
+        try:
+            yield
+        finally:
+            self._due = due
+
     def note(self, waiting: WaitingStep, cause: WaitCause, tasks: int) -> None:
         """Note that `tasks` of a step wait for `cause`."""
         if not self._due or tasks <= 0:
--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 from typing import NamedTuple
 
@@ -105,24 +105,42 @@
         aged: list[JobEntry] = []
         self._round += 1
         for entry in self._jobs.open_jobs():
-            queue = self._jobs.queue_of(entry.job)
             for step in entry.job.startable_steps():
-                if not _due(step, wall) or not self._has_startable(entry, step):
+                waiting = self._rank(entry, step, now, wall)
+                if waiting is None:
                     continue
-                remaining_s = self._jobs.times_of(entry, queue, now).remaining_s
-                rank = rank_of(
-                    entry,
-                    queue,
-                    remaining_s[step.number],
-                    now,
-                    due_after_s=step.due_after_s,
-                )
-                found.append(WaitingStep(rank, entry, step, queue))
+                found.append(waiting)
                 if self._note_waiting(entry, now):
                     aged.append(entry)
         self._take_turn(found, aged, now)
         return found
 
+    def find_among(self, steps: Iterable[Step], now: float) -> list[WaitingStep]:
+        """Return those of `steps` with tasks that may be started, in any order."""
+        wall = self._clock.now().timestamp()
+        found = []
+        for step in steps:
+            entry = self._jobs.entries.get(step.job.job_id)
+            if entry is None or step not in entry.job.startable_steps():
+                continue
+            waiting = self._rank(entry, step, now, wall)
+            if waiting is not None:
+                found.append(waiting)
+        return found
+
+    def _rank(
+        self, entry: JobEntry, step: Step, now: float, wall: float
+    ) -> WaitingStep | None:
+        """Return a startable step with its rank, None if no task may be started."""
+        if not _due(step, wall) or not self._has_startable(entry, step):
+            return None
+        queue = self._jobs.queue_of(entry.job)
+        remaining_s = self._jobs.times_of(entry, queue, now).remaining_s
+        rank = rank_of(
+            entry, queue, remaining_s[step.number], now, due_after_s=step.due_after_s
+        )
+        return WaitingStep(rank, entry, step, queue)
+
     def _note_waiting(self, entry: JobEntry, now: float) -> bool:
         """Note that a job has a waiting step; return whether it waits for too long."""
         if entry.seen_in_round < self._round - 1:
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -56,7 +56,7 @@
 
 
 def cache_for(advisor: RecordingAdvisor) -> AdviceCache:
-    return AdviceCache(VirtualClock(), advisor, advisor, lambda: None)
+    return AdviceCache(VirtualClock(), advisor, advisor, lambda _: None)
 
 
 def test_question_about_few_tasks_on_a_large_fleet_names_few_servers():
--- a/tests/test_urgent_under_load.py
+++ b/tests/test_urgent_under_load.py
@@ -16,6 +16,7 @@
 from cassiaweir.dispatch._orders import OrderSender
 from cassiaweir.dispatch._placer import Placer
 from cassiaweir.dispatch._reports import ReportProcessor
+from cassiaweir.jobs import StepSpec
 from cassiaweir.queues import AdvicePolicy
 from cassiaweir.types import Resources
 from tests.gang_site import CUSTOMER, GangSite, Stream, Submitted, submit_load
@@ -32,6 +33,7 @@
 ORDER_S = 0.006
 LOOK_S = 0.003
 REPORT_S = 0.001
+ROUND_S = 0.15
 
 URGENT_WAIT_S = 0.5
 """Urgent jobs start this soon, however many batch jobs the leader has to start."""
@@ -136,3 +138,25 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against urgent jobs that wait for two placement rounds, one to be asked about
+# and one to start: with much work waiting, a round and the pause after it are long.
+def test_an_urgent_job_does_not_wait_for_placement_rounds(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    async def body() -> None:
+        site = loaded_site(0)
+        await site.wait_for_leader()
+        large = StepSpec(count=1, cpu_millis=65_000, estimate_s=1.0)
+        site.submit(large, queue=BATCH)
+        spend_in(monkeypatch, Placer, "begin_round", ROUND_S)
+        small = StepSpec(count=2, cpu_millis=1_000, estimate_s=1.0)
+        for _ in range(10):
+            await asyncio.sleep(0.37)
+            submitted_at = asyncio.get_running_loop().time()
+            started = await site.first_start(site.submit(small, queue=FAST))
+            assert started.began_at - submitted_at < URGENT_WAIT_S
+        await site.close()
+
+    run_virtual(body)
