Place urgent steps as soon as a transaction has confirmed the leadership

Cause: nothing starts for a job before a transaction has shown that this process still led when the job was stored. After that transaction a step waited for the next placement round, and for the pause before it.

Change: urgent steps that wait for this are looked at right after the transaction.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -186,7 +186,7 @@
             self._placer, clock, leadership, self._cancel_age
         )
         self._placement_requested = asyncio.Event()
-        commits.on_stored = self.wake
+        commits.on_stored = self._place_confirmed
 
     # State of jobs for callers.
 
@@ -377,6 +377,12 @@
         self._urgent.request(step)
         self.wake()
 
+    def _place_confirmed(self) -> None:
+        """Place what waited for the leadership to be confirmed by a transaction."""
+        for step in self._placer.take_unconfirmed():
+            self._urgent.request(step)
+        self.wake()
+
     async def run(self) -> None:
         """Start tasks until cancelled or until the leadership is lost."""
         sweep = asyncio.create_task(self._sweep_until_lost())
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -163,6 +163,7 @@
         )
         self._budget = AdviceBudget()
         self._promised: dict[str, Resources] = {}
+        self._unconfirmed: list[Step] = []
 
     def begin_round(self) -> None:
         """Find the waiting steps, order them by rank, and plan the gangs."""
@@ -215,6 +216,12 @@
         self.last_round.looked_at = self._search.looks
         return self._position == len(self._round.steps)
 
+    def take_unconfirmed(self) -> list[Step]:
+        """Return the urgent steps that waited for the leadership to be confirmed."""
+        steps = self._unconfirmed
+        self._unconfirmed = []
+        return steps
+
     def is_urgent(self, step: Step) -> bool:
         """Return whether `step` belongs to an urgent queue."""
         return self._jobs.queue_of(step.job).priority == URGENT_PRIORITY
@@ -459,6 +466,8 @@
             self._ask(waiting, askable, asked, within_cap, tickets or {})
         if not self._confirm_leadership(waiting.entry.job.version):
             self.waits.note(waiting, WaitCause.STORE, within_cap)
+            if urgent:
+                self._unconfirmed.append(step)
             return
         self.waits.note_missing(waiting, missing, group.isolation, candidates)
         if step.spec.gang and missing > 0:
