Divide batch starts among the iterations of the event loop

Cause: the event loop runs what is ready in the order in which it became ready. Batch starts that were launched together, or whose turn at their server came at the same time, ran before an urgent job that became ready a moment later, and again at each of the six or so steps of its way to a server.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -25,6 +25,7 @@
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._load import LoadSampler
+from cassiaweir.dispatch._loop_turns import LoopTurns
 from cassiaweir.dispatch._occurrences import OccurrenceOpener
 from cassiaweir.dispatch._orders import OrderSender
 from cassiaweir.dispatch._placement_loop import PlacementLoop
@@ -106,6 +107,7 @@
         self._cold = ColdServers()
         self._evacuations = Evacuations(evacuation_source, clock, self.servers)
         self._queues = CallQueues()
+        turns = LoopTurns()
         self._orders = OrderSender(
             calls,
             clock,
@@ -113,6 +115,7 @@
             self.handle_superseded,
             self._permit_start,
             self._queues,
+            turns,
         )
         self._background = TermTasks()
         self._control = RunControl(
@@ -180,6 +183,7 @@
             entries_age=entries_age,
             preempt=self._control.preempt,
             launch=self._control.launch,
+            turns=turns,
             metrics=metrics,
         )
         self._urgent = UrgentPlacement(
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -10,6 +10,7 @@
 
 from cassiaweir.dispatch._call_queue import CallKind, CallQueues
 from cassiaweir.dispatch._evacuation import StartPermit
+from cassiaweir.dispatch._loop_turns import LoopTurns
 from cassiaweir.dispatch._runs import Run, RunState
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_client import ServerClient
@@ -60,7 +61,8 @@
 
     `on_superseded` is called when a server follows a higher epoch, and `permit` right
     before each attempt of a start.  Orders wait in `queues` for their turn, so that
-    none waits for a connection while the time for its answer runs.
+    none waits for a connection while the time for its answer runs.  Starts that are not
+    urgent take `turns` on the event loop.
     """
 
     def __init__(
@@ -71,8 +73,10 @@
         on_superseded: Callable[[], None],
         permit: Callable[[Server], StartPermit] = lambda _: StartPermit.GRANTED,
         queues: CallQueues | None = None,
+        turns: LoopTurns | None = None,
     ) -> None:
         queues = queues or CallQueues()
+        self._turns = turns or LoopTurns()
         super().__init__(client, clock, leadership, on_superseded, queues)
         self._permit = permit
 
@@ -110,6 +114,8 @@
         sent_before = run.sent_at
         try:
             async with queue.turn(_start_kind(run, in_doubt), run.job_id):
+                if not run.urgent:
+                    await self._turns.wait()
                 cause = self._cause_not_to_start(run, in_doubt)
                 if cause is not None:
                     return cause
--- a/cassiaweir/dispatch/_placement_loop.py
+++ b/cassiaweir/dispatch/_placement_loop.py
@@ -88,7 +88,8 @@
             now = self._clock.monotonic()
             worked_s = now - slice_began
             self._worked_s += worked_s
-            if now - began >= MAX_ROUND.total_seconds():
+            too_long = now - began >= MAX_ROUND.total_seconds()
+            if too_long or self._placer.backlogged:
                 return False
             await self._clock.sleep(timedelta(seconds=worked_s))
             slice_began = self._clock.monotonic()
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -19,6 +19,7 @@
 from cassiaweir.dispatch._gang_planner import GangPlanner, WaitingGang
 from cassiaweir.dispatch._gate import TakeoverGate
 from cassiaweir.dispatch._job_registry import JobRegistry
+from cassiaweir.dispatch._loop_turns import LoopTurns
 from cassiaweir.dispatch._objective import DeadlineStatus
 from cassiaweir.dispatch._placement import (
     choose_servers,
@@ -122,6 +123,7 @@
         entries_age: Callable[[], timedelta],
         preempt: Callable[[Run, Step], None],
         launch: Callable[[Sequence[Run]], None],
+        turns: LoopTurns,
         metrics: Metrics,
     ) -> None:
         self._jobs = jobs
@@ -145,6 +147,7 @@
         self._position = 0
         self._preempt = preempt
         self._launch = launch
+        self._turns = turns
         self._metrics = metrics
         self._reservations = Reservations()
         self.waits = WaitSummary(
@@ -203,6 +206,8 @@
             return True
         with_room = servers_with_room(usable, [each.step for each in steps])
         for waiting in steps:
+            if self._turns.backlogged and not self.is_urgent(waiting.step):
+                break
             self._position += 1
             if waiting.entry.job.ended:
                 continue
@@ -222,6 +227,11 @@
         self._unconfirmed = []
         return steps
 
+    @property
+    def backlogged(self) -> bool:
+        """Whether nothing but urgent steps is placed until launched starts are sent."""
+        return self._turns.backlogged
+
     def is_urgent(self, step: Step) -> bool:
         """Return whether `step` belongs to an urgent queue."""
         return self._jobs.queue_of(step.job).priority == URGENT_PRIORITY
