Store and show the ends of urgent jobs before queued progress

Cause: the leader shows a final state once all its rows up to the outcome are stored.

Change: the outcome of an urgent job goes with the rows that starts wait for, and a final state is shown once its own row is stored. A front that reads the store shows it by that row alone already. Ends are acknowledged to servers as before, once all rows up to theirs are stored.

Evidence: a test with 2,000 queued rows, in which the end is shown as soon as its row is stored; before, the last of them had to be stored as well.

--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -18,6 +18,7 @@
 from cassiaweir.dispatch._job_runs import JobRuns
 from cassiaweir.dispatch._job_times import (
     NOTICEABLE_CHANGE,
+    URGENT_PRIORITY,
     JobTimes,
     WorkModels,
     refresh_times,
@@ -47,12 +48,16 @@
     def put(self, write: Write, *, urgent: bool = False) -> int:
         """Queue a write and return its position in the order of writes.
 
-        Urgent writes are those that starts wait for; they are stored before others.
+        Urgent writes are those that starts or callers of urgent jobs wait for; they are
+        stored before others.
         """
 
     def is_stored(self, position: int) -> bool:
         """Return whether the write at `position` and those before it are stored."""
 
+    def is_row_stored(self, position: int) -> bool:
+        """Return whether the write at `position` is stored, whatever is before it."""
+
 
 @dataclass(frozen=True, slots=True)
 class _ObsoleteRow:
@@ -227,7 +232,7 @@
         if entry is None:
             return self._outcomes.get(job_id)
         state = entry.job.state
-        if not state.final or self._writer.is_stored(entry.write_position):
+        if not state.final or self._writer.is_row_stored(entry.write_position):
             return state
         return JobState.RUNNING if entry.job.started else JobState.QUEUED
 
@@ -273,7 +278,8 @@
             return entry.write_position
         # The progress is kept for a new leader, which needs it while runs may go on.
         outcome = Write(outcome_key(job.job_id), encode_outcome(job))
-        entry.write_position = self._writer.put(outcome)
+        urgent = self.queue_of(job).priority == URGENT_PRIORITY
+        entry.write_position = self._writer.put(outcome, urgent=urgent)
         return entry.write_position
 
     def save_for_start(self, entry: JobEntry) -> list[int]:
--- a/cassiaweir/leadership/_commits.py
+++ b/cassiaweir/leadership/_commits.py
@@ -85,7 +85,8 @@
     def put(self, write: Write, *, urgent: bool = False) -> int:
         """Queue `write` and return its position, as `wait_until_stored` takes it.
 
-        Urgent writes are those that starts wait for; they go before others.
+        Urgent writes are those that starts or callers of urgent jobs wait for; they go
+        before others.
         """
         self._monitor.note_queued(write.key, replaced=write.key in self._queue)
         position = self._queue.put(write, urgent=urgent)
@@ -122,6 +123,10 @@
         """
         return self._stored.is_complete(position)
 
+    def is_row_stored(self, position: int) -> bool:
+        """Return whether the write at `position` is stored, whatever is before it."""
+        return self._stored.is_row_stored(position)
+
     def missing_writes(self, position: int) -> int:
         """Return how many writes up to `position` do not count as stored yet."""
         return max(position - self._stored.complete, 0)
--- a/cassiaweir/leadership/_stored_positions.py
+++ b/cassiaweir/leadership/_stored_positions.py
@@ -62,6 +62,10 @@
         """
         return self.complete >= position and not self.is_rejected(position)
 
+    def is_row_stored(self, position: int) -> bool:
+        """Return whether the write at `position` is stored, whatever is before it."""
+        return position not in self._unstored and not self.is_rejected(position)
+
     async def wait_complete(self, position: int) -> None:
         """Wait until the write at `position` and those before it are stored.
 
--- a/tests/test_leadership_commits.py
+++ b/tests/test_leadership_commits.py
@@ -8,13 +8,21 @@
 
 import pytest
 
+from cassiaweir.dispatch import job_key, outcome_key
+from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.exceptions import LeadershipLostError
+from cassiaweir.jobs import JobSpec, JobState, StepSpec
 from cassiaweir.leadership import CommitStream, Leadership, Owner
 from cassiaweir.leadership._rows import GUARD_KEY, OWNER_KEY, decode_owner
 from cassiaweir.observe import Metrics
-from cassiaweir.types import Check, Write
+from cassiaweir.types import Check, Row, Write
 from standins.users import MemoryStore
-from tests.site_fakes import VmStore
+from tests.site_fakes import (
+    URGENT,
+    ReplaceableConfiguration,
+    VmStore,
+    configuration,
+)
 from tests.virtual_time import VirtualClock, run_virtual
 
 
@@ -220,3 +228,32 @@
         await rig.close()
 
     run_virtual(body)
+
+
+# Guards against SHORT by urgent jobs that have ended, and are shown as running until
+# the progress of all batch jobs is stored that was queued before their end.
+def test_the_end_of_an_urgent_job_is_shown_before_queued_progress_is_stored() -> None:
+    async def body() -> None:
+        rig = CommitRig()
+        source = ReplaceableConfiguration(configuration())
+        jobs = JobRegistry(rig.commits, VirtualClock(), source, {}, {})
+        spec = JobSpec("a" * 16, URGENT, "c", "x", (StepSpec(count=1),), 0.0)
+        row = Row(job_key(spec.job_id), 1, spec.encode())
+        entry = jobs.add_row(row, held=False)
+        assert entry is not None
+        for number in range(2_000):
+            rig.commits.put(Write(f"t/main/{number}", b"x" * 2_000))
+        entry.job.state = JobState.DONE
+        position = jobs.save(entry)
+        assert jobs.state(spec.job_id) is JobState.QUEUED
+        for _ in range(1_000):
+            await asyncio.sleep(0.001)
+            stored = outcome_key(spec.job_id) in rig.store.rows
+            if jobs.state(spec.job_id) is JobState.DONE:
+                break
+            assert not rig.commits.is_stored(position)
+        assert stored
+        assert not rig.commits.is_stored(position)
+        await rig.close()
+
+    run_virtual(body)
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -46,7 +46,11 @@
     def __init__(self, *customers: Customer) -> None:
         self.clock = ManualClock()
         source = ReplaceableConfiguration(configuration(*customers))
-        writer = SimpleNamespace(put=lambda write: 1, is_stored=lambda position: True)
+        writer = SimpleNamespace(
+            put=lambda write, **_: 1,
+            is_stored=lambda position: True,
+            is_row_stored=lambda position: True,
+        )
         self.jobs = JobRegistry(cast(Any, writer), self.clock, source, {}, {})
         self.jobs.fleet_cpu_millis = 1_000_000
         gate = TakeoverGate({}, former_authority_end=0)
