Repeat urgent starts in doubt before batch starts on the same server

Change: the repeat of an urgent start goes before starts of batch jobs, and after first attempts of urgent ones, stops and gangs. Repeats of batch starts stay last.

--- a/cassiaweir/dispatch/_call_queue.py
+++ b/cassiaweir/dispatch/_call_queue.py
@@ -39,8 +39,9 @@
     GANG_START = 3
     """The members of a gang wait for each other."""
 
-    START = 4
-    REPEATED_START = 5
+    REPEATED_URGENT_START = 4
+    START = 5
+    REPEATED_START = 6
     """A start in doubt, which may get no answer again."""
 
 
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -281,10 +281,10 @@
 
 def _start_kind(run: Run, in_doubt: bool) -> CallKind:
     """Return what an attempt to start `run` counts as among the calls to its server."""
+    if run.urgent:
+        return CallKind.REPEATED_URGENT_START if in_doubt else CallKind.URGENT_START
     if in_doubt:
         return CallKind.REPEATED_START
-    if run.urgent:
-        return CallKind.URGENT_START
     return CallKind.GANG_START if run.task.step.spec.gang else CallKind.START
 
 
--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -6,8 +6,8 @@
 from dataclasses import replace
 
 from cassiaweir.dispatch import OrderOutcome
-from cassiaweir.dispatch._call_queue import MAX_ORDERS_PER_SERVER
-from cassiaweir.dispatch._orders import StartResult
+from cassiaweir.dispatch._call_queue import MAX_ORDERS_PER_SERVER, CallKind
+from cassiaweir.dispatch._orders import StartResult, _start_kind
 from cassiaweir.dispatch._runs import RunState
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.verdict import Verdict
@@ -176,3 +176,16 @@
         assert server.reachable
 
     run_virtual(body)
+
+
+# Guards against urgent tasks whose start got no answer, and is repeated only after all
+# batch starts on that server; they cannot be placed elsewhere before.
+def test_an_urgent_start_in_doubt_is_repeated_before_batch_starts() -> None:
+    async def body() -> None:
+        urgent, batch = PooledOrders(runs=2).runs
+        urgent.urgent = True
+        assert _start_kind(urgent, in_doubt=True) < CallKind.START
+        assert _start_kind(urgent, in_doubt=True) > CallKind.URGENT_START
+        assert _start_kind(batch, in_doubt=True) > CallKind.START
+
+    run_virtual(body)
