Place later steps and repeated tasks of urgent jobs without a round

Cause: only the first start of an urgent step was placed right after the event that allowed it.

Change: a report that completes a step, or lets a task wait again, has the steps that may start now looked at in the next iteration of the event loop.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -163,6 +163,7 @@
             stop=self._control.stop,
             stop_orphan=self._control.stop_orphan,
             stop_late_start=self._control.stop_late_start,
+            place_soon=lambda step: self._urgent.request(step),
         )
         self._advice = advice_cache_factory(self._place_soon)
         self._pollers: dict[str, asyncio.Task[None]] = {}
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -32,6 +32,8 @@
     `stop` is called for each run that must not go on.  `stop_orphan` is called with the
     server, the task name and the run number of a listed run whose task belongs to no
     known job, `stop_late_start` likewise for one that may still be started late.
+    `place_soon` is called with a step of which tasks may be startable again or for the
+    first time.
     """
 
     def __init__(
@@ -45,7 +47,9 @@
         stop: Callable[[Run], None],
         stop_orphan: Callable[[Server, str, int], None],
         stop_late_start: Callable[[Server, str, int], None],
+        place_soon: Callable[[Step], None] = lambda _: None,
     ) -> None:
+        self._place_soon = place_soon
         self._jobs = jobs
         self._runs = runs
         self._clock = clock
@@ -155,7 +159,7 @@
                 self._crashes.note_loss(run)
             run.server.record_lost_start(run.key)
             self._count_discarded(run, run.stop_cause or "lost")
-            self._runs.requeue(run, cause)
+            self._requeue(run, cause)
             step = run.task.step
             if step.spec.gang and not step.complete:
                 broken_gangs[step, run.number] = run
@@ -291,9 +295,15 @@
                 run.note_checkpoint(end.checkpoint, self._clock.monotonic())
                 self._count_discarded(run, run.stop_cause or end.kind.value)
         if run is not None:
-            self._runs.requeue(run, end.kind.value)
+            self._requeue(run, end.kind.value)
         return position
 
+    def _requeue(self, run: Run, cause: str) -> None:
+        """Let the task of a removed run wait for a new start, if it needs one."""
+        self._runs.requeue(run, cause)
+        if run.task.state is TaskState.WAITING:
+            self._place_soon(run.task.step)
+
     def _count_discarded(self, run: Run, cause: str) -> None:
         """Count the work that is lost with a run, unless nobody needs it any more."""
         if run.task.state is TaskState.PLACED and not run.task.step.job.ended:
@@ -334,6 +344,9 @@
             self._stop(run)
         if entry.job.ended:
             logger.info("job_ended", job=entry.job.job_id, state=entry.job.state.value)
+        elif task.step.complete:
+            for step in entry.job.startable_steps():
+                self._place_soon(step)
         return self._jobs.save(entry)
 
     def _fail(self, server: Server, entry: JobEntry, task: Task, end: TaskEnd) -> int:
--- a/tests/test_urgent_under_load.py
+++ b/tests/test_urgent_under_load.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from cassiaweir.dispatch import EndKind
 from cassiaweir.dispatch._orders import OrderSender
 from cassiaweir.dispatch._placer import Placer
 from cassiaweir.dispatch._reports import ReportProcessor
@@ -41,6 +42,7 @@
 """Together some 5 ms for each start, half as much again as on the users' machines."""
 
 ROUND_S = 0.2
+LONG_ROUND_S = 0.3
 
 URGENT_WAIT_S = 0.5
 """Urgent jobs start this soon, however many batch jobs the leader has to start."""
@@ -187,3 +189,28 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against the same for the second step of an urgent job, and for a task whose
+# first run has failed.
+@pytest.mark.parametrize("how", [EndKind.DONE, EndKind.FAILED])
+def test_second_starts_of_an_urgent_job_do_not_wait_for_placement_rounds(
+    monkeypatch: pytest.MonkeyPatch, how: EndKind
+):
+    async def body() -> None:
+        site = loaded_site(0)
+        await site.wait_for_leader()
+        large = StepSpec(count=1, cpu_millis=65_000, estimate_s=1.0)
+        site.submit(large, queue=BATCH)
+        spend_in(monkeypatch, Placer, "begin_round", LONG_ROUND_S)
+        first = StepSpec(count=1, cpu_millis=1_000, estimate_s=0.2)
+        second = replace(first, after=(0,))
+        for number in range(10):
+            job_id = site.submit(first, second, queue=FAST, task_s=0.2, how=how)
+            await asyncio.sleep(3.0 + 0.07 * number)
+            earlier, later, *_ = site.starts_of(job_id)
+            assert earlier.ended_at is not None
+            assert later.began_at - earlier.ended_at < URGENT_WAIT_S
+        await site.close()
+
+    run_virtual(body)
