Move the questions to the advice service out of the placer

AdviceQuestions decides when and about which servers the advice service is asked. No logic is changed.

--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -8,9 +8,8 @@
 
 from loguru import logger
 
-from cassiaweir.dispatch._advice_budget import AdviceBudget
 from cassiaweir.dispatch._advice_cache import AdviceCache
-from cassiaweir.dispatch._advice_choice import exclude_servers, servers_to_ask
+from cassiaweir.dispatch._advice_questions import AdviceQuestions
 from cassiaweir.dispatch._cold_servers import ColdServers
 from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._customer_caps import CustomerCaps
@@ -24,7 +23,6 @@
 from cassiaweir.dispatch._placement import (
     choose_servers,
     find_future_candidates,
-    preference_key,
     servers_with_room,
     with_interference,
 )
@@ -164,7 +162,9 @@
         self._search = ServerSearch(
             self._reservations, self._gangs, self._durations, cold, clock
         )
-        self._budget = AdviceBudget()
+        self._questions = AdviceQuestions(
+            advice, self._search, self._gangs, interference, clock
+        )
         self._promised: dict[str, Resources] = {}
         self._unconfirmed: list[Step] = []
 
@@ -180,7 +180,7 @@
         found = self._limit_gangs(found)
         self._search.begin_round({each.step.name for each in found})
         self._caps.begin_round()
-        self._budget.begin_round(usable)
+        self._questions.begin_round(usable)
         try:
             self._plan_gangs(found, usable, now)
         except Exception as exc:
@@ -211,7 +211,7 @@
             self._position += 1
             if waiting.entry.job.ended:
                 continue
-            if self._waits_for_advice(waiting):
+            if self._questions.waits_for_answer(waiting):
                 tasks = waiting.step.waiting_count
                 self.waits.note_missing(waiting, tasks, Isolation.NONE, ())
             else:
@@ -256,21 +256,6 @@
                 if self._clock.monotonic() - now >= limit.total_seconds():
                     return
 
-    def _waits_for_advice(self, waiting: WaitingStep) -> bool:
-        """Return whether a step can neither start nor be asked about in this round."""
-        return (
-            waiting.queue.advice is not None
-            and self._budget.exhausted(waiting)
-            and not self._advice.tickets(waiting.step)
-        )
-
-    def _is_worth_asking(self, waiting: WaitingStep, missing: int) -> bool:
-        """Return whether to ask for advice about `missing` tasks of a step."""
-        if missing <= 0:
-            return False
-        share = self._advice.allowed_share(waiting.queue.name)
-        return self._budget.take(waiting, missing, share)
-
     def _begin_slice(self, steps: Sequence[WaitingStep], now: float) -> list[Server]:
         """Return the servers that may be used now, and forget what was found before.
 
@@ -471,9 +456,11 @@
                 reserved=self._reservations.of_others(step.name),
             )
         missing = within_cap - len(chosen)
-        if queue.advice is not None and self._is_worth_asking(waiting, missing):
+        if queue.advice is not None and self._questions.is_worth_asking(
+            waiting, missing
+        ):
             asked = askable if alone else with_room
-            self._ask(waiting, askable, asked, within_cap, tickets or {})
+            self._questions.ask(waiting, askable, asked, within_cap, tickets or {})
         if not self._confirm_leadership(waiting.entry.job.version):
             self.waits.note(waiting, WaitCause.STORE, within_cap)
             if urgent:
@@ -514,47 +501,6 @@
             promised=self._promised,
         )
 
-    def _ask(
-        self,
-        waiting: WaitingStep,
-        usable: Sequence[Server],
-        servers: Sequence[Server],
-        count: int,
-        tickets: Mapping[str, str],
-    ) -> None:
-        """Ask the advice service about servers for `count` tasks of a step.
-
-        `tickets` are the valid tickets of the step.  Servers without a valid answer are
-        asked about: first those of `servers` that have room now.  If none has room,
-        those of `usable` are asked about that will have room, so that the answer is
-        there before the room.  For gangs, `GangPlanner` chooses.
-        """
-        step, policy = waiting.step, waiting.queue.advice
-        gang = step.spec.gang
-        if policy is None or not self._advice.may_ask(step, several=gang):
-            return
-        urgent = waiting.queue.priority == URGENT_PRIORITY
-        rank = waiting.rank.not_urgent * 1e9 + waiting.rank.latest_start
-        if gang:
-            now = self._clock.monotonic()
-            with_room = self._search.available(waiting, servers)
-            for ids in self._gangs.servers_to_ask(
-                waiting, policy, with_room, usable, count, now
-            ):
-                self._advice.ask(step, policy, ids, rank, urgent=urgent, several=True)
-            return
-        share = self._advice.allowed_share(waiting.queue.name)
-        answered = self._advice.denied(step) | tickets.keys()
-        found = self._search.question_candidates(waiting, servers, answered, count)
-        found = with_interference(step, found, self._interference)
-        found.sort(key=lambda each: preference_key(step, each))
-        if not found and not tickets:
-            found = exclude_servers(
-                self._search.future_candidates(waiting, usable, count), answered
-            )
-        ids = servers_to_ask(found, count, share)
-        self._advice.ask(step, policy, ids, rank, urgent=urgent)
-
     def _spread(self, step: Step) -> float:
         return self._durations.spread(step.name, step.job.spec.queue.name)
 
--- a/tests/test_busy_leader.py
+++ b/tests/test_busy_leader.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from cassiaweir.dispatch import _placer
+from cassiaweir.dispatch import _advice_questions
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._placement import preference_key
 from cassiaweir.dispatch._placer import Placer
@@ -252,7 +252,7 @@
         assert compared <= 40 * len(site.questions)
         await site.close()
 
-    monkeypatch.setattr(_placer, "preference_key", counting)
+    monkeypatch.setattr(_advice_questions, "preference_key", counting)
     run_virtual(body)
 
 
