Keep urgent steps off cold servers between placement rounds

What callers would see: urgent jobs on servers that are slow after their start, while batch work waits that could run there.

Cause: urgent steps wait for a warm server only while other work is there to use the cold ones. A look at urgent steps between two rounds knows only the steps of the present round, so that it took none to be waiting.

Change: between rounds other work is taken to be waiting; the next round decides with all that waits. The time up to which an urgent step waits is as before.

--- a/cassiaweir/dispatch/_cold_servers.py
+++ b/cassiaweir/dispatch/_cold_servers.py
@@ -55,6 +55,13 @@
             each.entry.service for each in usable if not each.cold
         )
 
+    def expect_others(self) -> None:
+        """Let urgent work wait as if other work were there to use the cold servers.
+
+        Between two rounds it is not known which other work waits.
+        """
+        self._others_wait = True
+
     def allowed(
         self, waiting: WaitingStep, servers: Sequence[Server]
     ) -> Sequence[Server]:
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -247,8 +247,8 @@
         found = [each for each in found if not each.entry.over_share]
         if not found:
             return
-        others = self._round.steps[self._position :]
-        usable = self._begin_slice([*found, *others], now)
+        usable = self._begin_slice(found, now)
+        self._cold.expect_others()
         with_room = servers_with_room(usable, [each.step for each in found])
         with self.waits.muted():
             for waiting in found:
