Ask about different servers for steps that come at once

Cause: the best servers by the CPU left free are the same for all steps of a moment. Their questions name the same few, the first step takes the room, and the others are asked about again.

Change: the sample from which the servers of a question are chosen begins at another server for each step; servers without enough memory are left out of it.

--- a/cassiaweir/dispatch/_advice_choice.py
+++ b/cassiaweir/dispatch/_advice_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from collections.abc import Iterable, Sequence
 
 from cassiaweir.dispatch._placement import Candidate
@@ -54,13 +55,23 @@
         self._allowed += allowed
 
 
-def sample_servers(servers: Sequence[Server], tasks: int) -> Sequence[Server]:
-    """Return an even sample of `servers` that is large enough for `tasks` tasks."""
+def sample_servers(
+    servers: Sequence[Server], tasks: int, step: str
+) -> Sequence[Server]:
+    """Return an even sample of `servers` that is large enough for `tasks` tasks.
+
+    Samples for different steps differ, so that steps which are asked about at the same
+    time do not all find the same servers taken.
+    """
     wanted = MIN_SAMPLED_SERVERS + SAMPLED_SERVERS_PER_TASK * tasks
     count = min(wanted, MAX_SERVERS_PER_QUESTION)
-    if count >= len(servers):
+    total = len(servers)
+    if count >= total:
         return servers
-    return [servers[index * len(servers) // count] for index in range(count)]
+    offset = zlib.crc32(step.encode()) % total
+    return [
+        servers[(offset + index * total // count) % total] for index in range(count)
+    ]
 
 
 def servers_to_ask(
--- a/cassiaweir/dispatch/_server_search.py
+++ b/cassiaweir/dispatch/_server_search.py
@@ -144,14 +144,15 @@
         if selection.no_room.covers(step.demand):
             return []
         self.looks += 1
+        memory_mb = step.demand.memory_mb
         others = [
             each
             for each in selection.with_cpu(step.demand.cpu_millis)
-            if each.entry.server_id not in answered
+            if each.free.memory_mb >= memory_mb and each.entry.server_id not in answered
         ]
         sample: Sequence[Server] = others
         if not step.bound_to_servers:
-            sample = sample_servers(others, limit)
+            sample = sample_servers(others, limit, step.name)
         found = self._find(waiting, sample, limit)
         if not found and len(sample) < len(others):
             found = self._find(waiting, others, limit)
--- a/tests/test_busy_leader.py
+++ b/tests/test_busy_leader.py
@@ -282,3 +282,22 @@
         await site.close()
 
     run_virtual(body)
+
+
+# Guards against questions about the same few servers for all steps that come at once:
+# most found them taken, and were asked about again and again for seconds.
+def test_steps_that_come_at_once_are_asked_about_different_servers():
+    async def body() -> None:
+        site = GangSite(servers=100, share=1.0, question_s=0.02, each_server_s=0.0)
+        queue = replace(QUEUE, advice=AdvicePolicy(0.02, 0.0, 2.5))
+        site.configuration.value = configuration(CUSTOMER, queues=(queue,))
+        await site.wait_for_leader()
+        memory_mb = next(iter(site.servers.values())).entry.capacity.memory_mb
+        whole = StepSpec(count=1, cpu_millis=100, memory_mb=memory_mb, estimate_s=60.0)
+        jobs = [site.submit(whole, queue=queue, task_s=60.0) for _ in range(85)]
+        await asyncio.sleep(1.0)
+        assert all(site.starts_of(job_id) for job_id in jobs)
+        assert len(site.questions) < 2 * len(jobs)
+        await site.close()
+
+    run_virtual(body)
