Send several urgent questions through one VM at a time

Cause: each VM had one question under way, as the service answers one at a time. An answer takes several iterations of a busy leader's event loop to be read, and gangs have questions of up to a second, so that all VMs were taken: 425 questions a second through 40 VMs.

Change: an eighth of the VMs, before only one, is kept for urgent questions, and up to four of these share a VM that has nothing else to ask.

--- a/cassiaweir/dispatch/_advice_cache.py
+++ b/cassiaweir/dispatch/_advice_cache.py
@@ -2,7 +2,7 @@
 
 The advice service answers one call at a time for each calling VM, so the leader spreads
 its questions over all entry VMs.  A lane is an entry VM that sends these questions, one
-at a time; it is named by its address.
+at a time unless all are urgent; it is named by its address.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 
 from cassiaweir.dispatch._advice import Advice, Advisor
 from cassiaweir.dispatch._advice_choice import MAX_QUESTIONS_AT_ONCE, AllowedShare
+from cassiaweir.dispatch._term_tasks import cancel_all
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.jobs import Job, Step
 from cassiaweir.queues import AdvicePolicy
@@ -37,7 +38,18 @@
 """A step whose question failed is not asked about again within this time."""
 
 MIN_LANES_FOR_RESERVE = 3
-"""With at least this many lanes, the last idle one takes urgent questions only."""
+RESERVE_SHARE = 0.125
+"""With at least so many lanes, this share of them, and at least one, is kept idle.
+
+Only urgent questions are sent through the last idle lanes.
+"""
+
+MAX_URGENT_PER_LANE = 4
+"""Urgent questions take a few milliseconds, much less than a call to another VM.
+
+Without an idle lane they are sent one after the other through those that have nothing
+else to ask, without waiting for answers.
+"""
 
 LOCAL_LANE = ""
 """Names this VM among the lanes."""
@@ -93,6 +105,13 @@
         return self.policy.question_s + servers * self.policy.each_server_s
 
 
+def _reserve(lanes: Sequence[str]) -> int:
+    """Return how many idle ones of `lanes` are kept for urgent questions."""
+    if len(lanes) < MIN_LANES_FOR_RESERVE:
+        return 0
+    return max(int(len(lanes) * RESERVE_SHARE), 1)
+
+
 class AdviceCache:
     """Caches the tickets of steps and sends the questions that are queued.
 
@@ -115,7 +134,8 @@
         self._shares: defaultdict[str, AllowedShare] = defaultdict(AllowedShare)
         self._queue: list[tuple[float, int, _Question]] = []
         self._order = itertools.count()
-        self._busy: dict[str, asyncio.Task[None]] = {}
+        self._under_way: defaultdict[str, list[_Question]] = defaultdict(list)
+        self._tasks: set[asyncio.Task[None]] = set()
         self._paused_until: dict[str, float] = {}
 
     def tickets(self, step: Step, for_s: float = 0.0) -> dict[str, str]:
@@ -154,8 +174,7 @@
     def idle_lanes(self) -> int:
         """Return how many VMs could ask a question at once that is not urgent."""
         lanes = [LOCAL_LANE, *self._peers.addresses()]
-        reserve = int(len(lanes) >= MIN_LANES_FOR_RESERVE)
-        return max(len(self._idle(lanes)) - len(self._queue) - reserve, 0)
+        return max(len(self._idle(lanes)) - len(self._queue) - _reserve(lanes), 0)
 
     def may_ask(self, step: Step, *, several: bool = False) -> bool:
         """Return whether `ask` would accept a question about `step` now.
@@ -213,10 +232,7 @@
     async def close(self) -> None:
         """Cancel the questions being answered and drop the queued ones."""
         self._queue.clear()
-        tasks = list(self._busy.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
 
     def _send_queued(self) -> None:
         """Give queued questions to idle lanes."""
@@ -224,26 +240,56 @@
             return
         lanes = [LOCAL_LANE, *self._peers.addresses()]
         idle = self._idle(lanes)
-        keeps_reserve = len(lanes) >= MIN_LANES_FOR_RESERVE
+        reserve = _reserve(lanes)
         deferred: list[tuple[float, int, _Question]] = []
-        while self._queue and idle:
+        while self._queue:
             entry = heapq.heappop(self._queue)
             question = entry[2]
-            if len(idle) == 1 and keeps_reserve and not question.urgent:
-                deferred.append(entry)
+            lane: str | None = None
+            if question.urgent:
+                lane = idle.pop(0) if idle else self._shared_lane(lanes)
+            elif len(idle) > reserve:
+                lane = idle.pop(0)
+            if lane is not None:
+                self._send(lane, question)
                 continue
-            lane = idle.pop(0)
-            self._busy[lane] = asyncio.create_task(self._run_question(lane, question))
+            deferred.append(entry)
+            if question.urgent or not idle:
+                break
         for entry in deferred:
             heapq.heappush(self._queue, entry)
 
+    def _send(self, lane: str, question: _Question) -> None:
+        """Send a question through `lane` in the background."""
+        self._under_way[lane].append(question)
+        task = asyncio.create_task(self._run_question(lane, question))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _idle(self, lanes: Sequence[str]) -> list[str]:
+        """Return the lanes without a question under way that have not just failed."""
         now = self._clock.monotonic()
         return [
             lane
             for lane in lanes
-            if lane not in self._busy and self._paused_until.get(lane, 0.0) <= now
+            if not self._under_way.get(lane)
+            and self._paused_until.get(lane, 0.0) <= now
+        ]
+
+    def _shared_lane(self, lanes: Sequence[str]) -> str | None:
+        """Return the lane with the fewest questions, all urgent; None if all are full.
+
+        Lanes that have just failed are left out.
+        """
+        now = self._clock.monotonic()
+        found = [
+            lane
+            for lane in lanes
+            if len(self._under_way[lane]) < MAX_URGENT_PER_LANE
+            and all(each.urgent for each in self._under_way[lane])
+            and self._paused_until.get(lane, 0.0) <= now
         ]
+        return min(found, key=lambda lane: len(self._under_way[lane]), default=None)
 
     async def _run_question(self, lane: str, question: _Question) -> None:
         """Send a question through `lane`, then the next queued ones."""
@@ -256,7 +302,7 @@
         finally:
             if cached is not None:
                 cached.pending.remove(question.server_ids)
-            del self._busy[lane]
+            self._under_way[lane].remove(question)
             self._send_queued()
         self._on_answer(question.step)
 
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from cassiaweir.dispatch import Advice, AdviceCache
+from cassiaweir.dispatch._advice_cache import MAX_URGENT_PER_LANE
 from cassiaweir.dispatch._advice_choice import (
     MAX_SERVERS_PER_QUESTION,
     AllowedShare,
@@ -186,3 +187,29 @@
         await cache.close()
 
     run_virtual(body)
+
+
+# Guards against urgent steps that wait for advice for 0.4 s in a burst: each VM had one
+# question under way, and a busy leader takes longer to read an answer than it takes to
+# find it.
+def test_urgent_questions_share_vms_that_have_nothing_else_to_ask():
+    async def body() -> None:
+        advisor = RecordingAdvisor([], [f"vm-{number}" for number in range(15)])
+        cache = cache_for(advisor)
+        policy = AdvicePolicy(0.014, 0.0, 2.5)
+        for number in range(40):
+            cache.ask(step_of_job(number), POLICY, ["i-0"], 1e9, urgent=False)
+        await asyncio.sleep(0)
+        slow = {lane for lane, *_ in advisor.asked}
+        assert len(slow) == len(advisor.asked) == 14
+        for number in range(100, 120):
+            cache.ask(step_of_job(number), policy, ["i-0"], 1.0, urgent=True)
+        await asyncio.sleep(0)
+        urgent = [lane for lane, *_ in advisor.asked[14:]]
+        assert not slow & set(urgent)
+        assert len(urgent) == 2 * MAX_URGENT_PER_LANE
+        await asyncio.sleep(2.0)
+        assert len(advisor.asked) == 60
+        await cache.close()
+
+    run_virtual(body)
