Announce stored jobs to the leader in one call at a time

Cause: a front sent a call for each transaction. The leader's server accepts one call in some iterations of the event loop, a few a second while an iteration takes 0.1 s, and calls queue for longer than their timeout. Each costs it time all the same.

Change: a front has one notification under way; rows that are stored meanwhile go with the next one. After a failure they are left to the feed.

--- a/cassiaweir/front/_states.py
+++ b/cassiaweir/front/_states.py
@@ -41,6 +41,9 @@
 it does not answer.
 """
 
+MAX_ANNOUNCED_ROWS = 100
+"""Rows that one call announces to the leader."""
+
 MAX_BEGUN_JOBS = 4_096
 """Limits how many jobs are remembered that the leader has shown as running."""
 
@@ -108,7 +111,8 @@
         self._client = client
         self._leader = leader
         self._table = table
-        self._offer_tasks: set[asyncio.Task[None]] = set()
+        self._unannounced: list[Row] = []
+        self._announcing: asyncio.Task[None] | None = None
 
     async def job_state(self, job_id: str) -> JobState | None:
         """Return the state of a job, None if no such job is stored.
@@ -184,24 +188,37 @@
     def notify_leader(self, rows: Sequence[Row]) -> None:
         """Pass rows that were just stored to the leader, ahead of its change feed.
 
-        A leader in another process is called in the background.  Failures are only
-        logged, as the change feed delivers the rows in any case.
+        A leader in another process is called in the background, one call at a time: it
+        accepts few calls a second while it is busy.  Failures are only logged, as the
+        change feed delivers the rows in any case.
         """
         if self._local.serving_epoch:
             self._local.apply_rows(rows)
             return
-        task = asyncio.create_task(self._offer(rows))
-        self._offer_tasks.add(task)
-        task.add_done_callback(self._offer_tasks.discard)
+        self._unannounced += rows
+        if self._announcing is None or self._announcing.done():
+            self._announcing = asyncio.create_task(self._announce())
 
-    async def _offer(self, rows: Sequence[Row]) -> None:
-        try:
-            load = await self._client.offer(self._leader_address(), rows)
-        except UnavailableError as exc:
-            logger.info("leader_notification_failed", rows=len(rows), cause=str(exc))
-            return
-        if load is None:
-            return
+    async def _announce(self) -> None:
+        """Send the stored rows to the leader, all that have come since in one call.
+
+        After a failure the change feed delivers them sooner than another attempt.
+        """
+        while self._unannounced:
+            rows = self._unannounced[:MAX_ANNOUNCED_ROWS]
+            del self._unannounced[:MAX_ANNOUNCED_ROWS]
+            try:
+                load = await self._client.offer(self._leader_address(), rows)
+            except UnavailableError as exc:
+                logger.info(
+                    "leader_notification_failed", rows=len(rows), cause=str(exc)
+                )
+                self._unannounced.clear()
+                continue
+            if load is not None:
+                self._note_load(load)
+
+    def _note_load(self, load: LoadSnapshot) -> None:
         if self._newest_load is None or load.time > self._newest_load.time:
             self._newest_load = load
         if self._on_load is not None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -58,6 +58,7 @@
         self.reachable = True
         self.answer_s = 0.0
         self.queries = 0
+        self.offers: list[int] = []
         self.load: LoadSnapshot | None = None
 
     def owner(self) -> Owner | None:
@@ -89,6 +90,11 @@
         return 4
 
     async def offer(self, address: str, rows: Sequence[Row]) -> LoadSnapshot | None:
+        self.offers.append(len(rows))
+        if self.answer_s:
+            await asyncio.sleep(self.answer_s)
+        if not self.reachable:
+            raise UnavailableError("cut", verdict=Verdict.NOT_RUN)
         self.applied += rows
         return self.load
 
@@ -354,6 +360,24 @@
     run_virtual(body)
 
 
+# Guards against a leader that gets more notifications than it accepts while it is busy:
+# 300 a second, none of which was answered in time.
+def test_jobs_are_announced_to_a_busy_leader_together() -> None:
+    async def body() -> None:
+        rig = Rig()
+        rig.leader.answer_s = 0.5
+        ids = [f"{number:016x}" for number in range(120)]
+        for job_id in ids:
+            await rig.submissions.submit(spec_of(job_id))
+        await asyncio.sleep(2.0)
+        assert {row.key for row in rig.leader.applied} == {
+            job_key(each) for each in ids
+        }
+        assert len(rig.leader.offers) <= 5
+
+    run_virtual(body)
+
+
 class HttpRig(Rig):
     """A front that listens on loopback addresses."""
 
