Remember each urgent step that waits for the leadership only once

Cause, found by reading the change: a step that waited for the confirmation of the leadership was noted again in each round, without a bound while the store is out of reach.

Change: it is kept by its name. Not measured.

--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -166,7 +166,7 @@
             advice, self._search, self._gangs, interference, clock
         )
         self._promised: dict[str, Resources] = {}
-        self._unconfirmed: list[Step] = []
+        self._unconfirmed: dict[str, Step] = {}
 
     def begin_round(self) -> None:
         """Find the waiting steps, order them by rank, and plan the gangs."""
@@ -223,8 +223,8 @@
 
     def take_unconfirmed(self) -> list[Step]:
         """Return the urgent steps that waited for the leadership to be confirmed."""
-        steps = self._unconfirmed
-        self._unconfirmed = []
+        steps = list(self._unconfirmed.values())
+        self._unconfirmed.clear()
         return steps
 
     @property
@@ -464,7 +464,7 @@
         if not self._confirm_leadership(waiting.entry.job.version):
             self.waits.note(waiting, WaitCause.STORE, within_cap)
             if urgent:
-                self._unconfirmed.append(step)
+                self._unconfirmed[step.name] = step
             return
         self.waits.note_missing(waiting, missing, group.isolation, candidates)
         if step.spec.gang and missing > 0:
