Begin no placement round while starts are backlogged

Cause, found by reading the change: while launched batch starts wait for turns on the event loop, a round finds and ranks all steps and plans the gangs, and then places only urgent ones, which are looked at between rounds in any case. It took up to half of the processor time that the starts were waiting for.

Change: the round is put off until fewer starts wait.

--- a/cassiaweir/dispatch/_placement_loop.py
+++ b/cassiaweir/dispatch/_placement_loop.py
@@ -66,10 +66,13 @@
     async def run_round(self) -> bool:
         """Run one round; return whether it has looked at all waiting steps.
 
-        An error in it does not end the leader's term.
+        Nothing is looked at while starts are backlogged, as most of it could not be
+        placed.  An error does not end the leader's term.
         """
         began = self._clock.monotonic()
         self._worked_s = 0.0
+        if self._placer.backlogged:
+            return False
         if not self._leadership.may_act(began) or not self._cancel_age.is_recent():
             return True
         complete = True
