Queue urgent questions to the advice service apart from others

Cause, found by reading the change: while only the VMs kept for urgent questions were idle, each answer had all other waiting questions taken out of the queue and put back. Urgent ones came first only by the rank that the caller gave.

Change: two queues, urgent questions first. Names in the front's notifications follow the interface they implement.

--- a/cassiaweir/dispatch/_advice_cache.py
+++ b/cassiaweir/dispatch/_advice_cache.py
@@ -105,6 +105,10 @@
         return self.policy.question_s + servers * self.policy.each_server_s
 
 
+_QueueEntry = tuple[float, int, _Question]
+"""The rank of a question, its number in the order of questions, and the question."""
+
+
 def _reserve(lanes: Sequence[str]) -> int:
     """Return how many idle ones of `lanes` are kept for urgent questions."""
     if len(lanes) < MIN_LANES_FOR_RESERVE:
@@ -132,7 +136,8 @@
         self._on_answer = on_answer
         self._by_step: dict[str, _StepAdvice] = {}
         self._shares: defaultdict[str, AllowedShare] = defaultdict(AllowedShare)
-        self._queue: list[tuple[float, int, _Question]] = []
+        self._urgent_queue: list[_QueueEntry] = []
+        self._queue: list[_QueueEntry] = []
         self._order = itertools.count()
         self._under_way: defaultdict[str, list[_Question]] = defaultdict(list)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -174,7 +179,8 @@
     def idle_lanes(self) -> int:
         """Return how many VMs could ask a question at once that is not urgent."""
         lanes = [LOCAL_LANE, *self._peers.addresses()]
-        return max(len(self._idle(lanes)) - len(self._queue) - _reserve(lanes), 0)
+        queued = len(self._urgent_queue) + len(self._queue)
+        return max(len(self._idle(lanes)) - queued - _reserve(lanes), 0)
 
     def may_ask(self, step: Step, *, several: bool = False) -> bool:
         """Return whether `ask` would accept a question about `step` now.
@@ -201,7 +207,9 @@
         urgent: bool,
         several: bool = False,
     ) -> None:
-        """Queue a question about `step`; those with a lower `rank` are sent first.
+        """Queue a question about `step`.
+
+        Urgent ones are sent first, and of these or others those with a lower `rank`.
 
         Does nothing shortly after a question failed, or while another one about the
         step is unanswered, unless `several` may be and a VM is idle.
@@ -211,7 +219,8 @@
         question = _Question(step, policy, tuple(server_ids), urgent)
         advice = self._by_step.setdefault(step.name, _StepAdvice())
         advice.pending.append(question.server_ids)
-        heapq.heappush(self._queue, (rank, next(self._order), question))
+        queue = self._urgent_queue if urgent else self._queue
+        heapq.heappush(queue, (rank, next(self._order), question))
         self._send_queued()
 
     def invalidate(self, step: Step, server_id: str) -> None:
@@ -231,33 +240,23 @@
 
     async def close(self) -> None:
         """Cancel the questions being answered and drop the queued ones."""
+        self._urgent_queue.clear()
         self._queue.clear()
         await cancel_all(self._tasks)
 
     def _send_queued(self) -> None:
         """Give queued questions to idle lanes."""
-        if not self._queue:
+        if not self._urgent_queue and not self._queue:
             return
         lanes = [LOCAL_LANE, *self._peers.addresses()]
         idle = self._idle(lanes)
-        reserve = _reserve(lanes)
-        deferred: list[tuple[float, int, _Question]] = []
-        while self._queue:
-            entry = heapq.heappop(self._queue)
-            question = entry[2]
-            lane: str | None = None
-            if question.urgent:
-                lane = idle.pop(0) if idle else self._shared_lane(lanes)
-            elif len(idle) > reserve:
-                lane = idle.pop(0)
-            if lane is not None:
-                self._send(lane, question)
-                continue
-            deferred.append(entry)
-            if question.urgent or not idle:
+        while self._urgent_queue:
+            lane = idle.pop(0) if idle else self._shared_lane(lanes)
+            if lane is None:
                 break
-        for entry in deferred:
-            heapq.heappush(self._queue, entry)
+            self._send(lane, heapq.heappop(self._urgent_queue)[-1])
+        while self._queue and len(idle) > _reserve(lanes):
+            self._send(idle.pop(0), heapq.heappop(self._queue)[-1])
 
     def _send(self, lane: str, question: _Question) -> None:
         """Send a question through `lane` in the background."""
--- a/cassiaweir/front/_states.py
+++ b/cassiaweir/front/_states.py
@@ -41,8 +41,8 @@
 it does not answer.
 """
 
-MAX_ANNOUNCED_ROWS = 100
-"""Rows that one call announces to the leader."""
+MAX_NOTIFIED_ROWS = 100
+"""Rows that the leader is sent in one call."""
 
 MAX_BEGUN_JOBS = 4_096
 """Limits how many jobs are remembered that the leader has shown as running."""
@@ -111,8 +111,8 @@
         self._client = client
         self._leader = leader
         self._table = table
-        self._unannounced: list[Row] = []
-        self._announcing: asyncio.Task[None] | None = None
+        self._unsent_rows: list[Row] = []
+        self._notification: asyncio.Task[None] | None = None
 
     async def job_state(self, job_id: str) -> JobState | None:
         """Return the state of a job, None if no such job is stored.
@@ -167,18 +167,18 @@
         """
         if self._local.serving_epoch:
             return self._local.count_pending(queue)
-        told = self._told_count(queue, FRESH_COUNT_S)
-        if told is not None:
-            return told
+        recent = self._recent_count(queue, FRESH_COUNT_S)
+        if recent is not None:
+            return recent
         try:
             return await self._client.pending(self._leader_address(), queue)
         except UnavailableError:
-            told = self._told_count(queue, MAX_COUNT_AGE_S)
-            if told is None:
+            recent = self._recent_count(queue, MAX_COUNT_AGE_S)
+            if recent is None:
                 raise
-            return told
+            return recent
 
-    def _told_count(self, queue: str, max_age_s: float) -> int | None:
+    def _recent_count(self, queue: str, max_age_s: float) -> int | None:
         """Return the number of pending jobs in the newest load, None if it is older."""
         load = self._newest_load
         if load is None or self._clock.monotonic() - load.time > max_age_s:
@@ -195,25 +195,25 @@
         if self._local.serving_epoch:
             self._local.apply_rows(rows)
             return
-        self._unannounced += rows
-        if self._announcing is None or self._announcing.done():
-            self._announcing = asyncio.create_task(self._announce())
+        self._unsent_rows += rows
+        if self._notification is None or self._notification.done():
+            self._notification = asyncio.create_task(self._send_notifications())
 
-    async def _announce(self) -> None:
+    async def _send_notifications(self) -> None:
         """Send the stored rows to the leader, all that have come since in one call.
 
         After a failure the change feed delivers them sooner than another attempt.
         """
-        while self._unannounced:
-            rows = self._unannounced[:MAX_ANNOUNCED_ROWS]
-            del self._unannounced[:MAX_ANNOUNCED_ROWS]
+        while self._unsent_rows:
+            rows = self._unsent_rows[:MAX_NOTIFIED_ROWS]
+            del self._unsent_rows[:MAX_NOTIFIED_ROWS]
             try:
                 load = await self._client.offer(self._leader_address(), rows)
             except UnavailableError as exc:
                 logger.info(
                     "leader_notification_failed", rows=len(rows), cause=str(exc)
                 )
-                self._unannounced.clear()
+                self._unsent_rows.clear()
                 continue
             if load is not None:
                 self._note_load(load)
