--- a/tests/test_busy_leader.py
+++ b/tests/test_busy_leader.py
@@ -22,7 +22,7 @@
 from cassiaweir.leadership._election import OWNER_UNCHANGED_TIMEOUT, ProbeResult
 from cassiaweir.leadership._rows import OWNER_KEY
 from cassiaweir.peers._client import PROBE_TIMEOUT_S
-from cassiaweir.queues import AdvicePolicy, Customer
+from cassiaweir.queues import AdvicePolicy, Customer, Queue
 from cassiaweir.scheduling import BacklogMeter
 from cassiaweir.scheduling._admission import MAX_SNAPSHOT_AGE_S
 from tests.gang_site import GangSite
@@ -96,6 +96,14 @@
     return site
 
 
+def advised_site(servers: int) -> tuple[GangSite, Queue]:
+    """Return a site whose advice service allows all servers, and its only queue."""
+    site = GangSite(servers=servers, share=1.0, question_s=0.02, each_server_s=0.0)
+    queue = replace(QUEUE, advice=AdvicePolicy(0.02, 0.0, 2.5))
+    site.configuration.value = configuration(CUSTOMER, queues=(queue,))
+    return site, queue
+
+
 # Guards against SHORT and RECOVER: while a round placed a backlog, the leader renewed
 # and answered nothing for over a second, was taken for dead, and so was its successor.
 def test_a_round_with_much_to_place_keeps_no_probe_and_no_renewal_waiting(monkeypatch):
@@ -163,9 +171,7 @@
 # there is room: the answers alone then take half of the leader's processor time.
 def test_advice_is_asked_for_only_as_much_work_as_the_servers_hold():
     async def body() -> None:
-        site = GangSite(servers=8, share=1.0, question_s=0.02, each_server_s=0.0)
-        queue = replace(QUEUE, advice=AdvicePolicy(0.02, 0.0, 2.5))
-        site.configuration.value = configuration(CUSTOMER, queues=(queue,))
+        site, queue = advised_site(8)
         await site.wait_for_leader()
         step = StepSpec(count=4, cpu_millis=4_000, estimate_s=20.0)
         for _ in range(200):
@@ -192,9 +198,7 @@
 )
 def test_work_that_only_some_servers_can_run_keeps_no_other_waiting(blocked: StepSpec):
     async def body() -> None:
-        site = GangSite(servers=8, share=1.0, question_s=0.02, each_server_s=0.0)
-        queue = replace(QUEUE, advice=AdvicePolicy(0.02, 0.0, 2.5))
-        site.configuration.value = configuration(CUSTOMER, queues=(queue,))
+        site, queue = advised_site(8)
         await site.wait_for_leader()
         for _ in range(4):
             site.submit(blocked, queue=queue, task_s=9.0)
@@ -241,9 +245,7 @@
         return preference_key(*args)
 
     async def body() -> None:
-        site = GangSite(servers=servers, share=1.0, question_s=0.02, each_server_s=0.0)
-        queue = replace(QUEUE, advice=AdvicePolicy(0.02, 0.0, 2.5))
-        site.configuration.value = configuration(CUSTOMER, queues=(queue,))
+        site, queue = advised_site(servers)
         await site.wait_for_leader()
         jobs = [site.submit(SMALL, queue=queue, task_s=30.0) for _ in range(30)]
         await asyncio.sleep(2.0)
@@ -288,9 +290,7 @@
 # most found them taken, and were asked about again and again for seconds.
 def test_steps_that_come_at_once_are_asked_about_different_servers():
     async def body() -> None:
-        site = GangSite(servers=100, share=1.0, question_s=0.02, each_server_s=0.0)
-        queue = replace(QUEUE, advice=AdvicePolicy(0.02, 0.0, 2.5))
-        site.configuration.value = configuration(CUSTOMER, queues=(queue,))
+        site, queue = advised_site(100)
         await site.wait_for_leader()
         memory_mb = next(iter(site.servers.values())).entry.capacity.memory_mb
         whole = StepSpec(count=1, cpu_millis=100, memory_mb=memory_mb, estimate_s=60.0)
