Place no urgent step once the leader's term ends

Cause, found by reading the change: a look at urgent steps is scheduled for the next iteration of the event loop, which may come while the term closes. What it launched then was not ended with the term's other tasks, and could send a start around a hand-over.

Change: UrgentPlacement is closed first, and places nothing from then on.

--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -526,6 +526,7 @@
             self._control.stop(run)
 
     async def _close(self) -> None:
+        self._urgent.close()
         self.interference.clear()
         await self._advice.close()
         await cancel_all(self._pollers.values())
--- a/cassiaweir/dispatch/_urgent_placement.py
+++ b/cassiaweir/dispatch/_urgent_placement.py
@@ -36,10 +36,15 @@
         self._leadership = leadership
         self._cancel_age = cancel_age
         self._steps: dict[str, Step] = {}
+        self._closed = False
+
+    def close(self) -> None:
+        """Place nothing any more, as the leader's term ends."""
+        self._closed = True
 
     def request(self, step: Step) -> None:
         """Look at `step` in the next iteration of the event loop, if it is urgent."""
-        if not self._placer.is_urgent(step):
+        if self._closed or not self._placer.is_urgent(step):
             return
         if not self._steps:
             asyncio.get_running_loop().call_soon(self._place)
@@ -50,7 +55,9 @@
         steps = list(self._steps.values())
         self._steps.clear()
         now = self._clock.monotonic()
-        if not self._leadership.may_act(now) or not self._cancel_age.is_recent():
+        if self._closed or not self._leadership.may_act(now):
+            return
+        if not self._cancel_age.is_recent():
             return
         try:
             self._placer.place_urgent(steps, MAX_DURATION)
