Log each run that is lost with its server, and how that is known

Cause: server_crashed_under_task says that a lifetime ended under a task, but not whether the run was given up because its lease had expired, or because another lifetime was heard.

Change: run_lost_with_server gives the cause, the time since the start and since the server's last report, and whether its leases have expired.

No logic is changed.

--- a/cassiaweir/dispatch/_crash_tracker.py
+++ b/cassiaweir/dispatch/_crash_tracker.py
@@ -119,10 +119,13 @@
         if not server.runs and server.fenced and not server.is_draining:
             self._lost_lifetime(server).isolated = False
         for run in server.runs.values():
-            self.note_loss(run)
+            self.note_loss(run, "another lifetime")
 
-    def note_loss(self, run: Run) -> None:
-        """Note that a run was lost with its server, which may have crashed."""
+    def note_loss(self, run: Run, cause: str) -> None:
+        """Note that a run was lost with its server, which may have crashed.
+
+        `cause` says for the log how that is known.
+        """
         server = run.server
         if run.sent_at is None or run.born != server.born:
             return
@@ -137,9 +140,25 @@
         entry.job.crashes.record_age(age_s)
         crash = self._judge(lost, run.job_id)
         if entry.job.crashes.add_loss(run.task.name, server.lifetime, crash):
+            self._log_loss(run, cause)
             entry.job.mark_unsaved(run.task.name)
             self._jobs.save(entry)
 
+    def _log_loss(self, run: Run, cause: str) -> None:
+        now = self._clock.monotonic()
+        logger.info(
+            "run_lost_with_server",
+            task=run.task.name,
+            run=run.number,
+            server=run.server.server_id,
+            born=run.born,
+            cause=cause,
+            answered=run.answered_at is not None,
+            since_start_ms=round((now - (run.sent_at or now)) * 1_000),
+            since_report_ms=round((now - run.server.reported_at) * 1_000),
+            lease_expired=run.server.leases_expired(now),
+        )
+
     def _lost_lifetime(self, server: Server) -> _LostLifetime:
         """Return what is known of the end or loss of a server's present lifetime."""
         lost = self._lost.get(server.lifetime)
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -156,7 +156,7 @@
             if self._runs.remove(run.server, run.key) is None:
                 continue
             if not run.server.reachable:
-                self._crashes.note_loss(run)
+                self._crashes.note_loss(run, cause)
             run.server.record_lost_start(run.key)
             self._count_discarded(run, run.stop_cause or "lost")
             self._requeue(run, cause)
