Record each end on a simulated server at the time it was due

The simulated servers looked for ends only when they were called. A run whose lease ended while its server was cut off was recorded as lapsed at the next call, and as `done` if its work would have ended by then, though the lease had ended before. A checkpoint was counted up to that call as well.

Each end is now the first of its stop, its work and its lease, with the time at which it was due, also if the server crashes afterwards. `restart` can leave the entry to the caller, for a server that starts again while it cannot reach the store.

--- a/standins/users/_servers.py
+++ b/standins/users/_servers.py
@@ -40,7 +40,7 @@
     `ends_at` and `how`, the end that it comes to, follow from the task spec.  A run
     that has been asked to stop ends at `stopping_at`.  `kind` is its queue, and its
     image where it has one.  It has worked at `rate` since `rate_since`, and had done
-    `done_s` of its `work_s` seconds of work by then.
+    `done_s` of its `work_s` seconds of work by then.  `ended_at` is None until it ends.
     """
 
     task: str
@@ -55,11 +55,19 @@
     rate_since: float = field(init=False)
     work_s: float = field(init=False)
     done_s: float = 0.0
+    ended_at: float | None = None
 
     def __post_init__(self) -> None:
         self.rate_since = self.began_at
         self.work_s = self.ends_at - self.began_at
 
+    def next_end(self, lapses_at: float) -> tuple[float, EndKind]:
+        """Return when and how the run ends if its lease ends at `lapses_at`."""
+        ends = [(self.ends_at, self.how), (lapses_at, EndKind.LEASE_EXPIRED)]
+        if self.stopping_at is not None:
+            ends.insert(0, (self.stopping_at, EndKind.STOPPED))
+        return min(ends, key=lambda each: each[0])
+
     def done_at(self, now: float) -> float:
         """Return the seconds of work that are done at `now`."""
         return self.done_s + (now - self.rate_since) * self.rate
@@ -139,21 +147,24 @@
         return CLOCK_START_MS + round(running_s * 1_000)
 
     def apply_due_events(self) -> None:
-        """End the runs that finished, stopped or lost their lease by now."""
+        """End the runs that finished, stopped or lost their lease by now.
+
+        Each end has the time at which it was due, however late that is noticed.
+        """
         now = asyncio.get_running_loop().time()
-        lease_expired = self.clock_ms() >= self.until_ms
-        due = [
-            run
-            for run in self.runs.values()
-            if lease_expired or run.stopping_at is not None or now >= run.ends_at
-        ]
-        for run in sorted(due, key=lambda each: each.ends_at):
-            if run.stopping_at is not None and now >= run.stopping_at:
-                self._end(run, EndKind.STOPPED)
-            elif now >= run.ends_at:
-                self._end(run, run.how)
-            elif lease_expired:
-                self._end(run, EndKind.LEASE_EXPIRED)
+        lapses_at = self._lapses_at(now)
+        due = [(*run.next_end(lapses_at), run) for run in self.runs.values()]
+        for ended_at, how, run in sorted(due, key=lambda each: each[0]):
+            if ended_at <= now:
+                run.ended_at = ended_at
+                self._end(run, how)
+
+    def _lapses_at(self, now: float) -> float:
+        """Return when the lease ended, infinity if it is still in force."""
+        if self.clock_ms() < self.until_ms:
+            return math.inf
+        ran_s = (self.until_ms - CLOCK_START_MS) / 1_000
+        return min(self._started_at + ran_s, now)
 
     def update_rates(self) -> None:
         """Let each run work at the rate that its neighbours leave it."""
@@ -182,18 +193,23 @@
         """Lose all runs and unacknowledged ends; stay down until `restart`."""
         self.apply_due_events()
         for run in self.runs.values():
+            run.ended_at = asyncio.get_running_loop().time()
             self.site.record_end(self, run, None)
         self.runs.clear()
         self.ends.clear()
         self.up = False
 
     def restart(
-        self, capacity: Resources | None = None, *, entry_delay_s: float = 0.0
+        self,
+        capacity: Resources | None = None,
+        *,
+        entry_delay_s: float = 0.0,
+        registered: bool = True,
     ) -> None:
         """Start again under the same id, as a new lifetime without leases or epochs.
 
         The new lifetime may have another capacity.  Its entry reaches the store after
-        `entry_delay_s`.
+        `entry_delay_s`, or not until `Site.register` unless it is `registered`.
         """
         self.up = True
         self.highest_barred_runs.clear()
@@ -206,6 +222,8 @@
             capacity = self.entry.capacity
         self.entry = replace(self.entry, capacity=capacity, born=self.entry.born + 1)
         self.counted_capacity = capacity
+        if not registered:
+            return
         if entry_delay_s:
             self.site.call_later(entry_delay_s, lambda: self.site.register(self))
         else:
@@ -287,7 +305,8 @@
         """Return the newest checkpoint of a run, empty if it has none."""
         if not self.checkpoint_s:
             return ""
-        ran_s = asyncio.get_running_loop().time() - run.began_at
+        now = asyncio.get_running_loop().time()
+        ran_s = (now if run.ended_at is None else run.ended_at) - run.began_at
         written = int(ran_s / self.checkpoint_s)
         return f"{run.task}/{run.number}/{written}" if written else ""
 
--- a/standins/users/_site.py
+++ b/standins/users/_site.py
@@ -235,6 +235,7 @@
         born = server.entry.born
 
         def crash() -> None:
+            server.apply_due_events()
             alive = server.up and server.entry.born == born
             if alive and any(name == task for name, _ in server.runs):
                 self.crash_for(server, deadly.back_after_s, new_id=deadly.new_id)
@@ -273,7 +274,7 @@
         key = (server.entry.server_id, run.task, run.number)
         started = self._running.pop(key)
         self._running_by_task[run.task].remove(started)
-        started.ended_at = asyncio.get_running_loop().time()
+        started.ended_at = run.ended_at
         started.how = how
 
     def record_acknowledged(self, server: FakeServer, number: int) -> None:
