Judge the jobs shown as failed in all random tests of a simulated site

Cause: the random tests looked at the states of some of their jobs, most at whether each is done, and those with deadly tasks at jobs beside them. None held a state of `failed` against what had happened on the servers.

`unjustified_failures` does: a job may be shown as failed if a task, or a gang by its run numbers, has `most_failures` ends `failed`, or if two servers crashed while a run of one task was there. Ends `failed` of long-running tasks are no cause. It gives the most tried task and how its runs ended. No check was taken out or changed.

--- a/standins/users/__init__.py
+++ b/standins/users/__init__.py
@@ -7,6 +7,11 @@
 from standins.users._rows import MemoryStore
 from standins.users._servers import SERVER_SIZE, SERVICE, FakeRun, FakeServer
 from standins.users._site import EVACUATION_S, Deadly, RunRecord, Site
+from standins.users._verdicts import (
+    UnjustifiedFailure,
+    may_be_given_up,
+    unjustified_failures,
+)
 
 __all__ = [
     "EVACUATION_S",
@@ -20,5 +25,8 @@
     "ServerService",
     "Site",
     "StoreService",
+    "UnjustifiedFailure",
     "listening",
+    "may_be_given_up",
+    "unjustified_failures",
 ]
--- a/tests/heavy_load.py
+++ b/tests/heavy_load.py
@@ -29,14 +29,11 @@
 from cassiaweir.jobs import JobSpec, StepSpec
 from cassiaweir.queues import Queue
 from cassiaweir.verdict import Verdict
+from standins.users import unjustified_failures
 from tests.heavy_checks import ACK_S, CONTACT_S, GONE_S, HeavyJob
 from tests.heavy_site import HeavySite, HeavyVm
 from tests.seed_runs import Outcome, run_seeds
-from tests.site_fakes import (
-    ADVISED,
-    QUEUE,
-    URGENT,
-)
+from tests.site_fakes import ADVISED, QUEUE, URGENT
 from tests.test_busy_leader import spend_in
 from tests.test_site_faults import (
     break_store_for_all,
@@ -315,6 +312,7 @@
         outcome.counts["done"] = sum(each.how is EndKind.DONE for each in site.history)
         outcome.counts["left"] = len(site._running)
         check_refused(site)
+        await check_failures(site)
         await site.close()
 
     requeue = RunRegistry.requeue
@@ -347,6 +345,13 @@
             site.faults.append(f"REFUSED: {job_id} was refused and ran")
 
 
+async def check_failures(site: HeavySite) -> None:
+    """Check that no job is shown as failed without cause."""
+    leader = await site.wait_for_leader()
+    for each in unjustified_failures(site, leader.term.job_state):
+        site.faults.append(f"LOST: shown as failed without cause: {each}")
+
+
 @click.command()
 @click.option("--seeds", default="0..19", show_default=True, help="FIRST..LAST.")
 @click.option("--servers", default=24, show_default=True, help="Backend servers.")
--- a/tests/test_caps_under_faults.py
+++ b/tests/test_caps_under_faults.py
@@ -16,6 +16,7 @@
 from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.queues import Customer
 from cassiaweir.types import Resources
+from standins.users import unjustified_failures
 from tests.site_fakes import ADVISED, QUEUE, URGENT, FakeSite, configuration
 from tests.test_site_faults import DOMAIN_FAULTS, Fault
 from tests.virtual_time import run_virtual
@@ -111,6 +112,7 @@
         await asyncio.sleep(RECOVERY_PERIOD_S)
         leader = await site.wait_for_leader()
         states = {leader.term.job_state(job_id) for job_id in jobs}
+        assert not unjustified_failures(site, leader.term.job_state)
         await site.close()
         assert not site.faults
         assert states <= {JobState.DONE, JobState.CANCELLED}
--- a/tests/test_job_shapes.py
+++ b/tests/test_job_shapes.py
@@ -20,6 +20,7 @@
 from cassiaweir.jobs import JobState, StepSpec, TaskState
 from cassiaweir.queues import Customer
 from cassiaweir.types import Resources
+from standins.users import unjustified_failures
 from tests.site_clients import SiteClient
 from tests.site_fakes import ADVISED, QUEUE, URGENT, FakeSite, configuration
 from tests.test_site_faults import DOMAIN_FAULTS
@@ -173,6 +174,7 @@
         leader = await site.wait_for_leader()
         states = {job: leader.term.job_state(job) for job in shapes.ending}
         ended = {job: leader.term.job_state(job) for job in shapes.endless}
+        assert not unjustified_failures(site, leader.term.job_state)
         await site.close()
         assert not site.faults
         unfinished = [job for job, state in states.items() if state != JobState.DONE]
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -12,6 +12,7 @@
 from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.queues import AdvicePolicy, Customer
 from cassiaweir.types import Resources
+from standins.users import unjustified_failures
 from tests.site_fakes import ADVISED, QUEUE, URGENT, FakeSite, configuration
 from tests.virtual_time import run_virtual
 
@@ -208,6 +209,7 @@
         await asyncio.sleep(3)
         leader = await site.wait_for_leader()
         states = [leader.term.job_state(job_id) for job_id in jobs]
+        assert not unjustified_failures(site, leader.term.job_state)
         assert states.count(JobState.DONE) == len(jobs)
         await site.close()
 
@@ -232,6 +234,7 @@
         assert started.began_at - submitted_at < 0.5
         await asyncio.sleep(20)
         leader = await site.wait_for_leader()
+        assert not unjustified_failures(site, leader.term.job_state)
         assert leader.term.job_state(job_id) is JobState.DONE
         assert not site.faults
         await site.close()
--- a/tests/test_random_cancels.py
+++ b/tests/test_random_cancels.py
@@ -15,6 +15,7 @@
 from cassiaweir.dispatch import job_key as key_of
 from cassiaweir.jobs import StepSpec
 from cassiaweir.types import Row, Write
+from standins.users import unjustified_failures
 from tests.site_fakes import FakeSite, FakeVm
 from tests.test_site_faults import (
     break_store_for_all,
@@ -136,6 +137,8 @@
             traffic.cancel(job_id)
         calm_at = loop.time()
         await asyncio.sleep(25)
+        leader = await site.wait_for_leader()
+        assert not unjustified_failures(site, leader.term.job_state)
         for server in site.servers.values():
             server.apply_due_events()
         await site.close()
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -18,7 +18,7 @@
 from cassiaweir.dispatch import EndKind
 from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.types import Resources
-from standins.users import SERVER_SIZE
+from standins.users import SERVER_SIZE, unjustified_failures
 from tests.site_fakes import ADVISED, QUEUE, URGENT, FakeSite, FakeVm
 from tests.virtual_time import run_virtual
 
@@ -192,6 +192,7 @@
         await asyncio.sleep(RECOVERY_PERIOD_S)
         leader = await site.wait_for_leader()
         states = {job_id: leader.term.job_state(job_id) for job_id in jobs}
+        assert not unjustified_failures(site, leader.term.job_state)
         await site.close()
         assert not site.faults
         unfinished = [
@@ -213,6 +214,7 @@
         await asyncio.sleep(RECOVERY_PERIOD_S)
         leader = await site.wait_for_leader()
         states = {job_id: leader.term.job_state(job_id) for job_id in jobs}
+        assert not unjustified_failures(site, leader.term.job_state)
         await site.close()
         assert not site.faults
         assert set(states.values()) == {JobState.DONE}
@@ -232,6 +234,7 @@
         await run_faults(site, site.rng)
         await asyncio.sleep(RECOVERY_PERIOD_S)
         leader = await site.wait_for_leader()
+        assert not unjustified_failures(site, leader.term.job_state)
         for job_id in failing_jobs:
             assert leader.term.job_state(job_id) is JobState.FAILED
             failed = [
--- a/tests/test_task_crashes.py
+++ b/tests/test_task_crashes.py
@@ -13,7 +13,7 @@
 import pytest
 
 from cassiaweir.jobs import JobState, StepSpec
-from standins.users import Deadly
+from standins.users import Deadly, unjustified_failures
 from standins.users._site import MAX_CRASHES
 from tests.site_fakes import ADVISED, FakeSite
 from tests.test_site_faults import run_faults
@@ -54,7 +54,9 @@
 
 
 async def states(site: FakeSite, jobs: Sequence[str]) -> list[JobState | None]:
+    """Return what the leader shows; no job may be shown as failed without cause."""
     leader = await site.wait_for_leader()
+    assert not unjustified_failures(site, leader.term.job_state)
     return [leader.term.job_state(job_id) for job_id in jobs]
 
 
