--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -13,6 +13,7 @@
 from cassiaweir.queues import Queue
 from soak._fronts import Front
 from soak._platform import (
+    ATTEMPTS,
     KEYS,
     OVERLOAD_KEY,
     OVERLOAD_SHARE,
@@ -49,7 +50,10 @@
 PAUSE_RANGE_S = (0.05, 0.5)
 """The random pause between two actions of a caller."""
 
-QUEUE = Queue(name="batch", host=QUEUE_HOST, prefix=QUEUE_PREFIX, service="inventory")
+QUEUE = Queue(
+    name="batch", host=QUEUE_HOST, prefix=QUEUE_PREFIX, service="inventory",
+    most_failures=ATTEMPTS,
+)  # fmt: skip
 
 
 class Caller:
@@ -99,12 +103,23 @@
         job_id = self._next_job_id()
         step = StepSpec(tasks, 4_000, 256, estimate_s=0.5)
         spec = JobSpec(job_id, QUEUE, "", "1.2/done", (step,), 0.0)
-        record = self._record_job(spec)
+        return await self._submit_until(self._record_job(spec), timeout_s)
+
+    async def submit_single(self, task_s: float, timeout_s: float) -> str | None:
+        """Submit a job of one task; return its id if it was accepted in time."""
+        job_id = self._next_job_id()
+        step = StepSpec(1, 500, 256, estimate_s=task_s)
+        spec = JobSpec(job_id, QUEUE, "", f"{task_s}/done", (step,), 0.0)
+        accepted = await self._submit_until(self._record_job(spec), timeout_s)
+        return job_id if accepted else None
+
+    async def _submit_until(self, record: JobRecord, timeout_s: float) -> bool:
+        """Submit a job again until it is accepted; return whether it was in time."""
         deadline = _now() + timeout_s
         async with aiohttp.ClientSession() as client:
             self._client = client
             while record.accepted_at is None and _now() < deadline:
-                await self._submit(job_id, record, KEYS[0])
+                await self._submit(record.spec.job_id, record, KEYS[0])
         return record.accepted_at is not None
 
     def _next_job_id(self) -> str:
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -16,7 +16,12 @@
     History,
     JobRecord,
 )
-from standins.users import EVACUATION_S, RunRecord
+from standins.users import (
+    EVACUATION_S,
+    RunRecord,
+    describe_failure,
+    may_be_given_up,
+)
 
 KEY_WITHDRAWAL_LIMIT_S = 5.0
 """A request sent later than this after the withdrawal of its key is not served."""
@@ -76,6 +81,7 @@
     yield from _check_overload(job_id, record, runs)
     if record.accepted_at is not None:
         yield from _check_reported_states(job_id, record)
+        yield from _check_given_up(job_id, record, runs)
     if record.reported_done:
         yield from _check_done(job_id, record, runs)
     yield from _check_step_order(job_id, record, runs)
@@ -119,6 +125,21 @@
             yield f"{job_id}: reported as {attempt.state} without cause"
 
 
+def _check_given_up(
+    job_id: str, record: JobRecord, runs: Sequence[RunRecord]
+) -> Iterator[str]:
+    """Check that what ran before the first report of `failed` is a cause for it."""
+    reports = [each for each in record.attempts if each.state == "failed"]
+    reported_at = min((each.ended_at for each in reports), default=math.inf)
+    earlier = [run for run in runs if (run.ended_at or math.inf) <= reported_at]
+    if reports and not may_be_given_up(record.spec, earlier):
+        failure = describe_failure(job_id, runs)
+        yield (
+            f"{job_id}: reported as failed, but the runs of its most tried task "
+            f"{failure.task} ended {', '.join(failure.ends)}"
+        )
+
+
 def _done_tasks(runs: Sequence[RunRecord]) -> set[str]:
     return {run.task for run in runs if run.how is EndKind.DONE}
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,7 +14,7 @@
 from soak._platform import DOMAINS, FaultyServer, SoakPlatform, StoreFaults
 from soak._records import EvacuationRecord, FaultRecord, History, KeyRecord
 from standins._relay import RelayControl
-from standins.users import SERVER_SIZE
+from standins.users import ENTRY_LIFETIME_S, SERVER_SIZE
 
 DURATION_RANGE_S = (0.5, 4.0)
 """The random duration of a fault."""
@@ -40,6 +40,9 @@
 ROOM_COUNTS_AFTER_S = 3.5
 """A smaller room counts once a front in touch must know it, and a heartbeat later."""
 
+LAPSE_RANGE_S = (ENTRY_LIFETIME_S + 1.0, ENTRY_LIFETIME_S + 9.0)
+"""How long a backend server is cut from the platform; its leases and entry lapse."""
+
 LINK_FAULTS = (
     RelayControl(cut_forward=True, cut_back=True),
     RelayControl(cut_forward=True),
@@ -197,6 +200,27 @@
     record.healed_at = _now()
 
 
+async def cut_from_platform(context: FaultContext, faulty: FaultyServer) -> None:
+    """Cut a backend server from all fronts and the store until its entry lapses.
+
+    The same lifetime is back later.
+    """
+    if not faulty.server.up or not faulty.registers:
+        return
+    record = context.record_start("lapse-server", faulty.server.entry.server_id)
+    faulty.registers = False
+    faulty.relay.apply(RelayControl(cut_forward=True, cut_back=True))
+    await asyncio.sleep(ENTRY_LIFETIME_S)
+    context.platform.unregister(faulty.server)
+    await asyncio.sleep(context.rng.uniform(*LAPSE_RANGE_S) - ENTRY_LIFETIME_S)
+    faulty.registers = True
+    if faulty.server.up:
+        faulty.relay.reset_connections()
+        faulty.relay.apply(RelayControl())
+        context.platform.write_entry(faulty)
+    record.healed_at = _now()
+
+
 async def crash_server(context: FaultContext) -> None:
     """Crash a backend server and restart it under the same id, perhaps smaller."""
     faulty = context.choose_server()
--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -11,6 +11,7 @@
 import msgspec
 from aiohttp import web
 
+from cassiaweir.dispatch import EndKind
 from cassiaweir.types import Resources, Write
 from soak._checks import MAX_STRETCH_S
 from standins._relay import Relay, RelayControl
@@ -36,6 +37,9 @@
 CAPPED_KEY = KEYS[1]
 """The key of the customer whose running tasks are limited to `CAP`."""
 
+ATTEMPTS = 3
+"""Ends `failed` of a task after which its job is failed."""
+
 CAP = Resources(8_000)
 OVERLOAD_KEY = "key-overload"
 """The key of the customer that submits several times its share; it stays valid."""
@@ -98,12 +102,13 @@
     """A backend server behind a relay.
 
     A share `late` of the start requests gets no response and is carried out
-    seconds later.
+    seconds later.  Unless it `registers`, its entry is not written.
     """
 
     def __init__(self, server: FakeServer, rng: random.Random) -> None:
         self.server = server
         self.late = 0.0
+        self.registers = True
         self.address = ""
         self.relay: Relay
         self._service = ServerService(server)
@@ -192,11 +197,19 @@
             self.write_entry(faulty)
 
     def write_entry(self, faulty: FaultyServer, *, draining: bool = False) -> None:
-        """Write the entry of a server into the store."""
+        """Write the entry of a server into the store, if the server reaches it."""
+        if not faulty.registers:
+            return
         key = f"servers//{faulty.server.entry.server_id}"
         value = msgspec.json.encode(faulty.entry(draining=draining))
         self.store.apply([], [Write(key, value)])
 
+    def is_done(self, job_id: str) -> bool:
+        """Return whether a run of a job has ended `done`."""
+        for server in self.servers.values():
+            server.apply_due_events()
+        return any(run.how is EndKind.DONE for run in self.starts_of(job_id))
+
     async def open(self, stack: AsyncExitStack) -> None:
         """Start and register all servers and store the first configuration."""
         for server_id, server in self.servers.items():
@@ -227,7 +240,7 @@
                     "prefix": QUEUE_PREFIX,
                     "service": SERVICE,
                     "priority": 1,
-                    "attempts": 3,
+                    "attempts": ATTEMPTS,
                     "stretch": 4.0,
                     "slo_ms": 3000,
                 }
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -15,6 +15,7 @@
 import aiohttp
 
 from soak._callers import Caller, OverloadCaller
+from soak._chase import CHASES, chase_jobs
 from soak._checks import check
 from soak._faults import (
     FaultContext,
@@ -86,7 +87,7 @@
         await _start_all(fronts)
         context = FaultContext(platform, fronts, history, random.Random(options.seed))
         callers = [
-            (Caller if number < options.callers else OverloadCaller)(
+            (OverloadCaller if number == options.callers else Caller)(
                 number,
                 platform,
                 fronts,
@@ -94,9 +95,11 @@
                 _rng(options, f"caller-{number}"),
                 _rng(options, f"deadly-{number}"),
             )
-            for number in range(options.callers + 1)
+            for number in range(options.callers + 1 + CHASES)
         ]
-        await _run_load_with_faults(options, context, callers)
+        followed = callers[options.callers + 1 :]
+        callers = callers[: options.callers + 1]
+        await _run_load_with_faults(options, context, callers, followed)
         await heal(context)
         await _evacuate_under_load(options, context, callers[0])
         await _wait_jobs_finished(history, callers[0])
@@ -117,7 +120,10 @@
 
 
 async def _run_load_with_faults(
-    options: RunOptions, context: FaultContext, callers: list[Caller]
+    options: RunOptions,
+    context: FaultContext,
+    callers: list[Caller],
+    followed: list[Caller],
 ) -> None:
     stopped = asyncio.Event()
     load = [asyncio.create_task(caller.run(stopped)) for caller in callers]
@@ -133,10 +139,15 @@
     ]
     rooms = replace(context, rng=_rng(options, "rooms"))
     evacuations = replace(context, rng=_rng(options, "evacuations"))
+    chases = [
+        (replace(context, rng=_rng(options, f"chase-{number}")), caller)
+        for number, caller in enumerate(followed)
+    ]
     await asyncio.gather(
         *(run_series(each, deadline) for each in series),
         run_series(rooms, deadline, [resize_server]),
         run_series(evacuations, deadline, [evacuate_domains]),
+        *(chase_jobs(each, caller, deadline) for each, caller in chases),
     )
     stopped.set()
     await asyncio.gather(*load)
--- a/tests/lapse_faults.py
+++ b/tests/lapse_faults.py
@@ -12,8 +12,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field, replace
 
-from standins.users import FakeServer, RunRecord
-from standins.users._site import ENTRY_LIFETIME_S
+from standins.users import ENTRY_LIFETIME_S, FakeServer, RunRecord
 from tests.site_fakes import FakeSite
 
 CUT_RANGE_S = (4.0, 15.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -233,6 +233,26 @@
 
 def test_only_a_deadly_job_may_be_reported_as_failed():
     job = record(attempt("POST", 200, at=0.0), attempt("GET", 200, state="failed"))
-    assert problems(job) == [f"{JOB}: reported as failed without cause"]
+    crashes = [crashed(0.5), crashed(1.0)]
+    assert problems(job, *crashes) == [f"{JOB}: reported as failed without cause"]
     job.deadly = True
-    assert not problems(job)
+    assert not problems(job, *crashes)
+
+
+# Guards against deadly jobs that are given up for other ends than crashes (issue 56).
+def test_a_deadly_job_is_reported_as_failed_after_two_crashes_only():
+    job = record(attempt("POST", 200, at=0.0), attempt("GET", 200, state="failed"))
+    job.deadly = True
+    lapsed = RunRecord(f"{JOB}.0.0.0", 1, "i-0", 0.2, 0.5, how=EndKind.LEASE_EXPIRED)
+    line = (
+        f"{JOB}: reported as failed, but the runs of its most tried task "
+        f"{JOB}.0.0.0 ended lapsed, server crashed"
+    )
+    assert problems(job, lapsed, crashed(1.0)) == [line]
+    later = line + ", server crashed"
+    assert problems(job, lapsed, crashed(1.0), crashed(1.6)) == [later]
+    assert not problems(job, crashed(0.5), crashed(1.0))
+
+
+def crashed(ended_at: float) -> RunRecord:
+    return RunRecord(f"{JOB}.0.0.0", 1, "i-0", 0.2, ended_at)
