--- a/tests/lapse_faults.py
+++ b/tests/lapse_faults.py
@@ -12,8 +12,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field, replace
 
-from standins.users import FakeServer, RunRecord
-from standins.users._site import ENTRY_LIFETIME_S
+from standins.users import ENTRY_LIFETIME_S, FakeServer, RunRecord
 from tests.site_fakes import FakeSite
 
 CUT_RANGE_S = (4.0, 15.0)
@@ -140,11 +139,20 @@
     await cut_and_restart(site, server, seconds / 2, seconds)
 
 
-CUTS: tuple[Cut, ...] = (
+async def never_returns(site: FakeSite, server: FakeServer, seconds: float) -> None:
+    ServerCut(site, server)
+    await asyncio.sleep(seconds)
+
+
+RETURNS: tuple[Cut, ...] = (
     entry_lapses, entry_stays, restarts_with_entry, restarts_without_entry,
 )  # fmt: skip
 
 
+CUTS = (*RETURNS, never_returns)
+"""The ways to cut a server; `RETURNS` are those after which it is back."""
+
+
 @dataclass
 class Chase:
     """Cuts whichever server runs a task, several times in turn.
@@ -209,7 +217,7 @@
     runs = running(site, "")
     if runs:
         task = rng.choice(runs).task
-        chase = Chase(site, task, lambda: rng.choice(CUTS), cuts=4, limit_s=12.0)
+        chase = Chase(site, task, lambda: rng.choice(RETURNS), cuts=4, limit_s=12.0)
         await chase.run()
 
 
