Bound the bytes that a gateway keeps for the requests of all clients

Callers that send bodies of legal size and stop short of their end made the gateway grow without bound.

Cause: Sanic bounds the body of one request, and nothing the sum. It also keeps a chunked body as one object a chunk until the body is whole, so that a body in chunks of two bytes takes some thirty times its size, and parses all chunks that have arrived without letting another connection take its turn. Each arriving byte restarts its timeout, so a client that sends slowly is never cut off.

Change: a request class of Sanic (`request_class`) collects the body in one buffer, with a turn of the loop for each 64 pieces and one time limit for the whole body; a protocol class (`protocol` of `create_server`) notes what each connection keeps in a budget that all share, `gateway.max_bytes_in_flight`. Beyond it the requests that began to arrive first are refused with 503, not run, and their connections are closed a second later. Requests that are being handled are left alone. The receive buffer of a connection is bounded, so that one read returns at most what it holds.

--- a/cassiaweir/api/_app.py
+++ b/cassiaweir/api/_app.py
@@ -13,6 +13,8 @@
 from sanic.response import text
 from sanic.server.async_server import AsyncioServer
 
+from cassiaweir.api._bounded_http import BoundedHttp, BoundedRequest
+from cassiaweir.api._connections import ConnectionBudget
 from cassiaweir.api._problems import ProblemHandler
 from cassiaweir.clock import SystemClock
 from cassiaweir.observe import EventLog, Metrics
@@ -20,6 +22,10 @@
 from cassiaweir.types import Clock
 
 MAX_HEADER_BYTES = 16_384
+# No more is read from a connection while this much of it waits to be parsed.
+READ_BUFFER_BYTES = 32_768
+# Bounds what the kernel keeps of a connection, and so what one read returns.
+SOCKET_BUFFER_BYTES = 65_536
 # Closes a keep-alive connection on which no further request arrives.
 IDLE_CONNECTION_TIMEOUT = timedelta(seconds=60)
 # Added to `gateway.request_timeout` for the response timeout of Sanic, so that the
@@ -37,7 +43,8 @@
     """Serves blueprints over HTTP, and adds /ready and /metrics.
 
     A request is limited to `gateway.max_body_bytes` of body and `MAX_HEADER_BYTES`
-    of headers, and the client has `gateway.request_timeout` to send it.
+    of headers, and the client has `gateway.request_timeout` to send its body.  All
+    connections share a `ConnectionBudget`.
     """
 
     def __init__(
@@ -65,6 +72,11 @@
             f"cassiaweir-{next(_app_numbers)}",
             configure_logging=False,
             error_handler=ProblemHandler(self._events, self._metrics),
+            request_class=BoundedRequest,
+        )
+        app.ctx.budget = ConnectionBudget(
+            self._settings.gateway_max_bytes_in_flight,
+            self._metrics,
         )
         timeout = self._settings.gateway_request_timeout
         app.config.MOTD = False
@@ -73,6 +85,7 @@
         app.config.TOUCHUP = False
         app.config.REQUEST_MAX_SIZE = self._settings.gateway_max_body_bytes
         app.config.REQUEST_MAX_HEADER_SIZE = MAX_HEADER_BYTES
+        app.config.REQUEST_BUFFER_SIZE = READ_BUFFER_BYTES
         app.config.REQUEST_TIMEOUT = timeout.total_seconds()
         app.config.RESPONSE_TIMEOUT = (timeout + RESPONSE_GRACE).total_seconds()
         app.config.KEEP_ALIVE_TIMEOUT = IDLE_CONNECTION_TIMEOUT.total_seconds()
@@ -99,7 +112,10 @@
         host, port = sock.getsockname()[:2]
         self.address = f"{host}:{port}"
         server = await self._app.create_server(
-            sock=sock, access_log=False, return_asyncio_server=True
+            sock=sock,
+            protocol=BoundedHttp,
+            access_log=False,
+            return_asyncio_server=True,
         )
         assert server is not None
         await server.startup()
@@ -178,6 +194,8 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit this option only if it is set before `listen`.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
     sock.bind((host, int(port)))
     sock.listen(LISTEN_BACKLOG)
     sock.setblocking(False)
--- a/cassiaweir/settings.py
+++ b/cassiaweir/settings.py
@@ -27,6 +27,9 @@
 
 ENVIRONMENT_PREFIX = "CASSIAWEIR_"
 
+MIN_BYTES_IN_FLIGHT = 1_048_576
+"""The least that `gateway.max_bytes_in_flight` may be, so that buffers fit too."""
+
 
 @dataclass(frozen=True, slots=True)
 class Option:
@@ -60,6 +63,12 @@
     Option("gateway.listen", parse_address, "127.0.0.1:7200", "HTTP API address"),
     Option("gateway.rpc", parse_address, "127.0.0.1:7201", "gateway gRPC address"),
     Option("gateway.max_body_bytes", parse_count, 1_048_576, "maximum request body"),
+    Option(
+        "gateway.max_bytes_in_flight",
+        parse_count,
+        32 * 1_048_576,
+        "maximum bytes kept for the requests of all connections",
+    ),
     Option("gateway.request_timeout", parse_duration, "10s", "maximum request time"),
     Option(
         "gateway.drain_notice",
@@ -158,6 +167,7 @@
     gateway_listen: str
     gateway_rpc: str
     gateway_max_body_bytes: int
+    gateway_max_bytes_in_flight: int
     gateway_request_timeout: timedelta
     gateway_drain_notice: timedelta
     gateway_drain_limit: timedelta
@@ -272,6 +282,7 @@
                     f"{option.key}: is required ({option.help}); set it in the file "
                     f"or in {option.variable}"
                 )
+        self._check_bytes_in_flight()
         self._require_shorter("scheduler.shard_renewal", "scheduler.shard_lease")
         self._require_shorter("scheduler.task_renewal", "scheduler.task_lease")
         self._require_shorter("platform.poll", "cell.view_age_limit")
@@ -288,6 +299,16 @@
                 f"log.level: {self.log_level} is not debug, info, warning or error"
             )
 
+    def _check_bytes_in_flight(self) -> None:
+        """Raise unless a single request is served, and refused ones leave it room."""
+        least = max(2 * self.gateway_max_body_bytes, MIN_BYTES_IN_FLIGHT)
+        if self.gateway_max_bytes_in_flight < least:
+            raise SettingsError(
+                f"gateway.max_bytes_in_flight: must be at least {least}: "
+                f"{MIN_BYTES_IN_FLIGHT}, and twice gateway.max_body_bytes, which comes "
+                f"from {self.sources['gateway.max_body_bytes']}"
+            )
+
     def _require_shorter(self, shorter: str, longer: str) -> None:
         values = [
             getattr(self, OPTIONS_BY_KEY[key].attribute) for key in (shorter, longer)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,6 +50,10 @@
     [
         ("[log]\nlevle = 1\n", "log.levle: unknown option"),
         ('[gateway]\nlisten = "localhost:1"\n', "gateway.listen: expected an IP"),
+        (
+            "[gateway]\nmax_bytes_in_flight = 2000000\n",
+            "gateway.max_bytes_in_flight: must be at least 2097152",
+        ),
         ("[gateway]\nmax_body_bytes = -1\n", "gateway.max_body_bytes: expected"),
         ('[scheduler]\nshard_lease = "1s"\n', "must be shorter than"),
         ("[scheduler\n", "is not TOML"),
