Bound the open connections of a gateway

Connections that are idle, or whose request never ends, were kept without bound: each takes a descriptor and its buffers, until the process has no descriptor left for callers and for the backend servers.

Cause: Sanic bounds the backlog of connections that are not accepted yet, and no others; its idle timeout of 60 s does not bound their number.

Change: `gateway.max_connections` (1,024) in the budget that the connections share. A new connection beyond it closes one that was refused, else the longest idle one, else the one whose request began to arrive first, so that idle clients keep no ordinary caller out; where all are being handled, the new one is closed. A request that is being handled is never cut.

--- a/cassiaweir/api/_app.py
+++ b/cassiaweir/api/_app.py
@@ -75,6 +75,7 @@
             request_class=BoundedRequest,
         )
         app.ctx.budget = ConnectionBudget(
+            self._settings.gateway_max_connections,
             self._settings.gateway_max_bytes_in_flight,
             self._metrics,
         )
--- a/cassiaweir/api/_bounded_http.py
+++ b/cassiaweir/api/_bounded_http.py
@@ -51,10 +51,12 @@
         self._refused = False
 
     def connection_made(self, transport: Any) -> None:
-        """Note the connection, and limit the time of its first head."""
+        """Count the connection, or close it where the budget is used up."""
         super().connection_made(transport)
-        self._budget.add(self)
-        self._start_head_timer()
+        if self._budget.add(self):
+            self._start_head_timer()
+        else:
+            self.cut()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give back what the connection used of the budget."""
--- a/cassiaweir/api/_connections.py
+++ b/cassiaweir/api/_connections.py
@@ -1,4 +1,4 @@
-"""The budget of bytes that all clients of one listener share."""
+"""The budget of connections and bytes that all clients of one listener share."""
 
 from __future__ import annotations
 
@@ -10,21 +10,27 @@
 class BoundedConnection(Protocol):
     """A connection that takes part in a `ConnectionBudget`.
 
-    `refuse` is called only while no handler runs for the connection.
+    Both methods are called only while no handler runs for the connection.
     """
 
     def refuse(self) -> None:
         """Refuse the request that arrives, keep no bytes, and close soon."""
 
+    def cut(self) -> None:
+        """Close the connection at once."""
+
 
 class ConnectionBudget:
-    """Bounds the bytes that are kept for the requests of all connections.
+    """Bounds the open connections and the bytes that are kept for their requests.
 
-    Bytes beyond the bound refuse the requests that began to arrive first.  Connections
-    whose request is being handled are left alone.
+    A connection beyond the bound closes one that was refused, else the longest idle,
+    else the one whose request began to arrive first.  Bytes beyond the bound refuse the
+    requests that began to arrive first.  Connections whose request is being handled are
+    left alone.
     """
 
-    def __init__(self, max_bytes: int, metrics: Metrics) -> None:
+    def __init__(self, max_connections: int, max_bytes: int, metrics: Metrics) -> None:
+        self._max_connections = max_connections
         self._max_bytes = max_bytes
         self._metrics = metrics
         self._bytes = 0
@@ -40,9 +46,19 @@
         """The bytes that are kept for all connections."""
         return self._bytes
 
-    def add(self, conn: BoundedConnection) -> None:
-        """Note a new connection."""
+    def add(self, conn: BoundedConnection) -> bool:
+        """Count a new connection, or return False where no other can be closed."""
+        if sum(map(len, self._states)) >= self._max_connections:
+            closable = self._refused or self._idle or self._arriving
+            victim = next(iter(closable), None)
+            if victim is None:
+                self._metrics.count("http_connections_refused")
+                return False
+            self.remove(victim)
+            self._metrics.count("http_connections_cut")
+            victim.cut()
         self._idle[conn] = 0
+        return True
 
     def remove(self, conn: BoundedConnection) -> None:
         """Forget a closed connection and its bytes."""
--- a/cassiaweir/settings.py
+++ b/cassiaweir/settings.py
@@ -69,6 +69,9 @@
         32 * 1_048_576,
         "maximum bytes kept for the requests of all connections",
     ),
+    Option(
+        "gateway.max_connections", parse_count, 1_024, "maximum open HTTP connections"
+    ),
     Option("gateway.request_timeout", parse_duration, "10s", "maximum request time"),
     Option(
         "gateway.drain_notice",
@@ -168,6 +171,7 @@
     gateway_rpc: str
     gateway_max_body_bytes: int
     gateway_max_bytes_in_flight: int
+    gateway_max_connections: int
     gateway_request_timeout: timedelta
     gateway_drain_notice: timedelta
     gateway_drain_limit: timedelta
--- a/tests/test_api_connections.py
+++ b/tests/test_api_connections.py
@@ -25,18 +25,37 @@
     def refuse(self):
         self.calls.append("refuse")
 
+    def cut(self):
+        self.calls.append("cut")
 
-def build(connections: int, max_bytes: int = 100):
-    budget = ConnectionBudget(max_bytes, Metrics())
+
+def build(connections: int, max_connections: int, max_bytes: int = 100):
+    budget = ConnectionBudget(max_connections, max_bytes, Metrics())
     conns = [FakeConnection() for _ in range(connections)]
-    for conn in conns:
-        budget.add(conn)
+    assert all(map(budget.add, conns))
     return budget, conns
 
 
+# Guards against idle connections that keep ordinary clients out (issue 56).
+def test_a_new_connection_closes_the_longest_idle_one_and_none_that_is_handled():
+    budget, [handled, idle, later] = build(3, max_connections=3)
+    budget.begin_handling(handled)
+    assert budget.add(FakeConnection())
+    assert (handled.calls, idle.calls, later.calls) == ([], ["cut"], [])
+
+
+# Guards against a request that is cut while it runs (issue 56).
+def test_a_new_connection_is_refused_where_all_others_are_handled():
+    budget, conns = build(2, max_connections=2)
+    for conn in conns:
+        budget.begin_handling(conn)
+    assert not budget.add(FakeConnection())
+    assert [conn.calls for conn in conns] == [[], []]
+
+
 # Guards against bodies that stop short of their end and take all memory (issue 56).
 def test_bytes_beyond_the_bound_refuse_the_body_that_began_to_arrive_first():
-    budget, [handled, first, second] = build(3)
+    budget, [handled, first, second] = build(3, max_connections=3)
     budget.keep(handled, 30)
     budget.begin_handling(handled)
     budget.keep(first, 40)
@@ -47,7 +66,7 @@
 
 # Guards against bytes that stay counted after their connection has closed (issue 56).
 def test_a_closed_or_answered_connection_gives_its_bytes_back():
-    budget, [closed, answered] = build(2)
+    budget, [closed, answered] = build(2, max_connections=2)
     budget.keep(closed, 40)
     budget.keep(answered, 40)
     budget.begin_handling(answered)
