Bound the connections to the gRPC port and the calls of each

Connections to the port between processes were kept without bound, whether they sent nothing, garbage, or messages that stop short of their end.

Cause: gRPC bounds the size of a message and of the metadata of a call, and by default neither the connections nor the calls of a connection.

Change: options of gRPC alone: `grpc.max_allowed_incoming_connections` from the new setting `rpc.max_connections` (512), `grpc.max_concurrent_streams` (100), and time limits for the handshake and for a connection without a call.

--- a/cassiaweir/composition/_common.py
+++ b/cassiaweir/composition/_common.py
@@ -149,7 +149,12 @@
         `registrations` add the gRPC services of the role; `Peer` is always served.
         """
         services = [self.peer_service.register, *registrations]
-        rpc = RpcServer(self.member.address, services, self.events)
+        rpc = RpcServer(
+            self.member.address,
+            services,
+            self.events,
+            max_connections=self.settings.rpc_max_connections,
+        )
         common_components: list[Component] = [
             self.session,
             self.commits,
--- a/cassiaweir/rpc/_server.py
+++ b/cassiaweir/rpc/_server.py
@@ -25,9 +25,24 @@
     ("grpc.max_reconnect_backoff_ms", MAX_RECONNECT_BACKOFF_MS),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
 )
+DEFAULT_MAX_CONNECTIONS = 512
+"""Connections that a server accepts; each process of a cell makes one or two."""
+
+MAX_CALLS_PER_CONNECTION = 100
+"""Calls in progress on one connection; clients hold back further ones."""
+
+HANDSHAKE_TIMEOUT_MS = 10_000
+"""Time for the first bytes of HTTP/2 to arrive on a connection."""
+
+IDLE_CONNECTION_TIMEOUT_MS = 300_000
+"""Time after which a connection without a call is closed; channels reconnect."""
+
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_concurrent_streams", MAX_CALLS_PER_CONNECTION),
+    ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+    ("grpc.max_connection_idle_ms", IDLE_CONNECTION_TIMEOUT_MS),
 )
 
 Registration = Callable[[grpc.aio.Server], None]
@@ -39,6 +54,7 @@
 
     `address` is host:port.  With port 0 the system chooses a port; `bound_address`
     contains it after `start`.  Calls in flight may take `stop_grace` when it stops.
+    Connections beyond `max_connections` are closed at once.
     """
 
     def __init__(
@@ -48,8 +64,10 @@
         events: EventLog,
         *,
         stop_grace: timedelta = STOP_GRACE_PERIOD,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self._address = address
+        self._max_connections = max_connections
         self._stop_grace = stop_grace
         self._registrations = registrations
         self._events = events
@@ -58,7 +76,8 @@
 
     async def start(self) -> None:
         """Listen, or raise `UnavailableError` if the address cannot be bound."""
-        server = grpc.aio.server(options=SERVER_OPTIONS)
+        limit = ("grpc.max_allowed_incoming_connections", self._max_connections)
+        server = grpc.aio.server(options=(*SERVER_OPTIONS, limit))
         for register in self._registrations:
             register(server)
         host = self._address.rpartition(":")[0]
--- a/cassiaweir/settings.py
+++ b/cassiaweir/settings.py
@@ -80,6 +80,7 @@
         "time to serve on after reporting unready, before the drain",
     ),
     Option("gateway.drain_limit", parse_duration, "30s", "maximum time to drain"),
+    Option("rpc.max_connections", parse_count, 512, "maximum open gRPC connections"),
     Option("scheduler.rpc", parse_address, "127.0.0.1:7202", "scheduler gRPC address"),
     Option("scheduler.shards_per_domain", parse_count, 1, "shards per failure domain"),
     Option("scheduler.shard_lease", parse_duration, "6s", "duration of a shard lease"),
@@ -175,6 +176,7 @@
     gateway_request_timeout: timedelta
     gateway_drain_notice: timedelta
     gateway_drain_limit: timedelta
+    rpc_max_connections: int
     scheduler_rpc: str
     scheduler_shards_per_domain: int
     scheduler_shard_lease: timedelta
