Bound the answers that a process reads from others

Cause: `HttpSession.send`, `cassiaweir ctl` and the client of the interference page read the whole body with `ClientResponse.read`, which has a time limit and no limit of bytes. aiohttp bounds lines and fields of a head. The client of backend servers was bounded (16 MiB), and gRPC clients receive at most 4 MiB a message.

Change: the bounded reader of the backend client moves to `cassiaweir/response_bodies.py` and all four use it. The bound is 64 MiB for the platform and `ctl`, 4 MiB for a report of a server, 16 MiB for a metrics page. A longer answer counts as no usable response: MAY_HAVE_RUN, and the connection is closed.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -97,6 +97,7 @@
 """With an older view of the configuration a VM fails readiness checks."""
 
 MAX_PEER_CHANNELS = 256
+MAX_REPORT_BYTES = 4 * 1_048_576
 RPC_STOP_GRACE = timedelta(milliseconds=200)
 """Time for calls of peers when a VM stops; long polls on their behalf take longer.
 
@@ -194,7 +195,11 @@
     metrics = Metrics()
     instance = uuid.uuid4().hex[:12]
     events = EventLog(settings.node, clock)
-    servers_http = HttpSession({}, max_connections_per_address=MAX_CALLS_PER_SERVER)
+    servers_http = HttpSession(
+        {},
+        max_connections_per_address=MAX_CALLS_PER_SERVER,
+        max_response_bytes=MAX_REPORT_BYTES,
+    )
     access = _open_store(settings, clock, metrics)
     views = _open_views(access.store, clock, metrics)
     members = Members(
--- a/cassiaweir/composition/_interference_pages.py
+++ b/cassiaweir/composition/_interference_pages.py
@@ -11,11 +11,13 @@
 
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.observe._metrics_server import Page
+from cassiaweir.response_bodies import read_bounded
 from cassiaweir.scheduling import InterferenceModel, InterferingPair
 from cassiaweir.verdict import Verdict
 
 PATH = "/debug/interference"
 TIMEOUT = aiohttp.ClientTimeout(total=5)
+MAX_ANSWER_BYTES = 16 * 1_048_576
 COLUMNS = ("KIND", "BESIDE", "SLOWDOWN", "TASKS", "WITHOUT", "REPORTED")
 
 
@@ -70,7 +72,7 @@
             session.request(method, f"http://{address}{PATH}") as response,
         ):
             response.raise_for_status()
-            raw = await response.read()
+            raw = await read_bounded(response, MAX_ANSWER_BYTES)
             return msgspec.json.decode(raw, type=InterferenceAnswer)
     except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
         # A lost answer leaves open whether the pairs were cleared.
--- a/cassiaweir/ctl/_client.py
+++ b/cassiaweir/ctl/_client.py
@@ -13,9 +13,11 @@
 import msgspec
 
 from cassiaweir.exceptions import CassiaweirError
+from cassiaweir.response_bodies import read_bounded
 
 CALL_TIMEOUT = timedelta(seconds=30)
 CONNECT_TIMEOUT = timedelta(seconds=5)
+MAX_ANSWER_BYTES = 64 * 1_048_576
 MIN_ERROR_STATUS = 400
 UNAVAILABLE_STATUSES = (429, 502, 503, 504)
 CONFLICT_REASON = "conflict"
@@ -105,7 +107,7 @@
                     headers=headers,
                 ) as resp,
             ):
-                raw = await resp.read()
+                raw = await read_bounded(resp, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, TimeoutError) as exc:
             raise _unreachable_error(self.server, call, exc) from exc
         if resp.status >= MIN_ERROR_STATUS:
--- a/cassiaweir/platform/_http.py
+++ b/cassiaweir/platform/_http.py
@@ -11,6 +11,7 @@
 
 from cassiaweir.connector import LoopConnector
 from cassiaweir.exceptions import UnavailableError
+from cassiaweir.response_bodies import read_bounded
 from cassiaweir.verdict import Verdict
 
 MAX_CONNECTIONS = 3_072
@@ -20,6 +21,9 @@
 a second connection for orders; the smallest VM has 4,100 descriptors.
 """
 
+MAX_RESPONSE_BYTES = 64 * 1_048_576
+"""Bytes of one response, unless the session says otherwise."""
+
 EXTRA_TRANSFER_TIME_S = 3.0
 """Added to the timeout to bound a whole exchange, so that a large body can arrive."""
 
@@ -37,7 +41,7 @@
     """Sends HTTP requests over pooled connections, each bounded by a timeout.
 
     `headers` are sent with every request.  `max_connections_per_address` bounds the
-    connections to one host and port.
+    connections to one host and port, `max_response_bytes` the body of a response.
     """
 
     def __init__(
@@ -45,7 +49,9 @@
         headers: Mapping[str, str],
         *,
         max_connections_per_address: int = MAX_CONNECTIONS,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
+        self._max_response_bytes = max_response_bytes
         self._headers = dict(headers)
         self._max_connections_per_address = max_connections_per_address
         self._client: aiohttp.ClientSession | None = None
@@ -82,8 +88,9 @@
         response over a slow link may take longer.  Half of it bounds the time to
         connect, and the whole exchange may take EXTRA_TRANSFER_TIME_S longer.
 
-        Raises `UnavailableError` where no complete response arrived: with NOT_RUN if
-        no connection was made, so that nothing was sent, and else with MAY_HAVE_RUN.
+        Raises `UnavailableError` where no complete response arrived, or one that is too
+        long: with NOT_RUN if no connection was made, so that nothing was sent, and else
+        with MAY_HAVE_RUN.
         """
         if self._client is None:
             raise UnavailableError(
@@ -103,7 +110,7 @@
                 ),
                 allow_redirects=False,
             ) as resp:
-                body = await resp.read()
+                body = await read_bounded(resp, self._max_response_bytes)
         except (aiohttp.InvalidURL, UnicodeError) as exc:
             message = f"{address}{path}: not a usable address: {exc}"
             raise UnavailableError(message, verdict=Verdict.NOT_RUN) from exc
--- a/cassiaweir/requests/_backends.py
+++ b/cassiaweir/requests/_backends.py
@@ -21,6 +21,7 @@
     ServiceAnswer,
     ServiceRequest,
 )
+from cassiaweir.response_bodies import read_at_most
 from cassiaweir.types import Clock
 from cassiaweir.verdict import Verdict
 
@@ -133,7 +134,7 @@
             trace_request_ctx=mark_headers_sent,
         ) as response:
             try:
-                body = await _read_body(response, MAX_ANSWER_BYTES + 1)
+                body = await read_at_most(response, MAX_ANSWER_BYTES + 1)
                 _check(response, req, body)
             except BaseException:
                 response.close()
@@ -191,15 +192,6 @@
     await context.trace_request_ctx()
 
 
-async def _read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Return the complete body, or its first `max_bytes` bytes if it is longer."""
-    chunks = []
-    while max_bytes > 0 and (chunk := await response.content.read(max_bytes)):
-        chunks.append(chunk)
-        max_bytes -= len(chunk)
-    return b"".join(chunks)
-
-
 def _check(response: aiohttp.ClientResponse, req: ServiceRequest, body: bytes) -> None:
     """Raise unless the response belongs to `req` and is complete.
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -119,3 +119,43 @@
 
     with asyncio.Runner(loop_factory=Loop) as runner:
         runner.run(body())
+
+
+ENDLESS_CHUNK = b"x" * 1_048_576
+ENDLESS_CHUNKS = 16
+MAX_RESPONSE_BYTES = 2 * 1_048_576
+
+
+async def send_far_beyond_the_bound(req: web.BaseRequest) -> web.StreamResponse:
+    resp = web.StreamResponse()
+    await resp.prepare(req)
+    for _ in range(ENDLESS_CHUNKS):
+        await resp.write(ENDLESS_CHUNK)
+    return resp
+
+
+# Guards against a server or store whose answer has no end and takes all memory
+# (issue 56).
+async def test_an_answer_longer_than_the_bound_is_not_read_to_its_end():
+    session = HttpSession({}, max_response_bytes=MAX_RESPONSE_BYTES)
+    await session.start()
+    try:
+        async with listening(send_far_beyond_the_bound) as address:
+            with pytest.raises(UnavailableError, match="exceeds 2097152") as caught:
+                await session.send("GET", address, "/", None, timedelta(seconds=60))
+    finally:
+        await session.stop()
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+
+
+# Guards against a bound that an answer inside it meets (issue 56).
+async def test_an_answer_of_the_size_of_the_bound_is_returned():
+    bound = CHUNK_COUNT * len(CHUNK)
+    session = HttpSession({}, max_response_bytes=bound)
+    await session.start()
+    try:
+        async with listening(send_in_chunks) as address:
+            resp = await session.send("GET", address, "/", None, TIMEOUT)
+    finally:
+        await session.stop()
+    assert resp.body == CHUNK * CHUNK_COUNT
