--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 SEED ?= 1
 # The tests in KNOWN-RED.txt that the verdict passes over.
 KNOWN_RED := $(shell sed -n "s/^passed over: //p" KNOWN-RED.txt 2>/dev/null)
+# Quoted, as the names of parametrized tests have brackets.
+DESELECTED = $(foreach test,$(KNOWN_RED),--deselect='$(test)')
 
 .PHONY: help setup test format lint types unit demo bench prove proto binary report capacity
 
@@ -29,8 +31,9 @@
 	$(PYTHON) -m mypy
 
 unit: setup ## Run the tests; failures of those in KNOWN-RED.txt are only printed.
-	$(if $(KNOWN_RED),-PYTHONHASHSEED=0 $(PYTHON) -m pytest $(KNOWN_RED))
-	PYTHONHASHSEED=0 $(PYTHON) -m pytest -n 4 $(addprefix --deselect=,$(KNOWN_RED))
+	$(if $(KNOWN_RED),-PYTHONHASHSEED=0 $(PYTHON) -m pytest $(foreach test,$(KNOWN_RED),'$(test)'))
+	PYTHONHASHSEED=0 $(PYTHON) -m pytest -n 4 -m "not serial" $(DESELECTED)
+	PYTHONHASHSEED=0 $(PYTHON) -m pytest -m serial $(DESELECTED)
 
 proto: setup ## Generate the gRPC code again.
 	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --pyi_out=. --grpc_python_out=. cassiaweir/rpc/cell.proto cassiaweir/rpc/node.proto
