Bound what is read and parsed of a connection at once, and its heads

Cause: uvloop reads a connection up to 32 times in one iteration of the event loop, 256,000 bytes each, and passes each read to aiohttp's protocol. Once the C parser (llhttp) has refused a head, it refuses every further read as well, and aiohttp builds an error for each: the text holds the representation of all bytes read, and the traceback keeps the frame with the bytes, which keeps the list with the error. This cycle is left to the garbage collector, which runs rarely here. The refused connection is closed only three iterations later.

Evidence: one connection to an unchanged web.Server under uvloop that sends one header line without end: 27 reads in three iterations after the beginning, 27 errors with texts of up to 374,736 characters, and 13,273,222 bytes in 424 objects that only a collection frees.

Change: cassiaweir/http_limits, in front of aiohttp's protocol and through the interface of asyncio.Protocol alone. At most 4,096 bytes are read and parsed in one go; a connection that filled this waits for its turn, eight of them an iteration and four iterations apart, so that a refused one is closed before it is read again. Bytes before the end of a head are counted: beyond 32 KB the answer is 431 and the connection is closed. Behind a request that is being served at most 4 KB more are read. The error of a refused head is stripped of its traceback. The rest of a body after the answer is dropped for 1 s (10 s before). aiohttp's own limits stay: 8,190 bytes a line, 128 headers. They do not bound a head (1 MB), nor empty lines before one.

Ruled out: aiohttp's options alone (max_line_size, max_field_size, max_headers, read_bufsize, lingering_time) bound neither the size of a read nor the reads after an error. A subclass of aiohttp's RequestHandler is not needed.

--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -19,6 +19,7 @@
 from cassiaweir.front._pending_jobs import Attempt, OverloadError
 from cassiaweir.front._states import JobDirectory
 from cassiaweir.front._submissions import JobWriter
+from cassiaweir.http_limits import DEFAULT_LIMITS, BoundedServer, Refusals
 from cassiaweir.jobs import JobSpec, JobState
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import Queue
@@ -128,12 +129,13 @@
 
     async def start(self) -> None:
         """Listen on both addresses."""
-        for address, handler in (
-            (self._front_address, self._handle),
-            (self._ready_address, self._handle_ready),
+        refusals = Refusals(self._metrics)
+        for name, address, handler in (
+            ("front", self._front_address, self._handle),
+            ("ready", self._ready_address, self._handle_ready),
         ):
             runner = web.ServerRunner(
-                web.Server(handler, access_log=None),
+                BoundedServer(handler, name, DEFAULT_LIMITS, refusals),
                 shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             )
             await runner.setup()
--- /dev/null
+++ b/cassiaweir/http_limits/__init__.py
@@ -0,0 +1,7 @@
+"""Limits of the HTTP listeners of a process, for clients that keep to none."""
+
+from cassiaweir.http_limits._limits import DEFAULT_LIMITS, ListenerLimits
+from cassiaweir.http_limits._refusals import Refusals
+from cassiaweir.http_limits._server import BoundedServer
+
+__all__ = ["DEFAULT_LIMITS", "BoundedServer", "ListenerLimits", "Refusals"]
--- a/cassiaweir/observe/_metrics_server.py
+++ b/cassiaweir/observe/_metrics_server.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from cassiaweir.http_limits import DEFAULT_LIMITS, BoundedServer, Refusals
 from cassiaweir.observe._metrics import Metrics
 
 METRICS_PATH = "/metrics"
@@ -33,7 +34,10 @@
 
     async def start(self) -> None:
         """Start to listen."""
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+        refusals = Refusals(self._metrics)
+        self._runner = web.ServerRunner(
+            BoundedServer(self._handle, "metrics", DEFAULT_LIMITS, refusals)
+        )
         await self._runner.setup()
         host, _, port = self._address.rpartition(":")
         await web.TCPSite(self._runner, host, int(port)).start()
