Bound how many connections clients keep open, and for how long

Cause: nothing counted the connections of a listener, and aiohttp closes an idle one, or one with a part of a head, only after 3,630 s. Clients that connect and send nothing take all descriptors of a process, which then reaches neither the store nor servers.

Change: each listener admits a number of connections that follows from max_fds and memory_mb in the settings file, which were not read before. Beyond it, the connections that have been idle longest are closed, a sixteenth at once, first those that never had a request, then those with an incomplete body. Closing new ones instead would let idle ones keep all others out. A connection with a whole request is never closed for this: its caller would not know whether it ran. Time limits for a head, an idle connection and an answer that nobody reads are counted in ticks of the process, so that a suspended process closes nothing when it resumes. [http] in the settings file replaces values; invalid ones are a SettingsError that names them.

Open: connections that the process opens itself are not part of this count. Half of the descriptors are left to them; a process may have 3,072 in use, more than that half of 4,100.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -282,7 +282,8 @@
         host = settings.front_address.rpartition(":")[0]
         pages = InterferencePages(term).by_request
         address = f"{host}:{metrics_port}"
-        components.insert(0, MetricsServer(address, metrics, pages))
+        limits = settings.http_limits.operators
+        components.insert(0, MetricsServer(address, metrics, pages, limits))
     return Process(
         components, events, on_reload=lambda: logger.info("process_reloaded")
     )
@@ -370,6 +371,7 @@
         metrics=metrics,
         is_ready=lambda: configuration.age() < MAX_READY_VIEW_AGE,
         admission=admission,
+        limits=settings.http_limits,
     )
 
 
--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -19,7 +19,12 @@
 from cassiaweir.front._pending_jobs import Attempt, OverloadError
 from cassiaweir.front._states import JobDirectory
 from cassiaweir.front._submissions import JobWriter
-from cassiaweir.http_limits import DEFAULT_LIMITS, BoundedServer, Refusals
+from cassiaweir.http_limits import (
+    DEFAULT_LIMITS,
+    BoundedServer,
+    ProcessLimits,
+    Refusals,
+)
 from cassiaweir.jobs import JobSpec, JobState
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import Queue
@@ -94,9 +99,9 @@
 class FrontServer:
     """Serves callers, and the load balancer's readiness checks on an own address.
 
-    `admission` refuses submissions by load; without it none is refused for that.  Once
-    `drain` is called, readiness checks fail and each connection is closed after
-    its next response.
+    `admission` refuses submissions by load; without it none is refused for that.
+    `limits` bound what clients may use of the process.  Once `drain` is called,
+    readiness checks fail and each connection is closed after its next response.
     """
 
     def __init__(
@@ -112,8 +117,10 @@
         metrics: Metrics,
         is_ready: Callable[[], bool],
         admission: LoadAdmission | None = None,
+        limits: ProcessLimits = DEFAULT_LIMITS,
     ) -> None:
         self._admission = admission
+        self._limits = limits
         self._front_address = front_address
         self._ready_address = ready_address
         self._access = access
@@ -130,14 +137,18 @@
     async def start(self) -> None:
         """Listen on both addresses."""
         refusals = Refusals(self._metrics)
-        for name, address, handler in (
-            ("front", self._front_address, self._handle),
-            ("ready", self._ready_address, self._handle_ready),
+        callers, operators = self._limits.callers, self._limits.operators
+        for address, server in (
+            (
+                self._front_address,
+                BoundedServer(self._handle, "front", callers, refusals),
+            ),
+            (
+                self._ready_address,
+                BoundedServer(self._handle_ready, "ready", operators, refusals),
+            ),
         ):
-            runner = web.ServerRunner(
-                BoundedServer(handler, name, DEFAULT_LIMITS, refusals),
-                shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-            )
+            runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
             await runner.setup()
             host, _, port = address.rpartition(":")
             await web.TCPSite(runner, host, int(port), backlog=1024).start()
--- a/cassiaweir/http_limits/__init__.py
+++ b/cassiaweir/http_limits/__init__.py
@@ -1,7 +1,21 @@
 """Limits of the HTTP listeners of a process, for clients that keep to none."""
 
-from cassiaweir.http_limits._limits import DEFAULT_LIMITS, ListenerLimits
+from cassiaweir.http_limits._limits import (
+    DEFAULT_LIMITS,
+    HttpOverrides,
+    ListenerLimits,
+    ProcessLimits,
+    derive_limits,
+)
 from cassiaweir.http_limits._refusals import Refusals
 from cassiaweir.http_limits._server import BoundedServer
 
-__all__ = ["DEFAULT_LIMITS", "BoundedServer", "ListenerLimits", "Refusals"]
+__all__ = [
+    "DEFAULT_LIMITS",
+    "BoundedServer",
+    "HttpOverrides",
+    "ListenerLimits",
+    "ProcessLimits",
+    "Refusals",
+    "derive_limits",
+]
--- a/cassiaweir/observe/_metrics_server.py
+++ b/cassiaweir/observe/_metrics_server.py
@@ -6,7 +6,12 @@
 
 from aiohttp import web
 
-from cassiaweir.http_limits import DEFAULT_LIMITS, BoundedServer, Refusals
+from cassiaweir.http_limits import (
+    DEFAULT_LIMITS,
+    BoundedServer,
+    ListenerLimits,
+    Refusals,
+)
 from cassiaweir.observe._metrics import Metrics
 
 METRICS_PATH = "/metrics"
@@ -18,7 +23,7 @@
 class MetricsServer:
     """Serves `METRICS_PATH` on `address`, given as `host:port`.
 
-    `pages` are further pages by method and path.
+    `pages` are further pages by method and path.  `limits` bound what clients may use.
     """
 
     def __init__(
@@ -26,7 +31,9 @@
         address: str,
         metrics: Metrics,
         pages: Mapping[tuple[str, str], Page] | None = None,
+        limits: ListenerLimits = DEFAULT_LIMITS.operators,
     ) -> None:
+        self._limits = limits
         self._address = address
         self._metrics = metrics
         self._pages = dict(pages or {})
@@ -35,9 +42,8 @@
     async def start(self) -> None:
         """Start to listen."""
         refusals = Refusals(self._metrics)
-        self._runner = web.ServerRunner(
-            BoundedServer(self._handle, "metrics", DEFAULT_LIMITS, refusals)
-        )
+        server = BoundedServer(self._handle, "metrics", self._limits, refusals)
+        self._runner = web.ServerRunner(server)
         await self._runner.setup()
         host, _, port = self._address.rpartition(":")
         await web.TCPSite(self._runner, host, int(port)).start()
--- a/cassiaweir/platform/_local_settings.py
+++ b/cassiaweir/platform/_local_settings.py
@@ -6,11 +6,17 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
 from cassiaweir.exceptions import SettingsError
+from cassiaweir.http_limits import (
+    DEFAULT_LIMITS,
+    HttpOverrides,
+    ProcessLimits,
+    derive_limits,
+)
 
 PATH_VARIABLE = "CASSIAWEIR_CONFIG"
 DEFAULT_PATH = Path("/etc/cassiaweir/local.toml")
@@ -33,6 +39,9 @@
     # The speed of the processor as a multiple of one standard core; this is not the
     # number of its cores.
     cores: float = 1.0
+    # With more memory, in MB, or more descriptors the process is ended; 0: not known.
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class _Bounds(msgspec.Struct):
@@ -57,6 +66,8 @@
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Replaces limits of the HTTP listeners that follow from `limits`.
+    http: HttpOverrides = msgspec.field(default_factory=HttpOverrides)
     # Addresses of other entry VMs.
     seeds: list[str] = []
     # The address of the advice service, or empty.
@@ -72,7 +83,8 @@
     which a withdrawn key must no longer be accepted.  `cores` is the processing power
     of the VM in standard cores, which need not be a whole number.  In any time of
     `share_window_s` a customer may submit the jobs that its weight allows, the share
-    `share_overage` and `share_slack` jobs more.
+    `share_overage` and `share_slack` jobs more.  `http_limits` bounds what HTTP clients
+    may use of the process.
     """
 
     node: str
@@ -88,6 +100,7 @@
     share_window_s: float = 1.0
     share_overage: float = 0.0
     share_slack: int = 0
+    http_limits: ProcessLimits = DEFAULT_LIMITS
 
 
 def local_settings_path() -> Path:
@@ -103,7 +116,9 @@
     try:
         fields: dict[str, Any] = tomllib.loads(path.read_text())
         found = msgspec.convert(fields, _File)
-    except (OSError, ValueError) as exc:
+        limits = found.limits
+        http_limits = derive_limits(limits.memory_mb, limits.max_fds, found.http)
+    except (OSError, ValueError, SettingsError) as exc:
         raise SettingsError(f"{path}: {exc}") from exc
     bounds = found.bounds
     return LocalSettings(
@@ -116,8 +131,9 @@
         store_address=found.platform.addr,
         advice_address=found.hint,
         key_withdrawal_s=bounds.revoke_ms / 1_000,
-        cores=found.limits.cpu_share * found.limits.cores,
+        cores=limits.cpu_share * limits.cores,
         share_window_s=bounds.quota_window_s,
         share_overage=bounds.quota_overage,
         share_slack=bounds.quota_slack,
+        http_limits=http_limits,
     )
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -1,4 +1,4 @@
-"""Tests of `cassiaweir.http_limits`: bounded connections."""
+"""Tests of `cassiaweir.http_limits`: limits and bounded connections."""
 
 from __future__ import annotations
 
@@ -10,7 +10,14 @@
 import pytest
 from aiohttp import web
 
-from cassiaweir.http_limits import BoundedServer, ListenerLimits, Refusals
+from cassiaweir.exceptions import SettingsError
+from cassiaweir.http_limits import (
+    BoundedServer,
+    HttpOverrides,
+    ListenerLimits,
+    Refusals,
+    derive_limits,
+)
 from cassiaweir.http_limits._connection import READ_BYTES
 from cassiaweir.observe import Metrics
 from tests.waiting import until
@@ -83,6 +90,28 @@
     return f"{HEAD}Content-Length: {size}\r\n\r\n".encode()
 
 
+def test_limits_follow_from_memory_and_descriptors():
+    small = derive_limits(100, 600, HttpOverrides())
+    assert small.callers.max_connections == 200
+    usual = derive_limits(300, 4_100, HttpOverrides())
+    assert usual.callers.max_connections == 1_950
+    assert derive_limits(300, 100_000, HttpOverrides()).callers.max_connections == 2_400
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "descriptors", "overrides"),
+    [
+        (300, 4_100, HttpOverrides(max_connections=3_901)),
+        (300, 200, HttpOverrides()),
+    ],
+)
+def test_limits_beyond_those_of_the_process_are_refused(
+    memory_mb, descriptors, overrides
+):
+    with pytest.raises(SettingsError):
+        derive_limits(memory_mb, descriptors, overrides)
+
+
 @pytest.mark.parametrize("size", [0, 1, READ_BYTES, READ_BYTES + 1, MAX_BODY])
 async def test_legal_bodies_arrive_whole_also_on_one_connection(size):
     async with listening() as rig:
@@ -141,6 +170,85 @@
             assert await status_of(reader) == 200
 
 
+# Guards against connections without a request that keep others out.
+async def test_the_connection_that_was_idle_longest_makes_room_for_a_new_one():
+    async with listening(ListenerLimits(max_connections=4)) as rig:
+        served = await rig.connect()
+        served[1].write(GET)
+        assert await status_of(served[0]) == 200
+        idle = [await rig.connect() for _ in range(3)]
+        await until(lambda: len(rig.server._open) == 4)
+        reader, writer = await rig.connect()
+        writer.write(GET)
+        assert await status_of(reader) == 200
+        assert await ended(idle[0][0])
+        served[1].write(GET)
+        assert await status_of(served[0]) == 200
+        assert rig.refusals("evicted") == 1
+
+
+# Guards against a request that was read and gets no answer, as another client connects.
+async def test_a_whole_request_is_not_given_up_for_a_new_connection():
+    async with listening(ListenerLimits(max_connections=2)) as rig:
+        rig.gate.clear()
+        served = [await rig.connect() for _ in range(2)]
+        for _, writer in served:
+            writer.write(GET)
+        await until(lambda: rig.handled == 2)
+        reader, _ = await rig.connect()
+        assert await ended(reader)
+        assert rig.refusals("too_many_connections") == 1
+        rig.gate.set()
+        for reader, _ in served:
+            assert await status_of(reader) == 200
+
+
+# Guards against bodies that stop short of their end and keep all others out.
+async def test_an_incomplete_body_makes_room_for_a_new_connection():
+    async with listening(ListenerLimits(max_connections=2)) as rig:
+        stalled = [await rig.connect() for _ in range(2)]
+        for _, writer in stalled:
+            writer.write(sized(10) + b"x")
+        await until(lambda: rig.handled == 2)
+        reader, writer = await rig.connect()
+        writer.write(GET)
+        assert await status_of(reader) == 200
+        assert await ended(stalled[0][0])
+
+
+@pytest.mark.parametrize(
+    ("sent", "cause"), [(b"", "idle_timeout"), (b"GET / HT", "head_timeout")]
+)
+async def test_idle_connections_and_slow_heads_are_closed(sent, cause):
+    limits = ListenerLimits(head_timeout_s=3, idle_timeout_s=5)
+    async with listening(limits) as rig:
+        reader, writer = await rig.connect()
+        await until(lambda: len(rig.server._open) == 1)
+        conn = next(iter(rig.server._open))
+        writer.write(sent)
+        await until(lambda: conn._head_bytes == len(sent))
+        for _ in range(3):
+            rig.server._on_tick()
+        assert rig.refusals(cause) == 0
+        for _ in range(3):
+            rig.server._on_tick()
+        assert rig.refusals(cause) == 1
+        assert await ended(reader)
+
+
+# Guards against closed connections that a client keeps by reading nothing.
+async def test_a_client_that_reads_no_answer_is_disconnected():
+    async with listening() as rig:
+        _, writer = await rig.connect()
+        await until(lambda: len(rig.server._open) == 1)
+        conn = next(iter(rig.server._open))
+        conn.pause_writing()
+        for _ in range(31):
+            rig.server._on_tick()
+        assert rig.refusals("answer_timeout") == 1
+        writer.close()
+
+
 # Guards against errors that keep bytes in reference cycles, which are collected rarely.
 @pytest.mark.parametrize(
     "sent",
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -348,6 +348,35 @@
     assert found.advice_address == ""
 
 
+# Guards against limits in the settings file that are not applied.
+def test_limits_of_http_clients_follow_from_the_settings_file(tmp_path: Path):
+    path = tmp_path / "local.toml"
+    path.write_text(f"{SETTINGS}[limits]\nmemory_mb = 100.5\nmax_fds = 600\n")
+    assert load_local_settings(path).http_limits.callers.max_connections == 200
+    path.write_text(f"{SETTINGS}[http]\nmax_connections = 7\nidle_timeout_s = 9\n")
+    callers = load_local_settings(path).http_limits.callers
+    assert (callers.max_connections, callers.idle_timeout_s) == (7, 9)
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("[limits]\nmemory_mb = -1\n", "memory_mb"),
+        ('[limits]\nmax_fds = "many"\n', "max_fds"),
+        ("[limits]\nmax_fds = 100\n", "max_fds"),
+        ("[http]\nmax_connections = 0\n", "max_connections"),
+        ("[http]\nmax_connections = 10000\n", "max_connections"),
+        ("[http]\nhead_timeout_s = 1.5\n", "head_timeout_s"),
+        ("[http]\nmax_head_bytes = 100\n", "max_head_bytes"),
+    ],
+)
+def test_an_invalid_limit_is_named(tmp_path: Path, text: str, named: str):
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS + text)
+    with pytest.raises(SettingsError, match=rf"local\.toml.*{named}"):
+        load_local_settings(path)
+
+
 @pytest.mark.parametrize(
     "text", ["", "node = 3", SETTINGS.replace("[listen]", "[x]"), "="]
 )
