Give the request bodies of a process one budget of bytes

Cause: each body was bounded by itself (262,144 bytes, 5 s), all of them together were not. aiohttp's read() keeps up to 2 MB a connection before it stops reading, grows a buffer, and copies it at the end; the copy was kept until the store had answered. The error of a body that is cut off is kept by its stream and holds, by its traceback, the buffer in a cycle.

Change: read_body() takes the announced size from a budget before it reads, or 16 KB at a time for a body in chunks, and gives all back at the end. The budget is an eighth of memory_mb; its last quarter is for bodies of up to 16 KB, so that ordinary submissions are accepted while large ones take the rest. A body beyond it is answered 503 with Retry-After before it is read, and nothing of it was stored. Alone, a body of any legal size is admitted. The body is dropped once it is decoded. A body that is cut off or malformed gets 400 (incomplete_body), before 500 and a trace on standard error.

--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -21,9 +20,15 @@
 from cassiaweir.front._submissions import JobWriter
 from cassiaweir.http_limits import (
     DEFAULT_LIMITS,
+    BodyTimeoutError,
+    BodyTooLargeError,
     BoundedServer,
+    BudgetExhaustedError,
+    ByteBudget,
+    IncompleteBodyError,
     ProcessLimits,
     Refusals,
+    read_body,
 )
 from cassiaweir.jobs import JobSpec, JobState
 from cassiaweir.observe import Metrics
@@ -33,11 +38,11 @@
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 READY_PATH = "/ready"
+FRONT_LISTENER = "front"
 JSON_TYPE = "application/json"
 RETRY_AFTER_S = 1
 """Sent with status 503 and 504 in the Retry-After header."""
 
-BODY_TIMEOUT_S = 5.0
 DRAIN_DELAY = timedelta(milliseconds=2_500)
 """The load balancer may send new connections this long after readiness fails."""
 
@@ -121,6 +126,8 @@
     ) -> None:
         self._admission = admission
         self._limits = limits
+        self._bodies = ByteBudget(limits.body_bytes)
+        self._refusals = Refusals(metrics)
         self._front_address = front_address
         self._ready_address = ready_address
         self._access = access
@@ -136,16 +143,21 @@
 
     async def start(self) -> None:
         """Listen on both addresses."""
-        refusals = Refusals(self._metrics)
         callers, operators = self._limits.callers, self._limits.operators
         for address, server in (
             (
                 self._front_address,
-                BoundedServer(self._handle, "front", callers, refusals),
+                BoundedServer(
+                    self._handle,
+                    FRONT_LISTENER,
+                    callers,
+                    self._refusals,
+                    on_tick=self._show_bodies,
+                ),
             ),
             (
                 self._ready_address,
-                BoundedServer(self._handle_ready, "ready", operators, refusals),
+                BoundedServer(self._handle_ready, "ready", operators, self._refusals),
             ),
         ):
             runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
@@ -164,6 +176,9 @@
         self._stopping = True
         await self._clock.sleep(DRAIN_DELAY)
 
+    def _show_bodies(self) -> None:
+        self._metrics.set("http_body_bytes", self._bodies.used)
+
     async def _handle_ready(self, req: web.BaseRequest) -> web.StreamResponse:
         ready = req.path == READY_PATH and not self._stopping and self._is_ready()
         return web.Response(status=200 if ready else 503)
@@ -245,26 +260,18 @@
         self, req: web.BaseRequest, access: Access, submitted_id: str
     ) -> _HttpReply:
         received_version = self._submissions.newest_version()
-        max_bytes = self._access.max_body_bytes
-        if (req.content_length or 0) > max_bytes:
-            return _HttpReply(413, "too_large")
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                raw = await req.read()
-        except TimeoutError:
+            spec = await self._read_submission(req, access, submitted_id)
+        except BodyTimeoutError:
+            self._refusals.record(FRONT_LISTENER, "body_timeout")
             return _HttpReply(408, "body_too_slow")
-        except web.HTTPRequestEntityTooLarge:
-            return _HttpReply(413, "too_large")
-        if len(raw) > max_bytes:
+        except IncompleteBodyError:
+            return _HttpReply(400, "incomplete_body")
+        except BodyTooLargeError:
             return _HttpReply(413, "too_large")
-        spec = self._codec.decode_submission(
-            raw,
-            job_id=submitted_id,
-            queue=access.queue,
-            customer=access.customer.name if access.customer else "",
-            submitted_at=self._clock.now().timestamp(),
-        )
-        spec = _with_terms(spec, access)
+        except BudgetExhaustedError:
+            self._refusals.record(FRONT_LISTENER, "too_many_bodies")
+            return _HttpReply(503, "too_many_bodies", retry_after_s=RETRY_AFTER_S)
         rejected = self._admission.check(spec) if self._admission else None
         attempt = Attempt(received_version, lambda: _is_connected(req), rejected)
         try:
@@ -275,6 +282,25 @@
             return _HttpReply(429, exc.reason, retry_after_s=exc.rejected.retry_after_s)
         return _HttpReply(200, "stored")
 
+    async def _read_submission(
+        self, req: web.BaseRequest, access: Access, submitted_id: str
+    ) -> JobSpec:
+        """Return the job in the body of `req`; the body is not kept."""
+        raw = await read_body(
+            req,
+            self._bodies,
+            self._access.max_body_bytes,
+            self._limits.body_timeout_s,
+        )
+        spec = self._codec.decode_submission(
+            raw,
+            job_id=submitted_id,
+            queue=access.queue,
+            customer=access.customer.name if access.customer else "",
+            submitted_at=self._clock.now().timestamp(),
+        )
+        return _with_terms(spec, access)
+
     async def _get_state(self, job_id: str) -> _HttpReply:
         state = await self._states.job_state(job_id)
         if state is None:
--- a/cassiaweir/http_limits/__init__.py
+++ b/cassiaweir/http_limits/__init__.py
@@ -1,5 +1,12 @@
 """Limits of the HTTP listeners of a process, for clients that keep to none."""
 
+from cassiaweir.http_limits._body import (
+    BodyTimeoutError,
+    BodyTooLargeError,
+    IncompleteBodyError,
+    read_body,
+)
+from cassiaweir.http_limits._budget import BudgetExhaustedError, ByteBudget
 from cassiaweir.http_limits._limits import (
     DEFAULT_LIMITS,
     HttpOverrides,
@@ -12,10 +19,16 @@
 
 __all__ = [
     "DEFAULT_LIMITS",
+    "BodyTimeoutError",
+    "BodyTooLargeError",
     "BoundedServer",
+    "BudgetExhaustedError",
+    "ByteBudget",
     "HttpOverrides",
+    "IncompleteBodyError",
     "ListenerLimits",
     "ProcessLimits",
     "Refusals",
     "derive_limits",
+    "read_body",
 ]
--- a/cassiaweir/http_limits/_limits.py
+++ b/cassiaweir/http_limits/_limits.py
@@ -25,6 +25,8 @@
 """Bytes that a connection may take without a body: buffers, heads, requests in line."""
 
 CONNECTIONS_MEMORY_SHARE = 0.5
+BODIES_MEMORY_SHARE = 0.125
+"""The share of the memory for request bodies that are being received."""
 
 MAX_OPERATOR_CONNECTIONS = 64
 """Limit for the addresses of readiness checks and metrics, each."""
@@ -32,6 +34,7 @@
 MAX_HEAD_BYTES = 32_768
 HEAD_TIMEOUT_S = 10
 IDLE_TIMEOUT_S = 300
+BODY_TIMEOUT_S = 5
 
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -39,13 +42,15 @@
 class HttpOverrides(msgspec.Struct, frozen=True):
     """Values of the settings file that replace derived limits; None keeps the latter.
 
-    Times are in seconds.
+    The body budget is in MB of 2**20 bytes, times are in seconds.
     """
 
     max_connections: Positive | None = None
+    body_memory_mb: Positive | None = None
     max_head_bytes: Annotated[int, msgspec.Meta(ge=1_024)] | None = None
     head_timeout_s: Positive | None = None
     idle_timeout_s: Positive | None = None
+    body_timeout_s: Positive | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,10 +68,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessLimits:
-    """The limits of all HTTP listeners of a process."""
+    """The limits of all HTTP listeners of a process.
+
+    `body_bytes` bounds the request bodies that are being received, all together.
+    A body has to arrive within `body_timeout_s` seconds.
+    """
 
     callers: ListenerLimits = ListenerLimits()
     operators: ListenerLimits = ListenerLimits(MAX_OPERATOR_CONNECTIONS)
+    body_bytes: int = 32 * MIB
+    body_timeout_s: int = BODY_TIMEOUT_S
 
 
 DEFAULT_LIMITS = ProcessLimits()
@@ -93,6 +104,7 @@
             memory * CONNECTIONS_MEMORY_SHARE / MEMORY_PER_CONNECTION,
         )
     )
+    body_bytes = int(memory * BODIES_MEMORY_SHARE)
     if overrides.max_connections is not None:
         connections = overrides.max_connections
         if connections > sockets:
@@ -100,6 +112,12 @@
                 f"http: max_connections = {connections} exceeds the {sockets}"
                 " descriptors for connections"
             )
+    if overrides.body_memory_mb is not None:
+        body_bytes = overrides.body_memory_mb * MIB
+        if body_bytes > memory:
+            raise SettingsError(
+                f"http: body_memory_mb = {overrides.body_memory_mb} exceeds the memory"
+            )
     callers = ListenerLimits(
         max_connections=connections,
         max_head_bytes=overrides.max_head_bytes or MAX_HEAD_BYTES,
@@ -107,4 +125,6 @@
         idle_timeout_s=overrides.idle_timeout_s or IDLE_TIMEOUT_S,
     )
     operators = ListenerLimits(min(MAX_OPERATOR_CONNECTIONS, max(connections // 4, 1)))
-    return ProcessLimits(callers, operators)
+    return ProcessLimits(
+        callers, operators, body_bytes, overrides.body_timeout_s or BODY_TIMEOUT_S
+    )
--- a/cassiaweir/http_limits/_server.py
+++ b/cassiaweir/http_limits/_server.py
@@ -34,11 +34,17 @@
     only the interface of `asyncio.Protocol` is used.  Where there are too many
     connections, the ones that have been idle longest are closed, first those on which
     nothing was served, and then those whose body is not complete.  So connections that
-    are only held open keep nobody out.
+    are only held open keep nobody out.  `on_tick` is called once a second while there
+    are connections.
     """
 
     def __init__(
-        self, handler: Handler, name: str, limits: ListenerLimits, refusals: Refusals
+        self,
+        handler: Handler,
+        name: str,
+        limits: ListenerLimits,
+        refusals: Refusals,
+        on_tick: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(
             self._serve,
@@ -48,6 +54,7 @@
             read_bufsize=2 * READ_BYTES,
         )
         self._bounded_handler = handler
+        self._tick_listener = on_tick
         self.name = name
         self.limits = limits
         self.refusals = refusals
@@ -126,5 +133,6 @@
         self.refusals.metrics.set(
             "http_connections", len(self._open), listener=self.name
         )
+        self._tick_listener()
         if self._open:
             self._timer = self._event_loop.call_later(TICK_S, self._on_tick)
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -1,4 +1,4 @@
-"""Tests of `cassiaweir.http_limits`: limits and bounded connections."""
+"""Tests of `cassiaweir.http_limits`: limits, budgets, and bounded connections."""
 
 from __future__ import annotations
 
@@ -12,16 +12,23 @@
 
 from cassiaweir.exceptions import SettingsError
 from cassiaweir.http_limits import (
+    BodyTimeoutError,
+    BodyTooLargeError,
     BoundedServer,
+    BudgetExhaustedError,
+    ByteBudget,
     HttpOverrides,
+    IncompleteBodyError,
     ListenerLimits,
     Refusals,
     derive_limits,
+    read_body,
 )
 from cassiaweir.http_limits._connection import READ_BYTES
 from cassiaweir.observe import Metrics
 from tests.waiting import until
 
+MIB = 1_048_576
 MAX_BODY = 262_144
 HEAD = "POST / HTTP/1.1\r\nHost: h\r\n"
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -30,17 +37,28 @@
 class Rig:
     """A listener whose handler reads the body of each request."""
 
-    def __init__(self, limits: ListenerLimits) -> None:
+    def __init__(self, limits: ListenerLimits, body_bytes: int) -> None:
         self.metrics = Metrics()
+        self.budget = ByteBudget(body_bytes)
         self.gate = asyncio.Event()
         self.gate.set()
         self.handled = 0
+        self.body_timeout_s = 60.0
         self.server = BoundedServer(self.handle, "test", limits, Refusals(self.metrics))
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         self.handled += 1
         await self.gate.wait()
-        body = await req.read()
+        try:
+            body = await read_body(req, self.budget, MAX_BODY, self.body_timeout_s)
+        except BudgetExhaustedError:
+            return web.Response(status=503)
+        except BodyTooLargeError:
+            return web.Response(status=413)
+        except BodyTimeoutError:
+            return web.Response(status=408)
+        except IncompleteBodyError:
+            return web.Response(status=400)
         return web.Response(text=str(len(body)))
 
     def refusals(self, cause: str) -> float:
@@ -54,8 +72,9 @@
 @asynccontextmanager
 async def listening(
     limits: ListenerLimits = ListenerLimits(),  # noqa: B008
+    body_bytes: int = 8 * MIB,
 ) -> AsyncIterator[Rig]:
-    rig = Rig(limits)
+    rig = Rig(limits, body_bytes)
     runner = web.ServerRunner(rig.server, shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -92,9 +111,9 @@
 
 def test_limits_follow_from_memory_and_descriptors():
     small = derive_limits(100, 600, HttpOverrides())
-    assert small.callers.max_connections == 200
+    assert (small.callers.max_connections, small.body_bytes) == (200, 100 * MIB // 8)
     usual = derive_limits(300, 4_100, HttpOverrides())
-    assert usual.callers.max_connections == 1_950
+    assert (usual.callers.max_connections, usual.body_bytes) == (1_950, 300 * MIB // 8)
     assert derive_limits(300, 100_000, HttpOverrides()).callers.max_connections == 2_400
 
 
@@ -102,6 +121,7 @@
     ("memory_mb", "descriptors", "overrides"),
     [
         (300, 4_100, HttpOverrides(max_connections=3_901)),
+        (300, 4_100, HttpOverrides(body_memory_mb=301)),
         (300, 200, HttpOverrides()),
     ],
 )
@@ -112,6 +132,19 @@
         derive_limits(memory_mb, descriptors, overrides)
 
 
+# Guards against bodies that together take more bytes than the process has for them.
+def test_a_budget_keeps_a_share_for_small_bodies_and_admits_one_large_body_in_calm():
+    budget = ByteBudget(100_000)
+    with budget.reserve(70_000):
+        with pytest.raises(BudgetExhaustedError), budget.reserve(20_000):
+            pass
+        with budget.reserve(10_000):
+            assert budget.used == 80_000
+    assert budget.used == 0
+    with budget.reserve(MAX_BODY):
+        assert budget.used == MAX_BODY
+
+
 @pytest.mark.parametrize("size", [0, 1, READ_BYTES, READ_BYTES + 1, MAX_BODY])
 async def test_legal_bodies_arrive_whole_also_on_one_connection(size):
     async with listening() as rig:
@@ -122,9 +155,47 @@
         writer.write(f"{HEAD}Transfer-Encoding: chunked\r\n\r\n".encode())
         writer.write(b"1\r\nx\r\n" * size + b"0\r\n\r\n")
         assert await status_of(reader) == 200
+        assert rig.budget.used == 0
         writer.close()
 
 
+async def test_bodies_over_the_limit_are_refused():
+    async with listening() as rig:
+        reader, writer = await rig.connect()
+        writer.write(sized(MAX_BODY + 1))
+        assert await status_of(reader) == 413
+        reader, writer = await rig.connect()
+        writer.write(f"{HEAD}Transfer-Encoding: chunked\r\n\r\n".encode())
+        writer.write(b"40001\r\n" + b"x" * 0x40001 + b"\r\n0\r\n\r\n")
+        assert await status_of(reader) == 413
+
+
+# Guards against many bodies that stop short of their end and fill the memory.
+async def test_a_body_beyond_the_budget_is_refused_before_it_is_read():
+    async with listening(body_bytes=MAX_BODY * 2) as rig:
+        _, first = await rig.connect()
+        first.write(sized(MAX_BODY) + b"x")
+        await until(lambda: rig.budget.used == MAX_BODY)
+        reader, writer = await rig.connect()
+        writer.write(sized(MAX_BODY) + b"x" * MAX_BODY)
+        assert await status_of(reader) == 503
+        reader, writer = await rig.connect()
+        writer.write(sized(10) + b"x" * 10)
+        assert await status_of(reader) == 200
+        first.close()
+        await until(lambda: rig.budget.used == 0)
+
+
+# Guards against a client that keeps memory by not ending its body.
+async def test_a_body_that_takes_too_long_is_refused_and_its_bytes_are_given_back():
+    async with listening() as rig:
+        rig.body_timeout_s = 0.05
+        reader, writer = await rig.connect()
+        writer.write(sized(10) + b"x")
+        assert await status_of(reader) == 408
+        assert rig.budget.used == 0
+
+
 # Guards against heads and empty lines without end, which aiohttp alone reads on and on.
 @pytest.mark.parametrize(
     ("line", "cause"),
@@ -254,6 +325,8 @@
     "sent",
     [
         b"GET / HTTP/1.1\r\nX: " + b"x" * 200_000,
+        sized(200_000) + b"x" * 199_000,
+        f"{HEAD}Transfer-Encoding: chunked\r\n\r\n".encode() + b"3\r\nabcd" * 50_000,
     ],
 )
 async def test_a_refused_client_leaves_few_bytes_behind(sent):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -366,6 +366,8 @@
         ("[limits]\nmax_fds = 100\n", "max_fds"),
         ("[http]\nmax_connections = 0\n", "max_connections"),
         ("[http]\nmax_connections = 10000\n", "max_connections"),
+        ("[http]\nbody_memory_mb = 257\n", "body_memory_mb"),
+        ("[http]\nbody_timeout_s = -1\n", "body_timeout_s"),
         ("[http]\nhead_timeout_s = 1.5\n", "head_timeout_s"),
         ("[http]\nmax_head_bytes = 100\n", "max_head_bytes"),
     ],
