Reserve the memory of a submitted job until it is stored

Cause: a job of many steps takes far more memory than its body. One with 11,900 steps, below the limit of 12,000 tasks, has a body of 142,822 bytes; decoded, and encoded as a row of 3.2 MB, it takes some 10 MB until the store has answered. The budget covered only the bytes of the body, until it was decoded.

The new case whole_bodies_of_many_steps has the crowd and the bounds of the others.

Change: the bytes that a submission takes are reserved until its job is stored. After the body has been read, and before it is decoded, the codec names the most that it takes: four times its size, 1,024 bytes for each brace and 64 for each comma. What does not fit is answered 503 with Retry-After and was not stored. Alone, any submission is admitted.

--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -28,6 +28,7 @@
     IncompleteBodyError,
     ProcessLimits,
     Refusals,
+    Reservation,
     read_body,
 )
 from cassiaweir.jobs import JobSpec, JobState
@@ -57,6 +58,9 @@
     def key_header(self) -> str:
         """The header that carries the caller's key."""
 
+    def submission_memory(self, raw: bytes) -> int:
+        """Return the most bytes that a request body takes until its job is stored."""
+
     def decode_submission(
         self,
         raw: bytes,
@@ -259,9 +263,10 @@
     async def _submit(
         self, req: web.BaseRequest, access: Access, submitted_id: str
     ) -> _HttpReply:
-        received_version = self._submissions.newest_version()
+        """Read and store a job; what it takes of the memory is reserved before."""
         try:
-            spec = await self._read_submission(req, access, submitted_id)
+            with self._bodies.reserve() as reservation:
+                return await self._submit_within(reservation, req, access, submitted_id)
         except BodyTimeoutError:
             self._refusals.record(FRONT_LISTENER, "body_timeout")
             return _HttpReply(408, "body_too_slow")
@@ -272,6 +277,16 @@
         except BudgetExhaustedError:
             self._refusals.record(FRONT_LISTENER, "too_many_bodies")
             return _HttpReply(503, "too_many_bodies", retry_after_s=RETRY_AFTER_S)
+
+    async def _submit_within(
+        self,
+        reservation: Reservation,
+        req: web.BaseRequest,
+        access: Access,
+        submitted_id: str,
+    ) -> _HttpReply:
+        received_version = self._submissions.newest_version()
+        spec = await self._read_submission(reservation, req, access, submitted_id)
         rejected = self._admission.check(spec) if self._admission else None
         attempt = Attempt(received_version, lambda: _is_connected(req), rejected)
         try:
@@ -283,15 +298,20 @@
         return _HttpReply(200, "stored")
 
     async def _read_submission(
-        self, req: web.BaseRequest, access: Access, submitted_id: str
+        self,
+        reservation: Reservation,
+        req: web.BaseRequest,
+        access: Access,
+        submitted_id: str,
     ) -> JobSpec:
         """Return the job in the body of `req`; the body is not kept."""
         raw = await read_body(
             req,
-            self._bodies,
+            reservation,
             self._access.max_body_bytes,
             self._limits.body_timeout_s,
         )
+        reservation.grow_to(self._codec.submission_memory(raw))
         spec = self._codec.decode_submission(
             raw,
             job_id=submitted_id,
--- a/cassiaweir/http_limits/__init__.py
+++ b/cassiaweir/http_limits/__init__.py
@@ -6,7 +6,11 @@
     IncompleteBodyError,
     read_body,
 )
-from cassiaweir.http_limits._budget import BudgetExhaustedError, ByteBudget
+from cassiaweir.http_limits._budget import (
+    BudgetExhaustedError,
+    ByteBudget,
+    Reservation,
+)
 from cassiaweir.http_limits._limits import (
     DEFAULT_LIMITS,
     HttpOverrides,
@@ -29,6 +33,7 @@
     "ListenerLimits",
     "ProcessLimits",
     "Refusals",
+    "Reservation",
     "derive_limits",
     "read_body",
 ]
--- a/cassiaweir/http_limits/_body.py
+++ b/cassiaweir/http_limits/_body.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from cassiaweir.http_limits._budget import ByteBudget, Reservation
+from cassiaweir.http_limits._budget import Reservation
 
 GROWTH_BYTES = 16_384
 """A body of unknown length takes this many bytes of the budget at once."""
@@ -25,28 +25,27 @@
 
 
 async def read_body(
-    req: web.BaseRequest, budget: ByteBudget, max_bytes: int, timeout_s: float
+    req: web.BaseRequest, reservation: Reservation, max_bytes: int, timeout_s: float
 ) -> bytes:
     """Return the body of `req`, with at most `max_bytes`, within `timeout_s` seconds.
 
-    Its bytes are taken from `budget` before they are kept, and given back at the end,
-    so that the caller should decode the body at once.  Raises `BodyTooLargeError`,
-    `BodyTimeoutError`, `IncompleteBodyError`, or `BudgetExhaustedError` if other bodies
-    take all bytes.
+    Its bytes are added to `reservation` before they are kept.  Raises
+    `BodyTooLargeError`, `BodyTimeoutError`, `IncompleteBodyError`, or
+    `BudgetExhaustedError` if other bodies take all bytes.
     """
     announced = req.content_length
     if announced is not None and announced > max_bytes:
         raise BodyTooLargeError
-    with budget.reserve(GROWTH_BYTES if announced is None else announced) as bytes_held:
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await _read_all(req, bytes_held, max_bytes)
-        except TimeoutError:
-            raise BodyTimeoutError from None
-        except (ConnectionError, web.RequestPayloadError) as exc:
-            # The stream keeps the error, whose traceback would keep the bytes.
-            exc.__traceback__ = None
-            raise IncompleteBodyError from None
+    reservation.grow_to(GROWTH_BYTES if announced is None else announced)
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _read_all(req, reservation, max_bytes)
+    except TimeoutError:
+        raise BodyTimeoutError from None
+    except (ConnectionError, web.RequestPayloadError) as exc:
+        # The stream keeps the error, whose traceback would keep the bytes.
+        exc.__traceback__ = None
+        raise IncompleteBodyError from None
 
 
 async def _read_all(
--- a/cassiaweir/http_limits/_budget.py
+++ b/cassiaweir/http_limits/_budget.py
@@ -1,4 +1,4 @@
-"""A budget of bytes that the request bodies of a process share."""
+"""A budget of bytes that the requests with a body share in a process."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class BudgetExhaustedError(Exception):
-    """The bodies of other requests take all bytes; nothing of this one was kept."""
+    """Other requests take all bytes; nothing of this one is kept."""
 
 
 class ByteBudget:
@@ -26,14 +26,10 @@
         self.used = 0
 
     @contextmanager
-    def reserve(self, size: int) -> Iterator[Reservation]:
-        """Take `size` bytes; they are given back at the end.
-
-        Raises `BudgetExhaustedError` where they are not available.
-        """
+    def reserve(self) -> Iterator[Reservation]:
+        """Return a reservation for one request; its bytes are given back at the end."""
         reservation = Reservation(self)
         try:
-            reservation.grow_to(size)
             yield reservation
         finally:
             reservation.release()
@@ -44,7 +40,10 @@
         return int(self.capacity * (1 - SMALL_BODIES_SHARE))
 
     def take(self, size: int, total: int) -> None:
-        """Take `size` more bytes for a body that has `total` with them."""
+        """Take `size` more bytes for a request that has `total` with them.
+
+        Raises `BudgetExhaustedError` where they are not available.
+        """
         only_one = self.used + size == total
         if self.used + size > self._limit(total) and not only_one:
             raise BudgetExhaustedError
@@ -56,7 +55,7 @@
 
 
 class Reservation:
-    """The bytes that one body has taken."""
+    """The bytes that one request has taken."""
 
     def __init__(self, budget: ByteBudget) -> None:
         self._budget = budget
--- a/cassiaweir/platform/_job_codec.py
+++ b/cassiaweir/platform/_job_codec.py
@@ -15,6 +15,10 @@
 from cassiaweir.queues import Queue
 
 KEY_HEADER = "X-Credential"
+COPIES_OF_BODY = 4
+BYTES_PER_STEP = 1_024
+BYTES_PER_VALUE = 64
+"""Memory of a step and of a value, decoded and in the row that is stored."""
 
 
 class _Step(msgspec.Struct):
@@ -65,6 +69,17 @@
 
     key_header = KEY_HEADER
 
+    def submission_memory(self, raw: bytes) -> int:
+        """Return the most bytes that the job in `raw` takes until it is stored.
+
+        Each step has a brace of its own, and each further value a comma.
+        """
+        return (
+            COPIES_OF_BODY * len(raw)
+            + BYTES_PER_STEP * raw.count(b"{")
+            + BYTES_PER_VALUE * raw.count(b",")
+        )
+
     def decode_submission(
         self,
         raw: bytes,
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -23,6 +23,9 @@
 BODY_BYTES = 262_144
 """The size of the largest legal body."""
 
+STEPS = 11_900
+"""Steps of a job close to the limit of tasks; its body has 142,822 bytes."""
+
 BLOCK_BYTES = 65_536
 PIECE_BYTES = 4_096
 PIECE_PAUSE_S = 0.01
@@ -63,6 +66,10 @@
     return _request(method, f"Content-Length: {BODY_BYTES}\r\n", key) + body
 
 
+def _whole(body: bytes) -> bytes:
+    return _request("POST", f"Content-Length: {len(body)}\r\n") + body
+
+
 def _chunked(chunk_bytes: int, chunk_count: int) -> bytes:
     chunk = f"{chunk_bytes:x}\r\n".encode() + b" " * chunk_bytes + b"\r\n"
     return _request("POST", "Transfer-Encoding: chunked\r\n") + chunk * chunk_count
@@ -80,6 +87,7 @@
     return b"X-Header: " + b"x" * size + b"\r\n"
 
 
+_STEPS_BODY = b'{"spec":"x","steps":[%s]}' % b",".join([b'{"count":1}'] * STEPS)
 _SHORT_BODY = legal_body(BODY_BYTES - 1)
 _BEHAVIOURS: dict[str, Callable[[], Behaviour]] = {
     "one_header_line_without_end": lambda: Behaviour(
@@ -100,6 +108,7 @@
         _sized(_SHORT_BODY), piece_bytes=PIECE_BYTES
     ),
     "whole_bodies_on_open_connections": lambda: Behaviour(_sized(legal_body())),
+    "whole_bodies_of_many_steps": lambda: Behaviour(_whole(_STEPS_BODY)),
     "body_on_a_get": lambda: Behaviour(_sized(_SHORT_BODY, "GET")),
     "body_with_a_wrong_key": lambda: Behaviour(_sized(_SHORT_BODY, key="wrong")),
     "pipelined_requests": lambda: Behaviour(b"", _request("GET", "") * 500),
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -50,7 +50,8 @@
         self.handled += 1
         await self.gate.wait()
         try:
-            body = await read_body(req, self.budget, MAX_BODY, self.body_timeout_s)
+            with self.budget.reserve() as taken:
+                body = await read_body(req, taken, MAX_BODY, self.body_timeout_s)
         except BudgetExhaustedError:
             return web.Response(status=503)
         except BodyTooLargeError:
@@ -135,13 +136,15 @@
 # Guards against bodies that together take more bytes than the process has for them.
 def test_a_budget_keeps_a_share_for_small_bodies_and_admits_one_large_body_in_calm():
     budget = ByteBudget(100_000)
-    with budget.reserve(70_000):
-        with pytest.raises(BudgetExhaustedError), budget.reserve(20_000):
-            pass
-        with budget.reserve(10_000):
-            assert budget.used == 80_000
+    with budget.reserve() as first, budget.reserve() as second:
+        first.grow_to(70_000)
+        with pytest.raises(BudgetExhaustedError):
+            second.grow_to(20_000)
+        second.grow_to(10_000)
+        assert budget.used == 80_000
     assert budget.used == 0
-    with budget.reserve(MAX_BODY):
+    with budget.reserve() as only:
+        only.grow_to(MAX_BODY)
         assert budget.used == MAX_BODY
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -323,6 +323,16 @@
         decode(raw)
 
 
+# Guards against jobs of many steps, which take far more memory than their bodies.
+def test_the_memory_of_a_submission_grows_with_its_steps():
+    few = b'{"spec":"x","steps":[{"count":1}]}'
+    many = b'{"spec":"x","steps":[' + b",".join([b'{"count":1}'] * 1_000) + b"]}"
+    codec = PlatformJobCodec()
+    assert codec.submission_memory(few) < 4_096
+    assert codec.submission_memory(many) > 1_000 * 1_024
+    assert codec.submission_memory(few.ljust(262_144)) < 5 * 262_144
+
+
 SETTINGS = """
 node = "front-augusta-1"
 zone = "augusta"
