Leave callers the connections that those to servers leave

Cause: the limit for connections of callers did not know of the connections that the process opens itself. Each request that is being served may open one to the store, and a leader has up to 3,072 in use to backend servers, so that both together could exceed max_fds.

Change: the sessions count their open connections. Once a second the limit for callers is set to half of what max_fds leaves beside the connections to servers, 320 descriptors for other VMs and the 200 reserved ones; idle connections beyond it are closed.

Ruled out: one fixed split, as 3,072 connections to servers and thousands of callers do not fit into 4,100 descriptors, and few processes have both.

Open: 64 connections are always admitted, so that a leader with more than some 3,450 open connections to servers may exceed max_fds.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -256,7 +256,9 @@
         on_load=admission.update,
         clock=clock,
     )
-    front = _build_front(settings, clock, metrics, access, views, states, admission)
+    front = _build_front(
+        settings, clock, metrics, access, views, states, admission, servers_http
+    )
     servicer = NodeServicer(term, advisor, access.route, clock)
     components: list[Component] = [
         LoopLagMonitor(clock, metrics),
@@ -347,6 +349,7 @@
     views: _Views,
     states: JobDirectory,
     admission: LoadAdmission,
+    servers_http: HttpSession,
 ) -> FrontServer:
     configuration = views.configuration
     key_withdrawal_time = timedelta(seconds=settings.key_withdrawal_s)
@@ -372,6 +375,7 @@
         is_ready=lambda: configuration.age() < MAX_READY_VIEW_AGE,
         admission=admission,
         limits=settings.http_limits,
+        server_connections=servers_http.open_connections,
     )
 
 
--- a/cassiaweir/connector.py
+++ b/cassiaweir/connector.py
@@ -10,6 +10,9 @@
 from aiohttp.client_proto import ResponseHandler
 from loguru import logger
 
+PRUNE_INTERVAL = 256
+"""Closed connections are forgotten once this many have been opened since."""
+
 
 class LoopConnector(aiohttp.TCPConnector):
     """Opens connections by the event loop's own means.
@@ -20,6 +23,16 @@
     aborted by that within seconds.
     """
 
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._opened: list[ResponseHandler] = []
+        self._prune_at = PRUNE_INTERVAL
+
+    def open_connections(self) -> int:
+        """Return how many connections are open, in use or idle."""
+        self._opened = [each for each in self._opened if each.connected]
+        return len(self._opened)
+
     async def _wrap_create_connection(
         self,
         *args: Any,
@@ -36,11 +49,15 @@
         """
         try:
             async with asyncio.timeout(timeout.sock_connect):
-                return await self._connect_to_any(args, addr_infos, kwargs)
+                found = await self._connect_to_any(args, addr_infos, kwargs)
         except TimeoutError:
             raise
         except OSError as exc:
             raise client_error(req.connection_key, exc) from exc
+        self._opened.append(found[1])
+        if len(self._opened) >= self._prune_at:
+            self._prune_at = self.open_connections() + PRUNE_INTERVAL
+        return found
 
     async def _connect_to_any(
         self, args: tuple[Any, ...], addr_infos: list[Any], kwargs: dict[str, Any]
--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -109,7 +109,8 @@
     """Serves callers, and the load balancer's readiness checks on an own address.
 
     `admission` refuses submissions by load; without it none is refused for that.
-    `limits` bound what clients may use of the process.  Once `drain` is called,
+    `limits` bound what clients may use of the process, beside the connections to
+    backend servers, which `server_connections` counts.  Once `drain` is called,
     readiness checks fail and each connection is closed after its next response.
     """
 
@@ -127,7 +128,9 @@
         is_ready: Callable[[], bool],
         admission: LoadAdmission | None = None,
         limits: ProcessLimits = DEFAULT_LIMITS,
+        server_connections: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._server_connections = server_connections
         self._admission = admission
         self._limits = limits
         self._bodies = ByteBudget(limits.body_bytes)
@@ -147,22 +150,19 @@
 
     async def start(self) -> None:
         """Listen on both addresses."""
-        callers, operators = self._limits.callers, self._limits.operators
+        front = BoundedServer(
+            self._handle,
+            FRONT_LISTENER,
+            self._limits.callers,
+            self._refusals,
+            on_tick=lambda: self._update_limits(front),
+        )
+        ready = BoundedServer(
+            self._handle_ready, "ready", self._limits.operators, self._refusals
+        )
         for address, server in (
-            (
-                self._front_address,
-                BoundedServer(
-                    self._handle,
-                    FRONT_LISTENER,
-                    callers,
-                    self._refusals,
-                    on_tick=self._show_bodies,
-                ),
-            ),
-            (
-                self._ready_address,
-                BoundedServer(self._handle_ready, "ready", operators, self._refusals),
-            ),
+            (self._front_address, front),
+            (self._ready_address, ready),
         ):
             runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
             await runner.setup()
@@ -180,7 +180,9 @@
         self._stopping = True
         await self._clock.sleep(DRAIN_DELAY)
 
-    def _show_bodies(self) -> None:
+    def _update_limits(self, server: BoundedServer) -> None:
+        """Leave the connections to callers that those to backend servers leave."""
+        server.max_connections = self._limits.callers_beside(self._server_connections())
         self._metrics.set("http_body_bytes", self._bodies.used)
 
     async def _handle_ready(self, req: web.BaseRequest) -> web.StreamResponse:
--- a/cassiaweir/http_limits/_limits.py
+++ b/cassiaweir/http_limits/_limits.py
@@ -15,11 +15,13 @@
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform reserves for files."""
 
-CALLERS_SHARE = 0.5
-"""The share of the other descriptors that callers may use.
+DESCRIPTORS_PER_CALLER = 2
+"""Its connection, and one to the store while its request is served."""
 
-The rest is for the connections that the process opens itself.
-"""
+PEER_DESCRIPTORS = 320
+"""Descriptors that callers leave to other VMs and to the process itself."""
+
+MIN_CALLER_CONNECTIONS = 64
 
 MEMORY_PER_CONNECTION = 65_536
 """Bytes that a connection may take without a body: buffers, heads, requests in line."""
@@ -71,13 +73,23 @@
     """The limits of all HTTP listeners of a process.
 
     `body_bytes` bounds the request bodies that are being received, all together.
-    A body has to arrive within `body_timeout_s` seconds.
+    A body has to arrive within `body_timeout_s` seconds.  `sockets` are the descriptors
+    for connections; 0 if those of callers do not depend on them.
     """
 
     callers: ListenerLimits = ListenerLimits()
     operators: ListenerLimits = ListenerLimits(MAX_OPERATOR_CONNECTIONS)
     body_bytes: int = 32 * MIB
     body_timeout_s: int = BODY_TIMEOUT_S
+    sockets: int = 0
+
+    def callers_beside(self, connections: int) -> int:
+        """Return how many connections of callers fit beside that many others."""
+        limit = self.callers.max_connections
+        if not self.sockets:
+            return limit
+        room = (self.sockets - PEER_DESCRIPTORS - connections) // DESCRIPTORS_PER_CALLER
+        return min(limit, max(room, MIN_CALLER_CONNECTIONS))
 
 
 DEFAULT_LIMITS = ProcessLimits()
@@ -100,7 +112,7 @@
         )
     connections = int(
         min(
-            sockets * CALLERS_SHARE,
+            sockets / DESCRIPTORS_PER_CALLER,
             memory * CONNECTIONS_MEMORY_SHARE / MEMORY_PER_CONNECTION,
         )
     )
@@ -126,5 +138,9 @@
     )
     operators = ListenerLimits(min(MAX_OPERATOR_CONNECTIONS, max(connections // 4, 1)))
     return ProcessLimits(
-        callers, operators, body_bytes, overrides.body_timeout_s or BODY_TIMEOUT_S
+        callers,
+        operators,
+        body_bytes,
+        overrides.body_timeout_s or BODY_TIMEOUT_S,
+        sockets if overrides.max_connections is None else 0,
     )
--- a/cassiaweir/http_limits/_server.py
+++ b/cassiaweir/http_limits/_server.py
@@ -35,7 +35,7 @@
     connections, the ones that have been idle longest are closed, first those on which
     nothing was served, and then those whose body is not complete.  So connections that
     are only held open keep nobody out.  `on_tick` is called once a second while there
-    are connections.
+    are connections, and may change `max_connections`.
     """
 
     def __init__(
@@ -57,6 +57,7 @@
         self._tick_listener = on_tick
         self.name = name
         self.limits = limits
+        self.max_connections = limits.max_connections
         self.refusals = refusals
         self.tick = 0
         self.buffer = memoryview(bytearray(READ_BYTES))
@@ -86,9 +87,9 @@
 
     def admit(self, conn: BoundedConnection) -> bool:
         """Return whether there is room for `conn`, or was made for it."""
-        if len(self._open) >= self.limits.max_connections:
+        if len(self._open) >= self.max_connections:
             self._evict()
-        if len(self._open) >= self.limits.max_connections:
+        if len(self._open) >= self.max_connections:
             self.refusals.record(self.name, "too_many_connections")
             return False
         conn.order = self.next_order()
@@ -117,7 +118,7 @@
         """Close some of the connections without a whole request."""
         found = [conn for conn in self._open if conn.evictable]
         found.sort(key=lambda conn: conn.eviction_rank)
-        count = max(1, int(self.limits.max_connections * EVICTED_SHARE))
+        count = max(1, int(self.max_connections * EVICTED_SHARE))
         for conn in found[:count]:
             self._open.discard(conn)
             conn.drop("evicted")
@@ -134,5 +135,7 @@
             "http_connections", len(self._open), listener=self.name
         )
         self._tick_listener()
+        if len(self._open) > self.max_connections:
+            self._evict()
         if self._open:
             self._timer = self._event_loop.call_later(TICK_S, self._on_tick)
--- a/cassiaweir/platform/_http.py
+++ b/cassiaweir/platform/_http.py
@@ -49,13 +49,19 @@
         self._headers = dict(headers)
         self._max_connections_per_address = max_connections_per_address
         self._client: aiohttp.ClientSession | None = None
+        self._connector: LoopConnector | None = None
+
+    def open_connections(self) -> int:
+        """Return how many connections are open, in use or idle."""
+        return self._connector.open_connections() if self._connector else 0
 
     async def start(self) -> None:
         """Open the session; connections are opened on demand."""
+        self._connector = LoopConnector(
+            limit=MAX_CONNECTIONS, limit_per_host=self._max_connections_per_address
+        )
         self._client = aiohttp.ClientSession(
-            connector=LoopConnector(
-                limit=MAX_CONNECTIONS, limit_per_host=self._max_connections_per_address
-            ),
+            connector=self._connector,
             headers=self._headers,
             skip_auto_headers=(ACCEPT, ACCEPT_ENCODING, CONTENT_TYPE, USER_AGENT),
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -64,6 +70,7 @@
     async def stop(self) -> None:
         """Close the session and its connections."""
         client, self._client = self._client, None
+        self._connector = None
         if client is not None:
             await client.close()
 
--- a/tests/test_http_limits.py
+++ b/tests/test_http_limits.py
@@ -118,6 +118,16 @@
     assert derive_limits(300, 100_000, HttpOverrides()).callers.max_connections == 2_400
 
 
+# Guards against callers and backend servers that together take all descriptors.
+def test_callers_have_fewer_connections_beside_many_to_servers():
+    usual = derive_limits(300, 4_100, HttpOverrides())
+    assert usual.callers_beside(0) == 1_790
+    assert usual.callers_beside(400) == 1_590
+    assert usual.callers_beside(3_900) == 64
+    fixed = derive_limits(300, 4_100, HttpOverrides(max_connections=3_000))
+    assert fixed.callers_beside(3_900) == 3_000
+
+
 @pytest.mark.parametrize(
     ("memory_mb", "descriptors", "overrides"),
     [
@@ -261,6 +271,16 @@
         assert rig.refusals("evicted") == 1
 
 
+async def test_idle_connections_are_closed_once_there_is_room_for_fewer():
+    async with listening(ListenerLimits(max_connections=4)) as rig:
+        idle = [await rig.connect() for _ in range(4)]
+        await until(lambda: len(rig.server._open) == 4)
+        rig.server.max_connections = 3
+        rig.server._on_tick()
+        assert await ended(idle[0][0])
+        assert len(rig.server._open) == 3
+
+
 # Guards against a request that was read and gets no answer, as another client connects.
 async def test_a_whole_request_is_not_given_up_for_a_new_connection():
     async with listening(ListenerLimits(max_connections=2)) as rig:
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -119,3 +119,19 @@
 
     with asyncio.Runner(loop_factory=Loop) as runner:
         runner.run(body())
+
+
+# Guards against a count that misses open connections, or grows with closed ones.
+async def test_open_connections_are_counted_until_they_are_closed():
+    async with started_session() as session:
+        assert session.open_connections() == 0
+        async with listening(send_in_chunks) as address:
+            await asyncio.gather(
+                *(session.send("GET", address, "/", None, TIMEOUT) for _ in range(3))
+            )
+            assert session.open_connections() == 3
+        for _ in range(100):
+            if not session.open_connections():
+                break
+            await asyncio.sleep(0.01)
+        assert session.open_connections() == 0
