--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -263,7 +263,9 @@
         on_load=admission.update,
         clock=clock,
     )
-    front = _build_front(settings, clock, metrics, access, views, states, admission)
+    front = _build_front(
+        settings, clock, metrics, access, views, states, admission, servers_http
+    )
     servicer = NodeServicer(term, advisor, access.route, clock)
     components: list[Component] = [
         LoopLagMonitor(clock, metrics),
@@ -289,7 +291,8 @@
         host = settings.front_address.rpartition(":")[0]
         pages = InterferencePages(term).by_request
         address = f"{host}:{metrics_port}"
-        components.insert(0, MetricsServer(address, metrics, pages))
+        limits = settings.http_limits.operators
+        components.insert(0, MetricsServer(address, metrics, pages, limits))
     return Process(
         components, events, on_reload=lambda: logger.info("process_reloaded")
     )
@@ -353,6 +356,7 @@
     views: _Views,
     states: JobDirectory,
     admission: LoadAdmission,
+    servers_http: HttpSession,
 ) -> FrontServer:
     configuration = views.configuration
     key_withdrawal_time = timedelta(seconds=settings.key_withdrawal_s)
@@ -377,6 +381,8 @@
         metrics=metrics,
         is_ready=lambda: configuration.age() < MAX_READY_VIEW_AGE,
         admission=admission,
+        limits=settings.http_limits,
+        server_connections=servers_http.open_connections,
     )
 
 
--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -19,6 +18,19 @@
 from cassiaweir.front._pending_jobs import Attempt, OverloadError
 from cassiaweir.front._states import JobDirectory
 from cassiaweir.front._submissions import JobWriter
+from cassiaweir.http_limits import (
+    DEFAULT_LIMITS,
+    BodyTimeoutError,
+    BodyTooLargeError,
+    BoundedServer,
+    BudgetExhaustedError,
+    ByteBudget,
+    IncompleteBodyError,
+    ProcessLimits,
+    Refusals,
+    Reservation,
+    read_body,
+)
 from cassiaweir.jobs import JobSpec, JobState
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import Queue
@@ -27,11 +39,11 @@
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 READY_PATH = "/ready"
+FRONT_LISTENER = "front"
 JSON_TYPE = "application/json"
 RETRY_AFTER_S = 1
 """Sent with status 503 and 504 in the Retry-After header."""
 
-BODY_TIMEOUT_S = 5.0
 DRAIN_DELAY = timedelta(milliseconds=2_500)
 """The load balancer may send new connections this long after readiness fails."""
 
@@ -46,6 +58,9 @@
     def key_header(self) -> str:
         """The header that carries the caller's key."""
 
+    def submission_memory(self, raw: bytes) -> int:
+        """Return the most bytes that a request body takes until its job is stored."""
+
     def decode_submission(
         self,
         raw: bytes,
@@ -93,9 +108,10 @@
 class FrontServer:
     """Serves callers, and the load balancer's readiness checks on an own address.
 
-    `admission` refuses submissions by load; without it none is refused for that.  Once
-    `drain` is called, readiness checks fail and each connection is closed after
-    its next response.
+    `admission` refuses submissions by load; without it none is refused for that.
+    `limits` bound what clients may use of the process, beside the connections to
+    backend servers, which `server_connections` counts.  Once `drain` is called,
+    readiness checks fail and each connection is closed after its next response.
     """
 
     def __init__(
@@ -111,8 +127,14 @@
         metrics: Metrics,
         is_ready: Callable[[], bool],
         admission: LoadAdmission | None = None,
+        limits: ProcessLimits = DEFAULT_LIMITS,
+        server_connections: Callable[[], int] = lambda: 0,
     ) -> None:
+        self._server_connections = server_connections
         self._admission = admission
+        self._limits = limits
+        self._bodies = ByteBudget(limits.body_bytes)
+        self._refusals = Refusals(metrics)
         self._front_address = front_address
         self._ready_address = ready_address
         self._access = access
@@ -128,14 +150,21 @@
 
     async def start(self) -> None:
         """Listen on both addresses."""
-        for address, handler in (
-            (self._front_address, self._handle),
-            (self._ready_address, self._handle_ready),
+        front = BoundedServer(
+            self._handle,
+            FRONT_LISTENER,
+            self._limits.callers,
+            self._refusals,
+            on_tick=lambda: self._update_limits(front),
+        )
+        ready = BoundedServer(
+            self._handle_ready, "ready", self._limits.operators, self._refusals
+        )
+        for address, server in (
+            (self._front_address, front),
+            (self._ready_address, ready),
         ):
-            runner = web.ServerRunner(
-                web.Server(handler, access_log=None),
-                shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-            )
+            runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
             await runner.setup()
             host, _, port = address.rpartition(":")
             await web.TCPSite(runner, host, int(port), backlog=1024).start()
@@ -151,6 +180,11 @@
         self._stopping = True
         await self._clock.sleep(DRAIN_DELAY)
 
+    def _update_limits(self, server: BoundedServer) -> None:
+        """Leave the connections to callers that those to backend servers leave."""
+        server.max_connections = self._limits.callers_beside(self._server_connections())
+        self._metrics.set("http_body_bytes", self._bodies.used)
+
     async def _handle_ready(self, req: web.BaseRequest) -> web.StreamResponse:
         ready = req.path == READY_PATH and not self._stopping and self._is_ready()
         return web.Response(status=200 if ready else 503)
@@ -231,27 +265,30 @@
     async def _submit(
         self, req: web.BaseRequest, access: Access, submitted_id: str
     ) -> _HttpReply:
-        received_version = self._submissions.newest_version()
-        max_bytes = self._access.max_body_bytes
-        if (req.content_length or 0) > max_bytes:
-            return _HttpReply(413, "too_large")
+        """Read and store a job; what it takes of the memory is reserved before."""
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                raw = await req.read()
-        except TimeoutError:
+            with self._bodies.reserve() as reservation:
+                return await self._submit_within(reservation, req, access, submitted_id)
+        except BodyTimeoutError:
+            self._refusals.record(FRONT_LISTENER, "body_timeout")
             return _HttpReply(408, "body_too_slow")
-        except web.HTTPRequestEntityTooLarge:
-            return _HttpReply(413, "too_large")
-        if len(raw) > max_bytes:
+        except IncompleteBodyError:
+            return _HttpReply(400, "incomplete_body")
+        except BodyTooLargeError:
             return _HttpReply(413, "too_large")
-        spec = self._codec.decode_submission(
-            raw,
-            job_id=submitted_id,
-            queue=access.queue,
-            customer=access.customer.name if access.customer else "",
-            submitted_at=self._clock.now().timestamp(),
-        )
-        spec = _with_terms(spec, access)
+        except BudgetExhaustedError:
+            self._refusals.record(FRONT_LISTENER, "too_many_bodies")
+            return _HttpReply(503, "too_many_bodies", retry_after_s=RETRY_AFTER_S)
+
+    async def _submit_within(
+        self,
+        reservation: Reservation,
+        req: web.BaseRequest,
+        access: Access,
+        submitted_id: str,
+    ) -> _HttpReply:
+        received_version = self._submissions.newest_version()
+        spec = await self._read_submission(reservation, req, access, submitted_id)
         rejected = self._admission.check(spec) if self._admission else None
         attempt = Attempt(received_version, lambda: _is_connected(req), rejected)
         try:
@@ -262,6 +299,30 @@
             return _HttpReply(429, exc.reason, retry_after_s=exc.rejected.retry_after_s)
         return _HttpReply(200, "stored")
 
+    async def _read_submission(
+        self,
+        reservation: Reservation,
+        req: web.BaseRequest,
+        access: Access,
+        submitted_id: str,
+    ) -> JobSpec:
+        """Return the job in the body of `req`; the body is not kept."""
+        raw = await read_body(
+            req,
+            reservation,
+            self._access.max_body_bytes,
+            self._limits.body_timeout_s,
+        )
+        reservation.grow_to(self._codec.submission_memory(raw))
+        spec = self._codec.decode_submission(
+            raw,
+            job_id=submitted_id,
+            queue=access.queue,
+            customer=access.customer.name if access.customer else "",
+            submitted_at=self._clock.now().timestamp(),
+        )
+        return _with_terms(spec, access)
+
     async def _get_state(self, job_id: str) -> _HttpReply:
         state = await self._states.job_state(job_id)
         if state is None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -323,6 +323,16 @@
         decode(raw)
 
 
+# Guards against jobs of many steps, which take far more memory than their bodies.
+def test_the_memory_of_a_submission_grows_with_its_steps():
+    few = b'{"spec":"x","steps":[{"count":1}]}'
+    many = b'{"spec":"x","steps":[' + b",".join([b'{"count":1}'] * 1_000) + b"]}"
+    codec = PlatformJobCodec()
+    assert codec.submission_memory(few) < 4_096
+    assert codec.submission_memory(many) > 1_000 * 1_024
+    assert codec.submission_memory(few.ljust(262_144)) < 5 * 262_144
+
+
 SETTINGS = """
 node = "front-augusta-1"
 zone = "augusta"
@@ -348,6 +358,37 @@
     assert found.advice_address == ""
 
 
+# Guards against limits in the settings file that are not applied.
+def test_limits_of_http_clients_follow_from_the_settings_file(tmp_path: Path):
+    path = tmp_path / "local.toml"
+    path.write_text(f"{SETTINGS}[limits]\nmemory_mb = 100.5\nmax_fds = 600\n")
+    assert load_local_settings(path).http_limits.callers.max_connections == 200
+    path.write_text(f"{SETTINGS}[http]\nmax_connections = 7\nidle_timeout_s = 9\n")
+    callers = load_local_settings(path).http_limits.callers
+    assert (callers.max_connections, callers.idle_timeout_s) == (7, 9)
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("[limits]\nmemory_mb = -1\n", "memory_mb"),
+        ('[limits]\nmax_fds = "many"\n', "max_fds"),
+        ("[limits]\nmax_fds = 100\n", "max_fds"),
+        ("[http]\nmax_connections = 0\n", "max_connections"),
+        ("[http]\nmax_connections = 10000\n", "max_connections"),
+        ("[http]\nbody_memory_mb = 257\n", "body_memory_mb"),
+        ("[http]\nbody_timeout_s = -1\n", "body_timeout_s"),
+        ("[http]\nhead_timeout_s = 1.5\n", "head_timeout_s"),
+        ("[http]\nmax_head_bytes = 100\n", "max_head_bytes"),
+    ],
+)
+def test_an_invalid_limit_is_named(tmp_path: Path, text: str, named: str):
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS + text)
+    with pytest.raises(SettingsError, match=rf"local\.toml.*{named}"):
+        load_local_settings(path)
+
+
 @pytest.mark.parametrize(
     "text", ["", "node = 3", SETTINGS.replace("[listen]", "[x]"), "="]
 )
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -159,3 +159,19 @@
     finally:
         await session.stop()
     assert resp.body == CHUNK * CHUNK_COUNT
+
+
+# Guards against a count that misses open connections, or grows with closed ones.
+async def test_open_connections_are_counted_until_they_are_closed():
+    async with started_session() as session:
+        assert session.open_connections() == 0
+        async with listening(send_in_chunks) as address:
+            await asyncio.gather(
+                *(session.send("GET", address, "/", None, TIMEOUT) for _ in range(3))
+            )
+            assert session.open_connections() == 3
+        for _ in range(100):
+            if not session.open_connections():
+                break
+            await asyncio.sleep(0.01)
+        assert session.open_connections() == 0
