--- a/tests/lapse_faults.py
+++ b/tests/lapse_faults.py
@@ -276,7 +276,8 @@
             cut.restart()
         await asyncio.sleep(rng.uniform(0.0, 6.0))
         cut.heal()
-        site.register(server)
+        if server.up:
+            site.register(server)
 
 
 async def lose_server(site: FakeSite, rng: random.Random) -> None:
