--- a/tests/test_lapsed_runs.py
+++ b/tests/test_lapsed_runs.py
@@ -252,11 +252,13 @@
 # Guards against BUDGET beside LOST: a deadly task is started without bound, or innocent
 # jobs are given up, as its servers take long to be back.
 @pytest.mark.parametrize("back_after_s", [1.0, 3.5, 5.0, 9.0, 500.0])
+@pytest.mark.parametrize("refuses", [False, True])
 @same_and_new_id
 def test_a_deadly_task_is_started_five_times_at_most(
-    back_after_s: float, new_id: bool
+    back_after_s: float, refuses: bool, new_id: bool
 ) -> None:
-    run_deadly(Deadly(back_after_s=back_after_s, new_id=new_id), takeover_s=None)
+    deadly = Deadly(back_after_s=back_after_s, new_id=new_id)
+    run_deadly(deadly, takeover_s=None, refuses=refuses)
 
 
 # Guards against BUDGET beside LOST across takeovers.
@@ -274,11 +276,18 @@
 """A deadly job whose servers are back by then is shown as failed in the end."""
 
 
-def run_deadly(deadly: Deadly, *, takeover_s: float | None) -> None:
-    """Run a deadly job beside others, and take over after its first two crashes."""
+def run_deadly(
+    deadly: Deadly, *, takeover_s: float | None, refuses: bool = False
+) -> None:
+    """Run a deadly job beside others, and take over after its first two crashes.
+
+    The addresses of servers that are down refuse connections, or stay silent.
+    """
 
     async def body() -> None:
         site = await new_site(servers=8, vms=3)
+        for server in site.servers.values():
+            server.refuses = refuses
         job_id = submit_deadly(site, deadly)
         jobs = [site.submit(SMALL, task_s=1.0) for _ in range(10)]
         task = f"{job_id}.0.0.0"
