Scale the descriptors that callers leave with those of the process

Cause: left 320 descriptors to other VMs and the process itself, whatever max_fds is. With max_fds = 600 callers then had 64 connections, and 200 clients with bodies made the process close and admit connections all the time.

Change: 8% of the descriptors, 312 of those of 4,100. Callers have 184 connections with max_fds = 600, and 1,794 with 4,100.

--- a/cassiaweir/http_limits/_limits.py
+++ b/cassiaweir/http_limits/_limits.py
@@ -18,8 +18,11 @@
 DESCRIPTORS_PER_CALLER = 2
 """Its connection, and one to the store while its request is served."""
 
-PEER_DESCRIPTORS = 320
-"""Descriptors that callers leave to other VMs and to the process itself."""
+PEERS_SHARE = 0.08
+"""The share of the descriptors that callers leave to other VMs and the process itself.
+
+With 4,100 descriptors these are 312, and 256 peers are connected at most.
+"""
 
 MIN_CALLER_CONNECTIONS = 64
 
@@ -88,8 +91,10 @@
         limit = self.callers.max_connections
         if not self.sockets:
             return limit
-        room = (self.sockets - PEER_DESCRIPTORS - connections) // DESCRIPTORS_PER_CALLER
-        return min(limit, max(room, MIN_CALLER_CONNECTIONS))
+        room = self.sockets * (1 - PEERS_SHARE) - connections
+        return min(
+            limit, max(int(room) // DESCRIPTORS_PER_CALLER, MIN_CALLER_CONNECTIONS)
+        )
 
 
 DEFAULT_LIMITS = ProcessLimits()
