Bound the connections from other VMs by those that callers leave

Cause: the gRPC port of an entry VM accepted 512 connections, while callers leave 320 descriptors to other VMs and to the process itself (PEER_DESCRIPTORS).

Change: at most as many as the channels to other VMs, 256. A process keeps one to each VM; the largest deployment in force has 97.

Result: tests/test_front_vm.py and tests/test_peers_relay.py pass. Not measured under a crowd by itself; tests/test_hostile_clients_cell.py measures the bound of the port.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -98,6 +98,8 @@
 """With an older view of the configuration a VM fails readiness checks."""
 
 MAX_PEER_CHANNELS = 256
+"""Connections to other entry VMs, and from them."""
+
 MAX_REPORT_BYTES = 4 * 1_048_576
 RPC_STOP_GRACE = timedelta(milliseconds=200)
 """Time for calls of peers when a VM stops; long polls on their behalf take longer.
@@ -278,6 +280,7 @@
             [servicer.register],
             events,
             stop_grace=RPC_STOP_GRACE,
+            max_connections=MAX_PEER_CHANNELS,
         ),
         views.configuration,
         views.leadership_rows,
