Refuse a job that no row can hold before it is sent to the store

Cause: the size of a row was left to the store, though the platform's settings give it (row_bytes).

Change: a job whose row is larger is refused with 400, as before, once it is encoded. Without row_bytes in the settings nothing changes. The settings of the test name it, as the platform's do; crowd and bounds are as they were.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -377,6 +377,7 @@
             store_version=lambda: max(
                 configuration.version, views.leadership_rows.version
             ),
+            max_row_bytes=settings.max_row_bytes,
         ),
         states=states,
         codec=PlatformJobCodec(),
--- a/cassiaweir/front/_submissions.py
+++ b/cassiaweir/front/_submissions.py
@@ -67,7 +67,9 @@
         *,
         store_unreachable: Callable[[], bool],
         store_version: Callable[[], int] = lambda: 0,
+        max_row_bytes: int | None = None,
     ) -> None:
+        self._max_row_bytes = max_row_bytes
         self._store_version = store_version
         self._newest_version = 0
         self._known_refusals: dict[str, KnownRefusal] = {}
@@ -101,12 +103,14 @@
         if len(self._queued) >= MAX_QUEUED_JOBS:
             cause = f"{MAX_QUEUED_JOBS} jobs already wait to be stored"
             raise self._not_stored(spec.job_id, "store_busy", cause)
+        value = spec.encode()
+        self._check_size(spec.job_id, value)
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         deadline = self._clock.monotonic() + STORE_TIMEOUT.total_seconds()
         received_at = self._clock.now().timestamp()
         job = PendingJob(
             spec,
-            spec.encode(),
+            value,
             attempt,
             future,
             deadline,
@@ -121,6 +125,18 @@
         self._start_transactions()
         await future
 
+    def _check_size(self, job_id: str, value: bytes) -> None:
+        """Raise `InvalidInputError` if the store takes no row of that size.
+
+        The row would take several times its size until the store has refused it.
+        """
+        limit = self._max_row_bytes
+        if limit is not None and len(value) > limit:
+            logger.warning("job_not_storable", job=job_id, size=len(value))
+            raise InvalidInputError(
+                f"the job cannot be stored: it takes {len(value)} bytes of {limit}"
+            )
+
     def _not_stored(self, job_id: str, reason: str, cause: str) -> Exception:
         """Return the error for an attempt that has certainly stored nothing.
 
--- a/cassiaweir/platform/_local_settings.py
+++ b/cassiaweir/platform/_local_settings.py
@@ -60,6 +60,8 @@
 class _Platform(msgspec.Struct):
     # The address of the platform's store.
     addr: str
+    # The largest value of a row, if it is known.
+    row_bytes: Annotated[int, msgspec.Meta(ge=1)] | None = None
 
 
 class _File(msgspec.Struct):
@@ -87,7 +89,8 @@
     of the VM in standard cores, which need not be a whole number.  In any time of
     `share_window_s` a customer may submit the jobs that its weight allows, the share
     `share_overage` and `share_slack` jobs more.  Servers shorten leases to
-    `longest_lease`.  `http_limits` bounds what HTTP clients may use of the process.
+    `longest_lease`.  The store takes rows of up to `max_row_bytes`, None if that is
+    not known.  `http_limits` bounds what HTTP clients may use of the process.
     """
 
     node: str
@@ -104,6 +107,7 @@
     share_overage: float = 0.0
     share_slack: int = 0
     longest_lease: timedelta = timedelta(seconds=6)
+    max_row_bytes: int | None = None
     http_limits: ProcessLimits = DEFAULT_LIMITS
 
 
@@ -140,5 +144,6 @@
         share_overage=bounds.quota_overage,
         share_slack=bounds.quota_slack,
         longest_lease=timedelta(milliseconds=bounds.hold_max_ms),
+        max_row_bytes=found.platform.row_bytes,
         http_limits=http_limits,
     )
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -14,7 +14,7 @@
 
 from cassiaweir.clock import SystemClock
 from cassiaweir.dispatch import cancel_key, job_key, outcome_key
-from cassiaweir.exceptions import RefusedError, UnavailableError
+from cassiaweir.exceptions import InvalidInputError, RefusedError, UnavailableError
 from cassiaweir.feeds import TableWatch
 from cassiaweir.front import AccessChecker, FrontServer, JobDirectory, JobWriter
 from cassiaweir.front._access import Access, Denial
@@ -476,3 +476,27 @@
         assert (await rig.call("GET", "/ready", listener=1))[0] == 200
         rig.ready = False
         assert (await rig.call("GET", "/ready", listener=1))[0] == 503
+
+
+# Guards against the memory that a job takes until the store refuses its row (issue 56).
+def test_a_job_that_is_too_large_for_a_row_is_not_sent_to_the_store() -> None:
+    async def body() -> None:
+        rig = Rig()
+        small = spec_of(JOB_ID)
+        large = replace(small, job_id=JOB_ID[:-1] + "b", steps=small.steps * 200)
+        writer = JobWriter(
+            rig.node,
+            rig.clock,
+            rig.states,
+            store_unreachable=lambda: False,
+            max_row_bytes=len(small.encode()),
+        )
+        await writer.submit(small)
+        version = rig.store.version
+        with pytest.raises(InvalidInputError, match="cannot be stored"):
+            await writer.submit(large)
+        await asyncio.sleep(5)
+        assert rig.store.version == version
+        assert job_key(large.job_id) not in rig.store.rows
+
+    run_virtual(body)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -21,6 +21,7 @@
 from soak._fronts import _free_port
 from soak._platform import SoakPlatform
 from standins.users import listening
+from standins.users._rows import MAX_ROW_BYTES
 from tests.hostile_clients import (
     BEHAVIOURS,
     BODY_BYTES,
@@ -113,7 +114,7 @@
         settings.write_text(
             'node = "vm"\nzone = "augusta"\n[listen]\n'
             f'front = "{vm.front}"\nready = "{vm.ready}"\ncontrol = "{vm.peer}"\n'
-            f'[platform]\naddr = "{store}"\n'
+            f'[platform]\naddr = "{store}"\nrow_bytes = {MAX_ROW_BYTES}\n'
             f"[limits]\nmemory_mb = {MEMORY_MB}\nmax_fds = {MAX_FDS}\n"
         )
         await process.start()
