Move the small adapters of an entry VM's process to a module of their own

Four adapters between its parts move to _front_adapters.py and lose their underscore; nothing else changes.

--- a/cassiaweir/composition/_front_vm.py
+++ b/cassiaweir/composition/_front_vm.py
@@ -10,7 +10,6 @@
 import random
 import sys
 import uuid
-from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
@@ -18,10 +17,15 @@
 from loguru import logger
 
 from cassiaweir.clock import SystemClock
+from cassiaweir.composition._front_adapters import (
+    DrainOnStop,
+    FormerLeaderCheck,
+    PeerAdvisors,
+    UnavailableAdvisor,
+)
 from cassiaweir.composition._interference_pages import InterferencePages
 from cassiaweir.dispatch import (
     MAX_CALLS_PER_SERVER,
-    Advice,
     AdviceCache,
     AdviceCacheFactory,
     Advisor,
@@ -30,7 +34,6 @@
     ShareAllowance,
 )
 from cassiaweir.evacuation import EvacuationView, WatchedEvacuations
-from cassiaweir.exceptions import UnavailableError
 from cassiaweir.feeds import RowListeners, TableWatch
 from cassiaweir.front import (
     AccessChecker,
@@ -39,7 +42,7 @@
     JobWriter,
     LoadAdmission,
 )
-from cassiaweir.leadership import LEAD_PREFIX, Candidacy, Election, Owner
+from cassiaweir.leadership import LEAD_PREFIX, Candidacy, Election
 from cassiaweir.observe import (
     EventLog,
     LoopLagMonitor,
@@ -54,7 +57,6 @@
     NodeServicer,
     PeerClient,
     StoreRoute,
-    registered_instance,
 )
 from cassiaweir.platform import (
     EVACUATION_PREFIX,
@@ -77,7 +79,6 @@
 from cassiaweir.queues import ConfigurationView
 from cassiaweir.rpc._server import Channels, RpcServer
 from cassiaweir.types import Clock
-from cassiaweir.verdict import Verdict
 
 CONFIGURATION_POLL_WAIT = timedelta(milliseconds=800)
 """How long the store may hold back an answer while the configuration is unchanged.
@@ -108,64 +109,6 @@
 """
 
 
-class _UnavailableAdvisor:
-    """Implements `Advisor` on a platform without an advice service."""
-
-    async def advise(
-        self, step: str, server_ids: Sequence[str], timeout_s: float
-    ) -> Advice:
-        """Raise `UnavailableError` in every case."""
-        raise UnavailableError("no advice service", verdict=Verdict.NOT_RUN)
-
-
-class _PeerAdvisors:
-    """Calls the advice service through the other entry VMs."""
-
-    def __init__(self, members: Members, client: PeerClient) -> None:
-        self._members = members
-        self._client = client
-
-    def addresses(self) -> Sequence[str]:
-        """Return the addresses of the other entry VMs."""
-        return self._members.addresses()
-
-    async def advise(
-        self, address: str, step: str, server_ids: Sequence[str], timeout_s: float
-    ) -> Advice:
-        """Return the advice that the entry VM at `address` obtains."""
-        return await self._client.advise(address, step, server_ids, timeout_s)
-
-
-class _DrainOnStop:
-    """Keeps the front serving until the balancer sends no more connections.
-
-    It is the last component and is therefore stopped first.
-    """
-
-    def __init__(self, front: FrontServer) -> None:
-        self._front = front
-
-    async def start(self) -> None:
-        """Do nothing."""
-
-    async def stop(self) -> None:
-        """Fail readiness checks and wait until the balancer has noticed."""
-        await self._front.drain()
-
-
-class _FormerLeaderCheck:
-    """Checks in the member rows whether a former leader's process was replaced."""
-
-    def __init__(self, watch: TableWatch) -> None:
-        self._watch = watch
-
-    def was_replaced(self, owner: Owner) -> bool:
-        """Return whether another process now runs on the VM that `owner` led from."""
-        row = self._watch.rows.get(f"{MEMBERS_PREFIX}{owner.node}")
-        instance = None if row is None else registered_instance(row)
-        return instance is not None and instance != owner.instance
-
-
 @dataclass(frozen=True, slots=True)
 class _StoreAccess:
     """The clients of the store and of the other entry VMs."""
@@ -228,7 +171,7 @@
         advice_cache_factory=_advice_cache_factory(
             clock, advisor, members, access.peer_client
         ),
-        former_leader_gone=_FormerLeaderCheck(views.member_rows).was_replaced,
+        former_leader_gone=FormerLeaderCheck(views.member_rows).was_replaced,
         metrics=metrics,
         failure_domain=settings.failure_domain,
         share_allowance=ShareAllowance(
@@ -288,7 +231,7 @@
         front,
         members,
         election,
-        _DrainOnStop(front),
+        DrainOnStop(front),
     ]
     if metrics_port is not None:
         host = settings.front_address.rpartition(":")[0]
@@ -339,7 +282,7 @@
 
 def _advisor(settings: LocalSettings, http: HttpSession) -> Advisor:
     if not settings.advice_address:
-        return _UnavailableAdvisor()
+        return UnavailableAdvisor()
     return HttpAdviceClient(http, settings.advice_address)
 
 
@@ -347,7 +290,7 @@
     clock: Clock, advisor: Advisor, members: Members, peer_client: PeerClient
 ) -> AdviceCacheFactory:
     """Return the factory that creates the advice cache of each term."""
-    advisors = _PeerAdvisors(members, peer_client)
+    advisors = PeerAdvisors(members, peer_client)
     return lambda on_answer: AdviceCache(clock, advisor, advisors, on_answer)
 
 
--- a/tests/test_front_vm.py
+++ b/tests/test_front_vm.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from cassiaweir.clock import SystemClock
-from cassiaweir.composition._front_vm import _DrainOnStop, build_front_vm
+from cassiaweir.composition._front_adapters import DrainOnStop
+from cassiaweir.composition._front_vm import build_front_vm
 from cassiaweir.dispatch import outcome_key
 from cassiaweir.front import FrontServer
 from cassiaweir.jobs import JobSpec, StepSpec
@@ -102,7 +103,7 @@
 
 async def stop_all(components) -> None:
     for component in reversed(components):
-        if not isinstance(component, _DrainOnStop):
+        if not isinstance(component, DrainOnStop):
             await component.stop()
 
 
