Take crashes that an older build confirmed for no proof

Cause: the stored form said confirmed, but not by what.

Change: a row says 'proven'. A confirmed one without it counts as a lifetime that is over: it bounds further starts and proves nothing.

--- a/cassiaweir/jobs/_crashes.py
+++ b/cassiaweir/jobs/_crashes.py
@@ -90,7 +90,8 @@
     """The stored form of what is known about one lifetime.
 
     `lease_until` is the time in Unix seconds until which the lease of a watched start
-    is in force there, 0 if that is not known.
+    is in force there, 0 if that is not known.  `proven` is that of a confirmed one;
+    older builds also confirmed lifetimes by silence, and don't store it.
     """
 
     lifetime: str
@@ -100,6 +101,7 @@
     widespread: bool = False
     over: bool = False
     lease_until: float = 0.0
+    proven: bool = False
 
 
 class CrashHistory:
@@ -280,6 +282,7 @@
                     each.crash.alone,
                     each.crash.widespread,
                     each.over,
+                    proven=each.confirmed,
                 )
             )
         return rows + [
@@ -303,9 +306,9 @@
             found = self._lifetimes.get(row.lifetime)
             if found is not None:
                 found.lease_until = max(found.lease_until, row.lease_until)
-            if row.over:
+            if row.over or (row.confirmed and not row.proven):
                 self.mark_over(row.lifetime)
-            if row.confirmed:
+            elif row.confirmed:
                 self.confirm(row.lifetime, Crash(row.alone, row.widespread))
 
     def _of(self, task: str) -> list[_Lifetime]:
