Count crashes of servers that took back their drain

Cause: once the entry of a lifetime had said 'draining', is_draining stayed true after the same lifetime had taken that back. It then got new runs, and each crash under them was dismissed as an announced leave.

Change: an entry of the same lifetime that no longer says so ends the draining.

--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -118,6 +118,8 @@
         self._entry = entry
         if entry.draining:
             self._draining_born = entry.born
+        elif self._draining_born == entry.born:
+            self._draining_born = None
         self.free = entry.capacity - self._used
 
     @property
