Prove crashes by runs that have begun, and by steady time after a takeover

A job could be shown as failed though no run of it had been on a crashed server (LOST): a start that never arrived counted, and a step back of a leader's clock by a minute made a former leader's lease one that is in force.

Cause: a run without any answer counted as present, and the stored end of a lease was compared with the time of day whenever the end of a lifetime was heard of.

Change: a crash counts for jobs with a run whose start was answered, or that was listed. What is left of a former leader's lease is worked out once, when its row is read, and must be shorter than any lease; from then on steady time counts.

--- a/cassiaweir/dispatch/_crash_tracker.py
+++ b/cassiaweir/dispatch/_crash_tracker.py
@@ -9,7 +9,12 @@
 from loguru import logger
 
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
-from cassiaweir.dispatch._lost_lifetimes import Fate, FateFinder, LostLifetime
+from cassiaweir.dispatch._lost_lifetimes import (
+    Fate,
+    FateFinder,
+    LostLifetime,
+    remaining_lease_s,
+)
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server, lifetime_name
 from cassiaweir.jobs import Crash, CrashHistory, Isolation, Job, Task
@@ -64,7 +69,7 @@
         self._metrics = metrics
         self._store_reachable = store_reachable
         self._is_stored = is_stored
-        self._fates = FateFinder(servers, clock, entries_age)
+        self._fates = FateFinder(servers, entries_age)
         self._stop = stop
         self._lost: dict[str, LostLifetime] = {}
 
@@ -72,6 +77,7 @@
         """Take over a job, with the losses that a former leader has stored."""
         job.crashes.taken_over = True
         now = self._clock.monotonic()
+        wall = self._clock.now().timestamp()
         for name in list(job.crashes.losses):
             server_id, _, born = name.rpartition("@")
             if not born.isdigit():
@@ -85,7 +91,9 @@
                 )
                 self._lost[name] = lost
             lost.jobs.add(job.job_id)
-            lost.lease_until = max(lost.lease_until, job.crashes.lease_until(name))
+            left_s = remaining_lease_s(job.crashes.lease_until(name), wall)
+            if left_s:
+                lost.in_force_until = max(lost.in_force_until, now + left_s)
 
     def note_replaced(self, server_ids: Collection[str]) -> None:
         """Note that other lifetimes answer at the addresses of these servers."""
@@ -100,10 +108,11 @@
         """
         if not server.runs and server.fenced and not server.is_draining:
             self._lost_lifetime(server).isolated = False
-        crashed = server.leases.in_force(self._clock.monotonic())
+        in_force = server.leases.in_force(self._clock.monotonic())
         for run in server.runs.values():
             self.note_loss(run, "another lifetime")
-            self._lost_lifetime(server).crashed = crashed
+            if in_force and _has_begun(run):
+                self._lost_lifetime(server).present.add(run.job_id)
 
     def note_loss(self, run: Run, cause: str) -> None:
         """Note that a run was lost with its server, which may have crashed.
@@ -193,12 +202,21 @@
         if (gone and lost.draining) or fate in (Fate.GOES_ON, Fate.FORGOTTEN):
             lost.resolved = True
             self._dismiss(name, lost, fate)
+            if fate is Fate.FORGOTTEN:
+                self._keep_others(lost)
         elif fate is Fate.CRASHED:
             lost.resolved = True
             self._confirm(name, lost)
         elif gone:
             self._mark_over(name, lost, fate)
 
+    def _keep_others(self, forgotten: LostLifetime) -> None:
+        """Keep other losses of the same jobs for longer, so that few starts follow."""
+        now = self._clock.monotonic()
+        for lost in self._lost.values():
+            if not lost.resolved and lost.jobs & forgotten.jobs:
+                lost.noted_at = now
+
     def may_start(self, entry: JobEntry, task: Task) -> bool:
         """Return whether a task may be started, as far as crashes are concerned.
 
@@ -230,6 +248,9 @@
             entry = self._jobs.entries.get(job_id)
             if entry is None:
                 continue
+            if job_id not in lost.present:
+                self._mark_over_for(entry, name, lost, Fate.ENDED)
+                continue
             crash = self._judge(lost, job_id)
             tasks = entry.job.crashes.confirm(name, crash)
             for task in tasks:
@@ -279,22 +300,28 @@
         """Note that a lost lifetime is not expected back; it may still be dismissed."""
         for job_id in sorted(lost.jobs):
             entry = self._jobs.entries.get(job_id)
-            tasks = entry.job.crashes.mark_over(name) if entry is not None else []
-            if entry is None or not tasks:
-                continue
-            for task in tasks:
-                entry.job.mark_unsaved(task)
-            logger.info(
-                "loss_unexplained",
-                job=job_id,
-                server=lost.server_id,
-                born=lost.born,
-                cause=fate.name.lower(),
-                tasks=len(tasks),
-            )
-            if not entry.job.ended:
-                self._give_up(entry, tasks)
-                self._jobs.save(entry)
+            if entry is not None:
+                self._mark_over_for(entry, name, lost, fate)
+
+    def _mark_over_for(
+        self, entry: JobEntry, name: str, lost: LostLifetime, fate: Fate
+    ) -> None:
+        tasks = entry.job.crashes.mark_over(name)
+        if not tasks:
+            return
+        for task in tasks:
+            entry.job.mark_unsaved(task)
+        logger.info(
+            "loss_unexplained",
+            job=entry.job.job_id,
+            server=lost.server_id,
+            born=lost.born,
+            cause=fate.name.lower(),
+            tasks=len(tasks),
+        )
+        if not entry.job.ended:
+            self._give_up(entry, tasks)
+            self._jobs.save(entry)
 
     def _dismiss(self, name: str, lost: LostLifetime, fate: Fate) -> None:
         for job_id in lost.jobs:
@@ -345,6 +372,11 @@
         return known + unreachable
 
 
+def _has_begun(run: Run) -> bool:
+    """Return whether the server has answered that a run began, or listed it."""
+    return run.answered_at is not None
+
+
 def lifetime_of(run: Run) -> str:
     """Return the name of the lifetime in which a run is to be started."""
     return lifetime_name(run.server.server_id, run.born)
--- a/cassiaweir/dispatch/_lost_lifetimes.py
+++ b/cassiaweir/dispatch/_lost_lifetimes.py
@@ -12,8 +12,8 @@
 from datetime import timedelta
 from enum import Enum, auto
 
+from cassiaweir.dispatch._leases import SUSPECT_LEASE_S
 from cassiaweir.dispatch._server import Server
-from cassiaweir.types import Clock
 
 ABSENT_AFTER_S = 3.0
 """A server is not expected back if current entries lack it for this long."""
@@ -53,10 +53,10 @@
     had one, which also knew what else ran there.  `noted_at` is the time of the first
     loss, and `absent_since` that since which current entries lack the server.
     `isolated` means that all its runs were those of one suspected job that had the
-    server for itself, and `crashed` that its end was heard of while the leases of its
-    runs were in force.  `lease_until` is the time in Unix seconds until which leases
-    were in force that a former leader has given, 0 if that is not known.  `replaced`
-    means that another lifetime answers at its address.
+    server for itself.  `present` are the jobs of which a run had certainly begun there
+    and held a lease when the end of the lifetime was heard of.  `in_force_until` is the
+    time until which leases of a former leader are in force, minus infinity if that is
+    not known.  `replaced` means that another lifetime answers at its address.
     """
 
     server_id: str
@@ -65,52 +65,61 @@
     seen_at: float
     noted_at: float
     jobs: set[str] = field(default_factory=set)
+    present: set[str] = field(default_factory=set)
     isolated: bool = True
     draining: bool = False
-    crashed: bool = False
-    lease_until: float = 0.0
+    in_force_until: float = float("-inf")
     replaced: bool = False
     resolved: bool = False
     absent_since: float | None = None
 
 
+def remaining_lease_s(lease_until: float, wall: float) -> float:
+    """Return how long a former leader's lease is certainly in force, in seconds.
+
+    Both times are in Unix seconds, by the clocks of two leaders.  A lease that would be
+    longer than any says that one of the clocks is wrong.
+    """
+    left_s = lease_until - wall - MAX_CLOCK_SKEW_S
+    return left_s if 0 < left_s <= SUSPECT_LEASE_S else 0.0
+
+
 class FateFinder:
     """Finds out what has become of lost lifetimes."""
 
     def __init__(
         self,
         servers: Mapping[str, Server],
-        clock: Clock,
         entries_age: Callable[[], timedelta],
     ) -> None:
         self._servers = servers
-        self._clock = clock
         self._entries_age = entries_age
 
     def find(self, lost: LostLifetime, now: float) -> Fate:
         """Return what has become of a lost lifetime."""
-        if lost.crashed:
+        if lost.present:
             return Fate.CRASHED
         if now - lost.noted_at > LOSS_RETENTION_S:
             return Fate.FORGOTTEN
         server = self._servers.get(lost.server_id)
         if lost.replaced:
-            return self._find_ended(lost)
+            return self._find_ended(lost, now)
         if server is None:
             absent = self._is_long_absent(lost, now)
             return Fate.ABSENT if absent else Fate.UNKNOWN
         lost.absent_since = None
         lost.draining |= server.is_draining and server.born == lost.born
         if server.ended or (server.fenced and server.born != lost.born):
-            return self._find_ended(lost)
+            return self._find_ended(lost, now)
         alive = server.reachable and server.reported_at > lost.noted_at
         return Fate.GOES_ON if server.fenced and alive else Fate.UNKNOWN
 
-    def _find_ended(self, lost: LostLifetime) -> Fate:
+    def _find_ended(self, lost: LostLifetime, now: float) -> Fate:
         """Return whether an ended lifetime held leases of a former leader until now."""
-        wall = self._clock.now().timestamp()
-        in_force = wall + MAX_CLOCK_SKEW_S < lost.lease_until
-        return Fate.CRASHED if in_force else Fate.ENDED
+        if now >= lost.in_force_until:
+            return Fate.ENDED
+        lost.present |= lost.jobs
+        return Fate.CRASHED
 
     def _is_long_absent(self, lost: LostLifetime, now: float) -> bool:
         """Return whether a server that is not known has had no entry for long enough.
