--- a/cassiaweir/dispatch/_leases.py
+++ b/cassiaweir/dispatch/_leases.py
@@ -58,11 +58,12 @@
     All times are seconds on the leader's clock, except those in milliseconds, which are
     on the server's clock.  `longest_s` is the limit to which the server shortens
     leases.  `allow_long` means that the server's row for a successor allows
-    `SUSPECT_LEASE_S`.
+    `SUSPECT_LEASE_S`, `long_suspended` that none is given nevertheless.
     """
 
     def __init__(self, longest_s: float = SUSPECT_LEASE_S) -> None:
         self.allow_long = False
+        self.long_suspended = False
         self.longest_s = longest_s
         self._long_end_at = 0.0
         self._clock_ms: int | None = None
--- a/cassiaweir/dispatch/_record_keeper.py
+++ b/cassiaweir/dispatch/_record_keeper.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from cassiaweir.dispatch._leases import MIN_START_LEASE_S, SUSPECT_LEASE_S
+from cassiaweir.dispatch._leases import LEASE_S, MIN_START_LEASE_S, SUSPECT_LEASE_S
 from cassiaweir.dispatch._runs import Run
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._server_records import ServerRecords
@@ -54,6 +54,8 @@
         if self._records.allows_long_leases(server.server_id):
             server.leases.allow_long = True
             server.leases.expect_former(SUSPECT_LEASE_S)
+        elif self._records.has_row(server.server_id):
+            server.leases.expect_former(LEASE_S)
 
     def remove(self, server_id: str) -> None:
         """Remove the row of a server on which nothing can run any more."""
@@ -61,6 +63,7 @@
 
     def shorten_leases(self, server: Server, now: float) -> None:
         """Let the row of a server no longer allow long leases, if none is in force."""
+        server.leases.long_suspended = not self._allow_long_leases()
         if server.may_shorten_leases(now):
             server.leases.allow_long = False
             self._records.shorten_leases(server.entry, server.task_names())
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -61,8 +61,10 @@
     `suspects` are the runs of tasks that may crash the server, until they have run for
     long enough.  `unstored_ends` are tasks that ended here, with the position of the
     write that stores the end.  `relative_speed` is that of `ServerSpeeds`, 1.0 while
-    unknown.  `kinds` holds the number of counted runs of each kind of task, and
-    `kind_added_at` when a run last got another kind beside it.
+    unknown.  `renewal_in_doubt_at` is when the last renewal of the leases without an
+    answer was sent, minus infinity if there was none.  `kinds` holds the number of
+    counted runs of each kind of task, and `kind_added_at` when a run last got another
+    kind beside it.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self._lost_starts: set[RunKey] = set()
         self.born = entry.born
         self.leases = ServerLeases(longest_lease_s)
+        self.renewal_in_doubt_at = float("-inf")
         self._isolated_runs = 0
 
     @property
@@ -295,6 +298,7 @@
         self.late_starts.clear()
         self.leases.begin_lifetime(
             may_inherit_runs=bool(self.runs or self._lost_starts)
+            or now - self.renewal_in_doubt_at < LATE_START_S
         )
         self.born = born
         self.applied = 0
@@ -310,7 +314,8 @@
     @property
     def is_observed(self) -> bool:
         """Whether suspected tasks were started here, with long leases."""
-        return self.leases.allow_long and self._isolated_runs > 0
+        may_give = self.leases.allow_long and not self.leases.long_suspended
+        return may_give and self._isolated_runs > 0
 
     def may_shorten_leases(self, now: float) -> bool:
         """Return whether its row allows long leases of which none is in force."""
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -177,6 +177,8 @@
             renewed = server.reachable and self._leadership.may_act(asked_at)
             until_ms = server.next_lease_end_ms(asked_at) if renewed else None
             born = server.born
+            if until_ms is not None:
+                server.renewal_in_doubt_at = asked_at
             report = await self._client.renew_lease(
                 server.entry,
                 epoch=self._leadership.epoch,
@@ -189,6 +191,7 @@
             self._logged_unreachable = False
             logger.info("server_reachable", server=server.server_id)
         ends = self._handler.handle_report(server, report, asked_at)
+        server.renewal_in_doubt_at = float("-inf")
         if until_ms is not None and server.born == born:
             server.leases.note_granted(until_ms)
         numbers = [end.number for end in report.ended]
