--- a/cassiaweir/jobs/_crashes.py
+++ b/cassiaweir/jobs/_crashes.py
@@ -21,8 +21,9 @@
 MAX_LOST_LIFETIMES = 5
 """Lifetimes that were lost under a task after which it is not started any more.
 
-It is one less for a job that a successor has taken over: its former leader may have
-ended before it noticed a crash under a first start.
+If enough of them are proven crashes, its job fails.  It is one less for a job that a
+successor has taken over: its former leader may have ended before it noticed a crash
+under a first start.
 """
 
 CRASHES_TO_RUN_ALONE = 2
@@ -263,7 +264,8 @@
 
     @property
     def _max_lost_lifetimes(self) -> int:
-        return MAX_LOST_LIFETIMES - self.taken_over
+        unnoticed = 1 if self.taken_over else 0
+        return MAX_LOST_LIFETIMES - unnoticed
 
     def rows(self, tasks: Collection[str]) -> list[CrashRow]:
         """Return the stored form of what is known of `tasks`.
--- a/tests/test_lapsed_runs.py
+++ b/tests/test_lapsed_runs.py
@@ -47,7 +47,7 @@
 RETENTION_S = 200.0
 """Time after which unexplained losses are forgotten in these tests, to save time."""
 
-PROVABLE = (entry_lapses, entry_stays)
+CLEARING_CUTS = (entry_lapses, entry_stays)
 """The cuts after which the same lifetime answers again, which clears the task.
 
 A server that restarts behind a cut looks like one that crashed under the task and was
@@ -94,7 +94,7 @@
 async def recover(site: FakeSite, jobs: Sequence[str], cut: Cut) -> None:
     """Wait until jobs whose servers were cut off must run again, or be done."""
     await asyncio.sleep(RECOVERY_S)
-    if cut in PROVABLE:
+    if cut in CLEARING_CUTS:
         return
     for job_id in jobs:
         assert len(site.starts_of(job_id)) <= MAX_STARTS * step_count(site, job_id)
