--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -337,16 +337,22 @@
         return job_id, status
 
     async def state(
-        self, vm: EntryVm, job_id: str, *, quiet: bool = True, prefix: str = PREFIX
+        self,
+        vm: EntryVm,
+        job_id: str,
+        *,
+        quiet: bool = True,
+        prefix: str = PREFIX,
+        key: str = ORDINARY_KEY,
     ) -> str:
         """Return the state of a job that a client is shown, or the other status."""
-        status, raw = await self.call("GET", vm, prefix + job_id, quiet=quiet)
+        status, raw = await self.call("GET", vm, prefix + job_id, key=key, quiet=quiet)
         if status != 200:
             return str(status)
         return str(json.loads(raw)["state"])
 
     async def wait_done(
-        self, jobs: list[str], seconds: float = FINISH_S
+        self, jobs: list[str], seconds: float = FINISH_S, *, prefix: str = PREFIX
     ) -> dict[str, str]:
         """Wait until all jobs are shown as done; return the others with their state."""
         ends_at = time.monotonic() + seconds
@@ -354,7 +360,7 @@
         while left:
             for number, job in enumerate(list(left)):
                 vm = self.vms[number % len(self.vms)]
-                left[job] = await self.state(vm, job)
+                left[job] = await self.state(vm, job, prefix=prefix)
                 if left[job] == "done":
                     self.record.write(f"job {job} is shown as done")
                     del left[job]
