--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,92 +1,125 @@
-"""Requests of 8 KB with a compressed body take an entry VM over its memory."""
+"""A late start of a former lifetime lets a task run twice."""
 
 import asyncio
-import random
 import sys
 import time
-import zlib
+from collections.abc import Sequence
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
 
 import harness as lib
-
-CONNECTIONS = 1_900
-"""The entry VM accepts 1,950, and has 4,100 descriptors."""
-
-FIELDS = 100
-FIELD_CHARS = 60
-BODY_BYTES = 900
-OBSERVED_S = 6.0
-
-
-BODY = zlib.compress(b" " * 7_700_000, 9)[:BODY_BYTES]
-
-
-def _request(number: int) -> bytes:
-    """Return a request for the state of a job, with a body that nobody reads."""
-    fields = "".join(f"x{each}: {'x' * FIELD_CHARS}\r\n" for each in range(FIELDS))
-    head = (
-        f"GET {lib.PREFIX}{number:016x} HTTP/1.1\r\nHost: {lib.HOST}\r\n"
-        f"X-Credential: {lib.OTHER_KEY}\r\n{fields}"
-        f"Content-Encoding: deflate\r\nContent-Length: {len(BODY)}\r\n\r\n"
-    )
-    return head.encode() + BODY
-
-
-async def _press(vm: lib.EntryVm) -> None:
-    """Send one request on each of many connections, and wait."""
-    writers = []
-    for _ in range(CONNECTIONS):
-        _, writer = await asyncio.open_connection(vm.ip, 8183)
-        writers.append(writer)
-    for writer in writers:
-        writer.write(_request(random.getrandbits(64)))
-    await asyncio.sleep(OBSERVED_S)
-    for writer in writers:
-        writer.close()
-
-
-async def _watch(case: lib.Case, vm: lib.EntryVm) -> float:
-    """Return the memory at which the platform kills the process, 0 if it does not."""
-    ends_at = time.monotonic() + OBSERVED_S + 4.0
-    while time.monotonic() < ends_at and vm.ended is None:
-        now, peak = vm.memory_mb()
-        case.record.write(f"{vm.name}: {now:.0f} MB, at its peak {peak:.0f} MB")
-        if now > lib.MEMORY_MB:
-            return now
-        await asyncio.sleep(0.25)
-    return 0.0
+import msgspec
+from aiohttp import web
+
+from cassiaweir.dispatch import StartOrder
+from standins.users import FakeServer, ServerService
+
+CRASH_AFTER_S = 0.5
+DOWN_S = 5.0
+ENTRY_S = 4.5
+"""Three reports of 1.5 s, after which the entry of a silent executor is removed."""
+
+SETTLED_S = 8.0
+HELD_OPEN_S = 60.0
+
+
+class Disruption:
+    """One start that gets no answer, and is carried out by the executor's next life."""
+
+    def __init__(self) -> None:
+        self.armed = False
+        self.taken: asyncio.Future[tuple[FakeServer, StartOrder]] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class Executor:
+    """Serves an executor; while it is down, calls get no answer and have no effect."""
+
+    def __init__(self, service: ServerService, disruption: Disruption) -> None:
+        self._service = service
+        self._disruption = disruption
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call, or keep it waiting."""
+        body = msgspec.json.decode(await req.read())
+        server = self._service.server
+        taken = self._disruption.taken
+        may_take = server.up and self._disruption.armed and not taken.done()
+        if may_take and req.path == "/run-start":
+            taken.set_result((server, self._service.order(body)))
+        silent = taken.done() and taken.result()[0] is server and server.entry.born == 1
+        if server.up and not silent:
+            return await self._service.carry_out(req.path, body)
+        await asyncio.sleep(HELD_OPEN_S)
+        return web.Response(status=503)
+
+
+async def _run_late_start(case: lib.Case, disruption: Disruption) -> None:
+    """Crash the executor of the start, and carry the start out when it is back."""
+    server, order = await asyncio.wait_for(disruption.taken, 5.0)
+    name = server.entry.server_id
+    began = time.monotonic()
+    case.record.write(f"{name} leaves the start of {order.task} unanswered: {order}")
+    await asyncio.sleep(CRASH_AFTER_S)
+    server.crash()
+    case.record.write(f"{name} crashes")
+    await asyncio.sleep(ENTRY_S)
+    case.site.unregister(server)
+    case.record.write(f"the entry of {name} is removed")
+    await asyncio.sleep(DOWN_S - ENTRY_S)
+    server.restart()
+    case.record.write(f"{name} is back under its id, born {server.entry.born}")
+    server.start_late(order)
+    late_s = time.monotonic() - began
+    case.record.write(f"{name} has carried out the start, {late_s:.1f} s late")
+
+
+def _overlaps(case: lib.Case, job: str) -> Sequence[str]:
+    """Return where two runs of one task were at work at the same time."""
+    now = asyncio.get_running_loop().time()
+    runs = case.site.starts_of(job)
+    found = []
+    for one in runs:
+        for other in runs:
+            both = one.task == other.task and one.began_at < other.began_at
+            until = min(one.ended_at or now, other.ended_at or now)
+            if both and other.began_at < until:
+                found.append(
+                    f"TWICE: {one.task} runs on {one.server} (run {one.number}) and on"
+                    f" {other.server} (run {other.number}) for"
+                    f" {until - other.began_at:.2f} s"
+                )
+    return found
 
 
 async def run(case: lib.Case) -> list[str]:
-    """Press on one entry VM, and return whether it went over its memory."""
-    await case.open()
+    """Submit a service of one task, and disturb its first start."""
+    disruption = Disruption()
+    await case.open(server_handler=lambda service: Executor(service, disruption).handle)
     before = [(await case.submit(vm, case.job()))[0] for vm in case.vms * 2]
     left = await case.wait_done(before)
     if left:
         raise lib.CannotRunError(f"jobs in calm did not end: {left}")
-    vm = case.vms[0]
-    request = _request(0)
-    case.record.write(f"{CONNECTIONS} requests of {len(request)} bytes, such as:")
-    case.record.write(repr(request[:300]))
-    pressing = asyncio.create_task(_press(vm)) if lib.trouble() else None
-    killed_at = await _watch(case, vm)
-    if killed_at:
-        await vm.kill()
-    if pressing is not None:
-        pressing.cancel()
-        await asyncio.gather(pressing, return_exceptions=True)
-    if vm.ended is not None and not killed_at:
-        return [f"{vm.name} has ended by itself with status {vm.ended}"]
-    return (
-        [
-            f"Fault (memory over the limit): {vm.name} takes {killed_at:.0f} MB of"
-            f" {lib.MEMORY_MB} MB, for which the platform kills it"
-        ]
-        if killed_at
-        else []
-    )
+    disruption.armed = lib.trouble()
+    step = {
+        "count": 1,
+        "cpu": 1000,
+        "mem_mb": 256,
+        "estimate_ms": 60_000,
+        "long_running": True,
+    }
+    body = {"spec": "600/done", "steps": [step]}
+    job, status = await case.submit(case.vms[0], body)
+    if status != 200:
+        raise lib.CannotRunError(f"the job got {status}")
+    if lib.trouble():
+        await _run_late_start(case, disruption)
+    await asyncio.sleep(SETTLED_S)
+    for each in case.site.faults:
+        case.record.write(f"seen by the executors: {each}")
+    return list(_overlaps(case, job))
 
 
 lib.main(__file__, run, 110)
