--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -57,6 +57,7 @@
 
     def write(self, text: str) -> None:
         """Add a line with the seconds since the start of the case."""
+        text = text.replace(str(REPOSITORY), ".")
         self._file.write(f"{time.monotonic() - self._began:8.3f} {text}\n")
         self._file.flush()
 
