--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,12 @@
-"""A late start of a former lifetime lets a task run twice."""
+"""A late acknowledgement of a former lifetime lets short tasks run again and again."""
 
 import asyncio
 import sys
 import time
+from collections import defaultdict
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
 
@@ -12,24 +14,25 @@
 import msgspec
 from aiohttp import web
 
-from cassiaweir.dispatch import StartOrder
-from standins.users import FakeServer, ServerService
+from standins.users import FakeServer, RunRecord, ServerService
 
-CRASH_AFTER_S = 0.5
-DOWN_S = 5.0
-ENTRY_S = 4.5
-"""Three reports of 1.5 s, after which the entry of a silent executor is removed."""
+CRASH_AFTER_S = 0.3
+DOWN_S = 2.2
+"""The call is carried out 2.5 s late, as soon as the executor is back."""
 
-SETTLED_S = 8.0
+JOBS = 80
+JOB_INTERVAL_S = 0.1
+TASKS = 4
+TASK_S = 0.05
 HELD_OPEN_S = 60.0
 
 
 class Disruption:
-    """One start that gets no answer, and is carried out by the executor's next life."""
+    """One `/hold` that gets no answer, and is carried out by the next lifetime."""
 
     def __init__(self) -> None:
         self.armed = False
-        self.taken: asyncio.Future[tuple[FakeServer, StartOrder]] = (
+        self.taken: asyncio.Future[tuple[FakeServer, dict[str, Any]]] = (
             asyncio.get_running_loop().create_future()
         )
 
@@ -47,8 +50,8 @@
         server = self._service.server
         taken = self._disruption.taken
         may_take = server.up and self._disruption.armed and not taken.done()
-        if may_take and req.path == "/run-start":
-            taken.set_result((server, self._service.order(body)))
+        if may_take and req.path == "/hold" and body.get("acked_upto", 0):
+            taken.set_result((server, body))
         silent = taken.done() and taken.result()[0] is server and server.entry.born == 1
         if server.up and not silent:
             return await self._service.carry_out(req.path, body)
@@ -56,70 +59,73 @@
         return web.Response(status=503)
 
 
-async def _run_late_start(case: lib.Case, disruption: Disruption) -> None:
-    """Crash the executor of the start, and carry the start out when it is back."""
-    server, order = await asyncio.wait_for(disruption.taken, 5.0)
+async def _run_late_hold(case: lib.Case, disruption: Disruption) -> None:
+    """Crash the executor of the call, and carry the call out when it is back."""
+    server, body = await asyncio.wait_for(disruption.taken, 5.0)
     name = server.entry.server_id
     began = time.monotonic()
-    case.record.write(f"{name} leaves the start of {order.task} unanswered: {order}")
+    case.record.write(f"{name} leaves /hold unanswered: {body}")
     await asyncio.sleep(CRASH_AFTER_S)
     server.crash()
     case.record.write(f"{name} crashes")
-    await asyncio.sleep(ENTRY_S)
-    case.site.unregister(server)
-    case.record.write(f"the entry of {name} is removed")
-    await asyncio.sleep(DOWN_S - ENTRY_S)
+    await asyncio.sleep(DOWN_S)
     server.restart()
-    case.record.write(f"{name} is back under its id, born {server.entry.born}")
-    server.start_late(order)
+    server.renew_late(body["fence"], body.get("until_ms"), body["acked_upto"])
     late_s = time.monotonic() - began
-    case.record.write(f"{name} has carried out the start, {late_s:.1f} s late")
-
-
-def _overlaps(case: lib.Case, job: str) -> Sequence[str]:
-    """Return where two runs of one task were at work at the same time."""
-    now = asyncio.get_running_loop().time()
-    runs = case.site.starts_of(job)
+    case.record.write(
+        f"{name} is back under its id, born {server.entry.born}, and has carried out"
+        f" /hold {late_s:.1f} s late"
+    )
+
+
+def _repeats(case: lib.Case, jobs: Sequence[str]) -> list[str]:
+    """Return the tasks that were started after their noted end `done`."""
+    noted = {
+        fault.split(": ")[1].split(",")[0]
+        for fault in case.site.faults
+        if fault.startswith("started again after")
+    }
+    by_task: defaultdict[str, list[RunRecord]] = defaultdict(list)
+    for run in case.site.history:
+        if run.task in noted and run.task.split(".")[0] in jobs:
+            by_task[run.task].append(run)
     found = []
-    for one in runs:
-        for other in runs:
-            both = one.task == other.task and one.began_at < other.began_at
-            until = min(one.ended_at or now, other.ended_at or now)
-            if both and other.began_at < until:
-                found.append(
-                    f"TWICE: {one.task} runs on {one.server} (run {one.number}) and on"
-                    f" {other.server} (run {other.number}) for"
-                    f" {until - other.began_at:.2f} s"
-                )
+    for task, runs in by_task.items():
+        done = [run for run in runs if run.how and run.how.value == "done"]
+        first = min(run.ended_at or 0.0 for run in done)
+        later = [run.began_at - first for run in runs if run.began_at > first]
+        shown = ", ".join(f"{each:.2f}" for each in later)
+        found.append(
+            f"TWICE: {task} had ended done, and was started again {shown} s later;"
+            f" {len(done)} of its runs ended done"
+        )
     return found
 
 
 async def run(case: lib.Case) -> list[str]:
-    """Submit a service of one task, and disturb its first start."""
+    """Submit jobs of short tasks, and disturb one call to one executor."""
     disruption = Disruption()
     await case.open(server_handler=lambda service: Executor(service, disruption).handle)
-    before = [(await case.submit(vm, case.job()))[0] for vm in case.vms * 2]
+    before = [(await case.submit(vm, case.job()))[0] for vm in case.vms * 6]
     left = await case.wait_done(before)
     if left:
         raise lib.CannotRunError(f"jobs in calm did not end: {left}")
     disruption.armed = lib.trouble()
-    step = {
-        "count": 1,
-        "cpu": 1000,
-        "mem_mb": 256,
-        "estimate_ms": 60_000,
-        "long_running": True,
-    }
-    body = {"spec": "600/done", "steps": [step]}
-    job, status = await case.submit(case.vms[0], body)
-    if status != 200:
-        raise lib.CannotRunError(f"the job got {status}")
+    jobs = [(await case.submit(case.vms[0], case.job(2, 0.3)))[0]]
     if lib.trouble():
-        await _run_late_start(case, disruption)
-    await asyncio.sleep(SETTLED_S)
+        await _run_late_hold(case, disruption)
+    for number in range(JOBS):
+        vm = case.vms[number % len(case.vms)]
+        job, status = await case.submit(vm, case.job(TASKS, TASK_S))
+        if status == 200:
+            jobs.append(job)
+        await asyncio.sleep(JOB_INTERVAL_S)
+    left = await case.wait_done(jobs)
+    for job, state in left.items():
+        case.record.write(f"job {job} is shown as {state}")
     for each in case.site.faults:
         case.record.write(f"seen by the executors: {each}")
-    return list(_overlaps(case, job))
+    return _repeats(case, jobs)
 
 
 lib.main(__file__, run, 110)
