--- a/cassiaweir/dispatch/_refusal_rows.py
+++ b/cassiaweir/dispatch/_refusal_rows.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from cassiaweir.scheduling import PLACE_VALIDITY_S
+from cassiaweir.types import MAX_UNIX_S, bounded_float
 
 REFUSAL_PREFIX = b'{"refused":'
 
@@ -39,7 +40,8 @@
     @property
     def validity_s(self) -> float:
         """How long the row is needed, from when it was written."""
-        return max(REFUSAL_VALIDITY_S, self.turn_at - self.at + PLACE_VALIDITY_S)
+        turn_in_s = bounded_float(self.turn_at - self.at, MAX_UNIX_S)
+        return max(REFUSAL_VALIDITY_S, turn_in_s + PLACE_VALIDITY_S)
 
 
 class _RefusalRow(msgspec.Struct, frozen=True):
--- a/cassiaweir/dispatch/_server_entry.py
+++ b/cassiaweir/dispatch/_server_entry.py
@@ -6,7 +6,11 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from cassiaweir.types import NO_RESOURCES, Resources
+from cassiaweir.types import NO_RESOURCES, Resources, bounded_float
+
+MAX_PERCENT = 1e3
+MAX_LOAD = 1e12
+"""Bounds what a server says of a run; beyond it, the number is reduced."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +63,11 @@
     percent: float
     load: float | None
 
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "percent", bounded_float(self.percent, MAX_PERCENT))
+        if self.load is not None:
+            object.__setattr__(self, "load", bounded_float(self.load, MAX_LOAD))
+
 
 @dataclass(frozen=True, slots=True)
 class TaskEnd:
--- a/cassiaweir/jobs/_specs.py
+++ b/cassiaweir/jobs/_specs.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
 
 from cassiaweir.exceptions import InvalidInputError
 from cassiaweir.queues import Queue
-from cassiaweir.types import NO_RESOURCES, Resources
+from cassiaweir.types import (
+    MAX_DURATION_S,
+    MAX_UNIX_S,
+    NO_RESOURCES,
+    Resources,
+    bound_fields,
+)
 
 MAX_TASK_SPEC_BYTES = 4_000
 """Limit of `JobSpec.task_spec`, encoded in UTF-8."""
@@ -23,6 +29,36 @@
 DEFAULT_TASK_DURATION_S = 1.0
 """Duration assumed for a task submitted without an estimate."""
 
+MAX_TASK_AMOUNT = 10**12
+"""A task that asks for more waits like one that asks for this.
+
+No server has as much of anything.
+"""
+
+MAX_OCCURRENCES = 10**12
+"""A job that recurs more often goes on for as long as anybody can tell."""
+
+STEP_LIMITS: Mapping[str, float] = {
+    "cpu_millis": MAX_TASK_AMOUNT,
+    "memory_mb": MAX_TASK_AMOUNT,
+    "accelerators": MAX_TASK_AMOUNT,
+    "estimate_s": MAX_DURATION_S,
+    "most_per_server": MAX_TASK_AMOUNT,
+    "goal_s": MAX_DURATION_S,
+    "may_miss": MAX_TASK_AMOUNT,
+}
+JOB_LIMITS: Mapping[str, float] = {
+    "submitted_at": MAX_UNIX_S,
+    "times": MAX_OCCURRENCES,
+    "first_at": MAX_UNIX_S,
+    "interval_s": MAX_UNIX_S,
+}
+"""Bounds of the numbers that callers choose.
+
+The expected duration of a whole job, which has the largest numbers, then stays far
+within the range of floats.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class StepSpec:
@@ -30,6 +66,7 @@
 
     Resources and durations are those of one task.  Fields are stored under their own
     names.  `speculative`, `image`, `goal_s` and `may_miss` are stored and not used.
+    Numbers beyond `STEP_LIMITS` are reduced to these, in stored steps as well.
 
     Attributes:
         estimate_s: Rough duration of a task in seconds, 0 if unknown.
@@ -64,6 +101,9 @@
     fills: bool = False
     may_miss: int = 0
 
+    def __post_init__(self) -> None:
+        bound_fields(self, STEP_LIMITS)
+
     @property
     def demand(self) -> Resources:
         """The server capacity that one task uses."""
@@ -80,6 +120,8 @@
 class JobSpec:
     """A job as it was submitted.  Fields are stored under their own names.
 
+    Numbers beyond `JOB_LIMITS` are reduced to these, in stored jobs as well.
+
     Attributes:
         queue: The queue as configured at submission, used if operators remove it.
         task_spec: Text that tells a server what to run.
@@ -104,6 +146,9 @@
     cap: Resources = NO_RESOURCES
     configuration: int = 0
 
+    def __post_init__(self) -> None:
+        bound_fields(self, JOB_LIMITS)
+
     def due_at(self, occurrence: int) -> float:
         """Return when an occurrence of a recurring job is due, in Unix seconds."""
         return self.first_at + occurrence * self.interval_s
--- a/cassiaweir/platform/_advice.py
+++ b/cassiaweir/platform/_advice.py
@@ -10,6 +10,7 @@
 from cassiaweir.dispatch import Advice
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.platform._http import HttpSession
+from cassiaweir.types import MAX_DURATION_S, bounded_float
 from cassiaweir.verdict import Verdict
 
 STATUS_OK = 200
@@ -56,4 +57,5 @@
         except msgspec.DecodeError as exc:
             message = f"cannot decode the answer of the advice service: {exc}"
             raise UnavailableError(message, verdict=Verdict.RAN) from exc
-        return Advice(dict(found.allowed), found.valid_ms / 1_000)
+        valid_s = bounded_float(found.valid_ms / 1_000, MAX_DURATION_S)
+        return Advice(dict(found.allowed), valid_s)
--- a/cassiaweir/platform/_job_codec.py
+++ b/cassiaweir/platform/_job_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import msgspec
 
 from cassiaweir.exceptions import InvalidInputError
@@ -20,6 +22,12 @@
 BYTES_PER_VALUE = 64
 """Memory of a step and of a value, decoded and in the row that is stored."""
 
+MAX_DIGITS = 30
+"""Whole numbers with more digits count as the largest with so many.
+
+All limits of `JobSpec` and `StepSpec` are smaller.
+"""
+
 
 class _Step(msgspec.Struct):
     # The number of tasks.
@@ -94,8 +102,8 @@
         Raises `InvalidInputError` with a message that names the invalid field.
         """
         try:
-            found = msgspec.json.decode(raw, type=_Submission)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            found = _decode_body(raw)
+        except (msgspec.DecodeError, ValueError, RecursionError) as exc:
             raise InvalidInputError(f"cannot decode the job: {exc}") from exc
         if len(found.spec.encode()) > MAX_TASK_SPEC_BYTES:
             raise InvalidInputError(f"spec: longer than {MAX_TASK_SPEC_BYTES} bytes")
@@ -124,6 +132,35 @@
         return msgspec.json.encode({"pending": count})
 
 
+def _decode_body(raw: bytes) -> _Submission:
+    """Return the submission in `raw`; raise `DecodeError` or `ValueError` if invalid.
+
+    The platform sets no range for numbers, so that one which the decoder cannot
+    represent does not make a job invalid: it counts as the largest that it can.
+    """
+    try:
+        return msgspec.json.decode(raw, type=_Submission)
+    except msgspec.ValidationError as exc:
+        if "out of range" not in str(exc):
+            raise
+    found = json.loads(raw, parse_int=_parse_int, parse_constant=_refuse_constant)
+    return msgspec.convert(found, type=_Submission)
+
+
+def _parse_int(text: str) -> int:
+    """Return the whole number in `text`, at most one of `MAX_DIGITS` digits."""
+    digits = text.removeprefix("-")
+    if len(digits) <= MAX_DIGITS:
+        return int(text)
+    largest = 10**MAX_DIGITS - 1
+    return -largest if text.startswith("-") else largest
+
+
+def _refuse_constant(text: str) -> float:
+    """Raise `ValueError`, as NaN and Infinity are not numbers in JSON."""
+    raise ValueError(f"{text} is not a number")
+
+
 def _to_step(step: _Step) -> StepSpec:
     return StepSpec(
         count=step.count,
--- a/cassiaweir/platform/_servers.py
+++ b/cassiaweir/platform/_servers.py
@@ -58,8 +58,15 @@
 SERVER_ID_PATTERN = re.compile(r"[!-~]{1,200}")
 """Ids are sent in a header, so that they must be printable and without spaces."""
 
+MAX_NUMBER = 2**62
+"""Bounds the numbers of runs and ends, which count up from 1."""
+
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
+ClockMilliseconds = Annotated[
+    int, msgspec.Meta(ge=-int(MAX_TIME_MS), le=int(MAX_TIME_MS))
+]
 UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=int(MAX_TIME_MS))]
 
 
@@ -89,7 +96,7 @@
 
 class _RunningRow(msgspec.Struct, array_like=True):
     task: str
-    run: int
+    run: Number
     checkpoint: str | None
     # The share of its work that is done.
     percent: float
@@ -98,18 +105,18 @@
 
 
 class _EndRow(msgspec.Struct, array_like=True):
-    number: int
+    number: Number
     task: str
-    run: int
+    run: Number
     kind: EndKind
     checkpoint: str | None
 
 
 class _HoldAnswer(msgspec.Struct):
     # The server's own clock.
-    clock_ms: int
+    clock_ms: ClockMilliseconds
     # When the server started, in Unix milliseconds; 0 if unknown.
-    born: int = 0
+    born: UnixMilliseconds = 0
     running: list[_RunningRow] = []
     ended: list[_EndRow] = []
 
--- a/cassiaweir/queues/_models.py
+++ b/cassiaweir/queues/_models.py
@@ -5,7 +5,34 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from cassiaweir.types import NO_RESOURCES, Resources
+from cassiaweir.types import (
+    MAX_DURATION_S,
+    NO_RESOURCES,
+    Resources,
+    bound_fields,
+)
+
+MAX_PRIORITY = 10**9
+MAX_FAILURES = 10**9
+MAX_FACTOR = 1e6
+"""Bounds `stretch`, and the weight of a customer in jobs a second."""
+
+MAX_CAP = 10**15
+"""A customer with a higher cap is limited like one with this: by the servers."""
+
+ADVICE_LIMITS: Mapping[str, float] = {
+    "question_s": MAX_DURATION_S,
+    "each_server_s": MAX_DURATION_S,
+    "valid_s": MAX_DURATION_S,
+}
+QUEUE_LIMITS: Mapping[str, float] = {
+    "priority": MAX_PRIORITY,
+    "most_failures": MAX_FAILURES,
+    "stretch": MAX_FACTOR,
+    "slack_s": MAX_DURATION_S,
+}
+CUSTOMER_LIMITS: Mapping[str, float] = {"weight": MAX_FACTOR}
+"""Numbers of a configuration beyond these limits are reduced to them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +48,9 @@
     each_server_s: float
     valid_s: float
 
+    def __post_init__(self) -> None:
+        bound_fields(self, ADVICE_LIMITS)
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
@@ -43,6 +73,9 @@
     public: bool = False
     advice: AdvicePolicy | None = None
 
+    def __post_init__(self) -> None:
+        bound_fields(self, QUEUE_LIMITS)
+
 
 @dataclass(frozen=True, slots=True)
 class BackendService:
@@ -70,6 +103,10 @@
     weight: float = 1.0
     cap: Resources = NO_RESOURCES
 
+    def __post_init__(self) -> None:
+        bound_fields(self, CUSTOMER_LIMITS)
+        object.__setattr__(self, "cap", self.cap.bounded(MAX_CAP))
+
 
 @dataclass(frozen=True, slots=True)
 class QueueConfiguration:
--- a/cassiaweir/types/__init__.py
+++ b/cassiaweir/types/__init__.py
@@ -9,6 +9,13 @@
     Team,
 )
 from cassiaweir.types._feed import Changes, Feed, Snapshot
+from cassiaweir.types._number_bounds import (
+    MAX_DURATION_S,
+    MAX_UNIX_S,
+    bound_fields,
+    bounded_float,
+    bounded_int,
+)
 from cassiaweir.types._store import (
     Check,
     ObjectStore,
@@ -42,6 +49,8 @@
 )
 
 __all__ = [
+    "MAX_DURATION_S",
+    "MAX_UNIX_S",
     "NO_RESOURCES",
     "CellView",
     "Changes",
@@ -74,4 +83,7 @@
     "WorkerReport",
     "Workers",
     "Write",
+    "bound_fields",
+    "bounded_float",
+    "bounded_int",
 ]
--- a/cassiaweir/types/_values.py
+++ b/cassiaweir/types/_values.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+from cassiaweir.types._number_bounds import bounded_int
+
 
 class Clock(Protocol):
     """The source of time, passed to whatever depends on it so that tests can set it."""
@@ -53,6 +55,14 @@
             self.accelerators * count,
         )
 
+    def bounded(self, limit: int) -> Resources:
+        """Return the same amounts, those beyond `limit` reduced to it."""
+        return Resources(
+            bounded_int(self.cpu_millis, limit),
+            bounded_int(self.memory_mb, limit),
+            bounded_int(self.accelerators, limit),
+        )
+
     def fits(self, room: Resources) -> bool:
         """Return whether this amount is at most `room` in every dimension."""
         return (
