--- a/cassiaweir/dispatch/_term.py
+++ b/cassiaweir/dispatch/_term.py
@@ -193,10 +193,17 @@
         return 0 if self._dispatcher is None else self.held_epoch
 
     def apply_rows(self, rows: Sequence[Row]) -> None:
-        """Apply rows of jobs that were just stored, without waiting for the feed."""
-        if self._dispatcher is not None:
-            for row in rows:
+        """Apply rows of jobs that were just stored, without waiting for the feed.
+
+        An error with one row keeps none of the others back.
+        """
+        if self._dispatcher is None:
+            return
+        for row in rows:
+            try:
                 self._dispatcher.apply_job_row(row)
+            except Exception as exc:
+                logger.opt(exception=exc).error("row_not_applied", key=row.key)
 
     def job_state(self, job_id: str) -> JobState | None:
         """Return the state of a job, or None if it is not known here."""
--- a/cassiaweir/front/_app.py
+++ b/cassiaweir/front/_app.py
@@ -34,6 +34,7 @@
 from cassiaweir.jobs import JobSpec, JobState
 from cassiaweir.observe import Metrics
 from cassiaweir.queues import Queue
+from cassiaweir.scheduling import Rejected
 from cassiaweir.types import NO_RESOURCES, Clock
 from cassiaweir.verdict import Verdict
 
@@ -242,6 +243,10 @@
         except UnavailableError as exc:
             status = 503 if exc.verdict is Verdict.NOT_RUN else 504
             return _HttpReply(status, "unavailable", retry_after_s=RETRY_AFTER_S)
+        except Exception as exc:
+            # Whatever it was, the request may have been executed.
+            logger.opt(exception=exc).error("request_raised", path=req.path)
+            return _HttpReply(504, "unexpected_error", retry_after_s=RETRY_AFTER_S)
 
     async def _route(
         self, req: web.BaseRequest, access: Access, subpath: str
@@ -289,7 +294,7 @@
     ) -> _HttpReply:
         received_version = self._submissions.newest_version()
         spec = await self._read_submission(reservation, req, access, submitted_id)
-        rejected = self._admission.check(spec) if self._admission else None
+        rejected = self._check_load(spec)
         attempt = Attempt(received_version, lambda: _is_connected(req), rejected)
         try:
             await self._submissions.submit(spec, attempt)
@@ -299,6 +304,16 @@
             return _HttpReply(429, exc.reason, retry_after_s=exc.rejected.retry_after_s)
         return _HttpReply(200, "stored")
 
+    def _check_load(self, spec: JobSpec) -> Rejected | None:
+        """Return why a job is refused for the load; without an answer it is not."""
+        if self._admission is None:
+            return None
+        try:
+            return self._admission.check(spec)
+        except Exception as exc:
+            logger.opt(exception=exc).error("admission_failed", job=spec.job_id)
+            return None
+
     async def _read_submission(
         self,
         reservation: Reservation,
--- a/cassiaweir/front/_cancels.py
+++ b/cassiaweir/front/_cancels.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+from loguru import logger
+
 from cassiaweir.dispatch import (
     Refusal,
     cancel_key,
@@ -40,6 +42,18 @@
         """Pass on `rows`; the leader's change feed delivers those that get lost."""
 
 
+def notify_of_stored(notifier: LeaderNotifier, rows: Sequence[Row]) -> None:
+    """Pass on rows that are stored; an error changes nothing about that.
+
+    The change feed delivers them to the leader in any case, so that no caller may be
+    told otherwise.
+    """
+    try:
+        notifier.notify_leader(rows)
+    except Exception as exc:
+        logger.opt(exception=exc).error("leader_not_notified", rows=len(rows))
+
+
 class CancelResult(StrEnum):
     """The result of a request to cancel; values are reasons in logs and metrics."""
 
@@ -134,7 +148,8 @@
     async def _commit(self, check: Check, write: Write) -> None:
         versions = await self._table.commit([check], [write])
         version = versions[write.key]
-        self._notifier.notify_leader([Row(write.key, version, write.value or b"")])
+        row = Row(write.key, version, write.value or b"")
+        notify_of_stored(self._notifier, [row])
 
     def _count_closed(self) -> None:
         """Count an id that is closed, or raise `RefusedError` if these are too many."""
--- a/cassiaweir/front/_pending_jobs.py
+++ b/cassiaweir/front/_pending_jobs.py
@@ -70,7 +70,8 @@
 class PendingJob:
     """A job that is to be stored or refused, and the future that its caller waits for.
 
-    `value` is the row that stores the job.
+    `value` is the row that stores the job.  `settled` means that its caller has been
+    told the result, as far as it still waits for one.
     `version` is that of the refusal row to replace, 0 if there is none.  `rejected`
     says why the job is to be refused.  `in_doubt` is true after an attempt to store the
     job that may have been executed or still be.  `deadline` is in monotonic seconds,
@@ -86,6 +87,7 @@
     rejected: Rejected | None
     version: int = 0
     in_doubt: bool = field(default=False)
+    settled: bool = field(default=False)
 
     @property
     def size(self) -> TransactionSize:
--- a/cassiaweir/front/_submissions.py
+++ b/cassiaweir/front/_submissions.py
@@ -27,6 +27,7 @@
     CancelResult,
     JobCanceller,
     LeaderNotifier,
+    notify_of_stored,
 )
 from cassiaweir.front._pending_jobs import (
     Attempt,
@@ -188,13 +189,18 @@
         self._start_transactions()
 
     async def _store_batch(self, batch: list[PendingJob]) -> None:
-        """Store `batch`, retrying until each job is stored or past its deadline."""
+        """Store `batch`, retrying until each job is stored or past its deadline.
+
+        An error that nobody expected may come after the store has executed the
+        transaction, so that jobs without a result are in doubt then.
+        """
         try:
             while batch:
                 batch = await self._try_store(batch)
-        finally:
+        except BaseException as exc:
             for job in batch:
-                self._fail(job, "the process is stopping")
+                self._abandon(job, exc)
+            raise
 
     async def _try_store(self, batch: list[PendingJob]) -> list[PendingJob]:
         """Try once to store `batch`; return the jobs to retry."""
@@ -213,23 +219,35 @@
             return []
         except UnavailableError as exc:
             return await self._retry_or_fail(batch, exc)
+        # Callers learn what is stored before anything else is done with it.
+        for job, refusal in zip(batch, refusals, strict=True):
+            try:
+                self._answer_stored(job, refusal, versions[job.key])
+            except Exception as exc:
+                logger.opt(exception=exc).error("answer_failed", job=job.spec.job_id)
+                self._abandon(job, exc)
         rows = [
             Row(write.key, versions[write.key], write.value or b"") for write in writes
         ]
-        self._notifier.notify_leader(rows)
-        for job, refusal in zip(batch, refusals, strict=True):
-            if refusal is None:
-                self._known_refusals.pop(job.spec.job_id, None)
-                self._settle(job)
-                job.succeed()
-            else:
-                self._remember(job, KnownRefusal(versions[job.key], refusal))
-                self._settle(job)
-                job.reject()
+        notify_of_stored(self._notifier, rows)
         return []
 
+    def _answer_stored(
+        self, job: PendingJob, refusal: Refusal | None, version: int
+    ) -> None:
+        """Tell the caller that the job, or its refusal, is stored at `version`."""
+        if refusal is None:
+            self._known_refusals.pop(job.spec.job_id, None)
+            self._settle(job)
+            job.succeed()
+        else:
+            self._remember(job, KnownRefusal(version, refusal))
+            self._settle(job)
+            job.reject()
+
     def _settle(self, job: PendingJob) -> None:
         """Note that it is known what is stored under the id of `job`."""
+        job.settled = True
         self._unsettled.settle(job.spec.job_id)
 
     async def _store_apart(
@@ -296,9 +314,16 @@
 
     def _fail(self, job: PendingJob, cause: str) -> None:
         """Report failure: refused if certainly not stored, else `UnavailableError`."""
+        job.settled = True
         self._unsettled.end(job.spec.job_id, in_doubt=job.in_doubt)
         job.fail(self._not_stored(job.spec.job_id, "store_unavailable", cause))
 
+    def _abandon(self, job: PendingJob, exc: BaseException) -> None:
+        """Report that a job without a result may be stored, after an error."""
+        if not job.settled:
+            job.in_doubt = True
+            self._fail(job, f"storing was broken off: {type(exc).__name__}")
+
     async def _retry_or_fail(
         self, batch: list[PendingJob], exc: UnavailableError
     ) -> list[PendingJob]:
--- a/cassiaweir/work/_submission.py
+++ b/cassiaweir/work/_submission.py
@@ -335,8 +335,16 @@
     def _notify(self, row: JobRow) -> None:
         """Notify the owners in the background.
 
-        A lost notification only delays the job, as owners also poll the rows.
+        A lost notification only delays the job, as owners also poll the rows.  The row
+        is stored, so that an error here must not reach the caller.
         """
+        try:
+            self._start_notifications(row)
+        except Exception as exc:
+            self._events.record("notice_failed", row.job, reason=repr(exc))
+
+    def _start_notifications(self, row: JobRow) -> None:
+        """Start a notification of the owner of each of the job's shards."""
         for shard in row.shards:
             owner = self._directory.owner(shard)
             if owner is not None:
