--- a/cassiaweir/dispatch/_crash_tracker.py
+++ b/cassiaweir/dispatch/_crash_tracker.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Mapping
+from contextlib import AbstractContextManager
 from datetime import timedelta
 from math import isfinite
 
 from loguru import logger
 
+from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._lost_lifetimes import (
     Fate,
@@ -119,6 +121,10 @@
 
         `cause` says for the log how that is known.
         """
+        with self._jobs.errors.contained(run.job_id, JobAction.LOSS):
+            self._note_loss(run, cause)
+
+    def _note_loss(self, run: Run, cause: str) -> None:
         server = run.server
         if run.sent_at is None or run.born != server.born:
             return
@@ -244,31 +250,41 @@
         return all(now - lost.noted_at > MAX_RESOLUTION_S for lost in recent)
 
     def _confirm(self, name: str, lost: LostLifetime) -> None:
-        for job_id in sorted(lost.jobs):
-            entry = self._jobs.entries.get(job_id)
-            if entry is None:
-                continue
-            if job_id not in lost.present:
-                self._mark_over_for(entry, name, lost, Fate.ENDED)
-                continue
-            crash = self._judge(lost, job_id)
-            tasks = entry.job.crashes.confirm(name, crash)
-            for task in tasks:
-                entry.job.mark_unsaved(task)
-                self._metrics.count("task_crashes")
-                self._avoid(task, lost)
-                logger.warning(
-                    "server_crashed_under_task",
-                    task=task,
-                    server=lost.server_id,
-                    born=lost.born,
-                    alone=crash.alone,
-                    widespread=crash.widespread,
-                    crashes=len(entry.job.crashes.confirmed(task)),
-                )
-            if tasks and not entry.job.ended:
-                self._give_up(entry, tasks)
-                self._jobs.save(entry)
+        for entry in self._entries_of(lost):
+            with self._contained(entry):
+                if entry.job.job_id in lost.present:
+                    self._confirm_for(entry, name, lost)
+                else:
+                    self._mark_over_for(entry, name, lost, Fate.ENDED)
+
+    def _entries_of(self, lost: LostLifetime) -> list[JobEntry]:
+        """Return the jobs with runs in a lost lifetime, as far as they are known."""
+        found = (self._jobs.entries.get(job_id) for job_id in sorted(lost.jobs))
+        return [entry for entry in found if entry is not None]
+
+    def _contained(self, entry: JobEntry) -> AbstractContextManager[None]:
+        """Return a context in which an error with one job ends there."""
+        return self._jobs.errors.contained(entry.job.job_id, JobAction.LOSS)
+
+    def _confirm_for(self, entry: JobEntry, name: str, lost: LostLifetime) -> None:
+        crash = self._judge(lost, entry.job.job_id)
+        tasks = entry.job.crashes.confirm(name, crash)
+        for task in tasks:
+            entry.job.mark_unsaved(task)
+            self._metrics.count("task_crashes")
+            self._avoid(task, lost)
+            logger.warning(
+                "server_crashed_under_task",
+                task=task,
+                server=lost.server_id,
+                born=lost.born,
+                alone=crash.alone,
+                widespread=crash.widespread,
+                crashes=len(entry.job.crashes.confirmed(task)),
+            )
+        if tasks and not entry.job.ended:
+            self._give_up(entry, tasks)
+            self._jobs.save(entry)
 
     def _avoid(self, name: str, lost: LostLifetime) -> None:
         """Prefer other servers for a task: one that crashes again may be to blame."""
@@ -298,9 +314,8 @@
 
     def _mark_over(self, name: str, lost: LostLifetime, fate: Fate) -> None:
         """Note that a lost lifetime is not expected back; it may still be dismissed."""
-        for job_id in sorted(lost.jobs):
-            entry = self._jobs.entries.get(job_id)
-            if entry is not None:
+        for entry in self._entries_of(lost):
+            with self._contained(entry):
                 self._mark_over_for(entry, name, lost, fate)
 
     def _mark_over_for(
@@ -324,22 +339,28 @@
             self._jobs.save(entry)
 
     def _dismiss(self, name: str, lost: LostLifetime, fate: Fate) -> None:
-        for job_id in lost.jobs:
-            entry = self._jobs.entries.get(job_id)
-            tasks = entry.job.crashes.dismiss(name) if entry is not None else []
-            if entry is not None and tasks:
-                for task in tasks:
-                    entry.job.mark_unsaved(task)
-                logger.info(
-                    "loss_was_no_crash",
-                    job=job_id,
-                    server=lost.server_id,
-                    born=lost.born,
-                    draining=lost.draining,
-                    forgotten=fate is Fate.FORGOTTEN,
-                )
-                if not entry.job.ended:
-                    self._jobs.save(entry)
+        for entry in self._entries_of(lost):
+            with self._contained(entry):
+                self._dismiss_for(entry, name, lost, fate)
+
+    def _dismiss_for(
+        self, entry: JobEntry, name: str, lost: LostLifetime, fate: Fate
+    ) -> None:
+        tasks = entry.job.crashes.dismiss(name)
+        if not tasks:
+            return
+        for task in tasks:
+            entry.job.mark_unsaved(task)
+        logger.info(
+            "loss_was_no_crash",
+            job=entry.job.job_id,
+            server=lost.server_id,
+            born=lost.born,
+            draining=lost.draining,
+            forgotten=fate is Fate.FORGOTTEN,
+        )
+        if not entry.job.ended:
+            self._jobs.save(entry)
 
     def _judge(self, lost: LostLifetime, job_id: str) -> Crash:
         """Return what the end of a lifetime says about a job that had runs there."""
--- a/cassiaweir/dispatch/_dispatcher.py
+++ b/cassiaweir/dispatch/_dispatcher.py
@@ -23,6 +23,7 @@
 )
 from cassiaweir.dispatch._former_servers import FormerServerProbe
 from cassiaweir.dispatch._gate import TakeoverGate
+from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._job_rows import CANCEL_SUFFIX, job_key, row_name
 from cassiaweir.dispatch._leases import LeaseLimits
@@ -44,6 +45,7 @@
 from cassiaweir.dispatch._server_poller import ServerPoller
 from cassiaweir.dispatch._server_records import ServerRecords
 from cassiaweir.dispatch._term_tasks import TermTasks, cancel_all
+from cassiaweir.dispatch._unapplied_rows import UnappliedRows
 from cassiaweir.dispatch._urgent_placement import UrgentPlacement
 from cassiaweir.dispatch._usage import CustomerUsage
 from cassiaweir.jobs import JobState, Step
@@ -201,8 +203,9 @@
             metrics=metrics,
         )
         self._urgent = UrgentPlacement(
-            self._placer, clock, leadership, self._cancel_age
+            self._placer, clock, leadership, self._cancel_age, jobs.errors
         )
+        self._unapplied = UnappliedRows(clock)
         self._placement_requested = asyncio.Event()
         commits.on_stored = self._place_confirmed
 
@@ -233,7 +236,21 @@
     # Changes of stored rows.
 
     def apply_job_row(self, row: Row) -> None:
-        """Apply a row that holds a job or a refusal, or a request to cancel a job."""
+        """Apply a row that holds a job or a refusal, or a request to cancel a job.
+
+        A row that cannot be applied is tried again.  Its job may be cancelled.
+        """
+        name = row_name(row.key)
+        try:
+            self._apply_job_row(row)
+        except Exception as exc:
+            job_id = name.removesuffix(CANCEL_SUFFIX)
+            self._jobs.errors.note(job_id, JobAction.REGISTER, exc)
+            self._unapplied.add(row)
+        else:
+            self._unapplied.discard(name)
+
+    def _apply_job_row(self, row: Row) -> None:
         row_id = row_name(row.key)
         refusal = decode_refusal(row.value)
         if refusal is not None:
@@ -457,8 +474,30 @@
         self.wake()
 
     def _sweep(self) -> None:
-        """Do what is due after some time rather than after an event."""
-        now = self._clock.monotonic()
+        """Do what is due after some time rather than after an event.
+
+        An error in one part keeps none of the others from being done.
+        """
+        for part in (
+            self._open_gate,
+            self._check_servers,
+            self._crashes.resolve,
+            self._age_knowledge,
+            self._occurrences.open_due,
+            self._remove_rows,
+            self._remove_finished,
+            self._remove_missing_servers,
+            self._retry_rows,
+            self._measure,
+        ):
+            try:
+                part()
+            except Exception as exc:
+                logger.opt(exception=exc).error("sweep_failed", part=part.__name__)
+        self.wake()
+
+    def _open_gate(self) -> None:
+        """Open the takeover gate once no former leader's runs are left unknown."""
         opened = self._gate.try_open(self._leadership.confirmed_at)
         self._leadership.settled = self._gate.is_open
         if opened:
@@ -466,36 +505,56 @@
                 "takeover_gate_opened", unsettled=",".join(self._gate.unsettled_servers)
             )
             self._records.remove_others(set(self.servers))
+
+    def _check_servers(self) -> None:
+        """Give up the runs of lost servers, and shorten leases that may be shorter."""
+        now = self._clock.monotonic()
         for server in self.servers.values():
             if not server.reachable:
                 self.handle_unreachable(server)
             self._records.shorten_leases(server, now)
-        self._crashes.resolve()
+
+    def _age_knowledge(self) -> None:
+        """Forget what is too old, and warn of what operators should know."""
         if self._entries_age() != timedelta.max:
             self._evacuations.warn_of_unknown_domains()
-        self.interference.age(now)
-        self._occurrences.open_due()
+        self.interference.age(self._clock.monotonic())
+
+    def _remove_rows(self) -> None:
+        """Delete rows that nothing needs any more."""
         self._jobs.delete_obsolete_rows()
         self._refusals.remove_expired()
+
+    def _remove_finished(self) -> None:
+        """Forget the steps and jobs that have ended."""
         for step in self._jobs.closed_steps:
             self._advice.forget_step(step)
         self._jobs.closed_steps.clear()
         for job in self._jobs.remove_finished(keep_held=not self._gate.is_open):
             self._shrinker.add(Row(job_key(job.job_id), job.version, b""))
             self._advice.forget_job(job)
-        self._remove_missing_servers(now)
+
+    def _retry_rows(self) -> None:
+        """Apply rows of jobs again that could not be applied."""
+        for row in self._unapplied.due():
+            self.apply_job_row(row)
+
+    def _measure(self) -> None:
+        """Measure the load and update the metrics."""
         self._reports.learner.publish()
         if self._gate.is_open:
-            self._load.sample(now)
+            self._load.sample(self._clock.monotonic())
         self._metrics.set("rows_rejected", self._commits.rejected_rows)
         self._metrics.set("jobs_open", sum(1 for _ in self._jobs.open_jobs()))
+        self._metrics.set("jobs_with_errors", self._jobs.errors.job_count)
+        self._metrics.set("jobs_not_registered", len(self._unapplied))
         self._metrics.set(
             "runs", sum(len(server.runs) for server in self.servers.values())
         )
-        self.wake()
 
-    def _remove_missing_servers(self, now: float) -> None:
+    def _remove_missing_servers(self) -> None:
         """Remove servers whose entry is missing and where nothing can run any more."""
+        now = self._clock.monotonic()
         for server_id, server in list(self.servers.items()):
             since = server.missing_since
             if since is None or server.runs or now - since < MISSING_SERVER_TIMEOUT_S:
@@ -557,12 +616,17 @@
 
     def _cancel(self, job_id: str) -> None:
         """Cancel a job and stop its runs."""
+        if self._unapplied.discard(job_id) and self._jobs.state(job_id) is None:
+            logger.info("job_cancelled", job=job_id, runs=0)
+            self._jobs.cancel_unregistered(job_id)
+            return
         entry = self._jobs.cancel(job_id)
         if entry is None:
             return
         logger.info("job_cancelled", job=job_id, runs=len(entry.runs))
         for run in list(entry.runs):
-            self._control.stop(run)
+            with self._jobs.errors.contained(job_id, JobAction.START):
+                self._control.stop(run)
 
     async def _close(self) -> None:
         self._urgent.close()
--- a/cassiaweir/dispatch/_former_usage.py
+++ b/cassiaweir/dispatch/_former_usage.py
@@ -16,6 +16,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._gate import TakeoverGate
+from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._task_selection import TaskSelection
@@ -95,28 +96,38 @@
 
     def _add_named(self, found: dict[str, Resources]) -> None:
         for name in self._gate.named_tasks:
-            task = self._jobs.find_task(name)
-            if task is not None and _may_run(task):
-                _add(found, task.step.job.spec.customer, task.step.demand)
+            job_id = name.partition(".")[0]
+            with self._jobs.errors.contained(job_id, JobAction.FORMER_USAGE):
+                task = self._jobs.find_task(name)
+                if task is not None and _may_run(task):
+                    _add(found, task.step.job.spec.customer, task.step.demand)
 
     def _add_unnamed(self, found: dict[str, Resources]) -> None:
         capacity = self._open_capacity()
         wall = self._clock.now().timestamp()
         unnamed: dict[str, Resources] = {}
         for entry in self._jobs.held_jobs():
-            if entry.job.state is JobState.DONE:
-                continue
-            # The former leader may know of ends that make further steps startable.
-            for step in entry.job.steps.values():
-                named = self._gate.named_indexes(step.name)
-                count = len(TaskSelection(step, named))
-                if count:
-                    _add(unnamed, entry.job.spec.customer, step.demand * count)
-            _add_overdue(unnamed, entry.job, wall)
+            job_id = entry.job.job_id
+            with self._jobs.errors.contained(job_id, JobAction.FORMER_USAGE):
+                self._add_unnamed_of(entry.job, unnamed, wall)
         for customer, demand in unnamed.items():
             bounded = demand if capacity is None else _minimum(demand, capacity)
             _add(found, customer, bounded)
 
+    def _add_unnamed_of(
+        self, job: Job, found: dict[str, Resources], wall: float
+    ) -> None:
+        """Add what runs of a job may take where the former leader did not name them."""
+        if job.state is JobState.DONE:
+            return
+        # The former leader may know of ends that make further steps startable.
+        for step in job.steps.values():
+            named = self._gate.named_indexes(step.name)
+            count = len(TaskSelection(step, named))
+            if count:
+                _add(found, job.spec.customer, step.demand * count)
+        _add_overdue(found, job, wall)
+
     def _open_capacity(self) -> Resources | None:
         """Return the capacity of the servers with open rows, None if unknown."""
         total = NO_RESOURCES
--- a/cassiaweir/dispatch/_gang_planner.py
+++ b/cassiaweir/dispatch/_gang_planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable, Mapping, Sequence, Set
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass, replace
 from operator import itemgetter
 
@@ -11,6 +11,7 @@
 
 from cassiaweir.dispatch._advice_cache import AdviceCache
 from cassiaweir.dispatch._advice_choice import exclude_servers, split_servers
+from cassiaweir.dispatch._job_errors import JobAction, JobErrors
 from cassiaweir.dispatch._job_times import WorkModels
 from cassiaweir.dispatch._objective import DeadlineStatus, deadline_status
 from cassiaweir.dispatch._placement import (
@@ -91,7 +92,9 @@
         advice: AdviceCache,
         reservations: Reservations,
         models: WorkModels,
+        errors: JobErrors,
     ) -> None:
+        self._errors = errors
         self._advice = advice
         self._reservations = reservations
         self._durations = models.steps
@@ -131,30 +134,48 @@
         self._by_demand.clear()
         self._planned_durations.clear()
         self._too_large.clear()
-        held = {}
+        held = {each.step.name: self._held_servers(each.step) for each in gangs}
         for each in gangs:
-            reservation = self._reservations.of(each.step.name)
-            held[each.step.name] = reservation.servers if reservation else frozenset()
+            self._plans[each.step.name] = None
             self._allowed_counts[each.step.name] = len(self._advice.allowed(each.step))
         self._reservations.retain(())
-        behind = []
-        on_time = False
-        for gang in gangs:
-            if self._plan_on_time(gang, held[gang.step.name], now):
-                on_time = True
-            else:
-                behind.append(gang)
-        for gang in behind:
+        behind: list[WaitingGang] = []
+        on_time: list[WaitingGang] = []
+
+        def plan_first(gang: WaitingGang) -> None:
+            planned = self._plan_on_time(gang, held[gang.step.name], now)
+            (on_time if planned else behind).append(gang)
+
+        def plan_behind(gang: WaitingGang) -> None:
             name = gang.step.name
             self._plans[name] = None
             worthless = _status(gang, now) is DeadlineStatus.WORTHLESS
-            if on_time or (worthless and self._reservations.of_others(name)):
-                continue
-            self._plan_gang(gang, held[name], now)
-        for gang in gangs:
+            if not (worthless and self._reservations.of_others(name)):
+                self._plan_gang(gang, held[name], now)
+
+        def log_new(gang: WaitingGang) -> None:
             if not held[gang.step.name]:
                 self._log_reserved(gang.step, now)
 
+        self._visit(gangs, plan_first)
+        for gang in behind:
+            self._plans[gang.step.name] = None
+        self._visit(() if on_time else behind, plan_behind)
+        self._visit(gangs, log_new)
+
+    def _held_servers(self, step: Step) -> Collection[str]:
+        """Return the servers that are reserved for a gang."""
+        reservation = self._reservations.of(step.name)
+        return reservation.servers if reservation else frozenset()
+
+    def _visit(
+        self, gangs: Iterable[WaitingGang], visit: Callable[[WaitingGang], None]
+    ) -> None:
+        """Call `visit` for each gang; an error with one keeps no other back."""
+        self._errors.visit_each(
+            JobAction.PLAN_GANG, gangs, lambda gang: gang.step.job.job_id, visit
+        )
+
     def _forget_old_checks(self, now: float) -> None:
         """Forget when advice was last checked where that is too old to matter."""
         if self._checked_advice:
--- a/cassiaweir/dispatch/_job_registry.py
+++ b/cassiaweir/dispatch/_job_registry.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from loguru import logger
 
 from cassiaweir.dispatch._customer_terms import ConfigurationSource, CustomerTerms
+from cassiaweir.dispatch._job_errors import JobAction, JobErrors
 from cassiaweir.dispatch._job_rows import (
     SHRUNK_VALUE,
     outcome_key,
@@ -79,7 +80,9 @@
     the job had a waiting step again after a round without one, `seen_in_round` the last
     round in which it had one, and `turn_at` when it was last taken out of turn.
     `times` are the expected durations, None before the job was first ranked.
-    `fleet_cpu_millis` is the CPU capacity by which its objective was set.
+    `fleet_cpu_millis` is the CPU capacity by which its objective was set.  Nothing of
+    it is started before `withheld_until`, as an end of one of its tasks could not be
+    applied.  `outcome_queued` means that its final state is stored or queued.
     """
 
     job: Job
@@ -96,6 +99,8 @@
     turn_at: float = 0.0
     times: JobTimes | None = None
     fleet_cpu_millis: int = 0
+    withheld_until: float = 0.0
+    outcome_queued: bool = False
 
 
 class JobRegistry:
@@ -105,7 +110,8 @@
     progress, by chunk of the job's tasks.  `entries`
     holds the jobs that are not finished; of the others only the final state is kept.
     `fleet_cpu_millis` is the CPU capacity of all servers that have answered.  `models`
-    are what this term has learnt of durations and of the speeds of servers.
+    are what this term has learnt of durations and of the speeds of servers, `errors`
+    what went wrong with single jobs.
     `closed_steps` are those of complete occurrences of jobs that go on; whoever acts on
     them clears the list.
     """
@@ -131,6 +137,7 @@
         self._early_cancels: set[str] = set()
         self._shares = ShareMeter(allowance)
         self.models = WorkModels()
+        self.errors = JobErrors(clock)
         self.closed_steps: list[Step] = []
         self.objective_updates = 0
 
@@ -157,14 +164,12 @@
         """Add the job that is stored in `row` and return its entry.
 
         A job whose cancel was seen before its row is added as cancelled.  Returns None
-        if the job is already known or cannot be decoded.
+        if the job is already known.  Raises `InvalidInputError` if it is unreadable.
         """
         job_id = row_name(row.key)
         if job_id in self.entries or job_id in self._outcomes:
             return None
-        spec = _decode_spec(row)
-        if spec is None:
-            return None
+        spec = JobSpec.decode(row.value)
         self._terms.record(spec)
         entry = self._add(spec, row.version, held=held)
         entry.over_share = self._record_submission(entry.job)
@@ -187,6 +192,7 @@
         self._terms.record(spec)
         entry = self._add(spec, row.version, held=True)
         entry.job.state = self._outcomes.pop(job_id)
+        entry.outcome_queued = True
         return True
 
     def times_of(self, entry: JobEntry, queue: Queue, now: float) -> JobTimes:
@@ -232,10 +238,15 @@
         if entry is None:
             return self._outcomes.get(job_id)
         state = entry.job.state
-        if not state.final or self._writer.is_row_stored(entry.write_position):
+        if not state.final or self._is_outcome_stored(entry):
             return state
         return JobState.RUNNING if entry.job.started else JobState.QUEUED
 
+    def _is_outcome_stored(self, entry: JobEntry) -> bool:
+        """Return whether the final state of a job is stored."""
+        stored = self._writer.is_row_stored(entry.write_position)
+        return entry.outcome_queued and stored
+
     def count_pending(self, queue: str) -> int:
         """Return how many open jobs of `queue` have not started any task."""
         return sum(
@@ -248,6 +259,10 @@
         """Yield the jobs that have not ended."""
         return (each for each in self.entries.values() if not each.job.ended)
 
+    def visit_open(self, action: JobAction, visit: Callable[[JobEntry], None]) -> None:
+        """Call `visit` for each open job; an error with one is noted and contained."""
+        self.errors.visit_each(action, self.open_jobs(), _job_id, visit)
+
     def held_jobs(self) -> Iterator[JobEntry]:
         """Yield the jobs from before the takeover, among them those that have ended."""
         return (each for each in self.entries.values() if each.held)
@@ -267,6 +282,37 @@
         self.save(entry)
         return entry
 
+    def cancel_unregistered(self, job_id: str) -> None:
+        """Store that a job is cancelled whose row could not be applied."""
+        self._early_cancels.discard(job_id)
+        outcome = Write(outcome_key(job_id), encode_outcome(JobState.CANCELLED))
+        self._writer.put(outcome)
+        self._outcomes[job_id] = JobState.CANCELLED
+
+    def withhold(self, job_id: str, seconds: float) -> None:
+        """Start nothing of a job for some time from now on."""
+        entry = self.entries.get(job_id)
+        if entry is not None:
+            entry.withheld_until = self._clock.monotonic() + seconds
+
+    def give_up(self, entry: JobEntry) -> None:
+        """Store the end of a job whose progress cannot be kept any more.
+
+        It has failed, unless it has ended otherwise.
+        """
+        job = entry.job
+        if not job.ended:
+            job.state = JobState.FAILED
+        self._queue_outcome(entry, urgent=False)
+        logger.error("job_ended", job=job.job_id, state=job.state.value, cause="errors")
+
+    def _queue_outcome(self, entry: JobEntry, *, urgent: bool) -> None:
+        """Queue the write of a job's final state."""
+        job = entry.job
+        outcome = Write(outcome_key(job.job_id), encode_outcome(job.state))
+        entry.write_position = self._writer.put(outcome, urgent=urgent)
+        entry.outcome_queued = True
+
     def save(self, entry: JobEntry) -> int:
         """Queue writes of what has changed of the job's progress, or of its outcome.
 
@@ -277,9 +323,8 @@
             self._save_progress(entry, urgent=False)
             return entry.write_position
         # The progress is kept for a new leader, which needs it while runs may go on.
-        outcome = Write(outcome_key(job.job_id), encode_outcome(job))
         urgent = self.queue_of(job).priority == URGENT_PRIORITY
-        entry.write_position = self._writer.put(outcome, urgent=urgent)
+        self._queue_outcome(entry, urgent=urgent)
         return entry.write_position
 
     def save_for_start(self, entry: JobEntry) -> list[int]:
@@ -346,17 +391,30 @@
         answered may run tasks of them.  The final state of removed jobs is kept.
         """
         removed = []
-        for job_id, entry in list(self.entries.items()):
+
+        def visit(entry: JobEntry) -> None:
             done = entry.job.ended and not entry.runs
             kept = keep_held and entry.held
-            if done and not kept and self._writer.is_stored(entry.write_position):
-                self._outcomes[job_id] = entry.job.state
-                del self.entries[job_id]
-                self.models.forget_job(entry.job)
-                self._delete_progress(job_id, entry.stored_chunks)
+            if done and not entry.outcome_queued:
+                # An error kept the end from being saved.
+                self.save(entry)
+            elif done and not kept and self._writer.is_stored(entry.write_position):
+                self._remove(entry)
                 removed.append(entry.job)
+
+        entries = list(self.entries.values())
+        self.errors.visit_each(JobAction.REMOVE, entries, _job_id, visit)
         return removed
 
+    def _remove(self, entry: JobEntry) -> None:
+        """Remove a finished job; only its final state is kept."""
+        job_id = entry.job.job_id
+        self._outcomes[job_id] = entry.job.state
+        del self.entries[job_id]
+        self.errors.forget(job_id)
+        self.models.forget_job(entry.job)
+        self._delete_progress(job_id, entry.stored_chunks)
+
     def delete_former_progress(self, job_id: str) -> None:
         """Delete the progress, if there is any, of a job that ended with its leader."""
         self._delete_progress(job_id, self._progress.pop(job_id, {}))
@@ -400,6 +458,10 @@
         job.unsaved_chunks.clear()
 
 
+def _job_id(entry: JobEntry) -> str:
+    return entry.job.job_id
+
+
 def _decode_spec(row: Row) -> JobSpec | None:
     """Return the job that is stored in `row`, or None if it cannot be decoded."""
     try:
--- a/cassiaweir/dispatch/_load.py
+++ b/cassiaweir/dispatch/_load.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 from cassiaweir.dispatch._customer_terms import ConfigurationSource
+from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._objective import DeadlineStatus, deadline_status
 from cassiaweir.dispatch._refusal_rows import Refusal
@@ -156,37 +157,44 @@
             return None
         return customer.weight
 
-    def _waiting(self, now: float) -> Iterator[WaitingTasks]:
-        """Yield the waiting tasks of all open jobs, those of later steps as well.
+    def _waiting(self, now: float) -> list[WaitingTasks]:
+        """Return the waiting tasks of all open jobs, those of later steps as well."""
+        found: list[WaitingTasks] = []
+        self._jobs.visit_open(
+            JobAction.LOAD, lambda entry: found.extend(self._waiting_of(entry, now))
+        )
+        return found
+
+    def _waiting_of(self, entry: JobEntry, now: float) -> Iterator[WaitingTasks]:
+        """Yield the waiting tasks of one job.
 
         Tasks that wait for the cap of their customer do not delay those of others.
         """
-        for entry in self._jobs.open_jobs():
-            steps = _waiting_steps(entry.job)
-            if not steps:
+        steps = _waiting_steps(entry.job)
+        if not steps:
+            return
+        queue = self._jobs.queue_of(entry.job)
+        times = self._jobs.times_of(entry, queue, now)
+        customer = self._jobs.customer_of(entry.job)
+        first_steps: dict[int, Step] = {}
+        for step, count, startable in steps:
+            first = first_steps.setdefault(step.occurrence, step)
+            objective = entry.objective.later_by(step.due_after_s)
+            remaining_s = times.remaining_s[first.number]
+            status = deadline_status(objective, remaining_s, now)
+            within_cap = self._usage.count_within_cap(customer, step.demand, count)
+            if not within_cap:
                 continue
-            queue = self._jobs.queue_of(entry.job)
-            times = self._jobs.times_of(entry, queue, now)
-            customer = self._jobs.customer_of(entry.job)
-            first_steps: dict[int, Step] = {}
-            for step, count, startable in steps:
-                first = first_steps.setdefault(step.occurrence, step)
-                objective = entry.objective.later_by(step.due_after_s)
-                remaining_s = times.remaining_s[first.number]
-                status = deadline_status(objective, remaining_s, now)
-                within_cap = self._usage.count_within_cap(customer, step.demand, count)
-                if not within_cap:
-                    continue
-                yield WaitingTasks(
-                    entry.job.spec.queue.name,
-                    step.demand,
-                    within_cap,
-                    step.spec.duration_s,
-                    startable=startable,
-                    on_time=status is DeadlineStatus.ON_TIME,
-                    late=status is DeadlineStatus.LATE,
-                    over_share=entry.over_share,
-                )
+            yield WaitingTasks(
+                entry.job.spec.queue.name,
+                step.demand,
+                within_cap,
+                step.spec.duration_s,
+                startable=startable,
+                on_time=status is DeadlineStatus.ON_TIME,
+                late=status is DeadlineStatus.LATE,
+                over_share=entry.over_share,
+            )
 
 
 def _waiting_steps(job: Job) -> list[tuple[Step, int, bool]]:
--- a/cassiaweir/dispatch/_occurrences.py
+++ b/cassiaweir/dispatch/_occurrences.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
+from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.jobs import Job
 from cassiaweir.observe import Metrics
@@ -36,12 +37,29 @@
         """Open due occurrences, as far as there is room for their tasks."""
         wall = self._clock.now().timestamp()
         recurring = [each for each in self._jobs.open_jobs() if each.job.spec.times]
-        due = [each for each in recurring if _has_due(each.job, wall)]
+        due: list[JobEntry] = []
         open_steps = sum(len(each.job.steps) for each in recurring)
-        for entry in due:
+
+        def find(entry: JobEntry) -> None:
+            if _has_due(entry.job, wall):
+                due.append(entry)
+
+        def open_steps_of(entry: JobEntry) -> None:
+            nonlocal open_steps
             open_steps += self._open(entry.job, wall, _allowance(due), open_steps)
+
+        self._visit(recurring, find)
+        self._visit(due, open_steps_of)
         self._metrics.set("occurrences_overdue", self._count_overdue(due, wall))
 
+    def _visit(
+        self, entries: Sequence[JobEntry], visit: Callable[[JobEntry], None]
+    ) -> None:
+        """Call `visit` for each job; an error with one keeps no other back."""
+        self._jobs.errors.visit_each(
+            JobAction.OCCURRENCES, entries, lambda entry: entry.job.job_id, visit
+        )
+
     def _open(self, job: Job, wall: float, allowance: int, open_steps: int) -> int:
         """Open occurrences of one job; return the number of steps that are new."""
         opened = 0
@@ -55,9 +73,10 @@
             waiting += sum(len(step.tasks) for step in steps if job.may_start(step))
         return opened
 
-    @staticmethod
-    def _count_overdue(due: Sequence[JobEntry], wall: float) -> int:
-        return sum(each.job.count_overdue(wall) for each in due)
+    def _count_overdue(self, due: Sequence[JobEntry], wall: float) -> int:
+        overdue: list[int] = []
+        self._visit(due, lambda each: overdue.append(each.job.count_overdue(wall)))
+        return sum(overdue)
 
 
 def _allowance(due: Sequence[JobEntry]) -> int:
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -17,6 +17,7 @@
 from cassiaweir.dispatch._former_usage import FormerUsage
 from cassiaweir.dispatch._gang_planner import GangPlanner, WaitingGang
 from cassiaweir.dispatch._gate import TakeoverGate
+from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._loop_turns import LoopTurns
 from cassiaweir.dispatch._objective import DeadlineStatus
@@ -55,6 +56,9 @@
 small steps: with a hundred of them the leader did little else.
 """
 
+PLACING = (JobAction.PLACE, JobAction.START)
+"""After an error with one of these, a job's tasks are not placed for some time."""
+
 
 @dataclass(slots=True)
 class RoundCounts:
@@ -125,6 +129,7 @@
         metrics: Metrics,
     ) -> None:
         self._jobs = jobs
+        self._errors = jobs.errors
         self._runs = runs
         self._advice = advice
         self._clock = clock
@@ -158,7 +163,7 @@
             metrics=metrics,
         )
         self._durations = jobs.models.steps
-        self._gangs = GangPlanner(advice, self._reservations, jobs.models)
+        self._gangs = GangPlanner(advice, self._reservations, jobs.models, jobs.errors)
         self._search = ServerSearch(
             self._reservations, self._gangs, self._durations, cold, clock
         )
@@ -206,15 +211,10 @@
             return True
         with_room = servers_with_room(usable, [each.step for each in steps])
         for waiting in steps:
-            if self._turns.backlogged and not self.is_urgent(waiting.step):
+            if self._turns.backlogged and waiting.queue.priority != URGENT_PRIORITY:
                 break
             self._position += 1
-            if waiting.entry.job.ended:
-                continue
-            if self._questions.waits_for_answer(waiting):
-                tasks = waiting.step.waiting_count
-                self.waits.note_missing(waiting, tasks, Isolation.NONE, ())
-            else:
+            if not waiting.entry.job.ended:
                 self._try_place(waiting, usable, with_room)
             if self._clock.monotonic() - now >= limit.total_seconds():
                 break
@@ -252,7 +252,7 @@
         with_room = servers_with_room(usable, [each.step for each in found])
         with self.waits.muted():
             for waiting in found:
-                self._try_place(waiting, usable, with_room)
+                self._try_place(waiting, usable, with_room, in_round=False)
                 if self._clock.monotonic() - now >= limit.total_seconds():
                     return
 
@@ -276,12 +276,26 @@
         waiting: WaitingStep,
         usable: Sequence[Server],
         with_room: Sequence[Server],
+        *,
+        in_round: bool = True,
     ) -> None:
-        """Place tasks of a step; an error with it must not keep the others waiting."""
+        """Place tasks of a step; an error with it must not keep the others waiting.
+
+        In a round, a step may have to wait for an answer of the advice service.
+        """
+        job_id = waiting.entry.job.job_id
+        if any(self._errors.is_paused(job_id, each) for each in PLACING):
+            return
         try:
-            self._place_step(waiting, usable, with_room)
+            if in_round and self._questions.waits_for_answer(waiting):
+                tasks = waiting.step.waiting_count
+                self.waits.note_missing(waiting, tasks, Isolation.NONE, ())
+            else:
+                self._place_step(waiting, usable, with_room)
         except Exception as exc:
-            logger.opt(exception=exc).error("step_not_placed", step=waiting.step.name)
+            self._errors.note(job_id, JobAction.PLACE, exc)
+        else:
+            self._errors.clear(job_id, JobAction.PLACE)
 
     def _usable_servers(self, now: float) -> list[Server]:
         """Return the servers where tasks may be started at `now`."""
@@ -335,23 +349,37 @@
         self, found: Iterable[WaitingStep], usable: Sequence[Server], now: float
     ) -> None:
         """Plan the start of the gangs that may reserve servers, in order of rank."""
-        gangs = []
-        for waiting in found:
-            step = waiting.step
-            if not step.spec.gang or waiting.queue.priority == URGENT_PRIORITY:
-                continue
-            tasks = self._waiting.startable_tasks(waiting.entry, step)
-            if len(tasks) < len(step.tasks):
-                continue
-            count = len(tasks)
-            if self._caps.allowed(waiting, count) < count:
-                continue
-            for group in self._quarantine.groups(step, tasks, now):
-                if group.isolation is not Isolation.ALONE:
-                    servers = self._quarantine.usable(step, group.isolation, usable)
-                    gangs.append(WaitingGang(waiting, servers, count))
+        gangs: list[WaitingGang] = []
+        planned = [
+            each
+            for each in found
+            if each.step.spec.gang and each.queue.priority != URGENT_PRIORITY
+        ]
+        self._errors.visit_each(
+            JobAction.PLAN_GANG,
+            planned,
+            lambda waiting: waiting.entry.job.job_id,
+            lambda waiting: gangs.extend(self._gang_groups(waiting, usable, now)),
+        )
         self._gangs.plan(gangs, {each.entry.server_id for each in usable}, now)
 
+    def _gang_groups(
+        self, waiting: WaitingStep, usable: Sequence[Server], now: float
+    ) -> Iterator[WaitingGang]:
+        """Yield the gang of a step with the servers where it may start.
+
+        There is none while some of its tasks may not start yet.
+        """
+        step = waiting.step
+        tasks = self._waiting.startable_tasks(waiting.entry, step)
+        count = len(tasks)
+        if count < len(step.tasks) or self._caps.allowed(waiting, count) < count:
+            return
+        for group in self._quarantine.groups(step, tasks, now):
+            if group.isolation is not Isolation.ALONE:
+                servers = self._quarantine.usable(step, group.isolation, usable)
+                yield WaitingGang(waiting, servers, count)
+
     def _note_capped(self, waiting: WaitingStep, tasks: int, capped: int) -> None:
         """Note that the cap of the customer keeps `capped` of `tasks` waiting."""
         if capped and self.waits.due:
@@ -535,10 +563,16 @@
         runs: list[Run] = []
         tasks = group.tasks.first(len(chosen))
         gang_number = self._runs.next_gang_number(step) if step.spec.gang else None
-        for task, server in zip(tasks, chosen, strict=False):
-            number = gang_number or self._runs.next_number(task)
-            ticket = tickets.get(server.server_id, "")
-            runs.append(self._runs.place(task, server, number, ticket, group.isolation))
+        try:
+            for task, server in zip(tasks, chosen, strict=False):
+                number = gang_number or self._runs.next_number(task)
+                ticket = tickets.get(server.server_id, "")
+                run = self._runs.place(task, server, number, ticket, group.isolation)
+                runs.append(run)
+        finally:
+            # A run that is counted and never launched would take its room for good.
+            if runs:
+                self._launch(runs)
         self.last_round.placed += len(runs)
         age_s = self._clock.monotonic() - waiting.entry.submitted_at
         status = DeadlineStatus(waiting.rank.status).name.lower()
@@ -564,4 +598,3 @@
                 configuration=self._jobs.configuration_version,
             )
             self._note_backfilled(step, runs)
-            self._launch(runs)
--- a/cassiaweir/dispatch/_reports.py
+++ b/cassiaweir/dispatch/_reports.py
@@ -8,11 +8,12 @@
 
 from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._interference import InterferenceSampler
+from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._learning import Learner
 from cassiaweir.dispatch._run_registry import RunRegistry
 from cassiaweir.dispatch._runs import Run, RunKey, RunState
-from cassiaweir.dispatch._server import Server
+from cassiaweir.dispatch._server import FailedEnd, Server
 from cassiaweir.dispatch._server_entry import (
     EndKind,
     EndPosition,
@@ -25,6 +26,18 @@
 from cassiaweir.observe import Metrics
 from cassiaweir.types import Clock
 
+MAX_END_RETRY_S = 5.0
+"""The job of an end that cannot be applied is given up after this time.
+
+Until then, the server keeps all later ends as well.
+"""
+
+END_HOLD_S = 2.0
+"""Nothing of such a job starts for this time after each attempt to apply the end.
+
+Servers report more often while they answer.
+"""
+
 
 class ReportProcessor:
     """Applies the reports of servers to runs, tasks and jobs.
@@ -103,7 +116,7 @@
         server.orphan_runs = frozenset(
             (running.task, running.run)
             for running in report.running
-            if not self._apply_running(server, running)
+            if not self._try_apply_running(server, running)
         )
         if report.ends_complete:
             self._remove_unlisted(server, listed, asked_at)
@@ -124,13 +137,69 @@
         for end in sorted(report.ended, key=lambda each: each.number):
             if end.number <= server.acknowledged:
                 continue
-            if end.number > server.applied:
-                server.unstored_ends[end.task] = self._apply_end(server, end)
-                server.applied = end.number
+            if end.number > server.applied or end.number in server.failed_ends:
+                self._try_apply_end(server, end)
             position = server.unstored_ends.get(end.task, 0)
             positions.append(EndPosition(end.number, position))
+        if server.failed_ends:
+            first = min(server.failed_ends)
+            positions = [each for each in positions if each.number < first]
         return positions
 
+    def _try_apply_end(self, server: Server, end: TaskEnd) -> None:
+        """Apply an end; an error with its job keeps no other end from being applied.
+
+        Ends from the one that failed on are not acknowledged before it is applied, or
+        its job is given up: a successor would start a task again of which the end was
+        acknowledged and not stored.
+        """
+        server.applied = max(server.applied, end.number)
+        now = self._clock.monotonic()
+        failed = server.failed_ends.get(end.number)
+        if failed is None:
+            run = self._runs.remove(server, (end.task, end.run))
+            failed = FailedEnd(run, now)
+        try:
+            position = self._apply_end(server, end, failed.run)
+            if end.number in server.failed_ends:
+                position = self._save_again(end.task, position)
+        except Exception as exc:
+            job_id = end.task.partition(".")[0]
+            self._jobs.errors.note(job_id, JobAction.REPORT, exc)
+            if now - failed.since < MAX_END_RETRY_S:
+                server.failed_ends[end.number] = failed
+                self._jobs.withhold(job_id, END_HOLD_S)
+                return
+            position = self._give_up_job(end)
+        server.failed_ends.pop(end.number, None)
+        server.unstored_ends[end.task] = position
+
+    def _save_again(self, task: str, position: int) -> int:
+        """Save the job of a task again, as an error may have kept it from being saved.
+
+        Return the position of the write, or `position` if the job is not known.
+        """
+        entry = self._jobs.entry_of(task)
+        return position if entry is None else self._jobs.save(entry)
+
+    def _give_up_job(self, end: TaskEnd) -> int:
+        """Let a job fail of which an end cannot be applied.
+
+        Return the position of the write that stores it.  Its caller learns that it has
+        ended, and its runs are stopped.
+        """
+        entry = self._jobs.entry_of(end.task)
+        if entry is None:
+            return 0
+        logger.error("end_given_up", task=end.task, run=end.run, how=end.kind.value)
+        if not entry.outcome_queued:
+            self._metrics.count("jobs_failed", cause="errors")
+            self._jobs.give_up(entry)
+        for run in list(entry.runs):
+            with self._jobs.errors.contained(run.job_id, JobAction.REPORT):
+                self._stop(run)
+        return entry.write_position
+
     def _check_numbers(self, server: Server, report: ServerReport) -> None:
         """Find out from the numbers of listed ends whether the server forgets them.
 
@@ -194,17 +263,22 @@
         for run in runs:
             if self._runs.remove(run.server, run.key) is None:
                 continue
-            if not run.server.reachable:
-                self._crashes.note_loss(run, cause)
-            run.server.record_lost_start(run.key)
-            self._count_discarded(run, run.stop_cause or "lost")
-            self._requeue(run, cause)
+            with self._jobs.errors.contained(run.job_id, JobAction.REPORT):
+                self._requeue_lost(run, cause)
             step = run.task.step
             if step.spec.gang and not step.complete:
                 broken_gangs[step, run.number] = run
         for run in broken_gangs.values():
             self._stop_gang(run)
 
+    def _requeue_lost(self, run: Run, cause: str) -> None:
+        """Let the task of a run that is gone wait again, and count what is lost."""
+        if not run.server.reachable:
+            self._crashes.note_loss(run, cause)
+        run.server.record_lost_start(run.key)
+        self._count_discarded(run, run.stop_cause or "lost")
+        self._requeue(run, cause)
+
     def _stop_gang(self, lost: Run) -> None:
         """Stop the members that started with `lost` and cannot go on without it."""
         for run in self._runs.gang_runs(lost.task.step):
@@ -212,6 +286,16 @@
                 run.stop_cause = run.stop_cause or "gang"
                 self._stop(run)
 
+    def _try_apply_running(self, server: Server, running: RunningTask) -> bool:
+        """Apply a listed run; return False if it belongs to no known job.
+
+        An error with its job ends here: the other runs of the report are applied.
+        """
+        job_id = running.task.partition(".")[0]
+        with self._jobs.errors.contained(job_id, JobAction.REPORT):
+            return self._apply_running(server, running)
+        return True
+
     def _apply_running(self, server: Server, running: RunningTask) -> bool:
         """Apply a listed run; return whether its task belongs to a known job."""
         run = server.runs.get((running.task, running.run))
@@ -265,37 +349,41 @@
         run.progress.sample(now, spec.duration_s)
         # A cold server is slow for now only.
         if not run.server.cold:
-            self.learner.record_progress(run, percent)
+            with self._jobs.errors.contained(run.job_id, JobAction.LEARN):
+                self.learner.record_progress(run, percent)
 
     def _stop_slow_runs(self, server: Server) -> None:
         """Stop runs that have stalled or crawl, so that they start on other servers."""
         now = self._clock.monotonic()
         for run in list(server.runs.values()):
-            step = run.task.step
-            if run.state is not RunState.RUNNING or step.spec.long_running:
-                continue
-            stalled = _should_restart(run, now)
-            crawls = not step.spec.gang and run.progress.should_move(
-                step.spec.duration_s
-            )
-            if not stalled and not crawls:
-                continue
-            logger.warning(
-                "run_stalled" if stalled else "run_too_slow",
-                task=run.task.name,
-                run=run.number,
-                server=server.server_id,
-                percent=run.progress.percent,
-            )
-            step.avoided_servers |= {server.server_id}
-            run.stop_cause = "stalled" if stalled else "too_slow"
-            if step.spec.gang:
-                self._stop_gang(run)
-                continue
-            if stalled:
-                server.health.record_stall(now)
-                self.learner.forget_server(server)
-            self._stop(run)
+            with self._jobs.errors.contained(run.job_id, JobAction.REPORT):
+                self._stop_if_slow(server, run, now)
+
+    def _stop_if_slow(self, server: Server, run: Run, now: float) -> None:
+        """Stop a run, and its gang, if it has stalled or crawls."""
+        step = run.task.step
+        if run.state is not RunState.RUNNING or step.spec.long_running:
+            return
+        stalled = _should_restart(run, now)
+        crawls = not step.spec.gang and run.progress.should_move(step.spec.duration_s)
+        if not stalled and not crawls:
+            return
+        logger.warning(
+            "run_stalled" if stalled else "run_too_slow",
+            task=run.task.name,
+            run=run.number,
+            server=server.server_id,
+            percent=run.progress.percent,
+        )
+        step.avoided_servers |= {server.server_id}
+        run.stop_cause = "stalled" if stalled else "too_slow"
+        if step.spec.gang:
+            self._stop_gang(run)
+            return
+        if stalled:
+            server.health.record_stall(now)
+            self.learner.forget_server(server)
+        self._stop(run)
 
     def _remove_unlisted(
         self, server: Server, listed: set[tuple[str, int]], asked_at: float
@@ -314,9 +402,11 @@
         ]
         self.mark_all_lost(gone, "the server no longer lists the run")
 
-    def _apply_end(self, server: Server, end: TaskEnd) -> int:
-        """Apply the end of a run; return the position of the write it led to, or 0."""
-        run = self._runs.remove(server, (end.task, end.run))
+    def _apply_end(self, server: Server, end: TaskEnd, run: Run | None) -> int:
+        """Apply the end of `run`, None if it was not known.
+
+        Return the position of the write it led to, or 0.
+        """
         entry = self._jobs.entry_of(end.task)
         if entry is None:
             return 0
@@ -330,7 +420,8 @@
             self._log_end(server, run, end)
         if end.kind is EndKind.DONE:
             if run is not None and not server.cold:
-                self.learner.record_end(run)
+                with self._jobs.errors.contained(run.job_id, JobAction.LEARN):
+                    self.learner.record_end(run)
             position = self._finish(server, entry, task, end)
         else:
             _record_checkpoint(task, end.run, end.checkpoint)
--- a/cassiaweir/dispatch/_run_control.py
+++ b/cassiaweir/dispatch/_run_control.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._crash_tracker import lifetime_of
+from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._orders import OrderSender, StartResult
 from cassiaweir.dispatch._record_keeper import RecordKeeper
@@ -88,12 +89,21 @@
         self._wake = wake
 
     def launch(self, runs: Sequence[Run]) -> None:
-        """Send the start orders of `runs` in the background.
+        """Send the start orders of `runs`, which are of one step, in the background.
 
         Those on one server whose rows have to be stored first wait for these together,
         and for nothing else.
         """
-        watched = self._watch(runs)
+        job_id = runs[0].job_id
+        try:
+            watched = self._watch(runs)
+        except Exception as exc:
+            # Noted before the tasks wait again, so that they are not placed at once.
+            self._jobs.errors.note(job_id, JobAction.START, exc)
+            for run in runs:
+                self._mark_lost(run, "the start could not be prepared")
+            return
+        self._jobs.errors.clear(job_id, JobAction.START)
         recorded: dict[str, _RecordedStarts] = {}
         for run in runs:
             positions = watched.get(run.key, ())
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from cassiaweir.dispatch._call_fence import LATE_CALL_S, CallFence
 from cassiaweir.dispatch._health import ServerHealth
@@ -30,6 +31,14 @@
     return f"{server_id}@{born}"
 
 
+@dataclass(frozen=True, slots=True)
+class FailedEnd:
+    """A listed end that could not be applied since then, and its run if it is known."""
+
+    run: Run | None
+    since: float
+
+
 class Server:
     """A backend server as the leader knows it.
 
@@ -57,7 +66,8 @@
     runs before it was told to stop them.  `cold` means that it is slow after its start.
     `suspects` are the runs of tasks that may crash the server, until they have run for
     long enough.  `unstored_ends` are tasks that ended here, with the position of the
-    write that stores the end.  `relative_speed` is that of `ServerSpeeds`, 1.0 while
+    write that stores the end, and `failed_ends` those that could not be applied yet, by
+    number.  `relative_speed` is that of `ServerSpeeds`, 1.0 while
     unknown.  `forgets_ends` means that its lifetime may forget ends unread, as ends of
     a former one may have been acknowledged to it: a run there is stopped at once, to
     see whether its end is listed.  `began_in_term` means that no other leader has
@@ -100,6 +110,7 @@
         self.orphan_stops: set[RunKey] = set()
         self.late_starts: set[RunKey] = set()
         self.unstored_ends: dict[str, int] = {}
+        self.failed_ends: dict[int, FailedEnd] = {}
         self._unanswered_starts: dict[RunKey, float] = {}
         self._lost_starts: set[RunKey] = set()
         self.born = entry.born
@@ -333,6 +344,7 @@
         self.fence.begin_lifetime()
         self.recorded = False
         self.born = born
+        self.failed_ends.clear()
         self.applied = 0
         self.acknowledged = 0
         self.orphan_runs = frozenset()
--- a/cassiaweir/dispatch/_urgent_placement.py
+++ b/cassiaweir/dispatch/_urgent_placement.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from cassiaweir.dispatch._cancel_age import CancelAge
+from cassiaweir.dispatch._job_errors import JobAction, JobErrors
 from cassiaweir.dispatch._placer import Placer
 from cassiaweir.jobs import Step
 from cassiaweir.leadership import Leadership
@@ -30,7 +31,9 @@
         clock: Clock,
         leadership: Leadership,
         cancel_age: CancelAge,
+        errors: JobErrors,
     ) -> None:
+        self._errors = errors
         self._placer = placer
         self._clock = clock
         self._leadership = leadership
@@ -43,8 +46,16 @@
         self._closed = True
 
     def request(self, step: Step) -> None:
-        """Look at `step` in the next iteration of the event loop, if it is urgent."""
-        if self._closed or not self._placer.is_urgent(step):
+        """Look at `step` in the next iteration of the event loop, if it is urgent.
+
+        An error with its job does not reach the caller, which may act for many jobs.
+        """
+        if self._closed:
+            return
+        urgent = False
+        with self._errors.contained(step.job.job_id, JobAction.PLACE):
+            urgent = self._placer.is_urgent(step)
+        if not urgent:
             return
         if not self._steps:
             asyncio.get_running_loop().call_soon(self._place)
--- a/cassiaweir/dispatch/_wait_causes.py
+++ b/cassiaweir/dispatch/_wait_causes.py
@@ -19,6 +19,7 @@
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._waiting_steps import (
     URGENT_PRIORITY,
+    HeldTasks,
     WaitingStep,
     WaitingSteps,
 )
@@ -65,6 +66,8 @@
     """Its servers were lost too often while it ran there, and may have crashed."""
     EVACUATION = "evacuation"
     """The only room is in domains that are evacuated or were given back lately."""
+    ERROR = "error"
+    """Its job cannot be ranked; see `job_error` in the log."""
     ORDER = "order"
     """There is room, which the order of work or the rules of choice withhold."""
 
@@ -354,9 +357,14 @@
         return WaitCause.LOSSES if withheld else WaitCause.STORE
 
     def _count_held(self) -> None:
-        for entry, queue, tasks in self._steps.held_tasks():
-            customer = entry.job.spec.customer
-            self._count(queue, customer, self._held_cause(entry), tasks)
+        for held in self._steps.held_tasks():
+            self._count_tasks(held, self._held_cause(held.entry))
+        for held in self._steps.unranked_tasks():
+            self._count_tasks(held, WaitCause.ERROR)
+
+    def _count_tasks(self, held: HeldTasks, cause: WaitCause) -> None:
+        customer = held.entry.job.spec.customer
+        self._count(held.queue, customer, cause, held.tasks)
 
     def _count_unrecorded(self) -> None:
         """Count tasks that earlier rounds placed and whose starts are not recorded."""
--- a/cassiaweir/dispatch/_waiting_steps.py
+++ b/cassiaweir/dispatch/_waiting_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import NamedTuple
 
@@ -10,6 +10,7 @@
 
 from cassiaweir.dispatch._crash_tracker import CrashTracker
 from cassiaweir.dispatch._gate import TakeoverGate
+from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._job_times import URGENT_PRIORITY
 from cassiaweir.dispatch._objective import DeadlineStatus, deadline_status
@@ -80,6 +81,15 @@
     queue: Queue
 
 
+@dataclass(frozen=True, slots=True)
+class HeldTasks:
+    """Waiting tasks of one job that may not be started, whatever room there is."""
+
+    entry: JobEntry
+    queue: str
+    tasks: int
+
+
 class WaitingSteps:
     """Finds the steps of open jobs with tasks that may be started."""
 
@@ -104,28 +114,42 @@
         found: list[WaitingStep] = []
         aged: list[JobEntry] = []
         self._round += 1
-        for entry in self._jobs.open_jobs():
-            for step in entry.job.startable_steps():
-                waiting = self._rank(entry, step, now, wall)
-                if waiting is None:
-                    continue
-                found.append(waiting)
-                if self._note_waiting(entry, now):
-                    aged.append(entry)
+
+        def visit(entry: JobEntry) -> None:
+            ranked = self._rank_all(entry, now, wall)
+            if not ranked:
+                return
+            found.extend(ranked)
+            if self._note_waiting(entry, now):
+                aged.append(entry)
+
+        self._jobs.visit_open(JobAction.RANK, visit)
         self._take_turn(found, aged, now)
         return found
 
+    def _rank_all(self, entry: JobEntry, now: float, wall: float) -> list[WaitingStep]:
+        """Return the steps of a job with tasks that may be started."""
+        ranked = (
+            self._rank(entry, step, now, wall) for step in entry.job.startable_steps()
+        )
+        return [each for each in ranked if each is not None]
+
     def find_among(self, steps: Iterable[Step], now: float) -> list[WaitingStep]:
         """Return those of `steps` with tasks that may be started, in any order."""
         wall = self._clock.now().timestamp()
         found = []
-        for step in steps:
+
+        def visit(step: Step) -> None:
             entry = self._jobs.entries.get(step.job.job_id)
             if entry is None or step not in entry.job.startable_steps():
-                continue
+                return
             waiting = self._rank(entry, step, now, wall)
             if waiting is not None:
                 found.append(waiting)
+
+        self._jobs.errors.visit_each(
+            JobAction.RANK, steps, lambda step: step.job.job_id, visit
+        )
         return found
 
     def _rank(
@@ -180,15 +204,17 @@
     def _has_startable(self, entry: JobEntry, step: Step) -> bool:
         if not step.waiting_count:
             return False
-        unchecked = not entry.held and not entry.job.crashes
+        unchecked = not (entry.held or entry.job.crashes or entry.withheld_until)
         return unchecked or len(self.startable_tasks(entry, step)) > 0
 
     def startable_tasks(self, entry: JobEntry, step: Step) -> TaskSelection:
         """Return the waiting tasks that may be started now.
 
-        No former leader may have started them, and what is known of their crashes has
-        to be stored.
+        No former leader may have started them, what is known of their crashes has to be
+        stored, and no end of the job may wait to be applied.
         """
+        if self._clock.monotonic() < entry.withheld_until:
+            return TaskSelection(step, only=())
         held: frozenset[int] = frozenset()
         if entry.held and not self._gate.is_open:
             if self._gate.holds_all:
@@ -207,18 +233,34 @@
                 found.add(task.index)
         return frozenset(found)
 
-    def held_tasks(self) -> Iterator[tuple[JobEntry, str, int]]:
-        """Yield job, queue and number of the due tasks that may not be started yet."""
+    def held_tasks(self) -> list[HeldTasks]:
+        """Return the due tasks that may not be started yet."""
         wall = self._clock.now().timestamp()
-        for entry in self._jobs.open_jobs():
+        found: list[HeldTasks] = []
+
+        def visit(entry: JobEntry) -> None:
             if not entry.job.crashes and (not entry.held or self._gate.is_open):
-                continue
+                return
             for step in entry.job.startable_steps():
                 if _due(step, wall):
                     tasks = self.startable_tasks(entry, step)
                     held = step.waiting_count - len(tasks)
                     if held:
-                        yield entry, self._jobs.queue_of(entry.job).name, held
+                        queue = self._jobs.queue_of(entry.job).name
+                        found.append(HeldTasks(entry, queue, held))
+
+        self._jobs.visit_open(JobAction.WAIT_CAUSE, visit)
+        return found
+
+    def unranked_tasks(self) -> list[HeldTasks]:
+        """Return the tasks that wait as an error keeps their jobs from being ranked."""
+        found: list[HeldTasks] = []
+        for job_id in self._jobs.errors.jobs_failing(JobAction.RANK):
+            entry = self._jobs.entries.get(job_id)
+            if entry is not None and not entry.job.ended:
+                tasks = sum(step.waiting_count for step in entry.job.steps.values())
+                found.append(HeldTasks(entry, entry.job.spec.queue.name, tasks))
+        return found
 
 
 def _due(step: Step, wall: float) -> bool:
--- a/cassiaweir/jobs/_progress.py
+++ b/cassiaweir/jobs/_progress.py
@@ -123,9 +123,9 @@
         )
 
 
-def encode_outcome(job: Job) -> bytes:
+def encode_outcome(state: JobState) -> bytes:
     """Return the stored form of the state in which a job ended."""
-    return msgspec.json.encode(_Outcome(job.state))
+    return msgspec.json.encode(_Outcome(state))
 
 
 def decode_outcome(raw: bytes) -> JobState | None:
--- a/tests/test_crash_tracker.py
+++ b/tests/test_crash_tracker.py
@@ -14,6 +14,7 @@
 import pytest
 
 from cassiaweir.dispatch._crash_tracker import CrashTracker
+from cassiaweir.dispatch._job_errors import JobErrors
 from cassiaweir.dispatch._lost_lifetimes import LOSS_RETENTION_S
 from cassiaweir.jobs import Job, JobSpec, StepSpec
 from cassiaweir.jobs._crashes import CrashRow
@@ -37,7 +38,10 @@
         self.job.crashes.restore([row])
         entry = SimpleNamespace(job=self.job, runs=(), write_position=0)
         jobs: Any = SimpleNamespace(
-            entries={JOB_ID: entry}, save=lambda _: 1, find_task=self.job.find_task
+            entries={JOB_ID: entry},
+            save=lambda _: 1,
+            find_task=self.job.find_task,
+            errors=JobErrors(VirtualClock()),
         )
         self.tracker = CrashTracker(
             jobs,
--- a/tests/test_rejected_rows.py
+++ b/tests/test_rejected_rows.py
@@ -139,7 +139,7 @@
 def test_outcomes_are_short() -> None:
     job = largest_job((StepSpec(count=10_000),))
     job.state = JobState.FAILED
-    assert len(encode_outcome(job)) < 100
+    assert len(encode_outcome(job.state)) < 100
 
 
 # Guards against TWICE: a row that the store refused counted as stored, so that the ends
--- a/tests/test_urgent_placement.py
+++ b/tests/test_urgent_placement.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from cassiaweir.dispatch._job_errors import JobErrors
 from cassiaweir.dispatch._urgent_placement import UrgentPlacement
 from cassiaweir.jobs import Step
 from tests.test_dispatch_parts import step_of
@@ -29,6 +30,7 @@
             VirtualClock(),
             cast(Any, SimpleNamespace(may_act=lambda now: self.leads)),
             cast(Any, SimpleNamespace(is_recent=lambda: self.cancels_known)),
+            JobErrors(VirtualClock()),
         )
 
     def _place(self, steps: list[Step], limit: timedelta) -> None:
