--- a/cassiaweir/dispatch/_load.py
+++ b/cassiaweir/dispatch/_load.py
@@ -194,6 +194,7 @@
                 on_time=status is DeadlineStatus.ON_TIME,
                 late=status is DeadlineStatus.LATE,
                 over_share=entry.over_share,
+                starts_in_s=objective.due_at - remaining_s - now,
             )
 
 
--- a/cassiaweir/scheduling/_backlog.py
+++ b/cassiaweir/scheduling/_backlog.py
@@ -34,6 +34,18 @@
 DRAIN_SMOOTHING = 0.2
 """The weight of a new sample in the moving average of the drain rate."""
 
+DEFERRED_S = 300.0
+"""Work whose latest start is further off than this does not make new jobs wait.
+
+It is started after them, whatever its estimate says.
+"""
+
+MAX_COUNTED_TASK_S = 60.0
+"""A task counts for the wait of new jobs as taking this long at most.
+
+A longer one keeps only its own cores busy, while the others go on to drain the backlog.
+"""
+
 MAX_SUBMISSIONS = 10_000
 MAX_PLACES = 4_096
 """Limits of what is remembered for a customer, and of places in all."""
@@ -129,7 +141,8 @@
     """Alike tasks of one step that wait; `demand` and `estimate_s` are those of one.
 
     `startable` tasks wait only for room.  `on_time` and `late` say what their job can
-    still be; a job that is neither has no value any more.
+    still be; a job that is neither has no value any more.  `starts_in_s` is the time
+    until their latest start.
     """
 
     queue: str
@@ -140,6 +153,7 @@
     on_time: bool = True
     late: bool = False
     over_share: bool = False
+    starts_in_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -182,8 +196,9 @@
     def add_waiting(self, work: WaitingTasks, priority: int, core_s: float) -> None:
         """Add waiting tasks that are expected to take `core_s`.
 
-        Work beyond a share or without value comes after a new job, and work too large
-        for every server never starts, so that these do not make a new job wait.
+        Work beyond a share, without value or with a lot of time comes after a new job,
+        and work too large for every server never starts, so that these do not make a
+        new job wait.
         """
         if work.demand.cpu_millis > self.largest_millis:
             return
@@ -191,7 +206,7 @@
             smallest = self.smallest.setdefault(work.queue, work.demand)
             if work.demand.cpu_millis < smallest.cpu_millis:
                 self.smallest[work.queue] = work.demand
-        if work.over_share:
+        if work.over_share or work.starts_in_s > DEFERRED_S:
             return
         if work.on_time:
             self.on_time[priority] = self.on_time.get(priority, 0.0) + core_s
@@ -319,6 +334,7 @@
             if plan is None:
                 continue
             seconds = self._durations.expected_s(work.queue, work.estimate_s)
+            seconds = min(seconds, MAX_COUNTED_TASK_S)
             core_s = work.count * seconds * work.demand.cpu_millis / 1_000
             self._pools[plan.service].add_waiting(work, plan.priority, core_s)
         for pool in self._pools.values():
--- a/tests/test_job_numbers.py
+++ b/tests/test_job_numbers.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -33,6 +34,7 @@
 from cassiaweir.queues import AdvicePolicy, Customer, Queue
 from cassiaweir.types import Resources, Row, Write
 from tests.site_fakes import ADVISED, QUEUE, URGENT, FakeSite, configuration
+from tests.test_load_admission import admission_at
 from tests.virtual_time import VirtualClock, run_virtual
 
 HUGE_FLOAT = "1.7e308"
@@ -176,6 +178,45 @@
         assert math.isfinite(rank.latest_start)
 
 
+# Guards against 429 for everybody: the expected wait of new jobs was that of all work
+# that waits, by the estimates of its callers.
+@pytest.mark.parametrize(
+    "step",
+    [
+        {"count": "10000", "cpu": "16000", "estimate_ms": "1e12"},
+        {"count": "10000", "cpu": "16000", "estimate_ms": HUGE_FLOAT},
+        {"count": "1", "cpu": "1000", "estimate_ms": BEYOND_FLOAT},
+    ],
+)
+@pytest.mark.parametrize("queue", [QUEUE, replace(QUEUE, stretch=1.0)])
+def test_an_absurd_estimate_makes_no_other_job_be_refused(
+    step: dict[str, str], queue: Queue
+) -> None:
+    async def body() -> None:
+        site = FakeSite(servers=2, vms=2)
+        odd, ordinary = Customer("odd", weight=20.0), Customer("agency", weight=20.0)
+        site.configuration.value = configuration(odd, ordinary, queues=(queue,))
+        leader = await site.wait_for_leader()
+        await asyncio.sleep(2)
+        ids = itertools.count(0xF00)
+        busy = StepSpec(count=70, cpu_millis=1_000, estimate_s=1.0)
+        admission = admission_at(site, leader)
+        refused = 0
+        for _ in range(6):
+            site.submit(busy, queue=queue)
+            submit_body(site, ids, body_with(step), queue)
+            await asyncio.sleep(1)
+            job = replace(decode(body_with({"count": "1"}), queue), customer="agency")
+            refused += admission.check(job) is not None
+        load = leader.term.load()
+        assert load is not None
+        assert load.queues[queue.name].full
+        assert not refused
+        await site.close()
+
+    run_virtual(body)
+
+
 def odd_body(rng: random.Random) -> str:
     """Return a job with odd numbers in fields drawn at random."""
     large = (HUGE_FLOAT, "1e300", "1e15", "1e-300", "1" + "0" * 300, BEYOND_FLOAT)
