--- a/cassiaweir/dispatch/_call_fence.py
+++ b/cassiaweir/dispatch/_call_fence.py
@@ -29,6 +29,7 @@
         self._answered = 0
         self._required = first
         self._acknowledged_at = float("-inf")
+        self._forgetful_born = 0
         self.reported_at = float("-inf")
 
     @property
@@ -77,6 +78,17 @@
         """
         return reported_at - self._acknowledged_at < LATE_CALL_S
 
+    def note_forgetful(self, born: int, *, forgets: bool) -> None:
+        """Note whether the lifetime `born` may forget its ends unread."""
+        if forgets:
+            self._forgetful_born = born
+        elif self._forgetful_born == born:
+            self._forgetful_born = 0
+
+    def is_forgetful(self, born: int) -> bool:
+        """Return whether that is known of the lifetime `born`, 0 for an unknown one."""
+        return born != 0 and self._forgetful_born == born
+
     def _raise(self) -> None:
         self.value = min(self.value + 1, self._last)
 
--- a/cassiaweir/dispatch/_leases.py
+++ b/cassiaweir/dispatch/_leases.py
@@ -27,6 +27,15 @@
 MIN_CLOCK_RATE = 0.98
 """Slowest rate of a server's clock, relative to the leader's clock."""
 
+BRIEF_LEASE_MS = 6
+"""A brief lease lasts this long at most from when its start arrives."""
+
+MAX_BRIEF_ALLOWANCE_MS = 42
+"""Limits what is added for the way of a start, or a slow clock, after late arrivals."""
+
+ALLOWANCE_INTERVAL_S = 0.05
+"""Starts that were sent together and arrived too late count once."""
+
 LEASE_EXPIRY_MARGIN_S = 0.1
 MS_PER_SECOND = 1_000
 
@@ -70,6 +79,9 @@
         self._granted_end_ms = 0
         self._may_inherit = False
         self._inherited_end_ms = 0
+        self._latest_brief_end_ms = 0
+        self._brief_allowance_ms = 0
+        self._allowance_raised_at = float("-inf")
         self._start_accepted_at = float("-inf")
 
     def expect_inherited(self) -> None:
@@ -122,6 +134,7 @@
         self._latest_end_ms = 0
         self._granted_end_ms = 0
         self._inherited_end_ms = 0
+        self._latest_brief_end_ms = 0
         self._start_accepted_at = float("-inf")
         self.expect_inherited()
 
@@ -158,6 +171,39 @@
             return self._latest_end_ms
         return self.next_end_ms(now, observed=False)
 
+    def brief_end_ms(self, now: float) -> int | None:
+        """Return the end of a lease of a few milliseconds, None if no clock is known.
+
+        The server's clock shows at least what it did at the last report, and the time
+        since then at its slowest rate.
+        """
+        if self._clock_ms is None:
+            return None
+        elapsed_s = max(now - self._clock_read_at, 0.0) * MIN_CLOCK_RATE
+        duration_ms = BRIEF_LEASE_MS + self._brief_allowance_ms
+        end_ms = self._clock_ms + round(elapsed_s * MS_PER_SECOND) + duration_ms
+        self._latest_brief_end_ms = max(self._latest_brief_end_ms, end_ms)
+        return end_ms
+
+    def note_brief_too_late(self, now: float) -> None:
+        """Note that a start arrived after its brief lease was over.
+
+        The next one has the time for the way of this one in addition, so that little
+        more than that is left of its lease when it arrives.
+        """
+        if now - self._allowance_raised_at >= ALLOWANCE_INTERVAL_S:
+            self._allowance_raised_at = now
+            allowance_ms = self._brief_allowance_ms + BRIEF_LEASE_MS
+            self._brief_allowance_ms = min(allowance_ms, MAX_BRIEF_ALLOWANCE_MS)
+
+    def only_brief(self, now: float) -> bool:
+        """Return whether no lease but brief ones can be in force in this lifetime."""
+        if self._may_inherit or self._clock_ms is None:
+            return False
+        end_ms = max(self._latest_end_ms, self._inherited_end_ms)
+        remaining_s = (end_ms - self._clock_ms) / MS_PER_SECOND
+        return now > self._clock_read_at + max_duration_s(remaining_s)
+
     def note_granted(self, end_ms: int) -> None:
         """Note that the server has taken a lease that ends at `end_ms`."""
         self._granted_end_ms = max(self._granted_end_ms, end_ms)
@@ -192,7 +238,9 @@
             return True
         if now <= self._start_accepted_at + max_duration_s(self.longest_s):
             return False
-        end_ms = max(self._latest_end_ms, self._inherited_end_ms)
+        end_ms = max(
+            self._latest_end_ms, self._inherited_end_ms, self._latest_brief_end_ms
+        )
         remaining_s = (end_ms - self._clock_ms) / MS_PER_SECOND
         return now > self._clock_read_at + max_duration_s(remaining_s)
 
--- a/cassiaweir/dispatch/_orders.py
+++ b/cassiaweir/dispatch/_orders.py
@@ -141,7 +141,8 @@
             return _Unanswered.NOT_RECEIVED if self._lease_expired(run) else None
         if run.server.entry.draining:
             return _Unanswered.NOT_WANTED
-        if not run.server.expects_answer(self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if not run.server.expects_answer(now) or _could_end_unread(run, now):
             return _Unanswered.NOT_RECEIVED
         return None
 
@@ -242,7 +243,7 @@
             if not (_is_wanted(run) and self._is_permitted(run)):
                 return None
         if run.until_ms is None:
-            run.until_ms = run.server.start_lease_end_ms(self._clock.monotonic())
+            run.until_ms = _lease_end_ms(run, self._clock.monotonic())
         if run.until_ms is None:
             raise UnavailableError(
                 f"no report has shown the clock of server {run.server.server_id} yet",
@@ -276,6 +277,8 @@
         `in_doubt` is whether an earlier attempt got no answer and may be carried out.
         """
         run.answered_at = self._clock.monotonic()
+        if run.checks_numbers and outcome is OrderOutcome.TOO_LATE:
+            run.server.leases.note_brief_too_late(run.answered_at)
         if outcome is not OrderOutcome.ACCEPTED and not in_doubt:
             run.sent_at = None
         if outcome is OrderOutcome.ACCEPTED:
@@ -309,6 +312,19 @@
     return CallKind.GANG_START if run.task.step.spec.gang else CallKind.START
 
 
+def _lease_end_ms(run: Run, now: float) -> int | None:
+    """Return the end of the lease of a start sent now, None if no clock is known."""
+    if run.checks_numbers and run.server.forgets_ends:
+        return run.server.leases.brief_end_ms(now)
+    return run.server.start_lease_end_ms(now)
+
+
+def _could_end_unread(run: Run, now: float) -> bool:
+    """Return whether a run that is to lapse at once could be done before it does."""
+    doubtful = run.checks_numbers and run.server.forgets_ends
+    return doubtful and not run.server.may_check_numbers(now)
+
+
 def _is_wanted(run: Run) -> bool:
     """Return whether `run` is to begin in the lifetime that its server is in."""
     return (
--- a/cassiaweir/dispatch/_placement.py
+++ b/cassiaweir/dispatch/_placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from cassiaweir.dispatch._number_checks import ends_may_be_unread
 from cassiaweir.dispatch._server import Server
 from cassiaweir.jobs import Step
 from cassiaweir.scheduling import InterferenceModel
@@ -189,7 +190,11 @@
     ordered = sorted(candidates, key=sort_key)
     if emptiest_first:
         ordered.sort(
-            key=lambda each: (is_avoided(step, each.server), len(each.server.runs))
+            key=lambda each: (
+                each.server.forgets_ends,
+                is_avoided(step, each.server),
+                len(each.server.runs),
+            )
         )
     if step.spec.same_rack:
         ordered = _one_rack(ordered, count) or ordered
@@ -205,6 +210,9 @@
     return chosen
 
 
+LAST_CHOICE = 1_000
+"""Added to the suspicion of a server where a run can only check the numbers of ends."""
+
 PreferenceKey = tuple[int, int, int, int, int, float, int]
 """The sort key of a server for a step; lower ones are preferred."""
 
@@ -212,10 +220,11 @@
 def preference_key(step: Step, candidate: Candidate) -> PreferenceKey:
     """Return the sort key of a server for `step`.
 
-    In this order: failures and slowness of the server, and whether it runs a task that
-    may crash it; whether it is cold, whether it is outside of the step's rack, whether
-    it is not a fast one for an urgent step, whether an urgent step would wait there
-    until a row is stored, interference with what runs there, and the CPU left free.
+    In this order: failures and slowness of the server, whether it runs a task that may
+    crash it, and whether the task's end may be unread there; whether it is cold,
+    whether it is outside of the step's rack, whether it is not a fast one for an urgent
+    step, whether an urgent step would wait there until a row is stored, interference
+    with what runs there, and the CPU left free.
     """
     server = candidate.server
     suspicion = server.health.failures_since_success + 2 * (
@@ -223,6 +232,8 @@
     )
     suspicion += is_avoided(step, server)
     suspicion += bool(server.suspects)
+    if server.forgets_ends and not ends_may_be_unread(step):
+        suspicion += LAST_CHOICE
     rack = step.spec.rack
     other_rack = int(bool(rack) and server.entry.rack != rack)
     urgent = step.job.spec.queue.priority == 0
--- a/cassiaweir/dispatch/_placer.py
+++ b/cassiaweir/dispatch/_placer.py
@@ -20,6 +20,7 @@
 from cassiaweir.dispatch._job_errors import JobAction
 from cassiaweir.dispatch._job_registry import JobRegistry
 from cassiaweir.dispatch._loop_turns import LoopTurns
+from cassiaweir.dispatch._number_checks import usable_by_numbers
 from cassiaweir.dispatch._objective import DeadlineStatus
 from cassiaweir.dispatch._placement import (
     choose_servers,
@@ -377,7 +378,7 @@
             return
         for group in self._quarantine.groups(step, tasks, now):
             if group.isolation is not Isolation.ALONE:
-                servers = self._quarantine.usable(step, group.isolation, usable)
+                servers = self._usable_for(step, group.isolation, usable, now)
                 yield WaitingGang(waiting, servers, count)
 
     def _note_capped(self, waiting: WaitingStep, tasks: int, capped: int) -> None:
@@ -413,15 +414,22 @@
         for group in self._quarantine.groups(step, tasks, now):
             if group.isolation is Isolation.ALONE:
                 self._set_aside(waiting, len(group.tasks), usable)
-            allowed = self._quarantine.usable(step, group.isolation, usable)
+            allowed = self._usable_for(step, group.isolation, usable, now)
             self._place_group(
                 waiting,
                 group,
                 allowed,
-                self._quarantine.usable(step, group.isolation, with_room),
+                self._usable_for(step, group.isolation, with_room, now),
                 askable=allowed or usable,
             )
 
+    def _usable_for(
+        self, step: Step, isolation: Isolation, servers: Sequence[Server], now: float
+    ) -> Sequence[Server]:
+        """Return those of `servers` where tasks of a step may be placed."""
+        found = self._quarantine.usable(step, isolation, servers)
+        return usable_by_numbers(step, isolation, found, now)
+
     def _set_aside(
         self, waiting: WaitingStep, tasks: int, usable: Sequence[Server]
     ) -> None:
--- a/cassiaweir/dispatch/_record_keeper.py
+++ b/cassiaweir/dispatch/_record_keeper.py
@@ -47,6 +47,7 @@
         self._allow_long_leases = allow_long_leases
         self._clock = clock
         self._metrics = metrics
+        self._began_at = clock.monotonic()
         self._records = records
         self._commits = commits
         self._wake = wake
@@ -58,6 +59,8 @@
         server.leases.allow_long = self._records.allows_long_leases(server.server_id)
         if self._had_leaders:
             server.leases.expect_inherited()
+            # The former leader may have acknowledged ends just before this term began.
+            server.fence.note_acknowledgement_in_doubt(self._began_at)
 
     def check_lifetime(self, server: Server) -> None:
         """Note what the row says of the lifetime that has reported for the first time.
--- a/cassiaweir/dispatch/_run_registry.py
+++ b/cassiaweir/dispatch/_run_registry.py
@@ -6,6 +6,7 @@
 
 from cassiaweir.dispatch._job_registry import JobEntry, JobRegistry
 from cassiaweir.dispatch._job_times import URGENT_PRIORITY
+from cassiaweir.dispatch._number_checks import ends_may_be_unread
 from cassiaweir.dispatch._runs import Run, RunKey
 from cassiaweir.dispatch._server import Server
 from cassiaweir.dispatch._usage import CustomerUsage
@@ -57,6 +58,8 @@
         run.isolation = isolation
         run.resumed_checkpoint = task.step.checkpoint_of(task)
         run.from_start = not run.resumed_checkpoint
+        unread = bool(isolation) or ends_may_be_unread(task.step)
+        run.checks_numbers = server.forgets_ends and not unread
         run.urgent = self._jobs.queue_of(entry.job).priority == URGENT_PRIORITY
         entry.last_start_at = run.placed_at
         task.run = number
--- a/cassiaweir/dispatch/_runs.py
+++ b/cassiaweir/dispatch/_runs.py
@@ -46,6 +46,8 @@
     `resumed_checkpoint` is the checkpoint that each attempt of its start carries, empty
     if there is none.  It is set when the run is placed, as a later report of an earlier
     run may bring another one, and the members of a gang have to resume the same.
+    `checks_numbers` means that it gets a lease that ends before it can be done, to find
+    out whether the server lists its ends.
     """
 
     task: Task
@@ -67,6 +69,7 @@
     from_start: bool = False
     urgent: bool = False
     resumed_checkpoint: str = ""
+    checks_numbers: bool = False
     progress: RunProgress = field(default_factory=RunProgress)
     sampler: ProgressSampler = field(default_factory=ProgressSampler)
 
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -69,9 +69,10 @@
     write that stores the end, and `failed_ends` those that could not be applied yet, by
     number.  `relative_speed` is that of `ServerSpeeds`, 1.0 while
     unknown.  `forgets_ends` means that its lifetime may forget ends unread, as ends of
-    a former one may have been acknowledged to it: a run there is stopped at once, to
-    see whether its end is listed.  `began_in_term` means that no other leader has
-    called its lifetime.  `kinds` holds the number of counted runs of each kind of task,
+    a former one may have been acknowledged to it: runs there are to lapse at once, to
+    see whether their ends are listed.  `began_in_term` means that no other leader has
+    called its lifetime.  `doubted_at` is when a report first came from a lifetime that
+    may forget ends.  `kinds` holds the number of counted runs of each kind of task,
     and `kind_added_at` when a run last got another kind beside it.
     """
 
@@ -95,7 +96,8 @@
         self.kind_added_at = 0.0
         self.health = ServerHealth()
         self.relative_speed = 1.0
-        self.forgets_ends = False
+        self._forgets_ends = False
+        self.doubted_at = float("inf")
         self.began_in_term = False
         self.recorded = False
         self.recording = False
@@ -117,6 +119,16 @@
         self.leases = ServerLeases(longest_lease_s)
         self._isolated_runs = 0
 
+    @property
+    def forgets_ends(self) -> bool:
+        """Whether the present lifetime may forget ends unread."""
+        return self._forgets_ends
+
+    @forgets_ends.setter
+    def forgets_ends(self, forgets: bool) -> None:
+        self._forgets_ends = forgets
+        self.fence.note_forgetful(self.born, forgets=forgets)
+
     @property
     def server_id(self) -> str:
         """The id under which the server registered."""
@@ -256,13 +268,30 @@
             return False
         if self.orphan_runs or self.late_starts:
             return False
-        if self.forgets_ends and self.runs:
-            return False
         missing = self.missing_since
         if missing is not None and now - missing > MISSING_GRACE_S:
             return False
         return now - self.reported_at < MAX_REPORT_AGE_S
 
+    @property
+    def checking(self) -> bool:
+        """Whether runs that check the numbers of its ends are counted here."""
+        return any(run.checks_numbers for run in self.runs.values())
+
+    @property
+    def avoids_leases(self) -> bool:
+        """Whether its lease is not renewed, as it may forget ends of runs unread.
+
+        Runs whose ends may be unread, and those that a former leader started, keep it.
+        """
+        return self.forgets_ends and all(
+            run.checks_numbers for run in self.runs.values()
+        )
+
+    def may_check_numbers(self, now: float) -> bool:
+        """Return whether a run that is started now lapses before it can be done."""
+        return self.avoids_leases and self.leases.only_brief(now)
+
     def record_unanswered_start(self, run: Run, now: float) -> None:
         """Remember that a start of `run` may be carried out late."""
         self._drop_old_unanswered()
@@ -321,6 +350,8 @@
         """
         self.fence.note_answered(self.fence.value if fence is None else fence)
         self.fence.reported_at = now
+        if self.forgets_ends:
+            self.doubted_at = min(self.doubted_at, now)
         self.leases.read_clock(
             report.clock_ms,
             now if asked_at is None else asked_at,
@@ -338,12 +369,13 @@
         self._drop_old_unanswered()
         self._lost_starts = set(self._unanswered_starts)
         self.late_starts.clear()
-        self.forgets_ends = self.fence.acknowledgement_in_doubt(self.reported_at)
+        self.born = born
+        self.forgets_ends = self._may_forget_ends(self.reported_at)
+        self.doubted_at = float("inf")
         self.began_in_term = self.has_reported
         self.leases.begin_lifetime()
         self.fence.begin_lifetime()
         self.recorded = False
-        self.born = born
         self.failed_ends.clear()
         self.applied = 0
         self.acknowledged = 0
@@ -359,7 +391,16 @@
         """Expect late calls that were sent before the server was removed and back."""
         self.fence.begin_lifetime()
         self.leases.expect_inherited()
-        self.forgets_ends = self.fence.acknowledgement_in_doubt(self.fence.reported_at)
+        self.forgets_ends = self._may_forget_ends(self.fence.reported_at)
+
+    def _may_forget_ends(self, reported_at: float) -> bool:
+        """Return whether the lifetime that begins now may forget ends unread.
+
+        The former one last reported at `reported_at`.  It is known already of one that
+        was removed and is back.
+        """
+        in_doubt = self.fence.acknowledgement_in_doubt(reported_at)
+        return in_doubt or self.fence.is_forgetful(self.born)
 
     @property
     def is_observed(self) -> bool:
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -38,6 +38,12 @@
 UNSTORED_DELAY = timedelta(milliseconds=250)
 """Delay before the next request while the ends of the last report are not stored."""
 
+CHECK_DELAY = timedelta(milliseconds=30)
+"""Delay before the next request while runs are to lapse to check numbers of ends."""
+
+CLOCK_READ_DELAY = timedelta(milliseconds=100)
+"""The same while such runs may be started, which needs a server's clock to some ms."""
+
 MAX_REPORT_AGE_AT_ACKNOWLEDGEMENT_S = 0.1
 """Ends are acknowledged only to a server that has reported within this time."""
 
@@ -168,6 +174,11 @@
             await self._read_report(self._server.acknowledged, timedelta(0))
             if self._unstored is not None:
                 return
+        if self._server.may_check_numbers(self._clock.monotonic()):
+            pause = CHECK_DELAY if self._server.checking else CLOCK_READ_DELAY
+            await self._clock.sleep(pause)
+            await self._read_report(0, timedelta(0))
+            return
         may_wait = acknowledgeable and self._server.fenced
         wait = OBSERVED_REPORT_WAIT if self._server.is_observed else REPORT_WAIT
         await self._read_report(0, wait if may_wait else timedelta(0))
@@ -178,6 +189,7 @@
         async with self._queues.at(server.entry.address).turn(CallKind.REPORT):
             asked_at = self._clock.monotonic()
             renewed = server.reachable and self._leadership.may_act(asked_at)
+            renewed = renewed and not server.avoids_leases
             until_ms = server.next_lease_end_ms(asked_at) if renewed else None
             born = server.born
             fence = server.fence.value
