--- a/cassiaweir/dispatch/_job_errors.py
+++ b/cassiaweir/dispatch/_job_errors.py
@@ -23,6 +23,9 @@
 MAX_LINES_PER_S = 5
 """Errors are logged up to this rate; the others are only counted."""
 
+MAX_FAILURES = 10_000
+"""The oldest failures are forgotten beyond this number of jobs and actions."""
+
 MAX_CAUSE_CHARS = 200
 
 _T = TypeVar("_T")
@@ -92,6 +95,8 @@
         if failure is None:
             failure = _Failure(FIRST_PAUSE_S, now + FIRST_PAUSE_S)
             self._failures[job_id, action] = failure
+            if len(self._failures) > MAX_FAILURES:
+                del self._failures[next(iter(self._failures))]
         elif now >= failure.retry_at:
             failure.pause_s = min(failure.pause_s * 2, MAX_PAUSE_S)
             failure.retry_at = now + failure.pause_s
--- a/cassiaweir/dispatch/_leases.py
+++ b/cassiaweir/dispatch/_leases.py
@@ -33,6 +33,9 @@
 MAX_BRIEF_ALLOWANCE_MS = 42
 """Limits what is added for the way of a start, or a slow clock, after late arrivals."""
 
+LATE_BRIEF_S = 2.0
+"""For this time after a late arrival, the server's clock is read more often."""
+
 ALLOWANCE_INTERVAL_S = 0.05
 """Starts that were sent together and arrived too late count once."""
 
@@ -196,6 +199,10 @@
             allowance_ms = self._brief_allowance_ms + BRIEF_LEASE_MS
             self._brief_allowance_ms = min(allowance_ms, MAX_BRIEF_ALLOWANCE_MS)
 
+    def brief_was_late(self, now: float) -> bool:
+        """Return whether a start arrived too late for its brief lease lately."""
+        return now - self._allowance_raised_at < LATE_BRIEF_S
+
     def only_brief(self, now: float) -> bool:
         """Return whether no lease but brief ones can be in force in this lifetime."""
         if self._may_inherit or self._clock_ms is None:
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -288,6 +288,11 @@
             run.checks_numbers for run in self.runs.values()
         )
 
+    def checks_numbers_now(self, now: float) -> bool:
+        """Return whether runs that check the numbers are started here just now."""
+        late = self.leases.brief_was_late(now)
+        return self.checking or (self.forgets_ends and late)
+
     def may_check_numbers(self, now: float) -> bool:
         """Return whether a run that is started now lapses before it can be done."""
         return self.avoids_leases and self.leases.only_brief(now)
--- a/cassiaweir/dispatch/_server_poller.py
+++ b/cassiaweir/dispatch/_server_poller.py
@@ -39,11 +39,10 @@
 """Delay before the next request while the ends of the last report are not stored."""
 
 CHECK_DELAY = timedelta(milliseconds=30)
-"""Delay before the next request while runs are to lapse to check numbers of ends."""
-
-CLOCK_READ_DELAY = timedelta(milliseconds=100)
-"""The same while such runs may be started, which needs a server's clock to some ms."""
+"""Delay before the next request while runs are to lapse to check numbers of ends.
 
+Their starts need the server's clock to some milliseconds.
+"""
 MAX_REPORT_AGE_AT_ACKNOWLEDGEMENT_S = 0.1
 """Ends are acknowledged only to a server that has reported within this time."""
 
@@ -174,9 +173,8 @@
             await self._read_report(self._server.acknowledged, timedelta(0))
             if self._unstored is not None:
                 return
-        if self._server.may_check_numbers(self._clock.monotonic()):
-            pause = CHECK_DELAY if self._server.checking else CLOCK_READ_DELAY
-            await self._clock.sleep(pause)
+        if self._server.checks_numbers_now(self._clock.monotonic()):
+            await self._clock.sleep(CHECK_DELAY)
             await self._read_report(0, timedelta(0))
             return
         may_wait = acknowledgeable and self._server.fenced
