--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -275,8 +275,13 @@
 
     @property
     def checking(self) -> bool:
-        """Whether runs that check the numbers of its ends are counted here."""
-        return any(run.checks_numbers for run in self.runs.values())
+        """Whether runs that check the numbers of its ends are counted here.
+
+        Once the numbers are known, they are runs like any other.
+        """
+        return self.forgets_ends and any(
+            run.checks_numbers for run in self.runs.values()
+        )
 
     @property
     def avoids_leases(self) -> bool:
@@ -291,7 +296,7 @@
     def checks_numbers_now(self, now: float) -> bool:
         """Return whether runs that check the numbers are started here just now."""
         late = self.leases.brief_was_late(now)
-        return self.checking or (self.forgets_ends and late)
+        return self.forgets_ends and (late or self.checking)
 
     def may_check_numbers(self, now: float) -> bool:
         """Return whether a run that is started now lapses before it can be done."""
--- a/tests/test_number_checks.py
+++ b/tests/test_number_checks.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -21,6 +22,7 @@
     SUSPECT_LEASE_S,
     ServerLeases,
 )
+from cassiaweir.dispatch._server import Server
 from cassiaweir.exceptions import UnavailableError
 from cassiaweir.jobs import JobState, StepSpec
 from cassiaweir.verdict import Verdict
@@ -265,6 +267,22 @@
     run_virtual(body)
 
 
+# Guards against a server that is polled many times a second for as long as a run lasts
+# that was placed there before its numbers were known.
+def test_a_run_that_was_to_check_numbers_is_an_ordinary_one_once_they_are_known() -> (
+    None
+):
+    server = Server(ServerEntry("i-1", "i-1:1", "inventory", "augusta"))
+    run: Any = SimpleNamespace(checks_numbers=True)
+    server.runs["a.0.0.0", 1] = run
+    server.forgets_ends = True
+    assert server.checks_numbers_now(0.0)
+    assert server.avoids_leases
+    server.forgets_ends = False
+    assert not server.checks_numbers_now(0.0)
+    assert not server.avoids_leases
+
+
 # Guards against a lease that is long enough for a task, or always over on arrival.
 def test_a_brief_lease_follows_the_slowest_clock_and_grows_when_late() -> None:
     leases = ServerLeases()
