--- a/cassiaweir/dispatch/_run_control.py
+++ b/cassiaweir/dispatch/_run_control.py
@@ -196,6 +196,8 @@
         if result is not StartResult.NOT_STARTED:
             if result is StartResult.UNKNOWN:
                 self._stop_gang_of_abandoned(run)
+            elif run.server.take_stopped_check(run):
+                self._stop_to_check_numbers(run)
             return
         logger.info(
             "run_not_started",
@@ -217,6 +219,21 @@
         self._mark_lost(run, "the run was not started")
         self._wake()
 
+    def _stop_to_check_numbers(self, run: Run) -> None:
+        """Stop `run`, whose end need not be known, on a server that may forget ends.
+
+        It would keep the lease in force in which no other run lapses.  If its end is
+        listed, the server lists all later ones.
+        """
+        logger.info(
+            "run_stopped_to_check_numbers",
+            task=run.task.name,
+            run=run.number,
+            server=run.server.server_id,
+        )
+        run.stop_cause = "numbers"
+        self.stop(run)
+
     def _stop_gang_of_abandoned(self, run: Run) -> None:
         """Stop the other members of a gang if the start of `run` was abandoned.
 
--- a/cassiaweir/dispatch/_server.py
+++ b/cassiaweir/dispatch/_server.py
@@ -16,6 +16,9 @@
 MISSING_GRACE_S = 2.2
 """Time within which entries that vanished in an outage of the store are back."""
 
+MAX_STOPPED_CHECKS = 8
+"""Runs of tasks that last are stopped up to this often to check numbers of ends."""
+
 MAX_REPORT_AGE_S = 3.0
 """A server gets new runs only if its last report is newer than this."""
 
@@ -97,6 +100,7 @@
         self.health = ServerHealth()
         self.relative_speed = 1.0
         self._forgets_ends = False
+        self._stopped_checks = 0
         self.doubted_at = float("inf")
         self.began_in_term = False
         self.recorded = False
@@ -293,6 +297,17 @@
             run.checks_numbers for run in self.runs.values()
         )
 
+    def take_stopped_check(self, run: Run) -> bool:
+        """Return whether a run that has just started is to be stopped as a check.
+
+        That may be any that keeps a lease and of which no end has to be known, but only
+        a few times: it may take as many checks as ends were acknowledged.
+        """
+        if not self.forgets_ends or run.checks_numbers or run.isolation:
+            return False
+        self._stopped_checks += 1
+        return self._stopped_checks <= MAX_STOPPED_CHECKS
+
     def checks_numbers_now(self, now: float) -> bool:
         """Return whether runs that check the numbers are started here just now."""
         late = self.leases.brief_was_late(now)
@@ -382,6 +397,7 @@
         self.born = born
         self.forgets_ends = self._may_forget_ends(self.reported_at)
         self.doubted_at = float("inf")
+        self._stopped_checks = 0
         self.began_in_term = self.has_reported
         self.leases.begin_lifetime()
         self.fence.begin_lifetime()
